--- /dev/null
+++ b/src/callers/dispatch.rs
@@ -0,0 +1,437 @@
+//! Route, send, answer.
+
+use std::pin::Pin;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State};
+use http_body_util::Full;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue,
+};
+use hyper::{Method, Request, Response, StatusCode};
+use log::{debug, info};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::callers::admit::KeyAdmission;
+use crate::callers::context::CallerContext;
+use crate::callers::identify::RequestIdentity;
+use crate::callers::limit::CollectedBody;
+use crate::callers::{
+    ATTEMPT_HEADER, ATTEMPT_LIMIT_HEADER, DEADLINE_HEADER, HANDED_HEADER, REQUEST_ID_HEADER,
+};
+use crate::client::{ClientError, HttpClient};
+use crate::id::EntryId;
+use crate::ledger::{KeyState, StoredAnswer};
+use crate::problem::{ProblemDetails, RAN_HEADER, RanState, full};
+use crate::routing::{RejectReason, RequestTicket, RouteAction, RouteOutcome, UpstreamSpec};
+
+/// Attempts at one request.
+const MAX_ATTEMPTS: u32 = 3;
+/// Added to the limit of an attempt before it counts as surely ended.
+const LIMIT_MARGIN: Duration = Duration::from_millis(200);
+/// Advice on when to come back after a failure.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// One request on its way.
+struct Dispatch {
+    context: CallerContext,
+    identity: RequestIdentity,
+    method: Method,
+    headers: HeaderMap,
+    body: Bytes,
+    id: u64,
+    attempt: u32,
+}
+
+/// What became of one attempt.
+enum AttemptEnd {
+    /// A whole answer.
+    Answered(Response<Bytes>),
+    /// It surely did not reach the upstream.
+    NotRun(String),
+    /// It may have run, and has surely ended at the given time.
+    Unknown(String, Instant),
+}
+
+/// The last step of the chain.
+pub(crate) fn dispatch(mut state: State) -> Pin<Box<HandlerFuture>> {
+    let context = CallerContext::borrow_from(&state).clone();
+    let id = context.next_request.fetch_add(1, Ordering::Relaxed);
+    let admission = KeyAdmission::take_from(&mut state);
+    let dispatch = Dispatch {
+        identity: RequestIdentity::take_from(&mut state),
+        method: Method::borrow_from(&state).clone(),
+        headers: HeaderMap::borrow_from(&state).clone(),
+        body: CollectedBody::take_from(&mut state).0,
+        id,
+        attempt: 0,
+        context: context.clone(),
+    };
+    Box::pin(async move {
+        // A task of its own: a caller that goes away must not leave the attempt without an end.
+        let handle = tokio::spawn(dispatch.run());
+        let response = match handle.await {
+            Ok(response) => response,
+            Err(_) => failed("the request's task ended", RanState::Unknown),
+        };
+        if let Some(reservation) = &admission.0 {
+            reservation.complete(&context, key_state(&response));
+        }
+        let (parts, bytes) = response.into_parts();
+        let response: Response<Body> = Response::from_parts(parts, full(bytes));
+        Ok((state, response))
+    })
+}
+
+/// What a key's record says after this answer.
+fn key_state(response: &Response<Bytes>) -> KeyState {
+    let ran = response
+        .headers()
+        .get(RAN_HEADER)
+        .and_then(|value| value.to_str().ok());
+    match ran {
+        Some("no") => KeyState::NotRun,
+        Some("yes") => match std::str::from_utf8(response.body()) {
+            Ok(body) => KeyState::Answered(StoredAnswer {
+                status: response.status().as_u16(),
+                content_type: text_header(response.headers(), &CONTENT_TYPE),
+                body: body.to_owned(),
+            }),
+            Err(_) => KeyState::Ended,
+        },
+        _ => KeyState::Ended,
+    }
+}
+
+fn text_header(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned)
+}
+
+impl Dispatch {
+    async fn run(mut self) -> Response<Bytes> {
+        let started = Instant::now();
+        let response = self.attempts().await;
+        let ran = text_header(response.headers(), &HeaderName::from_static(RAN_HEADER));
+        let ran = ran.unwrap_or_default();
+        let labels = [("ran", ran.clone())];
+        metrics::counter!("kelplink_answers_total", &labels).increment(1);
+        let seconds = started.elapsed().as_secs_f64();
+        metrics::histogram!("kelplink_request_seconds").record(seconds);
+        debug!(
+            request:% = self.id, service:% = self.identity.service, ran:% = ran;
+            "answered {}", response.status()
+        );
+        response
+    }
+
+    async fn attempts(&mut self) -> Response<Bytes> {
+        loop {
+            self.attempt += 1;
+            let spec = match self.slot().await {
+                Ok(spec) => spec,
+                Err((reason, advice)) => return self.rejected(reason, advice).await,
+            };
+            let end = self.attempt_at(&spec).await;
+            match end {
+                AttemptEnd::Answered(response) => return response,
+                AttemptEnd::NotRun(detail) if !self.may_retry() => {
+                    return failed(&detail, RanState::No);
+                }
+                AttemptEnd::NotRun(detail) => {
+                    info!(request:% = self.id; "not run, again: {detail}")
+                }
+                AttemptEnd::Unknown(detail, ended) => {
+                    let again = self.identity.idempotent && ended < self.identity.deadline;
+                    if !again || !self.may_retry() {
+                        return failed(&detail, RanState::Unknown);
+                    }
+                    sleep_until(ended).await;
+                }
+            }
+        }
+    }
+
+    fn may_retry(&self) -> bool {
+        let time_left = Instant::now() < self.identity.deadline;
+        time_left && self.attempt < MAX_ATTEMPTS && self.context.desk().router.spend_retry()
+    }
+
+    /// Asks the router for a slot and waits for its word.
+    async fn slot(&self) -> Result<UpstreamSpec, (RejectReason, Duration)> {
+        let ticket = RequestTicket {
+            id: self.id,
+            service: self.identity.service.clone(),
+            workspace: self.identity.workspace.clone(),
+            rank: self.identity.rank,
+            deadline: self.identity.deadline,
+        };
+        let receiver = {
+            let (sender, receiver) = oneshot::channel();
+            let mut desk = self.context.desk();
+            desk.waiting.insert(self.id, sender);
+            let started = std::time::Instant::now();
+            let actions = desk.router.arrive(Instant::now(), ticket.clone());
+            let seconds = started.elapsed().as_secs_f64();
+            metrics::histogram!("kelplink_route_seconds").record(seconds);
+            desk.pass_on(actions);
+            receiver
+        };
+        match timeout_at(self.identity.deadline + LIMIT_MARGIN, receiver).await {
+            Ok(Ok(RouteAction::Send(_, spec))) => Ok(spec),
+            Ok(Ok(RouteAction::Reject(_, reason, advice))) => Err((reason, advice)),
+            _ => {
+                let mut desk = self.context.desk();
+                desk.waiting.remove(&self.id);
+                desk.router.abandon(&ticket);
+                Err((RejectReason::DeadlinePassed, RETRY_AFTER))
+            }
+        }
+    }
+
+    async fn attempt_at(&self, spec: &UpstreamSpec) -> AttemptEnd {
+        let pool = self
+            .context
+            .desk()
+            .pools
+            .entry(spec.id.clone())
+            .or_insert_with(HttpClient::new)
+            .clone();
+        let started = Instant::now();
+        let limit = self.context.desk().router.attempt_limit();
+        let left = self.identity.deadline.saturating_duration_since(started);
+        let limit = limit.min(left).max(Duration::from_millis(1));
+        let ended = started + limit + LIMIT_MARGIN;
+        let end = match self.request(spec, limit) {
+            Ok(request) => {
+                pool.send(request, limit, self.context.limits.answer_bytes)
+                    .await
+            }
+            Err(detail) => Err(ClientError::NotSent(detail)),
+        };
+        let time = started.elapsed();
+        let (outcome, end) = match end {
+            Ok(response) => match self.own_answer(&response) {
+                true => (
+                    RouteOutcome::Answered,
+                    AttemptEnd::Answered(self.pass_back(response)),
+                ),
+                false => {
+                    let detail = "the upstream answered another request".to_owned();
+                    (RouteOutcome::Failed, AttemptEnd::Unknown(detail, ended))
+                }
+            },
+            Err(ClientError::NotSent(detail)) => (RouteOutcome::Failed, AttemptEnd::NotRun(detail)),
+            Err(ClientError::NoAnswer(detail)) => {
+                (RouteOutcome::Failed, AttemptEnd::Unknown(detail, ended))
+            }
+        };
+        if matches!(end, AttemptEnd::Unknown(..)) {
+            // Its connections may be dead without knowing it; the slot stays in use until the
+            // attempt must have ended.
+            self.context.desk().pools.remove(&spec.id);
+            metrics::counter!("kelplink_pools_renewed_total").increment(1);
+            let (context, id) = (self.context.clone(), spec.id.clone());
+            tokio::spawn(async move {
+                sleep_until(ended).await;
+                let mut desk = context.desk();
+                let actions = desk.router.finish(Instant::now(), &id, outcome, time);
+                desk.pass_on(actions);
+            });
+            return end;
+        }
+        let mut desk = self.context.desk();
+        let actions = desk.router.finish(Instant::now(), &spec.id, outcome, time);
+        desk.pass_on(actions);
+        end
+    }
+
+    fn request_id(&self) -> String {
+        format!("{}-{}-{}", self.context.entry, self.context.boot, self.id)
+    }
+
+    fn request(
+        &self,
+        spec: &UpstreamSpec,
+        limit: Duration,
+    ) -> Result<Request<Full<Bytes>>, String> {
+        let uri = format!("http://{}{}", spec.address, self.identity.target);
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(uri)
+            .body(Full::new(self.body.clone()))
+            .map_err(|error| error.to_string())?;
+        let headers = request.headers_mut();
+        copy_headers(&self.headers, headers);
+        headers.remove(HOST);
+        headers.insert(REQUEST_ID_HEADER, text_value(&self.request_id()));
+        headers.insert(ATTEMPT_HEADER, HeaderValue::from(self.attempt));
+        let millis = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(ATTEMPT_LIMIT_HEADER, HeaderValue::from(millis));
+        Ok(request)
+    }
+
+    /// Checks that an answer is the one to this attempt, where the upstream says so.
+    fn own_answer(&self, response: &Response<Bytes>) -> bool {
+        let id = text_header(
+            response.headers(),
+            &HeaderName::from_static(REQUEST_ID_HEADER),
+        );
+        let attempt = text_header(response.headers(), &HeaderName::from_static(ATTEMPT_HEADER));
+        id.is_none_or(|id| id == self.request_id())
+            && attempt.is_none_or(|attempt| attempt == self.attempt.to_string())
+    }
+
+    fn pass_back(&self, response: Response<Bytes>) -> Response<Bytes> {
+        let (parts, body) = response.into_parts();
+        let mut answer = Response::new(body);
+        *answer.status_mut() = parts.status;
+        let headers = answer.headers_mut();
+        copy_headers(&parts.headers, headers);
+        headers.insert(RAN_HEADER, HeaderValue::from_static(RanState::Yes.label()));
+        answer
+    }
+
+    /// No slot here: another entry may have one.
+    async fn rejected(&self, reason: RejectReason, advice: Duration) -> Response<Bytes> {
+        let elsewhere = matches!(reason, RejectReason::NoUpstream | RejectReason::Overloaded);
+        if elsewhere && !self.identity.handed_over {
+            let entries = self
+                .context
+                .desk()
+                .rooms
+                .get(&self.identity.service)
+                .cloned();
+            for entry in entries.unwrap_or_default().iter().take(2) {
+                match self.hand_over(entry).await {
+                    AttemptEnd::Answered(response) => return response,
+                    AttemptEnd::NotRun(detail) => debug!("{entry} was not reached: {detail}"),
+                    AttemptEnd::Unknown(detail, _) => return failed(&detail, RanState::Unknown),
+                }
+            }
+        }
+        let (status, title) = match reason {
+            RejectReason::NoUpstream => (StatusCode::SERVICE_UNAVAILABLE, "nothing answers for it"),
+            RejectReason::Overloaded => (StatusCode::SERVICE_UNAVAILABLE, "too much waits"),
+            RejectReason::Displaced => (StatusCode::SERVICE_UNAVAILABLE, "more urgent work waits"),
+            RejectReason::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "waited too long"),
+        };
+        let detail = format!("the request to {} was not run", self.identity.service);
+        let problem = ProblemDetails::new(status, title, detail);
+        problem
+            .ran(RanState::No)
+            .retry_after(advice)
+            .bytes_response()
+    }
+
+    /// Hands the request to another entry, which answers as it would its own caller.
+    async fn hand_over(&self, entry: &EntryId) -> AttemptEnd {
+        let Some(address) = self.context.peers.get(entry) else {
+            return AttemptEnd::NotRun("unknown entry".to_owned());
+        };
+        let left = self
+            .identity
+            .deadline
+            .saturating_duration_since(Instant::now());
+        let path = format!(
+            "http://{address}/s/{}{}",
+            self.identity.service, self.identity.target
+        );
+        let built = Request::builder()
+            .method(self.method.clone())
+            .uri(path)
+            .body(Full::new(self.body.clone()));
+        let mut request = match built {
+            Ok(request) => request,
+            Err(error) => return AttemptEnd::NotRun(error.to_string()),
+        };
+        let headers = request.headers_mut();
+        copy_headers(&self.headers, headers);
+        headers.remove(HOST);
+        headers.insert(HANDED_HEADER, text_value(&self.context.entry));
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        metrics::counter!("kelplink_handed_over_total").increment(1);
+        let most = self.context.limits.answer_bytes;
+        match self
+            .context
+            .handed
+            .send(request, left + LIMIT_MARGIN, most)
+            .await
+        {
+            Ok(response) => judge_handed(response),
+            Err(ClientError::NotSent(detail)) => AttemptEnd::NotRun(detail),
+            Err(ClientError::NoAnswer(detail)) => {
+                AttemptEnd::Unknown(detail, self.identity.deadline)
+            }
+        }
+    }
+}
+
+/// Another entry's word is taken as it is; only its "no" leads on to the next entry.
+fn judge_handed(response: Response<Bytes>) -> AttemptEnd {
+    let ran = text_header(response.headers(), &HeaderName::from_static(RAN_HEADER));
+    match ran.as_deref() {
+        Some("no") => AttemptEnd::NotRun("the other entry has no room".to_owned()),
+        _ => {
+            let (parts, body) = response.into_parts();
+            let mut answer = Response::new(body);
+            *answer.status_mut() = parts.status;
+            copy_headers(&parts.headers, answer.headers_mut());
+            AttemptEnd::Answered(answer)
+        }
+    }
+}
+
+/// Copies all headers but those that concern one connection.
+fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
+    let named: Vec<String> = from
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for (name, value) in from {
+        let hop = HOP_HEADERS.contains(&name.as_str()) || named.iter().any(|n| n == name.as_str());
+        if !hop && name != CONTENT_LENGTH {
+            to.append(name.clone(), value.clone());
+        }
+    }
+}
+
+fn text_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or(HeaderValue::from_static("-"))
+}
+
+fn failed(detail: &str, ran: RanState) -> Response<Bytes> {
+    let (status, title) = match ran {
+        RanState::No => (StatusCode::SERVICE_UNAVAILABLE, "not run"),
+        _ => (StatusCode::BAD_GATEWAY, "may have run"),
+    };
+    let problem = ProblemDetails::new(status, title, detail).ran(ran);
+    let problem = match ran {
+        RanState::No => problem.retry_after(RETRY_AFTER),
+        _ => problem,
+    };
+    problem.bytes_response()
+}
--- /dev/null
+++ b/src/callers/duty.rs
@@ -0,0 +1,165 @@
+//! The thread that answers callers.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::pipeline::{new_pipeline, single_pipeline};
+use gotham::prelude::{DefineSingleRoute, DrawRoutes};
+use gotham::router::Router;
+use gotham::router::builder::build_router;
+use hyper::Method;
+use log::warn;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::callers::admit::AdmitFilter;
+use crate::callers::context::{CallerContext, CallerInput};
+use crate::callers::dispatch::dispatch;
+use crate::callers::identify::IdentifyFilter;
+use crate::callers::jobs::handle_jobs;
+use crate::callers::limit::LimitFilter;
+use crate::domain::DomainEvent;
+use crate::http::{ListenerLimits, PrepareState, serve_http};
+use crate::ring::RingReceiver;
+
+/// Interval at which time passes for the router.
+const TICK: Duration = Duration::from_millis(20);
+/// Ticks between two reports while nothing waits.
+const CALM_TICKS: u32 = 25;
+/// Ticks between two reports while requests wait.
+const BUSY_TICKS: u32 = 5;
+
+/// Methods that are passed on to upstreams.
+const METHODS: [Method; 7] = [
+    Method::GET,
+    Method::HEAD,
+    Method::POST,
+    Method::PUT,
+    Method::PATCH,
+    Method::DELETE,
+    Method::OPTIONS,
+];
+
+/// The thread that answers callers.
+pub(crate) struct CallerDuty {
+    context: CallerContext,
+    input: RingReceiver<CallerInput>,
+}
+
+impl CallerDuty {
+    pub(crate) fn new(context: CallerContext, input: RingReceiver<CallerInput>) -> Self {
+        Self { context, input }
+    }
+
+    /// Runs until told to stop and all requests in flight have ended. Tells whether none was cut.
+    ///
+    /// # Errors
+    /// Where the listener cannot be used.
+    pub(crate) async fn run(self, listener: std::net::TcpListener) -> io::Result<bool> {
+        let listener = TcpListener::from_std(listener)?;
+        let limits = ListenerLimits {
+            connections: self.context.limits.connections,
+            head_time: self.context.limits.head_time,
+            drain: self.context.limits.drain,
+        };
+        let context = self.context.clone();
+        let prepare: PrepareState = Arc::new(move |state| state.put(context.clone()));
+        let (stop, stopped) = watch::channel(false);
+        let serving = serve_http(listener, limits, routes(), prepare, stopped);
+        tokio::select! {
+            whole = serving => {
+                if !whole {
+                    warn!("the limit on a planned stop cut requests in flight");
+                }
+                Ok(whole)
+            }
+            () = self.steer(stop) => Ok(false),
+        }
+    }
+
+    /// Keeps the router supplied.
+    async fn steer(self, stop: watch::Sender<bool>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut since_report = 0;
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    since_report += 1;
+                    self.tick(&mut since_report);
+                }
+                input = self.input.recv() => match input {
+                    Some(CallerInput::Kill) => return,
+                    Some(CallerInput::Stop) | None => {
+                        let _ = stop.send(true);
+                    }
+                    Some(input) => self.take(input),
+                }
+            }
+        }
+    }
+
+    fn take(&self, input: CallerInput) {
+        let now = Instant::now();
+        let mut desk = self.context.desk();
+        match input {
+            CallerInput::Grant(grant) => {
+                let actions = desk.router.apply(now, &grant);
+                desk.pass_on(actions);
+            }
+            CallerInput::Leaving(leaving) => desk.router.set_leaving(leaving),
+            CallerInput::Rooms(rooms) => desk.rooms = rooms,
+            CallerInput::Config(config) => desk.config = config,
+            CallerInput::Dump(sender) => {
+                let _ = sender.send(json!({
+                    "waiting": desk.router.waiting(),
+                    "in_use": desk.router.in_use(),
+                    "free_slots": desk.router.free_slots(now),
+                    "entries_with_room": desk.rooms,
+                    "pools": desk.pools.len(),
+                }));
+            }
+            CallerInput::Stop | CallerInput::Kill => {}
+        }
+    }
+
+    fn tick(&self, since_report: &mut u32) {
+        let now = Instant::now();
+        let mut desk = self.context.desk();
+        let actions = desk.router.tick(now);
+        desk.pass_on(actions);
+        let due = match desk.router.waiting() {
+            0 => CALM_TICKS,
+            _ => BUSY_TICKS,
+        };
+        if *since_report >= due {
+            *since_report = 0;
+            let report = desk.router.report(now);
+            let free = desk.router.free_slots(now);
+            self.context.calls.tell(DomainEvent::Demand(report, free));
+        }
+    }
+}
+
+fn routes() -> Router {
+    let pipeline = new_pipeline()
+        .add(IdentifyFilter)
+        .add(LimitFilter)
+        .add(AdmitFilter)
+        .build();
+    let (chain, pipelines) = single_pipeline(pipeline);
+    build_router(chain, pipelines, |route| {
+        route
+            .request(METHODS.to_vec(), "/s/*")
+            .to_new_handler(|| Ok(dispatch));
+        route.with_pipeline_chain((), |route| {
+            let methods = vec![Method::GET, Method::POST, Method::DELETE];
+            route
+                .request(methods, "/v1/workspaces/*")
+                .to_new_handler(|| Ok(handle_jobs));
+        });
+    })
+}
--- /dev/null
+++ b/src/callers/jobs.rs
@@ -0,0 +1,164 @@
+//! Callers' interface for batch and all-at-once jobs.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State};
+use hyper::{Method, Response, StatusCode, Uri};
+use serde::Deserialize;
+
+use crate::callers::context::CallerContext;
+use crate::callers::limit::collect;
+use crate::intent_file::{MAX_TASKS, is_name};
+use crate::message::{CallRefusal, ClientAnswer, ClientCall, JobRequest};
+use crate::problem::{ProblemDetails, RanState, json_response};
+
+/// Longest time for an answer.
+const ANSWER_TIME: Duration = Duration::from_secs(5);
+/// Advice on when to come back.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Body of a submit.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SubmitBody {
+    /// Name of the job in its workspace, chosen by the client.
+    id: String,
+    /// Name of the template in the workspace.
+    intent: String,
+    /// Number of tasks.
+    count: Option<u32>,
+    /// What to run.
+    command: Option<String>,
+}
+
+/// Answers `/v1/workspaces/WORKSPACE/jobs[/ID]`.
+pub(crate) fn handle_jobs(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let body = Body::try_take_from(&mut state).unwrap_or_default();
+        let context = CallerContext::borrow_from(&state).clone();
+        let method = Method::borrow_from(&state).clone();
+        let path = Uri::borrow_from(&state).path().to_owned();
+        let response = match answer(&context, &method, &path, body).await {
+            Ok(response) => response,
+            Err(problem) => problem.response(),
+        };
+        Ok((state, response))
+    })
+}
+
+async fn answer(
+    context: &CallerContext,
+    method: &Method,
+    path: &str,
+    body: Body,
+) -> Result<Response<Body>, ProblemDetails> {
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let call = match (method.as_str(), parts.as_slice()) {
+        ("POST", ["v1", "workspaces", workspace, "jobs"]) => {
+            let bytes = collect(body, &context.limits).await?;
+            submit(workspace, &bytes)?
+        }
+        ("GET", ["v1", "workspaces", workspace, "jobs"]) => {
+            return list(context, workspace).await;
+        }
+        ("GET", ["v1", "workspaces", workspace, "jobs", id]) => {
+            ClientCall::Job(format!("{workspace}/{id}").into())
+        }
+        ("DELETE", ["v1", "workspaces", workspace, "jobs", id]) => {
+            ClientCall::Cancel(format!("{workspace}/{id}").into())
+        }
+        _ => {
+            return Err(ProblemDetails::new(
+                StatusCode::NOT_FOUND,
+                "not found",
+                path,
+            ));
+        }
+    };
+    let status = match call {
+        ClientCall::Submit(_) => StatusCode::ACCEPTED,
+        _ => StatusCode::OK,
+    };
+    match context.calls.call(call, ANSWER_TIME).await {
+        ClientAnswer::Job(view) => Ok(json_response(status, &view)),
+        ClientAnswer::Refused(refusal) => Err(problem(&refusal)),
+        _ => Err(problem(&CallRefusal::Unknown)),
+    }
+}
+
+fn submit(workspace: &str, bytes: &[u8]) -> Result<ClientCall, ProblemDetails> {
+    let body: SubmitBody = serde_json::from_slice(bytes).map_err(|error| {
+        ProblemDetails::new(StatusCode::BAD_REQUEST, "bad job", error.to_string()).ran(RanState::No)
+    })?;
+    let count_fits = body
+        .count
+        .is_none_or(|count| (1..=MAX_TASKS).contains(&u64::from(count)));
+    let fault = match () {
+        () if !is_name(workspace) => Some("the workspace is not a name"),
+        () if !is_name(&body.id) => Some("`id` is not a name: letters, digits, `-`, `_`, `.`"),
+        () if !is_name(&body.intent) => Some("`intent` is not a name"),
+        () if !count_fits => Some("`count` must be 1 to 10000"),
+        () => None,
+    };
+    if let Some(fault) = fault {
+        let problem = ProblemDetails::new(StatusCode::BAD_REQUEST, "bad job", fault);
+        return Err(problem.ran(RanState::No));
+    }
+    Ok(ClientCall::Submit(JobRequest {
+        id: format!("{workspace}/{}", body.id).into(),
+        intent: format!("{workspace}/{}", body.intent).into(),
+        count: body.count,
+        command: body.command,
+    }))
+}
+
+/// Jobs of all failure domains that answer; the others are named.
+async fn list(context: &CallerContext, workspace: &str) -> Result<Response<Body>, ProblemDetails> {
+    let mut jobs = Vec::new();
+    let mut silent = Vec::new();
+    for domain in context.domains.iter() {
+        let prefix = format!("{workspace}/");
+        let call = ClientCall::Jobs {
+            domain: domain.clone(),
+            prefix,
+        };
+        match context.calls.call(call, ANSWER_TIME).await {
+            ClientAnswer::Jobs(found) => jobs.extend(found),
+            _ => silent.push(domain.clone()),
+        }
+    }
+    let body = serde_json::json!({ "jobs": jobs, "silent_failure_domains": silent });
+    Ok(json_response(StatusCode::OK, &body))
+}
+
+fn problem(refusal: &CallRefusal) -> ProblemDetails {
+    let no = RanState::No;
+    match refusal {
+        CallRefusal::NoLeader => later("no leader of its failure domain can be reached").ran(no),
+        CallRefusal::StoreDown => later("the platform's store cannot be reached").ran(no),
+        CallRefusal::Busy => later("too much waits").ran(no),
+        CallRefusal::NotFound(detail) => {
+            ProblemDetails::new(StatusCode::NOT_FOUND, "not found", detail.as_str()).ran(no)
+        }
+        CallRefusal::Contradiction(detail) => {
+            ProblemDetails::new(StatusCode::CONFLICT, "contradiction", detail.as_str()).ran(no)
+        }
+        CallRefusal::Impossible(detail) => {
+            let status = StatusCode::UNPROCESSABLE_ENTITY;
+            ProblemDetails::new(status, "can never run", detail.as_str()).ran(no)
+        }
+        CallRefusal::Unknown => {
+            let detail = "no answer in time; ask for the job or repeat the call with the same id";
+            ProblemDetails::new(StatusCode::GATEWAY_TIMEOUT, "not known", detail)
+                .ran(RanState::Unknown)
+                .retry_after(RETRY_AFTER)
+        }
+    }
+}
+
+fn later(detail: &str) -> ProblemDetails {
+    ProblemDetails::new(StatusCode::SERVICE_UNAVAILABLE, "not now", detail).retry_after(RETRY_AFTER)
+}
--- /dev/null
+++ b/src/callers/limit.rs
@@ -0,0 +1,71 @@
+//! Second filter: the body, whole and within its bound.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::middleware::{Middleware, NewMiddleware};
+use gotham::state::{FromState, State, StateData};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::StatusCode;
+use tokio::time::timeout;
+
+use crate::callers::context::CallerContext;
+use crate::problem::{ProblemDetails, RanState};
+use crate::settings::LimitSettings;
+
+/// The body of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct CollectedBody(pub(crate) Bytes);
+
+impl StateData for CollectedBody {}
+
+/// Collects the body.
+#[derive(Clone, Copy, Debug, NewMiddleware)]
+pub(crate) struct LimitFilter;
+
+impl Middleware for LimitFilter {
+    fn call<Chain>(self, mut state: State, chain: Chain) -> Pin<Box<HandlerFuture>>
+    where
+        Chain: FnOnce(State) -> Pin<Box<HandlerFuture>> + Send + 'static,
+    {
+        Box::pin(async move {
+            let limits = CallerContext::borrow_from(&state).limits;
+            let body = Body::try_take_from(&mut state).unwrap_or_default();
+            match collect(body, &limits).await {
+                Ok(bytes) => {
+                    state.put(CollectedBody(bytes));
+                    chain(state).await
+                }
+                Err(problem) => {
+                    let response = problem.ran(RanState::No).response();
+                    Ok((state, response))
+                }
+            }
+        })
+    }
+}
+
+/// Collects a body within the bounds on its size and time.
+pub(crate) async fn collect(body: Body, limits: &LimitSettings) -> Result<Bytes, ProblemDetails> {
+    let limited = Limited::new(body, limits.request_bytes).collect();
+    match timeout(limits.body_time, limited).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ProblemDetails::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body too large",
+            format!("at most {} bytes are taken", limits.request_bytes),
+        )),
+        Ok(Err(error)) => Err(ProblemDetails::new(
+            StatusCode::BAD_REQUEST,
+            "body not whole",
+            error.to_string(),
+        )),
+        Err(_) => Err(ProblemDetails::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "body too slow",
+            format!("the body has to arrive within {:?}", limits.body_time),
+        )),
+    }
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,116 @@
+//! HTTP requests to the platform, workers and upstreams.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout;
+
+type Result<T> = std::result::Result<T, ClientError>;
+
+/// Longest time to make a connection.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// How long an idle connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+/// A connection whose peer acknowledges nothing for this long is closed.
+const SILENT_TIME: Duration = Duration::from_secs(3);
+
+/// How a request failed.
+#[derive(Debug)]
+pub(crate) enum ClientError {
+    /// No connection could be made: the request surely did not arrive.
+    NotSent(String),
+    /// It was sent, or may have been, and no whole answer came.
+    NoAnswer(String),
+}
+
+/// A pool of connections.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// A pool without connections.
+    pub(crate) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIME));
+        connector.set_keepalive(Some(SILENT_TIME));
+        connector.set_tcp_user_timeout(Some(SILENT_TIME));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and collects its whole answer, up to a number of bytes.
+    pub(crate) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+        most: usize,
+    ) -> Result<Response<Bytes>> {
+        match timeout(time, self.exchange(request, most)).await {
+            Ok(result) => result,
+            Err(_) => Err(ClientError::NoAnswer(format!("no answer within {time:?}"))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        most: usize,
+    ) -> Result<Response<Bytes>> {
+        let response =
+            self.client
+                .request(request)
+                .await
+                .map_err(|error| match error.is_connect() {
+                    true => ClientError::NotSent(describe(&error)),
+                    false => ClientError::NoAnswer(describe(&error)),
+                })?;
+        let (parts, body) = response.into_parts();
+        let collected = Limited::new(body, most).collect().await;
+        let bytes = collected
+            .map_err(|error| ClientError::NoAnswer(error.to_string()))?
+            .to_bytes();
+        Ok(Response::from_parts(parts, bytes))
+    }
+
+    /// Sends a body to a path of an address.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: impl Into<Bytes>,
+        time: Duration,
+        most: usize,
+    ) -> Result<Response<Bytes>> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .body(Full::new(body.into()))
+            .map_err(|error| ClientError::NotSent(error.to_string()))?;
+        self.send(request, time, most).await
+    }
+}
+
+/// An error with its causes.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,409 @@
+//! What the commands do.
+
+use std::fs;
+use std::io::Read;
+use std::path::Path;
+use std::process::ExitCode;
+use std::thread::sleep;
+use std::time::Duration;
+
+use anyhow::{Context, Result, anyhow, bail};
+use hyper::{Method, Response, StatusCode};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::cli::{Cancel, Confirm, Dump, Kelplink, KelplinkCmd, Plan, SettingsCmd, Status};
+use crate::client::HttpClient;
+use crate::config::{PlanAction, PlanDocument};
+use crate::demo::{DemoSettings, run_demo};
+use crate::entry::EntryProcess;
+use crate::finding::FindingList;
+use crate::logging::{LogIdentity, start_logging};
+use crate::message::{JobView, StatusView};
+use crate::settings::EntrySettings;
+use crate::standin::{StandInServer, StandInSettings};
+
+/// Where an entry answers operators by default.
+const OPERATORS: &str = "127.0.0.1:7101";
+/// Where an entry answers callers by default.
+const CALLERS: &str = "127.0.0.1:7100";
+/// Longest time for an answer.
+const ANSWER_TIME: Duration = Duration::from_secs(15);
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+/// Interval at which a running process looks after its threads.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Exit code of a check with findings and of every error.
+const EXIT_FAILED: u8 = 1;
+/// Exit code of a plan that is refused.
+const EXIT_REFUSED: u8 = 3;
+/// Exit code of a confirm that may be in force yet.
+const EXIT_UNSETTLED: u8 = 4;
+
+/// Runs the command that the process was started with.
+pub fn run_command() -> ExitCode {
+    let flags = Kelplink::from_env_or_exit();
+    match run(flags) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("kelplink: {error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run(flags: Kelplink) -> Result<ExitCode> {
+    match flags.subcommand {
+        KelplinkCmd::Serve(serve) => run_serve(&serve.settings),
+        KelplinkCmd::Settings(settings) => match settings.subcommand {
+            SettingsCmd::Check(check) => check_settings(&check.file),
+        },
+        KelplinkCmd::Plan(plan) => run_plan(&plan),
+        KelplinkCmd::Confirm(confirm) => run_confirm(&confirm),
+        KelplinkCmd::Cancel(cancel) => run_cancel(&cancel),
+        KelplinkCmd::Status(status) => run_status(&status),
+        KelplinkCmd::Dump(dump) => run_dump(&dump),
+        KelplinkCmd::StandIn(stand_in) => run_stand_in(&stand_in.settings),
+        KelplinkCmd::Demo(demo) => {
+            start_logging(LogIdentity::default());
+            let defaults = DemoSettings::default();
+            let settings = DemoSettings {
+                seed: demo.seed.unwrap_or(defaults.seed),
+                callers: demo.callers.unwrap_or(defaults.callers),
+                jobs: demo.jobs.unwrap_or(defaults.jobs),
+            };
+            Ok(exit_code(run_demo(&settings, start_metrics()?)?))
+        }
+    }
+}
+
+fn exit_code(good: bool) -> ExitCode {
+    match good {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(EXIT_FAILED),
+    }
+}
+
+fn start_metrics() -> Result<PrometheusHandle> {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(|error| anyhow!("{error}"))?;
+    Ok(handle)
+}
+
+fn read(path: &Path) -> Result<String> {
+    let bytes = match path.to_str() {
+        Some("-") => {
+            let mut bytes = Vec::new();
+            std::io::stdin().read_to_end(&mut bytes)?;
+            bytes
+        }
+        _ => fs::read(path).with_context(|| path.display().to_string())?,
+    };
+    String::from_utf8(bytes).with_context(|| format!("{} is not UTF-8", path.display()))
+}
+
+fn load_settings(path: &Path) -> Result<std::result::Result<EntrySettings, FindingList>> {
+    let text = read(path)?;
+    Ok(EntrySettings::parse(&path.display().to_string(), &text))
+}
+
+fn check_settings(path: &Path) -> Result<ExitCode> {
+    match load_settings(path)? {
+        Ok(_) => {
+            println!("{}: no findings", path.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(findings) => {
+            eprint!("{findings}");
+            Ok(ExitCode::from(EXIT_FAILED))
+        }
+    }
+}
+
+fn run_serve(path: &Path) -> Result<ExitCode> {
+    let settings = match load_settings(path)? {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprint!("{findings}");
+            return Ok(ExitCode::from(EXIT_FAILED));
+        }
+    };
+    start_logging(LogIdentity {
+        domain: settings.domain.to_string(),
+        entry: settings.name.to_string(),
+    });
+    let process = EntryProcess::start(&settings, start_metrics()?)?;
+    match wait_for_signal(|| process.broken())? {
+        true => bail!("a thread of the process has ended"),
+        false => {
+            let force = std::thread::spawn(|| wait_for_signal(|| false));
+            let drain = std::thread::spawn(move || process.drain());
+            while !drain.is_finished() {
+                if force.is_finished() {
+                    eprintln!("kelplink: second signal: requests in flight are cut");
+                    return Ok(ExitCode::from(EXIT_FAILED));
+                }
+                sleep(WATCH_INTERVAL);
+            }
+            Ok(exit_code(drain.join().unwrap_or(false)))
+        }
+    }
+}
+
+/// Waits for a signal to stop; gives true where `broken` turned true before.
+fn wait_for_signal(broken: impl Fn() -> bool) -> Result<bool> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return Ok(false),
+                _ = interrupt.recv() => return Ok(false),
+                () = tokio::time::sleep(WATCH_INTERVAL) => {
+                    if broken() {
+                        return Ok(true);
+                    }
+                }
+            }
+        }
+    })
+}
+
+fn run_stand_in(path: &Path) -> Result<ExitCode> {
+    let text = read(path)?;
+    let settings = match StandInSettings::parse(&path.display().to_string(), &text) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprint!("{findings}");
+            return Ok(ExitCode::from(EXIT_FAILED));
+        }
+    };
+    start_logging(LogIdentity::default());
+    let server = StandInServer::start(&settings)?;
+    println!(
+        "store on {}, list of VMs on {}",
+        settings.store, settings.vms
+    );
+    let broken = wait_for_signal(|| server.ended())?;
+    server.stop();
+    Ok(exit_code(!broken))
+}
+
+fn ask(
+    method: Method,
+    address: &Option<String>,
+    default: &str,
+    path: &str,
+    body: String,
+) -> Result<Response<bytes::Bytes>> {
+    let address = address.as_deref().unwrap_or(default);
+    let socket = address
+        .parse()
+        .with_context(|| format!("{address}: expected HOST:PORT"))?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let http = runtime.block_on(async {
+        HttpClient::new()
+            .call(method, socket, path, body, ANSWER_TIME, ANSWER_BYTES)
+            .await
+    });
+    http.map_err(|error| anyhow!("{address} did not answer: {error:?}"))
+}
+
+fn text(response: &Response<bytes::Bytes>) -> String {
+    String::from_utf8_lossy(response.body()).into_owned()
+}
+
+fn run_plan(plan: &Plan) -> Result<ExitCode> {
+    let (path, body) = match plan.withdraw {
+        true => (format!("/v1/plan?withdraw={}", plan.intent), String::new()),
+        false => ("/v1/plan".to_owned(), read(Path::new(&plan.intent))?),
+    };
+    let response = ask(Method::POST, &plan.entry, OPERATORS, &path, body)?;
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::UNPROCESSABLE_ENTITY => {
+            let mut findings: FindingList = serde_json::from_slice(response.body())?;
+            findings
+                .0
+                .iter_mut()
+                .for_each(|finding| finding.source.clone_from(&plan.intent));
+            eprint!("{findings}");
+            return Ok(ExitCode::from(EXIT_FAILED));
+        }
+        _ => bail!("{}", text(&response)),
+    }
+    let document: PlanDocument = serde_json::from_slice(response.body())?;
+    match plan.json {
+        true => println!("{}", text(&response)),
+        false => print_plan(&document),
+    }
+    match document.refusal() {
+        Some(_) => Ok(ExitCode::from(EXIT_REFUSED)),
+        None => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn print_plan(plan: &PlanDocument) {
+    println!("plan against revision {}", plan.base);
+    println!(
+        "{:<8} {:>6}  {:<24} {:<16} REASON",
+        "ACTION", "TASKS", "INTENT", "FAILURE DOMAIN"
+    );
+    for change in &plan.changes {
+        let domain = change.domain.as_deref().unwrap_or("-");
+        let action = action_name(change.action);
+        println!(
+            "{action:<8} {:>6}  {:<24} {domain:<16} {}",
+            change.count, change.subject, change.reason
+        );
+    }
+}
+
+fn action_name(action: PlanAction) -> &'static str {
+    match action {
+        PlanAction::Start => "start",
+        PlanAction::Stop => "stop",
+        PlanAction::Move => "move",
+        PlanAction::Wait => "wait",
+        PlanAction::Refuse => "refuse",
+        PlanAction::Change => "change",
+    }
+}
+
+fn run_confirm(confirm: &Confirm) -> Result<ExitCode> {
+    let body = read(&confirm.plan)?;
+    let response = ask(Method::POST, &confirm.entry, OPERATORS, "/v1/confirm", body)?;
+    if confirm.json {
+        println!("{}", text(&response));
+    }
+    match response.status() {
+        StatusCode::OK if confirm.json => Ok(ExitCode::SUCCESS),
+        StatusCode::OK => {
+            println!("in force: {}", text(&response));
+            Ok(ExitCode::SUCCESS)
+        }
+        StatusCode::CONFLICT => {
+            eprintln!("another plan was accepted meanwhile; this is what would change now:");
+            if let Ok(fresh) = serde_json::from_slice(response.body()) {
+                print_plan(&fresh);
+            }
+            Ok(ExitCode::from(EXIT_REFUSED))
+        }
+        StatusCode::GATEWAY_TIMEOUT => {
+            eprintln!("{}", text(&response));
+            Ok(ExitCode::from(EXIT_UNSETTLED))
+        }
+        _ => {
+            eprintln!("{}", text(&response));
+            Ok(ExitCode::from(EXIT_REFUSED))
+        }
+    }
+}
+
+fn run_cancel(cancel: &Cancel) -> Result<ExitCode> {
+    let Some((workspace, id)) = cancel.job.split_once('/') else {
+        bail!("{}: expected WORKSPACE/ID", cancel.job);
+    };
+    let path = format!("/v1/workspaces/{workspace}/jobs/{id}");
+    let response = ask(Method::DELETE, &cancel.entry, CALLERS, &path, String::new())?;
+    if response.status() != StatusCode::OK {
+        bail!("{}", text(&response));
+    }
+    match cancel.json {
+        true => println!("{}", text(&response)),
+        false => {
+            let view: JobView = serde_json::from_slice(response.body())?;
+            println!(
+                "{} is cancelled; {} tasks still stop",
+                cancel.job,
+                view.running.len()
+            );
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_status(status: &Status) -> Result<ExitCode> {
+    let response = ask(
+        Method::GET,
+        &status.entry,
+        OPERATORS,
+        "/v1/status",
+        String::new(),
+    )?;
+    if response.status() != StatusCode::OK {
+        bail!("{}", text(&response));
+    }
+    match status.json {
+        true => println!("{}", text(&response)),
+        false => print_status(&serde_json::from_slice(response.body())?),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_status(status: &StatusView) {
+    let store = if status.store_up { "up" } else { "down" };
+    println!(
+        "asked {}: revision {}, store {store}",
+        status.entry, status.revision
+    );
+    println!(
+        "{:<16} {:<16} {:>8} {:>10}  STATE",
+        "ENTRY", "FAILURE DOMAIN", "REVISION", "SILENT ms"
+    );
+    for entry in &status.entries {
+        let revision = entry
+            .revision
+            .map_or("-".to_owned(), |revision| revision.to_string());
+        let state = match entry {
+            entry if entry.draining => "stopping",
+            entry if entry.leads => "leads",
+            entry if entry.revision.is_none() => "silent",
+            _ => "follows",
+        };
+        println!(
+            "{:<16} {:<16} {revision:>8} {:>10}  {state}",
+            entry.entry, entry.domain, entry.silent_ms
+        );
+    }
+    println!(
+        "{:<16} {:>7} {:>22} {:>22}",
+        "FAILURE DOMAIN", "WORKERS", "FREE CORES/MiB/ACC", "OF"
+    );
+    for (domain, summary) in &status.domains {
+        let shown = |v: &crate::resources::ResourceVector| {
+            format!(
+                "{:.1}/{}/{}",
+                f64::from(v.millicores) / 1e3,
+                v.memory_mib,
+                v.accelerators
+            )
+        };
+        let (free, total) = (shown(&summary.free), shown(&summary.total));
+        println!("{domain:<16} {:>7} {free:>22} {total:>22}", summary.workers);
+    }
+    for (intent, count) in &status.intents {
+        println!("intent {intent}: {count} tasks");
+    }
+}
+
+fn run_dump(dump: &Dump) -> Result<ExitCode> {
+    let response = ask(
+        Method::GET,
+        &dump.entry,
+        OPERATORS,
+        "/v1/dump",
+        String::new(),
+    )?;
+    let value: serde_json::Value = serde_json::from_slice(response.body())?;
+    println!("{}", serde_json::to_string_pretty(&value)?);
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,11 @@
+//! The operators' configuration: plans, acceptance, and how entries keep to the highest revision.
+
+mod assignment;
+mod controller;
+mod plan;
+mod revision;
+
+pub(crate) use assignment::{assigned_count, home_domain};
+pub use controller::{ConfigController, ConfigOutput, ConfirmRefusal};
+pub use plan::{ClusterSummary, DomainSummary, PlanAction, PlanChange, PlanDocument, PlanRequest};
+pub use revision::{AcceptedIntent, CONFIG_KEY, ConfigHolder, ConfigRevision};
--- /dev/null
+++ b/src/domain.rs
@@ -0,0 +1,14 @@
+//! All decisions of one entry for its failure domain, joined.
+
+mod calls;
+mod controller;
+mod event;
+mod jobs;
+mod keys;
+mod moves;
+mod peers;
+mod quota;
+mod view;
+
+pub use controller::DomainController;
+pub use event::{DomainAction, DomainEvent, EntryIdentity, StoreOwner, VmRecord, VmRole};
--- /dev/null
+++ b/src/domain/jobs.rs
@@ -0,0 +1,623 @@
+//! Jobs of the failure domain: taking them in, placing them, and keeping what becomes of them.
+
+use std::collections::BTreeSet;
+
+use log::{debug, info, warn};
+use tokio::time::Instant;
+
+use crate::config::{ConfigRevision, assigned_count};
+use crate::domain::controller::{CommitWaiter, DomainController, ReplyTo};
+use crate::id::{JobId, TaskId, WorkerId};
+use crate::intent::JobKind;
+use crate::job::{JobRecord, JobSpec, TaskEnd};
+use crate::ledger::{LedgerRecord, job_name};
+use crate::message::{CallRefusal, ClientAnswer, JobRequest, JobView};
+use crate::placement::{PlacementAction, StopReason, WorkerSpec};
+use crate::routing::UpstreamSpec;
+use crate::worker::{TaskOutcome, TaskReport, TaskUsage, WorkerCommand};
+
+/// Marks jobs that were made from an intent and not submitted by a caller.
+const INTENT_MARK: char = '~';
+/// Jobs that may be open in one failure domain.
+const MAX_OPEN_JOBS: usize = 20_000;
+/// How long the end of a job can be asked for.
+const KEEP_ENDED_MS: u64 = 3_600_000;
+/// How long a request key is remembered.
+const KEEP_KEY_MS: u64 = 86_400_000;
+/// Slots of an upstream that is a task of a service.
+const SERVICE_TASK_SLOTS: u32 = 8;
+
+impl DomainController {
+    /// A record of the ledger, if it is a job.
+    pub(crate) fn job(&self, id: &JobId) -> Option<&JobRecord> {
+        match self.journal.get(&job_name(id)) {
+            Some(LedgerRecord::Job(record)) => Some(record),
+            _ => None,
+        }
+    }
+
+    /// Takes a job in. The answer goes out when it is durable, or at once while the store is down.
+    pub(crate) fn submit(&mut self, now: Instant, to: ReplyTo, request: JobRequest) {
+        if let Some(known) = self.job(&request.id) {
+            let same = known.spec.intent == request.intent
+                && request.count.is_none_or(|count| count == known.spec.count)
+                && request
+                    .command
+                    .as_ref()
+                    .is_none_or(|command| *command == known.spec.command);
+            return match same {
+                true => self.answer_job(now, to, &request.id),
+                false => {
+                    let reason = "another job has this name".to_owned();
+                    self.refuse(&to, CallRefusal::Contradiction(reason));
+                }
+            };
+        }
+        let config = self.config.current();
+        let Some(intent) = config.intents.get(&request.intent) else {
+            let reason = format!("no intent {}", request.intent);
+            return self.refuse(&to, CallRefusal::NotFound(reason));
+        };
+        let unix = self.clock.unix(now);
+        let mut spec = JobSpec::new(request.id.clone(), &intent.spec, intent.changed, unix);
+        spec.count = request.count.unwrap_or(spec.count.max(1));
+        spec.command = request.command.unwrap_or(spec.command);
+        if let Some(reason) = self.impossible(&spec) {
+            return self.refuse(&to, CallRefusal::Impossible(reason));
+        }
+        if self.journal.len() >= MAX_OPEN_JOBS {
+            return self.refuse(&to, CallRefusal::Busy);
+        }
+        if !spec.idempotent && !self.journal.open() {
+            return self.refuse(&to, CallRefusal::StoreDown);
+        }
+        let id = spec.id.clone();
+        self.accept(spec);
+        self.answer_job_when_durable(now, to, &id);
+    }
+
+    fn impossible(&self, spec: &JobSpec) -> Option<String> {
+        if spec.kind == JobKind::Service {
+            return Some("services are started by intents".to_owned());
+        }
+        let leader = self.leader.as_ref().filter(|leader| leader.settled)?;
+        let pool = leader.scheduler.pool();
+        if !pool.could_ever_fit(&spec.need) {
+            let largest = pool.largest();
+            let resource = spec.need.exceeds(&largest).unwrap_or("room on one worker");
+            return Some(format!(
+                "a task needs more {resource} than any worker has: {largest:?}"
+            ));
+        }
+        let whole = spec.need.times(spec.count);
+        match spec.kind {
+            JobKind::AllAtOnce if !whole.fits(&pool.total()) => Some(format!(
+                "all tasks together need {whole:?} of {:?}",
+                pool.total()
+            )),
+            _ => None,
+        }
+    }
+
+    fn accept(&mut self, spec: JobSpec) {
+        let record = JobRecord::new(spec);
+        if let Some(leader) = &mut self.leader {
+            leader.scheduler.add_job(&record, false);
+        }
+        self.journal.put(LedgerRecord::Job(record));
+    }
+
+    pub(crate) fn refuse(&mut self, to: &ReplyTo, refusal: CallRefusal) {
+        self.reply(to, ClientAnswer::Refused(refusal));
+    }
+
+    /// Answers with a job as soon as its last change is durable; at once while the store is down.
+    fn answer_job_when_durable(&mut self, now: Instant, to: ReplyTo, id: &JobId) {
+        let Some(mut view) = self.view_job(id) else {
+            return self.refuse(&to, CallRefusal::NotFound(format!("no job {id}")));
+        };
+        let waits = self.journal.open() && self.leadership.store_up(now);
+        match waits && !view.durable {
+            true => {
+                view.durable = true;
+                let ticket = self.journal.last_ticket();
+                let answer = ClientAnswer::Job(Box::new(view));
+                self.when_durable(ticket, CommitWaiter::Answer(to, answer));
+            }
+            false => self.reply(&to, ClientAnswer::Job(Box::new(view))),
+        }
+    }
+
+    fn answer_job(&mut self, now: Instant, to: ReplyTo, id: &JobId) {
+        self.answer_job_when_durable(now, to, id);
+    }
+
+    /// A job as callers see it.
+    pub(crate) fn view_job(&self, id: &JobId) -> Option<JobView> {
+        let record = self.job(id)?.clone();
+        let leader = self.leader.as_ref()?;
+        let first = (id.clone(), 0);
+        let live = leader
+            .scheduler
+            .live()
+            .range(first..)
+            .take_while(|((job, _), _)| job == id);
+        let running = live
+            .map(|((_, index), live)| (*index, format!("{} on {}", live.label(), live.worker())));
+        let durable = self.journal.open() && self.journal.durable(&job_name(id));
+        let waits = leader.scheduler.why_waiting(id);
+        let domain = self.identity.domain.clone();
+        Some(JobView {
+            record,
+            domain,
+            durable,
+            running: running.collect(),
+            waits,
+        })
+    }
+
+    /// Cancels a job; the answer goes out when that is durable.
+    pub(crate) fn cancel_job(&mut self, now: Instant, to: ReplyTo, id: &JobId) {
+        if self.job(id).is_none() {
+            return self.refuse(&to, CallRefusal::NotFound(format!("no job {id}")));
+        }
+        self.cancel(id);
+        self.place(now);
+        self.answer_job_when_durable(now, to, id);
+    }
+
+    fn cancel(&mut self, id: &JobId) {
+        self.journal
+            .change_job(&job_name(id), |record| record.cancelled = true);
+        if let Some(leader) = &mut self.leader {
+            leader.scheduler.cancel(id);
+        }
+    }
+
+    /// Brings the jobs that intents ask for in line with the configuration.
+    pub(crate) fn reconcile(&mut self, now: Instant) {
+        if !self.leader.as_ref().is_some_and(|leader| leader.active) || !self.config.learned() {
+            return;
+        }
+        let unix = self.clock.unix(now);
+        let mut wanted = BTreeSet::new();
+        let config = self.config.current().clone();
+        for intent in config.intents.values() {
+            let domain = &self.identity.domain;
+            let count = assigned_count(&intent.spec, domain, &self.domains);
+            let id = intent_job(&intent.spec.service(), intent.changed, domain);
+            if count > 0 {
+                wanted.insert(id.clone());
+                self.want_job(id, intent, count, unix);
+            }
+        }
+        let unwanted: Vec<JobId> = self
+            .journal
+            .records()
+            .filter_map(|record| match record {
+                LedgerRecord::Job(job) if !job.cancelled && !job.over() => {
+                    Some(job.spec.id.clone())
+                }
+                _ => None,
+            })
+            .filter(|id| id.contains(INTENT_MARK) && !wanted.contains(id))
+            .filter(|id| !self.taken_over(id, &config))
+            .filter(|id| {
+                self.job(id)
+                    .is_some_and(|job| job.spec.revision <= config.revision)
+            })
+            .collect();
+        for id in unwanted {
+            info!("{id} is not asked for any more");
+            self.cancel(&id);
+        }
+    }
+
+    /// Tells whether a job was taken over from another failure domain and is still asked for.
+    fn taken_over(&self, id: &JobId, config: &ConfigRevision) -> bool {
+        let named = id.rsplit_once('@').map(|(_, domain)| domain);
+        let other = self.domains.iter().find(|domain| Some(&***domain) == named);
+        let Some(other) = other.filter(|domain| **domain != self.identity.domain) else {
+            return false;
+        };
+        config.intents.values().any(|intent| {
+            let count = assigned_count(&intent.spec, other, &self.domains);
+            count > 0 && intent_job(&intent.spec.service(), intent.changed, other) == *id
+        })
+    }
+
+    fn want_job(
+        &mut self,
+        id: JobId,
+        intent: &crate::config::AcceptedIntent,
+        count: u32,
+        unix: u64,
+    ) {
+        let mut spec = JobSpec::new(id.clone(), &intent.spec, intent.changed, unix);
+        spec.count = count;
+        match self.job(&id).map(|known| (known.spec.count, known.over())) {
+            None => self.accept(spec),
+            Some((known, _)) if known == count => {}
+            Some((_, true)) if spec.kind != JobKind::Service => {}
+            Some(_) => {
+                self.journal.change_job(&job_name(&id), |record| {
+                    record.spec.count = count;
+                    record.ended.retain(|index, _| *index < count);
+                });
+                if let Some(leader) = &mut self.leader {
+                    leader.scheduler.resize(&spec);
+                }
+            }
+        }
+    }
+
+    /// Places what waits and carries out what the scheduler decided.
+    pub(crate) fn place(&mut self, now: Instant) {
+        let unix = self.clock.unix(now);
+        let may_act = self.leadership.may_act(now);
+        let Some(leader) = self
+            .leader
+            .as_mut()
+            .filter(|leader| leader.active && may_act)
+        else {
+            return;
+        };
+        for action in leader.scheduler.pass(now, unix) {
+            match action {
+                PlacementAction::Start {
+                    worker,
+                    task,
+                    attempt,
+                    need,
+                    spec,
+                } => {
+                    self.start_task(worker, task, attempt, need, &spec);
+                }
+                PlacementAction::Stop {
+                    worker,
+                    task,
+                    attempt,
+                    reason,
+                } => {
+                    self.stop_task(now, &worker, &task, attempt, reason);
+                }
+                PlacementAction::Ended { task, end } => self.end_task(&task, end),
+                PlacementAction::JobStopped { job, reason } => {
+                    warn!("job {job} is stopped: {reason}");
+                    self.journal
+                        .change_job(&job_name(&job), |record| record.stopped = Some(reason));
+                }
+            }
+        }
+    }
+
+    fn start_task(
+        &mut self,
+        worker: WorkerId,
+        task: TaskId,
+        attempt: u32,
+        need: crate::resources::ResourceVector,
+        spec: &JobSpec,
+    ) {
+        debug!("{task:?} starts on {worker}");
+        metrics::counter!("kelplink_starts_total", "urgency" => spec.urgency.label()).increment(1);
+        let command = WorkerCommand::Start {
+            task: task.clone(),
+            attempt,
+            need,
+            command: spec.command.clone(),
+            cut_off: spec.cut_off,
+            service: spec.kind == JobKind::Service,
+        };
+        if spec.idempotent {
+            self.fleet.command(&worker, command);
+            return;
+        }
+        let index = task.1;
+        let change = |record: &mut JobRecord| {
+            record.started.insert(index);
+        };
+        if let Some(ticket) = self.journal.change_job(&job_name(&task.0), change) {
+            self.when_durable(
+                ticket,
+                CommitWaiter::Start {
+                    worker,
+                    task,
+                    attempt,
+                    command,
+                },
+            );
+        }
+    }
+
+    fn stop_task(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        task: &TaskId,
+        attempt: u32,
+        reason: StopReason,
+    ) {
+        let never_sent = self.fleet.withdraw(worker, task) || self.withdraw_waiter(task);
+        if !never_sent {
+            let task = task.clone();
+            return self.fleet.command(
+                worker,
+                WorkerCommand::Stop {
+                    task,
+                    attempt,
+                    reason,
+                },
+            );
+        }
+        let outcome = TaskOutcome::Refused("withdrawn before it was sent".to_owned());
+        if let Some(leader) = &mut self.leader {
+            let usage = TaskUsage::default();
+            leader
+                .scheduler
+                .task_ended(now, worker, task, &outcome, &usage);
+        }
+        self.place(now);
+    }
+
+    /// Takes back a start that waits for its mark to be durable.
+    fn withdraw_waiter(&mut self, wanted: &TaskId) -> bool {
+        let Some(leader) = &mut self.leader else {
+            return false;
+        };
+        let mut found = false;
+        for waiters in leader.waiters.values_mut() {
+            waiters.retain(|waiter| {
+                let own = matches!(waiter, CommitWaiter::Start { task, .. } if task == wanted);
+                found |= own;
+                !own
+            });
+        }
+        found
+    }
+
+    fn end_task(&mut self, task: &TaskId, end: TaskEnd) {
+        debug!("{task:?} ended: {end:?}");
+        let index = task.1;
+        self.journal.change_job(&job_name(&task.0), |record| {
+            record.ended.entry(index).or_insert(end);
+        });
+        self.drop_endpoint(task);
+    }
+
+    /// A worker was claimed: its tasks are adopted, ended or stopped.
+    pub(crate) fn worker_claimed(&mut self, now: Instant, spec: WorkerSpec, tasks: &[TaskReport]) {
+        let worker = spec.id.clone();
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let listed: BTreeSet<&TaskId> = tasks.iter().map(|report| &report.task).collect();
+        let missing: Vec<TaskId> = leader
+            .scheduler
+            .live()
+            .iter()
+            .filter(|(task, live)| *live.worker() == worker && !listed.contains(task))
+            .map(|(task, _)| task.clone())
+            .collect();
+        leader.scheduler.add_worker(spec);
+        for task in missing {
+            leader.scheduler.task_vanished(now, &worker, &task);
+        }
+        self.worker_listed(now, &worker, tasks);
+        self.close_workers();
+    }
+
+    /// A worker lists its tasks.
+    pub(crate) fn worker_listed(&mut self, now: Instant, worker: &WorkerId, tasks: &[TaskReport]) {
+        for report in tasks {
+            self.task_reported(now, worker, report);
+        }
+        self.place(now);
+        let ended = tasks.iter().filter(|report| report.outcome.is_some());
+        for report in ended {
+            self.forget_when_durable(worker, report);
+        }
+    }
+
+    fn task_reported(&mut self, now: Instant, worker: &WorkerId, report: &TaskReport) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let task = &report.task;
+        let scheduler = &mut leader.scheduler;
+        let live = scheduler.live().get(task);
+        let older = live.is_some_and(|live| live.attempt() > report.attempt);
+        let here = live.is_some_and(|live| live.worker() == worker);
+        match &report.outcome {
+            Some(_) if older => {}
+            Some(outcome) => {
+                let known = here || scheduler.adopt(now, worker, task, report.attempt, report.need);
+                if known {
+                    scheduler.task_ended(now, worker, task, outcome, &report.usage);
+                }
+                self.drop_endpoint(task);
+            }
+            None if here && !older => {
+                scheduler.task_running(now, task);
+                self.note_endpoint(report);
+            }
+            None if !older && scheduler.adopt(now, worker, task, report.attempt, report.need) => {
+                self.note_endpoint(report);
+            }
+            None => self.stop_stray(worker, report),
+        }
+    }
+
+    /// A worker runs what it should not; only a leader that knows all jobs may say so.
+    fn stop_stray(&mut self, worker: &WorkerId, report: &TaskReport) {
+        if self.journal.open() {
+            info!(
+                "{:?} on {worker} belongs to nothing: stopping it",
+                report.task
+            );
+            let (task, attempt) = (report.task.clone(), report.attempt);
+            let reason = StopReason::Stray;
+            self.fleet.command(
+                worker,
+                WorkerCommand::Stop {
+                    task,
+                    attempt,
+                    reason,
+                },
+            );
+        }
+    }
+
+    fn forget_when_durable(&mut self, worker: &WorkerId, report: &TaskReport) {
+        let (task, attempt) = (report.task.clone(), report.attempt);
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        if !self.journal.open()
+            || !leader
+                .forgetting
+                .insert((worker.clone(), task.clone(), attempt))
+        {
+            return;
+        }
+        let waiter = CommitWaiter::Forget {
+            worker: worker.clone(),
+            task,
+            attempt,
+        };
+        match self.journal.backlog() {
+            0 => leader.waiters.entry(0).or_default().push(waiter),
+            _ => {
+                let ticket = self.journal.last_ticket();
+                leader.waiters.entry(ticket).or_default().push(waiter);
+            }
+        }
+    }
+
+    fn note_endpoint(&mut self, report: &TaskReport) {
+        let Some(address) = report.endpoint.as_ref().and_then(|text| text.parse().ok()) else {
+            return;
+        };
+        let Some(service) = self
+            .job(&report.task.0)
+            .map(|record| record.spec.intent.clone())
+        else {
+            return;
+        };
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let id = format!("{}#{}.{}", report.task.0, report.task.1, report.attempt).into();
+        let spec = UpstreamSpec {
+            id,
+            service,
+            address,
+            slots: SERVICE_TASK_SLOTS,
+        };
+        let before = leader.endpoints.insert(report.task.clone(), spec.clone());
+        if before != Some(spec) {
+            self.restore_upstreams();
+        }
+    }
+
+    pub(crate) fn drop_endpoint(&mut self, task: &TaskId) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        if leader.endpoints.remove(task).is_some() {
+            self.restore_upstreams();
+        }
+    }
+
+    /// Once every worker was heard from, what was not found does not run.
+    pub(crate) fn settle(&mut self, now: Instant) {
+        let resolved = self.fleet.resolved();
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        if leader.active && !leader.settled && resolved {
+            info!("{} workers are claimed", self.fleet.claimed());
+            leader.settled = true;
+            leader.scheduler.clear_suspects();
+            self.place(now);
+        }
+        self.flush_ready_waiters();
+    }
+
+    /// Carries out what waited for nothing but the journal to be idle.
+    fn flush_ready_waiters(&mut self) {
+        let ready = self
+            .leader
+            .as_mut()
+            .and_then(|leader| leader.waiters.remove(&0));
+        for waiter in ready.into_iter().flatten() {
+            if let CommitWaiter::Forget {
+                worker,
+                task,
+                attempt,
+            } = waiter
+            {
+                self.fleet.command(
+                    &worker,
+                    WorkerCommand::Forget {
+                        task: task.clone(),
+                        attempt,
+                    },
+                );
+                if let Some(leader) = &mut self.leader {
+                    leader.forgetting.remove(&(worker, task, attempt));
+                }
+            }
+        }
+    }
+
+    /// Drops what is over and was kept long enough.
+    pub(crate) fn collect_records(&mut self, now: Instant) {
+        if self.leader.is_none() || !self.journal.open() {
+            return;
+        }
+        let unix = self.clock.unix(now);
+        let config = self.config.current();
+        let wanted: BTreeSet<JobId> = config
+            .intents
+            .values()
+            .map(|i| intent_job(&i.spec.service(), i.changed, &self.identity.domain))
+            .collect();
+        let gone: Vec<String> = self
+            .journal
+            .records()
+            .filter(|record| match record {
+                LedgerRecord::Job(job) => {
+                    let old = job.spec.accepted + KEEP_ENDED_MS < unix;
+                    job.over() && old && !wanted.contains(&job.spec.id)
+                }
+                LedgerRecord::Key(key) => key.accepted + KEEP_KEY_MS < unix,
+                LedgerRecord::Gone(_) => false,
+            })
+            .map(LedgerRecord::name)
+            .collect();
+        for name in gone {
+            self.journal.put(LedgerRecord::Gone(name));
+        }
+    }
+
+    /// Jobs that another failure domain took over are none of ours.
+    pub(crate) fn drop_moved_jobs(&mut self) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let moved = self.journal.records().filter_map(|record| match record {
+            LedgerRecord::Job(job) if job.moved.is_some() => Some(job.spec.id.clone()),
+            _ => None,
+        });
+        for id in moved.collect::<Vec<_>>() {
+            leader.scheduler.drop_job(&id);
+        }
+    }
+}
+
+/// Name of the job that an intent makes in a failure domain.
+fn intent_job(service: &str, changed: u64, domain: &str) -> JobId {
+    let (workspace, name) = service.split_once('/').unwrap_or(("", service));
+    format!("{workspace}/{INTENT_MARK}{name}.r{changed}@{domain}").into()
+}
--- /dev/null
+++ b/src/domain/quota.rs
@@ -0,0 +1,361 @@
+//! Quotas of workspaces, held exactly over all failure domains without a lock.
+//!
+//! One record in the store splits each quota into parts, one for each failure domain. A domain uses
+//! no more than its part. It takes from what is left over, and gives back, by compare-and-swap.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::domain::controller::DomainController;
+use crate::domain::event::{EntryIdentity, StoreOwner};
+use crate::id::{CallId, DomainId, KeyVersion, WorkspaceId};
+use crate::resources::ResourceVector;
+use crate::store::{StoreOutcome, StoreRequest};
+
+/// Key of the record.
+const QUOTA_KEY: &str = "quota/parts";
+/// Shortest interval between two changes.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between reads while more is held than there is.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// How long an unused part is kept before it is given back.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// Parts of all quotas.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+struct QuotaRecord {
+    parts: BTreeMap<WorkspaceId, BTreeMap<DomainId, ResourceVector>>,
+    write_id: String,
+}
+
+impl QuotaRecord {
+    fn part(&self, workspace: &WorkspaceId, domain: &DomainId) -> ResourceVector {
+        let parts = self.parts.get(workspace);
+        parts
+            .and_then(|parts| parts.get(domain))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Tells whether more is held than there is, because the quota was lowered.
+    fn exceeded(&self, workspace: &WorkspaceId, quota: &ResourceVector) -> bool {
+        let parts = self
+            .parts
+            .get(workspace)
+            .into_iter()
+            .flat_map(BTreeMap::values);
+        let sum = parts.fold(ResourceVector::default(), |sum, part| {
+            sum.saturating_add(part)
+        });
+        !sum.fits(quota)
+    }
+
+    /// What no failure domain holds of a quota.
+    fn left(&self, workspace: &WorkspaceId, quota: &ResourceVector) -> ResourceVector {
+        let parts = self
+            .parts
+            .get(workspace)
+            .into_iter()
+            .flat_map(BTreeMap::values);
+        let sum = parts.fold(ResourceVector::default(), |sum, part| {
+            sum.saturating_add(part)
+        });
+        quota.saturating_sub(&sum)
+    }
+}
+
+#[derive(Debug)]
+enum QuotaCall {
+    Read,
+    Write(QuotaRecord),
+}
+
+/// This failure domain's parts of all quotas.
+#[derive(Debug)]
+pub(crate) struct QuotaController {
+    domain: DomainId,
+    domains: u32,
+    /// Parts that may be used: as last written by this leader.
+    parts: BTreeMap<WorkspaceId, ResourceVector>,
+    /// Whether this leader has written the record, so that no earlier one can.
+    fenced: bool,
+    wanted: BTreeMap<WorkspaceId, ResourceVector>,
+    busy_since: BTreeMap<WorkspaceId, Instant>,
+    pending: Option<(CallId, QuotaCall)>,
+    next_call: CallId,
+    next_change: Instant,
+    /// When the record is to be read again although nothing changed here.
+    recheck: Option<Instant>,
+    writes: u64,
+    name: String,
+}
+
+impl QuotaController {
+    pub(crate) fn new(now: Instant, identity: &EntryIdentity) -> Self {
+        Self {
+            domain: identity.domain.clone(),
+            domains: u32::try_from(identity.domains().len().max(1)).unwrap_or(1),
+            parts: BTreeMap::new(),
+            fenced: false,
+            wanted: BTreeMap::new(),
+            busy_since: BTreeMap::new(),
+            pending: None,
+            next_call: 0,
+            next_change: now,
+            recheck: None,
+            writes: 0,
+            name: format!("{}-{}", identity.entry, identity.boot),
+        }
+    }
+
+    /// A new leader knows nothing about the parts until it has written the record.
+    pub(crate) fn lead(&mut self, now: Instant) {
+        self.fenced = false;
+        self.pending = None;
+        self.next_change = now;
+    }
+
+    /// The configuration changed.
+    pub(crate) fn hurry(&mut self, now: Instant) {
+        self.next_change = self.next_change.min(now + CHANGE_INTERVAL);
+        self.recheck = Some(now);
+    }
+
+    /// Parts that may be used.
+    pub(crate) fn parts(&self) -> &BTreeMap<WorkspaceId, ResourceVector> {
+        &self.parts
+    }
+
+    fn call(&mut self, call: QuotaCall, version: KeyVersion) -> (CallId, StoreRequest) {
+        self.next_call += 1;
+        let key = QUOTA_KEY.to_owned();
+        let request = match &call {
+            QuotaCall::Read => StoreRequest::Read { key },
+            QuotaCall::Write(record) => StoreRequest::Swap {
+                key,
+                expected: version,
+                value: serde_json::to_string(record).unwrap_or_default(),
+            },
+        };
+        self.pending = Some((self.next_call, call));
+        (self.next_call, request)
+    }
+
+    /// The part that this domain should hold, and whether it differs from what it holds.
+    fn target(
+        &self,
+        now: Instant,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        used: ResourceVector,
+        held: ResourceVector,
+        left: ResourceVector,
+    ) -> ResourceVector {
+        let floor = ResourceVector::new(
+            quota.millicores / (2 * self.domains),
+            quota.memory_mib / (2 * self.domains),
+            quota.accelerators / (2 * self.domains),
+        );
+        let wanted = self.wanted.get(workspace).copied().unwrap_or_default();
+        let asked = used.saturating_add(&wanted).each_max(&floor);
+        let grown = held.saturating_add(&asked.saturating_sub(&held).each_min(&left));
+        let busy = self
+            .busy_since
+            .get(workspace)
+            .is_some_and(|at| now < *at + IDLE_TIME);
+        match wanted == ResourceVector::default() && !busy {
+            true => grown.each_min(&used.each_max(&floor)),
+            false => grown,
+        }
+    }
+}
+
+impl DomainController {
+    /// Tells the scheduler its bounds and starts a change of parts where one is due.
+    pub(crate) fn quota_tick(&mut self, now: Instant) {
+        let Some(leader) = self
+            .leader
+            .as_mut()
+            .filter(|leader| leader.active && leader.settled)
+        else {
+            return;
+        };
+        for (workspace, need) in leader.scheduler.take_wanted() {
+            self.quota.busy_since.insert(workspace.clone(), now);
+            self.quota.wanted.insert(workspace, need);
+        }
+        self.apply_parts();
+        if self.quota.pending.is_none()
+            && now >= self.quota.next_change
+            && self.quota_change_due(now)
+        {
+            self.quota.next_change = now + CHANGE_INTERVAL;
+            let (id, request) = self.quota.call(QuotaCall::Read, 0);
+            self.store(StoreOwner::Quota, id, request);
+        }
+    }
+
+    /// Sets the scheduler's bounds: the own part, or what runs already where it is not known.
+    fn apply_parts(&mut self) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let quotas = &self.config.current().quotas;
+        let known: Vec<WorkspaceId> = leader
+            .scheduler
+            .used()
+            .keys()
+            .chain(quotas.keys())
+            .cloned()
+            .collect();
+        for workspace in known {
+            let part = match (quotas.get(&workspace), self.quota.fenced) {
+                (None, _) => None,
+                (Some(_), true) => Some(
+                    self.quota
+                        .parts
+                        .get(&workspace)
+                        .copied()
+                        .unwrap_or_default(),
+                ),
+                (Some(_), false) => {
+                    let used = leader
+                        .scheduler
+                        .used()
+                        .get(&workspace)
+                        .copied()
+                        .unwrap_or_default();
+                    let part = self
+                        .quota
+                        .parts
+                        .get(&workspace)
+                        .copied()
+                        .unwrap_or_default();
+                    let part = part.each_max(&used);
+                    self.quota.parts.insert(workspace.clone(), part);
+                    Some(part)
+                }
+            };
+            leader.scheduler.allow(&workspace, part);
+        }
+    }
+
+    fn used_by(&self, workspace: &WorkspaceId) -> ResourceVector {
+        let leader = self.leader.as_ref();
+        leader
+            .and_then(|l| l.scheduler.used().get(workspace))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn quota_change_due(&self, now: Instant) -> bool {
+        let config = self.config.current();
+        let stale = self
+            .quota
+            .parts
+            .keys()
+            .any(|workspace| !config.quotas.contains_key(workspace));
+        let differs = config.quotas.iter().any(|(workspace, quota)| {
+            let held = self.quota.parts.get(workspace).copied().unwrap_or_default();
+            let used = self.used_by(workspace);
+            let most = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
+            self.quota.target(now, workspace, quota, used, held, most) != held
+        });
+        let recheck = self.quota.recheck.is_some_and(|at| now >= at);
+        (!self.quota.fenced && !config.quotas.is_empty()) || differs || stale || recheck
+    }
+
+    /// Brings back the outcome of a call.
+    pub(crate) fn quota_answer(&mut self, now: Instant, id: CallId, outcome: StoreOutcome) {
+        let call = match self.quota.pending.take() {
+            Some((call, pending)) if call == id => pending,
+            other => {
+                self.quota.pending = other;
+                return;
+            }
+        };
+        if self.leader.is_none() {
+            return;
+        }
+        match (call, outcome) {
+            (QuotaCall::Read, StoreOutcome::Found(stored)) => {
+                let record = serde_json::from_str(&stored.value).unwrap_or_default();
+                self.write_parts(now, record, stored.version);
+            }
+            (QuotaCall::Read, StoreOutcome::Missing) => {
+                self.write_parts(now, QuotaRecord::default(), 0);
+            }
+            (QuotaCall::Write(record), StoreOutcome::Written(_)) => {
+                self.quota.parts = self.own_parts(&record);
+                self.quota.fenced = true;
+                self.quota.wanted.clear();
+                self.apply_parts();
+            }
+            (QuotaCall::Write(record), StoreOutcome::Unknown) => {
+                let written = self.own_parts(&record);
+                for (workspace, part) in &mut self.quota.parts {
+                    let new = written.get(workspace).copied().unwrap_or_default();
+                    *part = part.each_min(&new);
+                }
+                self.quota.fenced = false;
+                self.apply_parts_without_raise();
+            }
+            _ => {}
+        }
+    }
+
+    /// After a write whose answer was lost, the smaller part holds until the next write.
+    fn apply_parts_without_raise(&mut self) {
+        if let Some(leader) = &mut self.leader {
+            for (workspace, part) in &self.quota.parts {
+                leader.scheduler.allow(workspace, Some(*part));
+            }
+        }
+    }
+
+    fn own_parts(&self, record: &QuotaRecord) -> BTreeMap<WorkspaceId, ResourceVector> {
+        let domain = &self.identity.domain;
+        let parts = record.parts.keys();
+        parts
+            .map(|workspace| (workspace.clone(), record.part(workspace, domain)))
+            .collect()
+    }
+
+    /// Works out the own parts against the record as read, and writes it.
+    fn write_parts(&mut self, now: Instant, mut record: QuotaRecord, version: KeyVersion) {
+        let quotas = self.config.current().quotas.clone();
+        self.quota.recheck = None;
+        let domain = self.quota.domain.clone();
+        for (workspace, quota) in &quotas {
+            let held = record.part(workspace, &domain);
+            let left = record.left(workspace, quota);
+            let used = self.used_by(workspace);
+            let held = held.each_max(&used);
+            let part = match record.exceeded(workspace, quota) {
+                true => {
+                    self.quota.recheck = Some(now + RECHECK_INTERVAL);
+                    held.each_min(&used)
+                }
+                false => self.quota.target(now, workspace, quota, used, held, left),
+            };
+            record
+                .parts
+                .entry(workspace.clone())
+                .or_default()
+                .insert(domain.clone(), part);
+        }
+        for (workspace, parts) in &mut record.parts {
+            if !quotas.contains_key(workspace) {
+                parts.remove(&domain);
+            }
+        }
+        record.parts.retain(|_, parts| !parts.is_empty());
+        self.quota.writes += 1;
+        record.write_id = format!("{}-{}", self.quota.name, self.quota.writes);
+        let (id, request) = self.quota.call(QuotaCall::Write(record), version);
+        self.store(StoreOwner::Quota, id, request);
+    }
+}
--- /dev/null
+++ b/src/entry/operators.rs
@@ -0,0 +1,270 @@
+//! The duty of answering operators. It holds no state, so that nothing can make it hang.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::prelude::{DefineSingleRoute, DrawRoutes};
+use gotham::router::Router;
+use gotham::router::builder::build_simple_router;
+use gotham::state::{FromState, State, StateData};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Response, StatusCode, Uri};
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
+
+use crate::callers::CallerInput;
+use crate::config::{ConfirmRefusal, PlanDocument, PlanRequest};
+use crate::entry::CallDesk;
+use crate::entry::control::ControlGauge;
+use crate::http::{ListenerLimits, PrepareState, serve_http};
+use crate::intent_file::parse_intent;
+use crate::message::{CallRefusal, ClientAnswer, ClientCall};
+use crate::problem::{ProblemDetails, full, json_response};
+use crate::ring::RingSender;
+
+/// Longest time for a duty to tell its state.
+const DUTY_TIME: Duration = Duration::from_millis(1_000);
+/// Longest time for a confirm.
+const CONFIRM_TIME: Duration = Duration::from_secs(12);
+/// Largest intent or plan, in bytes.
+const BODY_BYTES: usize = 4 << 20;
+/// Longest time for a body to arrive.
+const BODY_TIME: Duration = Duration::from_secs(5);
+/// Advice on when to come back.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Shared by all requests of operators.
+#[derive(Clone)]
+pub(crate) struct OperatorContext {
+    pub(crate) calls: CallDesk,
+    pub(crate) callers: RingSender<CallerInput>,
+    pub(crate) gauge: Arc<ControlGauge>,
+    pub(crate) metrics: PrometheusHandle,
+}
+
+impl std::panic::UnwindSafe for OperatorContext {}
+impl std::panic::RefUnwindSafe for OperatorContext {}
+impl StateData for OperatorContext {}
+
+/// The thread that answers operators.
+pub(crate) struct OperatorDuty {
+    context: OperatorContext,
+}
+
+impl OperatorDuty {
+    pub(crate) fn new(context: OperatorContext) -> Self {
+        Self { context }
+    }
+
+    /// Runs until told to stop.
+    ///
+    /// # Errors
+    /// Where the listener cannot be used.
+    pub(crate) async fn run(
+        self,
+        listener: std::net::TcpListener,
+        stop: watch::Receiver<bool>,
+    ) -> io::Result<()> {
+        let listener = TcpListener::from_std(listener)?;
+        let context = self.context;
+        let prepare: PrepareState = Arc::new(move |state| state.put(context.clone()));
+        serve_http(listener, ListenerLimits::default(), routes(), prepare, stop).await;
+        Ok(())
+    }
+}
+
+fn routes() -> Router {
+    build_simple_router(|route| {
+        let methods = vec![Method::GET, Method::POST];
+        route
+            .request(methods.clone(), "/")
+            .to_new_handler(|| Ok(handle));
+        route.request(methods, "/*").to_new_handler(|| Ok(handle));
+    })
+}
+
+fn handle(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let body = Body::try_take_from(&mut state).unwrap_or_default();
+        let context = OperatorContext::borrow_from(&state).clone();
+        let method = Method::borrow_from(&state).clone();
+        let uri = Uri::borrow_from(&state).clone();
+        let response = match answer(&context, &method, &uri, body).await {
+            Ok(response) => response,
+            Err(problem) => problem.response(),
+        };
+        Ok((state, response))
+    })
+}
+
+async fn answer(
+    context: &OperatorContext,
+    method: &Method,
+    uri: &Uri,
+    body: Body,
+) -> Result<Response<Body>, ProblemDetails> {
+    match (method.as_str(), uri.path()) {
+        ("GET", "/livez") => Ok(json_response(StatusCode::OK, &json!({"live": true}))),
+        ("GET", "/readyz") => Ok(ready(context)),
+        ("GET", "/metrics") => Ok(metrics_page(context)),
+        ("GET", "/v1/status") => match context.calls.call(ClientCall::Status, DUTY_TIME).await {
+            ClientAnswer::Status(status) => Ok(json_response(StatusCode::OK, &status)),
+            _ => Err(silent()),
+        },
+        ("GET", "/v1/dump") => Ok(json_response(StatusCode::OK, &dump(context).await)),
+        ("POST", "/v1/plan") => plan(context, uri, &text(body).await?).await,
+        ("POST", "/v1/confirm") => confirm(context, &text(body).await?).await,
+        _ => Err(ProblemDetails::new(
+            StatusCode::NOT_FOUND,
+            "not found",
+            uri.path(),
+        )),
+    }
+}
+
+fn ready(context: &OperatorContext) -> Response<Body> {
+    let ready = context.gauge.ready.load(Ordering::Relaxed);
+    let status = match ready {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let revision = context.gauge.revision.load(Ordering::Relaxed);
+    json_response(status, &json!({"ready": ready, "revision": revision}))
+}
+
+fn metrics_page(context: &OperatorContext) -> Response<Body> {
+    let leads = f64::from(u8::from(context.gauge.leads.load(Ordering::Relaxed)));
+    metrics::gauge!("kelplink_leads").set(leads);
+    let revision = context.gauge.revision.load(Ordering::Relaxed) as f64;
+    metrics::gauge!("kelplink_revision").set(revision);
+    context.metrics.run_upkeep();
+    let mut response = Response::new(full(context.metrics.render()));
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+/// The state of each duty; one that does not tell it in time is named as stuck.
+async fn dump(context: &OperatorContext) -> Value {
+    let (sender, receiver) = oneshot::channel();
+    let asked = context.callers.offer(CallerInput::Dump(sender)).is_ok();
+    let callers = async {
+        match asked {
+            true => timeout(DUTY_TIME, receiver).await.ok().and_then(Result::ok),
+            false => None,
+        }
+    };
+    let control = context.calls.call(ClientCall::Dump, DUTY_TIME);
+    let (control, callers) = tokio::join!(control, callers);
+    let control = match control {
+        ClientAnswer::Dump(dump) => dump,
+        _ => json!({"stuck": true}),
+    };
+    json!({"control": control, "callers": callers.unwrap_or(json!({"stuck": true}))})
+}
+
+async fn text(body: Body) -> Result<String, ProblemDetails> {
+    let limits = crate::settings::LimitSettings {
+        request_bytes: BODY_BYTES,
+        body_time: BODY_TIME,
+        ..Default::default()
+    };
+    let bytes = crate::callers::collect(body, &limits).await?;
+    String::from_utf8(bytes.to_vec()).map_err(|error| {
+        ProblemDetails::new(StatusCode::BAD_REQUEST, "not UTF-8", error.to_string())
+    })
+}
+
+async fn plan(
+    context: &OperatorContext,
+    uri: &Uri,
+    text: &str,
+) -> Result<Response<Body>, ProblemDetails> {
+    let withdrawn = uri
+        .query()
+        .and_then(|query| query.strip_prefix("withdraw="));
+    let request = match withdrawn {
+        Some(service) => PlanRequest::Withdraw(service.into()),
+        None => match parse_intent("intent", text) {
+            Ok(spec) => PlanRequest::Accept(Box::new(spec)),
+            Err(findings) => return Ok(json_response(StatusCode::UNPROCESSABLE_ENTITY, &findings)),
+        },
+    };
+    match context
+        .calls
+        .call(ClientCall::Plan(request), DUTY_TIME)
+        .await
+    {
+        ClientAnswer::Plan(plan) => Ok(json_response(StatusCode::OK, &plan)),
+        _ => Err(silent()),
+    }
+}
+
+async fn confirm(context: &OperatorContext, text: &str) -> Result<Response<Body>, ProblemDetails> {
+    let plan: PlanDocument = serde_json::from_str(text).map_err(|error| {
+        ProblemDetails::new(StatusCode::BAD_REQUEST, "not a plan", error.to_string())
+    })?;
+    match context
+        .calls
+        .call(ClientCall::Confirm(Box::new(plan)), CONFIRM_TIME)
+        .await
+    {
+        ClientAnswer::Confirmed(revision) => Ok(json_response(
+            StatusCode::OK,
+            &json!({"revision": revision}),
+        )),
+        ClientAnswer::NotConfirmed(ConfirmRefusal::Moved(fresh)) => {
+            Ok(json_response(StatusCode::CONFLICT, &fresh))
+        }
+        ClientAnswer::NotConfirmed(refusal) => Err(refused(&refusal)),
+        ClientAnswer::Refused(CallRefusal::Busy) => Err(refused(&ConfirmRefusal::Busy)),
+        _ => Err(refused(&ConfirmRefusal::Unsettled)),
+    }
+}
+
+fn refused(refusal: &ConfirmRefusal) -> ProblemDetails {
+    match refusal {
+        ConfirmRefusal::NotGenuine => ProblemDetails::new(
+            StatusCode::BAD_REQUEST,
+            "plan was edited",
+            "the digest does not fit the plan; make a new one",
+        ),
+        ConfirmRefusal::Impossible(reason) => ProblemDetails::new(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "can never run",
+            reason.as_str(),
+        ),
+        ConfirmRefusal::Moved(_) => {
+            ProblemDetails::new(StatusCode::CONFLICT, "base moved", "make a new plan")
+        }
+        ConfirmRefusal::StoreDown => ProblemDetails::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "store down",
+            "the platform's store cannot be reached; nothing was accepted",
+        )
+        .retry_after(RETRY_AFTER),
+        ConfirmRefusal::Busy => {
+            let detail = "too many confirms wait; nothing was accepted";
+            ProblemDetails::new(StatusCode::SERVICE_UNAVAILABLE, "busy", detail)
+                .retry_after(RETRY_AFTER)
+        }
+        ConfirmRefusal::Unsettled => ProblemDetails::new(
+            StatusCode::GATEWAY_TIMEOUT,
+            "not settled",
+            "no answer from the store: the plan may be accepted yet; ask for the status",
+        ),
+    }
+}
+
+fn silent() -> ProblemDetails {
+    let detail = "the deciding thread did not answer in time; see /v1/dump";
+    ProblemDetails::new(StatusCode::SERVICE_UNAVAILABLE, "silent", detail)
+}
--- /dev/null
+++ b/src/entry/process.rs
@@ -0,0 +1,258 @@
+//! Starting and stopping an entry process.
+
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{Builder, JoinHandle};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use log::{error, info};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::runtime;
+use tokio::sync::watch;
+
+use crate::callers::{CallerContext, CallerDuty, CallerInput, RouterDesk};
+use crate::client::HttpClient;
+use crate::domain::{DomainEvent, EntryIdentity};
+use crate::entry::CallDesk;
+use crate::entry::control::{ControlDuty, ControlGauge, ControlInput, ControlOutputs};
+use crate::entry::operators::{OperatorContext, OperatorDuty};
+use crate::entry::peers::{PeerDuty, PeerInput};
+use crate::entry::store::{StoreDuty, StoreInput};
+use crate::entry::workers::{WorkerDuty, WorkerInput};
+use crate::http::bind;
+use crate::ring::{RingSender, ring};
+use crate::routing::RequestRouter;
+use crate::settings::EntrySettings;
+
+/// Places in the ring of the deciding thread.
+const CONTROL_RING: usize = 8_192;
+/// Places in the other rings.
+const DUTY_RING: usize = 4_096;
+/// How long an entry that is not ready any more goes on taking connections, so that the balancer
+/// can notice.
+const NOTICE: Duration = Duration::from_millis(1_000);
+/// How long the last words to peers and the store may take.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
+/// A running entry process: its threads and the rings to them.
+pub struct EntryProcess {
+    name: String,
+    control: RingSender<ControlInput>,
+    callers: RingSender<CallerInput>,
+    store: RingSender<StoreInput>,
+    workers: RingSender<WorkerInput>,
+    peers: RingSender<PeerInput>,
+    operators: watch::Sender<bool>,
+    caller_thread: Option<JoinHandle<io::Result<bool>>>,
+    other_threads: Vec<JoinHandle<io::Result<bool>>>,
+}
+
+impl EntryProcess {
+    /// Binds all addresses and starts all threads.
+    ///
+    /// # Errors
+    /// Where an address cannot be bound or a thread not started.
+    pub fn start(settings: &EntrySettings, metrics: PrometheusHandle) -> Result<Self> {
+        let callers_listener = bind(settings.callers).context("callers")?;
+        let operators_listener = bind(settings.operators).context("operators")?;
+        let peers_listener = bind(settings.peers).context("peers")?;
+        let boot = unix_millis();
+        let (control, control_input) = ring("control", CONTROL_RING);
+        let (callers, callers_input) = ring("callers", DUTY_RING);
+        let (store, store_input) = ring("store", DUTY_RING);
+        let (workers, workers_input) = ring("workers", DUTY_RING);
+        let (peers, peers_input) = ring("peers", DUTY_RING);
+        let (operators, operators_stopped) = watch::channel(false);
+        let gauge = Arc::new(ControlGauge::default());
+        let identity = identity(settings, boot);
+        let domains = identity.domains();
+        let outputs = ControlOutputs {
+            store: store.clone(),
+            workers: workers.clone(),
+            peers: peers.clone(),
+            callers: callers.clone(),
+        };
+        let duty_gauge = gauge.clone();
+        let control_thread = duty(&settings.name, "control", async move {
+            ControlDuty::new(identity, unix_millis(), control_input, outputs, duty_gauge)
+                .run()
+                .await;
+            Ok(true)
+        })?;
+        let duty_control = control.clone();
+        let (store_address, vms) = (settings.store, settings.vms);
+        let store_thread = duty(&settings.name, "store", async move {
+            StoreDuty::new(store_address, vms, store_input, duty_control)
+                .run()
+                .await;
+            Ok(true)
+        })?;
+        let duty_control = control.clone();
+        let worker_thread = duty(&settings.name, "workers", async move {
+            WorkerDuty::new(workers_input, duty_control).run().await;
+            Ok(true)
+        })?;
+        let peer_duty = PeerDuty::new(
+            settings.name.clone(),
+            settings.others.clone(),
+            peers_input,
+            control.clone(),
+        );
+        let peer_thread = duty(&settings.name, "peers", async move {
+            peer_duty.run(peers_listener).await.map(|()| true)
+        })?;
+        let context = OperatorContext {
+            calls: CallDesk::new(control.clone()),
+            callers: callers.clone(),
+            gauge,
+            metrics,
+        };
+        let operator_thread = duty(&settings.name, "operators", async move {
+            OperatorDuty::new(context)
+                .run(operators_listener, operators_stopped)
+                .await
+                .map(|()| true)
+        })?;
+        let context = caller_context(settings, boot, control.clone(), domains.into());
+        let caller_thread = duty(&settings.name, "callers", async move {
+            CallerDuty::new(context, callers_input)
+                .run(callers_listener)
+                .await
+        })?;
+        info!("{} started in {}", settings.name, settings.domain);
+        Ok(Self {
+            name: settings.name.to_string(),
+            control,
+            callers,
+            store,
+            workers,
+            peers,
+            operators,
+            caller_thread: Some(caller_thread),
+            other_threads: vec![
+                control_thread,
+                store_thread,
+                worker_thread,
+                peer_thread,
+                operator_thread,
+            ],
+        })
+    }
+
+    /// Tells whether a thread has ended that should not have.
+    pub fn broken(&self) -> bool {
+        let caller = self
+            .caller_thread
+            .as_ref()
+            .is_none_or(JoinHandle::is_finished);
+        caller || self.other_threads.iter().any(JoinHandle::is_finished)
+    }
+
+    /// A planned stop: stops to be ready, hands over what it leads, finishes what is in flight, and
+    /// ends. Tells whether no request was cut.
+    pub fn drain(mut self) -> bool {
+        info!("{}: planned stop", self.name);
+        let _ = self.control.offer(DomainEvent::Leave.into());
+        std::thread::sleep(NOTICE);
+        let _ = self.callers.offer(CallerInput::Stop);
+        let whole = match self.caller_thread.take().map(JoinHandle::join) {
+            Some(Ok(Ok(whole))) => whole,
+            _ => false,
+        };
+        std::thread::sleep(LAST_WORDS);
+        self.end();
+        info!("{}: ended", self.name);
+        whole
+    }
+
+    /// Ends all threads at once, as a crash would, but for what the operating system does.
+    pub fn kill(mut self) {
+        let _ = self.control.offer(ControlInput::Stop);
+        let _ = self.callers.offer(CallerInput::Kill);
+        self.caller_thread.take().map(JoinHandle::join);
+        self.end();
+    }
+
+    fn end(&mut self) {
+        let _ = self.operators.send(true);
+        let _ = self.control.offer(ControlInput::Stop);
+        let _ = self.store.offer(StoreInput::Stop);
+        let _ = self.workers.offer(WorkerInput::Stop);
+        let _ = self.peers.offer(PeerInput::Stop);
+        for thread in self.other_threads.drain(..) {
+            if let Ok(Err(error)) = thread.join() {
+                error!("{}: {error}", self.name);
+            }
+        }
+    }
+}
+
+fn identity(settings: &EntrySettings, boot: u64) -> EntryIdentity {
+    let peers = settings
+        .others
+        .iter()
+        .map(|peer| (peer.name.clone(), peer.domain.clone()));
+    EntryIdentity {
+        entry: settings.name.clone(),
+        domain: settings.domain.clone(),
+        boot,
+        peers: peers.collect(),
+        timing: settings.timing,
+    }
+}
+
+fn caller_context(
+    settings: &EntrySettings,
+    boot: u64,
+    control: RingSender<ControlInput>,
+    domains: Arc<[crate::id::DomainId]>,
+) -> CallerContext {
+    let limits = settings.limits;
+    let router = RequestRouter::new(settings.name.clone(), boot, limits.waiting, settings.timing);
+    let peers = settings
+        .others
+        .iter()
+        .map(|peer| (peer.name.clone(), peer.callers));
+    CallerContext {
+        entry: settings.name.clone(),
+        boot,
+        desk: Arc::new(Mutex::new(RouterDesk::new(router))),
+        calls: CallDesk::new(control),
+        limits,
+        next_request: Arc::new(AtomicU64::new(1)),
+        peers: Arc::new(peers.collect()),
+        handed: HttpClient::new(),
+        domains,
+    }
+}
+
+/// Starts a thread with a runtime of its own.
+fn duty(
+    entry: &str,
+    name: &str,
+    work: impl Future<Output = io::Result<bool>> + Send + 'static,
+) -> io::Result<JoinHandle<io::Result<bool>>> {
+    Builder::new()
+        .name(format!("{entry} {name}"))
+        .spawn(move || {
+            let runtime = runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()?;
+            let result = runtime.block_on(work);
+            runtime.shutdown_background();
+            result
+        })
+}
+
+/// Milliseconds since the Unix epoch; later starts in one process get higher numbers.
+fn unix_millis() -> u64 {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let passed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let now = u64::try_from(passed.as_millis()).unwrap_or(0);
+    let last = LAST.fetch_max(now, Ordering::Relaxed);
+    now.max(last)
+}
--- /dev/null
+++ b/src/finding.rs
@@ -0,0 +1,58 @@
+//! Findings about input, collected with their place and reported together.
+
+use std::fmt::{self, Display};
+
+use serde::{Deserialize, Serialize};
+
+/// One mistake in a text: where it is, what was found and what was expected.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct InputFinding {
+    /// Name of the file or interface that the text came from.
+    pub source: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// What is wrong and what was expected.
+    pub message: String,
+}
+
+impl InputFinding {
+    /// Makes a finding at a byte offset of `text`.
+    pub(crate) fn at(source: &str, text: &str, offset: usize, message: String) -> Self {
+        let before = &text[..text.floor_char_boundary(offset.min(text.len()))];
+        let line = before.matches('\n').count() + 1;
+        let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+        Self {
+            source: source.to_owned(),
+            line,
+            column,
+            message,
+        }
+    }
+}
+
+impl Display for InputFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}:{}:{}: {}",
+            self.source, self.line, self.column, self.message
+        )
+    }
+}
+
+/// All findings about one text.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct FindingList(pub Vec<InputFinding>);
+
+impl Display for FindingList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.0 {
+            writeln!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for FindingList {}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,136 @@
+//! HTTP listening: our own accept loop around gotham's handlers, so that it can drain.
+
+use std::io;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::router::Router;
+use gotham::service::call_handler;
+use gotham::state::State;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use log::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{sleep, timeout};
+
+/// First pause after an error of accept, for instance too many open files; it doubles.
+const FIRST_ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// Longest pause after errors of accept.
+const LONGEST_ACCEPT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Bounds of a listener.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ListenerLimits {
+    /// Open connections.
+    pub(crate) connections: usize,
+    /// Longest time for the head of a request to arrive.
+    pub(crate) head_time: Duration,
+    /// Longest time that a stop waits for requests in flight.
+    pub(crate) drain: Duration,
+}
+
+impl Default for ListenerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 1_024,
+            head_time: Duration::from_secs(10),
+            drain: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Something put into the state of each request before its handler runs.
+pub(crate) type PrepareState = Arc<dyn Fn(&mut State) + Send + Sync>;
+
+/// Serves until `stop` turns true, then lets requests in flight finish. Tells whether all did.
+pub(crate) async fn serve_http(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    router: Router,
+    prepare: PrepareState,
+    mut stop: watch::Receiver<bool>,
+) -> bool {
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let mut pause = FIRST_ACCEPT_PAUSE;
+    loop {
+        let permit = tokio::select! {
+            permit = permits.clone().acquire_owned() => permit,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, address)) => {
+                pause = FIRST_ACCEPT_PAUSE;
+                serve_connection(
+                    stream,
+                    address,
+                    limits,
+                    &router,
+                    &prepare,
+                    &graceful,
+                    permit.ok(),
+                );
+            }
+            Err(error) => {
+                warn!("accept failed: {error}");
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_ACCEPT_PAUSE);
+            }
+        }
+    }
+    drop(listener);
+    timeout(limits.drain, graceful.shutdown()).await.is_ok()
+}
+
+fn serve_connection(
+    stream: TcpStream,
+    address: SocketAddr,
+    limits: ListenerLimits,
+    router: &Router,
+    prepare: &PrepareState,
+    graceful: &GracefulShutdown,
+    permit: Option<tokio::sync::OwnedSemaphorePermit>,
+) {
+    let _ = stream.set_nodelay(true);
+    let (router, prepare) = (router.clone(), prepare.clone());
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
+        let mut state = State::from_request(request, address);
+        prepare(&mut state);
+        call_handler(router.clone(), AssertUnwindSafe(state))
+    });
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time);
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = watched.await {
+            debug!("connection of {address} ended: {error}");
+        }
+        drop(permit);
+    });
+}
+
+/// Binds a listener; the address may have port 0.
+///
+/// # Errors
+/// Those of the operating system.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
--- /dev/null
+++ b/src/ledger/journal.rs
@@ -0,0 +1,827 @@
+//! Recovery, grouped commits and compaction of the journal.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use log::{info, warn};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use crate::id::{CallId, DomainId, KeyVersion};
+use crate::job::JobRecord;
+use crate::ledger::segment::{JournalBase, JournalSegment, LedgerRecord, SnapshotPart};
+use crate::store::{StoreOutcome, StoreRequest, StoredValue};
+use crate::token::FencingToken;
+
+/// Places of the ring.
+const RING_SLOTS: u64 = 512;
+/// Segments after which the journal is compacted whatever their size.
+const COMPACT_SEGMENTS: u64 = 384;
+/// Smallest size of the journal that is worth a compaction, in bytes.
+const COMPACT_BYTES: usize = 256 * 1024;
+/// Largest value that is written, in bytes; the store takes a megabyte.
+const VALUE_BYTES: usize = 512 * 1024;
+/// Reads kept in flight during recovery.
+const READ_AHEAD: u64 = 16;
+/// Pause before a call is repeated that the store did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Number of a commit that a caller waits for.
+pub type CommitTicket = u64;
+
+/// What the journal wants done or tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JournalOutput {
+    /// Make this call and bring the outcome back under the number.
+    Call(CallId, StoreRequest),
+    /// All records known; the journal can be written from now on.
+    Recovered(Vec<LedgerRecord>),
+    /// Every change up to this ticket is durable.
+    Committed(CommitTicket),
+    /// Another leader has written: this one must stop.
+    Fenced,
+}
+
+#[derive(Clone, Debug)]
+enum JournalCall {
+    ReadBase,
+    FenceBase(JournalBase),
+    ReadPart(u64),
+    ReadSlot(u64),
+    WriteSegment,
+    SettleSegment,
+    ReadTarget(u64),
+    WritePart(u64),
+    WriteBase(JournalBase),
+    SettleBase(JournalBase),
+}
+
+#[derive(Debug)]
+struct RecoveryState {
+    /// Next segment to apply.
+    next: u64,
+    /// Next segment to read.
+    ask: u64,
+    /// Segments read out of order; `None` marks the end of the journal.
+    read: BTreeMap<u64, Option<JournalSegment>>,
+    parts_missing: BTreeSet<u64>,
+    /// Records found so far.
+    found: BTreeMap<String, LedgerRecord>,
+}
+
+impl RecoveryState {
+    fn new(next: u64, parts: u64) -> Self {
+        Self {
+            next,
+            ask: next,
+            read: BTreeMap::new(),
+            parts_missing: (0..parts).collect(),
+            found: BTreeMap::new(),
+        }
+    }
+}
+
+fn apply(records: &mut BTreeMap<String, LedgerRecord>, record: LedgerRecord) {
+    match record {
+        LedgerRecord::Gone(name) => {
+            records.remove(&name);
+        }
+        record => {
+            records.insert(record.name(), record);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct CompactionState {
+    base: JournalBase,
+    parts: Vec<String>,
+    next_part: u64,
+    version: KeyVersion,
+}
+
+#[derive(Debug)]
+enum JournalStage {
+    /// Another entry leads.
+    Idle,
+    /// Reading what is there.
+    Recovering(RecoveryState),
+    /// Taking the next place, so that earlier leaders can write no more.
+    Fencing,
+    /// Open for commits.
+    Open,
+}
+
+/// The journal of one failure domain, as its leader writes it.
+#[derive(Debug)]
+pub struct JournalController {
+    domain: DomainId,
+    interval: Duration,
+    stage: JournalStage,
+    token: Option<FencingToken>,
+    records: BTreeMap<String, LedgerRecord>,
+    /// Names of records that changed and are in no segment yet.
+    dirty: BTreeSet<String>,
+    dirty_ticket: CommitTicket,
+    durable_ticket: CommitTicket,
+    /// Names of records that changed since followers were told.
+    changed: BTreeSet<String>,
+    /// The segment being written.
+    segment: Option<(JournalSegment, CommitTicket)>,
+    tickets: CommitTicket,
+    next_number: u64,
+    next_write: Instant,
+    slots: BTreeMap<u64, KeyVersion>,
+    base: Option<JournalBase>,
+    base_version: KeyVersion,
+    journal_bytes: usize,
+    snapshot_bytes: usize,
+    compaction: Option<CompactionState>,
+    calls: BTreeMap<CallId, JournalCall>,
+    retries: Vec<(Instant, JournalCall)>,
+    next_call: CallId,
+    write_ids: u64,
+    boot: u64,
+}
+
+impl JournalController {
+    /// A journal that nobody writes yet. `boot` tells this start of the process from earlier ones.
+    pub fn new(now: Instant, domain: DomainId, boot: u64, interval: Duration) -> Self {
+        Self {
+            domain,
+            interval,
+            stage: JournalStage::Idle,
+            token: None,
+            records: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            dirty_ticket: 0,
+            durable_ticket: 0,
+            changed: BTreeSet::new(),
+            segment: None,
+            tickets: 0,
+            next_number: 1,
+            next_write: now,
+            slots: BTreeMap::new(),
+            base: None,
+            base_version: 0,
+            journal_bytes: 0,
+            snapshot_bytes: 0,
+            compaction: None,
+            calls: BTreeMap::new(),
+            retries: Vec::new(),
+            next_call: 0,
+            write_ids: 0,
+            boot,
+        }
+    }
+
+    /// Tells whether commits can be taken.
+    pub fn open(&self) -> bool {
+        matches!(self.stage, JournalStage::Open)
+    }
+
+    /// Number of records that wait to be written.
+    pub fn backlog(&self) -> usize {
+        self.dirty.len()
+            + self
+                .segment
+                .as_ref()
+                .map_or(0, |(segment, _)| segment.records.len())
+    }
+
+    /// Number of records held.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// All records held, with changes that are not durable yet.
+    pub fn records(&self) -> impl Iterator<Item = &LedgerRecord> {
+        self.records.values()
+    }
+
+    /// Starts reading as leader under `token`. Changes not yet written are kept: they were given
+    /// out as not durable and are written after the fence.
+    pub fn recover(&mut self, token: FencingToken) -> Vec<JournalOutput> {
+        self.token = Some(token);
+        self.calls.clear();
+        self.retries.clear();
+        self.compaction = None;
+        if let Some((segment, _)) = self.segment.take() {
+            self.dirty
+                .extend(segment.records.iter().map(LedgerRecord::name));
+        }
+        self.slots.clear();
+        self.stage = JournalStage::Recovering(RecoveryState::new(1, 0));
+        vec![self.call(JournalCall::ReadBase)]
+    }
+
+    /// Stops being the writer; what is not written yet is forgotten.
+    pub fn close(&mut self) {
+        self.stage = JournalStage::Idle;
+        self.token = None;
+        self.records.clear();
+        self.dirty.clear();
+        self.changed.clear();
+        self.segment = None;
+        self.compaction = None;
+        self.calls.clear();
+        self.retries.clear();
+    }
+
+    /// Notes a change; the ticket tells when it is durable.
+    pub fn put(&mut self, record: LedgerRecord) -> CommitTicket {
+        self.dirty.insert(record.name());
+        self.changed.insert(record.name());
+        apply(&mut self.records, record);
+        self.ticket()
+    }
+
+    fn ticket(&mut self) -> CommitTicket {
+        self.tickets += 1;
+        self.dirty_ticket = self.tickets;
+        self.tickets
+    }
+
+    /// One record.
+    pub fn get(&self, name: &str) -> Option<&LedgerRecord> {
+        self.records.get(name)
+    }
+
+    /// Changes a job where it stands; the ticket tells when the change is durable.
+    pub fn change_job(
+        &mut self,
+        name: &str,
+        change: impl FnOnce(&mut JobRecord),
+    ) -> Option<CommitTicket> {
+        match self.records.get_mut(name) {
+            Some(LedgerRecord::Job(record)) => change(record),
+            _ => return None,
+        }
+        self.dirty.insert(name.to_owned());
+        self.changed.insert(name.to_owned());
+        Some(self.ticket())
+    }
+
+    /// Ticket of the last change, whether it is durable or not.
+    pub fn last_ticket(&self) -> CommitTicket {
+        self.tickets
+    }
+
+    /// Tells whether everything up to a ticket is durable.
+    pub fn written(&self, ticket: CommitTicket) -> bool {
+        self.open() && self.durable_ticket >= ticket
+    }
+
+    /// Takes the records that changed since last asked, for followers that keep them warm.
+    pub fn take_changes(&mut self) -> Vec<LedgerRecord> {
+        let names = std::mem::take(&mut self.changed);
+        let current = |name: String| match self.records.get(&name) {
+            Some(record) => record.clone(),
+            None => LedgerRecord::Gone(name),
+        };
+        names.into_iter().map(current).collect()
+    }
+
+    /// Tells whether the record's last change is durable.
+    pub fn durable(&self, name: &str) -> bool {
+        let writing = self
+            .segment
+            .as_ref()
+            .is_some_and(|(segment, _)| segment.records.iter().any(|record| record.name() == name));
+        !writing && !self.dirty.contains(name)
+    }
+
+    /// Takes over records that were kept warm, for a start without the store.
+    pub fn preload(&mut self, records: impl IntoIterator<Item = LedgerRecord>) {
+        for record in records {
+            self.put(record);
+        }
+    }
+
+    /// Lets time pass: repeats calls, writes the next group.
+    pub fn tick(&mut self, now: Instant) -> Vec<JournalOutput> {
+        let due = self
+            .retries
+            .extract_if(.., |(at, _)| *at <= now)
+            .collect::<Vec<_>>();
+        let mut outputs: Vec<_> = due.into_iter().map(|(_, call)| self.call(call)).collect();
+        if self.open() && self.segment.is_none() && !self.dirty.is_empty() && now >= self.next_write
+        {
+            outputs.push(self.write_group(now));
+        }
+        if self.open() && self.compaction.is_none() && self.worth_compaction() {
+            outputs.extend(self.compact());
+        }
+        outputs
+    }
+
+    fn write_group(&mut self, now: Instant) -> JournalOutput {
+        self.next_write = now + self.interval;
+        let records = self.take_group();
+        let ticket = match self.dirty.is_empty() {
+            true => self.dirty_ticket,
+            false => 0,
+        };
+        let write_id = self.write_id();
+        let segment = JournalSegment {
+            number: self.next_number,
+            token: self
+                .token
+                .clone()
+                .unwrap_or(FencingToken::granted(0, "".into())),
+            write_id,
+            records,
+        };
+        self.segment = Some((segment, ticket));
+        self.call(JournalCall::WriteSegment)
+    }
+
+    /// Takes changes up to the bound on a value.
+    fn take_group(&mut self) -> Vec<LedgerRecord> {
+        let mut bytes = 0;
+        let mut records = Vec::new();
+        while bytes < VALUE_BYTES {
+            let Some(name) = self.dirty.pop_first() else {
+                break;
+            };
+            let record = match self.records.get(&name) {
+                Some(record) => record.clone(),
+                None => LedgerRecord::Gone(name),
+            };
+            bytes += encode(&record).len();
+            records.push(record);
+        }
+        records
+    }
+
+    fn write_id(&mut self) -> String {
+        self.write_ids += 1;
+        let entry = self.token.as_ref().map_or("", |token| &token.entry);
+        format!("{entry}-{}-{}", self.boot, self.write_ids)
+    }
+
+    fn call(&mut self, call: JournalCall) -> JournalOutput {
+        self.next_call += 1;
+        let request = self.request(&call);
+        self.calls.insert(self.next_call, call);
+        JournalOutput::Call(self.next_call, request)
+    }
+
+    fn request(&self, call: &JournalCall) -> StoreRequest {
+        let read = |key| StoreRequest::Read { key };
+        match call {
+            JournalCall::ReadBase | JournalCall::SettleBase(_) => read(self.base_key()),
+            JournalCall::ReadPart(part) => {
+                read(self.part_key(self.base.as_ref().map_or(0, |base| base.generation), *part))
+            }
+            JournalCall::ReadSlot(number) => read(self.slot_key(*number)),
+            JournalCall::SettleSegment => read(self.slot_key(self.next_number)),
+            JournalCall::FenceBase(base) | JournalCall::WriteBase(base) => StoreRequest::Swap {
+                key: self.base_key(),
+                expected: self.base_version,
+                value: encode(base),
+            },
+            JournalCall::WriteSegment => StoreRequest::Swap {
+                key: self.slot_key(self.next_number),
+                expected: *self
+                    .slots
+                    .get(&(self.next_number % RING_SLOTS))
+                    .unwrap_or(&0),
+                value: self
+                    .segment
+                    .as_ref()
+                    .map_or(String::new(), |(segment, _)| encode(segment)),
+            },
+            JournalCall::ReadTarget(part) => {
+                read(self.part_key(self.compaction_generation(), *part))
+            }
+            JournalCall::WritePart(part) => StoreRequest::Swap {
+                key: self.part_key(self.compaction_generation(), *part),
+                expected: self.compaction.as_ref().map_or(0, |state| state.version),
+                value: self.compaction.as_ref().map_or(String::new(), |state| {
+                    state.parts[usize::try_from(*part).unwrap_or(0)].clone()
+                }),
+            },
+        }
+    }
+
+    fn base_key(&self) -> String {
+        format!("ledger/{}/base", self.domain)
+    }
+
+    fn part_key(&self, generation: u64, part: u64) -> String {
+        format!("ledger/{}/part/{}/{part}", self.domain, generation % 2)
+    }
+
+    fn slot_key(&self, number: u64) -> String {
+        format!("ledger/{}/{}", self.domain, number % RING_SLOTS)
+    }
+
+    fn compaction_generation(&self) -> u64 {
+        self.compaction
+            .as_ref()
+            .map_or(0, |state| state.base.generation)
+    }
+
+    fn retry(&mut self, now: Instant, call: JournalCall) -> Vec<JournalOutput> {
+        self.retries.push((now + RETRY_PAUSE, call));
+        Vec::new()
+    }
+
+    /// Brings back the outcome of a call.
+    pub fn answer(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        outcome: StoreOutcome,
+    ) -> Vec<JournalOutput> {
+        let Some(call) = self.calls.remove(&id) else {
+            return Vec::new();
+        };
+        match (call, outcome) {
+            (JournalCall::ReadBase, StoreOutcome::Found(stored)) => {
+                self.base_version = stored.version;
+                self.base = decode(&stored);
+                self.fence_base()
+            }
+            (JournalCall::ReadBase, StoreOutcome::Missing) => {
+                self.base_version = 0;
+                self.base = None;
+                self.fence_base()
+            }
+            (JournalCall::FenceBase(base), StoreOutcome::Written(version)) => {
+                self.base_version = version;
+                self.base = Some(base);
+                self.read_journal()
+            }
+            (JournalCall::FenceBase(_), StoreOutcome::Conflict | StoreOutcome::Unknown) => {
+                self.retry(now, JournalCall::ReadBase)
+            }
+            (JournalCall::ReadPart(part), StoreOutcome::Found(stored)) => {
+                self.read_part(part, &stored)
+            }
+            (JournalCall::ReadPart(part), StoreOutcome::Missing) => {
+                warn!("part {part} of the snapshot is missing");
+                self.retry(now, JournalCall::ReadBase)
+            }
+            (JournalCall::ReadSlot(number), StoreOutcome::Found(stored)) => {
+                self.read_slot(now, number, Some(&stored))
+            }
+            (JournalCall::ReadSlot(number), StoreOutcome::Missing) => {
+                self.read_slot(now, number, None)
+            }
+            (JournalCall::WriteSegment, StoreOutcome::Written(version)) => {
+                self.segment_written(now, version)
+            }
+            (JournalCall::WriteSegment, StoreOutcome::Conflict | StoreOutcome::Unknown) => {
+                vec![self.call(JournalCall::SettleSegment)]
+            }
+            (JournalCall::SettleSegment, StoreOutcome::Found(stored)) => {
+                self.settle_segment(now, &stored)
+            }
+            (JournalCall::SettleSegment, StoreOutcome::Missing) => {
+                self.slots.remove(&(self.next_number % RING_SLOTS));
+                vec![self.call(JournalCall::WriteSegment)]
+            }
+            (call, outcome) => self.answer_compaction(now, call, outcome),
+        }
+    }
+
+    fn answer_compaction(
+        &mut self,
+        now: Instant,
+        call: JournalCall,
+        outcome: StoreOutcome,
+    ) -> Vec<JournalOutput> {
+        match (call, outcome) {
+            (JournalCall::ReadTarget(part), StoreOutcome::Found(stored)) => {
+                self.write_part(part, stored.version)
+            }
+            (JournalCall::ReadTarget(part), StoreOutcome::Missing) => self.write_part(part, 0),
+            (JournalCall::WritePart(part), StoreOutcome::Written(_)) => self.next_part(part + 1),
+            (JournalCall::WritePart(part), StoreOutcome::Conflict | StoreOutcome::Unknown) => {
+                vec![self.call(JournalCall::ReadTarget(part))]
+            }
+            (JournalCall::WriteBase(base), StoreOutcome::Written(version)) => {
+                self.base_written(base, version)
+            }
+            (JournalCall::WriteBase(base), StoreOutcome::Conflict | StoreOutcome::Unknown) => {
+                vec![self.call(JournalCall::SettleBase(base))]
+            }
+            (JournalCall::SettleBase(base), StoreOutcome::Found(stored)) => {
+                match decode::<JournalBase>(&stored) {
+                    Some(found) if found.write_id == base.write_id => {
+                        self.base_written(base, stored.version)
+                    }
+                    _ if stored.version == self.base_version => {
+                        vec![self.call(JournalCall::WriteBase(base))]
+                    }
+                    _ => vec![JournalOutput::Fenced],
+                }
+            }
+            (call, _) => self.retry(now, call),
+        }
+    }
+
+    /// Writes the base again under our token, so that no earlier leader can replace it.
+    fn fence_base(&mut self) -> Vec<JournalOutput> {
+        let token = self
+            .token
+            .clone()
+            .unwrap_or(FencingToken::granted(0, "".into()));
+        if let Some(base) = &self.base
+            && base.token > token
+        {
+            return vec![JournalOutput::Fenced];
+        }
+        let write_id = self.write_id();
+        let (generation, covers, parts) = match &self.base {
+            Some(base) => (base.generation, base.covers, base.parts),
+            None => (0, 0, 0),
+        };
+        let base = JournalBase {
+            generation,
+            covers,
+            parts,
+            token,
+            write_id,
+        };
+        vec![self.call(JournalCall::FenceBase(base))]
+    }
+
+    fn read_journal(&mut self) -> Vec<JournalOutput> {
+        let Some(base) = self.base.clone() else {
+            return Vec::new();
+        };
+        self.journal_bytes = 0;
+        self.stage = JournalStage::Recovering(RecoveryState::new(base.covers + 1, base.parts));
+        let mut outputs: Vec<_> = (0..base.parts)
+            .map(|part| self.call(JournalCall::ReadPart(part)))
+            .collect();
+        if base.parts == 0 {
+            outputs.extend(self.read_ahead());
+        }
+        outputs
+    }
+
+    fn read_ahead(&mut self) -> Vec<JournalOutput> {
+        let mut numbers = Vec::new();
+        if let JournalStage::Recovering(state) = &mut self.stage {
+            while state.ask < state.next + READ_AHEAD {
+                numbers.push(state.ask);
+                state.ask += 1;
+            }
+        }
+        numbers
+            .into_iter()
+            .map(|number| self.call(JournalCall::ReadSlot(number)))
+            .collect()
+    }
+
+    fn read_part(&mut self, part: u64, stored: &StoredValue) -> Vec<JournalOutput> {
+        let records = decode::<SnapshotPart>(stored).map_or(Vec::new(), |part| part.records);
+        let JournalStage::Recovering(state) = &mut self.stage else {
+            return Vec::new();
+        };
+        for record in records {
+            apply(&mut state.found, record);
+        }
+        state.parts_missing.remove(&part);
+        match state.parts_missing.is_empty() {
+            true => self.read_ahead(),
+            false => Vec::new(),
+        }
+    }
+
+    fn read_slot(
+        &mut self,
+        now: Instant,
+        number: u64,
+        stored: Option<&StoredValue>,
+    ) -> Vec<JournalOutput> {
+        let version = stored.map_or(0, |stored| stored.version);
+        self.slots.insert(number % RING_SLOTS, version);
+        let segment = stored
+            .and_then(decode::<JournalSegment>)
+            .filter(|s| s.number == number);
+        self.journal_bytes += segment
+            .as_ref()
+            .and(stored)
+            .map_or(0, |stored| stored.value.len());
+        let JournalStage::Recovering(state) = &mut self.stage else {
+            return Vec::new();
+        };
+        state.read.insert(number, segment);
+        let mut ended = false;
+        while let Some(segment) = state.read.remove(&state.next) {
+            match segment {
+                Some(segment) => {
+                    for record in segment.records {
+                        apply(&mut state.found, record);
+                    }
+                    state.next += 1;
+                }
+                None => {
+                    ended = true;
+                    break;
+                }
+            }
+        }
+        let next = state.next;
+        match ended {
+            true => self.fence_journal(now, next),
+            false => self.read_ahead(),
+        }
+    }
+
+    /// Takes the first free place; whoever else wanted to write it finds it taken.
+    fn fence_journal(&mut self, now: Instant, next: u64) -> Vec<JournalOutput> {
+        if let JournalStage::Recovering(state) =
+            std::mem::replace(&mut self.stage, JournalStage::Fencing)
+        {
+            self.merge_found(state.found);
+        }
+        self.calls.clear();
+        self.next_number = next;
+        vec![self.write_group(now)]
+    }
+
+    /// Joins what the store has with changes of our own that were never written.
+    fn merge_found(&mut self, mut found: BTreeMap<String, LedgerRecord>) {
+        for name in &self.dirty {
+            let merged = match (found.remove(name), self.records.remove(name)) {
+                (Some(LedgerRecord::Job(found)), Some(LedgerRecord::Job(own))) => {
+                    LedgerRecord::Job(found.merge(own))
+                }
+                (Some(LedgerRecord::Key(found)), Some(LedgerRecord::Key(own))) => {
+                    LedgerRecord::Key(found.merge(own))
+                }
+                (_, Some(own)) => own,
+                (_, None) => continue,
+            };
+            found.insert(name.clone(), merged);
+        }
+        self.records = found;
+    }
+
+    fn segment_written(&mut self, now: Instant, version: KeyVersion) -> Vec<JournalOutput> {
+        self.slots.insert(self.next_number % RING_SLOTS, version);
+        self.next_number += 1;
+        let Some((segment, ticket)) = self.segment.take() else {
+            return Vec::new();
+        };
+        self.journal_bytes += encode(&segment).len();
+        let mut outputs = Vec::new();
+        if matches!(self.stage, JournalStage::Fencing) {
+            info!(
+                "journal of {} open from segment {}",
+                self.domain, self.next_number
+            );
+            self.stage = JournalStage::Open;
+            outputs.push(JournalOutput::Recovered(
+                self.records.values().cloned().collect(),
+            ));
+        }
+        if ticket > 0 {
+            self.durable_ticket = self.durable_ticket.max(ticket);
+            outputs.push(JournalOutput::Committed(ticket));
+        }
+        outputs.extend(self.tick(now));
+        outputs
+    }
+
+    /// The answer of a write was lost or another version was there: the slot tells what happened.
+    fn settle_segment(&mut self, now: Instant, stored: &StoredValue) -> Vec<JournalOutput> {
+        let Some((own, _)) = &self.segment else {
+            return Vec::new();
+        };
+        match decode::<JournalSegment>(stored) {
+            Some(found) if found.write_id == own.write_id => {
+                self.segment_written(now, stored.version)
+            }
+            Some(found) if found.number >= own.number => self.foreign_segment(found),
+            _ => {
+                self.slots
+                    .insert(self.next_number % RING_SLOTS, stored.version);
+                vec![self.call(JournalCall::WriteSegment)]
+            }
+        }
+    }
+
+    /// Another leader's segment stands where ours should.
+    fn foreign_segment(&mut self, found: JournalSegment) -> Vec<JournalOutput> {
+        let higher = self
+            .token
+            .as_ref()
+            .is_some_and(|token| found.token > *token);
+        match (&self.stage, &self.token) {
+            (JournalStage::Fencing, Some(token)) if !higher => {
+                let token = token.clone();
+                self.recover(token)
+            }
+            _ => vec![JournalOutput::Fenced],
+        }
+    }
+
+    fn worth_compaction(&self) -> bool {
+        let covered = self.base.as_ref().map_or(0, |base| base.covers);
+        let segments = self.next_number - 1 - covered;
+        segments >= COMPACT_SEGMENTS
+            || self.journal_bytes > COMPACT_BYTES.max(2 * self.snapshot_bytes)
+    }
+
+    fn compact(&mut self) -> Vec<JournalOutput> {
+        let token = self
+            .token
+            .clone()
+            .unwrap_or(FencingToken::granted(0, "".into()));
+        let generation = self.base.as_ref().map_or(0, |base| base.generation) + 1;
+        let parts = self.snapshot_parts(generation, &token);
+        let base = JournalBase {
+            generation,
+            covers: self.next_number - 1,
+            parts: parts.len() as u64,
+            token,
+            write_id: self.write_id(),
+        };
+        self.snapshot_bytes = parts.iter().map(String::len).sum();
+        self.journal_bytes = 0;
+        self.compaction = Some(CompactionState {
+            base,
+            parts,
+            next_part: 0,
+            version: 0,
+        });
+        self.next_part(0)
+    }
+
+    fn snapshot_parts(&self, generation: u64, token: &FencingToken) -> Vec<String> {
+        let mut parts = Vec::new();
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for record in self.records.values() {
+            bytes += encode(record).len();
+            records.push(record.clone());
+            if bytes >= VALUE_BYTES {
+                let taken = std::mem::take(&mut records);
+                parts.push(encode(&SnapshotPart {
+                    generation,
+                    token: token.clone(),
+                    records: taken,
+                }));
+                bytes = 0;
+            }
+        }
+        if !records.is_empty() {
+            parts.push(encode(&SnapshotPart {
+                generation,
+                token: token.clone(),
+                records,
+            }));
+        }
+        parts
+    }
+
+    fn next_part(&mut self, part: u64) -> Vec<JournalOutput> {
+        let Some(state) = &mut self.compaction else {
+            return Vec::new();
+        };
+        state.next_part = part;
+        match part < state.base.parts {
+            true => vec![self.call(JournalCall::ReadTarget(part))],
+            false => {
+                let base = state.base.clone();
+                vec![self.call(JournalCall::WriteBase(base))]
+            }
+        }
+    }
+
+    fn write_part(&mut self, part: u64, version: KeyVersion) -> Vec<JournalOutput> {
+        if let Some(state) = &mut self.compaction {
+            state.version = version;
+        }
+        vec![self.call(JournalCall::WritePart(part))]
+    }
+
+    fn base_written(&mut self, base: JournalBase, version: KeyVersion) -> Vec<JournalOutput> {
+        info!("journal of {} compacted up to {}", self.domain, base.covers);
+        self.base_version = version;
+        self.base = Some(base);
+        self.compaction = None;
+        Vec::new()
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+fn decode<T: DeserializeOwned>(stored: &StoredValue) -> Option<T> {
+    serde_json::from_str(&stored.value).ok()
+}
--- /dev/null
+++ b/src/ledger/segment.rs
@@ -0,0 +1,135 @@
+//! Values that the ledger writes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::UnixMillis;
+use crate::job::JobRecord;
+use crate::token::FencingToken;
+
+/// An answer kept to be given again.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct StoredAnswer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Content type, if there was one.
+    pub content_type: Option<String>,
+    /// Body as text; only text bodies up to a bound are kept.
+    pub body: String,
+}
+
+/// What is known about a request that must run at most once.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum KeyState {
+    /// It may be running or have run.
+    Started,
+    /// It surely did not run; the key may be used again.
+    NotRun,
+    /// It ran and this was the answer.
+    Answered(StoredAnswer),
+    /// It ran and its answer could not be kept.
+    Ended,
+}
+
+/// The key of a request that is not idempotent.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct KeyRecord {
+    /// Service and key.
+    pub id: String,
+    /// Digest of the request, so that a key is not used for two different ones.
+    pub digest: String,
+    /// The reservation that may tell what became of it.
+    pub holder: String,
+    /// What is known.
+    pub state: KeyState,
+    /// When the key was first seen.
+    pub accepted: UnixMillis,
+}
+
+impl KeyRecord {
+    /// Joins two views of one key; the one that surely ran wins, then the one that may have run.
+    pub(crate) fn merge(self, other: Self) -> Self {
+        let weight = |record: &Self| match record.state {
+            KeyState::Answered(_) => 3,
+            KeyState::Ended => 2,
+            KeyState::Started => 1,
+            KeyState::NotRun => 0,
+        };
+        match weight(&self) >= weight(&other) {
+            true => self,
+            false => other,
+        }
+    }
+}
+
+/// One entry of the ledger.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LedgerRecord {
+    /// A job.
+    Job(JobRecord),
+    /// A request key.
+    Key(KeyRecord),
+    /// The record with this name is not needed any more.
+    Gone(String),
+}
+
+impl LedgerRecord {
+    /// Name under which later records replace earlier ones.
+    pub fn name(&self) -> String {
+        match self {
+            Self::Job(record) => job_name(&record.spec.id),
+            Self::Key(record) => key_name(&record.id),
+            Self::Gone(name) => name.clone(),
+        }
+    }
+}
+
+/// Name of a job's record.
+pub(crate) fn job_name(id: &str) -> String {
+    format!("j/{id}")
+}
+
+/// Name of a request key's record.
+pub(crate) fn key_name(id: &str) -> String {
+    format!("k/{id}")
+}
+
+/// One grouped commit.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct JournalSegment {
+    /// Place in the journal, from 1.
+    pub number: u64,
+    /// The leader that wrote it.
+    pub token: FencingToken,
+    /// Identifies the write, so that a lost answer can be settled by reading.
+    pub write_id: String,
+    /// Records, the later ones replacing earlier ones of the same name.
+    pub records: Vec<LedgerRecord>,
+}
+
+/// Where the journal starts.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct JournalBase {
+    /// Generation of the snapshot; its parity tells where its parts are.
+    pub generation: u64,
+    /// Last segment that the snapshot covers.
+    pub covers: u64,
+    /// Number of parts.
+    pub parts: u64,
+    /// The leader that wrote it.
+    pub token: FencingToken,
+    /// Identifies the write.
+    pub write_id: String,
+}
+
+/// A part of a snapshot.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub(crate) struct SnapshotPart {
+    /// Generation of the snapshot.
+    pub(crate) generation: u64,
+    /// The leader that wrote it.
+    pub(crate) token: FencingToken,
+    /// Records.
+    pub(crate) records: Vec<LedgerRecord>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,76 @@
+//! kelplink: a cluster scheduler for unlike workloads.
+//!
+//! The decisions are state machines without input or output: events and the time come in, actions go
+//! out. Entry processes, tests and benches run the same code, and others can embed it without the
+//! servers around it.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use kelplink::{ResourceVector, TaskScheduler, WorkerSpec};
+//! use tokio::time::Instant;
+//!
+//! let mut scheduler = TaskScheduler::new();
+//! scheduler.add_worker(WorkerSpec {
+//!     id: "worker-1".into(),
+//!     rack: "rack-1".into(),
+//!     capacity: ResourceVector::new(8_000, 16_000, 0),
+//! });
+//! let actions = scheduler.pass(Instant::now() + Duration::from_secs(1), 0);
+//! assert!(actions.is_empty());
+//! ```
+
+mod callers;
+mod cli;
+mod client;
+mod command;
+mod config;
+mod demo;
+mod domain;
+mod entry;
+mod finding;
+mod fleet;
+mod http;
+mod id;
+mod intent;
+mod intent_file;
+mod invariant;
+mod job;
+mod leadership;
+mod ledger;
+mod logging;
+mod message;
+mod placement;
+mod problem;
+mod reader;
+mod resources;
+mod ring;
+mod routing;
+mod settings;
+mod standin;
+mod store;
+mod token;
+mod worker;
+
+pub use command::run_command;
+pub use config::*;
+pub use domain::*;
+pub use entry::EntryProcess;
+pub use finding::{FindingList, InputFinding};
+pub use fleet::{ExchangeId, FleetOutput, WorkerFleet};
+pub use id::*;
+pub use intent::{CutOffRule, IntentSpec, JobKind, SpreadRule, Urgency};
+pub use intent_file::parse_intent;
+pub use invariant::broken_invariants;
+pub use job::{JobRecord, JobSpec, TaskEnd};
+pub use leadership::*;
+pub use ledger::*;
+pub use message::*;
+pub use placement::*;
+pub use resources::ResourceVector;
+pub use routing::*;
+pub use settings::{EntrySettings, LimitSettings, PeerSettings, TimingSettings};
+pub use standin::*;
+pub use store::{StoreOutcome, StoreRequest, StoredValue};
+pub use token::FencingToken;
+pub use worker::{TaskOutcome, TaskReport, TaskUsage, WorkerCommand, WorkerReply, WorkerRequest};
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,16 @@
+//! Which task runs on which worker, and when.
+
+mod estimate;
+mod gang;
+mod health;
+mod pool;
+mod queue;
+mod scheduler;
+mod task;
+mod victim;
+
+pub use estimate::EstimateTable;
+pub use health::{HealthTable, HealthVerdict};
+pub use pool::{PoolWorker, WorkerPool, WorkerSpec};
+pub use scheduler::{PlacementAction, TaskScheduler};
+pub use task::{LiveTask, RunningTask, StartingTask, StopReason, StoppingTask, TaskLife};
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,17 @@
+//! Which request of a caller goes to which upstream slot, and when.
+//!
+//! The leader of a failure domain holds the [`ShareTable`]: it leases shares of each upstream's
+//! slots to the entries of the domain. Each entry holds a [`RequestRouter`] that gives its shares to
+//! requests without asking anybody.
+
+mod budget;
+mod report;
+mod router;
+mod shares;
+
+pub use budget::RetryBudget;
+pub use report::{DemandReport, ShareGrant, ShareHolding, UpstreamSpec};
+pub use router::{
+    RejectReason, RequestId, RequestRouter, RequestTicket, RouteAction, RouteOutcome,
+};
+pub use shares::ShareTable;
--- /dev/null
+++ b/src/routing/router.rs
@@ -0,0 +1,597 @@
+//! Gives an entry's shares of slots to the requests of its callers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use log::debug;
+use tokio::time::Instant;
+
+use crate::id::{EntryId, ServiceId, UpstreamId, WorkspaceId};
+use crate::invariant;
+use crate::routing::budget::RetryBudget;
+use crate::routing::report::{DemandReport, ShareGrant, ShareHolding, UpstreamSpec};
+use crate::settings::TimingSettings;
+use crate::token::FencingToken;
+
+/// Service time assumed before one was seen.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Weight of a new service time in the running mean.
+const SERVICE_TIME_WEIGHT: f64 = 0.1;
+/// Failures in a row after which an upstream gets no requests for a while.
+const EJECT_FAILURES: u32 = 3;
+/// First time without requests; it doubles.
+const FIRST_EJECTION: Duration = Duration::from_millis(500);
+/// Longest time without requests.
+const LONGEST_EJECTION: Duration = Duration::from_secs(15);
+/// Reports whose time of sending is remembered.
+const REMEMBERED_REPORTS: usize = 64;
+/// Part of the time left that the expected wait may take.
+const WAIT_FRACTION: f64 = 0.8;
+/// Shortest advice on when to come back.
+const LEAST_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest advice on when to come back.
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// Number of a request in its entry.
+pub type RequestId = u64;
+
+/// A request that wants a slot.
+#[derive(Clone, Debug)]
+pub struct RequestTicket {
+    /// Its number.
+    pub id: RequestId,
+    /// The service asked for.
+    pub service: ServiceId,
+    /// The workspace that the service belongs to.
+    pub workspace: WorkspaceId,
+    /// Rank of its urgency; lower is more urgent.
+    pub rank: u8,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// Why a request gets no slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RejectReason {
+    /// Nothing answers for this service in this failure domain.
+    NoUpstream,
+    /// It would wait longer than its caller does.
+    Overloaded,
+    /// It gave way to a more urgent request.
+    Displaced,
+    /// Its caller's time is over.
+    DeadlinePassed,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RouteAction {
+    /// Send it to this upstream.
+    Send(RequestId, UpstreamSpec),
+    /// Answer that it was not run and when to come back.
+    Reject(RequestId, RejectReason, Duration),
+}
+
+/// How an attempt at an upstream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteOutcome {
+    /// A whole answer came.
+    Answered,
+    /// The upstream failed, or no connection could be made.
+    Failed,
+    /// The caller left or its time was over; says nothing about the upstream.
+    Abandoned,
+}
+
+type WaitKey = (u8, Instant, RequestId);
+
+#[derive(Debug)]
+struct UpstreamState {
+    spec: UpstreamSpec,
+    share: u32,
+    in_use: u32,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
+impl UpstreamState {
+    fn free(&self, now: Instant) -> u32 {
+        match self.ejected_until {
+            Some(until) if now < until => 0,
+            Some(_) => u32::from(self.in_use == 0 && self.share > 0),
+            None => self.share.saturating_sub(self.in_use),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    upstreams: BTreeSet<UpstreamId>,
+    waiting: BTreeMap<WaitKey, RequestTicket>,
+    service_time: Duration,
+    in_use: u32,
+}
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self {
+            upstreams: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            service_time: FIRST_SERVICE_TIME,
+            in_use: 0,
+        }
+    }
+}
+
+/// Routes the requests of one entry.
+#[derive(Debug)]
+pub struct RequestRouter {
+    entry: EntryId,
+    boot: u64,
+    waiting_limit: usize,
+    waiting: usize,
+    upstreams: BTreeMap<UpstreamId, UpstreamState>,
+    services: BTreeMap<ServiceId, ServiceState>,
+    waiting_by_workspace: BTreeMap<WorkspaceId, usize>,
+    leaving: BTreeSet<UpstreamId>,
+    token: Option<FencingToken>,
+    applied: u64,
+    shares_until: Option<Instant>,
+    sent: BTreeMap<u64, Instant>,
+    seq: u64,
+    budget: RetryBudget,
+    timing: TimingSettings,
+}
+
+impl RequestRouter {
+    /// A router without shares. `boot` tells this start of the process from earlier ones.
+    pub fn new(entry: EntryId, boot: u64, waiting_limit: usize, timing: TimingSettings) -> Self {
+        Self {
+            entry,
+            boot,
+            waiting_limit,
+            waiting: 0,
+            upstreams: BTreeMap::new(),
+            services: BTreeMap::new(),
+            waiting_by_workspace: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            token: None,
+            applied: 0,
+            shares_until: None,
+            sent: BTreeMap::new(),
+            seq: 0,
+            budget: RetryBudget::default(),
+            timing,
+        }
+    }
+
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Number of requests that use a slot.
+    pub fn in_use(&self) -> u32 {
+        self.upstreams
+            .values()
+            .map(|upstream| upstream.in_use)
+            .sum()
+    }
+
+    /// Longest life of one attempt.
+    pub fn attempt_limit(&self) -> Duration {
+        self.timing.attempt_limit
+    }
+
+    /// Takes one retry out of the budget and tells whether there was one.
+    pub fn spend_retry(&mut self) -> bool {
+        self.budget.spend()
+    }
+
+    /// Free slots by service, for entries that look for room.
+    pub fn free_slots(&self, now: Instant) -> BTreeMap<ServiceId, u32> {
+        let mut free = BTreeMap::new();
+        if self.shares_until.is_none_or(|until| now >= until) {
+            return free;
+        }
+        for upstream in self.upstreams.values() {
+            let slots = upstream.free(now);
+            if slots > 0 && !self.leaving.contains(&upstream.spec.id) {
+                *free.entry(upstream.spec.service.clone()).or_default() += slots;
+            }
+        }
+        free
+    }
+
+    /// Takes the upstreams that the platform lists as leaving: they get no new requests.
+    pub fn set_leaving(&mut self, leaving: BTreeSet<UpstreamId>) {
+        self.leaving = leaving;
+    }
+
+    /// A request arrives. It is sent, rejected, or waits (no action).
+    pub fn arrive(&mut self, now: Instant, ticket: RequestTicket) -> Vec<RouteAction> {
+        let Some(service) = self.services.get(&ticket.service) else {
+            return vec![RouteAction::Reject(
+                ticket.id,
+                RejectReason::NoUpstream,
+                LEAST_RETRY_AFTER,
+            )];
+        };
+        if service.upstreams.is_empty() {
+            return vec![RouteAction::Reject(
+                ticket.id,
+                RejectReason::NoUpstream,
+                LEAST_RETRY_AFTER,
+            )];
+        }
+        let first = service.waiting.is_empty();
+        if first && let Some(spec) = self.choose(now, &ticket.service) {
+            return self.send(now, &ticket, spec).into_iter().collect();
+        }
+        let wait = self.expected_wait(service, &ticket);
+        let left = ticket.deadline.saturating_duration_since(now);
+        if wait > left.mul_f64(WAIT_FRACTION) {
+            let advice = retry_after(wait);
+            return vec![RouteAction::Reject(
+                ticket.id,
+                RejectReason::Overloaded,
+                advice,
+            )];
+        }
+        self.enqueue(ticket);
+        self.shed()
+    }
+
+    /// Expected wait behind the requests that go before this one.
+    fn expected_wait(&self, service: &ServiceState, ticket: &RequestTicket) -> Duration {
+        let key = (ticket.rank, ticket.deadline, ticket.id);
+        let ahead = service.waiting.range(..key).count();
+        let slots: u32 = service
+            .upstreams
+            .iter()
+            .filter_map(|id| self.upstreams.get(id))
+            .map(|upstream| upstream.share)
+            .sum();
+        let rounds = (ahead as f64 + 1.0) / f64::from(slots.max(1));
+        service.service_time.mul_f64(rounds)
+    }
+
+    fn enqueue(&mut self, ticket: RequestTicket) {
+        self.waiting += 1;
+        *self
+            .waiting_by_workspace
+            .entry(ticket.workspace.clone())
+            .or_default() += 1;
+        let key = (ticket.rank, ticket.deadline, ticket.id);
+        self.services
+            .entry(ticket.service.clone())
+            .or_default()
+            .waiting
+            .insert(key, ticket);
+    }
+
+    fn dequeue(&mut self, service: &ServiceId, key: &WaitKey) -> Option<RequestTicket> {
+        let ticket = self.services.get_mut(service)?.waiting.remove(key)?;
+        self.waiting -= 1;
+        if let Some(count) = self.waiting_by_workspace.get_mut(&ticket.workspace) {
+            *count -= 1;
+            if *count == 0 {
+                self.waiting_by_workspace.remove(&ticket.workspace);
+            }
+        }
+        Some(ticket)
+    }
+
+    /// Keeps the queue within its bound: the workspace that waits most gives up its least urgent.
+    fn shed(&mut self) -> Vec<RouteAction> {
+        if self.waiting <= self.waiting_limit {
+            return Vec::new();
+        }
+        let largest = self
+            .waiting_by_workspace
+            .iter()
+            .max_by_key(|(_, count)| **count);
+        let Some(workspace) = largest.map(|(workspace, _)| workspace.clone()) else {
+            return Vec::new();
+        };
+        let last = self
+            .services
+            .iter()
+            .filter_map(|(id, service)| {
+                let own = service
+                    .waiting
+                    .iter()
+                    .rev()
+                    .find(|(_, t)| t.workspace == workspace)?;
+                Some((*own.0, id.clone()))
+            })
+            .max();
+        let Some((key, service)) = last else {
+            return Vec::new();
+        };
+        let wait = self
+            .services
+            .get(&service)
+            .map_or(LEAST_RETRY_AFTER, |s| s.service_time);
+        match self.dequeue(&service, &key) {
+            Some(ticket) => {
+                vec![RouteAction::Reject(
+                    ticket.id,
+                    RejectReason::Displaced,
+                    retry_after(wait),
+                )]
+            }
+            None => Vec::new(),
+        }
+    }
+
+    /// The upstream with the smallest part of its share in use.
+    fn choose(&self, now: Instant, service: &ServiceId) -> Option<UpstreamSpec> {
+        if self.shares_until.is_none_or(|until| now >= until) {
+            return None;
+        }
+        let service = self.services.get(service)?;
+        let usable = service
+            .upstreams
+            .iter()
+            .filter_map(|id| self.upstreams.get(id));
+        let usable = usable
+            .filter(|upstream| upstream.free(now) > 0 && !self.leaving.contains(&upstream.spec.id));
+        let best = usable.min_by_key(|upstream| upstream.in_use * 1_024 / upstream.share.max(1));
+        best.map(|upstream| upstream.spec.clone())
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        ticket: &RequestTicket,
+        spec: UpstreamSpec,
+    ) -> Option<RouteAction> {
+        let upstream = self.upstreams.get_mut(&spec.id)?;
+        let within = upstream.in_use < upstream.share && upstream.in_use < upstream.spec.slots;
+        if !invariant::holds(within, "slots", || format!("{} over its share", spec.id)) {
+            return None;
+        }
+        upstream.in_use += 1;
+        if let Some(until) = upstream.ejected_until
+            && now >= until
+        {
+            debug!("{} is tried again", spec.id);
+        }
+        if let Some(service) = self.services.get_mut(&spec.service) {
+            service.in_use += 1;
+        }
+        Some(RouteAction::Send(ticket.id, spec))
+    }
+
+    /// An attempt ended: its slot goes to the next request.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamId,
+        outcome: RouteOutcome,
+        time: Duration,
+    ) -> Vec<RouteAction> {
+        let Some(state) = self.upstreams.get_mut(upstream) else {
+            return Vec::new();
+        };
+        state.in_use = state.in_use.saturating_sub(1);
+        let service = state.spec.service.clone();
+        match outcome {
+            RouteOutcome::Answered => {
+                state.failures = 0;
+                state.ejections = 0;
+                state.ejected_until = None;
+                self.budget.earn();
+            }
+            RouteOutcome::Failed => {
+                state.failures += 1;
+                if state.failures >= EJECT_FAILURES {
+                    let pause = FIRST_EJECTION.saturating_mul(1 << state.ejections.min(8));
+                    state.ejected_until = Some(now + pause.min(LONGEST_EJECTION));
+                    state.ejections += 1;
+                }
+            }
+            RouteOutcome::Abandoned => {}
+        }
+        if let Some(found) = self.services.get_mut(&service) {
+            found.in_use = found.in_use.saturating_sub(1);
+            if outcome == RouteOutcome::Answered {
+                found.service_time = found.service_time.mul_f64(1.0 - SERVICE_TIME_WEIGHT)
+                    + time.mul_f64(SERVICE_TIME_WEIGHT);
+            }
+        }
+        self.drop_unlisted(upstream);
+        self.serve(now, &service)
+    }
+
+    /// Forgets an upstream that is not listed any more and has nothing in flight.
+    fn drop_unlisted(&mut self, id: &UpstreamId) {
+        let Some(state) = self.upstreams.get(id) else {
+            return;
+        };
+        let listed = self
+            .services
+            .get(&state.spec.service)
+            .is_some_and(|s| s.upstreams.contains(id));
+        if !listed && state.in_use == 0 {
+            self.upstreams.remove(id);
+        }
+    }
+
+    /// Gives free slots of a service to those that wait.
+    fn serve(&mut self, now: Instant, service: &ServiceId) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        loop {
+            let first = self
+                .services
+                .get(service)
+                .and_then(|s| s.waiting.keys().next().copied());
+            let Some(key) = first else {
+                return actions;
+            };
+            if key.1 <= now {
+                if let Some(ticket) = self.dequeue(service, &key) {
+                    actions.push(overdue(ticket.id));
+                }
+                continue;
+            }
+            let Some(spec) = self.choose(now, service) else {
+                return actions;
+            };
+            if let Some(ticket) = self.dequeue(service, &key) {
+                actions.extend(self.send(now, &ticket, spec));
+            }
+        }
+    }
+
+    /// A caller left while its request waited.
+    pub fn abandon(&mut self, ticket: &RequestTicket) {
+        let key = (ticket.rank, ticket.deadline, ticket.id);
+        self.dequeue(&ticket.service, &key);
+    }
+
+    /// Lets time pass: rejects what waited too long.
+    pub fn tick(&mut self, now: Instant) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        let overdue_keys: Vec<(ServiceId, WaitKey)> = self
+            .services
+            .iter()
+            .flat_map(|(id, service)| {
+                let keys = service.waiting.keys().filter(|key| key.1 <= now);
+                keys.map(|key| (id.clone(), *key)).collect::<Vec<_>>()
+            })
+            .collect();
+        for (service, key) in overdue_keys {
+            if let Some(ticket) = self.dequeue(&service, &key) {
+                actions.push(overdue(ticket.id));
+            }
+        }
+        let waiting: Vec<ServiceId> = self
+            .services
+            .iter()
+            .filter(|(_, service)| !service.waiting.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for service in waiting {
+            actions.extend(self.serve(now, &service));
+        }
+        actions
+    }
+
+    /// The report that asks the leader for shares.
+    pub fn report(&mut self, now: Instant) -> DemandReport {
+        self.seq += 1;
+        self.sent.insert(self.seq, now);
+        while self.sent.len() > REMEMBERED_REPORTS {
+            self.sent.pop_first();
+        }
+        let held = self
+            .upstreams
+            .iter()
+            .filter(|(_, state)| state.share > 0 || state.in_use > 0);
+        let holdings = held
+            .map(|(id, state)| {
+                (
+                    id.clone(),
+                    ShareHolding {
+                        share: state.share,
+                        in_use: state.in_use,
+                    },
+                )
+            })
+            .collect();
+        let busy = self.services.iter().map(|(id, service)| {
+            let waiting = u32::try_from(service.waiting.len()).unwrap_or(u32::MAX);
+            (id.clone(), service.in_use.saturating_add(waiting))
+        });
+        DemandReport {
+            entry: self.entry.clone(),
+            boot: self.boot,
+            seq: self.seq,
+            token: self.token.clone(),
+            applied: self.applied,
+            holdings,
+            demand: busy.filter(|(_, count)| *count > 0).collect(),
+        }
+    }
+
+    /// Applies a grant; grants of lower leaders and old ones are ignored.
+    pub fn apply(&mut self, now: Instant, grant: &ShareGrant) -> Vec<RouteAction> {
+        let Some(sent) = self.sent.get(&grant.answers).copied() else {
+            return Vec::new();
+        };
+        match &self.token {
+            Some(token) if grant.token < *token => return Vec::new(),
+            Some(token) if grant.token == *token && grant.version < self.applied => {
+                return Vec::new();
+            }
+            Some(token) if grant.token == *token => {}
+            _ => {
+                self.token = Some(grant.token.clone());
+                self.applied = 0;
+                self.shares_until = None;
+            }
+        }
+        if let Some(upstreams) = &grant.upstreams {
+            self.list(upstreams);
+        }
+        match &grant.shares {
+            Some(shares) => {
+                self.applied = grant.version;
+                for (id, state) in &mut self.upstreams {
+                    state.share = shares.get(id).copied().unwrap_or(0);
+                }
+            }
+            None if grant.version != self.applied => return Vec::new(),
+            None => {}
+        }
+        let until = sent + grant.ttl;
+        self.shares_until = Some(self.shares_until.map_or(until, |before| before.max(until)));
+        self.tick(now)
+    }
+
+    fn list(&mut self, upstreams: &[UpstreamSpec]) {
+        for service in self.services.values_mut() {
+            service.upstreams.clear();
+        }
+        for spec in upstreams {
+            let service = self.services.entry(spec.service.clone()).or_default();
+            service.upstreams.insert(spec.id.clone());
+            let state = self
+                .upstreams
+                .entry(spec.id.clone())
+                .or_insert_with(|| UpstreamState {
+                    spec: spec.clone(),
+                    share: 0,
+                    in_use: 0,
+                    failures: 0,
+                    ejections: 0,
+                    ejected_until: None,
+                });
+            state.spec = spec.clone();
+        }
+        let ids: Vec<UpstreamId> = self.upstreams.keys().cloned().collect();
+        for id in ids {
+            self.drop_unlisted(&id);
+        }
+        self.services
+            .retain(|_, s| !s.upstreams.is_empty() || !s.waiting.is_empty() || s.in_use > 0);
+    }
+
+    /// Tells whether some upstream here answers for a service.
+    pub fn serves(&self, service: &ServiceId) -> bool {
+        self.services
+            .get(service)
+            .is_some_and(|state| !state.upstreams.is_empty())
+    }
+}
+
+fn overdue(id: RequestId) -> RouteAction {
+    RouteAction::Reject(id, RejectReason::DeadlinePassed, LEAST_RETRY_AFTER)
+}
+
+fn retry_after(wait: Duration) -> Duration {
+    wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
+}
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins of the platform and its VMs, for the README, the demo and tests.
+//!
+//! The models hold state only and are used by tests directly; the servers put them behind HTTP.
+
+mod server;
+mod settings;
+mod store;
+mod upstream;
+mod worker;
+
+pub use server::{StandInServer, StandInState};
+pub use settings::{StandInSettings, StandInVm};
+pub use store::{StoreFault, StoreModel};
+pub use upstream::{UpstreamCount, UpstreamModel};
+pub use worker::{TaskRun, WorkerModel};
--- /dev/null
+++ b/src/standin/settings.rs
@@ -0,0 +1,107 @@
+//! Settings of the stand-ins.
+
+use std::net::SocketAddr;
+
+use crate::domain::{VmRecord, VmRole};
+use crate::finding::FindingList;
+use crate::reader::{FindingSink, TableReader};
+use crate::resources::ResourceVector;
+
+type Result<T> = std::result::Result<T, FindingList>;
+
+/// A VM that is played.
+pub type StandInVm = VmRecord;
+
+/// What is played.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StandInSettings {
+    /// Where the store answers.
+    pub store: SocketAddr,
+    /// Where the list of VMs is.
+    pub vms: SocketAddr,
+    /// Workers and upstreams.
+    pub machines: Vec<StandInVm>,
+}
+
+impl StandInSettings {
+    /// Parses and checks settings; every mistake is found before any is reported.
+    ///
+    /// # Errors
+    /// All findings, in order of place.
+    pub fn parse(source: &str, text: &str) -> Result<Self> {
+        let (table, mut sink) = FindingSink::parse(source, text);
+        let mut reader = TableReader::new(&table);
+        let store = reader.parsed("store", ADDRESS, &mut sink);
+        let vms = reader.parsed("vms", ADDRESS, &mut sink);
+        let mut machines: Vec<Option<VmRecord>> = Vec::new();
+        for mut worker in reader.tables("worker", &mut sink) {
+            machines.push(read_worker(&mut worker, &mut sink));
+            worker.finish(&mut sink);
+        }
+        for mut upstream in reader.tables("upstream", &mut sink) {
+            machines.push(read_upstream(&mut upstream, &mut sink));
+            upstream.finish(&mut sink);
+        }
+        reader.finish(&mut sink);
+        let machines: Option<Vec<VmRecord>> = machines.into_iter().collect();
+        let settings = match (store, vms, machines) {
+            (Some(store), Some(vms), Some(machines)) => Some(Self {
+                store,
+                vms,
+                machines,
+            }),
+            _ => None,
+        };
+        sink.finish(settings)
+    }
+}
+
+const ADDRESS: &str = "an address like \"127.0.0.1:7001\"";
+
+fn read_vm(
+    reader: &mut TableReader<'_, '_>,
+    sink: &mut FindingSink<'_>,
+    role: Option<VmRole>,
+) -> Option<VmRecord> {
+    let id = reader.string("name", sink);
+    let domain = reader.string("failure_domain", sink);
+    let rack = reader.string("rack", sink);
+    let address = reader.parsed("address", ADDRESS, sink);
+    Some(VmRecord {
+        id: id?,
+        domain: domain?.into(),
+        rack: rack?.into(),
+        address: address?,
+        leaving: false,
+        role: role?,
+    })
+}
+
+fn read_worker(reader: &mut TableReader<'_, '_>, sink: &mut FindingSink<'_>) -> Option<VmRecord> {
+    let most = u64::from(u32::MAX);
+    let millicores = reader.integer("processors_milli", 1..=most, None, sink);
+    let memory = reader.integer("memory_mib", 1..=most, None, sink);
+    let accelerators = reader.integer("accelerators", 0..=most, Some(0), sink);
+    let capacity = (|| {
+        Some(ResourceVector::new(
+            u32::try_from(millicores?).ok()?,
+            u32::try_from(memory?).ok()?,
+            u32::try_from(accelerators?).ok()?,
+        ))
+    })();
+    let role = capacity.map(|capacity| VmRole::Worker { capacity });
+    read_vm(reader, sink, role)
+}
+
+fn read_upstream(reader: &mut TableReader<'_, '_>, sink: &mut FindingSink<'_>) -> Option<VmRecord> {
+    let service = reader.string("service", sink);
+    let slots = reader.integer("slots", 1..=1_000, Some(8), sink);
+    let role = match (service, slots) {
+        (Some(service), Some(slots)) => Some(VmRole::Upstream {
+            service: service.into(),
+            slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        }),
+        _ => None,
+    };
+    read_vm(reader, sink, role)
+}
--- /dev/null
+++ b/src/standin/store.rs
@@ -0,0 +1,113 @@
+//! A key-value store with compare-and-swap, in memory.
+
+use std::collections::BTreeMap;
+
+use crate::id::KeyVersion;
+use crate::store::{StoreOutcome, StoreRequest, StoredValue};
+
+/// Largest value that the store takes, in bytes.
+const VALUE_BYTES: usize = 1 << 20;
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// It does not.
+    #[default]
+    None,
+    /// It takes no call.
+    Down,
+    /// It carries calls out and does not answer.
+    LostAnswers,
+}
+
+/// The store.
+#[derive(Clone, Debug, Default)]
+pub struct StoreModel {
+    keys: BTreeMap<String, StoredValue>,
+    version: KeyVersion,
+    fault: StoreFault,
+    reads: u64,
+    writes: u64,
+}
+
+impl StoreModel {
+    /// An empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Makes it fail, or not any more.
+    pub fn set_fault(&mut self, fault: StoreFault) {
+        self.fault = fault;
+    }
+
+    /// How it fails.
+    pub fn fault(&self) -> StoreFault {
+        self.fault
+    }
+
+    /// Reads and writes taken so far.
+    pub fn calls(&self) -> (u64, u64) {
+        (self.reads, self.writes)
+    }
+
+    /// Size of the largest value, in bytes.
+    pub fn largest_value(&self) -> usize {
+        self.keys
+            .values()
+            .map(|stored| stored.value.len())
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// A key.
+    pub fn get(&self, key: &str) -> Option<&StoredValue> {
+        self.keys.get(key)
+    }
+
+    /// Takes a call.
+    pub fn call(&mut self, request: &StoreRequest) -> StoreOutcome {
+        if self.fault == StoreFault::Down {
+            return StoreOutcome::Unavailable;
+        }
+        let outcome = self.carry_out(request);
+        match (self.fault, request) {
+            (StoreFault::LostAnswers, StoreRequest::Swap { .. }) => StoreOutcome::Unknown,
+            (StoreFault::LostAnswers, StoreRequest::Read { .. }) => StoreOutcome::Unavailable,
+            _ => outcome,
+        }
+    }
+
+    fn carry_out(&mut self, request: &StoreRequest) -> StoreOutcome {
+        match request {
+            StoreRequest::Read { key } => {
+                self.reads += 1;
+                match self.keys.get(key) {
+                    Some(stored) => StoreOutcome::Found(stored.clone()),
+                    None => StoreOutcome::Missing,
+                }
+            }
+            StoreRequest::Swap {
+                key,
+                expected,
+                value,
+            } => {
+                self.writes += 1;
+                let found = self.keys.get(key).map_or(0, |stored| stored.version);
+                if found != *expected {
+                    return StoreOutcome::Conflict;
+                }
+                if value.len() > VALUE_BYTES {
+                    return StoreOutcome::Unavailable;
+                }
+                self.version += 1;
+                let stored = StoredValue {
+                    version: self.version,
+                    value: value.clone(),
+                };
+                self.keys.insert(key.clone(), stored);
+                StoreOutcome::Written(self.version)
+            }
+        }
+    }
+}
