--- a/src/leadership/role.rs
+++ b/src/leadership/role.rs
@@ -435,7 +435,6 @@
             PendingCall::Write(PendingWrite {
                 started: now,
                 record,
-                expected,
             }),
             request,
         )
