Entries are ready only with slots; commits come in bursts after a quiet time

Change: an entry without its first grant is not ready and answers 503 with Retry-After; it asks for slots five times as often until it holds some. The demo samples packing at the workers. Under steady load keys still wait for the 200 ms group: the price of few writes.

--- a/src/callers/duty.rs
+++ b/src/callers/duty.rs
@@ -131,10 +131,8 @@
         let mut desk = self.context.desk();
         let actions = desk.router.tick(now);
         desk.pass_on(actions);
-        let due = match desk.router.waiting() {
-            0 => CALM_TICKS,
-            _ => BUSY_TICKS,
-        };
+        let calm = desk.router.waiting() == 0 && desk.router.holds_shares(now);
+        let due = if calm { CALM_TICKS } else { BUSY_TICKS };
         if *since_report >= due {
             *since_report = 0;
             let report = desk.router.report(now);
--- a/src/callers/identify.rs
+++ b/src/callers/identify.rs
@@ -23,6 +23,8 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 /// Longest time that a caller may wait.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
+/// Advice on when to come back to an entry that is starting.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 /// Longest key.
 const MAX_KEY_BYTES: usize = 255;
 
@@ -73,6 +75,11 @@
     let defaults = context.defaults(&service);
     let known = defaults.is_some() || context.desk().router.serves(&service);
     let elsewhere = context.desk().rooms.contains_key(&service);
+    if !known && !context.desk().router.supplied() {
+        let detail = "this entry has no slots yet";
+        let problem = ProblemDetails::new(StatusCode::SERVICE_UNAVAILABLE, "not ready", detail);
+        return Err(problem.retry_after(NOT_READY_RETRY));
+    }
     if !known && !elsewhere {
         let detail = format!("no service {service} is known here");
         return Err(ProblemDetails::new(
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -38,6 +38,8 @@
 const LOAD_TIME: Duration = Duration::from_secs(8);
 /// When the planned stop begins.
 const STOP_AFTER: Duration = Duration::from_secs(3);
+/// Interval between looks at the workers.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest wait for jobs to end.
 const JOB_TIME: Duration = Duration::from_secs(10);
 
@@ -175,7 +177,8 @@
     let confirmed = load::confirm_intents(&entries)?;
     let jobs = JobLoad::start(&entries, settings)?;
     let callers = CallerLoad::start(&entries, settings, LOAD_TIME)?;
-    sleep(STOP_AFTER);
+    let mut packing = PackingSample::default();
+    packing.watch(&stand_in, STOP_AFTER);
     let stopped = entries
         .first()
         .and_then(|entry| processes.remove(&entry.name));
@@ -186,6 +189,7 @@
         if stop_whole { "none" } else { "some" }
     );
     let calls = callers.finish()?;
+    packing.watch(&stand_in, SAMPLE_INTERVAL);
     let jobs = jobs.finish(&entries, JOB_TIME)?;
     let elapsed = started.elapsed();
     for process in processes.into_values() {
@@ -193,12 +197,54 @@
     }
     let report = LoadReport { calls, jobs };
     let checks = Checks::new(&stand_in, &report, ready, confirmed, stop_whole);
+    packing.print();
     print_report(&stand_in, &report, &metrics, elapsed);
     let good = checks.print();
     stand_in.stop();
     Ok(good)
 }
 
+/// Cores in use at the fullest moment seen.
+#[derive(Debug, Default)]
+struct PackingSample {
+    used: u64,
+    opened: u64,
+}
+
+impl PackingSample {
+    /// Looks at the workers for a while.
+    fn watch(&mut self, stand_in: &StandInServer, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            let (used, opened) = stand_in.with(|state| {
+                let busy = state
+                    .workers
+                    .values()
+                    .map(|worker| worker.used().millicores);
+                let busy: Vec<u64> = busy.filter(|used| *used > 0).map(u64::from).collect();
+                (
+                    busy.iter().sum(),
+                    busy.len() as u64 * u64::from(WORKER.millicores),
+                )
+            });
+            if used > self.used {
+                (self.used, self.opened) = (used, opened);
+            }
+            sleep(SAMPLE_INTERVAL);
+        }
+    }
+
+    fn print(&self) {
+        let all = (WORKERS as u64 * u64::from(WORKER.millicores)) as f64;
+        let (used, opened) = (self.used as f64, self.opened.max(1) as f64);
+        println!(
+            "packing at the fullest moment: {:.1}% of all cores, {:.1}% of the workers in use",
+            100.0 * used / all,
+            100.0 * used / opened
+        );
+    }
+}
+
 struct Checks(Vec<(&'static str, bool)>);
 
 impl Checks {
@@ -291,10 +337,6 @@
         "jobs: {} of {} ended well",
         report.jobs.succeeded, report.jobs.submitted
     );
-    println!(
-        "packing at most: {:.1}% of all cores, {:.1}% of the cores of the workers in use",
-        report.jobs.packing_all, report.jobs.packing_used
-    );
     let (reads, writes, watches) = stand_in.with(|state| {
         let (reads, writes) = state.store.calls();
         (reads, writes, state.watches)
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -53,8 +53,6 @@
     pub(crate) succeeded: usize,
     /// Waiting time in microseconds by urgency.
     pub(crate) waits: BTreeMap<&'static str, Histogram<u64>>,
-    pub(crate) packing_all: f64,
-    pub(crate) packing_used: f64,
 }
 
 /// What became of all.
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -78,6 +78,8 @@
 pub(crate) struct ControlGauge {
     /// Whether requests may be served.
     pub(crate) ready: AtomicBool,
+    /// Whether the router was given slots since the start.
+    pub(crate) granted: AtomicBool,
     /// Revision in force.
     pub(crate) revision: AtomicU64,
     /// Whether this entry leads its failure domain.
@@ -227,11 +229,13 @@
                 }
                 true
             }
-            DomainAction::Grant(grant) => self
-                .outputs
-                .callers
-                .offer(CallerInput::Grant(grant))
-                .is_ok(),
+            DomainAction::Grant(grant) => {
+                self.gauge.granted.store(true, Ordering::Relaxed);
+                self.outputs
+                    .callers
+                    .offer(CallerInput::Grant(grant))
+                    .is_ok()
+            }
             DomainAction::Leaving(leaving) => self
                 .outputs
                 .callers
--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -24,6 +24,8 @@
 const VALUE_BYTES: usize = 512 * 1024;
 /// Reads kept in flight during recovery.
 const READ_AHEAD: u64 = 16;
+/// Writes that may follow each other without a pause when there were none for a while.
+const BURST: u32 = 10;
 /// Pause before a call is repeated that the store did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -131,6 +133,7 @@
     segment: Option<(JournalSegment, CommitTicket)>,
     tickets: CommitTicket,
     next_number: u64,
+    /// When the next write would be due if none ever came early.
     next_write: Instant,
     slots: BTreeMap<u64, KeyVersion>,
     base: Option<JournalBase>,
@@ -311,8 +314,7 @@
             .extract_if(.., |(at, _)| *at <= now)
             .collect::<Vec<_>>();
         let mut outputs: Vec<_> = due.into_iter().map(|(_, call)| self.call(call)).collect();
-        if self.open() && self.segment.is_none() && !self.dirty.is_empty() && now >= self.next_write
-        {
+        if self.open() && self.segment.is_none() && !self.dirty.is_empty() && self.may_write(now) {
             outputs.push(self.write_group(now));
         }
         if self.open() && self.compaction.is_none() && self.worth_compaction() {
@@ -321,8 +323,13 @@
         outputs
     }
 
+    /// Lets one write pass in each interval on the mean, and a burst after a quiet time.
+    fn may_write(&self, now: Instant) -> bool {
+        now + self.interval * (BURST - 1) >= self.next_write
+    }
+
     fn write_group(&mut self, now: Instant) -> JournalOutput {
-        self.next_write = now + self.interval;
+        self.next_write = self.next_write.max(now) + self.interval;
         let records = self.take_group();
         let ticket = match self.dirty.is_empty() {
             true => self.dirty_ticket,
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -166,6 +166,16 @@
         }
     }
 
+    /// Tells whether it was ever given slots.
+    pub fn supplied(&self) -> bool {
+        self.token.is_some()
+    }
+
+    /// Tells whether its shares hold now.
+    pub fn holds_shares(&self, now: Instant) -> bool {
+        self.shares_until.is_some_and(|until| now < until)
+    }
+
     /// Number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting
