--- a/src/cli.rs
+++ b/src/cli.rs
@@ -32,8 +32,8 @@
         }
         /// Put a plan in force. Exit code 3 where it was refused, 4 where it is not settled.
         cmd confirm {
-            /// Plan file in JSON, or - for standard input.
-            required plan: PathBuf
+            /// Plan file in JSON; standard input where absent.
+            optional plan: PathBuf
             /// Where the entry answers operators.
             optional --entry address: String
             /// Print JSON.
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,7 +1,7 @@
 //! What the commands do.
 
 use std::fs;
-use std::io::Read;
+use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
 use std::thread::sleep;
@@ -94,14 +94,7 @@
 }
 
 fn read(path: &Path) -> Result<String> {
-    let bytes = match path.to_str() {
-        Some("-") => {
-            let mut bytes = Vec::new();
-            std::io::stdin().read_to_end(&mut bytes)?;
-            bytes
-        }
-        _ => fs::read(path).with_context(|| path.display().to_string())?,
-    };
+    let bytes = fs::read(path).with_context(|| path.display().to_string())?;
     String::from_utf8(bytes).with_context(|| format!("{} is not UTF-8", path.display()))
 }
 
@@ -217,6 +210,11 @@
     http.map_err(|error| anyhow!("{address} did not answer: {error:?}"))
 }
 
+/// Prints a line; a reader that went away is an error and not a panic.
+fn print_line(text: &str) -> Result<()> {
+    writeln!(std::io::stdout(), "{text}").context("standard output")
+}
+
 fn text(response: &Response<bytes::Bytes>) -> String {
     String::from_utf8_lossy(response.body()).into_owned()
 }
@@ -242,7 +240,7 @@
     }
     let document: PlanDocument = serde_json::from_slice(response.body())?;
     match plan.json {
-        true => println!("{}", text(&response)),
+        true => print_line(&text(&response))?,
         false => print_plan(&document),
     }
     match document.refusal() {
@@ -279,10 +277,13 @@
 }
 
 fn run_confirm(confirm: &Confirm) -> Result<ExitCode> {
-    let body = read(&confirm.plan)?;
+    let body = match &confirm.plan {
+        Some(path) => read(path)?,
+        None => std::io::read_to_string(std::io::stdin())?,
+    };
     let response = ask(Method::POST, &confirm.entry, OPERATORS, "/v1/confirm", body)?;
     if confirm.json {
-        println!("{}", text(&response));
+        print_line(&text(&response))?;
     }
     match response.status() {
         StatusCode::OK if confirm.json => Ok(ExitCode::SUCCESS),
@@ -318,7 +319,7 @@
         bail!("{}", text(&response));
     }
     match cancel.json {
-        true => println!("{}", text(&response)),
+        true => print_line(&text(&response))?,
         false => {
             let view: JobView = serde_json::from_slice(response.body())?;
             println!(
@@ -343,7 +344,7 @@
         bail!("{}", text(&response));
     }
     match status.json {
-        true => println!("{}", text(&response)),
+        true => print_line(&text(&response))?,
         false => print_status(&serde_json::from_slice(response.body())?),
     }
     Ok(ExitCode::SUCCESS)
@@ -404,6 +405,6 @@
         String::new(),
     )?;
     let value: serde_json::Value = serde_json::from_slice(response.body())?;
-    println!("{}", serde_json::to_string_pretty(&value)?);
+    print_line(&serde_json::to_string_pretty(&value)?)?;
     Ok(ExitCode::SUCCESS)
 }
