Long random runs over the decision cores, and what they found

Cause: nothing had been run under faults. Change: bounds are set before anything is placed; demand under a quota is worked out from the queue and asked for again with a growing pause; requests to a worker carry the start they are meant for; numbers of tries carry epoch and round; probes are counted by start. tests/random.rs plays three failure domains of two entries and four workers, 30 rounds of 14 kinds of faults a seed.

--- a/src/domain/controller.rs
+++ b/src/domain/controller.rs
@@ -14,7 +14,7 @@
 use crate::domain::peers::PeerTable;
 use crate::domain::quota::QuotaController;
 use crate::fleet::{FleetOutput, WorkerFleet};
-use crate::id::{CallId, DomainId, EntryId, TaskId, UnixMillis, UpstreamId, WorkerId};
+use crate::id::{Attempt, CallId, DomainId, EntryId, TaskId, UnixMillis, UpstreamId, WorkerId};
 use crate::leadership::{LeadershipAction, LeadershipController};
 use crate::ledger::{JournalController, JournalOutput, LedgerRecord};
 use crate::message::{CallRefusal, ClientAnswer, PeerMessage};
@@ -39,14 +39,14 @@
     Start {
         worker: WorkerId,
         task: TaskId,
-        attempt: u32,
+        attempt: Attempt,
         command: WorkerCommand,
     },
     /// An end that the worker need not list any more.
     Forget {
         worker: WorkerId,
         task: TaskId,
-        attempt: u32,
+        attempt: Attempt,
     },
     /// An answer.
     Answer(ReplyTo, ClientAnswer),
@@ -66,7 +66,7 @@
     pub(crate) endpoints: BTreeMap<TaskId, UpstreamSpec>,
     pub(crate) waiters: BTreeMap<u64, Vec<CommitWaiter>>,
     /// Ends that are being made durable before the worker forgets them.
-    pub(crate) forgetting: BTreeSet<(WorkerId, TaskId, u32)>,
+    pub(crate) forgetting: BTreeSet<(WorkerId, TaskId, Attempt)>,
     /// Calls that wait until jobs are known.
     pub(crate) early_calls: Vec<(ReplyTo, crate::message::ClientCall)>,
 }
@@ -346,9 +346,11 @@
         leader.active = true;
         leader.settled = false;
         let token = leader.token.clone();
+        leader.scheduler.lead(&token);
         let early = std::mem::take(&mut leader.early_calls);
         self.fleet.lead(now, token);
         self.restore_upstreams();
+        self.apply_parts();
         self.reconcile(now);
         for (to, call) in early {
             self.client_call(now, to, call);
@@ -474,6 +476,7 @@
                 ConfigOutput::Call(id, request) => self.store(StoreOwner::Config, id, request),
                 ConfigOutput::Adopted(_) => {
                     self.peers.hurry(now);
+                    self.apply_parts();
                     self.reconcile(now);
                     self.quota.hurry(now);
                 }
--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -7,7 +7,7 @@
 
 use crate::config::{ConfigRevision, assigned_count};
 use crate::domain::controller::{CommitWaiter, DomainController, ReplyTo};
-use crate::id::{JobId, TaskId, WorkerId};
+use crate::id::{Attempt, JobId, TaskId, WorkerId};
 use crate::intent::JobKind;
 use crate::job::{JobRecord, JobSpec, TaskEnd};
 use crate::ledger::{LedgerRecord, job_name};
@@ -295,7 +295,7 @@
         &mut self,
         worker: WorkerId,
         task: TaskId,
-        attempt: u32,
+        attempt: Attempt,
         need: crate::resources::ResourceVector,
         spec: &JobSpec,
     ) {
@@ -335,7 +335,7 @@
         now: Instant,
         worker: &WorkerId,
         task: &TaskId,
-        attempt: u32,
+        attempt: Attempt,
         reason: StopReason,
     ) {
         let never_sent = self.fleet.withdraw(worker, task) || self.withdraw_waiter(task);
@@ -539,6 +539,7 @@
             info!("{} workers are claimed", self.fleet.claimed());
             leader.settled = true;
             leader.scheduler.clear_suspects();
+            self.apply_parts();
             self.place(now);
         }
         self.flush_ready_waiters();
--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -83,10 +83,12 @@
     /// Whether this leader has written the record, so that no earlier one can.
     fenced: bool,
     wanted: BTreeMap<WorkspaceId, ResourceVector>,
+    retry_pause: Duration,
     busy_since: BTreeMap<WorkspaceId, Instant>,
     pending: Option<(CallId, QuotaCall)>,
     next_call: CallId,
     next_change: Instant,
+    next_demand: Instant,
     /// When the record is to be read again although nothing changed here.
     recheck: Option<Instant>,
     writes: u64,
@@ -101,10 +103,12 @@
             parts: BTreeMap::new(),
             fenced: false,
             wanted: BTreeMap::new(),
+            retry_pause: CHANGE_INTERVAL,
             busy_since: BTreeMap::new(),
             pending: None,
             next_call: 0,
             next_change: now,
+            next_demand: now,
             recheck: None,
             writes: 0,
             name: format!("{}-{}", identity.entry, identity.boot),
@@ -113,6 +117,7 @@
 
     /// A new leader knows nothing about the parts until it has written the record.
     pub(crate) fn lead(&mut self, now: Instant) {
+        self.parts.clear();
         self.fenced = false;
         self.pending = None;
         self.next_change = now;
@@ -129,6 +134,13 @@
         &self.parts
     }
 
+    /// Asking again where nothing was left takes longer each time.
+    fn pause(&mut self) -> Duration {
+        let pause = self.retry_pause;
+        self.retry_pause = (pause * 2).min(RECHECK_INTERVAL);
+        pause
+    }
+
     fn call(&mut self, call: QuotaCall, version: KeyVersion) -> (CallId, StoreRequest) {
         self.next_call += 1;
         let key = QUOTA_KEY.to_owned();
@@ -183,23 +195,27 @@
         else {
             return;
         };
-        for (workspace, need) in leader.scheduler.take_wanted() {
-            self.quota.busy_since.insert(workspace.clone(), now);
-            self.quota.wanted.insert(workspace, need);
+        if now >= self.quota.next_demand {
+            self.quota.next_demand = now + CHANGE_INTERVAL;
+            self.quota.wanted = leader.scheduler.quota_demand();
+            for workspace in self.quota.wanted.keys() {
+                self.quota.busy_since.insert(workspace.clone(), now);
+            }
         }
         self.apply_parts();
         if self.quota.pending.is_none()
             && now >= self.quota.next_change
             && self.quota_change_due(now)
         {
-            self.quota.next_change = now + CHANGE_INTERVAL;
+            self.quota.next_change = now + self.quota.pause();
             let (id, request) = self.quota.call(QuotaCall::Read, 0);
             self.store(StoreOwner::Quota, id, request);
         }
     }
 
-    /// Sets the scheduler's bounds: the own part, or what runs already where it is not known.
-    fn apply_parts(&mut self) {
+    /// Sets the scheduler's bounds: the own part, or what runs already where it is not known. Has to
+    /// be done before anything is placed under a new leader or configuration.
+    pub(crate) fn apply_parts(&mut self) {
         let Some(leader) = &mut self.leader else {
             return;
         };
@@ -289,9 +305,12 @@
                 self.write_parts(now, QuotaRecord::default(), 0);
             }
             (QuotaCall::Write(record), StoreOutcome::Written(_)) => {
-                self.quota.parts = self.own_parts(&record);
+                let parts = self.own_parts(&record);
+                if parts != self.quota.parts {
+                    self.quota.retry_pause = CHANGE_INTERVAL;
+                }
+                self.quota.parts = parts;
                 self.quota.fenced = true;
-                self.quota.wanted.clear();
                 self.apply_parts();
             }
             (QuotaCall::Write(record), StoreOutcome::Unknown) => {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -314,17 +314,17 @@
         if let Some(until) = movable {
             horizon = horizon.min(until);
         }
-        let (not_after, commands) = match &self.link {
-            WorkerLink::Unclaimed => (None, Vec::new()),
-            WorkerLink::Claimed { clock, heard, .. } => {
+        let (not_after, boot, commands) = match &self.link {
+            WorkerLink::Unclaimed => (None, None, Vec::new()),
+            WorkerLink::Claimed { clock, heard, boot } => {
                 self.lapses = self.lapses.max(horizon + timing.task_lease);
                 let mut commands = std::mem::take(&mut self.unsure);
                 let taken = self.commands.len().min(MAX_COMMANDS);
                 commands.extend(self.commands.drain(..taken));
-                (
-                    Some(*clock + horizon.saturating_duration_since(*heard)),
-                    commands,
-                )
+                {
+                    let not_after = *clock + horizon.saturating_duration_since(*heard);
+                    (Some(not_after), Some(*boot), commands)
+                }
             }
         };
         self.due = now + timing.worker_interval;
@@ -335,6 +335,7 @@
         WorkerRequest {
             token: token.clone(),
             not_after,
+            boot,
             lease: timing.task_lease,
             renew_movable: movable.is_some(),
             commands,
@@ -414,8 +415,17 @@
             .filter(|task| !listed.contains(task))
             .cloned()
             .collect();
+        let mut missing = missing;
         if !same_boot {
-            self.unsure.clear();
+            // Whether these started before the restart is not known; either way they do not run.
+            missing.extend(
+                std::mem::take(&mut self.unsure)
+                    .into_iter()
+                    .filter_map(|command| match command {
+                        WorkerCommand::Start { task, .. } if !listed.contains(&task) => Some(task),
+                        _ => None,
+                    }),
+            );
         }
         for task in &missing {
             self.delivered.remove(task);
--- a/src/id.rs
+++ b/src/id.rs
@@ -22,6 +22,9 @@
 pub type TaskIndex = u32;
 /// A task: its job and its number in it.
 pub type TaskId = (JobId, TaskIndex);
+/// Number of a try to run a task: the leader's epoch and round, then a count. It rises with each try
+/// over all leaders.
+pub type Attempt = u64;
 /// Number of an accepted configuration; it only rises.
 pub type Revision = u64;
 /// Version of a key in the platform's store; 0 means that the key does not exist.
--- a/src/placement/health.rs
+++ b/src/placement/health.rs
@@ -17,6 +17,8 @@
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Longest quarantine.
 const LONGEST_QUARANTINE: Duration = Duration::from_secs(1_800);
+/// Longest time that a probe keeps other tasks away.
+const PROBE_TIME: Duration = Duration::from_secs(30);
 /// First pause before a failed task is tried again; it doubles with each failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause before a failed task is tried again.
@@ -40,6 +42,8 @@
     quarantines: u32,
     /// Whether the next task is a probe after a quarantine.
     probing: bool,
+    /// Until when a probe keeps other tasks away.
+    probe_until: Option<Instant>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -103,14 +107,25 @@
         let time = backoff(FIRST_QUARANTINE, health.quarantines, LONGEST_QUARANTINE);
         health.quarantines += 1;
         health.probing = true;
+        health.probe_until = None;
         Some(now + time)
     }
 
-    /// Tells whether the worker is on probation: one task at a time until one succeeds.
-    pub fn probing(&self, worker: &WorkerId) -> bool {
-        self.workers
-            .get(worker)
-            .is_some_and(|health| health.probing)
+    /// A task starts; on a worker after quarantine it is a probe.
+    pub fn note_start(&mut self, worker: &WorkerId, now: Instant) {
+        if let Some(health) = self.workers.get_mut(worker)
+            && health.probing
+        {
+            health.probe_until = Some(now + PROBE_TIME);
+        }
+    }
+
+    /// Tells whether a probe runs on a worker after quarantine: until it ends nothing else starts.
+    pub fn probe_runs(&self, worker: &WorkerId, now: Instant) -> bool {
+        let health = self.workers.get(worker).filter(|health| health.probing);
+        health
+            .and_then(|health| health.probe_until)
+            .is_some_and(|until| now < until)
     }
 
     /// Forgets a job that is over.
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::id::{JobId, TaskId, TaskIndex, UnixMillis, WorkerId, WorkspaceId};
+use crate::id::{Attempt, JobId, TaskId, TaskIndex, UnixMillis, WorkerId, WorkspaceId};
 use crate::intent::{JobKind, SpreadRule, Urgency};
 use crate::invariant;
 use crate::job::{JobRecord, JobSpec, TaskEnd};
@@ -19,6 +19,7 @@
 use crate::placement::task::{LiveTask, StopReason, TaskLife};
 use crate::placement::victim::{VictimCandidate, VictimSet, pick_victims};
 use crate::resources::ResourceVector;
+use crate::token::FencingToken;
 use crate::worker::{TaskOutcome, TaskUsage};
 
 /// Jobs that may fail to fit before a pass ends.
@@ -29,6 +30,12 @@
 const MAX_PREEMPTIONS: u32 = 2;
 /// How long freed room is kept for the urgent task that it was freed for.
 const KEEP_TIME: Duration = Duration::from_secs(5);
+/// Place of the epoch in the number of a try.
+const EPOCH_SHIFT: u32 = 32;
+/// Place of the round in the number of a try.
+const ROUND_SHIFT: u32 = 20;
+/// Highest round that the number of a try tells apart.
+const MAX_ROUND: u64 = (1 << (EPOCH_SHIFT - ROUND_SHIFT)) - 1;
 /// Pause before a task is queued again whose start was refused or that was lost.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 /// Tasks of a worker that was lost are queued again over this time.
@@ -44,7 +51,7 @@
         /// Which.
         task: TaskId,
         /// Number of the try.
-        attempt: u32,
+        attempt: Attempt,
         /// Its reservation.
         need: ResourceVector,
         /// Its job.
@@ -57,7 +64,7 @@
         /// Which.
         task: TaskId,
         /// Number of the try.
-        attempt: u32,
+        attempt: Attempt,
         /// Why.
         reason: StopReason,
     },
@@ -82,7 +89,7 @@
     spec: Arc<JobSpec>,
     ended: BTreeSet<TaskIndex>,
     live: BTreeSet<TaskIndex>,
-    attempts: BTreeMap<TaskIndex, u32>,
+    attempts: BTreeMap<TaskIndex, Attempt>,
     preemptions: BTreeMap<TaskIndex, u32>,
     /// Tasks that were started before and are not idempotent: they never start again.
     spent: BTreeSet<TaskIndex>,
@@ -98,8 +105,6 @@
     live: BTreeMap<TaskId, LiveTask>,
     used: BTreeMap<WorkspaceId, ResourceVector>,
     allowed: BTreeMap<WorkspaceId, ResourceVector>,
-    /// Room that tasks lacked only because of the quota, by workspace.
-    wanted: BTreeMap<WorkspaceId, ResourceVector>,
     estimates: EstimateTable,
     health: HealthTable,
     delayed: BTreeSet<(Instant, TaskId)>,
@@ -111,6 +116,8 @@
     suspects: BTreeSet<TaskId>,
     /// Whether tasks that may move to other failure domains may start.
     movable_allowed: bool,
+    /// Tries of this leader have higher numbers.
+    attempt_base: Attempt,
     dirty: bool,
     actions: Vec<PlacementAction>,
 }
@@ -131,6 +138,12 @@
         }
     }
 
+    /// Makes the numbers of tries rise above those of all leaders with lower tokens.
+    pub fn lead(&mut self, token: &FencingToken) {
+        let round = token.round.min(MAX_ROUND);
+        self.attempt_base = (token.epoch << EPOCH_SHIFT) + (round << ROUND_SHIFT);
+    }
+
     /// The workers.
     pub fn pool(&self) -> &WorkerPool {
         &self.pool
@@ -151,9 +164,24 @@
         &self.used
     }
 
-    /// Room that workspaces lacked only because of their quota, since last asked.
-    pub fn take_wanted(&mut self) -> BTreeMap<WorkspaceId, ResourceVector> {
-        std::mem::take(&mut self.wanted)
+    /// Room that waiting tasks of workspaces with a bound would take here, as far as there is room.
+    pub fn quota_demand(&self) -> BTreeMap<WorkspaceId, ResourceVector> {
+        let mut demand: BTreeMap<WorkspaceId, ResourceVector> = BTreeMap::new();
+        let bounded = self
+            .queue
+            .iter()
+            .filter(|job| self.allowed.contains_key(&job.spec.workspace));
+        for job in bounded {
+            let count = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
+            let need = self.estimates.need(&job.spec).times(count);
+            let sum = demand.entry(job.spec.workspace.clone()).or_default();
+            *sum = sum.saturating_add(&need);
+        }
+        let free = self.pool.free();
+        demand
+            .values_mut()
+            .for_each(|sum| *sum = sum.each_min(&free));
+        demand
     }
 
     /// Workers in quarantine.
@@ -198,7 +226,7 @@
         now: Instant,
         worker: &WorkerId,
         task: &TaskId,
-        attempt: u32,
+        attempt: Attempt,
         need: ResourceVector,
     ) -> bool {
         if let Some(live) = self.live.get(task) {
@@ -803,17 +831,12 @@
         placed
     }
 
-    fn within_quota(&mut self, spec: &JobSpec, need: &ResourceVector) -> bool {
+    fn within_quota(&self, spec: &JobSpec, need: &ResourceVector) -> bool {
         let Some(allowed) = self.allowed.get(&spec.workspace) else {
             return true;
         };
         let used = self.used.get(&spec.workspace).copied().unwrap_or_default();
-        let fits = used.saturating_add(need).fits(allowed);
-        if !fits {
-            let wanted = self.wanted.entry(spec.workspace.clone()).or_default();
-            *wanted = wanted.saturating_add(need);
-        }
-        fits
+        used.saturating_add(need).fits(allowed)
     }
 
     fn place_one(
@@ -856,7 +879,7 @@
             .filter(|hold| hold.job != spec.id && spec.urgency != Urgency::Now);
         let fine = |worker: &PoolWorker| {
             let id = &worker.spec.id;
-            let probation = self.health.probing(id) && !worker.tasks.is_empty();
+            let probation = self.health.probe_runs(id, now);
             !probation && held.is_none_or(|hold| hold.admits(now, id, end))
         };
         let fresh =
@@ -909,12 +932,13 @@
         let Some(job) = self.jobs.get_mut(&task.0) else {
             return;
         };
-        let attempt = job.attempts.entry(task.1).or_default();
-        *attempt += 1;
-        let attempt = *attempt;
+        let last = job.attempts.entry(task.1).or_default();
+        *last = (*last).max(self.attempt_base) + 1;
+        let attempt = *last;
         job.live.insert(task.1);
         let life = TaskLife::new(now, task.clone(), worker.clone(), need, attempt, run_time);
         self.live.insert(task.clone(), LiveTask::Starting(life));
+        self.health.note_start(&worker, now);
         let (task, spec) = (task.clone(), spec.clone());
         self.actions.push(PlacementAction::Start {
             worker,
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::id::{TaskId, WorkerId};
+use crate::id::{Attempt, TaskId, WorkerId};
 use crate::resources::ResourceVector;
 
 /// Why a task is being stopped.
@@ -57,7 +57,7 @@
     /// Room that it holds on the worker.
     pub need: ResourceVector,
     /// Number of this try to run it.
-    pub attempt: u32,
+    pub attempt: Attempt,
     /// When it is expected to end.
     pub expected_end: Instant,
     /// What only this stage knows.
@@ -84,7 +84,7 @@
         id: TaskId,
         worker: WorkerId,
         need: ResourceVector,
-        attempt: u32,
+        attempt: Attempt,
         run_time: Duration,
     ) -> Self {
         let stage = StartingTask { since: now };
@@ -160,7 +160,7 @@
     }
 
     /// Number of this try.
-    pub fn attempt(&self) -> u32 {
+    pub fn attempt(&self) -> Attempt {
         match self {
             Self::Starting(life) => life.attempt,
             Self::Running(life) => life.attempt,
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -194,6 +194,19 @@
         self.timing.attempt_limit
     }
 
+    /// Slots that it may be using now, by upstream; for checks over several entries.
+    pub fn slots_in_reach(&self, now: Instant) -> BTreeMap<UpstreamId, u32> {
+        let holds = self.holds_shares(now);
+        let reach = |state: &UpstreamState| match holds {
+            true => state.share.max(state.in_use),
+            false => state.in_use,
+        };
+        self.upstreams
+            .iter()
+            .map(|(id, state)| (id.clone(), reach(state)))
+            .collect()
+    }
+
     /// Takes one retry out of the budget and tells whether there was one.
     pub fn spend_retry(&mut self) -> bool {
         self.budget.spend()
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use crate::id::TaskId;
+use crate::id::{Attempt, TaskId};
 use crate::intent::CutOffRule;
 use crate::invariant;
 use crate::resources::ResourceVector;
@@ -30,7 +30,7 @@
 
 #[derive(Clone, Debug)]
 struct WorkerTask {
-    attempt: u32,
+    attempt: Attempt,
     need: ResourceVector,
     cut_off: CutOffRule,
     started: Instant,
@@ -85,6 +85,12 @@
         })
     }
 
+    /// Tasks that run, with their reservations.
+    pub fn running_needs(&self) -> impl Iterator<Item = (&TaskId, ResourceVector)> {
+        let running = self.tasks.iter().filter(|(_, task)| task.outcome.is_none());
+        running.map(|(id, task)| (id, task.need))
+    }
+
     /// Number of tasks that run.
     pub fn running(&self) -> usize {
         self.tasks
@@ -174,7 +180,8 @@
         if !outranked {
             self.highest = Some(request.token.clone());
         }
-        let accepted = !outranked && !late;
+        let other_start = request.boot.is_some_and(|boot| boot != self.boot);
+        let accepted = !outranked && !late && !other_start;
         if accepted && !claim {
             self.renew(now, request);
             for command in &request.commands {
@@ -288,7 +295,7 @@
 /// Commands are words: `run MS` runs and succeeds, `fail MS` runs and fails; services run on.
 fn start(
     now: Instant,
-    attempt: u32,
+    attempt: Attempt,
     need: ResourceVector,
     command: &str,
     cut_off: CutOffRule,
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::TaskId;
+use crate::id::{Attempt, TaskId};
 use crate::intent::CutOffRule;
 use crate::placement::StopReason;
 use crate::resources::ResourceVector;
@@ -44,7 +44,7 @@
     /// The task.
     pub task: TaskId,
     /// Number of the try.
-    pub attempt: u32,
+    pub attempt: Attempt,
     /// Its reservation.
     pub need: ResourceVector,
     /// What it used.
@@ -64,7 +64,7 @@
         /// The task.
         task: TaskId,
         /// Number of the try.
-        attempt: u32,
+        attempt: Attempt,
         /// Its reservation.
         need: ResourceVector,
         /// What to run.
@@ -80,7 +80,7 @@
         /// The task.
         task: TaskId,
         /// Number of the try.
-        attempt: u32,
+        attempt: Attempt,
         /// Why.
         reason: StopReason,
     },
@@ -89,7 +89,7 @@
         /// The task.
         task: TaskId,
         /// Number of the try.
-        attempt: u32,
+        attempt: Attempt,
     },
 }
 
@@ -101,6 +101,8 @@
     /// The worker's clock after which the request is refused; `None` for a claim, which changes
     /// nothing but the highest token.
     pub not_after: Option<Duration>,
+    /// Start of the worker that the commands are meant for; another start refuses them.
+    pub boot: Option<u64>,
     /// How long tasks may go on from now without another exchange.
     pub lease: Duration,
     /// Whether the lease of tasks that may move is renewed as well.
--- /dev/null
+++ b/tests/random.rs
@@ -0,0 +1,307 @@
+//! Long random runs: seeded, with all faults together and twice.
+//!
+//! `KELPLINK_RANDOM_SECONDS` lets them run for that long with ever new seeds; `KELPLINK_RANDOM_SEED`
+//! repeats one.
+
+mod world;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{
+    ClientAnswer, ClientCall, CutOffRule, EntryId, IntentSpec, JobKind, JobRequest, PlanRequest,
+    ResourceVector, SpreadRule, StoreFault, Urgency,
+};
+use rand::RngExt;
+use world::{DeliveryFaults, World};
+
+/// Rounds of faults in one run.
+const ROUNDS: u32 = 30;
+/// Seeds that `cargo test` runs.
+const SHORT_SEEDS: std::ops::Range<u64> = 0..12;
+
+fn intent(name: &str, kind: JobKind) -> IntentSpec {
+    IntentSpec {
+        workspace: "ws".into(),
+        name: name.into(),
+        kind,
+        need: ResourceVector::new(1_000, 1_000, 0),
+        count: 0,
+        urgency: Urgency::Soon,
+        idempotent: true,
+        spread: SpreadRule::None,
+        cut_off: CutOffRule::Stay,
+        domain: None,
+        run_time: Some(Duration::from_secs(2)),
+        quota: None,
+        command: "run 2000".to_owned(),
+    }
+}
+
+fn intents() -> Vec<IntentSpec> {
+    let batch = JobKind::Batch;
+    let quota = Some(ResourceVector::new(24_000, 64_000, 4));
+    vec![
+        IntentSpec {
+            count: 4,
+            cut_off: CutOffRule::Move,
+            ..intent("watch", JobKind::Service)
+        },
+        IntentSpec {
+            urgency: Urgency::Now,
+            quota,
+            ..intent("check", batch)
+        },
+        IntentSpec {
+            idempotent: false,
+            ..intent("order", batch)
+        },
+        IntentSpec {
+            cut_off: CutOffRule::Move,
+            ..intent("mover", batch)
+        },
+        IntentSpec {
+            need: ResourceVector::new(3_000, 2_000, 0),
+            ..intent("gang", JobKind::AllAtOnce)
+        },
+        IntentSpec {
+            need: ResourceVector::new(1_000, 1_000, 1),
+            ..intent("gpu", batch)
+        },
+    ]
+}
+
+fn pick<T: Clone>(world: &mut World, all: &[T]) -> T {
+    all[world.rng.random_range(0..all.len())].clone()
+}
+
+fn accept(world: &mut World, spec: IntentSpec) {
+    let entries = world.all_entries();
+    let entry = pick(world, &entries);
+    let quota = spec.quota;
+    let request = PlanRequest::Accept(Box::new(spec));
+    let time = Duration::from_secs(12);
+    let Some(ClientAnswer::Plan(plan)) = world.ask(&entry, ClientCall::Plan(request), time) else {
+        return;
+    };
+    let answer = world.ask(&entry, ClientCall::Confirm(plan), time);
+    if let (Some(ClientAnswer::Confirmed(_)), Some(quota)) = (answer, quota) {
+        world.quotas.insert("ws".to_owned(), quota);
+    }
+}
+
+fn submit(world: &mut World, number: u64) {
+    let templates = ["check", "order", "mover", "gang", "gpu"];
+    let template = pick(world, &templates);
+    let count = world.rng.random_range(1..4);
+    let id = format!("ws/j{number}");
+    let request = JobRequest {
+        id: id.as_str().into(),
+        intent: format!("ws/{template}").into(),
+        count: Some(count),
+        command: Some(format!("run {}", world.rng.random_range(100..6_000))),
+    };
+    if template == "order" {
+        world.once_jobs.insert(id.as_str().into());
+    }
+    let entries: Vec<EntryId> = world.entries.keys().cloned().collect();
+    if !entries.is_empty() {
+        let entry = pick(world, &entries);
+        world.call(&entry, ClientCall::Submit(request));
+    }
+}
+
+fn fault(world: &mut World) {
+    let entries = world.all_entries();
+    let domains = world.all_domains();
+    let workers: Vec<_> = world.workers.keys().cloned().collect();
+    let entry = pick(world, &entries);
+    let domain = pick(world, &domains);
+    let worker = pick(world, &workers);
+    match world.rng.random_range(0..14) {
+        0 => world.kill(&entry),
+        1 => world.pause(&entry),
+        2 => world.store.set_fault(StoreFault::Down),
+        3 => world.store.set_fault(StoreFault::LostAnswers),
+        4 => {
+            world.cut.insert(domain);
+        }
+        5 => {
+            world.cut_workers.insert(worker);
+        }
+        6 => {
+            world.cut_from_store.insert(entry);
+        }
+        7 => {
+            let now = world.now;
+            world.workers.get_mut(&worker).unwrap().restart(now);
+        }
+        8 => {
+            world.faults = DeliveryFaults {
+                lost: 0.05,
+                late: 0.05,
+                twice: 0.05,
+                late_by: Duration::from_secs(4),
+            };
+        }
+        9 => world
+            .workers
+            .get_mut(&worker)
+            .unwrap()
+            .set_fails_everything(true),
+        10 => mend_entries(world),
+        11 => world.store.set_fault(StoreFault::None),
+        12 => {
+            world.cut.clear();
+            world.cut_from_store.clear();
+        }
+        _ => world.cut_workers.clear(),
+    }
+}
+
+fn mend_entries(world: &mut World) {
+    for entry in world.all_entries() {
+        match world.entries.get(&entry) {
+            None => world.start(&entry),
+            Some(state) if state.paused => world.wake(&entry),
+            Some(_) => {}
+        }
+    }
+}
+
+fn mend_all(world: &mut World) {
+    mend_entries(world);
+    world.store.set_fault(StoreFault::None);
+    world.cut.clear();
+    world.cut_workers.clear();
+    world.cut_from_store.clear();
+    world.faults = DeliveryFaults::default();
+    for worker in world.workers.values_mut() {
+        worker.set_fails_everything(false);
+    }
+}
+
+/// One run; panics where something that must hold does not.
+fn run(seed: u64) -> u64 {
+    let mut world = World::new(seed, 3, 2, 4);
+    world.run(Duration::from_secs(5));
+    for spec in intents() {
+        accept(&mut world, spec);
+    }
+    let mut number = 0;
+    for _ in 0..ROUNDS {
+        for _ in 0..world.rng.random_range(0..4) {
+            number += 1;
+            submit(&mut world, number);
+        }
+        if number > 0 && world.rng.random_bool(0.2) {
+            let id = format!("ws/j{}", world.rng.random_range(1..=number));
+            let entries: Vec<EntryId> = world.entries.keys().cloned().collect();
+            if let Some(entry) = entries.first().cloned() {
+                world.call(&entry, ClientCall::Cancel(id.as_str().into()));
+            }
+        }
+        fault(&mut world);
+        let pause = world.rng.random_range(50..8_000);
+        world.run(Duration::from_millis(pause));
+    }
+    mend_all(&mut world);
+    world.run(Duration::from_secs(150));
+    settle(&mut world, number);
+    world.steps
+}
+
+/// After everything was mended: one leader each, equal revisions, all jobs over.
+fn settle(world: &mut World, jobs: u64) {
+    for (domain, leaders) in world.leaders() {
+        assert_eq!(leaders.len(), 1, "leaders of {domain}: {leaders:?}");
+    }
+    let revisions: Vec<_> = world
+        .entries
+        .values()
+        .map(|state| state.controller.revision())
+        .collect();
+    assert!(
+        revisions.windows(2).all(|pair| pair[0] == pair[1]),
+        "revisions {revisions:?}"
+    );
+    let entry = world.all_entries()[0].clone();
+    for number in 1..=jobs {
+        let id = format!("ws/j{number}");
+        let call = ClientCall::Job(id.as_str().into());
+        match world.ask(&entry, call, Duration::from_secs(5)) {
+            Some(ClientAnswer::Job(view)) if view.record.moved.is_none() => {
+                if !view.record.over() {
+                    let leaders = world.leaders();
+                    let leader = leaders[&view.domain][0].clone();
+                    let dump = world.ask(&leader, ClientCall::Dump, Duration::from_secs(1));
+                    panic!("{id} is not over: {view:?} {dump:?}");
+                }
+            }
+            Some(ClientAnswer::Job(_) | ClientAnswer::Refused(_)) => {}
+            other => panic!("no answer about {id}: {other:?}"),
+        }
+    }
+}
+
+/// Runs a seed and says how to repeat it where it fails.
+fn run_named(seed: u64) -> std::result::Result<u64, String> {
+    std::panic::catch_unwind(|| run(seed)).map_err(|cause| {
+        let text = cause.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| cause.downcast_ref::<&str>().map(|text| (*text).to_owned()));
+        format!(
+            "seed {seed}: {}; repeat with KELPLINK_RANDOM_SEED={seed} cargo test --test random",
+            text.unwrap_or_default()
+        )
+    })
+}
+
+#[gtest]
+fn what_must_hold_holds_under_all_faults() {
+    let number = |name| {
+        std::env::var(name)
+            .ok()
+            .and_then(|text: String| text.parse::<u64>().ok())
+    };
+    if let Some(seed) = number("KELPLINK_RANDOM_SEED") {
+        expect_that!(run_named(seed), ok(anything()));
+        return;
+    }
+    if let Some(seconds) = number("KELPLINK_RANDOM_SECONDS") {
+        return run_for(Duration::from_secs(seconds));
+    }
+    for seed in SHORT_SEEDS {
+        expect_that!(run_named(seed), ok(anything()));
+    }
+}
+
+fn run_for(time: Duration) {
+    let started = std::time::Instant::now();
+    let threads: Vec<_> = (0..4_u64)
+        .map(|thread| {
+            std::thread::spawn(move || {
+                let (mut seeds, mut steps, mut failures) = (0, 0, Vec::new());
+                while started.elapsed() < time && failures.len() < 3 {
+                    let seed = 1_000 + thread + 4 * seeds;
+                    seeds += 1;
+                    match run_named(seed) {
+                        Ok(done) => steps += done,
+                        Err(failure) => failures.push(failure),
+                    }
+                }
+                (seeds, steps, failures)
+            })
+        })
+        .collect();
+    let (mut seeds, mut steps) = (0, 0);
+    for thread in threads {
+        let (own_seeds, own_steps, failures) = thread.join().unwrap();
+        seeds += own_seeds;
+        steps += own_steps;
+        expect_that!(failures, is_empty());
+    }
+    println!(
+        "{seeds} seeds, {steps} steps of 25 ms, {} faults",
+        seeds * u64::from(ROUNDS)
+    );
+}
