Strays hold room; a failure domain that lost its movable tasks is granted no hold

Change: tasks that a worker lists and that belong to nothing known hold room until they are gone; a takeover is a record of the ledger that is kept, and a hold is granted only to a leader whose epoch is not below it, by a leader that has read its own ledger. A takeover ends when any entry of the silent domain is heard again.

--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -409,8 +409,14 @@
 
     /// A worker lists its tasks.
     pub(crate) fn worker_listed(&mut self, now: Instant, worker: &WorkerId, tasks: &[TaskReport]) {
+        let mut strays = Vec::new();
         for report in tasks {
-            self.task_reported(now, worker, report);
+            if self.task_reported(now, worker, report) {
+                strays.push((report.task.clone(), report.need));
+            }
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.scheduler.set_strays(worker, &strays);
         }
         self.place(now);
         let ended = tasks.iter().filter(|report| report.outcome.is_some());
@@ -419,9 +425,10 @@
         }
     }
 
-    fn task_reported(&mut self, now: Instant, worker: &WorkerId, report: &TaskReport) {
+    /// Takes what a worker says of one task and tells whether it runs and is none of ours.
+    fn task_reported(&mut self, now: Instant, worker: &WorkerId, report: &TaskReport) -> bool {
         let Some(leader) = &mut self.leader else {
-            return;
+            return false;
         };
         let task = &report.task;
         let scheduler = &mut leader.scheduler;
@@ -444,8 +451,12 @@
             None if !older && scheduler.adopt(now, worker, task, report.attempt, report.need) => {
                 self.note_endpoint(report);
             }
-            None => self.stop_stray(worker, report),
+            None => {
+                self.stop_stray(worker, report);
+                return true;
+            }
         }
+        false
     }
 
     /// A worker runs what it should not; only a leader that knows all jobs may say so.
@@ -593,7 +604,7 @@
                     job.over() && old && !wanted.contains(&job.spec.id)
                 }
                 LedgerRecord::Key(key) => key.accepted + KEEP_KEY_MS < unix,
-                LedgerRecord::Gone(_) => false,
+                LedgerRecord::Taken { .. } | LedgerRecord::Gone(_) => false,
             })
             .map(LedgerRecord::name)
             .collect();
--- a/src/domain/moves.rs
+++ b/src/domain/moves.rs
@@ -18,7 +18,7 @@
 use crate::intent::CutOffRule;
 use crate::job::JobRecord;
 use crate::leadership::{LeadershipAction, LeadershipController};
-use crate::ledger::{JournalController, JournalOutput, LedgerRecord, job_name};
+use crate::ledger::{JournalController, JournalOutput, LedgerRecord, job_name, taken_name};
 use crate::message::{ClientAnswer, PeerMessage};
 use crate::settings::TimingSettings;
 use crate::store::StoreOutcome;
@@ -180,17 +180,24 @@
 }
 
 impl DomainController {
-    /// Another domain's leader asks us to hold off.
+    /// Another domain's leader asks us to hold off. Only a leader that has read its own ledger knows
+    /// whether jobs of that domain were taken over already.
     pub(crate) fn answer_hold(
         &mut self,
         now: Instant,
         peer: &EntryId,
         domain: &DomainId,
+        epoch: u64,
         seq: u64,
     ) {
         let leads = self.leader.as_ref().is_some_and(|leader| leader.active);
-        let known = self.moves.others.contains(domain);
-        if leads && known && !self.moves.taking_over(domain) && self.leadership.may_act(now) {
+        let known = self.moves.others.contains(domain) && self.journal.open();
+        let taken = match self.journal.get(&taken_name(domain)) {
+            Some(LedgerRecord::Taken { epoch, .. }) => *epoch,
+            _ => 0,
+        };
+        let free = epoch >= taken && !self.moves.taking_over(domain);
+        if leads && known && free && self.leadership.may_act(now) {
             self.tell(peer, PeerMessage::GrantHold { seq });
         }
     }
@@ -261,6 +268,7 @@
             return;
         }
         self.moves.next_ask = now + ASK_INTERVAL;
+        let epoch = self.leadership.token().map_or(0, |token| token.epoch);
         self.moves
             .asked
             .retain(|_, (_, _, at)| now < *at + ASK_INTERVAL * 4);
@@ -272,7 +280,14 @@
             let seq = self.moves.seq;
             self.moves.asked.insert(seq, (domain, peer.clone(), now));
             let own = self.identity.domain.clone();
-            self.tell(&peer, PeerMessage::AskHold { domain: own, seq });
+            self.tell(
+                &peer,
+                PeerMessage::AskHold {
+                    domain: own,
+                    epoch,
+                    seq,
+                },
+            );
         }
     }
 
@@ -383,7 +398,7 @@
             return;
         };
         match takeover.stage {
-            TakeoverStage::Lease if heard.is_some_and(|at| at > takeover.started) => {
+            TakeoverStage::Lease | TakeoverStage::Lapse(_) if heard.is_some_and(|at| at > takeover.started) => {
                 self.end_takeover(now);
             }
             TakeoverStage::Lapse(until) if now >= until => {
@@ -433,7 +448,11 @@
             return;
         };
         let from = takeover.domain.clone();
-        let mut ticket = 0;
+        let epoch = takeover.leadership.token().map_or(0, |token| token.epoch);
+        let mut ticket = self.journal.put(LedgerRecord::Taken {
+            domain: from.clone(),
+            epoch,
+        });
         for job in &jobs {
             let intended = JobRecord {
                 moved: None,
--- a/src/domain/peers.rs
+++ b/src/domain/peers.rs
@@ -238,6 +238,12 @@
         self.peers.iter().map(status).collect()
     }
 
+    /// When any entry of another failure domain was last heard from.
+    pub(crate) fn domain_heard(&self, domain: &DomainId) -> Option<Instant> {
+        let near = self.peers.values().filter(|state| state.domain == *domain);
+        near.filter_map(|state| state.heard).max()
+    }
+
     /// When the leader of another failure domain was last heard from.
     pub(crate) fn leader_heard(&self, domain: &DomainId) -> Option<Instant> {
         let near = self.peers.values().filter(|state| state.domain == *domain);
@@ -328,7 +334,9 @@
                 self.hear_records(peer, token, seq, whole, records);
             }
             PeerMessage::AskRecords => self.send_all_records(peer),
-            PeerMessage::AskHold { domain, seq } => self.answer_hold(now, peer, &domain, seq),
+            PeerMessage::AskHold { domain, epoch, seq } => {
+                self.answer_hold(now, peer, &domain, epoch, seq);
+            }
             PeerMessage::GrantHold { seq } => self.moves.held(peer, seq),
         }
     }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -10,4 +10,4 @@
 
 pub use journal::{CommitTicket, JournalController, JournalOutput};
 pub use segment::{JournalBase, JournalSegment, KeyRecord, KeyState, LedgerRecord, StoredAnswer};
-pub(crate) use segment::{job_name, key_name};
+pub(crate) use segment::{job_name, key_name, taken_name};
--- a/src/ledger/segment.rs
+++ b/src/ledger/segment.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::UnixMillis;
+use crate::id::{DomainId, UnixMillis};
 use crate::job::JobRecord;
 use crate::token::FencingToken;
 
@@ -70,6 +70,13 @@
     Job(JobRecord),
     /// A request key.
     Key(KeyRecord),
+    /// Jobs of another failure domain were taken over under this epoch of its lease.
+    Taken {
+        /// The other failure domain.
+        domain: DomainId,
+        /// The epoch; leaders of that domain with a lower one must not go on with such jobs.
+        epoch: u64,
+    },
     /// The record with this name is not needed any more.
     Gone(String),
 }
@@ -80,6 +87,7 @@
         match self {
             Self::Job(record) => job_name(&record.spec.id),
             Self::Key(record) => key_name(&record.id),
+            Self::Taken { domain, .. } => taken_name(domain),
             Self::Gone(name) => name.clone(),
         }
     }
@@ -90,6 +98,11 @@
     format!("j/{id}")
 }
 
+/// Name of the record of a takeover.
+pub(crate) fn taken_name(domain: &str) -> String {
+    format!("t/{domain}")
+}
+
 /// Name of a request key's record.
 pub(crate) fn key_name(id: &str) -> String {
     format!("k/{id}")
--- a/src/message.rs
+++ b/src/message.rs
@@ -82,6 +82,8 @@
     AskHold {
         /// Its failure domain.
         domain: DomainId,
+        /// Epoch of its token.
+        epoch: u64,
         /// Number of the question.
         seq: u64,
     },
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -108,6 +108,8 @@
     estimates: EstimateTable,
     health: HealthTable,
     delayed: BTreeSet<(Instant, TaskId)>,
+    /// Tasks on workers that belong to nothing known here.
+    strays: BTreeMap<WorkerId, BTreeSet<TaskId>>,
     quarantined: BTreeMap<WorkerId, Instant>,
     leaving: BTreeSet<WorkerId>,
     kept: BTreeMap<TaskId, (WorkerId, Instant)>,
@@ -253,6 +255,30 @@
         true
     }
 
+    /// Notes tasks that a worker runs and that are none of ours: they hold room until they are gone.
+    pub fn set_strays(&mut self, worker: &WorkerId, strays: &[(TaskId, ResourceVector)]) {
+        let gone = |task: &TaskId| !strays.iter().any(|(stray, _)| stray == task);
+        let ended: Vec<TaskId> = match self.strays.get(worker) {
+            Some(known) => known.iter().filter(|task| gone(task)).cloned().collect(),
+            None => Vec::new(),
+        };
+        for task in ended {
+            if !self
+                .live
+                .get(&task)
+                .is_some_and(|live| live.worker() == worker)
+            {
+                self.pool.give_back(worker, &task);
+                self.dirty = true;
+            }
+        }
+        for (task, need) in strays {
+            self.pool.note(worker, task, *need);
+        }
+        let tasks = strays.iter().map(|(task, _)| task.clone()).collect();
+        self.strays.insert(worker.clone(), tasks);
+    }
+
     /// Takes a worker out that is lost, and deals with its tasks: all have surely ended.
     pub fn remove_worker(&mut self, now: Instant, id: &WorkerId) {
         let tasks: Vec<TaskId> = self
@@ -267,6 +293,7 @@
             self.lose_task(now, &task, pause);
         }
         self.pool.remove(id);
+        self.strays.remove(id);
         self.quarantined.remove(id);
         self.dirty = true;
     }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -202,10 +202,12 @@
             }
         }
         fault(&mut world);
+        log::info!("{}", world.describe());
         let pause = world.rng.random_range(50..8_000);
         world.run(Duration::from_millis(pause));
     }
     mend_all(&mut world);
+    log::info!("mended: {}", world.describe());
     world.run(Duration::from_secs(150));
     settle(&mut world, number);
     world.steps
@@ -264,6 +266,9 @@
             .and_then(|text: String| text.parse::<u64>().ok())
     };
     if let Some(seed) = number("KELPLINK_RANDOM_SEED") {
+        let _ = env_logger::Builder::from_env("KELPLINK_LOG")
+            .format_timestamp(None)
+            .try_init();
         expect_that!(run_named(seed), ok(anything()));
         return;
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -544,6 +544,30 @@
         leaders
     }
 
+    /// State of the faults, for a reader of the log.
+    pub(crate) fn describe(&self) -> String {
+        let down: Vec<_> = self
+            .domains
+            .keys()
+            .filter(|e| !self.entries.contains_key(*e))
+            .collect();
+        let paused: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, state)| state.paused)
+            .map(|(entry, _)| entry)
+            .collect();
+        format!(
+            "at {:?}: store {:?}, cut {:?} {:?} {:?}, down {down:?}, paused {paused:?}, leaders {:?}",
+            self.now - self.start,
+            self.store.fault(),
+            self.cut,
+            self.cut_workers,
+            self.cut_from_store,
+            self.leaders()
+        )
+    }
+
     /// Checks all that must hold whatever happens.
     pub(crate) fn check(&mut self) {
         self.check_runs();
@@ -556,6 +580,7 @@
         for (id, worker) in &self.workers {
             let seen = self.seen_runs.entry(id.clone()).or_default();
             for run in &worker.runs()[*seen..] {
+                log::info!("at {:?}: {id} begins {:?}", self.now - self.start, run.task);
                 let count = self.run_counts.entry(run.task.clone()).or_default();
                 *count += 1;
                 let once = self.once_jobs.contains(&run.task.0);
