Quota parts: floors that need no asking, no growth into unwritten floors, a rhythm of yielding

Gangs under a quota waited for ever: two domains each held half of what either needed. Change: every domain may use its floor, quota/(2*domains), without asking, and others leave it to them; what is waited for in vain is given back in a rhythm that differs by domain; queued starts survive a new claim and count as such.

--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::config::{ConfigRevision, assigned_count};
-use crate::domain::controller::{CommitWaiter, DomainController, ReplyTo};
+use crate::domain::controller::{CommitWaiter, DomainController, LeaderState, ReplyTo};
 use crate::id::{Attempt, JobId, TaskId, WorkerId};
 use crate::intent::JobKind;
 use crate::job::{JobRecord, JobSpec, TaskEnd};
@@ -397,6 +397,8 @@
             .live()
             .iter()
             .filter(|(task, live)| *live.worker() == worker && !listed.contains(task))
+            .filter(|(task, _)| !self.fleet.start_waits(&worker, task))
+            .filter(|(task, _)| !start_not_durable(leader, task))
             .map(|(task, _)| task.clone())
             .collect();
         leader.scheduler.add_worker(spec);
@@ -628,6 +630,12 @@
     }
 }
 
+/// Tells whether a start waits until its mark is durable.
+fn start_not_durable(leader: &LeaderState, wanted: &TaskId) -> bool {
+    let mut waiters = leader.waiters.values().flatten();
+    waiters.any(|waiter| matches!(waiter, CommitWaiter::Start { task, .. } if task == wanted))
+}
+
 /// Name of the job that an intent makes in a failure domain.
 fn intent_job(service: &str, changed: u64, domain: &str) -> JobId {
     let (workspace, name) = service.split_once('/').unwrap_or(("", service));
--- a/src/domain/moves.rs
+++ b/src/domain/moves.rs
@@ -398,7 +398,9 @@
             return;
         };
         match takeover.stage {
-            TakeoverStage::Lease | TakeoverStage::Lapse(_) if heard.is_some_and(|at| at > takeover.started) => {
+            TakeoverStage::Lease | TakeoverStage::Lapse(_)
+                if heard.is_some_and(|at| at > takeover.started) =>
+            {
                 self.end_takeover(now);
             }
             TakeoverStage::Lapse(until) if now >= until => {
--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -21,6 +21,11 @@
 const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between reads while more is held than there is.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a domain waits with what it holds before it gives back what it does not use; longer in
+/// each further domain.
+const HOLD_TIME: Duration = Duration::from_secs(4);
+/// How long it does not ask then.
+const YIELD_TIME: Duration = Duration::from_secs(2);
 /// How long an unused part is kept before it is given back.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
@@ -53,20 +58,39 @@
         !sum.fits(quota)
     }
 
-    /// What no failure domain holds of a quota.
-    fn left(&self, workspace: &WorkspaceId, quota: &ResourceVector) -> ResourceVector {
-        let parts = self
-            .parts
-            .get(workspace)
-            .into_iter()
-            .flat_map(BTreeMap::values);
-        let sum = parts.fold(ResourceVector::default(), |sum, part| {
-            sum.saturating_add(part)
+    /// What is left of a quota for `own`: what no failure domain holds, less the floors of those
+    /// that have not written their part yet and may use that much without asking.
+    fn left(
+        &self,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        own: &DomainId,
+        domains: &[DomainId],
+    ) -> ResourceVector {
+        let parts = self.parts.get(workspace);
+        let floor = floor(quota, domains.len());
+        let others = domains.iter().filter(|domain| *domain != own);
+        let unwritten = others.filter(|domain| !parts.is_some_and(|p| p.contains_key(*domain)));
+        let reserved = unwritten.fold(ResourceVector::default(), |sum, _| {
+            sum.saturating_add(&floor)
         });
+        let held = parts.into_iter().flat_map(BTreeMap::values);
+        let sum = held.fold(reserved, |sum, part| sum.saturating_add(part));
         quota.saturating_sub(&sum)
     }
 }
 
+/// The part of a quota that each failure domain may use without asking, also while it is cut off:
+/// all floors together are half of the quota.
+fn floor(quota: &ResourceVector, domains: usize) -> ResourceVector {
+    let parts = u32::try_from(2 * domains.max(1)).unwrap_or(u32::MAX);
+    ResourceVector::new(
+        quota.millicores / parts,
+        quota.memory_mib / parts,
+        quota.accelerators / parts,
+    )
+}
+
 #[derive(Debug)]
 enum QuotaCall {
     Read,
@@ -77,14 +101,17 @@
 #[derive(Debug)]
 pub(crate) struct QuotaController {
     domain: DomainId,
-    domains: u32,
+    domains: Vec<DomainId>,
     /// Parts that may be used: as last written by this leader.
     parts: BTreeMap<WorkspaceId, ResourceVector>,
     /// Whether this leader has written the record, so that no earlier one can.
     fenced: bool,
     wanted: BTreeMap<WorkspaceId, ResourceVector>,
     retry_pause: Duration,
-    busy_since: BTreeMap<WorkspaceId, Instant>,
+    /// What was wanted last, and when.
+    recent: BTreeMap<WorkspaceId, (ResourceVector, Instant)>,
+    /// Since when more is wanted than held.
+    unsatisfied: BTreeMap<WorkspaceId, Instant>,
     pending: Option<(CallId, QuotaCall)>,
     next_call: CallId,
     next_change: Instant,
@@ -99,12 +126,13 @@
     pub(crate) fn new(now: Instant, identity: &EntryIdentity) -> Self {
         Self {
             domain: identity.domain.clone(),
-            domains: u32::try_from(identity.domains().len().max(1)).unwrap_or(1),
+            domains: identity.domains(),
             parts: BTreeMap::new(),
             fenced: false,
             wanted: BTreeMap::new(),
             retry_pause: CHANGE_INTERVAL,
-            busy_since: BTreeMap::new(),
+            recent: BTreeMap::new(),
+            unsatisfied: BTreeMap::new(),
             pending: None,
             next_call: 0,
             next_change: now,
@@ -156,7 +184,9 @@
         (self.next_call, request)
     }
 
-    /// The part that this domain should hold, and whether it differs from what it holds.
+    /// The part that this domain should hold: what it uses and wants, as far as there is some left.
+    /// What it lately wanted is kept for a while; what it waits for in vain is given back at times,
+    /// so that two domains cannot wait for each other's parts.
     fn target(
         &self,
         now: Instant,
@@ -166,22 +196,58 @@
         held: ResourceVector,
         left: ResourceVector,
     ) -> ResourceVector {
-        let floor = ResourceVector::new(
-            quota.millicores / (2 * self.domains),
-            quota.memory_mib / (2 * self.domains),
-            quota.accelerators / (2 * self.domains),
-        );
+        let least = used.each_max(&floor(quota, self.domains.len()));
         let wanted = self.wanted.get(workspace).copied().unwrap_or_default();
-        let asked = used.saturating_add(&wanted).each_max(&floor);
-        let grown = held.saturating_add(&asked.saturating_sub(&held).each_min(&left));
-        let busy = self
-            .busy_since
+        let asked = used.saturating_add(&wanted).each_max(&least);
+        let recent = self
+            .recent
             .get(workspace)
-            .is_some_and(|at| now < *at + IDLE_TIME);
-        match wanted == ResourceVector::default() && !busy {
-            true => grown.each_min(&used.each_max(&floor)),
-            false => grown,
+            .filter(|(_, at)| now < *at + IDLE_TIME);
+        let kept = recent.map_or(asked, |(recent, _)| asked.each_max(recent));
+        let grown = held.saturating_add(&asked.saturating_sub(&held).each_min(&left));
+        match self.yields(now, workspace) {
+            true => held.each_min(&least).each_max(&used),
+            false => grown.each_min(&kept).each_max(&least.each_min(&grown)),
+        }
+    }
+
+    /// Tells whether a domain that waits for more gives back what it does not use. The rhythm differs
+    /// from domain to domain.
+    fn yields(&self, now: Instant, workspace: &WorkspaceId) -> bool {
+        let Some(since) = self.unsatisfied.get(workspace) else {
+            return false;
+        };
+        let place = self
+            .domains
+            .iter()
+            .position(|domain| *domain == self.domain)
+            .unwrap_or(0);
+        let hold = HOLD_TIME.mul_f64(1.0 + 0.6 * place as f64);
+        let round = (hold + YIELD_TIME).as_millis().max(1);
+        let passed = now.saturating_duration_since(*since).as_millis() % round;
+        passed >= hold.as_millis()
+    }
+
+    /// Notes what workspaces want, and since when they want more than they hold.
+    fn note_demand(
+        &mut self,
+        now: Instant,
+        wanted: BTreeMap<WorkspaceId, ResourceVector>,
+        used: &BTreeMap<WorkspaceId, ResourceVector>,
+    ) {
+        self.unsatisfied
+            .retain(|workspace, _| wanted.contains_key(workspace));
+        for (workspace, want) in &wanted {
+            let used = used.get(workspace).copied().unwrap_or_default();
+            let asked = used.saturating_add(want);
+            self.recent.insert(workspace.clone(), (asked, now));
+            let held = self.parts.get(workspace).copied().unwrap_or_default();
+            match asked.fits(&held) {
+                true => self.unsatisfied.remove(workspace),
+                false => Some(*self.unsatisfied.entry(workspace.clone()).or_insert(now)),
+            };
         }
+        self.wanted = wanted;
     }
 }
 
@@ -197,10 +263,8 @@
         };
         if now >= self.quota.next_demand {
             self.quota.next_demand = now + CHANGE_INTERVAL;
-            self.quota.wanted = leader.scheduler.quota_demand();
-            for workspace in self.quota.wanted.keys() {
-                self.quota.busy_since.insert(workspace.clone(), now);
-            }
+            let wanted = leader.scheduler.quota_demand();
+            self.quota.note_demand(now, wanted, leader.scheduler.used());
         }
         self.apply_parts();
         if self.quota.pending.is_none()
@@ -350,13 +414,13 @@
         let domain = self.quota.domain.clone();
         for (workspace, quota) in &quotas {
             let held = record.part(workspace, &domain);
-            let left = record.left(workspace, quota);
+            let left = record.left(workspace, quota, &domain, &self.domains);
             let used = self.used_by(workspace);
             let held = held.each_max(&used);
             let part = match record.exceeded(workspace, quota) {
                 true => {
                     self.quota.recheck = Some(now + RECHECK_INTERVAL);
-                    held.each_min(&used)
+                    held.each_min(&used.each_max(&floor(quota, self.domains.len())))
                 }
                 false => self.quota.target(now, workspace, quota, used, held, left),
             };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -150,7 +150,6 @@
             member.link = WorkerLink::Unclaimed;
             member.pending = None;
             member.unsure.clear();
-            member.commands.clear();
             member.delivered.clear();
             member.due = now;
             member.lapsed = false;
@@ -161,6 +160,10 @@
     /// Stops to lead: nothing more is sent.
     pub fn follow(&mut self) {
         self.token = None;
+        for member in self.members.values_mut() {
+            member.unsure.clear();
+            member.commands.clear();
+        }
     }
 
     /// Takes the platform's list of this domain's workers.
@@ -203,6 +206,18 @@
         }
     }
 
+    /// Tells whether a start waits that was never sent.
+    pub fn start_waits(&self, worker: &WorkerId, wanted: &TaskId) -> bool {
+        let commands = self
+            .members
+            .get(worker)
+            .into_iter()
+            .flat_map(|member| &member.commands);
+        commands
+            .into_iter()
+            .any(|command| matches!(command, WorkerCommand::Start { task, .. } if task == wanted))
+    }
+
     /// Takes a start back that was never sent and tells whether it did.
     pub fn withdraw(&mut self, worker: &WorkerId, wanted: &TaskId) -> bool {
         let Some(member) = self.members.get_mut(worker) else {
