--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -391,12 +391,15 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
-        let listed: BTreeSet<&TaskId> = tasks.iter().map(|report| &report.task).collect();
+        let there = |task: &TaskId, attempt: Attempt| {
+            let mut own = tasks.iter().filter(|report| report.task == *task);
+            own.any(|report| report.attempt >= attempt || report.outcome.is_none())
+        };
         let missing: Vec<TaskId> = leader
             .scheduler
             .live()
             .iter()
-            .filter(|(task, live)| *live.worker() == worker && !listed.contains(task))
+            .filter(|(task, live)| *live.worker() == worker && !there(task, live.attempt()))
             .filter(|(task, _)| !self.fleet.start_waits(&worker, task))
             .filter(|(task, _)| !start_not_durable(leader, task))
             .map(|(task, _)| task.clone())
@@ -446,8 +449,8 @@
                 }
                 self.drop_endpoint(task);
             }
-            None if here && !older => {
-                scheduler.task_running(now, task);
+            None if here => {
+                scheduler.task_running(now, task, report.attempt);
                 self.note_endpoint(report);
             }
             None if !older && scheduler.adopt(now, worker, task, report.attempt, report.need) => {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::Instant;
 
-use crate::id::{TaskId, WorkerId};
+use crate::id::{Attempt, TaskId, WorkerId};
 use crate::placement::WorkerSpec;
 use crate::settings::TimingSettings;
 use crate::token::FencingToken;
@@ -89,7 +89,8 @@
     due: Instant,
     /// Until when a lease that we gave may hold.
     lapses: Instant,
-    delivered: BTreeSet<TaskId>,
+    /// Tries that the worker has taken note of and that are not forgotten.
+    delivered: BTreeMap<TaskId, Attempt>,
     silent: bool,
     /// When the platform stopped to list it.
     gone: Option<Instant>,
@@ -190,7 +191,7 @@
                     commands: Vec::new(),
                     due: now,
                     lapses,
-                    delivered: BTreeSet::new(),
+                    delivered: BTreeMap::new(),
                     silent: false,
                     gone: None,
                     lapsed: false,
@@ -393,10 +394,9 @@
             self.due = now;
             self.lapsed = false;
             self.lapses = now + timing.task_lease;
-            self.delivered = reply
-                .tasks
-                .iter()
-                .map(|report| report.task.clone())
+            let tasks = reply.tasks.iter();
+            self.delivered = tasks
+                .map(|report| (report.task.clone(), report.attempt))
                 .collect();
             outputs.push(FleetOutput::Claimed(self.spec.clone(), reply.tasks));
             return outputs;
@@ -405,8 +405,9 @@
             true => {
                 for command in &pending.commands {
                     match command {
-                        WorkerCommand::Start { task, .. } | WorkerCommand::Stop { task, .. } => {
-                            self.delivered.insert(task.clone());
+                        WorkerCommand::Start { task, attempt, .. }
+                        | WorkerCommand::Stop { task, attempt, .. } => {
+                            self.delivered.insert(task.clone(), *attempt);
                         }
                         WorkerCommand::Forget { task, .. } => {
                             self.delivered.remove(task);
@@ -423,12 +424,18 @@
 
     /// Finds tasks that were delivered and are not listed.
     fn compare(&mut self, same_boot: bool, tasks: &[TaskReport]) -> Vec<FleetOutput> {
-        let listed: BTreeSet<&TaskId> = tasks.iter().map(|report| &report.task).collect();
+        let listed: BTreeMap<&TaskId, &TaskReport> =
+            tasks.iter().map(|report| (&report.task, report)).collect();
+        let there = |task: &TaskId, attempt: Attempt| {
+            listed
+                .get(task)
+                .is_some_and(|report| report.attempt >= attempt || report.outcome.is_none())
+        };
         let missing: Vec<TaskId> = self
             .delivered
             .iter()
-            .filter(|task| !listed.contains(task))
-            .cloned()
+            .filter(|(task, attempt)| !there(task, **attempt))
+            .map(|(task, _)| task.clone())
             .collect();
         let mut missing = missing;
         if !same_boot {
@@ -437,7 +444,9 @@
                 std::mem::take(&mut self.unsure)
                     .into_iter()
                     .filter_map(|command| match command {
-                        WorkerCommand::Start { task, .. } if !listed.contains(&task) => Some(task),
+                        WorkerCommand::Start { task, attempt, .. } if !there(&task, attempt) => {
+                            Some(task)
+                        }
                         _ => None,
                     }),
             );
--- a/src/leadership/role.rs
+++ b/src/leadership/role.rs
@@ -212,6 +212,13 @@
         }
     }
 
+    /// The call to the store that is being waited for, in words.
+    pub fn waits_for(&self) -> Option<String> {
+        self.pending
+            .as_ref()
+            .map(|(id, pending)| format!("call {id}: {pending:?}"))
+    }
+
     /// Highest token seen anywhere.
     pub fn highest(&self) -> Option<&FencingToken> {
         self.highest.as_ref()
@@ -408,6 +415,7 @@
 
     fn call(&mut self, pending: PendingCall, request: StoreRequest) -> LeadershipAction {
         self.next_call += 1;
+        log::debug!("{} asks the store: {pending:?}", self.entry);
         self.pending = Some((self.next_call, pending));
         LeadershipAction::Call(self.next_call, request)
     }
@@ -503,7 +511,9 @@
         let deadline = write.started + write.record.ttl;
         match &mut self.role {
             _ if self.leaving || write.record.ttl.is_zero() => Vec::new(),
-            LeadershipRole::Leading(role) if role.token.epoch == write.record.epoch => {
+            LeadershipRole::Leading(role)
+                if role.token.epoch == write.record.epoch && role.token.round == 0 =>
+            {
                 role.version = Some(version);
                 role.deadline = role.deadline.max(deadline);
                 Vec::new()
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -484,10 +484,10 @@
         }
     }
 
-    /// The worker reports that a task runs.
-    pub fn task_running(&mut self, now: Instant, task: &TaskId) {
+    /// The worker reports that a task runs, under the try named; a later start of it is then void.
+    pub fn task_running(&mut self, now: Instant, task: &TaskId, attempt: Attempt) {
         if let Some(live) = self.live.remove(task) {
-            self.live.insert(task.clone(), live.run(now));
+            self.live.insert(task.clone(), live.run(now, attempt));
         }
     }
 
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -204,9 +204,12 @@
     }
 
     /// Notes that the worker reports it as running.
-    pub(crate) fn run(self, since: Instant) -> Self {
+    pub(crate) fn run(self, since: Instant, attempt: Attempt) -> Self {
         match self {
-            Self::Starting(life) => Self::Running(life.run(since)),
+            Self::Starting(life) => Self::Running(TaskLife {
+                attempt,
+                ..life.run(since)
+            }),
             other => other,
         }
     }
