--- a/src/callers/admit.rs
+++ b/src/callers/admit.rs
@@ -39,11 +39,8 @@
 impl KeyReservation {
     /// Tells what became of the request.
     pub(crate) fn complete(&self, context: &CallerContext, state: KeyState) {
-        let call = ClientCall::CompleteKey {
-            id: self.id.clone(),
-            holder: self.holder.clone(),
-            state,
-        };
+        let call =
+            ClientCall::CompleteKey { id: self.id.clone(), holder: self.holder.clone(), state };
         let calls = context.calls.clone();
         tokio::spawn(async move { calls.call(call, RESERVE_TIME).await });
     }
@@ -89,10 +86,7 @@
         let number = context.next_request.fetch_add(1, Ordering::Relaxed);
         let holder = format!("{}-{}-{number}", context.entry, context.boot);
         let digest = digest(&method, &identity.target, &body.0);
-        let reservation = KeyReservation {
-            id: id.clone(),
-            holder: holder.clone(),
-        };
+        let reservation = KeyReservation { id: id.clone(), holder: holder.clone() };
         let call = ClientCall::ReserveKey { id, digest, holder };
         match context.calls.call(call, RESERVE_TIME).await {
             ClientAnswer::Key(KeyAnswer::Fresh) => Ok(reservation),
@@ -122,10 +116,7 @@
     let mut response = Response::new(full(answer.body.clone()));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let headers = response.headers_mut();
-    let kind = answer
-        .content_type
-        .as_deref()
-        .and_then(|kind| HeaderValue::from_str(kind).ok());
+    let kind = answer.content_type.as_deref().and_then(|kind| HeaderValue::from_str(kind).ok());
     if let Some(kind) = kind {
         headers.insert(CONTENT_TYPE, kind);
     }
--- a/src/callers/context.rs
+++ b/src/callers/context.rs
@@ -117,9 +117,6 @@
     pub(crate) fn defaults(&self, service: &ServiceId) -> Option<ServiceDefaults> {
         let config = self.desk().config.clone();
         let intent = config.intents.get(service)?;
-        Some(ServiceDefaults {
-            urgency: intent.spec.urgency,
-            idempotent: intent.spec.idempotent,
-        })
+        Some(ServiceDefaults { urgency: intent.spec.urgency, idempotent: intent.spec.idempotent })
     }
 }
--- a/src/callers/dispatch.rs
+++ b/src/callers/dispatch.rs
@@ -102,10 +102,7 @@
 
 /// What a key's record says after this answer.
 fn key_state(response: &Response<Bytes>) -> KeyState {
-    let ran = response
-        .headers()
-        .get(RAN_HEADER)
-        .and_then(|value| value.to_str().ok());
+    let ran = response.headers().get(RAN_HEADER).and_then(|value| value.to_str().ok());
     match ran {
         Some("no") => KeyState::NotRun,
         Some("yes") => match std::str::from_utf8(response.body()) {
@@ -121,10 +118,7 @@
 }
 
 fn text_header(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned)
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
 
 impl Dispatch {
@@ -222,19 +216,13 @@
         let limit = limit.min(left).max(Duration::from_millis(1));
         let ended = started + limit + LIMIT_MARGIN;
         let end = match self.request(spec, limit) {
-            Ok(request) => {
-                pool.send(request, limit, self.context.limits.answer_bytes)
-                    .await
-            }
+            Ok(request) => pool.send(request, limit, self.context.limits.answer_bytes).await,
             Err(detail) => Err(ClientError::NotSent(detail)),
         };
         let time = started.elapsed();
         let (outcome, end) = match end {
             Ok(response) => match self.own_answer(&response) {
-                true => (
-                    RouteOutcome::Answered,
-                    AttemptEnd::Answered(self.pass_back(response)),
-                ),
+                true => (RouteOutcome::Answered, AttemptEnd::Answered(self.pass_back(response))),
                 false => {
                     let detail = "the upstream answered another request".to_owned();
                     (RouteOutcome::Failed, AttemptEnd::Unknown(detail, ended))
@@ -292,10 +280,7 @@
 
     /// Checks that an answer is the one to this attempt, where the upstream says so.
     fn own_answer(&self, response: &Response<Bytes>) -> bool {
-        let id = text_header(
-            response.headers(),
-            &HeaderName::from_static(REQUEST_ID_HEADER),
-        );
+        let id = text_header(response.headers(), &HeaderName::from_static(REQUEST_ID_HEADER));
         let attempt = text_header(response.headers(), &HeaderName::from_static(ATTEMPT_HEADER));
         id.is_none_or(|id| id == self.request_id())
             && attempt.is_none_or(|attempt| attempt == self.attempt.to_string())
@@ -315,12 +300,7 @@
     async fn rejected(&self, reason: RejectReason, advice: Duration) -> Response<Bytes> {
         let elsewhere = matches!(reason, RejectReason::NoUpstream | RejectReason::Overloaded);
         if elsewhere && !self.identity.handed_over {
-            let entries = self
-                .context
-                .desk()
-                .rooms
-                .get(&self.identity.service)
-                .cloned();
+            let entries = self.context.desk().rooms.get(&self.identity.service).cloned();
             for entry in entries.unwrap_or_default().iter().take(2) {
                 match self.hand_over(entry).await {
                     AttemptEnd::Answered(response) => return response,
@@ -337,10 +317,7 @@
         };
         let detail = format!("the request to {} was not run", self.identity.service);
         let problem = ProblemDetails::new(status, title, detail);
-        problem
-            .ran(RanState::No)
-            .retry_after(advice)
-            .bytes_response()
+        problem.ran(RanState::No).retry_after(advice).bytes_response()
     }
 
     /// Hands the request to another entry, which answers as it would its own caller.
@@ -348,14 +325,8 @@
         let Some(address) = self.context.peers.get(entry) else {
             return AttemptEnd::NotRun("unknown entry".to_owned());
         };
-        let left = self
-            .identity
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let path = format!(
-            "http://{address}/s/{}{}",
-            self.identity.service, self.identity.target
-        );
+        let left = self.identity.deadline.saturating_duration_since(Instant::now());
+        let path = format!("http://{address}/s/{}{}", self.identity.service, self.identity.target);
         let built = Request::builder()
             .method(self.method.clone())
             .uri(path)
@@ -372,12 +343,7 @@
         headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
         metrics::counter!("kelplink_handed_over_total").increment(1);
         let most = self.context.limits.answer_bytes;
-        match self
-            .context
-            .handed
-            .send(request, left + LIMIT_MARGIN, most)
-            .await
-        {
+        match self.context.handed.send(request, left + LIMIT_MARGIN, most).await {
             Ok(response) => judge_handed(response),
             Err(ClientError::NotSent(detail)) => AttemptEnd::NotRun(detail),
             Err(ClientError::NoAnswer(detail)) => {
--- a/src/callers/duty.rs
+++ b/src/callers/duty.rs
@@ -143,21 +143,13 @@
 }
 
 fn routes() -> Router {
-    let pipeline = new_pipeline()
-        .add(IdentifyFilter)
-        .add(LimitFilter)
-        .add(AdmitFilter)
-        .build();
+    let pipeline = new_pipeline().add(IdentifyFilter).add(LimitFilter).add(AdmitFilter).build();
     let (chain, pipelines) = single_pipeline(pipeline);
     build_router(chain, pipelines, |route| {
-        route
-            .request(METHODS.to_vec(), "/s/*")
-            .to_new_handler(|| Ok(dispatch));
+        route.request(METHODS.to_vec(), "/s/*").to_new_handler(|| Ok(dispatch));
         route.with_pipeline_chain((), |route| {
             let methods = vec![Method::GET, Method::POST, Method::DELETE];
-            route
-                .request(methods, "/v1/workspaces/*")
-                .to_new_handler(|| Ok(handle_jobs));
+            route.request(methods, "/v1/workspaces/*").to_new_handler(|| Ok(handle_jobs));
         });
     })
 }
--- a/src/callers/identify.rs
+++ b/src/callers/identify.rs
@@ -82,34 +82,23 @@
     }
     if !known && !elsewhere {
         let detail = format!("no service {service} is known here");
-        return Err(ProblemDetails::new(
-            StatusCode::NOT_FOUND,
-            "unknown service",
-            detail,
-        ));
+        return Err(ProblemDetails::new(StatusCode::NOT_FOUND, "unknown service", detail));
     }
     let urgency = match header(headers, URGENCY_HEADER)? {
         None => defaults.map_or(Urgency::Soon, |defaults| defaults.urgency),
         Some("now") => Urgency::Now,
         Some("soon") => Urgency::Soon,
         Some(other) => {
-            return Err(bad(format!(
-                "{URGENCY_HEADER} is {other:?}: expected now or soon"
-            )));
+            return Err(bad(format!("{URGENCY_HEADER} is {other:?}: expected now or soon")));
         }
     };
-    let safe = matches!(
-        *Method::borrow_from(state),
-        Method::GET | Method::HEAD | Method::OPTIONS
-    );
+    let safe = matches!(*Method::borrow_from(state), Method::GET | Method::HEAD | Method::OPTIONS);
     let idempotent = match header(headers, IDEMPOTENT_HEADER)? {
         None => safe || defaults.is_none_or(|defaults| defaults.idempotent),
         Some("true") => true,
         Some("false") => false,
         Some(other) => {
-            return Err(bad(format!(
-                "{IDEMPOTENT_HEADER} is {other:?}: expected true or false"
-            )));
+            return Err(bad(format!("{IDEMPOTENT_HEADER} is {other:?}: expected true or false")));
         }
     };
     Ok(RequestIdentity {
@@ -130,15 +119,10 @@
     let workspace = parts.next().unwrap_or_default().to_owned();
     let name = parts.next().unwrap_or_default().to_owned();
     if !is_name(&workspace) || !is_name(&name) {
-        return Err(bad(
-            "expected a path like /s/WORKSPACE/SERVICE/...".to_owned()
-        ));
+        return Err(bad("expected a path like /s/WORKSPACE/SERVICE/...".to_owned()));
     }
     let rest = parts.next().unwrap_or_default();
-    let query = uri
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
+    let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
     Ok((workspace, name, format!("/{rest}{query}")))
 }
 
@@ -155,13 +139,10 @@
         return Ok(DEFAULT_DEADLINE);
     };
     let time = text.parse().map(Duration::from_millis).ok();
-    time.filter(|time| *time <= LONGEST_DEADLINE)
-        .ok_or_else(|| {
-            let most = LONGEST_DEADLINE.as_millis();
-            bad(format!(
-                "{DEADLINE_HEADER} is {text:?}: expected 0 to {most} milliseconds"
-            ))
-        })
+    time.filter(|time| *time <= LONGEST_DEADLINE).ok_or_else(|| {
+        let most = LONGEST_DEADLINE.as_millis();
+        bad(format!("{DEADLINE_HEADER} is {text:?}: expected 0 to {most} milliseconds"))
+    })
 }
 
 fn key(headers: &HeaderMap) -> Result<Option<String>, ProblemDetails> {
@@ -170,9 +151,7 @@
     };
     match (1..=MAX_KEY_BYTES).contains(&text.len()) {
         true => Ok(Some(text.to_owned())),
-        false => Err(bad(format!(
-            "{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} bytes"
-        ))),
+        false => Err(bad(format!("{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} bytes"))),
     }
 }
 
--- a/src/callers/jobs.rs
+++ b/src/callers/jobs.rs
@@ -71,11 +71,7 @@
             ClientCall::Cancel(format!("{workspace}/{id}").into())
         }
         _ => {
-            return Err(ProblemDetails::new(
-                StatusCode::NOT_FOUND,
-                "not found",
-                path,
-            ));
+            return Err(ProblemDetails::new(StatusCode::NOT_FOUND, "not found", path));
         }
     };
     let status = match call {
@@ -93,9 +89,7 @@
     let body: SubmitBody = serde_json::from_slice(bytes).map_err(|error| {
         ProblemDetails::new(StatusCode::BAD_REQUEST, "bad job", error.to_string()).ran(RanState::No)
     })?;
-    let count_fits = body
-        .count
-        .is_none_or(|count| (1..=MAX_TASKS).contains(&u64::from(count)));
+    let count_fits = body.count.is_none_or(|count| (1..=MAX_TASKS).contains(&u64::from(count)));
     let fault = match () {
         () if !is_name(workspace) => Some("the workspace is not a name"),
         () if !is_name(&body.id) => Some("`id` is not a name: letters, digits, `-`, `_`, `.`"),
@@ -121,10 +115,7 @@
     let mut silent = Vec::new();
     for domain in context.domains.iter() {
         let prefix = format!("{workspace}/");
-        let call = ClientCall::Jobs {
-            domain: domain.clone(),
-            prefix,
-        };
+        let call = ClientCall::Jobs { domain: domain.clone(), prefix };
         match context.calls.call(call, ANSWER_TIME).await {
             ClientAnswer::Jobs(found) => jobs.extend(found),
             _ => silent.push(domain.clone()),
--- a/src/callers/limit.rs
+++ b/src/callers/limit.rs
@@ -57,11 +57,9 @@
             "body too large",
             format!("at most {} bytes are taken", limits.request_bytes),
         )),
-        Ok(Err(error)) => Err(ProblemDetails::new(
-            StatusCode::BAD_REQUEST,
-            "body not whole",
-            error.to_string(),
-        )),
+        Ok(Err(error)) => {
+            Err(ProblemDetails::new(StatusCode::BAD_REQUEST, "body not whole", error.to_string()))
+        }
         Err(_) => Err(ProblemDetails::new(
             StatusCode::REQUEST_TIMEOUT,
             "body too slow",
--- a/src/client.rs
+++ b/src/client.rs
@@ -70,18 +70,13 @@
         most: usize,
     ) -> Result<Response<Bytes>> {
         let response =
-            self.client
-                .request(request)
-                .await
-                .map_err(|error| match error.is_connect() {
-                    true => ClientError::NotSent(describe(&error)),
-                    false => ClientError::NoAnswer(describe(&error)),
-                })?;
+            self.client.request(request).await.map_err(|error| match error.is_connect() {
+                true => ClientError::NotSent(describe(&error)),
+                false => ClientError::NoAnswer(describe(&error)),
+            })?;
         let (parts, body) = response.into_parts();
         let collected = Limited::new(body, most).collect().await;
-        let bytes = collected
-            .map_err(|error| ClientError::NoAnswer(error.to_string()))?
-            .to_bytes();
+        let bytes = collected.map_err(|error| ClientError::NoAnswer(error.to_string()))?.to_bytes();
         Ok(Response::from_parts(parts, bytes))
     }
 
--- a/src/command.rs
+++ b/src/command.rs
@@ -148,9 +148,7 @@
 
 /// Waits for a signal to stop; gives true where `broken` turned true before.
 fn wait_for_signal(broken: impl Fn() -> bool) -> Result<bool> {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
@@ -179,10 +177,7 @@
     };
     start_logging(LogIdentity::default());
     let server = StandInServer::start(&settings)?;
-    println!(
-        "store on {}, list of VMs on {}",
-        settings.store, settings.vms
-    );
+    println!("store on {}, list of VMs on {}", settings.store, settings.vms);
     let broken = wait_for_signal(|| server.ended())?;
     server.stop();
     Ok(exit_code(!broken))
@@ -196,16 +191,10 @@
     body: String,
 ) -> Result<Response<bytes::Bytes>> {
     let address = address.as_deref().unwrap_or(default);
-    let socket = address
-        .parse()
-        .with_context(|| format!("{address}: expected HOST:PORT"))?;
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let socket = address.parse().with_context(|| format!("{address}: expected HOST:PORT"))?;
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
     let http = runtime.block_on(async {
-        HttpClient::new()
-            .call(method, socket, path, body, ANSWER_TIME, ANSWER_BYTES)
-            .await
+        HttpClient::new().call(method, socket, path, body, ANSWER_TIME, ANSWER_BYTES).await
     });
     http.map_err(|error| anyhow!("{address} did not answer: {error:?}"))
 }
@@ -229,10 +218,7 @@
         StatusCode::OK => {}
         StatusCode::UNPROCESSABLE_ENTITY => {
             let mut findings: FindingList = serde_json::from_slice(response.body())?;
-            findings
-                .0
-                .iter_mut()
-                .for_each(|finding| finding.source.clone_from(&plan.intent));
+            findings.0.iter_mut().for_each(|finding| finding.source.clone_from(&plan.intent));
             eprint!("{findings}");
             return Ok(ExitCode::from(EXIT_FAILED));
         }
@@ -251,10 +237,7 @@
 
 fn print_plan(plan: &PlanDocument) {
     println!("plan against revision {}", plan.base);
-    println!(
-        "{:<8} {:>6}  {:<24} {:<16} REASON",
-        "ACTION", "TASKS", "INTENT", "FAILURE DOMAIN"
-    );
+    println!("{:<8} {:>6}  {:<24} {:<16} REASON", "ACTION", "TASKS", "INTENT", "FAILURE DOMAIN");
     for change in &plan.changes {
         let domain = change.domain.as_deref().unwrap_or("-");
         let action = action_name(change.action);
@@ -322,24 +305,14 @@
         true => print_line(&text(&response))?,
         false => {
             let view: JobView = serde_json::from_slice(response.body())?;
-            println!(
-                "{} is cancelled; {} tasks still stop",
-                cancel.job,
-                view.running.len()
-            );
+            println!("{} is cancelled; {} tasks still stop", cancel.job, view.running.len());
         }
     }
     Ok(ExitCode::SUCCESS)
 }
 
 fn run_status(status: &Status) -> Result<ExitCode> {
-    let response = ask(
-        Method::GET,
-        &status.entry,
-        OPERATORS,
-        "/v1/status",
-        String::new(),
-    )?;
+    let response = ask(Method::GET, &status.entry, OPERATORS, "/v1/status", String::new())?;
     if response.status() != StatusCode::OK {
         bail!("{}", text(&response));
     }
@@ -352,18 +325,13 @@
 
 fn print_status(status: &StatusView) {
     let store = if status.store_up { "up" } else { "down" };
-    println!(
-        "asked {}: revision {}, store {store}",
-        status.entry, status.revision
-    );
+    println!("asked {}: revision {}, store {store}", status.entry, status.revision);
     println!(
         "{:<16} {:<16} {:>8} {:>10}  STATE",
         "ENTRY", "FAILURE DOMAIN", "REVISION", "SILENT ms"
     );
     for entry in &status.entries {
-        let revision = entry
-            .revision
-            .map_or("-".to_owned(), |revision| revision.to_string());
+        let revision = entry.revision.map_or("-".to_owned(), |revision| revision.to_string());
         let state = match entry {
             entry if entry.draining => "stopping",
             entry if entry.leads => "leads",
@@ -375,18 +343,10 @@
             entry.entry, entry.domain, entry.silent_ms
         );
     }
-    println!(
-        "{:<16} {:>7} {:>22} {:>22}",
-        "FAILURE DOMAIN", "WORKERS", "FREE CORES/MiB/ACC", "OF"
-    );
+    println!("{:<16} {:>7} {:>22} {:>22}", "FAILURE DOMAIN", "WORKERS", "FREE CORES/MiB/ACC", "OF");
     for (domain, summary) in &status.domains {
         let shown = |v: &crate::resources::ResourceVector| {
-            format!(
-                "{:.1}/{}/{}",
-                f64::from(v.millicores) / 1e3,
-                v.memory_mib,
-                v.accelerators
-            )
+            format!("{:.1}/{}/{}", f64::from(v.millicores) / 1e3, v.memory_mib, v.accelerators)
         };
         let (free, total) = (shown(&summary.free), shown(&summary.total));
         println!("{domain:<16} {:>7} {free:>22} {total:>22}", summary.workers);
@@ -397,13 +357,7 @@
 }
 
 fn run_dump(dump: &Dump) -> Result<ExitCode> {
-    let response = ask(
-        Method::GET,
-        &dump.entry,
-        OPERATORS,
-        "/v1/dump",
-        String::new(),
-    )?;
+    let response = ask(Method::GET, &dump.entry, OPERATORS, "/v1/dump", String::new())?;
     let value: serde_json::Value = serde_json::from_slice(response.body())?;
     print_line(&serde_json::to_string_pretty(&value)?)?;
     Ok(ExitCode::SUCCESS)
--- a/src/config/controller.rs
+++ b/src/config/controller.rs
@@ -223,13 +223,7 @@
         self.writes += 1;
         let write_id = format!("{}-{}-{}", self.entry, self.boot, self.writes);
         let next = plan.apply(self.current(), &write_id);
-        self.confirm = Some(PendingConfirm {
-            call,
-            plan,
-            next,
-            write_id,
-            started: now,
-        });
+        self.confirm = Some(PendingConfirm { call, plan, next, write_id, started: now });
         match self.head {
             Some(_) => vec![self.call(PendingCall::Write)],
             None => vec![self.call(PendingCall::ReadHead)],
--- a/src/config/plan.rs
+++ b/src/config/plan.rs
@@ -95,12 +95,7 @@
             PlanRequest::Withdraw(service) => withdraw_changes(config, service, domains),
         };
         let digest = digest(config.revision, &request);
-        Self {
-            base: config.revision,
-            request,
-            changes,
-            digest,
-        }
+        Self { base: config.revision, request, changes, digest }
     }
 
     /// Tells whether nothing in it was edited.
@@ -110,9 +105,7 @@
 
     /// The change that keeps it from being confirmed.
     pub fn refusal(&self) -> Option<&PlanChange> {
-        self.changes
-            .iter()
-            .find(|change| change.action == PlanAction::Refuse)
+        self.changes.iter().find(|change| change.action == PlanAction::Refuse)
     }
 
     /// The configuration that follows when it is confirmed.
@@ -126,9 +119,7 @@
 
 fn digest(base: Revision, request: &PlanRequest) -> String {
     let text = serde_json::to_string(request).unwrap_or_default();
-    blake3::hash(format!("{base}\n{text}").as_bytes())
-        .to_hex()
-        .to_string()
+    blake3::hash(format!("{base}\n{text}").as_bytes()).to_hex().to_string()
 }
 
 fn accept_changes(
@@ -141,22 +132,12 @@
     if let Some(reason) = impossible(spec, cluster, domains) {
         let count = spec.count;
         let (subject, domain) = (service, spec.domain.clone());
-        return vec![PlanChange {
-            action: PlanAction::Refuse,
-            subject,
-            domain,
-            count,
-            reason,
-        }];
+        return vec![PlanChange { action: PlanAction::Refuse, subject, domain, count, reason }];
     }
     let before = config.intents.get(&service);
     let replaced = before.is_some_and(|before| {
         let (count, quota) = (spec.count, spec.quota);
-        IntentSpec {
-            count,
-            quota,
-            ..before.spec.clone()
-        } != *spec
+        IntentSpec { count, quota, ..before.spec.clone() } != *spec
     });
     let mut changes = Vec::new();
     for domain in domains {
@@ -171,11 +152,8 @@
     }
     merge_moves(&mut changes);
     if spec.quota.is_some() && config.quotas.get(&spec.workspace) != spec.quota.as_ref() {
-        let reason = format!(
-            "quota of {} becomes {:?}",
-            spec.workspace,
-            spec.quota.unwrap_or_default()
-        );
+        let reason =
+            format!("quota of {} becomes {:?}", spec.workspace, spec.quota.unwrap_or_default());
         let subject = service.clone();
         changes.push(PlanChange {
             action: PlanAction::Change,
@@ -223,21 +201,12 @@
     let fits = free.is_some_and(|free| spec.need.times(count).fits(&free));
     let (action, reason) = match free {
         _ if count == 0 => return None,
-        None => (
-            PlanAction::Wait,
-            "the failure domain was not heard from".to_owned(),
-        ),
+        None => (PlanAction::Wait, "the failure domain was not heard from".to_owned()),
         Some(_) if fits => (PlanAction::Start, "there is room".to_owned()),
         Some(free) => (PlanAction::Wait, format!("free now: {free:?}")),
     };
     let (subject, domain) = (service.clone(), Some(domain.clone()));
-    Some(PlanChange {
-        action,
-        subject,
-        domain,
-        count,
-        reason,
-    })
+    Some(PlanChange { action, subject, domain, count, reason })
 }
 
 /// A stop in one domain and a start in another are one move.
@@ -246,20 +215,13 @@
     let starts: u32 = sum(changes, PlanAction::Start);
     let places = |action| {
         let own = changes.iter().filter(move |change| change.action == action);
-        own.filter_map(|change| change.domain.clone())
-            .collect::<Vec<_>>()
+        own.filter_map(|change| change.domain.clone()).collect::<Vec<_>>()
     };
     let (from, to) = (places(PlanAction::Stop), places(PlanAction::Start));
     if stops > 0 && stops == starts && from != to {
-        let reason = format!(
-            "from {}",
-            from.iter().map(|d| &**d).collect::<Vec<_>>().join(", ")
-        );
+        let reason = format!("from {}", from.iter().map(|d| &**d).collect::<Vec<_>>().join(", "));
         changes.retain(|change| change.action != PlanAction::Stop);
-        for change in changes
-            .iter_mut()
-            .filter(|change| change.action == PlanAction::Start)
-        {
+        for change in changes.iter_mut().filter(|change| change.action == PlanAction::Start) {
             change.action = PlanAction::Move;
             change.reason.clone_from(&reason);
         }
@@ -267,11 +229,7 @@
 }
 
 fn sum(changes: &[PlanChange], action: PlanAction) -> u32 {
-    changes
-        .iter()
-        .filter(|change| change.action == action)
-        .map(|change| change.count)
-        .sum()
+    changes.iter().filter(|change| change.action == action).map(|change| change.count).sum()
 }
 
 /// Why an intent can never run, if so.
@@ -280,37 +238,27 @@
         && !domains.contains(domain)
     {
         let known = domains.iter().map(|d| &**d).collect::<Vec<_>>().join(", ");
-        return Some(format!(
-            "unknown failure domain {domain}: known are {known}"
-        ));
+        return Some(format!("unknown failure domain {domain}: known are {known}"));
     }
     if let Some(quota) = &spec.quota
         && let Some(resource) = spec.need.exceeds(quota)
     {
-        return Some(format!(
-            "one task needs more {resource} than the quota {quota:?}"
-        ));
+        return Some(format!("one task needs more {resource} than the quota {quota:?}"));
     }
     let mine = |domain: &&DomainId| spec.domain.as_ref().is_none_or(|only| only == *domain);
-    let summaries: Vec<_> = domains
-        .iter()
-        .filter(mine)
-        .map(|domain| cluster.get(domain))
-        .collect::<Option<_>>()?;
+    let summaries: Vec<_> =
+        domains.iter().filter(mine).map(|domain| cluster.get(domain)).collect::<Option<_>>()?;
     if summaries.is_empty() {
         return None;
     }
-    let largest = summaries.iter().fold(ResourceVector::default(), |most, s| {
-        most.each_max(&s.largest)
-    });
+    let largest =
+        summaries.iter().fold(ResourceVector::default(), |most, s| most.each_max(&s.largest));
     if let Some(resource) = spec.need.exceeds(&largest) {
         return Some(format!(
             "one task needs more {resource} than the largest worker, {largest:?}"
         ));
     }
-    let roomiest = summaries
-        .iter()
-        .any(|s| spec.need.times(spec.count).fits(&s.total));
+    let roomiest = summaries.iter().any(|s| spec.need.times(spec.count).fits(&s.total));
     match spec.kind {
         JobKind::AllAtOnce if !roomiest => {
             Some("all tasks together need more than any failure domain has".to_owned())
@@ -336,11 +284,7 @@
         }];
     };
     let stops = domains.iter().filter_map(|domain| {
-        stop_change(
-            service,
-            domain,
-            assigned_count(&before.spec, domain, domains),
-        )
+        stop_change(service, domain, assigned_count(&before.spec, domain, domains))
     });
     let mut changes: Vec<_> = stops.collect();
     if changes.is_empty() {
--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -45,23 +45,13 @@
         }
         let same_work = |before: &AcceptedIntent| {
             let (count, quota) = (spec.count, spec.quota);
-            IntentSpec {
-                count,
-                quota,
-                ..before.spec.clone()
-            } == *spec
+            IntentSpec { count, quota, ..before.spec.clone() } == *spec
         };
         let changed = match self.intents.get(&spec.service()) {
             Some(before) if same_work(before) => before.changed,
             _ => next.revision,
         };
-        next.intents.insert(
-            spec.service(),
-            AcceptedIntent {
-                spec: spec.clone(),
-                changed,
-            },
-        );
+        next.intents.insert(spec.service(), AcceptedIntent { spec: spec.clone(), changed });
         next
     }
 
@@ -73,10 +63,7 @@
     }
 
     fn successor(&self, write_id: &str) -> Self {
-        let mut next = Self {
-            revision: self.revision + 1,
-            ..self.clone()
-        };
+        let mut next = Self { revision: self.revision + 1, ..self.clone() };
         next.writes.insert(next.revision, write_id.to_owned());
         while next.writes.len() > REMEMBERED_WRITES {
             next.writes.pop_first();
@@ -86,10 +73,7 @@
 
     /// Tells whether the write made one of the latest revisions.
     pub fn made_by(&self, write_id: &str) -> Option<Revision> {
-        self.writes
-            .iter()
-            .find(|(_, id)| *id == write_id)
-            .map(|(revision, _)| *revision)
+        self.writes.iter().find(|(_, id)| *id == write_id).map(|(revision, _)| *revision)
     }
 }
 
@@ -109,9 +93,7 @@
     pub fn adopt(&mut self, config: ConfigRevision) -> bool {
         let higher = config.revision > self.config.revision;
         let same = config.revision == self.config.revision && config != self.config;
-        invariant::holds(!same, "revisions", || {
-            format!("two revisions {}", config.revision)
-        });
+        invariant::holds(!same, "revisions", || format!("two revisions {}", config.revision));
         if higher {
             self.config = config;
         }
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -56,22 +56,15 @@
 
 impl Default for DemoSettings {
     fn default() -> Self {
-        Self {
-            seed: 7,
-            callers: 64,
-            jobs: 120,
-        }
+        Self { seed: 7, callers: 64, jobs: 120 }
     }
 }
 
 /// Free ports on loopback, held until all are found.
 fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let held = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<Result<Vec<_>, _>>()?;
-    held.iter()
-        .map(|listener| Ok(listener.local_addr()?))
-        .collect()
+    let held =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
+    held.iter().map(|listener| Ok(listener.local_addr()?)).collect()
 }
 
 fn machines(addresses: &mut impl Iterator<Item = SocketAddr>) -> Result<Vec<VmRecord>> {
@@ -95,10 +88,7 @@
             rack: format!("rack-{domain}-{}", number / DOMAINS.len() / RACK).into(),
             address: addresses.next().context("no address left")?,
             leaving: false,
-            role: VmRole::Upstream {
-                service: "attikis/checks".into(),
-                slots: SLOTS,
-            },
+            role: VmRole::Upstream { service: "attikis/checks".into(), slots: SLOTS },
         });
     }
     Ok(machines)
@@ -137,11 +127,7 @@
         })
         .collect();
     for entry in &mut all {
-        entry.others = peers
-            .iter()
-            .filter(|peer| peer.name != entry.name)
-            .cloned()
-            .collect();
+        entry.others = peers.iter().filter(|peer| peer.name != entry.name).cloned().collect();
     }
     Ok(all)
 }
@@ -158,15 +144,8 @@
     let vms = addresses.next().context("no address left")?;
     let machines = machines(&mut addresses)?;
     let entries = entries(&mut addresses, store, vms)?;
-    let stand_in = StandInServer::start(&StandInSettings {
-        store,
-        vms,
-        machines,
-    })?;
-    println!(
-        "starting {} entries, {WORKERS} workers, {UPSTREAMS} upstreams",
-        entries.len()
-    );
+    let stand_in = StandInServer::start(&StandInSettings { store, vms, machines })?;
+    println!("starting {} entries, {WORKERS} workers, {UPSTREAMS} upstreams", entries.len());
     let mut processes = BTreeMap::new();
     for entry in &entries {
         let process = EntryProcess::start(entry, metrics.clone())?;
@@ -179,9 +158,7 @@
     let callers = CallerLoad::start(&entries, settings, LOAD_TIME)?;
     let mut packing = PackingSample::default();
     packing.watch(&stand_in, STOP_AFTER);
-    let stopped = entries
-        .first()
-        .and_then(|entry| processes.remove(&entry.name));
+    let stopped = entries.first().and_then(|entry| processes.remove(&entry.name));
     let stop_whole = stopped.is_none_or(EntryProcess::drain);
     println!(
         "planned stop of {}: requests cut: {}",
@@ -217,15 +194,9 @@
         let until = Instant::now() + time;
         while Instant::now() < until {
             let (used, opened) = stand_in.with(|state| {
-                let busy = state
-                    .workers
-                    .values()
-                    .map(|worker| worker.used().millicores);
+                let busy = state.workers.values().map(|worker| worker.used().millicores);
                 let busy: Vec<u64> = busy.filter(|used| *used > 0).map(u64::from).collect();
-                (
-                    busy.iter().sum(),
-                    busy.len() as u64 * u64::from(WORKER.millicores),
-                )
+                (busy.iter().sum(), busy.len() as u64 * u64::from(WORKER.millicores))
             });
             if used > self.used {
                 (self.used, self.opened) = (used, opened);
@@ -262,14 +233,9 @@
                 *marks.entry(mark).or_default() += count;
             }
             let calls = &report.calls;
-            let once = calls
-                .once
-                .iter()
-                .filter(|m| marks.get(m.as_str()).copied().unwrap_or(0) > 1);
-            let no = calls
-                .not_run
-                .iter()
-                .filter(|m| marks.contains_key(m.as_str()));
+            let once =
+                calls.once.iter().filter(|m| marks.get(m.as_str()).copied().unwrap_or(0) > 1);
+            let no = calls.not_run.iter().filter(|m| marks.contains_key(m.as_str()));
             (over, (once.count(), no.count()))
         });
         let overlaps = stand_in.with(|state| load::overlapping_runs(state));
@@ -278,19 +244,13 @@
             ("all plans were confirmed", confirmed),
             ("the planned stop cut no request", stop_whole),
             ("every request had an answer", report.calls.unanswered == 0),
-            (
-                "every answer was whole and its caller's own",
-                report.calls.foreign == 0,
-            ),
+            ("every answer was whole and its caller's own", report.calls.foreign == 0),
             ("no request was left unknown", report.calls.unknown == 0),
             ("no upstream had more requests than slots", over_slots == 0),
             ("not-idempotent requests ran at most once", twice.0 == 0),
             ("what was answered as not run never ran", twice.1 == 0),
             ("no task ran in two places", overlaps == 0),
-            (
-                "all jobs ended well",
-                report.jobs.succeeded == report.jobs.submitted,
-            ),
+            ("all jobs ended well", report.jobs.succeeded == report.jobs.submitted),
             ("no invariant was broken", broken_invariants() == 0),
         ])
     }
@@ -305,12 +265,7 @@
 
 fn quantiles(histogram: &Histogram<u64>) -> String {
     let at = |q| histogram.value_at_quantile(q) as f64 / 1e3;
-    format!(
-        "p50 {:.1} ms, p99 {:.1} ms ({} samples)",
-        at(0.5),
-        at(0.99),
-        histogram.len()
-    )
+    format!("p50 {:.1} ms, p99 {:.1} ms ({} samples)", at(0.5), at(0.99), histogram.len())
 }
 
 fn print_report(
@@ -333,10 +288,7 @@
     for (urgency, histogram) in &report.jobs.waits {
         println!("  {urgency:<5} {}", quantiles(histogram));
     }
-    println!(
-        "jobs: {} of {} ended well",
-        report.jobs.succeeded, report.jobs.submitted
-    );
+    println!("jobs: {} of {} ended well", report.jobs.succeeded, report.jobs.submitted);
     let (reads, writes, watches) = stand_in.with(|state| {
         let (reads, writes) = state.store.calls();
         (reads, writes, state.watches)
@@ -349,10 +301,7 @@
         rate(watches)
     );
     let page = metrics.render();
-    for line in page
-        .lines()
-        .filter(|line| line.starts_with("kelplink_ring_full"))
-    {
+    for line in page.lines().filter(|line| line.starts_with("kelplink_ring_full")) {
         println!("{line}");
     }
 }
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -63,10 +63,7 @@
 }
 
 fn block_on<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
-    runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?
-        .block_on(work)
+    runtime::Builder::new_current_thread().enable_all().build()?.block_on(work)
 }
 
 async fn call(
@@ -76,9 +73,7 @@
     path: &str,
     body: impl Into<Bytes>,
 ) -> Result<Response<Bytes>> {
-    let result = http
-        .call(method, address, path, body, ANSWER_TIME, ANSWER_BYTES)
-        .await;
+    let result = http.call(method, address, path, body, ANSWER_TIME, ANSWER_BYTES).await;
     result.map_err(|error| anyhow!("{error:?}"))
 }
 
@@ -135,10 +130,7 @@
             let body = plan.into_body();
             let confirmed = call(&http, Method::POST, at.operators, "/v1/confirm", body).await?;
             if confirmed.status() != StatusCode::OK {
-                println!(
-                    "not confirmed: {}",
-                    String::from_utf8_lossy(confirmed.body())
-                );
+                println!("not confirmed: {}", String::from_utf8_lossy(confirmed.body()));
                 return Ok(false);
             }
         }
@@ -187,9 +179,7 @@
     }
 
     pub(crate) fn finish(self) -> Result<CallReport> {
-        self.thread
-            .join()
-            .map_err(|_| anyhow!("the callers' thread panicked"))?
+        self.thread.join().map_err(|_| anyhow!("the callers' thread panicked"))?
     }
 }
 
@@ -202,17 +192,8 @@
     let http = HttpClient::new();
     let callers: Vec<_> = (0..settings.callers)
         .map(|number| {
-            let seed = settings
-                .seed
-                .wrapping_mul(1_000)
-                .wrapping_add(u64::from(number));
-            tokio::spawn(one_caller(
-                http.clone(),
-                addresses.clone(),
-                number,
-                seed,
-                until,
-            ))
+            let seed = settings.seed.wrapping_mul(1_000).wrapping_add(u64::from(number));
+            tokio::spawn(one_caller(http.clone(), addresses.clone(), number, seed, until))
         })
         .collect();
     let mut report = CallReport::default();
@@ -260,16 +241,8 @@
             report.once.insert(mark.clone());
         }
         let started = Instant::now();
-        let response = send_one(
-            &http,
-            &addresses,
-            at,
-            &path,
-            urgency,
-            once.then_some(&mark),
-            &mark,
-        )
-        .await;
+        let response =
+            send_one(&http, &addresses, at, &path, urgency, once.then_some(&mark), &mark).await;
         judge(&mut report, response, &mark, bytes, urgency, started);
         sleep(Duration::from_millis(rng.random_range(0..10))).await;
     }
@@ -294,9 +267,7 @@
             .header(URGENCY_HEADER, urgency)
             .header("x-mark", mark);
         if let Some(key) = key {
-            request = request
-                .header(IDEMPOTENT_HEADER, "false")
-                .header(KEY_HEADER, key);
+            request = request.header(IDEMPOTENT_HEADER, "false").header(KEY_HEADER, key);
         }
         let request = request.body(Full::default()).ok()?;
         match http.send(request, ANSWER_TIME, ANSWER_BYTES).await {
@@ -323,10 +294,7 @@
         report.unanswered += 1;
         return;
     };
-    let ran = response
-        .headers()
-        .get(RAN_HEADER)
-        .and_then(|value| value.to_str().ok());
+    let ran = response.headers().get(RAN_HEADER).and_then(|value| value.to_str().ok());
     match ran {
         Some("yes") => {
             let body: serde_json::Value =
@@ -370,17 +338,10 @@
     }
 
     pub(crate) fn finish(self, entries: &[EntrySettings], time: Duration) -> Result<JobReport> {
-        let mut report = self
-            .thread
-            .join()
-            .map_err(|_| anyhow!("the jobs' thread panicked"))??;
+        let mut report = self.thread.join().map_err(|_| anyhow!("the jobs' thread panicked"))??;
         report.submitted = self.submitted.len();
         let addresses = callers(&entries[1..]);
-        let names: Vec<String> = self
-            .submitted
-            .iter()
-            .map(|(name, _)| name.clone())
-            .collect();
+        let names: Vec<String> = self.submitted.iter().map(|(name, _)| name.clone()).collect();
         report.succeeded = block_on(wait_jobs(addresses, names, time))?;
         Ok(report)
     }
@@ -464,10 +425,7 @@
             let view = look(&http, addresses[at % addresses.len()], &name).await;
             let over = view.as_ref().is_some_and(|view| view.record.over());
             let well = view.is_some_and(|view| {
-                view.record
-                    .ended
-                    .values()
-                    .all(|end| *end == crate::job::TaskEnd::Succeeded)
+                view.record.ended.values().all(|end| *end == crate::job::TaskEnd::Succeeded)
             });
             succeeded += usize::from(over && well);
             if !over {
@@ -487,16 +445,12 @@
 pub(crate) fn overlapping_runs(state: &StandInState) -> usize {
     let mut runs: BTreeMap<_, Vec<_>> = BTreeMap::new();
     for run in state.workers.values().flat_map(|worker| worker.runs()) {
-        runs.entry(run.task.clone())
-            .or_default()
-            .push((run.started, run.ended));
+        runs.entry(run.task.clone()).or_default().push((run.started, run.ended));
     }
     let overlaps = |runs: &mut Vec<(Instant, Option<Instant>)>| {
         runs.sort();
         let pairs = runs.windows(2);
-        pairs
-            .filter(|pair| pair[0].1.is_none_or(|ended| ended > pair[1].0))
-            .count()
+        pairs.filter(|pair| pair[0].1.is_none_or(|ended| ended > pair[1].0)).count()
     };
     runs.values_mut().map(overlaps).sum()
 }
--- a/src/domain/calls.rs
+++ b/src/domain/calls.rs
@@ -38,10 +38,8 @@
 
     fn confirm(&mut self, now: Instant, to: &ReplyTo, plan: PlanDocument) {
         let ReplyTo::Client(id) = to else {
-            return self.refuse(
-                to,
-                CallRefusal::NotFound("confirms are not handed over".to_owned()),
-            );
+            return self
+                .refuse(to, CallRefusal::NotFound("confirms are not handed over".to_owned()));
         };
         let cluster = self.peers.cluster(now, &self.own_summary());
         let outputs = self.config.confirm(now, *id, plan, &cluster, &self.domains);
@@ -54,10 +52,7 @@
         match call {
             ClientCall::Submit(request) => {
                 let config = self.config.current();
-                let only = config
-                    .intents
-                    .get(&request.intent)
-                    .and_then(|i| i.spec.domain.clone());
+                let only = config.intents.get(&request.intent).and_then(|i| i.spec.domain.clone());
                 only.or_else(|| by_name(&request.id))
             }
             ClientCall::Cancel(id) | ClientCall::Job(id) => self.home_of_job(id),
@@ -102,9 +97,7 @@
         let ReplyTo::Client(id) = to else {
             return;
         };
-        let dropped = self
-            .peers
-            .expect_answer(now, *id, leader.clone(), call.clone());
+        let dropped = self.peers.expect_answer(now, *id, leader.clone(), call.clone());
         if let Some(id) = dropped {
             self.refuse(&ReplyTo::Client(id), CallRefusal::Busy);
         }
@@ -129,10 +122,7 @@
             ClientCall::CompleteKey { id, holder, state } => {
                 self.complete_key(&to, &id, &holder, state);
             }
-            _ => self.refuse(
-                &to,
-                CallRefusal::NotFound("not a call for a leader".to_owned()),
-            ),
+            _ => self.refuse(&to, CallRefusal::NotFound("not a call for a leader".to_owned())),
         }
     }
 
--- a/src/domain/controller.rs
+++ b/src/domain/controller.rs
@@ -36,18 +36,9 @@
 #[derive(Clone, Debug)]
 pub(crate) enum CommitWaiter {
     /// A start that must not happen before its mark is durable.
-    Start {
-        worker: WorkerId,
-        task: TaskId,
-        attempt: Attempt,
-        command: WorkerCommand,
-    },
+    Start { worker: WorkerId, task: TaskId, attempt: Attempt, command: WorkerCommand },
     /// An end that the worker need not list any more.
-    Forget {
-        worker: WorkerId,
-        task: TaskId,
-        attempt: Attempt,
-    },
+    Forget { worker: WorkerId, task: TaskId, attempt: Attempt },
     /// An answer.
     Answer(ReplyTo, ClientAnswer),
 }
@@ -103,10 +94,7 @@
     /// Starts as follower. `unix` is the time of day at `now`.
     pub fn new(now: Instant, unix: UnixMillis, identity: EntryIdentity) -> Self {
         let near = identity.domain_entries();
-        let rank = near
-            .iter()
-            .position(|entry| *entry == identity.entry)
-            .unwrap_or(0);
+        let rank = near.iter().position(|entry| *entry == identity.entry).unwrap_or(0);
         let (entry, domain) = (identity.entry.clone(), identity.domain.clone());
         let (boot, timing) = (identity.boot, identity.timing);
         Self {
@@ -210,9 +198,7 @@
             }
             StoreOwner::Config => {
                 let cluster = self.peers.cluster(now, &self.own_summary());
-                let outputs = self
-                    .config
-                    .answer(now, id, outcome, &cluster, &self.domains);
+                let outputs = self.config.answer(now, id, outcome, &cluster, &self.domains);
                 self.config_outputs(now, outputs);
             }
             StoreOwner::Quota => self.quota_answer(now, id, outcome),
@@ -285,10 +271,7 @@
     }
 
     fn lead(&mut self, now: Instant, token: FencingToken) {
-        info!(
-            "{} leads {} under {token:?}",
-            self.identity.entry, self.identity.domain
-        );
+        info!("{} leads {} under {token:?}", self.identity.entry, self.identity.domain);
         metrics::counter!("kelplink_takeovers_total").increment(1);
         let entries = self.identity.domain_entries();
         let shares = ShareTable::new(now, token.clone(), entries, self.identity.timing);
@@ -322,8 +305,7 @@
             _ => {
                 let fresh = self.journal.is_empty();
                 if fresh {
-                    self.journal
-                        .preload(self.warm.values().cloned().collect::<Vec<_>>());
+                    self.journal.preload(self.warm.values().cloned().collect::<Vec<_>>());
                 }
                 self.activate(now);
             }
@@ -359,21 +341,14 @@
     }
 
     fn follow(&mut self, now: Instant) {
-        info!(
-            "{} follows in {}",
-            self.identity.entry, self.identity.domain
-        );
+        info!("{} follows in {}", self.identity.entry, self.identity.domain);
         let Some(leader) = self.leader.take() else {
             return;
         };
-        let answers = leader
-            .waiters
-            .into_values()
-            .flatten()
-            .filter_map(|waiter| match waiter {
-                CommitWaiter::Answer(to, _) => Some(to),
-                _ => None,
-            });
+        let answers = leader.waiters.into_values().flatten().filter_map(|waiter| match waiter {
+            CommitWaiter::Answer(to, _) => Some(to),
+            _ => None,
+        });
         for to in answers.collect::<Vec<_>>() {
             self.reply(&to, ClientAnswer::Refused(CallRefusal::Unknown));
         }
@@ -381,10 +356,7 @@
             self.reply(&to, ClientAnswer::Refused(CallRefusal::NoLeader));
         }
         let records: Vec<LedgerRecord> = self.journal.records().cloned().collect();
-        self.warm = records
-            .into_iter()
-            .map(|record| (record.name(), record))
-            .collect();
+        self.warm = records.into_iter().map(|record| (record.name(), record)).collect();
         self.journal.close();
         self.fleet.follow();
         self.peers.hurry(now);
@@ -436,12 +408,7 @@
 
     fn carry_out(&mut self, waiter: CommitWaiter) {
         match waiter {
-            CommitWaiter::Start {
-                worker,
-                task,
-                attempt,
-                command,
-            } => {
+            CommitWaiter::Start { worker, task, attempt, command } => {
                 let wanted = self.leader.as_ref().is_some_and(|leader| {
                     let live = leader.scheduler.live().get(&task);
                     live.is_some_and(|live| live.attempt() == attempt && live.label() == "starting")
@@ -450,18 +417,8 @@
                     self.fleet.command(&worker, command);
                 }
             }
-            CommitWaiter::Forget {
-                worker,
-                task,
-                attempt,
-            } => {
-                self.fleet.command(
-                    &worker,
-                    WorkerCommand::Forget {
-                        task: task.clone(),
-                        attempt,
-                    },
-                );
+            CommitWaiter::Forget { worker, task, attempt } => {
+                self.fleet.command(&worker, WorkerCommand::Forget { task: task.clone(), attempt });
                 if let Some(leader) = &mut self.leader {
                     leader.forgetting.remove(&(worker, task, attempt));
                 }
@@ -496,10 +453,8 @@
     }
 
     fn list_vms(&mut self, now: Instant, vms: &[VmRecord]) {
-        let own: Vec<&VmRecord> = vms
-            .iter()
-            .filter(|vm| vm.domain == self.identity.domain)
-            .collect();
+        let own: Vec<&VmRecord> =
+            vms.iter().filter(|vm| vm.domain == self.identity.domain).collect();
         let mut workers: Vec<(WorkerSpec, SocketAddr)> = Vec::new();
         let mut upstreams = Vec::new();
         self.leaving_workers.clear();
@@ -511,11 +466,7 @@
                     if vm.leaving {
                         self.leaving_workers.insert(id.clone());
                     }
-                    let spec = WorkerSpec {
-                        id,
-                        rack: vm.rack.clone(),
-                        capacity: *capacity,
-                    };
+                    let spec = WorkerSpec { id, rack: vm.rack.clone(), capacity: *capacity };
                     workers.push((spec, vm.address));
                 }
                 VmRole::Upstream { service, slots } => {
@@ -524,12 +475,7 @@
                         self.leaving_upstreams.insert(id.clone());
                     }
                     let (service, slots) = (service.clone(), *slots);
-                    upstreams.push(UpstreamSpec {
-                        id,
-                        service,
-                        address: vm.address,
-                        slots,
-                    });
+                    upstreams.push(UpstreamSpec { id, service, address: vm.address, slots });
                 }
             }
         }
@@ -546,12 +492,8 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
-        let ids: Vec<WorkerId> = leader
-            .scheduler
-            .pool()
-            .iter()
-            .map(|worker| worker.spec.id.clone())
-            .collect();
+        let ids: Vec<WorkerId> =
+            leader.scheduler.pool().iter().map(|worker| worker.spec.id.clone()).collect();
         for id in ids {
             let closed = self.leaving_workers.contains(&id) || self.silent_workers.contains(&id);
             leader.scheduler.set_leaving(&id, closed);
@@ -578,10 +520,7 @@
         }
         let cover = self.moves.cover(now, self.leadership.deadline());
         leader.scheduler.allow_movable(cover.is_some());
-        let detached = self
-            .leadership
-            .deadline()
-            .is_none_or(|deadline| now >= deadline);
+        let detached = self.leadership.deadline().is_none_or(|deadline| now >= deadline);
         leader.shares.set_detached(detached);
         let outputs = self.fleet.tick(now, cover, self.leadership.may_act(now));
         self.fleet_outputs(now, outputs);
@@ -590,18 +529,8 @@
     pub(crate) fn fleet_outputs(&mut self, now: Instant, outputs: Vec<FleetOutput>) {
         for output in outputs {
             match output {
-                FleetOutput::Exchange {
-                    id,
-                    worker,
-                    address,
-                    request,
-                } => {
-                    self.actions.push(DomainAction::Worker {
-                        worker,
-                        address,
-                        id,
-                        request,
-                    });
+                FleetOutput::Exchange { id, worker, address, request } => {
+                    self.actions.push(DomainAction::Worker { worker, address, id, request });
                 }
                 FleetOutput::Claimed(spec, tasks) => self.worker_claimed(now, spec, &tasks),
                 FleetOutput::Listed(worker, tasks) => self.worker_listed(now, &worker, &tasks),
--- a/src/domain/event.rs
+++ b/src/domain/event.rs
@@ -33,21 +33,13 @@
     /// All failure domains in order of name.
     pub fn domains(&self) -> Vec<DomainId> {
         let own = std::iter::once(&self.domain);
-        let all: BTreeSet<_> = self
-            .peers
-            .iter()
-            .map(|(_, domain)| domain)
-            .chain(own)
-            .collect();
+        let all: BTreeSet<_> = self.peers.iter().map(|(_, domain)| domain).chain(own).collect();
         all.into_iter().cloned().collect()
     }
 
     /// All entries of the own failure domain in order of name, itself included.
     pub fn domain_entries(&self) -> Vec<EntryId> {
-        let near = self
-            .peers
-            .iter()
-            .filter(|(_, domain)| *domain == self.domain);
+        let near = self.peers.iter().filter(|(_, domain)| *domain == self.domain);
         let all: BTreeSet<_> = near.map(|(entry, _)| entry).chain([&self.entry]).collect();
         all.into_iter().cloned().collect()
     }
@@ -173,7 +165,6 @@
     /// Milliseconds since the Unix epoch at `now`.
     pub(crate) fn unix(&self, now: tokio::time::Instant) -> UnixMillis {
         let passed = now.saturating_duration_since(self.base).as_millis();
-        self.unix
-            .saturating_add(u64::try_from(passed).unwrap_or(u64::MAX))
+        self.unix.saturating_add(u64::try_from(passed).unwrap_or(u64::MAX))
     }
 }
--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -41,10 +41,7 @@
         if let Some(known) = self.job(&request.id) {
             let same = known.spec.intent == request.intent
                 && request.count.is_none_or(|count| count == known.spec.count)
-                && request
-                    .command
-                    .as_ref()
-                    .is_none_or(|command| *command == known.spec.command);
+                && request.command.as_ref().is_none_or(|command| *command == known.spec.command);
             return match same {
                 true => self.answer_job(now, to, &request.id),
                 false => {
@@ -85,16 +82,13 @@
         if !pool.could_ever_fit(&spec.need) {
             let largest = pool.largest();
             let resource = spec.need.exceeds(&largest).unwrap_or("room on one worker");
-            return Some(format!(
-                "a task needs more {resource} than any worker has: {largest:?}"
-            ));
+            return Some(format!("a task needs more {resource} than any worker has: {largest:?}"));
         }
         let whole = spec.need.times(spec.count);
         match spec.kind {
-            JobKind::AllAtOnce if !whole.fits(&pool.total()) => Some(format!(
-                "all tasks together need {whole:?} of {:?}",
-                pool.total()
-            )),
+            JobKind::AllAtOnce if !whole.fits(&pool.total()) => {
+                Some(format!("all tasks together need {whole:?} of {:?}", pool.total()))
+            }
             _ => None,
         }
     }
@@ -137,23 +131,13 @@
         let record = self.job(id)?.clone();
         let leader = self.leader.as_ref()?;
         let first = (id.clone(), 0);
-        let live = leader
-            .scheduler
-            .live()
-            .range(first..)
-            .take_while(|((job, _), _)| job == id);
+        let live = leader.scheduler.live().range(first..).take_while(|((job, _), _)| job == id);
         let running = live
             .map(|((_, index), live)| (*index, format!("{} on {}", live.label(), live.worker())));
         let durable = self.journal.open() && self.journal.durable(&job_name(id));
         let waits = leader.scheduler.why_waiting(id);
         let domain = self.identity.domain.clone();
-        Some(JobView {
-            record,
-            domain,
-            durable,
-            running: running.collect(),
-            waits,
-        })
+        Some(JobView { record, domain, durable, running: running.collect(), waits })
     }
 
     /// Cancels a job; the answer goes out when that is durable.
@@ -167,8 +151,7 @@
     }
 
     fn cancel(&mut self, id: &JobId) {
-        self.journal
-            .change_job(&job_name(id), |record| record.cancelled = true);
+        self.journal.change_job(&job_name(id), |record| record.cancelled = true);
         if let Some(leader) = &mut self.leader {
             leader.scheduler.cancel(id);
         }
@@ -202,10 +185,7 @@
             })
             .filter(|id| id.contains(INTENT_MARK) && !wanted.contains(id))
             .filter(|id| !self.taken_over(id, &config))
-            .filter(|id| {
-                self.job(id)
-                    .is_some_and(|job| job.spec.revision <= config.revision)
-            })
+            .filter(|id| self.job(id).is_some_and(|job| job.spec.revision <= config.revision))
             .collect();
         for id in unwanted {
             info!("{id} is not asked for any more");
@@ -255,30 +235,15 @@
     pub(crate) fn place(&mut self, now: Instant) {
         let unix = self.clock.unix(now);
         let may_act = self.leadership.may_act(now);
-        let Some(leader) = self
-            .leader
-            .as_mut()
-            .filter(|leader| leader.active && may_act)
-        else {
+        let Some(leader) = self.leader.as_mut().filter(|leader| leader.active && may_act) else {
             return;
         };
         for action in leader.scheduler.pass(now, unix) {
             match action {
-                PlacementAction::Start {
-                    worker,
-                    task,
-                    attempt,
-                    need,
-                    spec,
-                } => {
+                PlacementAction::Start { worker, task, attempt, need, spec } => {
                     self.start_task(worker, task, attempt, need, &spec);
                 }
-                PlacementAction::Stop {
-                    worker,
-                    task,
-                    attempt,
-                    reason,
-                } => {
+                PlacementAction::Stop { worker, task, attempt, reason } => {
                     self.stop_task(now, &worker, &task, attempt, reason);
                 }
                 PlacementAction::Ended { task, end } => self.end_task(&task, end),
@@ -318,15 +283,7 @@
             record.started.insert(index);
         };
         if let Some(ticket) = self.journal.change_job(&job_name(&task.0), change) {
-            self.when_durable(
-                ticket,
-                CommitWaiter::Start {
-                    worker,
-                    task,
-                    attempt,
-                    command,
-                },
-            );
+            self.when_durable(ticket, CommitWaiter::Start { worker, task, attempt, command });
         }
     }
 
@@ -341,21 +298,12 @@
         let never_sent = self.fleet.withdraw(worker, task) || self.withdraw_waiter(task);
         if !never_sent {
             let task = task.clone();
-            return self.fleet.command(
-                worker,
-                WorkerCommand::Stop {
-                    task,
-                    attempt,
-                    reason,
-                },
-            );
+            return self.fleet.command(worker, WorkerCommand::Stop { task, attempt, reason });
         }
         let outcome = TaskOutcome::Refused("withdrawn before it was sent".to_owned());
         if let Some(leader) = &mut self.leader {
             let usage = TaskUsage::default();
-            leader
-                .scheduler
-                .task_ended(now, worker, task, &outcome, &usage);
+            leader.scheduler.task_ended(now, worker, task, &outcome, &usage);
         }
         self.place(now);
     }
@@ -467,20 +415,10 @@
     /// A worker runs what it should not; only a leader that knows all jobs may say so.
     fn stop_stray(&mut self, worker: &WorkerId, report: &TaskReport) {
         if self.journal.open() {
-            info!(
-                "{:?} on {worker} belongs to nothing: stopping it",
-                report.task
-            );
+            info!("{:?} on {worker} belongs to nothing: stopping it", report.task);
             let (task, attempt) = (report.task.clone(), report.attempt);
             let reason = StopReason::Stray;
-            self.fleet.command(
-                worker,
-                WorkerCommand::Stop {
-                    task,
-                    attempt,
-                    reason,
-                },
-            );
+            self.fleet.command(worker, WorkerCommand::Stop { task, attempt, reason });
         }
     }
 
@@ -490,17 +428,11 @@
             return;
         };
         if !self.journal.open()
-            || !leader
-                .forgetting
-                .insert((worker.clone(), task.clone(), attempt))
+            || !leader.forgetting.insert((worker.clone(), task.clone(), attempt))
         {
             return;
         }
-        let waiter = CommitWaiter::Forget {
-            worker: worker.clone(),
-            task,
-            attempt,
-        };
+        let waiter = CommitWaiter::Forget { worker: worker.clone(), task, attempt };
         match self.journal.backlog() {
             0 => leader.waiters.entry(0).or_default().push(waiter),
             _ => {
@@ -514,9 +446,7 @@
         let Some(address) = report.endpoint.as_ref().and_then(|text| text.parse().ok()) else {
             return;
         };
-        let Some(service) = self
-            .job(&report.task.0)
-            .map(|record| record.spec.intent.clone())
+        let Some(service) = self.job(&report.task.0).map(|record| record.spec.intent.clone())
         else {
             return;
         };
@@ -524,12 +454,7 @@
             return;
         };
         let id = format!("{}#{}.{}", report.task.0, report.task.1, report.attempt).into();
-        let spec = UpstreamSpec {
-            id,
-            service,
-            address,
-            slots: SERVICE_TASK_SLOTS,
-        };
+        let spec = UpstreamSpec { id, service, address, slots: SERVICE_TASK_SLOTS };
         let before = leader.endpoints.insert(report.task.clone(), spec.clone());
         if before != Some(spec) {
             self.restore_upstreams();
@@ -563,24 +488,10 @@
 
     /// Carries out what waited for nothing but the journal to be idle.
     fn flush_ready_waiters(&mut self) {
-        let ready = self
-            .leader
-            .as_mut()
-            .and_then(|leader| leader.waiters.remove(&0));
+        let ready = self.leader.as_mut().and_then(|leader| leader.waiters.remove(&0));
         for waiter in ready.into_iter().flatten() {
-            if let CommitWaiter::Forget {
-                worker,
-                task,
-                attempt,
-            } = waiter
-            {
-                self.fleet.command(
-                    &worker,
-                    WorkerCommand::Forget {
-                        task: task.clone(),
-                        attempt,
-                    },
-                );
+            if let CommitWaiter::Forget { worker, task, attempt } = waiter {
+                self.fleet.command(&worker, WorkerCommand::Forget { task: task.clone(), attempt });
                 if let Some(leader) = &mut self.leader {
                     leader.forgetting.remove(&(worker, task, attempt));
                 }
--- a/src/domain/keys.rs
+++ b/src/domain/keys.rs
@@ -28,31 +28,19 @@
         };
         let answer = match known {
             Some(record) if record.digest != digest => KeyAnswer::Mismatch,
-            Some(KeyRecord {
-                state: KeyState::Answered(answer),
-                ..
-            }) => KeyAnswer::Answered(answer),
-            Some(KeyRecord {
-                state: KeyState::Started | KeyState::Ended,
-                ..
-            }) => KeyAnswer::Unknown,
-            Some(KeyRecord {
-                state: KeyState::NotRun,
-                ..
-            })
-            | None => KeyAnswer::Fresh,
+            Some(KeyRecord { state: KeyState::Answered(answer), .. }) => {
+                KeyAnswer::Answered(answer)
+            }
+            Some(KeyRecord { state: KeyState::Started | KeyState::Ended, .. }) => {
+                KeyAnswer::Unknown
+            }
+            Some(KeyRecord { state: KeyState::NotRun, .. }) | None => KeyAnswer::Fresh,
         };
         if answer != KeyAnswer::Fresh {
             return self.reply(&to, ClientAnswer::Key(answer));
         }
         let accepted = self.clock.unix(now);
-        let record = KeyRecord {
-            id,
-            digest,
-            holder,
-            state: KeyState::Started,
-            accepted,
-        };
+        let record = KeyRecord { id, digest, holder, state: KeyState::Started, accepted };
         let ticket = self.journal.put(LedgerRecord::Key(record));
         let answer = ClientAnswer::Key(KeyAnswer::Fresh);
         self.when_durable(ticket, CommitWaiter::Answer(to, answer));
@@ -69,10 +57,7 @@
             && record.state == KeyState::Started
             && record.holder == holder
         {
-            let record = KeyRecord {
-                state,
-                ..record.clone()
-            };
+            let record = KeyRecord { state, ..record.clone() };
             self.journal.put(LedgerRecord::Key(record));
         }
         self.reply(to, ClientAnswer::Key(KeyAnswer::Noted));
--- a/src/domain/moves.rs
+++ b/src/domain/moves.rs
@@ -85,10 +85,7 @@
 
 impl MoveController {
     pub(crate) fn new(now: Instant, identity: &EntryIdentity) -> Self {
-        let others = identity
-            .domains()
-            .into_iter()
-            .filter(|domain| *domain != identity.domain);
+        let others = identity.domains().into_iter().filter(|domain| *domain != identity.domain);
         Self {
             entry: identity.entry.clone(),
             boot: identity.boot,
@@ -119,19 +116,11 @@
         let promised = match self.others.is_empty() {
             true => Some(now + self.timing.hold),
             false => {
-                let all = self
-                    .others
-                    .iter()
-                    .map(|domain| self.held.get(domain).copied());
-                all.collect::<Option<Vec<_>>>()
-                    .and_then(|all| all.into_iter().min())
+                let all = self.others.iter().map(|domain| self.held.get(domain).copied());
+                all.collect::<Option<Vec<_>>>().and_then(|all| all.into_iter().min())
             }
         };
-        deadline
-            .into_iter()
-            .chain(promised)
-            .filter(|until| *until > now)
-            .max()
+        deadline.into_iter().chain(promised).filter(|until| *until > now).max()
     }
 
     /// A leader promised to hold off; its time runs from when it was asked.
@@ -146,11 +135,7 @@
 
     /// Failure domains that hold off now, for the state dump.
     pub(crate) fn holding(&self, now: Instant) -> Vec<&DomainId> {
-        self.held
-            .iter()
-            .filter(|(_, until)| **until > now)
-            .map(|(domain, _)| domain)
-            .collect()
+        self.held.iter().filter(|(_, until)| **until > now).map(|(domain, _)| domain).collect()
     }
 
     /// Tells whether a call was a question what became of a move.
@@ -159,9 +144,7 @@
     }
 
     fn taking_over(&self, domain: &DomainId) -> bool {
-        self.takeover
-            .as_ref()
-            .is_some_and(|takeover| takeover.domain == *domain)
+        self.takeover.as_ref().is_some_and(|takeover| takeover.domain == *domain)
     }
 
     fn begin(&mut self, now: Instant, domain: DomainId) {
@@ -269,9 +252,7 @@
         }
         self.moves.next_ask = now + ASK_INTERVAL;
         let epoch = self.leadership.token().map_or(0, |token| token.epoch);
-        self.moves
-            .asked
-            .retain(|_, (_, _, at)| now < *at + ASK_INTERVAL * 4);
+        self.moves.asked.retain(|_, (_, _, at)| now < *at + ASK_INTERVAL * 4);
         for domain in self.moves.others.clone() {
             let Some(peer) = self.peers.leader_of(now, &domain) else {
                 continue;
@@ -280,14 +261,7 @@
             let seq = self.moves.seq;
             self.moves.asked.insert(seq, (domain, peer.clone(), now));
             let own = self.identity.domain.clone();
-            self.tell(
-                &peer,
-                PeerMessage::AskHold {
-                    domain: own,
-                    epoch,
-                    seq,
-                },
-            );
+            self.tell(&peer, PeerMessage::AskHold { domain: own, epoch, seq });
         }
     }
 
@@ -310,17 +284,11 @@
     /// A failure domain whose leader was not heard from for long, and that may have such tasks.
     fn silent_domain(&mut self, now: Instant) -> Option<DomainId> {
         let movable = self.config.current().intents.values();
-        let any = movable
-            .into_iter()
-            .any(|intent| intent.spec.cut_off == CutOffRule::Move);
+        let any = movable.into_iter().any(|intent| intent.spec.cut_off == CutOffRule::Move);
         let since = self.moves.leading_since;
         let silent = self.moves.others.iter().find(|domain| {
             let heard = self.peers.leader_heard(domain).unwrap_or(since).max(since);
-            let again = self
-                .moves
-                .look_again
-                .get(*domain)
-                .is_none_or(|at| now >= *at);
+            let again = self.moves.look_again.get(*domain).is_none_or(|at| now >= *at);
             any && again && now >= heard + SILENCE
         });
         silent.cloned()
@@ -359,9 +327,7 @@
 
     fn end_takeover(&mut self, now: Instant) {
         if let Some(mut takeover) = self.moves.takeover.take() {
-            self.moves
-                .look_again
-                .insert(takeover.domain.clone(), now + LOOK_AGAIN);
+            self.moves.look_again.insert(takeover.domain.clone(), now + LOOK_AGAIN);
             let actions = takeover.leadership.leave(now);
             for action in actions {
                 if let LeadershipAction::Call(id, request) = action {
@@ -389,11 +355,7 @@
     }
 
     fn takeover_advance(&mut self, now: Instant) {
-        let heard = self
-            .moves
-            .takeover
-            .as_ref()
-            .and_then(|t| self.peers.leader_heard(&t.domain));
+        let heard = self.moves.takeover.as_ref().and_then(|t| self.peers.leader_heard(&t.domain));
         let Some(takeover) = &mut self.moves.takeover else {
             return;
         };
@@ -431,17 +393,8 @@
         let jobs: Vec<JobRecord> = jobs.filter(|job| movable(job)).collect();
         let jobs: Vec<JobRecord> = jobs
             .into_iter()
-            .filter(|job| {
-                !JobRecord {
-                    moved: None,
-                    ..job.clone()
-                }
-                .over()
-            })
-            .filter(|job| {
-                self.job(&job.spec.id)
-                    .is_none_or(|known| known.moving_from.is_some())
-            })
+            .filter(|job| !JobRecord { moved: None, ..job.clone() }.over())
+            .filter(|job| self.job(&job.spec.id).is_none_or(|known| known.moving_from.is_some()))
             .collect();
         if jobs.is_empty() {
             return self.end_takeover(now);
@@ -451,16 +404,10 @@
         };
         let from = takeover.domain.clone();
         let epoch = takeover.leadership.token().map_or(0, |token| token.epoch);
-        let mut ticket = self.journal.put(LedgerRecord::Taken {
-            domain: from.clone(),
-            epoch,
-        });
+        let mut ticket = self.journal.put(LedgerRecord::Taken { domain: from.clone(), epoch });
         for job in &jobs {
-            let intended = JobRecord {
-                moved: None,
-                moving_from: Some(from.clone()),
-                ..job.clone()
-            };
+            let intended =
+                JobRecord { moved: None, moving_from: Some(from.clone()), ..job.clone() };
             ticket = self.journal.put(LedgerRecord::Job(intended));
         }
         takeover.stage = TakeoverStage::Intending(ticket, jobs);
@@ -510,8 +457,7 @@
 
     /// Starts a job that was moved here.
     fn take_job(&mut self, id: &JobId) {
-        self.journal
-            .change_job(&job_name(id), |record| record.moving_from = None);
+        self.journal.change_job(&job_name(id), |record| record.moving_from = None);
         let record = self.job(id).cloned();
         if let (Some(leader), Some(mut record)) = (&mut self.leader, record) {
             end_what_may_have_run(&mut record);
@@ -527,9 +473,6 @@
         return;
     }
     for index in std::mem::take(&mut record.started) {
-        record
-            .ended
-            .entry(index)
-            .or_insert(crate::job::TaskEnd::Unknown);
+        record.ended.entry(index).or_insert(crate::job::TaskEnd::Unknown);
     }
 }
--- a/src/domain/peers.rs
+++ b/src/domain/peers.rs
@@ -105,9 +105,7 @@
     }
 
     fn far(&self, peer: &EntryId) -> bool {
-        self.peers
-            .get(peer)
-            .is_some_and(|state| state.domain != self.domain)
+        self.peers.get(peer).is_some_and(|state| state.domain != self.domain)
     }
 
     fn factor(&self, state: &PeerState) -> u32 {
@@ -121,10 +119,7 @@
     fn due(&mut self, now: Instant) -> Vec<EntryId> {
         let interval = self.interval;
         let own = self.domain.clone();
-        let due = self
-            .peers
-            .iter_mut()
-            .filter(|(_, state)| now >= state.next_hello);
+        let due = self.peers.iter_mut().filter(|(_, state)| now >= state.next_hello);
         due.map(|(entry, state)| {
             let factor = if state.domain == own { 1 } else { FAR_FACTOR };
             state.next_hello = now + interval * factor;
@@ -135,16 +130,12 @@
 
     /// The entry that leads a failure domain, by the highest token heard lately.
     pub(crate) fn leader_of(&self, now: Instant, domain: &DomainId) -> Option<EntryId> {
-        let near = self
-            .peers
-            .iter()
-            .filter(|(_, state)| state.domain == *domain);
+        let near = self.peers.iter().filter(|(_, state)| state.domain == *domain);
         let leading =
-            near.filter(|(_, state)| self.fresh(now, state))
-                .filter_map(|(entry, state)| {
-                    let news = state.hello.as_ref()?.leading.as_ref()?;
-                    Some((news.token.clone(), entry.clone()))
-                });
+            near.filter(|(_, state)| self.fresh(now, state)).filter_map(|(entry, state)| {
+                let news = state.hello.as_ref()?.leading.as_ref()?;
+                Some((news.token.clone(), entry.clone()))
+            });
         leading.max().map(|(_, entry)| entry)
     }
 
@@ -152,11 +143,7 @@
     pub(crate) fn cluster(&self, now: Instant, own: &Option<DomainSummary>) -> ClusterSummary {
         let mut cluster = ClusterSummary::new();
         for state in self.peers.values().filter(|state| self.fresh(now, state)) {
-            if let Some(news) = state
-                .hello
-                .as_ref()
-                .and_then(|hello| hello.leading.as_ref())
-            {
+            if let Some(news) = state.hello.as_ref().and_then(|hello| hello.leading.as_ref()) {
                 cluster.insert(state.domain.clone(), news.summary);
             }
         }
@@ -178,14 +165,7 @@
             true => None,
             false => self.calls.pop_first().map(|(id, _)| id),
         };
-        self.calls.insert(
-            id,
-            HandedCall {
-                leader,
-                call,
-                until: now + CALL_TIME,
-            },
-        );
+        self.calls.insert(id, HandedCall { leader, call, until: now + CALL_TIME });
         dropped
     }
 
@@ -203,18 +183,12 @@
                 continue;
             }
             for (service, free) in &state.free_slots {
-                rooms
-                    .entry(service.clone())
-                    .or_default()
-                    .push((*free, entry.clone()));
+                rooms.entry(service.clone()).or_default().push((*free, entry.clone()));
             }
         }
         let sorted = rooms.into_iter().map(|(service, mut entries)| {
             entries.sort_by(|a, b| b.cmp(a));
-            (
-                service,
-                entries.into_iter().map(|(_, entry)| entry).collect(),
-            )
+            (service, entries.into_iter().map(|(_, entry)| entry).collect())
         });
         sorted.collect()
     }
@@ -223,9 +197,7 @@
     pub(crate) fn statuses(&self, now: Instant) -> Vec<EntryStatus> {
         let status = |(entry, state): (&EntryId, &PeerState)| {
             let hello = state.hello.as_ref().filter(|_| self.fresh(now, state));
-            let silent = state
-                .heard
-                .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+            let silent = state.heard.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
             EntryStatus {
                 entry: entry.clone(),
                 domain: state.domain.clone(),
@@ -247,14 +219,9 @@
     /// When the leader of another failure domain was last heard from.
     pub(crate) fn leader_heard(&self, domain: &DomainId) -> Option<Instant> {
         let near = self.peers.values().filter(|state| state.domain == *domain);
-        near.filter(|state| {
-            state
-                .hello
-                .as_ref()
-                .is_some_and(|hello| hello.leading.is_some())
-        })
-        .filter_map(|state| state.heard)
-        .max()
+        near.filter(|state| state.hello.as_ref().is_some_and(|hello| hello.leading.is_some()))
+            .filter_map(|state| state.heard)
+            .max()
     }
 }
 
@@ -267,10 +234,7 @@
             for peer in due {
                 let far = self.peers.far(&peer);
                 let free_slots = far.then(|| self.peers.own_room.clone());
-                let hello = PeerHello {
-                    free_slots,
-                    ..hello.clone()
-                };
+                let hello = PeerHello { free_slots, ..hello.clone() };
                 self.tell(&peer, PeerMessage::Hello(hello));
             }
             self.tell_rooms(now);
@@ -325,12 +289,7 @@
                 self.client_call(now, ReplyTo::Peer(peer.clone(), id), call);
             }
             PeerMessage::Answer(id, answer) => self.hear_answer(peer, id, answer),
-            PeerMessage::Records {
-                token,
-                seq,
-                whole,
-                records,
-            } => {
+            PeerMessage::Records { token, seq, whole, records } => {
                 self.hear_records(peer, token, seq, whole, records);
             }
             PeerMessage::AskRecords => self.send_all_records(peer),
@@ -348,18 +307,11 @@
         };
         if hello.protocol != PROTOCOL_VERSION {
             if !std::mem::replace(&mut state.incompatible, true) {
-                warn!(
-                    "{peer} speaks protocol {}, this entry {PROTOCOL_VERSION}",
-                    hello.protocol
-                );
+                warn!("{peer} speaks protocol {}, this entry {PROTOCOL_VERSION}", hello.protocol);
             }
             return;
         }
-        if state
-            .hello
-            .as_ref()
-            .is_some_and(|before| before.boot > hello.boot)
-        {
+        if state.hello.as_ref().is_some_and(|before| before.boot > hello.boot) {
             return;
         }
         state.incompatible = false;
@@ -373,9 +325,7 @@
         let outputs = self.config.hear_revision(peer, revision);
         self.config_outputs(now, outputs);
         if let Some(news) = leading.filter(|_| near) {
-            let actions = self
-                .leadership
-                .hear_leader(now, &news.token, news.lease_version);
+            let actions = self.leadership.hear_leader(now, &news.token, news.lease_version);
             self.leadership_actions(now, actions);
             self.compare_warm(peer, &news);
         }
@@ -397,10 +347,7 @@
         whole: bool,
         records: Vec<LedgerRecord>,
     ) {
-        let followed = self
-            .leadership
-            .highest()
-            .is_none_or(|highest| *highest <= token);
+        let followed = self.leadership.highest().is_none_or(|highest| *highest <= token);
         if self.leader.is_some() || !followed {
             return;
         }
@@ -437,15 +384,7 @@
         let token = leader.token.clone();
         let seq = self.peers.warm_seq;
         let records: Vec<LedgerRecord> = self.journal.records().cloned().collect();
-        self.tell(
-            peer,
-            PeerMessage::Records {
-                token,
-                seq,
-                whole: true,
-                records,
-            },
-        );
+        self.tell(peer, PeerMessage::Records { token, seq, whole: true, records });
     }
 
     /// Sends changed records to the other entries of the domain.
@@ -465,12 +404,7 @@
                 let (token, records) = (token.clone(), records.clone());
                 self.actions.push(DomainAction::Peer(
                     peer.clone(),
-                    PeerMessage::Records {
-                        token,
-                        seq,
-                        whole: false,
-                        records,
-                    },
+                    PeerMessage::Records { token, seq, whole: false, records },
                 ));
             }
         }
@@ -480,11 +414,7 @@
         if self.moves.asked_about(id) {
             return self.resolve_move(id, &answer);
         }
-        let expected = self
-            .peers
-            .calls
-            .get(&id)
-            .is_some_and(|handed| handed.leader == *peer);
+        let expected = self.peers.calls.get(&id).is_some_and(|handed| handed.leader == *peer);
         if expected {
             self.peers.calls.remove(&id);
             self.reply(&ReplyTo::Client(id), answer);
@@ -503,10 +433,7 @@
         report: &DemandReport,
     ) -> Option<crate::routing::ShareGrant> {
         let may_act = self.leadership.may_act(now);
-        let leader = self
-            .leader
-            .as_mut()
-            .filter(|leader| leader.active && may_act)?;
+        let leader = self.leader.as_mut().filter(|leader| leader.active && may_act)?;
         leader.shares.report(now, report)
     }
 
--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -39,22 +39,13 @@
 impl QuotaRecord {
     fn part(&self, workspace: &WorkspaceId, domain: &DomainId) -> ResourceVector {
         let parts = self.parts.get(workspace);
-        parts
-            .and_then(|parts| parts.get(domain))
-            .copied()
-            .unwrap_or_default()
+        parts.and_then(|parts| parts.get(domain)).copied().unwrap_or_default()
     }
 
     /// Tells whether more is held than there is, because the quota was lowered.
     fn exceeded(&self, workspace: &WorkspaceId, quota: &ResourceVector) -> bool {
-        let parts = self
-            .parts
-            .get(workspace)
-            .into_iter()
-            .flat_map(BTreeMap::values);
-        let sum = parts.fold(ResourceVector::default(), |sum, part| {
-            sum.saturating_add(part)
-        });
+        let parts = self.parts.get(workspace).into_iter().flat_map(BTreeMap::values);
+        let sum = parts.fold(ResourceVector::default(), |sum, part| sum.saturating_add(part));
         !sum.fits(quota)
     }
 
@@ -71,9 +62,8 @@
         let floor = floor(quota, domains.len());
         let others = domains.iter().filter(|domain| *domain != own);
         let unwritten = others.filter(|domain| !parts.is_some_and(|p| p.contains_key(*domain)));
-        let reserved = unwritten.fold(ResourceVector::default(), |sum, _| {
-            sum.saturating_add(&floor)
-        });
+        let reserved =
+            unwritten.fold(ResourceVector::default(), |sum, _| sum.saturating_add(&floor));
         let held = parts.into_iter().flat_map(BTreeMap::values);
         let sum = held.fold(reserved, |sum, part| sum.saturating_add(part));
         quota.saturating_sub(&sum)
@@ -199,10 +189,7 @@
         let least = used.each_max(&floor(quota, self.domains.len()));
         let wanted = self.wanted.get(workspace).copied().unwrap_or_default();
         let asked = used.saturating_add(&wanted).each_max(&least);
-        let recent = self
-            .recent
-            .get(workspace)
-            .filter(|(_, at)| now < *at + IDLE_TIME);
+        let recent = self.recent.get(workspace).filter(|(_, at)| now < *at + IDLE_TIME);
         let kept = recent.map_or(asked, |(recent, _)| asked.each_max(recent));
         let grown = held.saturating_add(&asked.saturating_sub(&held).each_min(&left));
         match self.yields(now, workspace) {
@@ -217,11 +204,7 @@
         let Some(since) = self.unsatisfied.get(workspace) else {
             return false;
         };
-        let place = self
-            .domains
-            .iter()
-            .position(|domain| *domain == self.domain)
-            .unwrap_or(0);
+        let place = self.domains.iter().position(|domain| *domain == self.domain).unwrap_or(0);
         let hold = HOLD_TIME.mul_f64(1.0 + 0.6 * place as f64);
         let round = (hold + YIELD_TIME).as_millis().max(1);
         let passed = now.saturating_duration_since(*since).as_millis() % round;
@@ -235,8 +218,7 @@
         wanted: BTreeMap<WorkspaceId, ResourceVector>,
         used: &BTreeMap<WorkspaceId, ResourceVector>,
     ) {
-        self.unsatisfied
-            .retain(|workspace, _| wanted.contains_key(workspace));
+        self.unsatisfied.retain(|workspace, _| wanted.contains_key(workspace));
         for (workspace, want) in &wanted {
             let used = used.get(workspace).copied().unwrap_or_default();
             let asked = used.saturating_add(want);
@@ -254,10 +236,7 @@
 impl DomainController {
     /// Tells the scheduler its bounds and starts a change of parts where one is due.
     pub(crate) fn quota_tick(&mut self, now: Instant) {
-        let Some(leader) = self
-            .leader
-            .as_mut()
-            .filter(|leader| leader.active && leader.settled)
+        let Some(leader) = self.leader.as_mut().filter(|leader| leader.active && leader.settled)
         else {
             return;
         };
@@ -284,36 +263,17 @@
             return;
         };
         let quotas = &self.config.current().quotas;
-        let known: Vec<WorkspaceId> = leader
-            .scheduler
-            .used()
-            .keys()
-            .chain(quotas.keys())
-            .cloned()
-            .collect();
+        let known: Vec<WorkspaceId> =
+            leader.scheduler.used().keys().chain(quotas.keys()).cloned().collect();
         for workspace in known {
             let part = match (quotas.get(&workspace), self.quota.fenced) {
                 (None, _) => None,
-                (Some(_), true) => Some(
-                    self.quota
-                        .parts
-                        .get(&workspace)
-                        .copied()
-                        .unwrap_or_default(),
-                ),
+                (Some(_), true) => {
+                    Some(self.quota.parts.get(&workspace).copied().unwrap_or_default())
+                }
                 (Some(_), false) => {
-                    let used = leader
-                        .scheduler
-                        .used()
-                        .get(&workspace)
-                        .copied()
-                        .unwrap_or_default();
-                    let part = self
-                        .quota
-                        .parts
-                        .get(&workspace)
-                        .copied()
-                        .unwrap_or_default();
+                    let used = leader.scheduler.used().get(&workspace).copied().unwrap_or_default();
+                    let part = self.quota.parts.get(&workspace).copied().unwrap_or_default();
                     let part = part.each_max(&used);
                     self.quota.parts.insert(workspace.clone(), part);
                     Some(part)
@@ -325,19 +285,12 @@
 
     fn used_by(&self, workspace: &WorkspaceId) -> ResourceVector {
         let leader = self.leader.as_ref();
-        leader
-            .and_then(|l| l.scheduler.used().get(workspace))
-            .copied()
-            .unwrap_or_default()
+        leader.and_then(|l| l.scheduler.used().get(workspace)).copied().unwrap_or_default()
     }
 
     fn quota_change_due(&self, now: Instant) -> bool {
         let config = self.config.current();
-        let stale = self
-            .quota
-            .parts
-            .keys()
-            .any(|workspace| !config.quotas.contains_key(workspace));
+        let stale = self.quota.parts.keys().any(|workspace| !config.quotas.contains_key(workspace));
         let differs = config.quotas.iter().any(|(workspace, quota)| {
             let held = self.quota.parts.get(workspace).copied().unwrap_or_default();
             let used = self.used_by(workspace);
@@ -402,9 +355,7 @@
     fn own_parts(&self, record: &QuotaRecord) -> BTreeMap<WorkspaceId, ResourceVector> {
         let domain = &self.identity.domain;
         let parts = record.parts.keys();
-        parts
-            .map(|workspace| (workspace.clone(), record.part(workspace, domain)))
-            .collect()
+        parts.map(|workspace| (workspace.clone(), record.part(workspace, domain))).collect()
     }
 
     /// Works out the own parts against the record as read, and writes it.
@@ -416,6 +367,7 @@
             let held = record.part(workspace, &domain);
             let left = record.left(workspace, quota, &domain, &self.domains);
             let used = self.used_by(workspace);
+            let left = left.saturating_sub(&used.saturating_sub(&held));
             let held = held.each_max(&used);
             let part = match record.exceeded(workspace, quota) {
                 true => {
@@ -424,11 +376,7 @@
                 }
                 false => self.quota.target(now, workspace, quota, used, held, left),
             };
-            record
-                .parts
-                .entry(workspace.clone())
-                .or_default()
-                .insert(domain.clone(), part);
+            record.parts.entry(workspace.clone()).or_default().insert(domain.clone(), part);
         }
         for (workspace, parts) in &mut record.parts {
             if !quotas.contains_key(workspace) {
--- a/src/domain/view.rs
+++ b/src/domain/view.rs
@@ -40,9 +40,7 @@
             store_up: self.leadership.store_up(now),
             entries,
             domains: self.peers.cluster(now, &self.own_summary()),
-            intents: counts
-                .map(|(name, intent)| (name.clone(), intent.spec.count))
-                .collect(),
+            intents: counts.map(|(name, intent)| (name.clone(), intent.spec.count)).collect(),
         }
     }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -54,11 +54,7 @@
     /// Hands a call in and waits for its answer, for at most `time`.
     pub(crate) async fn call(&self, call: ClientCall, time: Duration) -> ClientAnswer {
         let (sender, receiver) = oneshot::channel();
-        if self
-            .control
-            .offer(ControlInput::Call(call, sender))
-            .is_err()
-        {
+        if self.control.offer(ControlInput::Call(call, sender)).is_err() {
             return ClientAnswer::Refused(CallRefusal::Busy);
         }
         match timeout(time, receiver).await {
@@ -183,11 +179,8 @@
     fn carry_out(&mut self, action: DomainAction) {
         let taken = match action {
             DomainAction::Store(owner, id, request) => {
-                let refused = self
-                    .outputs
-                    .store
-                    .offer(StoreInput::Call(owner, id, request))
-                    .is_err();
+                let refused =
+                    self.outputs.store.offer(StoreInput::Call(owner, id, request)).is_err();
                 if refused {
                     let outcome = crate::store::StoreOutcome::Unavailable;
                     let event = DomainEvent::Store(owner, id, outcome);
@@ -197,18 +190,8 @@
                 }
                 true
             }
-            DomainAction::Worker {
-                worker,
-                address,
-                id,
-                request,
-            } => {
-                let input = WorkerInput::Exchange {
-                    worker: worker.clone(),
-                    address,
-                    id,
-                    request,
-                };
+            DomainAction::Worker { worker, address, id, request } => {
+                let input = WorkerInput::Exchange { worker: worker.clone(), address, id, request };
                 let refused = self.outputs.workers.offer(input).is_err();
                 if refused {
                     let event = DomainEvent::Worker(worker, id, None);
@@ -218,11 +201,9 @@
                 }
                 true
             }
-            DomainAction::Peer(peer, message) => self
-                .outputs
-                .peers
-                .offer(PeerInput::Send(peer, Box::new(message)))
-                .is_ok(),
+            DomainAction::Peer(peer, message) => {
+                self.outputs.peers.offer(PeerInput::Send(peer, Box::new(message))).is_ok()
+            }
             DomainAction::Answer(id, answer) => {
                 if let Some(sender) = self.calls.remove(&id) {
                     let _ = sender.send(answer);
@@ -231,21 +212,14 @@
             }
             DomainAction::Grant(grant) => {
                 self.gauge.granted.store(true, Ordering::Relaxed);
-                self.outputs
-                    .callers
-                    .offer(CallerInput::Grant(grant))
-                    .is_ok()
+                self.outputs.callers.offer(CallerInput::Grant(grant)).is_ok()
+            }
+            DomainAction::Leaving(leaving) => {
+                self.outputs.callers.offer(CallerInput::Leaving(leaving)).is_ok()
+            }
+            DomainAction::Rooms(rooms) => {
+                self.outputs.callers.offer(CallerInput::Rooms(rooms)).is_ok()
             }
-            DomainAction::Leaving(leaving) => self
-                .outputs
-                .callers
-                .offer(CallerInput::Leaving(leaving))
-                .is_ok(),
-            DomainAction::Rooms(rooms) => self
-                .outputs
-                .callers
-                .offer(CallerInput::Rooms(rooms))
-                .is_ok(),
         };
         if !taken {
             warn!("a thread does not keep up: a message was not taken");
@@ -256,22 +230,13 @@
         let revision = self.controller.revision();
         if revision != self.published {
             let config = Arc::new(self.controller.config().clone());
-            if self
-                .outputs
-                .callers
-                .offer(CallerInput::Config(config))
-                .is_ok()
-            {
+            if self.outputs.callers.offer(CallerInput::Config(config)).is_ok() {
                 self.published = revision;
             }
         }
         let gauge = &self.gauge;
-        gauge
-            .ready
-            .store(self.controller.ready(), Ordering::Relaxed);
+        gauge.ready.store(self.controller.ready(), Ordering::Relaxed);
         gauge.revision.store(revision, Ordering::Relaxed);
-        gauge
-            .leads
-            .store(self.controller.leads(), Ordering::Relaxed);
+        gauge.leads.store(self.controller.leads(), Ordering::Relaxed);
     }
 }
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -84,9 +84,7 @@
 fn routes() -> Router {
     build_simple_router(|route| {
         let methods = vec![Method::GET, Method::POST];
-        route
-            .request(methods.clone(), "/")
-            .to_new_handler(|| Ok(handle));
+        route.request(methods.clone(), "/").to_new_handler(|| Ok(handle));
         route.request(methods, "/*").to_new_handler(|| Ok(handle));
     })
 }
@@ -122,11 +120,7 @@
         ("GET", "/v1/dump") => Ok(json_response(StatusCode::OK, &dump(context).await)),
         ("POST", "/v1/plan") => plan(context, uri, &text(body).await?).await,
         ("POST", "/v1/confirm") => confirm(context, &text(body).await?).await,
-        _ => Err(ProblemDetails::new(
-            StatusCode::NOT_FOUND,
-            "not found",
-            uri.path(),
-        )),
+        _ => Err(ProblemDetails::new(StatusCode::NOT_FOUND, "not found", uri.path())),
     }
 }
 
@@ -188,9 +182,7 @@
     uri: &Uri,
     text: &str,
 ) -> Result<Response<Body>, ProblemDetails> {
-    let withdrawn = uri
-        .query()
-        .and_then(|query| query.strip_prefix("withdraw="));
+    let withdrawn = uri.query().and_then(|query| query.strip_prefix("withdraw="));
     let request = match withdrawn {
         Some(service) => PlanRequest::Withdraw(service.into()),
         None => match parse_intent("intent", text) {
@@ -198,11 +190,7 @@
             Err(findings) => return Ok(json_response(StatusCode::UNPROCESSABLE_ENTITY, &findings)),
         },
     };
-    match context
-        .calls
-        .call(ClientCall::Plan(request), DUTY_TIME)
-        .await
-    {
+    match context.calls.call(ClientCall::Plan(request), DUTY_TIME).await {
         ClientAnswer::Plan(plan) => Ok(json_response(StatusCode::OK, &plan)),
         _ => Err(silent()),
     }
@@ -212,15 +200,10 @@
     let plan: PlanDocument = serde_json::from_str(text).map_err(|error| {
         ProblemDetails::new(StatusCode::BAD_REQUEST, "not a plan", error.to_string())
     })?;
-    match context
-        .calls
-        .call(ClientCall::Confirm(Box::new(plan)), CONFIRM_TIME)
-        .await
-    {
-        ClientAnswer::Confirmed(revision) => Ok(json_response(
-            StatusCode::OK,
-            &json!({"revision": revision}),
-        )),
+    match context.calls.call(ClientCall::Confirm(Box::new(plan)), CONFIRM_TIME).await {
+        ClientAnswer::Confirmed(revision) => {
+            Ok(json_response(StatusCode::OK, &json!({"revision": revision})))
+        }
         ClientAnswer::NotConfirmed(ConfirmRefusal::Moved(fresh)) => {
             Ok(json_response(StatusCode::CONFLICT, &fresh))
         }
@@ -237,11 +220,9 @@
             "plan was edited",
             "the digest does not fit the plan; make a new one",
         ),
-        ConfirmRefusal::Impossible(reason) => ProblemDetails::new(
-            StatusCode::UNPROCESSABLE_ENTITY,
-            "can never run",
-            reason.as_str(),
-        ),
+        ConfirmRefusal::Impossible(reason) => {
+            ProblemDetails::new(StatusCode::UNPROCESSABLE_ENTITY, "can never run", reason.as_str())
+        }
         ConfirmRefusal::Moved(_) => {
             ProblemDetails::new(StatusCode::CONFLICT, "base moved", "make a new plan")
         }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -59,12 +59,7 @@
         input: RingReceiver<PeerInput>,
         control: RingSender<ControlInput>,
     ) -> Self {
-        Self {
-            entry,
-            peers,
-            input,
-            control,
-        }
+        Self { entry, peers, input, control }
     }
 
     /// Runs until told to stop.
@@ -72,13 +67,8 @@
     /// # Errors
     /// Where the listener cannot be used.
     pub(crate) async fn run(self, listener: std::net::TcpListener) -> io::Result<()> {
-        let config = ServerConfig::builder()
-            .max_request_body_size(CALL_BYTES)
-            .http_only()
-            .build();
-        let server = ServerBuilder::new()
-            .set_config(config)
-            .build_from_tcp(listener)?;
+        let config = ServerConfig::builder().max_request_body_size(CALL_BYTES).http_only().build();
+        let server = ServerBuilder::new().set_config(config).build_from_tcp(listener)?;
         let handle = server.start(self.module().map_err(io::Error::other)?);
         let mut lines = BTreeMap::new();
         for peer in &self.peers {
@@ -88,9 +78,7 @@
             tokio::spawn(line.run());
         }
         while let Some(PeerInput::Send(peer, message)) = self.input.recv().await {
-            let refused = lines
-                .get(&peer)
-                .is_none_or(|line| line.offer(*message).is_err());
+            let refused = lines.get(&peer).is_none_or(|line| line.offer(*message).is_err());
             if refused {
                 debug!("no room for a message to {peer}");
             }
@@ -138,13 +126,7 @@
         messages: RingReceiver<PeerMessage>,
         control: RingSender<ControlInput>,
     ) -> Self {
-        Self {
-            entry,
-            peer: peer.name.clone(),
-            address: peer.address,
-            messages,
-            control,
-        }
+        Self { entry, peer: peer.name.clone(), address: peer.address, messages, control }
     }
 
     async fn run(self) {
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -84,9 +84,7 @@
         let duty_control = control.clone();
         let (store_address, vms) = (settings.store, settings.vms);
         let store_thread = duty(&settings.name, "store", async move {
-            StoreDuty::new(store_address, vms, store_input, duty_control)
-                .run()
-                .await;
+            StoreDuty::new(store_address, vms, store_input, duty_control).run().await;
             Ok(true)
         })?;
         let duty_control = control.clone();
@@ -117,9 +115,7 @@
         })?;
         let context = caller_context(settings, boot, control.clone(), domains.into());
         let caller_thread = duty(&settings.name, "callers", async move {
-            CallerDuty::new(context, callers_input)
-                .run(callers_listener)
-                .await
+            CallerDuty::new(context, callers_input).run(callers_listener).await
         })?;
         info!("{} started in {}", settings.name, settings.domain);
         Ok(Self {
@@ -143,10 +139,7 @@
 
     /// Tells whether a thread has ended that should not have.
     pub fn broken(&self) -> bool {
-        let caller = self
-            .caller_thread
-            .as_ref()
-            .is_none_or(JoinHandle::is_finished);
+        let caller = self.caller_thread.as_ref().is_none_or(JoinHandle::is_finished);
         caller || self.other_threads.iter().any(JoinHandle::is_finished)
     }
 
@@ -190,10 +183,7 @@
 }
 
 fn identity(settings: &EntrySettings, boot: u64) -> EntryIdentity {
-    let peers = settings
-        .others
-        .iter()
-        .map(|peer| (peer.name.clone(), peer.domain.clone()));
+    let peers = settings.others.iter().map(|peer| (peer.name.clone(), peer.domain.clone()));
     EntryIdentity {
         entry: settings.name.clone(),
         domain: settings.domain.clone(),
@@ -211,10 +201,7 @@
 ) -> CallerContext {
     let limits = settings.limits;
     let router = RequestRouter::new(settings.name.clone(), boot, limits.waiting, settings.timing);
-    let peers = settings
-        .others
-        .iter()
-        .map(|peer| (peer.name.clone(), peer.callers));
+    let peers = settings.others.iter().map(|peer| (peer.name.clone(), peer.callers));
     CallerContext {
         entry: settings.name.clone(),
         boot,
@@ -234,24 +221,18 @@
     name: &str,
     work: impl Future<Output = io::Result<bool>> + Send + 'static,
 ) -> io::Result<JoinHandle<io::Result<bool>>> {
-    Builder::new()
-        .name(format!("{entry} {name}"))
-        .spawn(move || {
-            let runtime = runtime::Builder::new_current_thread()
-                .enable_all()
-                .build()?;
-            let result = runtime.block_on(work);
-            runtime.shutdown_background();
-            result
-        })
+    Builder::new().name(format!("{entry} {name}")).spawn(move || {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+        let result = runtime.block_on(work);
+        runtime.shutdown_background();
+        result
+    })
 }
 
 /// Milliseconds since the Unix epoch; later starts in one process get higher numbers.
 fn unix_millis() -> u64 {
     static LAST: AtomicU64 = AtomicU64::new(0);
-    let passed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let passed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let now = u64::try_from(passed.as_millis()).unwrap_or(0);
     let last = LAST.fetch_max(now, Ordering::Relaxed);
     now.max(last)
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -44,10 +44,7 @@
 
 impl StoreClient {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            http: HttpClient::new(),
-        }
+        Self { address, http: HttpClient::new() }
     }
 
     /// Makes a call.
@@ -55,20 +52,12 @@
         metrics::counter!("kelplink_store_calls_total", "kind" => kind(request)).increment(1);
         let (method, path, body) = match request {
             StoreRequest::Read { key } => (Method::GET, format!("/kv/{key}"), String::new()),
-            StoreRequest::Swap {
-                key,
-                expected,
-                value,
-            } => (
-                Method::PUT,
-                format!("/kv/{key}?expected={expected}"),
-                value.clone(),
-            ),
+            StoreRequest::Swap { key, expected, value } => {
+                (Method::PUT, format!("/kv/{key}?expected={expected}"), value.clone())
+            }
         };
-        let result = self
-            .http
-            .call(method, self.address, &path, body, CALL_TIME, VALUE_BYTES)
-            .await;
+        let result =
+            self.http.call(method, self.address, &path, body, CALL_TIME, VALUE_BYTES).await;
         match (result, request) {
             (Err(ClientError::NotSent(_)), _) => StoreOutcome::Unavailable,
             (Err(ClientError::NoAnswer(_)), StoreRequest::Read { .. }) => StoreOutcome::Unavailable,
@@ -86,14 +75,9 @@
             None => format!("/kv/{key}"),
         };
         let time = WATCH_TIME + CALL_TIME;
-        let result = self
-            .http
-            .call(Method::GET, self.address, &path, "", time, VALUE_BYTES)
-            .await;
+        let result = self.http.call(Method::GET, self.address, &path, "", time, VALUE_BYTES).await;
         let response = result.ok()?;
-        let request = StoreRequest::Read {
-            key: key.to_owned(),
-        };
+        let request = StoreRequest::Read { key: key.to_owned() };
         match outcome(&request, response.status(), response.body()) {
             StoreOutcome::Unavailable => None,
             outcome => Some(outcome),
@@ -142,12 +126,7 @@
         input: RingReceiver<StoreInput>,
         control: RingSender<ControlInput>,
     ) -> Self {
-        Self {
-            store: StoreClient::new(store),
-            vms,
-            input,
-            control,
-        }
+        Self { store: StoreClient::new(store), vms, input, control }
     }
 
     /// Runs until told to stop.
@@ -158,9 +137,7 @@
             let (store, control) = (self.store.clone(), self.control.clone());
             tokio::spawn(async move {
                 let outcome = store.call(&request).await;
-                control
-                    .send(DomainEvent::Store(owner, id, outcome).into())
-                    .await;
+                control.send(DomainEvent::Store(owner, id, outcome).into()).await;
             });
         }
     }
@@ -179,11 +156,7 @@
             _ => None,
         };
         let unchanged = seen.is_some() && stored.as_ref().is_none_or(|s| Some(s.version) == seen);
-        seen = Some(
-            stored
-                .as_ref()
-                .map_or(seen.unwrap_or(0), |stored| stored.version),
-        );
+        seen = Some(stored.as_ref().map_or(seen.unwrap_or(0), |stored| stored.version));
         if !unchanged && !control.send(DomainEvent::Head(stored).into()).await {
             return;
         }
@@ -198,9 +171,7 @@
     let mut last = Vec::new();
     loop {
         ticks.tick().await;
-        let result = http
-            .call(Method::GET, address, "/vms", "", CALL_TIME, VALUE_BYTES)
-            .await;
+        let result = http.call(Method::GET, address, "/vms", "", CALL_TIME, VALUE_BYTES).await;
         let Some(body) = result.ok().filter(|r| r.status() == StatusCode::OK) else {
             continue;
         };
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -22,12 +22,7 @@
 #[derive(Debug)]
 pub(crate) enum WorkerInput {
     /// Make an exchange.
-    Exchange {
-        worker: WorkerId,
-        address: SocketAddr,
-        id: ExchangeId,
-        request: WorkerRequest,
-    },
+    Exchange { worker: WorkerId, address: SocketAddr, id: ExchangeId, request: WorkerRequest },
     /// End the thread.
     Stop,
 }
@@ -46,19 +41,13 @@
     /// Runs until told to stop.
     pub(crate) async fn run(self) {
         let http = HttpClient::new();
-        while let Some(WorkerInput::Exchange {
-            worker,
-            address,
-            id,
-            request,
-        }) = self.input.recv().await
+        while let Some(WorkerInput::Exchange { worker, address, id, request }) =
+            self.input.recv().await
         {
             let (http, control) = (http.clone(), self.control.clone());
             tokio::spawn(async move {
                 let reply = exchange(&http, address, &request).await;
-                control
-                    .send(DomainEvent::Worker(worker, id, reply).into())
-                    .await;
+                control.send(DomainEvent::Worker(worker, id, reply).into()).await;
             });
         }
     }
@@ -72,18 +61,7 @@
     let body = serde_json::to_vec(request).ok()?;
     metrics::counter!("kelplink_worker_exchanges_total").increment(1);
     let path = "/exchange";
-    let result = http
-        .call(
-            Method::POST,
-            address,
-            path,
-            body,
-            EXCHANGE_TIME,
-            REPLY_BYTES,
-        )
-        .await;
-    let response = result
-        .ok()
-        .filter(|response| response.status() == StatusCode::OK)?;
+    let result = http.call(Method::POST, address, path, body, EXCHANGE_TIME, REPLY_BYTES).await;
+    let response = result.ok().filter(|response| response.status() == StatusCode::OK)?;
     serde_json::from_slice(response.body()).ok()
 }
--- a/src/finding.rs
+++ b/src/finding.rs
@@ -23,22 +23,13 @@
         let before = &text[..text.floor_char_boundary(offset.min(text.len()))];
         let line = before.matches('\n').count() + 1;
         let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
-        Self {
-            source: source.to_owned(),
-            line,
-            column,
-            message,
-        }
+        Self { source: source.to_owned(), line, column, message }
     }
 }
 
 impl Display for InputFinding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}:{}:{}: {}",
-            self.source, self.line, self.column, self.message
-        )
+        write!(f, "{}:{}:{}: {}", self.source, self.line, self.column, self.message)
     }
 }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -111,13 +111,7 @@
 impl WorkerFleet {
     /// A fleet that knows no worker.
     pub fn new(timing: TimingSettings) -> Self {
-        Self {
-            timing,
-            token: None,
-            members: BTreeMap::new(),
-            next_exchange: 0,
-            listed: false,
-        }
+        Self { timing, token: None, members: BTreeMap::new(), next_exchange: 0, listed: false }
     }
 
     /// Number of workers known.
@@ -132,10 +126,7 @@
 
     /// Number of workers claimed.
     pub fn claimed(&self) -> usize {
-        self.members
-            .values()
-            .filter(|m| matches!(m.link, WorkerLink::Claimed { .. }))
-            .count()
+        self.members.values().filter(|m| matches!(m.link, WorkerLink::Claimed { .. })).count()
     }
 
     /// Tells whether every worker was heard from, or has no tasks left for sure.
@@ -179,23 +170,20 @@
         }
         for (spec, address) in workers {
             let lapses = now;
-            let member = self
-                .members
-                .entry(spec.id.clone())
-                .or_insert_with(|| FleetMember {
-                    spec: spec.clone(),
-                    address: *address,
-                    link: WorkerLink::Unclaimed,
-                    pending: None,
-                    unsure: Vec::new(),
-                    commands: Vec::new(),
-                    due: now,
-                    lapses,
-                    delivered: BTreeMap::new(),
-                    silent: false,
-                    gone: None,
-                    lapsed: false,
-                });
+            let member = self.members.entry(spec.id.clone()).or_insert_with(|| FleetMember {
+                spec: spec.clone(),
+                address: *address,
+                link: WorkerLink::Unclaimed,
+                pending: None,
+                unsure: Vec::new(),
+                commands: Vec::new(),
+                due: now,
+                lapses,
+                delivered: BTreeMap::new(),
+                silent: false,
+                gone: None,
+                lapsed: false,
+            });
             member.address = *address;
         }
     }
@@ -209,11 +197,7 @@
 
     /// Tells whether a start waits that was never sent.
     pub fn start_waits(&self, worker: &WorkerId, wanted: &TaskId) -> bool {
-        let commands = self
-            .members
-            .get(worker)
-            .into_iter()
-            .flat_map(|member| &member.commands);
+        let commands = self.members.get(worker).into_iter().flat_map(|member| &member.commands);
         commands
             .into_iter()
             .any(|command| matches!(command, WorkerCommand::Start { task, .. } if task == wanted))
@@ -300,9 +284,7 @@
 
     /// Tells, once, that every lease that may hold on the worker has ended.
     fn lapse(&mut self, now: Instant, timing: &TimingSettings) -> bool {
-        let gone = self
-            .gone
-            .is_some_and(|since| now >= since + timing.task_lease + CLOCK_MARGIN);
+        let gone = self.gone.is_some_and(|since| now >= since + timing.task_lease + CLOCK_MARGIN);
         let over = match self.claimed() {
             true => self.silent && now >= self.lapses + CLOCK_MARGIN,
             false => gone && !self.lapsed,
@@ -344,10 +326,7 @@
             }
         };
         self.due = now + timing.worker_interval;
-        self.pending = Some(PendingExchange {
-            id,
-            commands: commands.clone(),
-        });
+        self.pending = Some(PendingExchange { id, commands: commands.clone() });
         WorkerRequest {
             token: token.clone(),
             not_after,
@@ -385,19 +364,13 @@
             WorkerLink::Claimed { boot, .. } => *boot == reply.boot,
             WorkerLink::Unclaimed => false,
         };
-        self.link = WorkerLink::Claimed {
-            clock: reply.clock,
-            heard: now,
-            boot: reply.boot,
-        };
+        self.link = WorkerLink::Claimed { clock: reply.clock, heard: now, boot: reply.boot };
         if !was_claimed {
             self.due = now;
             self.lapsed = false;
             self.lapses = now + timing.task_lease;
             let tasks = reply.tasks.iter();
-            self.delivered = tasks
-                .map(|report| (report.task.clone(), report.attempt))
-                .collect();
+            self.delivered = tasks.map(|report| (report.task.clone(), report.attempt)).collect();
             outputs.push(FleetOutput::Claimed(self.spec.clone(), reply.tasks));
             return outputs;
         }
@@ -440,24 +413,19 @@
         let mut missing = missing;
         if !same_boot {
             // Whether these started before the restart is not known; either way they do not run.
-            missing.extend(
-                std::mem::take(&mut self.unsure)
-                    .into_iter()
-                    .filter_map(|command| match command {
-                        WorkerCommand::Start { task, attempt, .. } if !there(&task, attempt) => {
-                            Some(task)
-                        }
-                        _ => None,
-                    }),
-            );
+            missing.extend(std::mem::take(&mut self.unsure).into_iter().filter_map(|command| {
+                match command {
+                    WorkerCommand::Start { task, attempt, .. } if !there(&task, attempt) => {
+                        Some(task)
+                    }
+                    _ => None,
+                }
+            }));
         }
         for task in &missing {
             self.delivered.remove(task);
         }
         let id = &self.spec.id;
-        missing
-            .into_iter()
-            .map(|task| FleetOutput::Vanished(id.clone(), task))
-            .collect()
+        missing.into_iter().map(|task| FleetOutput::Vanished(id.clone(), task)).collect()
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -109,13 +109,8 @@
         call_handler(router.clone(), AssertUnwindSafe(state))
     });
     let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_time);
-    let connection = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .into_owned();
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(limits.head_time);
+    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
         if let Err(error) = watched.await {
--- a/src/intent_file.rs
+++ b/src/intent_file.rs
@@ -66,9 +66,7 @@
         spread: spread?,
         cut_off: cut_off?,
         domain: domain.map(DomainId::from),
-        run_time: run_time
-            .filter(|ms| *ms > 0)
-            .map(std::time::Duration::from_millis),
+        run_time: run_time.filter(|ms| *ms > 0).map(std::time::Duration::from_millis),
         quota,
         command,
     })
@@ -93,9 +91,7 @@
 /// Tells whether `name` may be used as a part of an identifier.
 pub(crate) fn is_name(name: &str) -> bool {
     (1..=64).contains(&name.len())
-        && name
-            .chars()
-            .all(|c| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.'))
+        && name.chars().all(|c| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.'))
 }
 
 fn read_resources(
--- a/src/leadership/role.rs
+++ b/src/leadership/role.rs
@@ -59,12 +59,7 @@
 
 impl FollowingRole {
     fn new(now: Instant) -> Self {
-        Self {
-            seen: None,
-            record: None,
-            heard: now,
-            next_look: now,
-        }
+        Self { seen: None, record: None, heard: now, next_look: now }
     }
 
     /// Notes the record; the time of its first sight bounds its holder's deadline from above.
@@ -88,12 +83,7 @@
         version: Option<KeyVersion>,
         deadline: Instant,
     ) -> LeadingRole {
-        LeadingRole {
-            token,
-            version,
-            deadline,
-            next_renewal: deadline,
-        }
+        LeadingRole { token, version, deadline, next_renewal: deadline }
     }
 }
 
@@ -214,9 +204,7 @@
 
     /// The call to the store that is being waited for, in words.
     pub fn waits_for(&self) -> Option<String> {
-        self.pending
-            .as_ref()
-            .map(|(id, pending)| format!("call {id}: {pending:?}"))
+        self.pending.as_ref().map(|(id, pending)| format!("call {id}: {pending:?}"))
     }
 
     /// Highest token seen anywhere.
@@ -257,11 +245,7 @@
 
     /// A token was seen, for instance in the refusal of a worker.
     pub fn hear_token(&mut self, now: Instant, token: &FencingToken) -> Vec<LeadershipAction> {
-        if self
-            .highest
-            .as_ref()
-            .is_some_and(|highest| highest >= token)
-        {
+        if self.highest.as_ref().is_some_and(|highest| highest >= token) {
             return Vec::new();
         }
         self.highest = Some(token.clone());
@@ -375,10 +359,7 @@
         };
         role.next_look = now + self.timing.lease_ttl * (DETACHED_TTLS + self.rank);
         let epoch = role.record.as_ref().map_or(0, |record| record.epoch);
-        let base = self
-            .highest
-            .clone()
-            .unwrap_or(FencingToken::granted(epoch, self.entry.clone()));
+        let base = self.highest.clone().unwrap_or(FencingToken::granted(epoch, self.entry.clone()));
         let token = base.next_round(self.entry.clone());
         warn!("store and leader are silent: leading under {token:?}");
         self.become_leader(now, token, None, now)
@@ -405,12 +386,7 @@
     fn record(&mut self, epoch: u64, ttl: Duration) -> LeaseRecord {
         self.writes += 1;
         let write_id = format!("{}-{}-{}", self.entry, self.boot, self.writes);
-        LeaseRecord {
-            epoch,
-            holder: self.entry.clone(),
-            ttl,
-            write_id,
-        }
+        LeaseRecord { epoch, holder: self.entry.clone(), ttl, write_id }
     }
 
     fn call(&mut self, pending: PendingCall, request: StoreRequest) -> LeadershipAction {
@@ -421,9 +397,7 @@
     }
 
     fn look(&mut self, settles: Option<PendingWrite>) -> LeadershipAction {
-        let request = StoreRequest::Read {
-            key: self.key.clone(),
-        };
+        let request = StoreRequest::Read { key: self.key.clone() };
         self.call(PendingCall::Look { settles }, request)
     }
 
@@ -434,18 +408,8 @@
         record: LeaseRecord,
     ) -> LeadershipAction {
         let value = serde_json::to_string(&record).unwrap_or_default();
-        let request = StoreRequest::Swap {
-            key: self.key.clone(),
-            expected,
-            value,
-        };
-        self.call(
-            PendingCall::Write(PendingWrite {
-                started: now,
-                record,
-            }),
-            request,
-        )
+        let request = StoreRequest::Swap { key: self.key.clone(), expected, value };
+        self.call(PendingCall::Write(PendingWrite { started: now, record }), request)
     }
 
     /// Brings back the outcome of a call.
--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -186,11 +186,7 @@
 
     /// Number of records that wait to be written.
     pub fn backlog(&self) -> usize {
-        self.dirty.len()
-            + self
-                .segment
-                .as_ref()
-                .map_or(0, |(segment, _)| segment.records.len())
+        self.dirty.len() + self.segment.as_ref().map_or(0, |(segment, _)| segment.records.len())
     }
 
     /// Number of records held.
@@ -216,8 +212,7 @@
         self.retries.clear();
         self.compaction = None;
         if let Some((segment, _)) = self.segment.take() {
-            self.dirty
-                .extend(segment.records.iter().map(LedgerRecord::name));
+            self.dirty.extend(segment.records.iter().map(LedgerRecord::name));
         }
         self.slots.clear();
         self.stage = JournalStage::Recovering(RecoveryState::new(1, 0));
@@ -309,10 +304,7 @@
 
     /// Lets time pass: repeats calls, writes the next group.
     pub fn tick(&mut self, now: Instant) -> Vec<JournalOutput> {
-        let due = self
-            .retries
-            .extract_if(.., |(at, _)| *at <= now)
-            .collect::<Vec<_>>();
+        let due = self.retries.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>();
         let mut outputs: Vec<_> = due.into_iter().map(|(_, call)| self.call(call)).collect();
         if self.open() && self.segment.is_none() && !self.dirty.is_empty() && self.may_write(now) {
             outputs.push(self.write_group(now));
@@ -338,10 +330,7 @@
         let write_id = self.write_id();
         let segment = JournalSegment {
             number: self.next_number,
-            token: self
-                .token
-                .clone()
-                .unwrap_or(FencingToken::granted(0, "".into())),
+            token: self.token.clone().unwrap_or(FencingToken::granted(0, "".into())),
             write_id,
             records,
         };
@@ -396,14 +385,8 @@
             },
             JournalCall::WriteSegment => StoreRequest::Swap {
                 key: self.slot_key(self.next_number),
-                expected: *self
-                    .slots
-                    .get(&(self.next_number % RING_SLOTS))
-                    .unwrap_or(&0),
-                value: self
-                    .segment
-                    .as_ref()
-                    .map_or(String::new(), |(segment, _)| encode(segment)),
+                expected: *self.slots.get(&(self.next_number % RING_SLOTS)).unwrap_or(&0),
+                value: self.segment.as_ref().map_or(String::new(), |(segment, _)| encode(segment)),
             },
             JournalCall::ReadTarget(part) => {
                 read(self.part_key(self.compaction_generation(), *part))
@@ -431,9 +414,7 @@
     }
 
     fn compaction_generation(&self) -> u64 {
-        self.compaction
-            .as_ref()
-            .map_or(0, |state| state.base.generation)
+        self.compaction.as_ref().map_or(0, |state| state.base.generation)
     }
 
     fn retry(&mut self, now: Instant, call: JournalCall) -> Vec<JournalOutput> {
@@ -538,10 +519,7 @@
 
     /// Writes the base again under our token, so that no earlier leader can replace it.
     fn fence_base(&mut self) -> Vec<JournalOutput> {
-        let token = self
-            .token
-            .clone()
-            .unwrap_or(FencingToken::granted(0, "".into()));
+        let token = self.token.clone().unwrap_or(FencingToken::granted(0, "".into()));
         if let Some(base) = &self.base
             && base.token > token
         {
@@ -552,13 +530,7 @@
             Some(base) => (base.generation, base.covers, base.parts),
             None => (0, 0, 0),
         };
-        let base = JournalBase {
-            generation,
-            covers,
-            parts,
-            token,
-            write_id,
-        };
+        let base = JournalBase { generation, covers, parts, token, write_id };
         vec![self.call(JournalCall::FenceBase(base))]
     }
 
@@ -568,9 +540,8 @@
         };
         self.journal_bytes = 0;
         self.stage = JournalStage::Recovering(RecoveryState::new(base.covers + 1, base.parts));
-        let mut outputs: Vec<_> = (0..base.parts)
-            .map(|part| self.call(JournalCall::ReadPart(part)))
-            .collect();
+        let mut outputs: Vec<_> =
+            (0..base.parts).map(|part| self.call(JournalCall::ReadPart(part))).collect();
         if base.parts == 0 {
             outputs.extend(self.read_ahead());
         }
@@ -585,10 +556,7 @@
                 state.ask += 1;
             }
         }
-        numbers
-            .into_iter()
-            .map(|number| self.call(JournalCall::ReadSlot(number)))
-            .collect()
+        numbers.into_iter().map(|number| self.call(JournalCall::ReadSlot(number))).collect()
     }
 
     fn read_part(&mut self, part: u64, stored: &StoredValue) -> Vec<JournalOutput> {
@@ -614,13 +582,8 @@
     ) -> Vec<JournalOutput> {
         let version = stored.map_or(0, |stored| stored.version);
         self.slots.insert(number % RING_SLOTS, version);
-        let segment = stored
-            .and_then(decode::<JournalSegment>)
-            .filter(|s| s.number == number);
-        self.journal_bytes += segment
-            .as_ref()
-            .and(stored)
-            .map_or(0, |stored| stored.value.len());
+        let segment = stored.and_then(decode::<JournalSegment>).filter(|s| s.number == number);
+        self.journal_bytes += segment.as_ref().and(stored).map_or(0, |stored| stored.value.len());
         let JournalStage::Recovering(state) = &mut self.stage else {
             return Vec::new();
         };
@@ -686,14 +649,9 @@
         self.journal_bytes += encode(&segment).len();
         let mut outputs = Vec::new();
         if matches!(self.stage, JournalStage::Fencing) {
-            info!(
-                "journal of {} open from segment {}",
-                self.domain, self.next_number
-            );
+            info!("journal of {} open from segment {}", self.domain, self.next_number);
             self.stage = JournalStage::Open;
-            outputs.push(JournalOutput::Recovered(
-                self.records.values().cloned().collect(),
-            ));
+            outputs.push(JournalOutput::Recovered(self.records.values().cloned().collect()));
         }
         if ticket > 0 {
             self.durable_ticket = self.durable_ticket.max(ticket);
@@ -714,8 +672,7 @@
             }
             Some(found) if found.number >= own.number => self.foreign_segment(found),
             _ => {
-                self.slots
-                    .insert(self.next_number % RING_SLOTS, stored.version);
+                self.slots.insert(self.next_number % RING_SLOTS, stored.version);
                 vec![self.call(JournalCall::WriteSegment)]
             }
         }
@@ -723,10 +680,7 @@
 
     /// Another leader's segment stands where ours should.
     fn foreign_segment(&mut self, found: JournalSegment) -> Vec<JournalOutput> {
-        let higher = self
-            .token
-            .as_ref()
-            .is_some_and(|token| found.token > *token);
+        let higher = self.token.as_ref().is_some_and(|token| found.token > *token);
         match (&self.stage, &self.token) {
             (JournalStage::Fencing, Some(token)) if !higher => {
                 let token = token.clone();
@@ -744,10 +698,7 @@
     }
 
     fn compact(&mut self) -> Vec<JournalOutput> {
-        let token = self
-            .token
-            .clone()
-            .unwrap_or(FencingToken::granted(0, "".into()));
+        let token = self.token.clone().unwrap_or(FencingToken::granted(0, "".into()));
         let generation = self.base.as_ref().map_or(0, |base| base.generation) + 1;
         let parts = self.snapshot_parts(generation, &token);
         let base = JournalBase {
@@ -759,12 +710,7 @@
         };
         self.snapshot_bytes = parts.iter().map(String::len).sum();
         self.journal_bytes = 0;
-        self.compaction = Some(CompactionState {
-            base,
-            parts,
-            next_part: 0,
-            version: 0,
-        });
+        self.compaction = Some(CompactionState { base, parts, next_part: 0, version: 0 });
         self.next_part(0)
     }
 
@@ -786,11 +732,7 @@
             }
         }
         if !records.is_empty() {
-            parts.push(encode(&SnapshotPart {
-                generation,
-                token: token.clone(),
-                records,
-            }));
+            parts.push(encode(&SnapshotPart { generation, token: token.clone(), records }));
         }
         parts
     }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -32,10 +32,7 @@
         .format(move |out, record| {
             let mut line = Map::new();
             line.insert("time".to_owned(), json!(Timestamp::now().to_string()));
-            line.insert(
-                "level".to_owned(),
-                json!(record.level().as_str().to_lowercase()),
-            );
+            line.insert("level".to_owned(), json!(record.level().as_str().to_lowercase()));
             line.insert("target".to_owned(), json!(record.target()));
             line.insert("failure_domain".to_owned(), json!(identity.domain));
             line.insert("entry".to_owned(), json!(identity.entry));
--- a/src/placement/estimate.rs
+++ b/src/placement/estimate.rs
@@ -47,18 +47,12 @@
 
     /// Notes a task that was stopped because it used more than its reservation.
     pub fn note_over_limit(&mut self, intent: &ServiceId) {
-        self.intents
-            .entry(intent.clone())
-            .or_default()
-            .declared_only = true;
+        self.intents.entry(intent.clone()).or_default().declared_only = true;
     }
 
     /// Run time to expect.
     pub fn run_time(&self, spec: &JobSpec) -> Duration {
-        let seen = self
-            .intents
-            .get(&spec.intent)
-            .and_then(|estimate| estimate.run_time);
+        let seen = self.intents.get(&spec.intent).and_then(|estimate| estimate.run_time);
         seen.or(spec.run_time).unwrap_or(UNKNOWN_RUN_TIME)
     }
 
--- a/src/placement/gang.rs
+++ b/src/placement/gang.rs
@@ -49,11 +49,7 @@
             workers.insert(id);
             room += slots;
             if room >= count {
-                return Some(Self {
-                    job,
-                    workers,
-                    free_at: end,
-                });
+                return Some(Self { job, workers, free_at: end });
             }
         }
         None
--- a/src/placement/health.rs
+++ b/src/placement/health.rs
@@ -92,10 +92,8 @@
     }
 
     fn judge_worker(&mut self, now: Instant, id: &WorkerId, job: &JobId) -> Option<Instant> {
-        let fails_elsewhere = self
-            .jobs
-            .get(job)
-            .is_some_and(|health| health.failed_on.iter().any(|w| w != id));
+        let fails_elsewhere =
+            self.jobs.get(job).is_some_and(|health| health.failed_on.iter().any(|w| w != id));
         let health = self.workers.entry(id.clone()).or_default();
         if !fails_elsewhere {
             health.failed_jobs.insert(job.clone());
@@ -123,9 +121,7 @@
     /// Tells whether a probe runs on a worker after quarantine: until it ends nothing else starts.
     pub fn probe_runs(&self, worker: &WorkerId, now: Instant) -> bool {
         let health = self.workers.get(worker).filter(|health| health.probing);
-        health
-            .and_then(|health| health.probe_until)
-            .is_some_and(|until| now < until)
+        health.and_then(|health| health.probe_until).is_some_and(|until| now < until)
     }
 
     /// Forgets a job that is over.
@@ -135,9 +131,7 @@
 
     /// Tells whether the job has failed on the worker.
     pub fn failed_on(&self, worker: &WorkerId, job: &JobId) -> bool {
-        self.jobs
-            .get(job)
-            .is_some_and(|health| health.failed_on.contains(worker))
+        self.jobs.get(job).is_some_and(|health| health.failed_on.contains(worker))
     }
 }
 
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -5,7 +5,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{RackId, TaskId, WorkerId};
-use crate::intent::Urgency;
 use crate::invariant;
 use crate::resources::ResourceVector;
 
@@ -42,10 +41,7 @@
 
 impl PoolWorker {
     fn class(&self) -> ClassKey {
-        (
-            self.free.accelerators,
-            self.free.millicores / MILLICORES_PER_CORE,
-        )
+        (self.free.accelerators, self.free.millicores / MILLICORES_PER_CORE)
     }
 
     /// Tells whether a task without accelerators would leave accelerators here without processors
@@ -133,16 +129,12 @@
     /// Room not given out on open workers.
     pub fn free(&self) -> ResourceVector {
         let open = self.workers.values().filter(|worker| worker.open);
-        open.fold(ResourceVector::default(), |sum, worker| {
-            sum.saturating_add(&worker.free)
-        })
+        open.fold(ResourceVector::default(), |sum, worker| sum.saturating_add(&worker.free))
     }
 
     /// Tells whether some worker, were it empty, could hold `need`.
     pub fn could_ever_fit(&self, need: &ResourceVector) -> bool {
-        self.workers
-            .values()
-            .any(|worker| need.fits(&worker.spec.capacity))
+        self.workers.values().any(|worker| need.fits(&worker.spec.capacity))
     }
 
     /// Opens or closes a worker for new work.
@@ -162,15 +154,11 @@
         };
         let Some(free) = worker.free.checked_sub(&need) else {
             return invariant::holds(false, "capacity", || {
-                format!(
-                    "{task:?} needs {need:?} on {id} with {:?} free",
-                    worker.free
-                )
+                format!("{task:?} needs {need:?} on {id} with {:?} free", worker.free)
             });
         };
-        if !invariant::holds(!worker.tasks.contains_key(task), "one place", || {
-            format!("{task:?}")
-        }) {
+        if !invariant::holds(!worker.tasks.contains_key(task), "one place", || format!("{task:?}"))
+        {
             return false;
         }
         self.change(id, |worker| {
@@ -194,21 +182,21 @@
         self.change(id, |worker| {
             if worker.tasks.remove(task).is_some() {
                 let held = worker.tasks.values();
-                let sum = held.fold(ResourceVector::default(), |sum, need| {
-                    sum.saturating_add(need)
-                });
+                let sum =
+                    held.fold(ResourceVector::default(), |sum, need| sum.saturating_add(need));
                 worker.free = worker.spec.capacity.saturating_sub(&sum);
             }
         });
     }
 
     /// Finds the tightest open worker for `need`. Only `allowed` workers count, and such as are kept
-    /// for nobody else than `task`.
+    /// for nobody else than `task`. Where it `may_strand`, processors that accelerators need to be of
+    /// use may be taken.
     pub fn find_tightest(
         &self,
         task: &TaskId,
         need: &ResourceVector,
-        urgency: Urgency,
+        may_strand: bool,
         allowed: impl Fn(&PoolWorker) -> bool,
     ) -> Option<WorkerId> {
         let accepts = |worker: &PoolWorker| {
@@ -216,11 +204,9 @@
             !kept && need.fits(&worker.free) && allowed(worker)
         };
         let spares = |worker: &PoolWorker| accepts(worker) && !worker.strands(need);
-        match urgency {
-            Urgency::Now => self
-                .search(need, spares)
-                .or_else(|| self.search(need, accepts)),
-            _ => self.search(need, spares),
+        match may_strand {
+            true => self.search(need, spares).or_else(|| self.search(need, accepts)),
+            false => self.search(need, spares),
         }
     }
 
@@ -266,13 +252,7 @@
             let in_rack = racks.get(&worker.spec.rack).copied().unwrap_or(0);
             let here = siblings.get(&worker.spec.id).copied().unwrap_or(0);
             let wasted = worker.free.accelerators.saturating_sub(need.accelerators);
-            (
-                in_rack,
-                here,
-                wasted,
-                worker.strands(need),
-                u32::MAX - worker.free.millicores,
-            )
+            (in_rack, here, wasted, worker.strands(need), u32::MAX - worker.free.millicores)
         });
         best.map(|worker| worker.spec.id.clone())
     }
@@ -310,14 +290,9 @@
             let sum = worker
                 .tasks
                 .values()
-                .fold(ResourceVector::default(), |sum, need| {
-                    sum.saturating_add(need)
-                });
+                .fold(ResourceVector::default(), |sum, need| sum.saturating_add(need));
             invariant::holds(sum.fits(&worker.spec.capacity), "capacity", || {
-                format!(
-                    "{} holds {sum:?} of {:?}",
-                    worker.spec.id, worker.spec.capacity
-                )
+                format!("{} holds {sum:?} of {:?}", worker.spec.id, worker.spec.capacity)
             })
         })
     }
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -66,12 +66,7 @@
             Urgency::By(due) => due.saturating_sub(millis(run_time)),
             Urgency::Soon => spec.accepted.saturating_add(millis(SOON_HORIZON)),
         };
-        let job = QueuedJob {
-            spec: spec.clone(),
-            waiting: BTreeSet::from([index]),
-            class,
-            order,
-        };
+        let job = QueuedJob { spec: spec.clone(), waiting: BTreeSet::from([index]), class, order };
         self.link(&job);
         self.jobs.insert(spec.id.clone(), job);
     }
@@ -115,10 +110,7 @@
     /// Workspaces with jobs of a class.
     pub(crate) fn workspaces(&self, class: QueueClass) -> Vec<WorkspaceId> {
         let first = (class, WorkspaceId::from(""));
-        let lanes = self
-            .lanes
-            .range(first..)
-            .take_while(|((other, _), _)| *other == class);
+        let lanes = self.lanes.range(first..).take_while(|((other, _), _)| *other == class);
         lanes.map(|((_, workspace), _)| workspace.clone()).collect()
     }
 
@@ -133,10 +125,7 @@
         let lane = self.lanes.get(&(class, workspace.clone()))?;
         match last {
             None => lane.first().cloned(),
-            Some(last) => lane
-                .range((Excluded(last.clone()), Unbounded))
-                .next()
-                .cloned(),
+            Some(last) => lane.range((Excluded(last.clone()), Unbounded)).next().cloned(),
         }
     }
 
@@ -163,10 +152,7 @@
         if job.class == QueueClass::Fair && matches!(job.spec.urgency, Urgency::By(_)) {
             self.upcoming.insert(key.clone());
         }
-        self.lanes
-            .entry((job.class, job.spec.workspace.clone()))
-            .or_default()
-            .insert(key);
+        self.lanes.entry((job.class, job.spec.workspace.clone())).or_default().insert(key);
     }
 
     fn unlink(&mut self, job: &QueuedJob) {
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -36,6 +36,8 @@
 const ROUND_SHIFT: u32 = 20;
 /// Highest round that the number of a try tells apart.
 const MAX_ROUND: u64 = (1 << (EPOCH_SHIFT - ROUND_SHIFT)) - 1;
+/// Work that waited longer than this may take processors that accelerators need to be of use.
+const STRAND_PATIENCE_MS: UnixMillis = 30_000;
 /// Pause before a task is queued again whose start was refused or that was lost.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 /// Tasks of a worker that was lost are queued again over this time.
@@ -121,6 +123,8 @@
     /// Tries of this leader have higher numbers.
     attempt_base: Attempt,
     dirty: bool,
+    /// Time of day of the last pass.
+    unix: UnixMillis,
     actions: Vec<PlacementAction>,
 }
 
@@ -134,10 +138,7 @@
 impl TaskScheduler {
     /// A scheduler without workers or jobs.
     pub fn new() -> Self {
-        Self {
-            movable_allowed: true,
-            ..Self::default()
-        }
+        Self { movable_allowed: true, ..Self::default() }
     }
 
     /// Makes the numbers of tries rise above those of all leaders with lower tokens.
@@ -169,10 +170,8 @@
     /// Room that waiting tasks of workspaces with a bound would take here, as far as there is room.
     pub fn quota_demand(&self) -> BTreeMap<WorkspaceId, ResourceVector> {
         let mut demand: BTreeMap<WorkspaceId, ResourceVector> = BTreeMap::new();
-        let bounded = self
-            .queue
-            .iter()
-            .filter(|job| self.allowed.contains_key(&job.spec.workspace));
+        let bounded =
+            self.queue.iter().filter(|job| self.allowed.contains_key(&job.spec.workspace));
         for job in bounded {
             let count = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
             let need = self.estimates.need(&job.spec).times(count);
@@ -180,9 +179,7 @@
             *sum = sum.saturating_add(&need);
         }
         let free = self.pool.free();
-        demand
-            .values_mut()
-            .for_each(|sum| *sum = sum.each_min(&free));
+        demand.values_mut().for_each(|sum| *sum = sum.each_min(&free));
         demand
     }
 
@@ -249,8 +246,7 @@
         let run_time = self.estimates.run_time(&job.spec);
         self.pool.note(worker, task, need);
         let life = TaskLife::new(now, task.clone(), worker.clone(), need, attempt, run_time);
-        self.live
-            .insert(task.clone(), LiveTask::Running(life.run(now)));
+        self.live.insert(task.clone(), LiveTask::Running(life.run(now)));
         self.charge(&workspace, need);
         true
     }
@@ -263,11 +259,7 @@
             None => Vec::new(),
         };
         for task in ended {
-            if !self
-                .live
-                .get(&task)
-                .is_some_and(|live| live.worker() == worker)
-            {
+            if !self.live.get(&task).is_some_and(|live| live.worker() == worker) {
                 self.pool.give_back(worker, &task);
                 self.dirty = true;
             }
@@ -281,12 +273,8 @@
 
     /// Takes a worker out that is lost, and deals with its tasks: all have surely ended.
     pub fn remove_worker(&mut self, now: Instant, id: &WorkerId) {
-        let tasks: Vec<TaskId> = self
-            .live
-            .values()
-            .filter(|live| live.worker() == id)
-            .map(task_of)
-            .collect();
+        let tasks: Vec<TaskId> =
+            self.live.values().filter(|live| live.worker() == id).map(task_of).collect();
         let count = u32::try_from(tasks.len().max(1)).unwrap_or(1);
         for (place, task) in (0..).zip(tasks) {
             let pause = RESTART_PAUSE + RESTART_SPREAD * place / count;
@@ -409,9 +397,7 @@
                 self.jobs.remove(id);
                 self.drop_hold(id);
             }
-            false => live
-                .iter()
-                .for_each(|task| self.stop_task(task, StopReason::Stray)),
+            false => live.iter().for_each(|task| self.stop_task(task, StopReason::Stray)),
         }
     }
 
@@ -419,19 +405,10 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let live: Vec<TaskIndex> = job
-            .live
-            .iter()
-            .copied()
-            .filter(|index| chosen(*index))
-            .collect();
+        let live: Vec<TaskIndex> =
+            job.live.iter().copied().filter(|index| chosen(*index)).collect();
         let waiting: Vec<TaskIndex> = match self.queue.get(id) {
-            Some(queued) => queued
-                .waiting
-                .iter()
-                .copied()
-                .filter(|index| chosen(*index))
-                .collect(),
+            Some(queued) => queued.waiting.iter().copied().filter(|index| chosen(*index)).collect(),
             None => Vec::new(),
         };
         let delayed: Vec<TaskIndex> = self
@@ -445,20 +422,12 @@
         }
         for index in waiting.into_iter().chain(delayed) {
             self.queue.remove(id, index);
-            self.delayed
-                .retain(|(_, task)| *task != (id.clone(), index));
-            let ran = self
-                .jobs
-                .get(id)
-                .is_some_and(|job| job.attempts.contains_key(&index));
+            self.delayed.retain(|(_, task)| *task != (id.clone(), index));
+            let ran = self.jobs.get(id).is_some_and(|job| job.attempts.contains_key(&index));
             self.end(&(id.clone(), index), TaskEnd::Cancelled { ran });
         }
-        let suspects: Vec<TaskId> = self
-            .suspects
-            .iter()
-            .filter(|task| task.0 == *id && chosen(task.1))
-            .cloned()
-            .collect();
+        let suspects: Vec<TaskId> =
+            self.suspects.iter().filter(|task| task.0 == *id && chosen(task.1)).cloned().collect();
         for task in suspects {
             self.suspects.remove(&task);
             self.end(&task, TaskEnd::Cancelled { ran: true });
@@ -475,12 +444,7 @@
         self.live.insert(task.clone(), live.stop(reason));
         if first {
             let task = task.clone();
-            self.actions.push(PlacementAction::Stop {
-                worker,
-                task,
-                attempt,
-                reason,
-            });
+            self.actions.push(PlacementAction::Stop { worker, task, attempt, reason });
         }
     }
 
@@ -500,12 +464,7 @@
         outcome: &TaskOutcome,
         usage: &TaskUsage,
     ) {
-        let Some(live) = self
-            .live
-            .get(task)
-            .filter(|live| live.worker() == worker)
-            .cloned()
-        else {
+        let Some(live) = self.live.get(task).filter(|live| live.worker() == worker).cloned() else {
             return;
         };
         let Some(spec) = self.jobs.get(&task.0).map(|job| job.spec.clone()) else {
@@ -551,8 +510,7 @@
     ) {
         self.health.note_success(live.worker(), &task.0);
         self.quarantined.remove(live.worker());
-        self.estimates
-            .note_success(&spec.intent, usage.run_time, usage.peak);
+        self.estimates.note_success(&spec.intent, usage.run_time, usage.peak);
         match spec.kind {
             JobKind::Service if live.stop_reason() == Some(StopReason::Cancelled) => {
                 self.end(task, TaskEnd::Cancelled { ran: true });
@@ -589,10 +547,7 @@
 
     fn stop_job(&mut self, job: &JobId, reason: &str) {
         let reason = format!("fails on every worker: {reason}");
-        self.actions.push(PlacementAction::JobStopped {
-            job: job.clone(),
-            reason,
-        });
+        self.actions.push(PlacementAction::JobStopped { job: job.clone(), reason });
         self.cancel(job);
     }
 
@@ -632,11 +587,7 @@
 
     /// A task that was delivered to a worker is not there any more.
     pub fn task_vanished(&mut self, now: Instant, worker: &WorkerId, task: &TaskId) {
-        if self
-            .live
-            .get(task)
-            .is_some_and(|live| live.worker() == worker)
-        {
+        if self.live.get(task).is_some_and(|live| live.worker() == worker) {
             self.lose_task(now, task, RESTART_PAUSE);
         }
     }
@@ -659,11 +610,7 @@
         if !spec.idempotent {
             return;
         }
-        let live: Vec<TaskId> = job
-            .live
-            .iter()
-            .map(|index| (spec.id.clone(), *index))
-            .collect();
+        let live: Vec<TaskId> = job.live.iter().map(|index| (spec.id.clone(), *index)).collect();
         for task in live {
             self.stop_task(&task, StopReason::GangFailed);
         }
@@ -696,10 +643,7 @@
         if task.1 < job.spec.count || matches!(end, TaskEnd::Cancelled { .. }) {
             job.ended.insert(task.1);
         }
-        self.actions.push(PlacementAction::Ended {
-            task: task.clone(),
-            end,
-        });
+        self.actions.push(PlacementAction::Ended { task: task.clone(), end });
         let over = (0..job.spec.count).all(|index| job.ended.contains(&index));
         if over && job.live.is_empty() {
             self.jobs.remove(&task.0);
@@ -736,6 +680,7 @@
     /// Starts what fits and gives all actions since the last call. `unix` is the time of day.
     pub fn pass(&mut self, now: Instant, unix: UnixMillis) -> Vec<PlacementAction> {
         self.wake(now);
+        self.unix = unix;
         if self.dirty {
             self.dirty = false;
             self.queue.promote(unix);
@@ -787,11 +732,7 @@
     }
 
     fn place_waiting(&mut self, now: Instant) {
-        let mut pass = PassState {
-            failures: 0,
-            victim_searches: 0,
-            misses: Vec::new(),
-        };
+        let mut pass = PassState { failures: 0, victim_searches: 0, misses: Vec::new() };
         for class in CLASSES {
             self.place_class(now, class, &mut pass);
         }
@@ -804,10 +745,8 @@
             used.map_or(0, |used| (used.dominant_share(&total) * 1e9) as u64)
         };
         let workspaces = self.queue.workspaces(class);
-        let mut turns: BTreeSet<(u64, WorkspaceId)> = workspaces
-            .into_iter()
-            .map(|ws| (share(self.used.get(&ws)), ws))
-            .collect();
+        let mut turns: BTreeSet<(u64, WorkspaceId)> =
+            workspaces.into_iter().map(|ws| (share(self.used.get(&ws)), ws)).collect();
         let mut cursors: BTreeMap<WorkspaceId, (UnixMillis, JobId)> = BTreeMap::new();
         while let Some((_, workspace)) = turns.pop_first() {
             if pass.failures >= PASS_FAILURES {
@@ -900,10 +839,10 @@
         need: &ResourceVector,
     ) -> Option<WorkerId> {
         let end = now + self.estimates.run_time(spec);
-        let held = self
-            .hold
-            .as_ref()
-            .filter(|hold| hold.job != spec.id && spec.urgency != Urgency::Now);
+        let waited = self.unix.saturating_sub(spec.accepted);
+        let strands = spec.urgency == Urgency::Now || waited > STRAND_PATIENCE_MS;
+        let held =
+            self.hold.as_ref().filter(|hold| hold.job != spec.id && spec.urgency != Urgency::Now);
         let fine = |worker: &PoolWorker| {
             let id = &worker.spec.id;
             let probation = self.health.probe_runs(id, now);
@@ -914,8 +853,8 @@
         match spec.spread {
             SpreadRule::None => self
                 .pool
-                .find_tightest(task, need, spec.urgency, fresh)
-                .or_else(|| self.pool.find_tightest(task, need, spec.urgency, fine)),
+                .find_tightest(task, need, strands, fresh)
+                .or_else(|| self.pool.find_tightest(task, need, strands, fine)),
             SpreadRule::Rack | SpreadRule::FailureDomain => {
                 let siblings = self.siblings(&spec.id);
                 self.pool
@@ -967,13 +906,7 @@
         self.live.insert(task.clone(), LiveTask::Starting(life));
         self.health.note_start(&worker, now);
         let (task, spec) = (task.clone(), spec.clone());
-        self.actions.push(PlacementAction::Start {
-            worker,
-            task,
-            attempt,
-            need,
-            spec,
-        });
+        self.actions.push(PlacementAction::Start { worker, task, attempt, need, spec });
     }
 
     /// Starts all tasks of a job or none; one that does not fit may hold workers back.
@@ -984,15 +917,10 @@
         need: ResourceVector,
     ) -> std::result::Result<(), PlacementMiss> {
         let open: Vec<TaskIndex> = match self.jobs.get(&spec.id) {
-            Some(job) => (0..spec.count)
-                .filter(|index| !job.ended.contains(index))
-                .collect(),
+            Some(job) => (0..spec.count).filter(|index| !job.ended.contains(index)).collect(),
             None => return Err(PlacementMiss::NoRoom),
         };
-        let waiting = self
-            .queue
-            .get(&spec.id)
-            .map_or(0, |queued| queued.waiting.len());
+        let waiting = self.queue.get(&spec.id).map_or(0, |queued| queued.waiting.len());
         if waiting < open.len() {
             return Err(PlacementMiss::NoRoom);
         }
@@ -1054,10 +982,7 @@
             return;
         }
         pass.victim_searches += 1;
-        let sets = self
-            .pool
-            .iter()
-            .filter(|worker| worker.open && worker.kept_for.is_none());
+        let sets = self.pool.iter().filter(|worker| worker.open && worker.kept_for.is_none());
         let sets = sets.filter(|worker| need.fits(&worker.spec.capacity));
         let sets =
             sets.filter_map(|worker| pick_victims(now, worker, need, self.victims_on(worker)));
@@ -1065,8 +990,7 @@
             return;
         };
         self.pool.keep_for(&set.worker, Some(task.clone()));
-        self.kept
-            .insert(task.clone(), (set.worker, now + KEEP_TIME));
+        self.kept.insert(task.clone(), (set.worker, now + KEEP_TIME));
         for victim in set.tasks {
             metrics::counter!("kelplink_preemptions_total").increment(1);
             self.stop_task(&victim, StopReason::Preempted);
@@ -1086,11 +1010,9 @@
             || !job.spec.idempotent
             || preempted >= MAX_PREEMPTIONS;
         match self.live.get(task) {
-            Some(LiveTask::Running(life)) if !spared => Some(VictimCandidate {
-                id: task.clone(),
-                need: life.need,
-                since: life.stage.since,
-            }),
+            Some(LiveTask::Running(life)) if !spared => {
+                Some(VictimCandidate { id: task.clone(), need: life.need, since: life.stage.since })
+            }
             _ => None,
         }
     }
@@ -1101,18 +1023,14 @@
         let need = &queued.spec.need;
         let largest = self.pool.largest();
         match need.exceeds(&largest) {
-            Some(resource) => Some(format!(
-                "no worker has enough {resource}: largest {largest:?}"
-            )),
+            Some(resource) => Some(format!("no worker has enough {resource}: largest {largest:?}")),
             None => Some("waits for room or quota".to_owned()),
         }
     }
 
     /// Jobs that wait, for the state dump.
     pub fn waiting_jobs(&self) -> impl Iterator<Item = (&JobId, usize)> {
-        self.queue
-            .iter()
-            .map(|queued| (&queued.spec.id, queued.waiting.len()))
+        self.queue.iter().map(|queued| (&queued.spec.id, queued.waiting.len()))
     }
 }
 
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -88,14 +88,7 @@
         run_time: Duration,
     ) -> Self {
         let stage = StartingTask { since: now };
-        Self {
-            id,
-            worker,
-            need,
-            attempt,
-            expected_end: now + run_time,
-            stage,
-        }
+        Self { id, worker, need, attempt, expected_end: now + run_time, stage }
     }
 
     /// The worker reports that it runs.
@@ -105,10 +98,7 @@
 
     /// A stop is commanded before it was seen to run.
     pub(crate) fn stop(self, reason: StopReason) -> TaskLife<StoppingTask> {
-        self.with(StoppingTask {
-            reason,
-            ran_since: None,
-        })
+        self.with(StoppingTask { reason, ran_since: None })
     }
 }
 
@@ -206,10 +196,7 @@
     /// Notes that the worker reports it as running.
     pub(crate) fn run(self, since: Instant, attempt: Attempt) -> Self {
         match self {
-            Self::Starting(life) => Self::Running(TaskLife {
-                attempt,
-                ..life.run(since)
-            }),
+            Self::Starting(life) => Self::Running(TaskLife { attempt, ..life.run(since) }),
             other => other,
         }
     }
--- a/src/placement/victim.rs
+++ b/src/placement/victim.rs
@@ -37,11 +37,7 @@
 ) -> Option<VictimSet> {
     candidates.sort_by(|a, b| loss(now, a).total_cmp(&loss(now, b)));
     let mut free = worker.free;
-    let mut set = VictimSet {
-        worker: worker.spec.id.clone(),
-        tasks: Vec::new(),
-        cost: 0.0,
-    };
+    let mut set = VictimSet { worker: worker.spec.id.clone(), tasks: Vec::new(), cost: 0.0 };
     for candidate in candidates {
         if need.fits(&free) {
             break;
--- a/src/problem.rs
+++ b/src/problem.rs
@@ -56,13 +56,7 @@
 
 impl ProblemDetails {
     pub(crate) fn new(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Self {
-        Self {
-            status,
-            title,
-            detail: detail.into(),
-            retry_after: None,
-            ran: None,
-        }
+        Self { status, title, detail: detail.into(), retry_after: None, ran: None }
     }
 
     /// Tells what became of the request.
@@ -95,16 +89,10 @@
         let mut response = Response::new(Bytes::from(text));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
-        headers.insert(
-            CONTENT_TYPE,
-            HeaderValue::from_static("application/problem+json"),
-        );
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
         if let Some(time) = self.retry_after {
             let seconds = time.as_millis().div_ceil(1_000).max(1);
-            headers.insert(
-                RETRY_AFTER,
-                HeaderValue::from(u64::try_from(seconds).unwrap_or(1)),
-            );
+            headers.insert(RETRY_AFTER, HeaderValue::from(u64::try_from(seconds).unwrap_or(1)));
         }
         if let Some(ran) = self.ran {
             headers.insert(RAN_HEADER, HeaderValue::from_static(ran.label()));
@@ -115,9 +103,7 @@
 
 /// A body out of bytes.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| -> io::Error { match never {} })
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| -> io::Error { match never {} }).boxed_unsync()
 }
 
 /// A JSON response.
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -21,11 +21,7 @@
     /// Parses `text`; syntax errors become findings.
     pub(crate) fn parse(source: &'t str, text: &'t str) -> (Spanned<DeTable<'t>>, Self) {
         let (table, errors) = DeTable::parse_recoverable(text);
-        let mut sink = Self {
-            source,
-            text,
-            findings: Vec::new(),
-        };
+        let mut sink = Self { source, text, findings: Vec::new() };
         for error in errors {
             sink.add(error.span().unwrap_or(0..0), error.message().to_owned());
         }
@@ -34,18 +30,12 @@
 
     /// Adds a finding at a byte range.
     pub(crate) fn add(&mut self, span: Range<usize>, message: String) {
-        self.findings.push(InputFinding::at(
-            self.source,
-            self.text,
-            span.start,
-            message,
-        ));
+        self.findings.push(InputFinding::at(self.source, self.text, span.start, message));
     }
 
     /// Gives `value` when nothing was found, and all findings in order of place otherwise.
     pub(crate) fn finish<T>(mut self, value: Option<T>) -> Result<T, FindingList> {
-        self.findings
-            .sort_by_key(|finding| (finding.line, finding.column));
+        self.findings.sort_by_key(|finding| (finding.line, finding.column));
         match value {
             Some(value) if self.findings.is_empty() => Ok(value),
             _ => Err(FindingList(self.findings)),
@@ -63,11 +53,7 @@
 impl<'a, 't> TableReader<'a, 't> {
     /// Starts reading a table.
     pub(crate) fn new(table: &'a Spanned<DeTable<'t>>) -> Self {
-        Self {
-            table: table.get_ref(),
-            span: table.span(),
-            asked: BTreeSet::new(),
-        }
+        Self { table: table.get_ref(), span: table.span(), asked: BTreeSet::new() }
     }
 
     fn get(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'t>>> {
@@ -83,10 +69,7 @@
     ) -> Option<String> {
         let found = self.optional_string(key, sink);
         if self.table.get(key).is_none() {
-            sink.add(
-                self.span.clone(),
-                format!("missing key `{key}`: expected a string"),
-            );
+            sink.add(self.span.clone(), format!("missing key `{key}`: expected a string"));
         }
         found
     }
@@ -106,10 +89,7 @@
             }
             None => {
                 let kind = value.get_ref().type_str();
-                sink.add(
-                    value.span(),
-                    format!("`{key}` is a {kind}: expected a string"),
-                );
+                sink.add(value.span(), format!("`{key}` is a {kind}: expected a string"));
                 None
             }
         }
@@ -144,10 +124,7 @@
         let Some(value) = self.get(key) else {
             if default.is_none() {
                 let list = word_list(words);
-                sink.add(
-                    self.span.clone(),
-                    format!("missing key `{key}`: expected {list}"),
-                );
+                sink.add(self.span.clone(), format!("missing key `{key}`: expected {list}"));
             }
             return default;
         };
@@ -155,10 +132,7 @@
         let hit = words.iter().find(|(word, _)| Some(*word) == found);
         if hit.is_none() {
             let shown = found.map_or(value.get_ref().type_str().to_owned(), |f| format!("{f:?}"));
-            sink.add(
-                value.span(),
-                format!("`{key}` is {shown}: expected {}", word_list(words)),
-            );
+            sink.add(value.span(), format!("`{key}` is {shown}: expected {}", word_list(words)));
         }
         hit.map(|(_, value)| value.clone())
     }
@@ -203,8 +177,7 @@
         default: u64,
         sink: &mut FindingSink<'_>,
     ) -> Option<Duration> {
-        self.integer(key, range, Some(default), sink)
-            .map(Duration::from_millis)
+        self.integer(key, range, Some(default), sink).map(Duration::from_millis)
     }
 
     /// A truth value, with a default.
@@ -220,10 +193,7 @@
         let found = value.get_ref().as_bool();
         if found.is_none() {
             let kind = value.get_ref().type_str();
-            sink.add(
-                value.span(),
-                format!("`{key}` is a {kind}: expected true or false"),
-            );
+            sink.add(value.span(), format!("`{key}` is a {kind}: expected true or false"));
         }
         found
     }
@@ -238,26 +208,18 @@
             return Vec::new();
         };
         let Some(array) = value.get_ref().as_array() else {
-            sink.add(
-                value.span(),
-                format!("`{key}` has a wrong type: expected [[{key}]] tables"),
-            );
+            sink.add(value.span(), format!("`{key}` has a wrong type: expected [[{key}]] tables"));
             return Vec::new();
         };
         let mut readers = Vec::new();
         for item in array.iter() {
             match item.get_ref().as_table() {
                 Some(table) => {
-                    readers.push(Self {
-                        table,
-                        span: item.span(),
-                        asked: BTreeSet::new(),
-                    });
+                    readers.push(Self { table, span: item.span(), asked: BTreeSet::new() });
+                }
+                None => {
+                    sink.add(item.span(), format!("`{key}` holds a non-table: expected a table"))
                 }
-                None => sink.add(
-                    item.span(),
-                    format!("`{key}` holds a non-table: expected a table"),
-                ),
             }
         }
         readers
@@ -273,16 +235,9 @@
         let found = value.get_ref().as_table();
         if found.is_none() {
             let kind = value.get_ref().type_str();
-            sink.add(
-                value.span(),
-                format!("`{key}` is a {kind}: expected a table [{key}]"),
-            );
+            sink.add(value.span(), format!("`{key}` is a {kind}: expected a table [{key}]"));
         }
-        found.map(|table| Self {
-            table,
-            span: value.span(),
-            asked: BTreeSet::new(),
-        })
+        found.map(|table| Self { table, span: value.span(), asked: BTreeSet::new() })
     }
 
     /// Place of the table, for findings about the whole of it.
@@ -296,19 +251,13 @@
             let name: &str = key.get_ref();
             if !self.asked.contains(name) {
                 let known = self.asked.iter().copied().collect::<Vec<_>>().join(", ");
-                sink.add(
-                    key.span(),
-                    format!("unknown key `{name}`: expected one of {known}"),
-                );
+                sink.add(key.span(), format!("unknown key `{name}`: expected one of {known}"));
             }
         }
     }
 }
 
 fn word_list<T>(words: &[(&str, T)]) -> String {
-    let quoted: Vec<_> = words
-        .iter()
-        .map(|(word, _)| format!("\"{word}\""))
-        .collect();
+    let quoted: Vec<_> = words.iter().map(|(word, _)| format!("\"{word}\"")).collect();
     quoted.join(" or ")
 }
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -16,11 +16,7 @@
 impl ResourceVector {
     /// Makes a vector from thousandths of a core, MiB and whole accelerators.
     pub const fn new(millicores: u32, memory_mib: u32, accelerators: u32) -> Self {
-        Self {
-            accelerators,
-            millicores,
-            memory_mib,
-        }
+        Self { accelerators, millicores, memory_mib }
     }
 
     /// Tells whether `self` fits into `room` in every dimension.
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -39,10 +39,7 @@
 
 impl<T> Clone for RingSender<T> {
     fn clone(&self) -> Self {
-        Self {
-            name: self.name,
-            sender: self.sender.clone(),
-        }
+        Self { name: self.name, sender: self.sender.clone() }
     }
 }
 
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -183,10 +183,7 @@
 
     /// Number of requests that use a slot.
     pub fn in_use(&self) -> u32 {
-        self.upstreams
-            .values()
-            .map(|upstream| upstream.in_use)
-            .sum()
+        self.upstreams.values().map(|upstream| upstream.in_use).sum()
     }
 
     /// Longest life of one attempt.
@@ -201,10 +198,7 @@
             true => state.share.max(state.in_use),
             false => state.in_use,
         };
-        self.upstreams
-            .iter()
-            .map(|(id, state)| (id.clone(), reach(state)))
-            .collect()
+        self.upstreams.iter().map(|(id, state)| (id.clone(), reach(state))).collect()
     }
 
     /// Takes one retry out of the budget and tells whether there was one.
@@ -256,11 +250,7 @@
         let left = ticket.deadline.saturating_duration_since(now);
         if wait > left.mul_f64(WAIT_FRACTION) {
             let advice = retry_after(wait);
-            return vec![RouteAction::Reject(
-                ticket.id,
-                RejectReason::Overloaded,
-                advice,
-            )];
+            return vec![RouteAction::Reject(ticket.id, RejectReason::Overloaded, advice)];
         }
         self.enqueue(ticket);
         self.shed()
@@ -282,16 +272,9 @@
 
     fn enqueue(&mut self, ticket: RequestTicket) {
         self.waiting += 1;
-        *self
-            .waiting_by_workspace
-            .entry(ticket.workspace.clone())
-            .or_default() += 1;
+        *self.waiting_by_workspace.entry(ticket.workspace.clone()).or_default() += 1;
         let key = (ticket.rank, ticket.deadline, ticket.id);
-        self.services
-            .entry(ticket.service.clone())
-            .or_default()
-            .waiting
-            .insert(key, ticket);
+        self.services.entry(ticket.service.clone()).or_default().waiting.insert(key, ticket);
     }
 
     fn dequeue(&mut self, service: &ServiceId, key: &WaitKey) -> Option<RequestTicket> {
@@ -311,10 +294,7 @@
         if self.waiting <= self.waiting_limit {
             return Vec::new();
         }
-        let largest = self
-            .waiting_by_workspace
-            .iter()
-            .max_by_key(|(_, count)| **count);
+        let largest = self.waiting_by_workspace.iter().max_by_key(|(_, count)| **count);
         let Some(workspace) = largest.map(|(workspace, _)| workspace.clone()) else {
             return Vec::new();
         };
@@ -322,28 +302,17 @@
             .services
             .iter()
             .filter_map(|(id, service)| {
-                let own = service
-                    .waiting
-                    .iter()
-                    .rev()
-                    .find(|(_, t)| t.workspace == workspace)?;
+                let own = service.waiting.iter().rev().find(|(_, t)| t.workspace == workspace)?;
                 Some((*own.0, id.clone()))
             })
             .max();
         let Some((key, service)) = last else {
             return Vec::new();
         };
-        let wait = self
-            .services
-            .get(&service)
-            .map_or(LEAST_RETRY_AFTER, |s| s.service_time);
+        let wait = self.services.get(&service).map_or(LEAST_RETRY_AFTER, |s| s.service_time);
         match self.dequeue(&service, &key) {
             Some(ticket) => {
-                vec![RouteAction::Reject(
-                    ticket.id,
-                    RejectReason::Displaced,
-                    retry_after(wait),
-                )]
+                vec![RouteAction::Reject(ticket.id, RejectReason::Displaced, retry_after(wait))]
             }
             None => Vec::new(),
         }
@@ -355,10 +324,7 @@
             return None;
         }
         let service = self.services.get(service)?;
-        let usable = service
-            .upstreams
-            .iter()
-            .filter_map(|id| self.upstreams.get(id));
+        let usable = service.upstreams.iter().filter_map(|id| self.upstreams.get(id));
         let usable = usable
             .filter(|upstream| upstream.free(now) > 0 && !self.leaving.contains(&upstream.spec.id));
         let best = usable.min_by_key(|upstream| upstream.in_use * 1_024 / upstream.share.max(1));
@@ -434,10 +400,8 @@
         let Some(state) = self.upstreams.get(id) else {
             return;
         };
-        let listed = self
-            .services
-            .get(&state.spec.service)
-            .is_some_and(|s| s.upstreams.contains(id));
+        let listed =
+            self.services.get(&state.spec.service).is_some_and(|s| s.upstreams.contains(id));
         if !listed && state.in_use == 0 {
             self.upstreams.remove(id);
         }
@@ -447,10 +411,7 @@
     fn serve(&mut self, now: Instant, service: &ServiceId) -> Vec<RouteAction> {
         let mut actions = Vec::new();
         loop {
-            let first = self
-                .services
-                .get(service)
-                .and_then(|s| s.waiting.keys().next().copied());
+            let first = self.services.get(service).and_then(|s| s.waiting.keys().next().copied());
             let Some(key) = first else {
                 return actions;
             };
@@ -510,19 +471,10 @@
         while self.sent.len() > REMEMBERED_REPORTS {
             self.sent.pop_first();
         }
-        let held = self
-            .upstreams
-            .iter()
-            .filter(|(_, state)| state.share > 0 || state.in_use > 0);
+        let held = self.upstreams.iter().filter(|(_, state)| state.share > 0 || state.in_use > 0);
         let holdings = held
             .map(|(id, state)| {
-                (
-                    id.clone(),
-                    ShareHolding {
-                        share: state.share,
-                        in_use: state.in_use,
-                    },
-                )
+                (id.clone(), ShareHolding { share: state.share, in_use: state.in_use })
             })
             .collect();
         let busy = self.services.iter().map(|(id, service)| {
@@ -582,17 +534,14 @@
         for spec in upstreams {
             let service = self.services.entry(spec.service.clone()).or_default();
             service.upstreams.insert(spec.id.clone());
-            let state = self
-                .upstreams
-                .entry(spec.id.clone())
-                .or_insert_with(|| UpstreamState {
-                    spec: spec.clone(),
-                    share: 0,
-                    in_use: 0,
-                    failures: 0,
-                    ejections: 0,
-                    ejected_until: None,
-                });
+            let state = self.upstreams.entry(spec.id.clone()).or_insert_with(|| UpstreamState {
+                spec: spec.clone(),
+                share: 0,
+                in_use: 0,
+                failures: 0,
+                ejections: 0,
+                ejected_until: None,
+            });
             state.spec = spec.clone();
         }
         let ids: Vec<UpstreamId> = self.upstreams.keys().cloned().collect();
@@ -605,9 +554,7 @@
 
     /// Tells whether some upstream here answers for a service.
     pub fn serves(&self, service: &ServiceId) -> bool {
-        self.services
-            .get(service)
-            .is_some_and(|state| !state.upstreams.is_empty())
+        self.services.get(service).is_some_and(|state| !state.upstreams.is_empty())
     }
 }
 
--- a/src/routing/shares.rs
+++ b/src/routing/shares.rs
@@ -56,10 +56,7 @@
         entries: impl IntoIterator<Item = EntryId>,
         timing: TimingSettings,
     ) -> Self {
-        let entries = entries
-            .into_iter()
-            .map(|entry| (entry, EntryBook::default()))
-            .collect();
+        let entries = entries.into_iter().map(|entry| (entry, EntryBook::default())).collect();
         Self {
             timing,
             token,
@@ -78,10 +75,8 @@
 
     /// Replaces the list of upstreams.
     pub fn set_upstreams(&mut self, upstreams: Vec<UpstreamSpec>) {
-        let upstreams: BTreeMap<_, _> = upstreams
-            .into_iter()
-            .map(|spec| (spec.id.clone(), spec))
-            .collect();
+        let upstreams: BTreeMap<_, _> =
+            upstreams.into_iter().map(|spec| (spec.id.clone(), spec)).collect();
         if upstreams != self.upstreams {
             self.upstreams = upstreams;
             self.upstreams_version += 1;
@@ -96,11 +91,7 @@
     /// The process of an entry is surely gone, and with it all that it held.
     pub fn forget_entry(&mut self, entry: &EntryId) {
         if let Some(book) = self.entries.get_mut(entry) {
-            *book = EntryBook {
-                heard: true,
-                acknowledged: true,
-                ..EntryBook::default()
-            };
+            *book = EntryBook { heard: true, acknowledged: true, ..EntryBook::default() };
         }
     }
 
@@ -135,10 +126,7 @@
         };
         if book.boot != report.boot && book.heard {
             let upstreams_sent = book.upstreams_sent;
-            *book = EntryBook {
-                upstreams_sent,
-                ..EntryBook::default()
-            };
+            *book = EntryBook { upstreams_sent, ..EntryBook::default() };
             book.upstreams_known = 0;
         }
         (book.boot, book.seq) = (report.boot, report.seq);
@@ -185,11 +173,7 @@
     /// The share that an entry gets when slots are split evenly.
     fn even_share(&self, entry: &EntryId, spec: &UpstreamSpec) -> u32 {
         let count = u32::try_from(self.entries.len().max(1)).unwrap_or(1);
-        let place = self
-            .entries
-            .keys()
-            .position(|other| other == entry)
-            .unwrap_or(0);
+        let place = self.entries.keys().position(|other| other == entry).unwrap_or(0);
         let rest = spec.slots % count;
         spec.slots / count + u32::from(u32::try_from(place).unwrap_or(u32::MAX) < rest)
     }
@@ -249,10 +233,7 @@
             let sum: u32 = others.map(|other| self.outstanding(now, other, spec)).sum();
             let fits = share == 0 || share + sum <= spec.slots;
             invariant::holds(fits, "slots", || {
-                format!(
-                    "{share} of {} for {entry} with {sum} held by others",
-                    spec.id
-                )
+                format!("{share} of {} for {entry} with {sum} held by others", spec.id)
             })
         })
     }
@@ -278,31 +259,18 @@
     /// Splits slots by demand; each live entry counts as having at least one request.
     fn target(&self, now: Instant, entry: &EntryId, spec: &UpstreamSpec) -> u32 {
         let alive = |book: &EntryBook| {
-            book.heard
-                && book
-                    .last_grant
-                    .is_none_or(|at| now < at + self.timing.share_ttl * 2)
+            book.heard && book.last_grant.is_none_or(|at| now < at + self.timing.share_ttl * 2)
         };
-        let live = self
-            .entries
-            .iter()
-            .filter(|(other, book)| *other == entry || alive(book));
+        let live = self.entries.iter().filter(|(other, book)| *other == entry || alive(book));
         let weights: Vec<(&EntryId, u64)> = live
             .map(|(other, book)| {
-                (
-                    other,
-                    1 + 4 * u64::from(book.demand.get(&spec.service).copied().unwrap_or(0)),
-                )
+                (other, 1 + 4 * u64::from(book.demand.get(&spec.service).copied().unwrap_or(0)))
             })
             .collect();
         let total: u64 = weights.iter().map(|(_, weight)| weight).sum();
         let slots = u64::from(spec.slots);
         let floor = |weight: u64| slots * weight / total.max(1);
-        let rest = slots
-            - weights
-                .iter()
-                .map(|(_, weight)| floor(*weight))
-                .sum::<u64>();
+        let rest = slots - weights.iter().map(|(_, weight)| floor(*weight)).sum::<u64>();
         let mut order: Vec<_> = weights.clone();
         order.sort_by_key(|(other, weight)| (std::cmp::Reverse(slots * weight % total), *other));
         let lucky: BTreeSet<_> = order
@@ -310,10 +278,8 @@
             .take(usize::try_from(rest).unwrap_or(0))
             .map(|(other, _)| *other)
             .collect();
-        let own = weights
-            .iter()
-            .find(|(other, _)| *other == entry)
-            .map_or(0, |(_, weight)| *weight);
+        let own =
+            weights.iter().find(|(other, _)| *other == entry).map_or(0, |(_, weight)| *weight);
         let share = floor(own) + u64::from(lucky.contains(entry));
         u32::try_from(share).unwrap_or(spec.slots)
     }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -108,18 +108,12 @@
         let (stop, stopped) = watch::channel(false);
         let (machines, played) = (settings.machines.clone(), state.clone());
         let thread = Builder::new().name("stand-in".to_owned()).spawn(move || {
-            let runtime = runtime::Builder::new_current_thread()
-                .enable_all()
-                .build()?;
+            let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
             runtime.block_on(play(listeners, machines, played, stopped))?;
             runtime.shutdown_background();
             Ok(())
         })?;
-        Ok(Self {
-            state,
-            stop,
-            thread: Some(thread),
-        })
+        Ok(Self { state, stop, thread: Some(thread) })
     }
 
     /// Looks at or changes what is played.
@@ -157,20 +151,14 @@
                     state.workers.insert(vm.id.clone(), worker);
                 }
                 VmRole::Upstream { slots, .. } => {
-                    state
-                        .upstreams
-                        .insert(vm.id.clone(), UpstreamModel::new(*slots));
+                    state.upstreams.insert(vm.id.clone(), UpstreamModel::new(*slots));
                 }
             }
         }
         state.vms = machines;
     }
     for (listener, role) in listeners {
-        let context = PlayedContext {
-            role,
-            state: state.clone(),
-            changed: changed.clone(),
-        };
+        let context = PlayedContext { role, state: state.clone(), changed: changed.clone() };
         listen(TcpListener::from_std(listener)?, context, stopped.clone());
     }
     let stop = stopped.clone();
@@ -184,10 +172,7 @@
 
 fn listen(listener: TcpListener, context: PlayedContext, stop: watch::Receiver<bool>) {
     let prepare: PrepareState = Arc::new(move |state| state.put(context.clone()));
-    let limits = ListenerLimits {
-        drain: Duration::ZERO,
-        ..ListenerLimits::default()
-    };
+    let limits = ListenerLimits { drain: Duration::ZERO, ..ListenerLimits::default() };
     tokio::spawn(serve_http(listener, limits, routes(), prepare, stop));
 }
 
@@ -202,10 +187,7 @@
         let workers = state.workers.iter_mut();
         let each = workers.flat_map(|(name, worker)| {
             worker.tick(Instant::now());
-            worker
-                .without_endpoint()
-                .into_iter()
-                .map(|task| (name.clone(), task))
+            worker.without_endpoint().into_iter().map(|task| (name.clone(), task))
         });
         each.collect()
     };
@@ -215,19 +197,13 @@
         let name = format!("{}#{}@{worker}", task.0, task.1);
         {
             let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
-            state
-                .upstreams
-                .insert(name.clone(), UpstreamModel::new(SERVICE_TASK_SLOTS));
+            state.upstreams.insert(name.clone(), UpstreamModel::new(SERVICE_TASK_SLOTS));
             if let Some(worker) = state.workers.get_mut(&worker) {
                 worker.set_endpoint(&task, address);
             }
         }
         let role = PlayedRole::Upstream(name);
-        let context = PlayedContext {
-            role,
-            state: state.clone(),
-            changed: changed.clone(),
-        };
+        let context = PlayedContext { role, state: state.clone(), changed: changed.clone() };
         listen(listener, context, stop.clone());
     }
     Ok(())
@@ -244,9 +220,7 @@
             Method::DELETE,
             Method::OPTIONS,
         ];
-        route
-            .request(methods.clone(), "/")
-            .to_new_handler(|| Ok(handle));
+        route.request(methods.clone(), "/").to_new_handler(|| Ok(handle));
         route.request(methods, "/*").to_new_handler(|| Ok(handle));
     })
 }
@@ -254,11 +228,7 @@
 fn handle(mut state: State) -> Pin<Box<HandlerFuture>> {
     Box::pin(async move {
         let body = Body::try_take_from(&mut state).unwrap_or_default();
-        let bytes = body
-            .collect()
-            .await
-            .map(|body| body.to_bytes())
-            .unwrap_or_default();
+        let bytes = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         let context = PlayedContext::borrow_from(&state).clone();
         let method = Method::borrow_from(&state).clone();
         let uri = Uri::borrow_from(&state).clone();
@@ -281,9 +251,7 @@
 
 fn query(uri: &Uri, name: &str) -> Option<u64> {
     let pairs = uri.query()?.split('&');
-    let found = pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)?;
+    let found = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?;
     found.1.parse().ok()
 }
 
@@ -355,9 +323,7 @@
             }
         }
     };
-    timeout(wait, newer)
-        .await
-        .unwrap_or(empty(StatusCode::NO_CONTENT))
+    timeout(wait, newer).await.unwrap_or(empty(StatusCode::NO_CONTENT))
 }
 
 /// The list; a PUT replaces it.
@@ -413,11 +379,7 @@
         upstream.begin(mark);
     }
     let (context, name) = (context.clone(), name.to_owned());
-    let mut open = OpenRequest {
-        context,
-        name: name.clone(),
-        answered: false,
-    };
+    let mut open = OpenRequest { context, name: name.clone(), answered: false };
     sleep(Duration::from_millis(query(uri, "work_ms").unwrap_or(1))).await;
     let service: ServiceId = name.as_str().into();
     let body = serde_json::json!({
--- a/src/standin/settings.rs
+++ b/src/standin/settings.rs
@@ -45,11 +45,7 @@
         reader.finish(&mut sink);
         let machines: Option<Vec<VmRecord>> = machines.into_iter().collect();
         let settings = match (store, vms, machines) {
-            (Some(store), Some(vms), Some(machines)) => Some(Self {
-                store,
-                vms,
-                machines,
-            }),
+            (Some(store), Some(vms), Some(machines)) => Some(Self { store, vms, machines }),
             _ => None,
         };
         sink.finish(settings)
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -53,11 +53,7 @@
 
     /// Size of the largest value, in bytes.
     pub fn largest_value(&self) -> usize {
-        self.keys
-            .values()
-            .map(|stored| stored.value.len())
-            .max()
-            .unwrap_or(0)
+        self.keys.values().map(|stored| stored.value.len()).max().unwrap_or(0)
     }
 
     /// A key.
@@ -87,11 +83,7 @@
                     None => StoreOutcome::Missing,
                 }
             }
-            StoreRequest::Swap {
-                key,
-                expected,
-                value,
-            } => {
+            StoreRequest::Swap { key, expected, value } => {
                 self.writes += 1;
                 let found = self.keys.get(key).map_or(0, |stored| stored.version);
                 if found != *expected {
@@ -101,10 +93,7 @@
                     return StoreOutcome::Unavailable;
                 }
                 self.version += 1;
-                let stored = StoredValue {
-                    version: self.version,
-                    value: value.clone(),
-                };
+                let stored = StoredValue { version: self.version, value: value.clone() };
                 self.keys.insert(key.clone(), stored);
                 StoreOutcome::Written(self.version)
             }
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -28,10 +28,7 @@
 impl UpstreamModel {
     /// An idle upstream.
     pub fn new(slots: u32) -> Self {
-        Self {
-            slots,
-            ..Self::default()
-        }
+        Self { slots, ..Self::default() }
     }
 
     /// A request begins; `mark` names it across attempts.
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -80,9 +80,7 @@
     /// Room in use.
     pub fn used(&self) -> ResourceVector {
         let running = self.tasks.values().filter(|task| task.outcome.is_none());
-        running.fold(ResourceVector::default(), |sum, task| {
-            sum.saturating_add(&task.need)
-        })
+        running.fold(ResourceVector::default(), |sum, task| sum.saturating_add(&task.need))
     }
 
     /// Tasks that run, with their reservations.
@@ -93,10 +91,7 @@
 
     /// Number of tasks that run.
     pub fn running(&self) -> usize {
-        self.tasks
-            .values()
-            .filter(|task| task.outcome.is_none())
-            .count()
+        self.tasks.values().filter(|task| task.outcome.is_none()).count()
     }
 
     /// Tasks of services that run and have no endpoint yet.
@@ -115,9 +110,7 @@
 
     /// Tells whether a task runs.
     pub fn runs_task(&self, id: &TaskId) -> bool {
-        self.tasks
-            .get(id)
-            .is_some_and(|task| task.outcome.is_none())
+        self.tasks.get(id).is_some_and(|task| task.outcome.is_none())
     }
 
     /// Makes every task fail at once, or not any more.
@@ -170,10 +163,7 @@
     /// Takes an exchange.
     pub fn handle(&mut self, now: Instant, request: &WorkerRequest) -> WorkerReply {
         self.tick(now);
-        let outranked = self
-            .highest
-            .as_ref()
-            .is_some_and(|highest| request.token < *highest);
+        let outranked = self.highest.as_ref().is_some_and(|highest| request.token < *highest);
         let clock = now.saturating_duration_since(self.booted);
         let late = request.not_after.is_some_and(|bound| clock > bound);
         let claim = request.not_after.is_none();
@@ -193,11 +183,7 @@
             highest: self.highest.clone().unwrap_or(request.token.clone()),
             clock,
             boot: self.boot,
-            tasks: self
-                .tasks
-                .iter()
-                .map(|(id, task)| report(now, id, task))
-                .collect(),
+            tasks: self.tasks.iter().map(|(id, task)| report(now, id, task)).collect(),
         }
     }
 
@@ -211,14 +197,7 @@
 
     fn carry_out(&mut self, now: Instant, request: &WorkerRequest, command: &WorkerCommand) {
         match command {
-            WorkerCommand::Start {
-                task,
-                attempt,
-                need,
-                command,
-                cut_off,
-                service,
-            } => {
+            WorkerCommand::Start { task, attempt, need, command, cut_off, service } => {
                 let known = self.tasks.get(task);
                 if known.is_some_and(|known| known.attempt >= *attempt || known.outcome.is_none()) {
                     return;
@@ -232,11 +211,7 @@
                 match fits {
                     true => {
                         started.run = Some(self.runs.len());
-                        self.runs.push(TaskRun {
-                            task: task.clone(),
-                            started: now,
-                            ended: None,
-                        });
+                        self.runs.push(TaskRun { task: task.clone(), started: now, ended: None });
                     }
                     false => {
                         started.outcome = Some(TaskOutcome::Refused("no room".to_owned()));
@@ -280,15 +255,9 @@
         task: id.clone(),
         attempt: task.attempt,
         need: task.need,
-        usage: TaskUsage {
-            run_time,
-            peak: task.need,
-        },
+        usage: TaskUsage { run_time, peak: task.need },
         outcome: task.outcome.clone(),
-        endpoint: task
-            .endpoint
-            .clone()
-            .filter(|endpoint| !endpoint.is_empty()),
+        endpoint: task.endpoint.clone().filter(|endpoint| !endpoint.is_empty()),
     }
 }
 
--- a/src/token.rs
+++ b/src/token.rs
@@ -21,19 +21,11 @@
 impl FencingToken {
     /// The token that a lease in the store gives.
     pub fn granted(epoch: u64, entry: EntryId) -> Self {
-        Self {
-            epoch,
-            round: 0,
-            entry,
-        }
+        Self { epoch, round: 0, entry }
     }
 
     /// The next token after `self` for `entry` without the store.
     pub fn next_round(&self, entry: EntryId) -> Self {
-        Self {
-            epoch: self.epoch,
-            round: self.round + 1,
-            entry,
-        }
+        Self { epoch: self.epoch, round: self.round + 1, entry }
     }
 }
