--- a/tests/random.rs
+++ b/tests/random.rs
@@ -42,32 +42,15 @@
     let batch = JobKind::Batch;
     let quota = Some(ResourceVector::new(24_000, 64_000, 4));
     vec![
-        IntentSpec {
-            count: 4,
-            cut_off: CutOffRule::Move,
-            ..intent("watch", JobKind::Service)
-        },
-        IntentSpec {
-            urgency: Urgency::Now,
-            quota,
-            ..intent("check", batch)
-        },
-        IntentSpec {
-            idempotent: false,
-            ..intent("order", batch)
-        },
-        IntentSpec {
-            cut_off: CutOffRule::Move,
-            ..intent("mover", batch)
-        },
+        IntentSpec { count: 4, cut_off: CutOffRule::Move, ..intent("watch", JobKind::Service) },
+        IntentSpec { urgency: Urgency::Now, quota, ..intent("check", batch) },
+        IntentSpec { idempotent: false, ..intent("order", batch) },
+        IntentSpec { cut_off: CutOffRule::Move, ..intent("mover", batch) },
         IntentSpec {
             need: ResourceVector::new(3_000, 2_000, 0),
             ..intent("gang", JobKind::AllAtOnce)
         },
-        IntentSpec {
-            need: ResourceVector::new(1_000, 1_000, 1),
-            ..intent("gpu", batch)
-        },
+        IntentSpec { need: ResourceVector::new(1_000, 1_000, 1), ..intent("gpu", batch) },
     ]
 }
 
@@ -144,11 +127,7 @@
                 late_by: Duration::from_secs(4),
             };
         }
-        9 => world
-            .workers
-            .get_mut(&worker)
-            .unwrap()
-            .set_fails_everything(true),
+        9 => world.workers.get_mut(&worker).unwrap().set_fails_everything(true),
         10 => mend_entries(world),
         11 => world.store.set_fault(StoreFault::None),
         12 => {
@@ -218,15 +197,9 @@
     for (domain, leaders) in world.leaders() {
         assert_eq!(leaders.len(), 1, "leaders of {domain}: {leaders:?}");
     }
-    let revisions: Vec<_> = world
-        .entries
-        .values()
-        .map(|state| state.controller.revision())
-        .collect();
-    assert!(
-        revisions.windows(2).all(|pair| pair[0] == pair[1]),
-        "revisions {revisions:?}"
-    );
+    let revisions: Vec<_> =
+        world.entries.values().map(|state| state.controller.revision()).collect();
+    assert!(revisions.windows(2).all(|pair| pair[0] == pair[1]), "revisions {revisions:?}");
     let entry = world.all_entries()[0].clone();
     for number in 1..=jobs {
         let id = format!("ws/j{number}");
@@ -260,15 +233,9 @@
 
 #[gtest]
 fn what_must_hold_holds_under_all_faults() {
-    let number = |name| {
-        std::env::var(name)
-            .ok()
-            .and_then(|text: String| text.parse::<u64>().ok())
-    };
+    let number = |name| std::env::var(name).ok().and_then(|text: String| text.parse::<u64>().ok());
     if let Some(seed) = number("KELPLINK_RANDOM_SEED") {
-        let _ = env_logger::Builder::from_env("KELPLINK_LOG")
-            .format_timestamp(None)
-            .try_init();
+        let _ = env_logger::Builder::from_env("KELPLINK_LOG").format_timestamp(None).try_init();
         expect_that!(run_named(seed), ok(anything()));
         return;
     }
@@ -305,8 +272,5 @@
         steps += own_steps;
         expect_that!(failures, is_empty());
     }
-    println!(
-        "{seeds} seeds, {steps} steps of 25 ms, {} faults",
-        seeds * u64::from(ROUNDS)
-    );
+    println!("{seeds} seeds, {steps} steps of 25 ms, {} faults", seeds * u64::from(ROUNDS));
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -135,9 +135,7 @@
         };
         for domain in ["a", "b", "c"].iter().take(domains) {
             for number in 0..entries {
-                world
-                    .domains
-                    .insert(format!("{domain}{number}").into(), (*domain).into());
+                world.domains.insert(format!("{domain}{number}").into(), (*domain).into());
             }
             for number in 0..workers {
                 world.add_worker(domain, number);
@@ -154,10 +152,8 @@
         let id = format!("{domain}-w{number}");
         let accelerators = if number % 2 == 1 { 2 } else { 0 };
         let capacity = ResourceVector::new(8_000, 16_000, accelerators);
-        self.workers
-            .insert(id.as_str().into(), WorkerModel::new(self.now, capacity));
-        self.worker_domains
-            .insert(id.as_str().into(), domain.into());
+        self.workers.insert(id.as_str().into(), WorkerModel::new(self.now, capacity));
+        self.worker_domains.insert(id.as_str().into(), domain.into());
         self.vms.push(VmRecord {
             id,
             domain: domain.into(),
@@ -175,10 +171,7 @@
             rack: format!("{domain}-rack0").into(),
             address: SocketAddr::from(([127, 0, 0, 1], 2)),
             leaving: false,
-            role: VmRole::Upstream {
-                service: "ws/svc".into(),
-                slots: SLOTS,
-            },
+            role: VmRole::Upstream { service: "ws/svc".into(), slots: SLOTS },
         });
     }
 
@@ -187,12 +180,7 @@
     }
 
     pub(crate) fn all_domains(&self) -> Vec<DomainId> {
-        self.domains
-            .values()
-            .cloned()
-            .collect::<BTreeSet<_>>()
-            .into_iter()
-            .collect()
+        self.domains.values().cloned().collect::<BTreeSet<_>>().into_iter().collect()
     }
 
     /// Starts an entry that does not run.
@@ -204,9 +192,7 @@
             entry: entry.clone(),
             domain,
             boot: self.boots,
-            peers: peers
-                .map(|(other, domain)| (other.clone(), domain.clone()))
-                .collect(),
+            peers: peers.map(|(other, domain)| (other.clone(), domain.clone())).collect(),
             timing: TimingSettings::default(),
         };
         let unix = UNIX + u64::try_from((self.now - self.start).as_millis()).unwrap();
@@ -236,10 +222,7 @@
             if self.reaches(&self.domains[&other], &domain) {
                 let boot = self.entries[&other].boot;
                 let event = DomainEvent::PeerGone(entry.clone());
-                self.send(
-                    Duration::from_millis(3),
-                    Parcel::Event(other, boot, Box::new(event)),
-                );
+                self.send(Duration::from_millis(3), Parcel::Event(other, boot, Box::new(event)));
             }
         }
     }
@@ -254,8 +237,7 @@
 
     fn send(&mut self, delay: Duration, parcel: Parcel) {
         self.sequence += 1;
-        self.queue
-            .push(Reverse(Queued(self.now + delay, self.sequence, parcel)));
+        self.queue.push(Reverse(Queued(self.now + delay, self.sequence, parcel)));
     }
 
     fn chance(&mut self, probability: f64) -> bool {
@@ -280,11 +262,7 @@
 
     fn step(&mut self) {
         let next = self.now + STEP;
-        while self
-            .queue
-            .peek()
-            .is_some_and(|Reverse(queued)| queued.0 <= next)
-        {
+        while self.queue.peek().is_some_and(|Reverse(queued)| queued.0 <= next) {
             let Some(Reverse(Queued(at, _, parcel))) = self.queue.pop() else {
                 break;
             };
@@ -411,12 +389,7 @@
             DomainAction::Store(owner, id, request) => {
                 self.call_store(entry, boot, owner, id, request)
             }
-            DomainAction::Worker {
-                worker,
-                id,
-                request,
-                ..
-            } => {
+            DomainAction::Worker { worker, id, request, .. } => {
                 self.call_worker(entry, boot, worker, id, request);
             }
             DomainAction::Peer(peer, message) => self.tell_peer(entry, &peer, message),
@@ -530,33 +503,18 @@
         for domain in self.domains.values() {
             leaders.entry(domain.clone()).or_default();
         }
-        for (entry, state) in self
-            .entries
-            .iter()
-            .filter(|(_, state)| state.controller.leads())
-        {
+        for (entry, state) in self.entries.iter().filter(|(_, state)| state.controller.leads()) {
             let _ = state;
-            leaders
-                .entry(self.domains[entry].clone())
-                .or_default()
-                .push(entry.clone());
+            leaders.entry(self.domains[entry].clone()).or_default().push(entry.clone());
         }
         leaders
     }
 
     /// State of the faults, for a reader of the log.
     pub(crate) fn describe(&self) -> String {
-        let down: Vec<_> = self
-            .domains
-            .keys()
-            .filter(|e| !self.entries.contains_key(*e))
-            .collect();
-        let paused: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, state)| state.paused)
-            .map(|(entry, _)| entry)
-            .collect();
+        let down: Vec<_> = self.domains.keys().filter(|e| !self.entries.contains_key(*e)).collect();
+        let paused: Vec<_> =
+            self.entries.iter().filter(|(_, state)| state.paused).map(|(entry, _)| entry).collect();
         format!(
             "at {:?}: store {:?}, cut {:?} {:?} {:?}, down {down:?}, paused {paused:?}, leaders {:?}",
             self.now - self.start,
@@ -584,11 +542,7 @@
                 let count = self.run_counts.entry(run.task.clone()).or_default();
                 *count += 1;
                 let once = self.once_jobs.contains(&run.task.0);
-                assert!(
-                    !once || *count == 1,
-                    "{:?} is not idempotent and ran twice",
-                    run.task
-                );
+                assert!(!once || *count == 1, "{:?} is not idempotent and ran twice", run.task);
                 let elsewhere = self.workers.iter().filter(|(other, _)| *other != id);
                 for (other, model) in elsewhere {
                     assert!(
@@ -615,17 +569,10 @@
     }
 
     fn check_revisions(&mut self) {
-        for (entry, state) in self
-            .entries
-            .iter()
-            .filter(|(_, state)| state.controller.ready())
-        {
+        for (entry, state) in self.entries.iter().filter(|(_, state)| state.controller.ready()) {
             let revision = state.controller.revision();
             let last = self.revisions.entry(entry.clone()).or_default();
-            assert!(
-                revision >= *last,
-                "{entry} went back from revision {last} to {revision}"
-            );
+            assert!(revision >= *last, "{entry} went back from revision {last} to {revision}");
             *last = revision;
         }
     }
@@ -641,16 +588,10 @@
         }
         for (workspace, quota) in &self.quotas {
             let used = used.get(workspace).copied().unwrap_or_default();
-            let parts = self
-                .store
-                .get("quota/parts")
-                .map(|stored| stored.value.clone());
+            let parts = self.store.get("quota/parts").map(|stored| stored.value.clone());
             let leaders = self.leaders();
-            let running: Vec<_> = self
-                .workers
-                .iter()
-                .map(|(id, w)| (id.clone(), w.used()))
-                .collect();
+            let running: Vec<_> =
+                self.workers.iter().map(|(id, w)| (id.clone(), w.used())).collect();
             assert!(
                 used.fits(quota),
                 "{workspace} uses {used:?} of {quota:?}: {parts:?} {leaders:?} {running:?}"
