Quota wants are a queue: who waits longest gets what others do not use

Change: the record names who wants more and since when; the others hold what they use, and lower their own bound by a quarter until the first is served. A record that would not change is not written.

--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -3,7 +3,7 @@
 //! One record in the store splits each quota into parts, one for each failure domain. A domain uses
 //! no more than its part. It takes from what is left over, and gives back, by compare-and-swap.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -11,7 +11,7 @@
 
 use crate::domain::controller::DomainController;
 use crate::domain::event::{EntryIdentity, StoreOwner};
-use crate::id::{CallId, DomainId, KeyVersion, WorkspaceId};
+use crate::id::{CallId, DomainId, KeyVersion, UnixMillis, WorkspaceId};
 use crate::resources::ResourceVector;
 use crate::store::{StoreOutcome, StoreRequest};
 
@@ -21,18 +21,26 @@
 const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between reads while more is held than there is.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
-/// How long a domain waits with what it holds before it gives back what it does not use; longer in
-/// each further domain.
-const HOLD_TIME: Duration = Duration::from_secs(4);
-/// How long it does not ask then.
-const YIELD_TIME: Duration = Duration::from_secs(2);
+/// Life of a want that is not renewed, in milliseconds.
+const WANT_LIFE_MS: UnixMillis = 10_000;
 /// How long an unused part is kept before it is given back.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
+/// A failure domain that wants more of a quota than there was left.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+struct QuotaWant {
+    /// Since when.
+    since: UnixMillis,
+    /// When it last said so; a want that is not renewed is void.
+    renewed: UnixMillis,
+}
+
 /// Parts of all quotas.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 struct QuotaRecord {
     parts: BTreeMap<WorkspaceId, BTreeMap<DomainId, ResourceVector>>,
+    #[serde(default)]
+    wants: BTreeMap<WorkspaceId, BTreeMap<DomainId, QuotaWant>>,
     write_id: String,
 }
 
@@ -49,6 +57,31 @@
         !sum.fits(quota)
     }
 
+    /// Tells whether another failure domain has wanted more for longer than `own`.
+    fn behind(&self, now: UnixMillis, workspace: &WorkspaceId, own: &DomainId) -> bool {
+        let Some(wants) = self.wants.get(workspace) else {
+            return false;
+        };
+        let key = |domain: &DomainId, want: &QuotaWant| (want.since, domain.clone());
+        let first = wants.get(own).map_or((now, own.clone()), |want| key(own, want));
+        let fresh = |want: &QuotaWant| now < want.renewed.saturating_add(WANT_LIFE_MS);
+        wants.iter().any(|(domain, want)| domain != own && fresh(want) && key(domain, want) < first)
+    }
+
+    /// Notes whether `own` wants more than it holds.
+    fn set_want(&mut self, now: UnixMillis, workspace: &WorkspaceId, own: &DomainId, wants: bool) {
+        let all = self.wants.entry(workspace.clone()).or_default();
+        match wants {
+            true => {
+                let since = all.get(own).map_or(now, |want| want.since);
+                all.insert(own.clone(), QuotaWant { since, renewed: now });
+            }
+            false => {
+                all.remove(own);
+            }
+        }
+    }
+
     /// What is left of a quota for `own`: what no failure domain holds, less the floors of those
     /// that have not written their part yet and may use that much without asking.
     fn left(
@@ -100,8 +133,8 @@
     retry_pause: Duration,
     /// What was wanted last, and when.
     recent: BTreeMap<WorkspaceId, (ResourceVector, Instant)>,
-    /// Since when more is wanted than held.
-    unsatisfied: BTreeMap<WorkspaceId, Instant>,
+    /// Workspaces of which another failure domain has wanted more for longer.
+    yielding: BTreeSet<WorkspaceId>,
     pending: Option<(CallId, QuotaCall)>,
     next_call: CallId,
     next_change: Instant,
@@ -122,7 +155,7 @@
             wanted: BTreeMap::new(),
             retry_pause: CHANGE_INTERVAL,
             recent: BTreeMap::new(),
-            unsatisfied: BTreeMap::new(),
+            yielding: BTreeSet::new(),
             pending: None,
             next_call: 0,
             next_change: now,
@@ -175,8 +208,8 @@
     }
 
     /// The part that this domain should hold: what it uses and wants, as far as there is some left.
-    /// What it lately wanted is kept for a while; what it waits for in vain is given back at times,
-    /// so that two domains cannot wait for each other's parts.
+    /// What it lately wanted is kept for a while, unless another domain has waited for longer: then
+    /// it holds what it uses, so that two domains cannot wait for each other's parts.
     fn target(
         &self,
         now: Instant,
@@ -192,42 +225,49 @@
         let recent = self.recent.get(workspace).filter(|(_, at)| now < *at + IDLE_TIME);
         let kept = recent.map_or(asked, |(recent, _)| asked.each_max(recent));
         let grown = held.saturating_add(&asked.saturating_sub(&held).each_min(&left));
-        match self.yields(now, workspace) {
+        match self.yielding.contains(workspace) {
             true => held.each_min(&least).each_max(&used),
             false => grown.each_min(&kept).each_max(&least.each_min(&grown)),
         }
     }
 
-    /// Tells whether a domain that waits for more gives back what it does not use. The rhythm differs
-    /// from domain to domain.
-    fn yields(&self, now: Instant, workspace: &WorkspaceId) -> bool {
-        let Some(since) = self.unsatisfied.get(workspace) else {
-            return false;
-        };
-        let place = self.domains.iter().position(|domain| *domain == self.domain).unwrap_or(0);
-        let hold = HOLD_TIME.mul_f64(1.0 + 0.6 * place as f64);
-        let round = (hold + YIELD_TIME).as_millis().max(1);
-        let passed = now.saturating_duration_since(*since).as_millis() % round;
-        passed >= hold.as_millis()
+    /// The bound for the scheduler: the part, or less of it while another domain waits, so that what
+    /// ends here does not start again at once.
+    fn cap(
+        &self,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        part: ResourceVector,
+    ) -> ResourceVector {
+        let least = floor(quota, self.domains.len());
+        let lowered = part.saturating_sub(&part.quarter()).each_max(&least).each_min(&part);
+        match self.yielding.contains(workspace) {
+            true => lowered,
+            false => part,
+        }
     }
 
-    /// Notes what workspaces want, and since when they want more than they hold.
+    /// Tells whether a workspace wants more than is held here.
+    fn unsatisfied(
+        &self,
+        workspace: &WorkspaceId,
+        used: &ResourceVector,
+        part: &ResourceVector,
+    ) -> bool {
+        let wanted = self.wanted.get(workspace).copied().unwrap_or_default();
+        wanted != ResourceVector::default() && !used.saturating_add(&wanted).fits(part)
+    }
+
+    /// Notes what workspaces want.
     fn note_demand(
         &mut self,
         now: Instant,
         wanted: BTreeMap<WorkspaceId, ResourceVector>,
         used: &BTreeMap<WorkspaceId, ResourceVector>,
     ) {
-        self.unsatisfied.retain(|workspace, _| wanted.contains_key(workspace));
         for (workspace, want) in &wanted {
             let used = used.get(workspace).copied().unwrap_or_default();
-            let asked = used.saturating_add(want);
-            self.recent.insert(workspace.clone(), (asked, now));
-            let held = self.parts.get(workspace).copied().unwrap_or_default();
-            match asked.fits(&held) {
-                true => self.unsatisfied.remove(workspace),
-                false => Some(*self.unsatisfied.entry(workspace.clone()).or_insert(now)),
-            };
+            self.recent.insert(workspace.clone(), (used.saturating_add(want), now));
         }
         self.wanted = wanted;
     }
@@ -268,8 +308,9 @@
         for workspace in known {
             let part = match (quotas.get(&workspace), self.quota.fenced) {
                 (None, _) => None,
-                (Some(_), true) => {
-                    Some(self.quota.parts.get(&workspace).copied().unwrap_or_default())
+                (Some(quota), true) => {
+                    let part = self.quota.parts.get(&workspace).copied().unwrap_or_default();
+                    Some(self.quota.cap(&workspace, quota, part))
                 }
                 (Some(_), false) => {
                     let used = leader.scheduler.used().get(&workspace).copied().unwrap_or_default();
@@ -359,24 +400,14 @@
     }
 
     /// Works out the own parts against the record as read, and writes it.
-    fn write_parts(&mut self, now: Instant, mut record: QuotaRecord, version: KeyVersion) {
+    fn write_parts(&mut self, now: Instant, before: QuotaRecord, version: KeyVersion) {
         let quotas = self.config.current().quotas.clone();
-        self.quota.recheck = None;
+        let unix = self.clock.unix(now);
         let domain = self.quota.domain.clone();
+        let mut record = before.clone();
+        self.quota.recheck = None;
         for (workspace, quota) in &quotas {
-            let held = record.part(workspace, &domain);
-            let left = record.left(workspace, quota, &domain, &self.domains);
-            let used = self.used_by(workspace);
-            let left = left.saturating_sub(&used.saturating_sub(&held));
-            let held = held.each_max(&used);
-            let part = match record.exceeded(workspace, quota) {
-                true => {
-                    self.quota.recheck = Some(now + RECHECK_INTERVAL);
-                    held.each_min(&used.each_max(&floor(quota, self.domains.len())))
-                }
-                false => self.quota.target(now, workspace, quota, used, held, left),
-            };
-            record.parts.entry(workspace.clone()).or_default().insert(domain.clone(), part);
+            self.split(now, unix, &mut record, workspace, quota);
         }
         for (workspace, parts) in &mut record.parts {
             if !quotas.contains_key(workspace) {
@@ -384,9 +415,45 @@
             }
         }
         record.parts.retain(|_, parts| !parts.is_empty());
+        record.wants.retain(|workspace, wants| quotas.contains_key(workspace) && !wants.is_empty());
+        if record == before && self.quota.fenced {
+            return self.apply_parts();
+        }
         self.quota.writes += 1;
         record.write_id = format!("{}-{}", self.quota.name, self.quota.writes);
         let (id, request) = self.quota.call(QuotaCall::Write(record), version);
         self.store(StoreOwner::Quota, id, request);
     }
+
+    /// Works out the own part of one quota.
+    fn split(
+        &mut self,
+        now: Instant,
+        unix: UnixMillis,
+        record: &mut QuotaRecord,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+    ) {
+        let domain = self.quota.domain.clone();
+        let recorded = record.part(workspace, &domain);
+        let used = self.used_by(workspace);
+        let left = record.left(workspace, quota, &domain, &self.domains);
+        let left = left.saturating_sub(&used.saturating_sub(&recorded));
+        let held = recorded.each_max(&used);
+        let least = used.each_max(&floor(quota, self.domains.len()));
+        match record.behind(unix, workspace, &domain) {
+            true => self.quota.yielding.insert(workspace.clone()),
+            false => self.quota.yielding.remove(workspace),
+        };
+        let part = match record.exceeded(workspace, quota) {
+            true => held.each_min(&least),
+            false => self.quota.target(now, workspace, quota, used, held, left),
+        };
+        let wants = self.quota.unsatisfied(workspace, &used, &part);
+        record.set_want(unix, workspace, &domain, wants);
+        if wants || !part.fits(&least) || self.quota.yielding.contains(workspace) {
+            self.quota.recheck = Some(now + RECHECK_INTERVAL);
+        }
+        record.parts.entry(workspace.clone()).or_default().insert(domain, part);
+    }
 }
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// A quarter of each dimension, rounded up.
+    pub fn quarter(&self) -> Self {
+        Self {
+            accelerators: self.accelerators.div_ceil(4),
+            millicores: self.millicores.div_ceil(4),
+            memory_mib: self.memory_mib.div_ceil(4),
+        }
+    }
+
     /// The smaller of both in each dimension.
     pub fn each_min(&self, other: &Self) -> Self {
         Self {
