Scripted scenarios, and what they found

They found: an all-at-once job that could only run after its patience never ran, since nothing made the scheduler look again; a planned stop handed over only when the lease ran out, because the release met a renewal on its way; jobs that ran longer than an hour were forgotten as soon as they ended; a worker could be in quarantine for half an hour. Change: what waits is looked at once a second; a release waits for the renewal and followers look for the lease when the leader says that it resigned; ends are kept an hour from the end; quarantine lasts at most two minutes. Both test programs are one.

--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -246,7 +246,7 @@
                 PlacementAction::Stop { worker, task, attempt, reason } => {
                     self.stop_task(now, &worker, &task, attempt, reason);
                 }
-                PlacementAction::Ended { task, end } => self.end_task(&task, end),
+                PlacementAction::Ended { task, end } => self.end_task(now, &task, end),
                 PlacementAction::JobStopped { job, reason } => {
                     warn!("job {job} is stopped: {reason}");
                     self.journal
@@ -324,11 +324,15 @@
         found
     }
 
-    fn end_task(&mut self, task: &TaskId, end: TaskEnd) {
+    fn end_task(&mut self, now: Instant, task: &TaskId, end: TaskEnd) {
+        let unix = self.clock.unix(now);
         debug!("{task:?} ended: {end:?}");
         let index = task.1;
         self.journal.change_job(&job_name(&task.0), |record| {
             record.ended.entry(index).or_insert(end);
+            if record.over() {
+                record.over_at = Some(unix);
+            }
         });
         self.drop_endpoint(task);
     }
@@ -516,7 +520,8 @@
             .records()
             .filter(|record| match record {
                 LedgerRecord::Job(job) => {
-                    let old = job.spec.accepted + KEEP_ENDED_MS < unix;
+                    let since = job.over_at.unwrap_or(job.spec.accepted);
+                    let old = since + KEEP_ENDED_MS < unix;
                     job.over() && old && !wanted.contains(&job.spec.id)
                 }
                 LedgerRecord::Key(key) => key.accepted + KEEP_KEY_MS < unix,
--- a/src/domain/moves.rs
+++ b/src/domain/moves.rs
@@ -355,7 +355,7 @@
     }
 
     fn takeover_advance(&mut self, now: Instant) {
-        let heard = self.moves.takeover.as_ref().and_then(|t| self.peers.leader_heard(&t.domain));
+        let heard = self.moves.takeover.as_ref().and_then(|t| self.peers.domain_heard(&t.domain));
         let Some(takeover) = &mut self.moves.takeover else {
             return;
         };
--- a/src/domain/peers.rs
+++ b/src/domain/peers.rs
@@ -320,8 +320,12 @@
             state.free_slots.clone_from(free);
         }
         let (revision, leading) = (hello.revision, hello.leading.clone());
+        let led = state.hello.as_ref().is_some_and(|before| before.leading.is_some());
         state.hello = Some(hello);
         let near = state.domain == own_domain;
+        if near && led && leading.is_none() {
+            self.leadership.hear_resignation(now);
+        }
         let outputs = self.config.hear_revision(peer, revision);
         self.config_outputs(now, outputs);
         if let Some(news) = leading.filter(|_| near) {
--- a/src/job.rs
+++ b/src/job.rs
@@ -90,6 +90,9 @@
     pub ended: BTreeMap<TaskIndex, TaskEnd>,
     /// Tasks that are not idempotent and that a worker may have been told to start.
     pub started: BTreeSet<TaskIndex>,
+    /// When the last task ended for good.
+    #[serde(default)]
+    pub over_at: Option<UnixMillis>,
     /// Whether the job was cancelled.
     pub cancelled: bool,
     /// Why the job was stopped, where it was.
@@ -108,6 +111,7 @@
             spec,
             ended: BTreeMap::new(),
             started: BTreeSet::new(),
+            over_at: None,
             cancelled: false,
             stopped: None,
             moved: None,
--- a/src/leadership/role.rs
+++ b/src/leadership/role.rs
@@ -13,6 +13,10 @@
 
 /// Renewals in one life of the lease.
 const RENEWALS_PER_TTL: u32 = 3;
+/// Looks at the lease in one of its lives.
+const CALM_TTLS: u32 = 4;
+/// The same after the leader said that it does not lead any more.
+const RESIGNED_TTLS: u32 = 20;
 /// Silence of the leader, in lives of the lease, before a takeover without the store.
 const DETACHED_TTLS: u32 = 2;
 
@@ -38,6 +42,8 @@
     heard: Instant,
     /// When the lease is to be read or taken next.
     next_look: Instant,
+    /// Whether the leader said that it does not lead any more.
+    resigned: bool,
 }
 
 /// State of an entry that leads.
@@ -59,7 +65,7 @@
 
 impl FollowingRole {
     fn new(now: Instant) -> Self {
-        Self { seen: None, record: None, heard: now, next_look: now }
+        Self { seen: None, record: None, heard: now, next_look: now, resigned: false }
     }
 
     /// Notes the record; the time of its first sight bounds its holder's deadline from above.
@@ -230,6 +236,7 @@
             && known.as_ref() == Some(token)
         {
             role.heard = now;
+            role.resigned = false;
             let ttl = self.timing.lease_ttl;
             match (version, role.seen) {
                 (Some(version), Some((seen, ..))) if version > seen => {
@@ -243,6 +250,15 @@
         actions
     }
 
+    /// The leader said that it does not lead any more: the lease may be free.
+    pub fn hear_resignation(&mut self, now: Instant) {
+        if let LeadershipRole::Following(role) = &mut self.role {
+            role.resigned = true;
+            role.record = None;
+            role.next_look = now;
+        }
+    }
+
     /// A token was seen, for instance in the refusal of a worker.
     pub fn hear_token(&mut self, now: Instant, token: &FencingToken) -> Vec<LeadershipAction> {
         if self.highest.as_ref().is_some_and(|highest| highest >= token) {
@@ -269,13 +285,14 @@
         }
     }
 
-    /// Gives the lease back and does not take it again.
+    /// Gives the lease back and does not take it again. A write on its way is waited for first.
     pub fn leave(&mut self, now: Instant) -> Vec<LeadershipAction> {
         self.leaving = true;
         let mut actions = Vec::new();
         if let LeadershipRole::Leading(role) = &self.role {
             let (epoch, version) = (role.token.epoch, role.version);
-            if let Some(version) = version {
+            let writing = matches!(self.pending, Some((_, PendingCall::Write(_))));
+            if let Some(version) = version.filter(|_| !writing) {
                 let record = self.record(epoch, Duration::ZERO);
                 actions.push(self.write(now, version, record));
             }
@@ -304,7 +321,8 @@
     }
 
     fn wants_look(&self, now: Instant, role: &FollowingRole) -> bool {
-        let silent = now >= role.heard + self.timing.lease_ttl / 2 || role.seen.is_none();
+        let silent =
+            now >= role.heard + self.timing.lease_ttl / 2 || role.seen.is_none() || role.resigned;
         silent && now >= role.next_look
     }
 
@@ -318,7 +336,8 @@
         let LeadershipRole::Following(role) = &mut self.role else {
             return Vec::new();
         };
-        role.next_look = now + self.timing.lease_ttl / 4;
+        let pause = if role.resigned { RESIGNED_TTLS } else { CALM_TTLS };
+        role.next_look = now + self.timing.lease_ttl / pause;
         let taken = match (&role.record, role.seen) {
             (Some(record), Some((version, ..))) if role.expired(now) => {
                 Some((version, record.epoch))
@@ -474,7 +493,11 @@
     ) -> Vec<LeadershipAction> {
         let deadline = write.started + write.record.ttl;
         match &mut self.role {
-            _ if self.leaving || write.record.ttl.is_zero() => Vec::new(),
+            _ if write.record.ttl.is_zero() => Vec::new(),
+            _ if self.leaving => {
+                let record = self.record(write.record.epoch, Duration::ZERO);
+                vec![self.write(now, version, record)]
+            }
             LeadershipRole::Leading(role)
                 if role.token.epoch == write.record.epoch && role.token.round == 0 =>
             {
@@ -519,6 +542,9 @@
         match &mut self.role {
             LeadershipRole::Following(role) => {
                 role.note(now, version, record);
+                if role.expired(now) || version == 0 {
+                    role.next_look = now;
+                }
                 Vec::new()
             }
             LeadershipRole::Leading(_) => self.compare_with_own(now, version, record),
--- a/src/placement/health.rs
+++ b/src/placement/health.rs
@@ -16,7 +16,7 @@
 /// First quarantine; it doubles with each one that follows.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Longest quarantine.
-const LONGEST_QUARANTINE: Duration = Duration::from_secs(1_800);
+const LONGEST_QUARANTINE: Duration = Duration::from_secs(120);
 /// Longest time that a probe keeps other tasks away.
 const PROBE_TIME: Duration = Duration::from_secs(30);
 /// First pause before a failed task is tried again; it doubles with each failure.
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -38,6 +38,8 @@
 const MAX_ROUND: u64 = (1 << (EPOCH_SHIFT - ROUND_SHIFT)) - 1;
 /// Work that waited longer than this may take processors that accelerators need to be of use.
 const STRAND_PATIENCE_MS: UnixMillis = 30_000;
+/// Interval at which what waits is looked at again.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause before a task is queued again whose start was refused or that was lost.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 /// Tasks of a worker that was lost are queued again over this time.
@@ -125,6 +127,8 @@
     dirty: bool,
     /// Time of day of the last pass.
     unix: UnixMillis,
+    /// When what waits is looked at again although nothing happened: patience has its limits.
+    next_review: Option<Instant>,
     actions: Vec<PlacementAction>,
 }
 
@@ -259,7 +263,7 @@
             None => Vec::new(),
         };
         for task in ended {
-            if !self.live.get(&task).is_some_and(|live| live.worker() == worker) {
+            if self.live.get(&task).is_none_or(|live| live.worker() != worker) {
                 self.pool.give_back(worker, &task);
                 self.dirty = true;
             }
@@ -695,6 +699,10 @@
     }
 
     fn wake(&mut self, now: Instant) {
+        if self.next_review.is_none_or(|at| now >= at) {
+            self.next_review = Some(now + REVIEW_INTERVAL);
+            self.dirty |= self.queue.waiting() > 0;
+        }
         while let Some((at, task)) = self.delayed.first().cloned() {
             if at > now {
                 break;
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,5 @@
+//! The decision cores of several entries under failures: scripted scenarios and long random runs.
+
+mod random;
+mod scenarios;
+mod world;
