Workers are asked when a task is expected to end

Cause: a 2 s task was seen to have ended up to 3 s late, at the next regular exchange: room stood empty and callers waited. Change: the next exchange with a worker is at the earliest expected end of its tasks, and then after ever longer pauses (an eighth of the run time, at least 200 ms).

--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -380,6 +380,10 @@
         for report in ended {
             self.forget_when_durable(worker, report);
         }
+        let leader = self.leader.as_ref();
+        if let Some(at) = leader.and_then(|leader| leader.scheduler.next_look(now, worker)) {
+            self.fleet.look_at(worker, at);
+        }
     }
 
     /// Takes what a worker says of one task and tells whether it runs and is none of ours.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -195,6 +195,13 @@
         }
     }
 
+    /// Asks a worker no later than at the given time.
+    pub fn look_at(&mut self, worker: &WorkerId, at: Instant) {
+        if let Some(member) = self.members.get_mut(worker) {
+            member.due = member.due.min(at);
+        }
+    }
+
     /// Tells whether a start waits that was never sent.
     pub fn start_waits(&self, worker: &WorkerId, wanted: &TaskId) -> bool {
         let commands = self.members.get(worker).into_iter().flat_map(|member| &member.commands);
--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -38,6 +38,12 @@
 const MAX_ROUND: u64 = (1 << (EPOCH_SHIFT - ROUND_SHIFT)) - 1;
 /// Work that waited longer than this may take processors that accelerators need to be of use.
 const STRAND_PATIENCE_MS: UnixMillis = 30_000;
+/// Added to the expected end of a task before its worker is asked.
+const LOOK_MARGIN: Duration = Duration::from_millis(20);
+/// Part of its run time after which a task that is overdue is looked at again.
+const LOOK_FRACTION: u32 = 8;
+/// Shortest time between two looks at an overdue task.
+const FIRST_LOOK: Duration = Duration::from_millis(200);
 /// Interval at which what waits is looked at again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause before a task is queued again whose start was refused or that was lost.
@@ -1025,6 +1031,25 @@
         }
     }
 
+    /// When a worker is worth asking because a task on it may have ended: when it is expected to, and
+    /// then ever more rarely.
+    pub fn next_look(&self, now: Instant, worker: &WorkerId) -> Option<Instant> {
+        let tasks = self.pool.get(worker)?.tasks.keys();
+        let live = tasks.filter_map(|task| {
+            let job = self.jobs.get(&task.0)?;
+            let ends = job.spec.kind != JobKind::Service;
+            self.live.get(task).filter(|_| ends)
+        });
+        live.map(|live| match live.expected_end() {
+            end if end > now => end + LOOK_MARGIN,
+            _ => {
+                let ran = live.ran_since().map_or(Duration::ZERO, |since| now - since);
+                now + (ran / LOOK_FRACTION).max(FIRST_LOOK)
+            }
+        })
+        .min()
+    }
+
     /// Why a job waits, in words.
     pub fn why_waiting(&self, id: &JobId) -> Option<String> {
         let queued = self.queue.get(id)?;
--- a/tests/decisions/random.rs
+++ b/tests/decisions/random.rs
@@ -188,6 +188,7 @@
     log::info!("mended: {}", world.describe());
     world.run(Duration::from_secs(200));
     settle(&mut world, number);
+    assert_eq!(kelplink::broken_invariants(), 0, "an invariant was broken");
     world.steps
 }
 
