--- /dev/null
+++ b/benches/system.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- a/src/domain/controller.rs
+++ b/src/domain/controller.rs
@@ -330,7 +330,9 @@
         let token = leader.token.clone();
         leader.scheduler.lead(&token);
         let early = std::mem::take(&mut leader.early_calls);
+        self.silent_workers.clear();
         self.fleet.lead(now, token);
+        self.close_workers();
         self.restore_upstreams();
         self.apply_parts();
         self.reconcile(now);
--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -371,28 +371,10 @@
                 self.quota.fenced = true;
                 self.apply_parts();
             }
-            (QuotaCall::Write(record), StoreOutcome::Unknown) => {
-                let written = self.own_parts(&record);
-                for (workspace, part) in &mut self.quota.parts {
-                    let new = written.get(workspace).copied().unwrap_or_default();
-                    *part = part.each_min(&new);
-                }
-                self.quota.fenced = false;
-                self.apply_parts_without_raise();
-            }
             _ => {}
         }
     }
 
-    /// After a write whose answer was lost, the smaller part holds until the next write.
-    fn apply_parts_without_raise(&mut self) {
-        if let Some(leader) = &mut self.leader {
-            for (workspace, part) in &self.quota.parts {
-                leader.scheduler.allow(workspace, Some(*part));
-            }
-        }
-    }
-
     fn own_parts(&self, record: &QuotaRecord) -> BTreeMap<WorkspaceId, ResourceVector> {
         let domain = &self.identity.domain;
         let parts = record.parts.keys();
@@ -421,10 +403,22 @@
         }
         self.quota.writes += 1;
         record.write_id = format!("{}-{}", self.quota.name, self.quota.writes);
+        self.lower_parts(&record);
         let (id, request) = self.quota.call(QuotaCall::Write(record), version);
         self.store(StoreOwner::Quota, id, request);
     }
 
+    /// From the moment that a write is sent, and until it is known to have taken effect, the smaller
+    /// of the old part and the new one holds.
+    fn lower_parts(&mut self, record: &QuotaRecord) {
+        let written = self.own_parts(record);
+        for (workspace, part) in &mut self.quota.parts {
+            let new = written.get(workspace).copied().unwrap_or_default();
+            *part = part.each_min(&new);
+        }
+        self.apply_parts();
+    }
+
     /// Works out the own part of one quota.
     fn split(
         &mut self,
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -109,6 +109,8 @@
 struct ServiceState {
     upstreams: BTreeSet<UpstreamId>,
     waiting: BTreeMap<WaitKey, RequestTicket>,
+    /// Number of those that wait, by rank.
+    ranks: BTreeMap<u8, usize>,
     service_time: Duration,
     in_use: u32,
 }
@@ -118,6 +120,7 @@
         Self {
             upstreams: BTreeSet::new(),
             waiting: BTreeMap::new(),
+            ranks: BTreeMap::new(),
             service_time: FIRST_SERVICE_TIME,
             in_use: 0,
         }
@@ -256,10 +259,10 @@
         self.shed()
     }
 
-    /// Expected wait behind the requests that go before this one.
+    /// Expected wait behind the requests of the same or a more urgent rank; those of the same rank
+    /// with a later deadline are counted as well, so that it errs on the long side.
     fn expected_wait(&self, service: &ServiceState, ticket: &RequestTicket) -> Duration {
-        let key = (ticket.rank, ticket.deadline, ticket.id);
-        let ahead = service.waiting.range(..key).count();
+        let ahead: usize = service.ranks.range(..=ticket.rank).map(|(_, count)| count).sum();
         let slots: u32 = service
             .upstreams
             .iter()
@@ -274,11 +277,17 @@
         self.waiting += 1;
         *self.waiting_by_workspace.entry(ticket.workspace.clone()).or_default() += 1;
         let key = (ticket.rank, ticket.deadline, ticket.id);
-        self.services.entry(ticket.service.clone()).or_default().waiting.insert(key, ticket);
+        let service = self.services.entry(ticket.service.clone()).or_default();
+        *service.ranks.entry(ticket.rank).or_default() += 1;
+        service.waiting.insert(key, ticket);
     }
 
     fn dequeue(&mut self, service: &ServiceId, key: &WaitKey) -> Option<RequestTicket> {
-        let ticket = self.services.get_mut(service)?.waiting.remove(key)?;
+        let state = self.services.get_mut(service)?;
+        let ticket = state.waiting.remove(key)?;
+        if let Some(count) = state.ranks.get_mut(&ticket.rank) {
+            *count -= 1;
+        }
         self.waiting -= 1;
         if let Some(count) = self.waiting_by_workspace.get_mut(&ticket.workspace) {
             *count -= 1;
--- a/tests/decisions/random.rs
+++ b/tests/decisions/random.rs
@@ -18,6 +18,11 @@
 const ROUNDS: u32 = 30;
 /// Seeds that `cargo test` runs.
 const SHORT_SEEDS: std::ops::Range<u64> = 0..12;
+/// Seeds that failed once; `docs/MEASUREMENTS.md` says why.
+const FAILED_ONCE: [u64; 20] = [
+    1_003, 1_009, 1_017, 1_026, 1_040, 1_047, 1_091, 1_097, 1_106, 1_117, 1_120, 1_143, 1_164,
+    1_253, 1_264, 1_269, 1_285, 1_383, 2_370, 2_850,
+];
 
 fn intent(name: &str, kind: JobKind) -> IntentSpec {
     IntentSpec {
@@ -242,7 +247,7 @@
     if let Some(seconds) = number("KELPLINK_RANDOM_SECONDS") {
         return run_for(Duration::from_secs(seconds));
     }
-    for seed in SHORT_SEEDS {
+    for seed in SHORT_SEEDS.chain(FAILED_ONCE) {
         expect_that!(run_named(seed), ok(anything()));
     }
 }
