--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -170,7 +170,7 @@
 
 fn ticket(id: u64, deadline: Instant) -> RequestTicket {
     let (service, workspace) = ("ws/svc".into(), "ws".into());
-    RequestTicket { id, service, workspace, rank: u8::from(id % 2 == 0), deadline }
+    RequestTicket { id, service, workspace, rank: u8::from(id.is_multiple_of(2)), deadline }
 }
 
 fn supply(router: &mut RequestRouter, shares: &mut ShareTable, now: Instant) -> Vec<RouteAction> {
--- a/src/client.rs
+++ b/src/client.rs
@@ -90,15 +90,24 @@
         time: Duration,
         most: usize,
     ) -> Result<Response<Bytes>> {
+        let body = body.into();
+        count_payload(body.len());
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
-            .body(Full::new(body.into()))
+            .body(Full::new(body))
             .map_err(|error| ClientError::NotSent(error.to_string()))?;
-        self.send(request, time, most).await
+        let response = self.send(request, time, most).await?;
+        count_payload(response.body().len());
+        Ok(response)
     }
 }
 
+/// Counts bytes of bodies exchanged with the platform, workers and peers.
+pub(crate) fn count_payload(bytes: usize) {
+    metrics::counter!("kelplink_payload_bytes_total").increment(bytes as u64);
+}
+
 /// An error with its causes.
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,11 +8,13 @@
 use jsonrpsee::core::RegisterMethodError;
 use jsonrpsee::core::client::{ClientT, Error as RpcError};
 use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::core::traits::ToRpcParams;
 use jsonrpsee::server::{RpcModule, ServerBuilder, ServerConfig};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
 use log::{debug, warn};
 
+use crate::client::count_payload;
 use crate::domain::DomainEvent;
 use crate::entry::ControlInput;
 use crate::id::EntryId;
@@ -93,6 +95,7 @@
     ) -> std::result::Result<RpcModule<RingSender<ControlInput>>, RegisterMethodError> {
         let mut module = RpcModule::new(self.control.clone());
         module.register_async_method(DELIVER, |params, control, _| async move {
+            count_payload(params.len_bytes());
             let (from, messages): (EntryId, Vec<PeerMessage>) = params.parse()?;
             for message in messages {
                 deliver(&control, from.clone(), message)?;
@@ -169,6 +172,8 @@
         let mut params = ArrayParams::new();
         params.insert(&self.entry).ok()?;
         params.insert(batch).ok()?;
+        let text = params.clone().to_rpc_params().ok().flatten();
+        count_payload(text.map_or(0, |text| text.get().len()));
         metrics::counter!("kelplink_peer_messages_total").increment(batch.len() as u64);
         let result: std::result::Result<bool, RpcError> = client.request(DELIVER, params).await;
         match result {
