--- a/src/client.rs
+++ b/src/client.rs
@@ -91,21 +91,18 @@
         most: usize,
     ) -> Result<Response<Bytes>> {
         let body = body.into();
-        count_payload(body.len());
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
             .body(Full::new(body))
             .map_err(|error| ClientError::NotSent(error.to_string()))?;
-        let response = self.send(request, time, most).await?;
-        count_payload(response.body().len());
-        Ok(response)
+        self.send(request, time, most).await
     }
 }
 
 /// Counts bytes of bodies exchanged with the platform, workers and peers.
-pub(crate) fn count_payload(bytes: usize) {
-    metrics::counter!("kelplink_payload_bytes_total").increment(bytes as u64);
+pub(crate) fn count_payload(line: &'static str, bytes: usize) {
+    metrics::counter!("kelplink_payload_bytes_total", "line" => line).increment(bytes as u64);
 }
 
 /// An error with its causes.
--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -398,7 +398,8 @@
         }
         record.parts.retain(|_, parts| !parts.is_empty());
         record.wants.retain(|workspace, wants| quotas.contains_key(workspace) && !wants.is_empty());
-        if record == before && self.quota.fenced {
+        let known = self.own_parts(&record) == self.quota.parts;
+        if record == before && self.quota.fenced && known {
             return self.apply_parts();
         }
         self.quota.writes += 1;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -95,7 +95,7 @@
     ) -> std::result::Result<RpcModule<RingSender<ControlInput>>, RegisterMethodError> {
         let mut module = RpcModule::new(self.control.clone());
         module.register_async_method(DELIVER, |params, control, _| async move {
-            count_payload(params.len_bytes());
+            count_payload("peers", params.len_bytes());
             let (from, messages): (EntryId, Vec<PeerMessage>) = params.parse()?;
             for message in messages {
                 deliver(&control, from.clone(), message)?;
@@ -173,7 +173,7 @@
         params.insert(&self.entry).ok()?;
         params.insert(batch).ok()?;
         let text = params.clone().to_rpc_params().ok().flatten();
-        count_payload(text.map_or(0, |text| text.get().len()));
+        count_payload("peers", text.map_or(0, |text| text.get().len()));
         metrics::counter!("kelplink_peer_messages_total").increment(batch.len() as u64);
         let result: std::result::Result<bool, RpcError> = client.request(DELIVER, params).await;
         match result {
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::{Method, StatusCode};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
+use hyper::{Method, Request, Response, StatusCode};
 use log::warn;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::client::{ClientError, HttpClient};
+use crate::client::{ClientError, HttpClient, count_payload};
 use crate::config::CONFIG_KEY;
 use crate::domain::{DomainEvent, StoreOwner};
 use crate::entry::ControlInput;
@@ -53,6 +56,7 @@
         let (method, path, body) = match request {
             StoreRequest::Read { key } => (Method::GET, format!("/kv/{key}"), String::new()),
             StoreRequest::Swap { key, expected, value } => {
+                count_payload("store", value.len());
                 (Method::PUT, format!("/kv/{key}?expected={expected}"), value.clone())
             }
         };
@@ -163,24 +167,25 @@
     }
 }
 
-/// Tells the platform's list of VMs again and again.
+/// Tells the platform's list of VMs whenever it changes.
 async fn read_vms(address: SocketAddr, control: RingSender<ControlInput>) {
     let http = HttpClient::new();
     let mut ticks = interval(VM_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last = Vec::new();
+    let mut last = Bytes::new();
+    let mut tag: Option<HeaderValue> = None;
     loop {
         ticks.tick().await;
-        let result = http.call(Method::GET, address, "/vms", "", CALL_TIME, VALUE_BYTES).await;
-        let Some(body) = result.ok().filter(|r| r.status() == StatusCode::OK) else {
+        let Some(response) = ask_vms(&http, address, tag.as_ref()).await else {
             continue;
         };
-        if *body.body() == last {
+        tag = response.headers().get(ETAG).cloned();
+        if *response.body() == last {
             continue;
         }
-        match serde_json::from_slice(body.body()) {
+        match serde_json::from_slice(response.body()) {
             Ok(vms) => {
-                last = body.into_body().to_vec();
+                last = response.into_body();
                 if !control.send(DomainEvent::Vms(vms).into()).await {
                     return;
                 }
@@ -189,3 +194,19 @@
         }
     }
 }
+
+/// Asks for the list; `None` where none came or it is still the one of the tag.
+async fn ask_vms(
+    http: &HttpClient,
+    address: SocketAddr,
+    tag: Option<&HeaderValue>,
+) -> Option<Response<Bytes>> {
+    let mut request = Request::builder().uri(format!("http://{address}/vms"));
+    if let Some(tag) = tag {
+        request = request.header(IF_NONE_MATCH, tag);
+    }
+    let request = request.body(Full::default()).ok()?;
+    let response = http.send(request, CALL_TIME, VALUE_BYTES).await.ok()?;
+    count_payload("vms", response.body().len());
+    (response.status() == StatusCode::OK).then_some(response)
+}
--- a/src/entry/workers.rs
+++ b/src/entry/workers.rs
@@ -5,7 +5,7 @@
 
 use hyper::{Method, StatusCode};
 
-use crate::client::HttpClient;
+use crate::client::{HttpClient, count_payload};
 use crate::domain::DomainEvent;
 use crate::entry::ControlInput;
 use crate::fleet::ExchangeId;
@@ -60,8 +60,10 @@
 ) -> Option<WorkerReply> {
     let body = serde_json::to_vec(request).ok()?;
     metrics::counter!("kelplink_worker_exchanges_total").increment(1);
+    count_payload("workers", body.len());
     let path = "/exchange";
     let result = http.call(Method::POST, address, path, body, EXCHANGE_TIME, REPLY_BYTES).await;
     let response = result.ok().filter(|response| response.status() == StatusCode::OK)?;
+    count_payload("workers", response.body().len());
     serde_json::from_slice(response.body()).ok()
 }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -16,7 +16,7 @@
 use gotham::router::builder::build_simple_router;
 use gotham::state::{FromState, State, StateData};
 use http_body_util::BodyExt;
-use hyper::header::HeaderMap;
+use hyper::header::{ETAG, HeaderMap, HeaderValue, IF_NONE_MATCH};
 use hyper::{Method, Response, StatusCode, Uri};
 use tokio::net::TcpListener;
 use tokio::runtime;
@@ -235,7 +235,7 @@
         let headers = HeaderMap::borrow_from(&state).clone();
         let response = match context.role.clone() {
             PlayedRole::Store => store(&context, &method, &uri, &bytes).await,
-            PlayedRole::Vms => vms(&context, &method, &bytes),
+            PlayedRole::Vms => vms(&context, &method, &headers, &bytes),
             PlayedRole::Worker(name) => worker(&context, &name, &bytes),
             PlayedRole::Upstream(name) => upstream(&context, &name, &uri, &headers).await,
         };
@@ -327,7 +327,12 @@
 }
 
 /// The list; a PUT replaces it.
-fn vms(context: &PlayedContext, method: &Method, bytes: &[u8]) -> Response<Body> {
+fn vms(
+    context: &PlayedContext,
+    method: &Method,
+    headers: &HeaderMap,
+    bytes: &[u8],
+) -> Response<Body> {
     if *method == Method::PUT {
         return match serde_json::from_slice(bytes) {
             Ok(vms) => {
@@ -337,7 +342,16 @@
             Err(_) => empty(StatusCode::BAD_REQUEST),
         };
     }
-    json_response(StatusCode::OK, &context.lock().vms)
+    let mut response = json_response(StatusCode::OK, &context.lock().vms);
+    let text = serde_json::to_vec(&context.lock().vms).unwrap_or_default();
+    let tag = format!("\"{}\"", blake3::hash(&text).to_hex());
+    if headers.get(IF_NONE_MATCH).is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return empty(StatusCode::NOT_MODIFIED);
+    }
+    if let Ok(tag) = HeaderValue::from_str(&tag) {
+        response.headers_mut().insert(ETAG, tag);
+    }
+    response
 }
 
 fn worker(context: &PlayedContext, name: &str, bytes: &[u8]) -> Response<Body> {
