--- a/benches/system.rs
+++ b/benches/system.rs
@@ -3,7 +3,7 @@
 //! `cargo bench --bench system` prints control cost at several sizes, takeover times, acceptance to
 //! in force, and the latency that an entry adds. It takes about two minutes.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -16,7 +16,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use kelplink::{ResourceVector, StandInServer, StandInSettings, StoreFault, VmRecord, VmRole};
+use kelplink::{
+    ResourceVector, StandInServer, StandInSettings, StoreFault, VmRecord, VmRole, free_addresses,
+};
 use tokio::time::sleep;
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -30,11 +32,16 @@
 
 #[tokio::main]
 async fn main() -> Result<()> {
+    let quick = std::env::var("KELPLINK_BENCH_QUICK").is_ok();
+    let sizes: &[usize] = if quick { &[104] } else { &[13, 26, 52, 104] };
     println!(
         "control cost of an entry in a domain of three entries; idle, then {PEAK_STARTS} starts a second"
     );
-    for workers in [13, 26, 52, 104] {
-        cost(workers).await.context("cost")?;
+    for workers in sizes {
+        cost(*workers).await.context("cost")?;
+    }
+    if quick {
+        return Ok(());
     }
     println!("takeover: leader killed to the next task started");
     takeover().await.context("takeover")?;
@@ -47,12 +54,6 @@
     Ok(())
 }
 
-fn free(count: usize) -> Result<Vec<SocketAddr>> {
-    let held =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
-    held.iter().map(|listener| Ok(listener.local_addr()?)).collect()
-}
-
 /// One entry as a process of its own.
 struct Entry {
     name: String,
@@ -135,7 +136,7 @@
         let machines: usize =
             layout.iter().map(|(_, _, workers)| workers).sum::<usize>() + upstreams;
         let entries: usize = layout.iter().map(|(_, entries, _)| entries).sum();
-        let mut addresses = free(3 + machines + 3 * entries)?.into_iter();
+        let mut addresses = free_addresses(3 + machines + 3 * entries)?.into_iter();
         let mut next = || addresses.next().context("no address left");
         let (store, vms, dead) = (next()?, next()?, next()?);
         let mut list = Vec::new();
@@ -311,6 +312,15 @@
         let after = sample(&cluster, leader, follower).await?;
         let seconds = began.elapsed().as_secs_f64();
         let rate = |place: usize| (after[place] - before[place]) / seconds;
+        if starts > 0 {
+            let page = cluster.get(cluster.entries[leader].operators, "/metrics").await?;
+            let text = String::from_utf8_lossy(page.body()).into_owned();
+            let lines =
+                text.lines().filter(|line| line.starts_with("kelplink_payload_bytes_total"));
+            let lines: Vec<&str> =
+                lines.filter_map(|line| line.split_once('{').map(|(_, rest)| rest)).collect();
+            println!("    payload since the start: {}", lines.join(", "));
+        }
         println!(
             "  {workers:>3} workers {label}: leader {:.2}% of a core, {:.1} MiB, {:.1} KB/s payload; follower {:.2}%, {:.1} MiB, {:.1} KB/s; \
              store {:.1} reads, {:.1} swaps, {:.2} watches a second; {:.1} exchanges a second; largest value {:.0} B",
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,7 +1,7 @@
 //! Everything in one process for a while, checked.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 use crate::invariant::broken_invariants;
 use crate::resources::ResourceVector;
 use crate::settings::{EntrySettings, LimitSettings, PeerSettings, TimingSettings};
-use crate::standin::{StandInServer, StandInSettings};
+use crate::standin::{StandInServer, StandInSettings, free_addresses};
 
 mod load;
 
@@ -60,13 +60,6 @@
     }
 }
 
-/// Free ports on loopback, held until all are found.
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let held =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
-    held.iter().map(|listener| Ok(listener.local_addr()?)).collect()
-}
-
 fn machines(addresses: &mut impl Iterator<Item = SocketAddr>) -> Result<Vec<VmRecord>> {
     let mut machines = Vec::new();
     for number in 0..WORKERS {
--- a/src/domain/peers.rs
+++ b/src/domain/peers.rs
@@ -437,7 +437,8 @@
         report: &DemandReport,
     ) -> Option<crate::routing::ShareGrant> {
         let may_act = self.leadership.may_act(now);
-        let leader = self.leader.as_mut().filter(|leader| leader.active && may_act)?;
+        let known = self.fleet.listed();
+        let leader = self.leader.as_mut().filter(|leader| leader.active && may_act && known)?;
         leader.shares.report(now, report)
     }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -235,7 +235,8 @@
             }
         }
         let gauge = &self.gauge;
-        gauge.ready.store(self.controller.ready(), Ordering::Relaxed);
+        let granted = gauge.granted.load(Ordering::Relaxed);
+        gauge.ready.store(granted && self.controller.ready(), Ordering::Relaxed);
         gauge.revision.store(revision, Ordering::Relaxed);
         gauge.leads.store(self.controller.leads(), Ordering::Relaxed);
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -124,6 +124,11 @@
         self.members.is_empty()
     }
 
+    /// Tells whether the platform's list was seen.
+    pub fn listed(&self) -> bool {
+        self.listed
+    }
+
     /// Number of workers claimed.
     pub fn claimed(&self) -> usize {
         self.members.values().filter(|m| matches!(m.link, WorkerLink::Claimed { .. })).count()
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -6,6 +6,7 @@
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub struct ResourceVector {
     /// Accelerators, whole devices.
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub accelerators: u32,
     /// Processors in thousandths of a core.
     pub millicores: u32,
@@ -13,6 +14,10 @@
     pub memory_mib: u32,
 }
 
+fn is_zero(amount: &u32) -> bool {
+    *amount == 0
+}
+
 impl ResourceVector {
     /// Makes a vector from thousandths of a core, MiB and whole accelerators.
     pub const fn new(millicores: u32, memory_mib: u32, accelerators: u32) -> Self {
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,12 +2,14 @@
 //!
 //! The models hold state only and are used by tests directly; the servers put them behind HTTP.
 
+mod ports;
 mod server;
 mod settings;
 mod store;
 mod upstream;
 mod worker;
 
+pub use ports::free_addresses;
 pub use server::{StandInServer, StandInState};
 pub use settings::{StandInSettings, StandInVm};
 pub use store::{StoreFault, StoreModel};
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -183,7 +183,7 @@
             highest: self.highest.clone().unwrap_or(request.token.clone()),
             clock,
             boot: self.boot,
-            tasks: self.tasks.iter().map(|(id, task)| report(now, id, task)).collect(),
+            tasks: self.tasks.iter().map(|(id, task)| report(id, task)).collect(),
         }
     }
 
@@ -246,16 +246,16 @@
     }
 }
 
-fn report(now: Instant, id: &TaskId, task: &WorkerTask) -> TaskReport {
-    let run_time = match task.outcome {
-        Some(_) => task.ran,
-        None => now.saturating_duration_since(task.started),
+fn report(id: &TaskId, task: &WorkerTask) -> TaskReport {
+    let usage = match task.outcome {
+        Some(_) => TaskUsage { run_time: task.ran, peak: task.need },
+        None => TaskUsage::default(),
     };
     TaskReport {
         task: id.clone(),
         attempt: task.attempt,
         need: task.need,
-        usage: TaskUsage { run_time, peak: task.need },
+        usage,
         outcome: task.outcome.clone(),
         endpoint: task.endpoint.clone().filter(|endpoint| !endpoint.is_empty()),
     }
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -22,6 +22,13 @@
     pub peak: ResourceVector,
 }
 
+impl TaskUsage {
+    /// Tells whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// How a task ended on a worker.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -47,11 +54,14 @@
     pub attempt: Attempt,
     /// Its reservation.
     pub need: ResourceVector,
-    /// What it used.
+    /// What it used; may be left out while it runs.
+    #[serde(default, skip_serializing_if = "TaskUsage::is_empty")]
     pub usage: TaskUsage,
     /// How it ended; `None` while it runs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<TaskOutcome>,
     /// Where it answers requests, for tasks of services.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub endpoint: Option<String>,
 }
 
