--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -93,9 +93,23 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    /// Whether the leader lists it; one that it does not list is kept while requests are in flight.
+    listed: bool,
 }
 
 impl UpstreamState {
+    fn new(spec: UpstreamSpec) -> Self {
+        Self {
+            spec,
+            share: 0,
+            in_use: 0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            listed: true,
+        }
+    }
+
     fn free(&self, now: Instant) -> u32 {
         match self.ejected_until {
             Some(until) if now < until => 0,
@@ -107,7 +121,7 @@
 
 #[derive(Debug)]
 struct ServiceState {
-    upstreams: BTreeSet<UpstreamId>,
+    upstreams: BTreeMap<UpstreamId, UpstreamState>,
     waiting: BTreeMap<WaitKey, RequestTicket>,
     /// Number of those that wait, by rank.
     ranks: BTreeMap<u8, usize>,
@@ -115,10 +129,17 @@
     in_use: u32,
 }
 
+impl ServiceState {
+    /// Tells whether some listed upstream answers for it.
+    fn answers(&self) -> bool {
+        self.upstreams.values().any(|upstream| upstream.listed)
+    }
+}
+
 impl Default for ServiceState {
     fn default() -> Self {
         Self {
-            upstreams: BTreeSet::new(),
+            upstreams: BTreeMap::new(),
             waiting: BTreeMap::new(),
             ranks: BTreeMap::new(),
             service_time: FIRST_SERVICE_TIME,
@@ -134,8 +155,9 @@
     boot: u64,
     waiting_limit: usize,
     waiting: usize,
-    upstreams: BTreeMap<UpstreamId, UpstreamState>,
     services: BTreeMap<ServiceId, ServiceState>,
+    /// The service that each upstream answers for.
+    homes: BTreeMap<UpstreamId, ServiceId>,
     waiting_by_workspace: BTreeMap<WorkspaceId, usize>,
     leaving: BTreeSet<UpstreamId>,
     token: Option<FencingToken>,
@@ -155,8 +177,8 @@
             boot,
             waiting_limit,
             waiting: 0,
-            upstreams: BTreeMap::new(),
             services: BTreeMap::new(),
+            homes: BTreeMap::new(),
             waiting_by_workspace: BTreeMap::new(),
             leaving: BTreeSet::new(),
             token: None,
@@ -186,7 +208,7 @@
 
     /// Number of requests that use a slot.
     pub fn in_use(&self) -> u32 {
-        self.upstreams.values().map(|upstream| upstream.in_use).sum()
+        self.all().map(|upstream| upstream.in_use).sum()
     }
 
     /// Longest life of one attempt.
@@ -201,7 +223,7 @@
             true => state.share.max(state.in_use),
             false => state.in_use,
         };
-        self.upstreams.iter().map(|(id, state)| (id.clone(), reach(state))).collect()
+        self.all().map(|state| (state.spec.id.clone(), reach(state))).collect()
     }
 
     /// Takes one retry out of the budget and tells whether there was one.
@@ -215,7 +237,7 @@
         if self.shares_until.is_none_or(|until| now >= until) {
             return free;
         }
-        for upstream in self.upstreams.values() {
+        for upstream in self.all().filter(|upstream| upstream.listed) {
             let slots = upstream.free(now);
             if slots > 0 && !self.leaving.contains(&upstream.spec.id) {
                 *free.entry(upstream.spec.service.clone()).or_default() += slots;
@@ -238,7 +260,7 @@
                 LEAST_RETRY_AFTER,
             )];
         };
-        if service.upstreams.is_empty() {
+        if !service.answers() {
             return vec![RouteAction::Reject(
                 ticket.id,
                 RejectReason::NoUpstream,
@@ -263,12 +285,7 @@
     /// with a later deadline are counted as well, so that it errs on the long side.
     fn expected_wait(&self, service: &ServiceState, ticket: &RequestTicket) -> Duration {
         let ahead: usize = service.ranks.range(..=ticket.rank).map(|(_, count)| count).sum();
-        let slots: u32 = service
-            .upstreams
-            .iter()
-            .filter_map(|id| self.upstreams.get(id))
-            .map(|upstream| upstream.share)
-            .sum();
+        let slots: u32 = service.upstreams.values().map(|upstream| upstream.share).sum();
         let rounds = (ahead as f64 + 1.0) / f64::from(slots.max(1));
         service.service_time.mul_f64(rounds)
     }
@@ -333,9 +350,10 @@
             return None;
         }
         let service = self.services.get(service)?;
-        let usable = service.upstreams.iter().filter_map(|id| self.upstreams.get(id));
-        let usable = usable
-            .filter(|upstream| upstream.free(now) > 0 && !self.leaving.contains(&upstream.spec.id));
+        let usable = service.upstreams.values().filter(|upstream| {
+            let stays = self.leaving.is_empty() || !self.leaving.contains(&upstream.spec.id);
+            upstream.listed && stays && upstream.free(now) > 0
+        });
         let best = usable.min_by_key(|upstream| upstream.in_use * 1_024 / upstream.share.max(1));
         best.map(|upstream| upstream.spec.clone())
     }
@@ -346,7 +364,8 @@
         ticket: &RequestTicket,
         spec: UpstreamSpec,
     ) -> Option<RouteAction> {
-        let upstream = self.upstreams.get_mut(&spec.id)?;
+        let service = self.services.get_mut(&spec.service)?;
+        let upstream = service.upstreams.get_mut(&spec.id)?;
         let within = upstream.in_use < upstream.share && upstream.in_use < upstream.spec.slots;
         if !invariant::holds(within, "slots", || format!("{} over its share", spec.id)) {
             return None;
@@ -357,9 +376,7 @@
         {
             debug!("{} is tried again", spec.id);
         }
-        if let Some(service) = self.services.get_mut(&spec.service) {
-            service.in_use += 1;
-        }
+        service.in_use += 1;
         Some(RouteAction::Send(ticket.id, spec))
     }
 
@@ -371,7 +388,7 @@
         outcome: RouteOutcome,
         time: Duration,
     ) -> Vec<RouteAction> {
-        let Some(state) = self.upstreams.get_mut(upstream) else {
+        let Some(state) = self.upstream_mut(upstream) else {
             return Vec::new();
         };
         state.in_use = state.in_use.saturating_sub(1);
@@ -406,16 +423,23 @@
 
     /// Forgets an upstream that is not listed any more and has nothing in flight.
     fn drop_unlisted(&mut self, id: &UpstreamId) {
-        let Some(state) = self.upstreams.get(id) else {
-            return;
-        };
-        let listed =
-            self.services.get(&state.spec.service).is_some_and(|s| s.upstreams.contains(id));
-        if !listed && state.in_use == 0 {
-            self.upstreams.remove(id);
+        let done = self.upstream_mut(id).is_some_and(|state| !state.listed && state.in_use == 0);
+        let home = self.homes.get(id).filter(|_| done).cloned();
+        if let Some(service) = home.and_then(|home| self.services.get_mut(&home)) {
+            service.upstreams.remove(id);
+            self.homes.remove(id);
         }
     }
 
+    fn all(&self) -> impl Iterator<Item = &UpstreamState> {
+        self.services.values().flat_map(|service| service.upstreams.values())
+    }
+
+    fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut UpstreamState> {
+        let home = self.homes.get(id)?;
+        self.services.get_mut(home)?.upstreams.get_mut(id)
+    }
+
     /// Gives free slots of a service to those that wait.
     fn serve(&mut self, now: Instant, service: &ServiceId) -> Vec<RouteAction> {
         let mut actions = Vec::new();
@@ -480,10 +504,11 @@
         while self.sent.len() > REMEMBERED_REPORTS {
             self.sent.pop_first();
         }
-        let held = self.upstreams.iter().filter(|(_, state)| state.share > 0 || state.in_use > 0);
+        let held = self.all().filter(|state| state.share > 0 || state.in_use > 0);
         let holdings = held
-            .map(|(id, state)| {
-                (id.clone(), ShareHolding { share: state.share, in_use: state.in_use })
+            .map(|state| {
+                let holding = ShareHolding { share: state.share, in_use: state.in_use };
+                (state.spec.id.clone(), holding)
             })
             .collect();
         let busy = self.services.iter().map(|(id, service)| {
@@ -524,8 +549,9 @@
         match &grant.shares {
             Some(shares) => {
                 self.applied = grant.version;
-                for (id, state) in &mut self.upstreams {
-                    state.share = shares.get(id).copied().unwrap_or(0);
+                let services = self.services.values_mut();
+                for state in services.flat_map(|service| service.upstreams.values_mut()) {
+                    state.share = shares.get(&state.spec.id).copied().unwrap_or(0);
                 }
             }
             None if grant.version != self.applied => return Vec::new(),
@@ -537,23 +563,24 @@
     }
 
     fn list(&mut self, upstreams: &[UpstreamSpec]) {
-        for service in self.services.values_mut() {
-            service.upstreams.clear();
-        }
+        let services = self.services.values_mut();
+        services.flat_map(|service| service.upstreams.values_mut()).for_each(|u| u.listed = false);
         for spec in upstreams {
+            let before = self.homes.insert(spec.id.clone(), spec.service.clone());
+            if let Some(before) = before.filter(|before| *before != spec.service)
+                && let Some(service) = self.services.get_mut(&before)
+            {
+                service.upstreams.remove(&spec.id);
+            }
             let service = self.services.entry(spec.service.clone()).or_default();
-            service.upstreams.insert(spec.id.clone());
-            let state = self.upstreams.entry(spec.id.clone()).or_insert_with(|| UpstreamState {
-                spec: spec.clone(),
-                share: 0,
-                in_use: 0,
-                failures: 0,
-                ejections: 0,
-                ejected_until: None,
-            });
+            let state = service
+                .upstreams
+                .entry(spec.id.clone())
+                .or_insert_with(|| UpstreamState::new(spec.clone()));
             state.spec = spec.clone();
+            state.listed = true;
         }
-        let ids: Vec<UpstreamId> = self.upstreams.keys().cloned().collect();
+        let ids: Vec<UpstreamId> = self.homes.keys().cloned().collect();
         for id in ids {
             self.drop_unlisted(&id);
         }
@@ -563,7 +590,7 @@
 
     /// Tells whether some upstream here answers for a service.
     pub fn serves(&self, service: &ServiceId) -> bool {
-        self.services.get(service).is_some_and(|state| !state.upstreams.is_empty())
+        self.services.get(service).is_some_and(ServiceState::answers)
     }
 }
 
