A leader whose process is gone is not waited for

Change: a refused connection tells that the leader's process is gone; the patience is then one life of the lease, and half a life for each rank.

--- a/benches/system.rs
+++ b/benches/system.rs
@@ -32,24 +32,29 @@
 
 #[tokio::main]
 async fn main() -> Result<()> {
-    let quick = std::env::var("KELPLINK_BENCH_QUICK").is_ok();
-    let sizes: &[usize] = if quick { &[104] } else { &[13, 26, 52, 104] };
-    println!(
-        "control cost of an entry in a domain of three entries; idle, then {PEAK_STARTS} starts a second"
-    );
-    for workers in sizes {
-        cost(*workers).await.context("cost")?;
+    let only = std::env::var("KELPLINK_BENCH_ONLY").ok();
+    let wanted = |name: &str| only.as_deref().is_none_or(|only| only == name);
+    if wanted("cost") {
+        println!(
+            "control cost of an entry in a domain of three; idle, then {PEAK_STARTS} starts a second"
+        );
+        for workers in [13, 26, 52, 104] {
+            cost(workers).await.context("cost")?;
+        }
+    }
+    if wanted("takeover") {
+        println!("takeover: leader killed to the next task started");
+        takeover().await.context("takeover")?;
     }
-    if quick {
-        return Ok(());
+    if wanted("in-force") {
+        println!("acceptance to in force on all of seven entries in three failure domains");
+        in_force().await.context("in force")?;
     }
-    println!("takeover: leader killed to the next task started");
-    takeover().await.context("takeover")?;
-    println!("acceptance to in force on all of seven entries in three failure domains");
-    in_force().await.context("in force")?;
-    println!("latency added by an entry, 50 upstreams, 1 ms of work");
-    for rate in [1_000, 5_000] {
-        latency(rate).await.context("latency")?;
+    if wanted("latency") {
+        println!("latency added by an entry, 50 upstreams, 1 ms of work");
+        for rate in [1_000, 5_000] {
+            latency(rate).await.context("latency")?;
+        }
     }
     Ok(())
 }
--- a/src/domain/controller.rs
+++ b/src/domain/controller.rs
@@ -168,7 +168,7 @@
             }
             DomainEvent::Vms(vms) => self.list_vms(now, &vms),
             DomainEvent::Peer(peer, message) => self.hear_peer(now, &peer, message),
-            DomainEvent::PeerGone(peer) => self.peer_gone(&peer),
+            DomainEvent::PeerGone(peer) => self.peer_gone(now, &peer),
             DomainEvent::Call(id, call) => self.client_call(now, ReplyTo::Client(id), call),
             DomainEvent::Demand(report, free) => {
                 self.peers.set_own_room(free);
--- a/src/domain/peers.rs
+++ b/src/domain/peers.rs
@@ -210,6 +210,12 @@
         self.peers.iter().map(status).collect()
     }
 
+    /// Forgets what a peer said before its process ended; tells whether that was news.
+    fn mark_gone(&mut self, peer: &EntryId) -> bool {
+        let state = self.peers.get_mut(peer);
+        state.is_some_and(|state| state.hello.as_mut().is_some_and(|h| h.leading.take().is_some()))
+    }
+
     /// When any entry of another failure domain was last heard from.
     pub(crate) fn domain_heard(&self, domain: &DomainId) -> Option<Instant> {
         let near = self.peers.values().filter(|state| state.domain == *domain);
@@ -457,9 +463,13 @@
     }
 
     /// The process of a peer is surely gone.
-    pub(crate) fn peer_gone(&mut self, peer: &EntryId) {
+    pub(crate) fn peer_gone(&mut self, now: Instant, peer: &EntryId) {
         if let Some(leader) = &mut self.leader {
             leader.shares.forget_entry(peer);
         }
+        let own = self.identity.domain.clone();
+        if self.peers.leader_of(now, &own).as_ref() == Some(peer) && self.peers.mark_gone(peer) {
+            self.leadership.hear_gone(now);
+        }
     }
 }
--- a/src/leadership/role.rs
+++ b/src/leadership/role.rs
@@ -19,6 +19,8 @@
 const RESIGNED_TTLS: u32 = 20;
 /// Silence of the leader, in lives of the lease, before a takeover without the store.
 const DETACHED_TTLS: u32 = 2;
+/// The same where the leader's process is surely gone.
+const GONE_TTLS: u32 = 1;
 
 /// What the controller wants done.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -44,6 +46,8 @@
     next_look: Instant,
     /// Whether the leader said that it does not lead any more.
     resigned: bool,
+    /// Whether the leader's process is surely gone.
+    gone: bool,
 }
 
 /// State of an entry that leads.
@@ -65,7 +69,7 @@
 
 impl FollowingRole {
     fn new(now: Instant) -> Self {
-        Self { seen: None, record: None, heard: now, next_look: now, resigned: false }
+        Self { seen: None, record: None, heard: now, next_look: now, resigned: false, gone: false }
     }
 
     /// Notes the record; the time of its first sight bounds its holder's deadline from above.
@@ -237,6 +241,7 @@
         {
             role.heard = now;
             role.resigned = false;
+            role.gone = false;
             let ttl = self.timing.lease_ttl;
             match (version, role.seen) {
                 (Some(version), Some((seen, ..))) if version > seen => {
@@ -259,6 +264,14 @@
         }
     }
 
+    /// The leader's process is surely gone: nobody has to wait for it.
+    pub fn hear_gone(&mut self, now: Instant) {
+        self.hear_resignation(now);
+        if let LeadershipRole::Following(role) = &mut self.role {
+            role.gone = true;
+        }
+    }
+
     /// A token was seen, for instance in the refusal of a worker.
     pub fn hear_token(&mut self, now: Instant, token: &FencingToken) -> Vec<LeadershipAction> {
         if self.highest.as_ref().is_some_and(|highest| highest >= token) {
@@ -327,7 +340,8 @@
     }
 
     fn silent_too_long(&self, now: Instant, role: &FollowingRole) -> bool {
-        let patience = self.timing.lease_ttl * (DETACHED_TTLS + self.rank);
+        let ttls = if role.gone { GONE_TTLS } else { DETACHED_TTLS };
+        let patience = self.timing.lease_ttl * ttls + self.timing.lease_ttl / 2 * self.rank;
         let store_gone = now >= self.store_answered + patience;
         self.may_detach && store_gone && now >= role.heard + patience && now >= role.next_look
     }
