--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -8,10 +8,10 @@
 
 use hdrhistogram::Histogram;
 use kelplink::{
-    CutOffRule, DemandReport, EntryId, FencingToken, JobId, JobKind, JobRecord, JobSpec,
-    PlacementAction, RequestRouter, RequestTicket, ResourceVector, RouteAction, RouteOutcome,
-    ShareTable, SpreadRule, TaskId, TaskOutcome, TaskScheduler, TaskUsage, TimingSettings,
-    UpstreamSpec, Urgency, WorkerId, WorkerSpec,
+    ConfigRevision, CutOffRule, DemandReport, EntryId, FencingToken, IntentSpec, JobId, JobKind,
+    JobRecord, JobSpec, PlacementAction, RequestRouter, RequestTicket, ResourceVector, RouteAction,
+    RouteOutcome, ShareTable, SpreadRule, TaskEnd, TaskId, TaskOutcome, TaskScheduler, TaskUsage,
+    TimingSettings, UpstreamSpec, Urgency, WorkerId, WorkerSpec,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -39,6 +39,48 @@
     }
     println!("slots shared by 3 entries, all demand at one of them");
     share_shift();
+    println!("state as it is stored, bytes");
+    sizes();
+}
+
+fn sizes() {
+    let need = ResourceVector::new(1_000, 1_000, 0);
+    for tasks in [1, 10, 100, 1_000] {
+        let mut record = JobRecord::new(JobSpec {
+            count: tasks,
+            ..spec("workspace/job-123456", need, Urgency::Soon, Duration::from_secs(60))
+        });
+        let open = serde_json::to_string(&record).map_or(0, |text| text.len());
+        record.ended = (0..tasks).map(|index| (index, TaskEnd::Succeeded)).collect();
+        let ended = serde_json::to_string(&record).map_or(0, |text| text.len());
+        println!("  job of {tasks} tasks: {open} open, {ended} ended");
+    }
+    for intents in [10, 74, 300, 1_000] {
+        let mut config = ConfigRevision::default();
+        for number in 0..intents {
+            config = config.with(&intent(number), &format!("entry-1800000000000-{number}"));
+        }
+        let bytes = serde_json::to_string(&config).map_or(0, |text| text.len());
+        println!("  configuration of {intents} intents: {bytes}");
+    }
+}
+
+fn intent(number: u32) -> IntentSpec {
+    IntentSpec {
+        workspace: format!("workspace-{}", number % 74).as_str().into(),
+        name: format!("service-{number}").as_str().into(),
+        kind: JobKind::Service,
+        need: ResourceVector::new(1_000, 1_000, 1),
+        count: 6,
+        urgency: Urgency::Now,
+        idempotent: true,
+        spread: SpreadRule::FailureDomain,
+        cut_off: CutOffRule::Move,
+        domain: None,
+        run_time: None,
+        quota: Some(ResourceVector::new(100_000, 100_000, 10)),
+        command: "serve --port 8080".to_owned(),
+    }
 }
 
 fn histogram() -> Histogram<u64> {
