--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -1,5 +1,8 @@
 //! Recovery, grouped commits and compaction of the journal.
 
+mod compaction;
+mod recovery;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -204,21 +207,6 @@
         self.records.values()
     }
 
-    /// Starts reading as leader under `token`. Changes not yet written are kept: they were given
-    /// out as not durable and are written after the fence.
-    pub fn recover(&mut self, token: FencingToken) -> Vec<JournalOutput> {
-        self.token = Some(token);
-        self.calls.clear();
-        self.retries.clear();
-        self.compaction = None;
-        if let Some((segment, _)) = self.segment.take() {
-            self.dirty.extend(segment.records.iter().map(LedgerRecord::name));
-        }
-        self.slots.clear();
-        self.stage = JournalStage::Recovering(RecoveryState::new(1, 0));
-        vec![self.call(JournalCall::ReadBase)]
-    }
-
     /// Stops being the writer; what is not written yet is forgotten.
     pub fn close(&mut self) {
         self.stage = JournalStage::Idle;
@@ -481,165 +469,6 @@
         }
     }
 
-    fn answer_compaction(
-        &mut self,
-        now: Instant,
-        call: JournalCall,
-        outcome: StoreOutcome,
-    ) -> Vec<JournalOutput> {
-        match (call, outcome) {
-            (JournalCall::ReadTarget(part), StoreOutcome::Found(stored)) => {
-                self.write_part(part, stored.version)
-            }
-            (JournalCall::ReadTarget(part), StoreOutcome::Missing) => self.write_part(part, 0),
-            (JournalCall::WritePart(part), StoreOutcome::Written(_)) => self.next_part(part + 1),
-            (JournalCall::WritePart(part), StoreOutcome::Conflict | StoreOutcome::Unknown) => {
-                vec![self.call(JournalCall::ReadTarget(part))]
-            }
-            (JournalCall::WriteBase(base), StoreOutcome::Written(version)) => {
-                self.base_written(base, version)
-            }
-            (JournalCall::WriteBase(base), StoreOutcome::Conflict | StoreOutcome::Unknown) => {
-                vec![self.call(JournalCall::SettleBase(base))]
-            }
-            (JournalCall::SettleBase(base), StoreOutcome::Found(stored)) => {
-                match decode::<JournalBase>(&stored) {
-                    Some(found) if found.write_id == base.write_id => {
-                        self.base_written(base, stored.version)
-                    }
-                    _ if stored.version == self.base_version => {
-                        vec![self.call(JournalCall::WriteBase(base))]
-                    }
-                    _ => vec![JournalOutput::Fenced],
-                }
-            }
-            (call, _) => self.retry(now, call),
-        }
-    }
-
-    /// Writes the base again under our token, so that no earlier leader can replace it.
-    fn fence_base(&mut self) -> Vec<JournalOutput> {
-        let token = self.token.clone().unwrap_or(FencingToken::granted(0, "".into()));
-        if let Some(base) = &self.base
-            && base.token > token
-        {
-            return vec![JournalOutput::Fenced];
-        }
-        let write_id = self.write_id();
-        let (generation, covers, parts) = match &self.base {
-            Some(base) => (base.generation, base.covers, base.parts),
-            None => (0, 0, 0),
-        };
-        let base = JournalBase { generation, covers, parts, token, write_id };
-        vec![self.call(JournalCall::FenceBase(base))]
-    }
-
-    fn read_journal(&mut self) -> Vec<JournalOutput> {
-        let Some(base) = self.base.clone() else {
-            return Vec::new();
-        };
-        self.journal_bytes = 0;
-        self.stage = JournalStage::Recovering(RecoveryState::new(base.covers + 1, base.parts));
-        let mut outputs: Vec<_> =
-            (0..base.parts).map(|part| self.call(JournalCall::ReadPart(part))).collect();
-        if base.parts == 0 {
-            outputs.extend(self.read_ahead());
-        }
-        outputs
-    }
-
-    fn read_ahead(&mut self) -> Vec<JournalOutput> {
-        let mut numbers = Vec::new();
-        if let JournalStage::Recovering(state) = &mut self.stage {
-            while state.ask < state.next + READ_AHEAD {
-                numbers.push(state.ask);
-                state.ask += 1;
-            }
-        }
-        numbers.into_iter().map(|number| self.call(JournalCall::ReadSlot(number))).collect()
-    }
-
-    fn read_part(&mut self, part: u64, stored: &StoredValue) -> Vec<JournalOutput> {
-        let records = decode::<SnapshotPart>(stored).map_or(Vec::new(), |part| part.records);
-        let JournalStage::Recovering(state) = &mut self.stage else {
-            return Vec::new();
-        };
-        for record in records {
-            apply(&mut state.found, record);
-        }
-        state.parts_missing.remove(&part);
-        match state.parts_missing.is_empty() {
-            true => self.read_ahead(),
-            false => Vec::new(),
-        }
-    }
-
-    fn read_slot(
-        &mut self,
-        now: Instant,
-        number: u64,
-        stored: Option<&StoredValue>,
-    ) -> Vec<JournalOutput> {
-        let version = stored.map_or(0, |stored| stored.version);
-        self.slots.insert(number % RING_SLOTS, version);
-        let segment = stored.and_then(decode::<JournalSegment>).filter(|s| s.number == number);
-        self.journal_bytes += segment.as_ref().and(stored).map_or(0, |stored| stored.value.len());
-        let JournalStage::Recovering(state) = &mut self.stage else {
-            return Vec::new();
-        };
-        state.read.insert(number, segment);
-        let mut ended = false;
-        while let Some(segment) = state.read.remove(&state.next) {
-            match segment {
-                Some(segment) => {
-                    for record in segment.records {
-                        apply(&mut state.found, record);
-                    }
-                    state.next += 1;
-                }
-                None => {
-                    ended = true;
-                    break;
-                }
-            }
-        }
-        let next = state.next;
-        match ended {
-            true => self.fence_journal(now, next),
-            false => self.read_ahead(),
-        }
-    }
-
-    /// Takes the first free place; whoever else wanted to write it finds it taken.
-    fn fence_journal(&mut self, now: Instant, next: u64) -> Vec<JournalOutput> {
-        if let JournalStage::Recovering(state) =
-            std::mem::replace(&mut self.stage, JournalStage::Fencing)
-        {
-            self.merge_found(state.found);
-        }
-        self.calls.clear();
-        self.next_number = next;
-        vec![self.write_group(now)]
-    }
-
-    /// Joins what the store has with changes of our own that were never written.
-    fn merge_found(&mut self, mut found: BTreeMap<String, LedgerRecord>) {
-        for name in &self.dirty {
-            let merged = match (found.remove(name), self.records.remove(name)) {
-                (Some(LedgerRecord::Job(found)), Some(LedgerRecord::Job(own))) => {
-                    LedgerRecord::Job(found.merge(own))
-                }
-                (Some(LedgerRecord::Key(found)), Some(LedgerRecord::Key(own))) => {
-                    LedgerRecord::Key(found.merge(own))
-                }
-                (_, Some(own)) => own,
-                (_, None) => continue,
-            };
-            found.insert(name.clone(), merged);
-        }
-        self.records = found;
-    }
-
     fn segment_written(&mut self, now: Instant, version: KeyVersion) -> Vec<JournalOutput> {
         self.slots.insert(self.next_number % RING_SLOTS, version);
         self.next_number += 1;
@@ -689,82 +518,6 @@
             _ => vec![JournalOutput::Fenced],
         }
     }
-
-    fn worth_compaction(&self) -> bool {
-        let covered = self.base.as_ref().map_or(0, |base| base.covers);
-        let segments = self.next_number - 1 - covered;
-        segments >= COMPACT_SEGMENTS
-            || self.journal_bytes > COMPACT_BYTES.max(2 * self.snapshot_bytes)
-    }
-
-    fn compact(&mut self) -> Vec<JournalOutput> {
-        let token = self.token.clone().unwrap_or(FencingToken::granted(0, "".into()));
-        let generation = self.base.as_ref().map_or(0, |base| base.generation) + 1;
-        let parts = self.snapshot_parts(generation, &token);
-        let base = JournalBase {
-            generation,
-            covers: self.next_number - 1,
-            parts: parts.len() as u64,
-            token,
-            write_id: self.write_id(),
-        };
-        self.snapshot_bytes = parts.iter().map(String::len).sum();
-        self.journal_bytes = 0;
-        self.compaction = Some(CompactionState { base, parts, next_part: 0, version: 0 });
-        self.next_part(0)
-    }
-
-    fn snapshot_parts(&self, generation: u64, token: &FencingToken) -> Vec<String> {
-        let mut parts = Vec::new();
-        let mut records = Vec::new();
-        let mut bytes = 0;
-        for record in self.records.values() {
-            bytes += encode(record).len();
-            records.push(record.clone());
-            if bytes >= VALUE_BYTES {
-                let taken = std::mem::take(&mut records);
-                parts.push(encode(&SnapshotPart {
-                    generation,
-                    token: token.clone(),
-                    records: taken,
-                }));
-                bytes = 0;
-            }
-        }
-        if !records.is_empty() {
-            parts.push(encode(&SnapshotPart { generation, token: token.clone(), records }));
-        }
-        parts
-    }
-
-    fn next_part(&mut self, part: u64) -> Vec<JournalOutput> {
-        let Some(state) = &mut self.compaction else {
-            return Vec::new();
-        };
-        state.next_part = part;
-        match part < state.base.parts {
-            true => vec![self.call(JournalCall::ReadTarget(part))],
-            false => {
-                let base = state.base.clone();
-                vec![self.call(JournalCall::WriteBase(base))]
-            }
-        }
-    }
-
-    fn write_part(&mut self, part: u64, version: KeyVersion) -> Vec<JournalOutput> {
-        if let Some(state) = &mut self.compaction {
-            state.version = version;
-        }
-        vec![self.call(JournalCall::WritePart(part))]
-    }
-
-    fn base_written(&mut self, base: JournalBase, version: KeyVersion) -> Vec<JournalOutput> {
-        info!("journal of {} compacted up to {}", self.domain, base.covers);
-        self.base_version = version;
-        self.base = Some(base);
-        self.compaction = None;
-        Vec::new()
-    }
 }
 
 fn encode<T: Serialize>(value: &T) -> String {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -1,5 +1,8 @@
 //! Gives an entry's shares of slots to the requests of its callers.
 
+mod supply;
+mod waiting;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -281,69 +284,6 @@
         self.shed()
     }
 
-    /// Expected wait behind the requests of the same or a more urgent rank; those of the same rank
-    /// with a later deadline are counted as well, so that it errs on the long side.
-    fn expected_wait(&self, service: &ServiceState, ticket: &RequestTicket) -> Duration {
-        let ahead: usize = service.ranks.range(..=ticket.rank).map(|(_, count)| count).sum();
-        let slots: u32 = service.upstreams.values().map(|upstream| upstream.share).sum();
-        let rounds = (ahead as f64 + 1.0) / f64::from(slots.max(1));
-        service.service_time.mul_f64(rounds)
-    }
-
-    fn enqueue(&mut self, ticket: RequestTicket) {
-        self.waiting += 1;
-        *self.waiting_by_workspace.entry(ticket.workspace.clone()).or_default() += 1;
-        let key = (ticket.rank, ticket.deadline, ticket.id);
-        let service = self.services.entry(ticket.service.clone()).or_default();
-        *service.ranks.entry(ticket.rank).or_default() += 1;
-        service.waiting.insert(key, ticket);
-    }
-
-    fn dequeue(&mut self, service: &ServiceId, key: &WaitKey) -> Option<RequestTicket> {
-        let state = self.services.get_mut(service)?;
-        let ticket = state.waiting.remove(key)?;
-        if let Some(count) = state.ranks.get_mut(&ticket.rank) {
-            *count -= 1;
-        }
-        self.waiting -= 1;
-        if let Some(count) = self.waiting_by_workspace.get_mut(&ticket.workspace) {
-            *count -= 1;
-            if *count == 0 {
-                self.waiting_by_workspace.remove(&ticket.workspace);
-            }
-        }
-        Some(ticket)
-    }
-
-    /// Keeps the queue within its bound: the workspace that waits most gives up its least urgent.
-    fn shed(&mut self) -> Vec<RouteAction> {
-        if self.waiting <= self.waiting_limit {
-            return Vec::new();
-        }
-        let largest = self.waiting_by_workspace.iter().max_by_key(|(_, count)| **count);
-        let Some(workspace) = largest.map(|(workspace, _)| workspace.clone()) else {
-            return Vec::new();
-        };
-        let last = self
-            .services
-            .iter()
-            .filter_map(|(id, service)| {
-                let own = service.waiting.iter().rev().find(|(_, t)| t.workspace == workspace)?;
-                Some((*own.0, id.clone()))
-            })
-            .max();
-        let Some((key, service)) = last else {
-            return Vec::new();
-        };
-        let wait = self.services.get(&service).map_or(LEAST_RETRY_AFTER, |s| s.service_time);
-        match self.dequeue(&service, &key) {
-            Some(ticket) => {
-                vec![RouteAction::Reject(ticket.id, RejectReason::Displaced, retry_after(wait))]
-            }
-            None => Vec::new(),
-        }
-    }
-
     /// The upstream with the smallest part of its share in use.
     fn choose(&self, now: Instant, service: &ServiceId) -> Option<UpstreamSpec> {
         if self.shares_until.is_none_or(|until| now >= until) {
@@ -440,35 +380,6 @@
         self.services.get_mut(home)?.upstreams.get_mut(id)
     }
 
-    /// Gives free slots of a service to those that wait.
-    fn serve(&mut self, now: Instant, service: &ServiceId) -> Vec<RouteAction> {
-        let mut actions = Vec::new();
-        loop {
-            let first = self.services.get(service).and_then(|s| s.waiting.keys().next().copied());
-            let Some(key) = first else {
-                return actions;
-            };
-            if key.1 <= now {
-                if let Some(ticket) = self.dequeue(service, &key) {
-                    actions.push(overdue(ticket.id));
-                }
-                continue;
-            }
-            let Some(spec) = self.choose(now, service) else {
-                return actions;
-            };
-            if let Some(ticket) = self.dequeue(service, &key) {
-                actions.extend(self.send(now, &ticket, spec));
-            }
-        }
-    }
-
-    /// A caller left while its request waited.
-    pub fn abandon(&mut self, ticket: &RequestTicket) {
-        let key = (ticket.rank, ticket.deadline, ticket.id);
-        self.dequeue(&ticket.service, &key);
-    }
-
     /// Lets time pass: rejects what waited too long.
     pub fn tick(&mut self, now: Instant) -> Vec<RouteAction> {
         let mut actions = Vec::new();
@@ -497,97 +408,6 @@
         actions
     }
 
-    /// The report that asks the leader for shares.
-    pub fn report(&mut self, now: Instant) -> DemandReport {
-        self.seq += 1;
-        self.sent.insert(self.seq, now);
-        while self.sent.len() > REMEMBERED_REPORTS {
-            self.sent.pop_first();
-        }
-        let held = self.all().filter(|state| state.share > 0 || state.in_use > 0);
-        let holdings = held
-            .map(|state| {
-                let holding = ShareHolding { share: state.share, in_use: state.in_use };
-                (state.spec.id.clone(), holding)
-            })
-            .collect();
-        let busy = self.services.iter().map(|(id, service)| {
-            let waiting = u32::try_from(service.waiting.len()).unwrap_or(u32::MAX);
-            (id.clone(), service.in_use.saturating_add(waiting))
-        });
-        DemandReport {
-            entry: self.entry.clone(),
-            boot: self.boot,
-            seq: self.seq,
-            token: self.token.clone(),
-            applied: self.applied,
-            holdings,
-            demand: busy.filter(|(_, count)| *count > 0).collect(),
-        }
-    }
-
-    /// Applies a grant; grants of lower leaders and old ones are ignored.
-    pub fn apply(&mut self, now: Instant, grant: &ShareGrant) -> Vec<RouteAction> {
-        let Some(sent) = self.sent.get(&grant.answers).copied() else {
-            return Vec::new();
-        };
-        match &self.token {
-            Some(token) if grant.token < *token => return Vec::new(),
-            Some(token) if grant.token == *token && grant.version < self.applied => {
-                return Vec::new();
-            }
-            Some(token) if grant.token == *token => {}
-            _ => {
-                self.token = Some(grant.token.clone());
-                self.applied = 0;
-                self.shares_until = None;
-            }
-        }
-        if let Some(upstreams) = &grant.upstreams {
-            self.list(upstreams);
-        }
-        match &grant.shares {
-            Some(shares) => {
-                self.applied = grant.version;
-                let services = self.services.values_mut();
-                for state in services.flat_map(|service| service.upstreams.values_mut()) {
-                    state.share = shares.get(&state.spec.id).copied().unwrap_or(0);
-                }
-            }
-            None if grant.version != self.applied => return Vec::new(),
-            None => {}
-        }
-        let until = sent + grant.ttl;
-        self.shares_until = Some(self.shares_until.map_or(until, |before| before.max(until)));
-        self.tick(now)
-    }
-
-    fn list(&mut self, upstreams: &[UpstreamSpec]) {
-        let services = self.services.values_mut();
-        services.flat_map(|service| service.upstreams.values_mut()).for_each(|u| u.listed = false);
-        for spec in upstreams {
-            let before = self.homes.insert(spec.id.clone(), spec.service.clone());
-            if let Some(before) = before.filter(|before| *before != spec.service)
-                && let Some(service) = self.services.get_mut(&before)
-            {
-                service.upstreams.remove(&spec.id);
-            }
-            let service = self.services.entry(spec.service.clone()).or_default();
-            let state = service
-                .upstreams
-                .entry(spec.id.clone())
-                .or_insert_with(|| UpstreamState::new(spec.clone()));
-            state.spec = spec.clone();
-            state.listed = true;
-        }
-        let ids: Vec<UpstreamId> = self.homes.keys().cloned().collect();
-        for id in ids {
-            self.drop_unlisted(&id);
-        }
-        self.services
-            .retain(|_, s| !s.upstreams.is_empty() || !s.waiting.is_empty() || s.in_use > 0);
-    }
-
     /// Tells whether some upstream here answers for a service.
     pub fn serves(&self, service: &ServiceId) -> bool {
         self.services.get(service).is_some_and(ServiceState::answers)
