A quota part whose write failed is written again

A guess that the quota was rightly taken was ruled out by the new check. The random test tells a job that rightly waits for a quota from one that waits for parts nobody uses; this excuses less than it looks: parts held beyond use and floor excuse nothing.

--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -371,7 +371,7 @@
                 self.quota.fenced = true;
                 self.apply_parts();
             }
-            _ => {}
+            _ => self.quota.recheck = Some(now + RECHECK_INTERVAL),
         }
     }
 
--- a/tests/decisions/random.rs
+++ b/tests/decisions/random.rs
@@ -7,8 +7,8 @@
 
 use googletest::prelude::*;
 use kelplink::{
-    ClientAnswer, ClientCall, CutOffRule, EntryId, IntentSpec, JobKind, JobRequest, PlanRequest,
-    ResourceVector, SpreadRule, StoreFault, Urgency,
+    ClientAnswer, ClientCall, CutOffRule, EntryId, IntentSpec, JobKind, JobRequest, JobView,
+    PlanRequest, ResourceVector, SpreadRule, StoreFault, Urgency,
 };
 use rand::RngExt;
 
@@ -19,9 +19,9 @@
 /// Seeds that `cargo test` runs.
 const SHORT_SEEDS: std::ops::Range<u64> = 0..12;
 /// Seeds that failed once; `docs/MEASUREMENTS.md` says why.
-const FAILED_ONCE: [u64; 20] = [
+const FAILED_ONCE: [u64; 23] = [
     1_003, 1_009, 1_017, 1_026, 1_040, 1_047, 1_091, 1_097, 1_106, 1_117, 1_120, 1_143, 1_164,
-    1_253, 1_264, 1_269, 1_285, 1_383, 2_370, 2_850,
+    1_253, 1_264, 1_269, 1_285, 1_383, 1_496, 1_826, 2_370, 2_850, 3_350,
 ];
 
 fn intent(name: &str, kind: JobKind) -> IntentSpec {
@@ -211,11 +211,12 @@
         let call = ClientCall::Job(id.as_str().into());
         match world.ask(&entry, call, Duration::from_secs(5)) {
             Some(ClientAnswer::Job(view)) if view.record.moved.is_none() => {
-                if !view.record.over() {
+                if !view.record.over() && !quota_is_taken(world, &view) {
                     let leaders = world.leaders();
                     let leader = leaders[&view.domain][0].clone();
                     let dump = world.ask(&leader, ClientCall::Dump, Duration::from_secs(1));
-                    panic!("{id} is not over: {view:?} {dump:?}");
+                    let parts = world.store.get("quota/parts").map(|stored| stored.value.clone());
+                    panic!("{id} is not over: {parts:?} {view:?} {dump:?}");
                 }
             }
             Some(ClientAnswer::Job(_) | ClientAnswer::Refused(_)) => {}
@@ -224,6 +225,34 @@
     }
 }
 
+/// Tells whether a job rightly waits: what the other failure domains use of the quota, or may use
+/// without asking, leaves less than it needs at once. Parts that are held and not used excuse nothing.
+fn quota_is_taken(world: &World, view: &JobView) -> bool {
+    let (Some(quota), Some(stored)) = (world.quotas.get("ws"), world.store.get("quota/parts"))
+    else {
+        return false;
+    };
+    let record: serde_json::Value = serde_json::from_str(&stored.value).unwrap_or_default();
+    let domains = world.all_domains();
+    let floor = quota.millicores / u32::try_from(2 * domains.len()).unwrap();
+    let mut taken = 0;
+    for domain in &domains {
+        let used = world.used_in(domain);
+        let held = record["parts"]["ws"][&**domain]["millicores"].as_u64().unwrap_or(0);
+        if *domain == view.domain {
+            taken += used;
+            continue;
+        }
+        if held > u64::from(used.max(floor)) {
+            return false;
+        }
+        taken += used.max(floor);
+    }
+    let spec = &view.record.spec;
+    let tasks = if spec.kind == JobKind::AllAtOnce { spec.count } else { 1 };
+    spec.need.millicores * tasks > quota.millicores.saturating_sub(taken)
+}
+
 /// Runs a seed and says how to repeat it where it fails.
 fn run_named(seed: u64) -> std::result::Result<u64, String> {
     std::panic::catch_unwind(|| run(seed)).map_err(|cause| {
--- a/tests/decisions/world.rs
+++ b/tests/decisions/world.rs
@@ -497,6 +497,12 @@
         self.answers.remove(&id)
     }
 
+    /// Thousandths of a core that run in a failure domain.
+    pub(crate) fn used_in(&self, domain: &DomainId) -> u32 {
+        let own = self.workers.iter().filter(|(id, _)| self.worker_domains[*id] == *domain);
+        own.map(|(_, worker)| worker.used().millicores).sum()
+    }
+
     /// Entries that lead, by failure domain.
     pub(crate) fn leaders(&self) -> BTreeMap<DomainId, Vec<EntryId>> {
         let mut leaders: BTreeMap<DomainId, Vec<EntryId>> = BTreeMap::new();
