--- a/src/command.rs
+++ b/src/command.rs
@@ -42,6 +42,10 @@
 /// Exit code of a confirm that may be in force yet.
 const EXIT_UNSETTLED: u8 = 4;
 
+macro_rules! print_line {
+    ($($part:tt)*) => { print_line(format_args!($($part)*)) };
+}
+
 /// Runs the command that the process was started with.
 pub fn run_command() -> ExitCode {
     let flags = Kelplink::from_env_or_exit();
@@ -106,7 +110,7 @@
 fn check_settings(path: &Path) -> Result<ExitCode> {
     match load_settings(path)? {
         Ok(_) => {
-            println!("{}: no findings", path.display());
+            print_line!("{}: no findings", path.display());
             Ok(ExitCode::SUCCESS)
         }
         Err(findings) => {
@@ -177,7 +181,7 @@
     };
     start_logging(LogIdentity::default());
     let server = StandInServer::start(&settings)?;
-    println!("store on {}, list of VMs on {}", settings.store, settings.vms);
+    print_line!("store on {}, list of VMs on {}", settings.store, settings.vms);
     let broken = wait_for_signal(|| server.ended())?;
     server.stop();
     Ok(exit_code(!broken))
@@ -199,9 +203,11 @@
     http.map_err(|error| anyhow!("{address} did not answer: {error:?}"))
 }
 
-/// Prints a line; a reader that went away is an error and not a panic.
-fn print_line(text: &str) -> Result<()> {
-    writeln!(std::io::stdout(), "{text}").context("standard output")
+/// Prints a line; a reader that went away ends the command without a panic.
+fn print_line(line: std::fmt::Arguments<'_>) {
+    if writeln!(std::io::stdout(), "{line}").is_err() {
+        std::process::exit(i32::from(EXIT_FAILED));
+    }
 }
 
 fn text(response: &Response<bytes::Bytes>) -> String {
@@ -226,7 +232,7 @@
     }
     let document: PlanDocument = serde_json::from_slice(response.body())?;
     match plan.json {
-        true => print_line(&text(&response))?,
+        true => print_line!("{}", text(&response)),
         false => print_plan(&document),
     }
     match document.refusal() {
@@ -236,14 +242,16 @@
 }
 
 fn print_plan(plan: &PlanDocument) {
-    println!("plan against revision {}", plan.base);
-    println!("{:<8} {:>6}  {:<24} {:<16} REASON", "ACTION", "TASKS", "INTENT", "FAILURE DOMAIN");
+    print_line!("plan against revision {}", plan.base);
+    print_line!("{:<8} {:>6}  {:<24} {:<16} REASON", "ACTION", "TASKS", "INTENT", "FAILURE DOMAIN");
     for change in &plan.changes {
         let domain = change.domain.as_deref().unwrap_or("-");
         let action = action_name(change.action);
-        println!(
+        print_line!(
             "{action:<8} {:>6}  {:<24} {domain:<16} {}",
-            change.count, change.subject, change.reason
+            change.count,
+            change.subject,
+            change.reason
         );
     }
 }
@@ -266,12 +274,12 @@
     };
     let response = ask(Method::POST, &confirm.entry, OPERATORS, "/v1/confirm", body)?;
     if confirm.json {
-        print_line(&text(&response))?;
+        print_line!("{}", text(&response));
     }
     match response.status() {
         StatusCode::OK if confirm.json => Ok(ExitCode::SUCCESS),
         StatusCode::OK => {
-            println!("in force: {}", text(&response));
+            print_line!("in force: {}", text(&response));
             Ok(ExitCode::SUCCESS)
         }
         StatusCode::CONFLICT => {
@@ -302,10 +310,10 @@
         bail!("{}", text(&response));
     }
     match cancel.json {
-        true => print_line(&text(&response))?,
+        true => print_line!("{}", text(&response)),
         false => {
             let view: JobView = serde_json::from_slice(response.body())?;
-            println!("{} is cancelled; {} tasks still stop", cancel.job, view.running.len());
+            print_line!("{} is cancelled; {} tasks still stop", cancel.job, view.running.len());
         }
     }
     Ok(ExitCode::SUCCESS)
@@ -317,7 +325,7 @@
         bail!("{}", text(&response));
     }
     match status.json {
-        true => print_line(&text(&response))?,
+        true => print_line!("{}", text(&response)),
         false => print_status(&serde_json::from_slice(response.body())?),
     }
     Ok(ExitCode::SUCCESS)
@@ -325,10 +333,13 @@
 
 fn print_status(status: &StatusView) {
     let store = if status.store_up { "up" } else { "down" };
-    println!("asked {}: revision {}, store {store}", status.entry, status.revision);
-    println!(
+    print_line!("asked {}: revision {}, store {store}", status.entry, status.revision);
+    print_line!(
         "{:<16} {:<16} {:>8} {:>10}  STATE",
-        "ENTRY", "FAILURE DOMAIN", "REVISION", "SILENT ms"
+        "ENTRY",
+        "FAILURE DOMAIN",
+        "REVISION",
+        "SILENT ms"
     );
     for entry in &status.entries {
         let revision = entry.revision.map_or("-".to_owned(), |revision| revision.to_string());
@@ -338,27 +349,35 @@
             entry if entry.revision.is_none() => "silent",
             _ => "follows",
         };
-        println!(
+        print_line!(
             "{:<16} {:<16} {revision:>8} {:>10}  {state}",
-            entry.entry, entry.domain, entry.silent_ms
+            entry.entry,
+            entry.domain,
+            entry.silent_ms
         );
     }
-    println!("{:<16} {:>7} {:>22} {:>22}", "FAILURE DOMAIN", "WORKERS", "FREE CORES/MiB/ACC", "OF");
+    print_line!(
+        "{:<16} {:>7} {:>22} {:>22}",
+        "FAILURE DOMAIN",
+        "WORKERS",
+        "FREE CORES/MiB/ACC",
+        "OF"
+    );
     for (domain, summary) in &status.domains {
         let shown = |v: &crate::resources::ResourceVector| {
             format!("{:.1}/{}/{}", f64::from(v.millicores) / 1e3, v.memory_mib, v.accelerators)
         };
         let (free, total) = (shown(&summary.free), shown(&summary.total));
-        println!("{domain:<16} {:>7} {free:>22} {total:>22}", summary.workers);
+        print_line!("{domain:<16} {:>7} {free:>22} {total:>22}", summary.workers);
     }
     for (intent, count) in &status.intents {
-        println!("intent {intent}: {count} tasks");
+        print_line!("intent {intent}: {count} tasks");
     }
 }
 
 fn run_dump(dump: &Dump) -> Result<ExitCode> {
     let response = ask(Method::GET, &dump.entry, OPERATORS, "/v1/dump", String::new())?;
     let value: serde_json::Value = serde_json::from_slice(response.body())?;
-    print_line(&serde_json::to_string_pretty(&value)?)?;
+    print_line!("{}", serde_json::to_string_pretty(&value)?);
     Ok(ExitCode::SUCCESS)
 }
