A cancelled task that its worker stopped is said to have run

Cause: read before stopping: a start and a stop that reach a worker in one exchange make it begin and stop the task, but the leader had never seen it run and ended it as cancelled, 'ran: false'. What is said not to have run must never have run. Change: an end 'stopped' from a worker means that it ran; a refusal tells by whether it was seen to run.

--- a/src/placement/scheduler/outcomes.rs
+++ b/src/placement/scheduler/outcomes.rs
@@ -43,7 +43,8 @@
                 info!("start of {task:?} refused on {worker}: {reason}");
                 match live.stop_reason() {
                     Some(StopReason::Cancelled) => {
-                        self.end(task, TaskEnd::Cancelled { ran: false });
+                        let ran = live.ran_since().is_some();
+                        self.end(task, TaskEnd::Cancelled { ran });
                     }
                     _ => self.delay(now, task, RESTART_PAUSE),
                 }
@@ -115,8 +116,8 @@
     ) {
         match live.stop_reason() {
             Some(StopReason::Cancelled) => {
-                let ran = live.ran_since().is_some();
-                self.end(task, TaskEnd::Cancelled { ran });
+                // The worker had started it, whether or not it was ever seen to run.
+                self.end(task, TaskEnd::Cancelled { ran: true });
             }
             Some(StopReason::Preempted) => {
                 if let Some(job) = self.jobs.get_mut(&task.0) {
