--- /dev/null
+++ b/src/platform/workers.rs
@@ -0,0 +1,261 @@
+//! Calls to workers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, Response, StatusCode};
+use log::warn;
+use serde::{Deserialize, Serialize};
+
+use crate::client::{ClientError, HttpClient};
+use crate::graph::{
+    CallFailure, CommandResult, EndKind, EndReport, LeaderEpoch, PollReply, PollResult, RunNumber,
+    RunReport, StartOrder, TaskName, WorkerRefusal,
+};
+use crate::id::WorkerId;
+use crate::platform::http::{JsonCall, read_json, send_json};
+
+const START_PATH: &str = "/api/run-start";
+const STOP_PATH: &str = "/api/run-stop";
+const POLL_PATH: &str = "/api/hold";
+const THROTTLE_PATH: &str = "/api/pace";
+/// Names the life of the worker that a call is meant for; any other answers 421.
+const LIFE_HEADER: &str = "Target-Instance";
+
+/// Longest time for a command: an answer takes a few milliseconds.
+const COMMAND_TIME: Duration = Duration::from_millis(450);
+/// Added to the time that a poll may wait before it counts as lost.
+const POLL_SLACK: Duration = Duration::from_millis(600);
+
+#[derive(Debug, Serialize)]
+struct WireStart<'c> {
+    task: String,
+    run: RunNumber,
+    spec: &'c str,
+    until_ms: u64,
+    fencing_token: LeaderEpoch,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    checkpoint: &'c str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'c str>,
+}
+
+#[derive(Debug, Serialize)]
+struct WireStop {
+    task: String,
+    run: RunNumber,
+    fencing_token: LeaderEpoch,
+}
+
+#[derive(Debug, Serialize)]
+struct WireThrottle {
+    task: String,
+    run: RunNumber,
+    percent: u32,
+    fencing_token: LeaderEpoch,
+}
+
+#[derive(Debug, Serialize)]
+struct WirePoll {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    until_ms: Option<u64>,
+    fencing_token: LeaderEpoch,
+    ack_cursor: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    wait_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireAnswer {
+    clock_ms: u64,
+    #[serde(default)]
+    reason: String,
+}
+
+/// Task, run, last checkpoint, percent done, and the tail latency in ms or the processors in use.
+#[derive(Debug, Deserialize)]
+struct WireRunning(String, RunNumber, String, f64, #[serde(default)] f64);
+
+/// Number, task, run, how it ended, last checkpoint.
+#[derive(Debug, Deserialize)]
+struct WireEnded(u64, String, RunNumber, String, #[serde(default)] String);
+
+#[derive(Debug, Deserialize)]
+struct WirePollAnswer {
+    clock_ms: u64,
+    #[serde(default)]
+    running: Vec<WireRunning>,
+    #[serde(default)]
+    finished: Vec<WireEnded>,
+}
+
+/// A client of all workers.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerClient {
+    client: HttpClient,
+}
+
+impl WorkerClient {
+    pub(crate) fn new() -> Self {
+        Self { client: HttpClient::new() }
+    }
+
+    /// Starts a run; a run that is there already is no error.
+    pub(crate) async fn start(&self, epoch: LeaderEpoch, order: &StartOrder) -> CommandResult {
+        let body = WireStart {
+            task: order.task.to_string(),
+            run: order.run,
+            spec: &order.payload,
+            until_ms: millis(order.until),
+            fencing_token: epoch,
+            checkpoint: &order.saved,
+            ticket: order.ticket.as_deref(),
+        };
+        self.command(&order.worker, order.address, START_PATH, &body).await
+    }
+
+    /// Stops a run; one that has not begun will be refused from then on.
+    pub(crate) async fn stop(
+        &self,
+        epoch: LeaderEpoch,
+        worker: &WorkerId,
+        address: SocketAddr,
+        task: &TaskName,
+        run: RunNumber,
+    ) -> CommandResult {
+        let body = WireStop { task: task.to_string(), run, fencing_token: epoch };
+        self.command(worker, address, STOP_PATH, &body).await
+    }
+
+    /// Lets a run work at a share of its speed.
+    pub(crate) async fn throttle(
+        &self,
+        epoch: LeaderEpoch,
+        worker: &WorkerId,
+        address: SocketAddr,
+        task: &TaskName,
+        run: RunNumber,
+        percent: u32,
+    ) -> CommandResult {
+        let body = WireThrottle { task: task.to_string(), run, percent, fencing_token: epoch };
+        self.command(worker, address, THROTTLE_PATH, &body).await
+    }
+
+    /// Looks at a worker, renews its lease and acknowledges ends.
+    pub(crate) async fn poll(
+        &self,
+        epoch: LeaderEpoch,
+        worker: &WorkerId,
+        address: SocketAddr,
+        until: Option<Duration>,
+        acked: u64,
+        wait: Duration,
+    ) -> PollResult {
+        let body = WirePoll {
+            until_ms: until.map(millis),
+            fencing_token: epoch,
+            ack_cursor: acked,
+            wait_ms: (!wait.is_zero()).then(|| millis(wait)),
+        };
+        let response = self.call(worker, address, POLL_PATH, &body, wait + POLL_SLACK).await?;
+        let answer: WirePollAnswer = read_json(&response).map_err(failed)?;
+        let ended = answer.finished.into_iter().filter_map(ended).collect();
+        let running = answer.running.into_iter().filter_map(running).collect();
+        Ok(PollReply { clock: Duration::from_millis(answer.clock_ms), running, ended })
+    }
+
+    async fn command<B: Serialize>(
+        &self,
+        worker: &WorkerId,
+        address: SocketAddr,
+        path: &str,
+        body: &B,
+    ) -> CommandResult {
+        let response = self.call(worker, address, path, body, COMMAND_TIME).await?;
+        let answer: WireAnswer = read_json(&response).map_err(failed)?;
+        Ok(Duration::from_millis(answer.clock_ms))
+    }
+
+    async fn call<B: Serialize>(
+        &self,
+        worker: &WorkerId,
+        address: SocketAddr,
+        path: &str,
+        body: &B,
+        time: Duration,
+    ) -> std::result::Result<Response<Bytes>, CallFailure> {
+        let headers = [(LIFE_HEADER, &**worker)];
+        let call = JsonCall {
+            line: "workers",
+            method: Method::POST,
+            address,
+            path,
+            headers: &headers,
+            time,
+        };
+        let response = send_json(&self.client, call, Some(body)).await.map_err(failed)?;
+        match response.status() {
+            StatusCode::OK => Ok(response),
+            status => Err(CallFailure::Refused(refusal(status, &response))),
+        }
+    }
+}
+
+fn refusal(status: StatusCode, response: &Response<Bytes>) -> WorkerRefusal {
+    let reason = read_json::<WireAnswer>(response).map(|answer| answer.reason);
+    match (status, reason.as_deref().unwrap_or_default()) {
+        (StatusCode::CONFLICT, "fence") => WorkerRefusal::Deposed,
+        (StatusCode::CONFLICT, "old") => WorkerRefusal::OldRun,
+        (StatusCode::CONFLICT, "late") => WorkerRefusal::Late,
+        (StatusCode::CONFLICT, "room") => WorkerRefusal::NoRoom,
+        (StatusCode::CONFLICT, "ticket") => WorkerRefusal::Ticket,
+        (StatusCode::MISDIRECTED_REQUEST, _) => WorkerRefusal::OtherLife,
+        (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, _) => {
+            WorkerRefusal::Unwell
+        }
+        _ => WorkerRefusal::Invalid,
+    }
+}
+
+fn failed(error: ClientError) -> CallFailure {
+    match error {
+        ClientError::NotSent(_) => CallFailure::NotSent,
+        ClientError::NoAnswer(_) => CallFailure::NoAnswer,
+    }
+}
+
+fn running(wire: WireRunning) -> Option<RunReport> {
+    let WireRunning(task, run, saved, percent, figure) = wire;
+    let task = named(&task)?;
+    Some(RunReport { task, run, saved, percent: percent as u32, figure: figure as u32 })
+}
+
+fn ended(wire: WireEnded) -> Option<EndReport> {
+    let WireEnded(number, task, run, how, saved) = wire;
+    let kind = match how.as_str() {
+        "done" => EndKind::Done,
+        "failed" => EndKind::Failed,
+        "stopped" => EndKind::Stopped,
+        "lapsed" => EndKind::Lapsed,
+        "broken" => EndKind::Broken,
+        "alone" => EndKind::Alone,
+        _ => {
+            warn!(task = task, how = how; "a worker lists an end of an unknown kind");
+            return None;
+        }
+    };
+    Some(EndReport { number, task: named(&task)?, run, kind, saved })
+}
+
+fn named(text: &str) -> Option<TaskName> {
+    let name = text.parse();
+    if name.is_err() {
+        warn!(task = text; "a worker lists a task whose name cannot be read");
+    }
+    name.ok()
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
