--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -248,6 +248,8 @@
         id: AdviceId,
         allowed: Option<Vec<(WorkerId, TicketText)>>,
     ) {
+        let count = allowed.as_ref().map(Vec::len);
+        info!(call = id, allowed:? = count; "advice answered");
         if let Some((job, _)) = self.advice.answered(now, id, allowed, ADVICE_PAUSE) {
             self.jobs.reopen(&job);
         }
@@ -313,6 +315,9 @@
             }
         }
         for call in self.advice.assign(now, plan.wishes) {
+            let (job, step) = &call.key;
+            let (entry, workers) = (&*call.entry, call.workers.len());
+            info!(job = &**job, step = step.step, entry, workers, call = call.id; "advice asked");
             self.actions.push(GraphAction::Advise(call));
         }
     }
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -62,7 +62,7 @@
 
     /// Jobs that may have a task to start.
     pub(crate) fn open(&self) -> impl Iterator<Item = &GraphJob> {
-        self.open.iter().filter_map(|id| self.jobs.get(id))
+        self.open.iter().filter_map(|id| self.jobs.get(id)).filter(|job| !job.over())
     }
 
     /// Adds a job.
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -14,6 +14,7 @@
 use crate::graph::jobs::JobTable;
 use crate::graph::lives::{LifeTable, SILENCE};
 use crate::graph::name::{GraphId, StepKey, TaskKey};
+use crate::graph::queue::AdviceRule;
 use crate::graph::spec::StepSpec;
 use crate::graph::worker::WorkerLife;
 use crate::id::{RackId, UnixMillis, WorkerId};
@@ -21,6 +22,8 @@
 
 /// Multiple of its objective after which a job's result has lost its worth.
 const WORTHLESS_AFTER: u32 = 3;
+/// Part of a call's own time that naming more workers may add: asking again costs the whole call.
+const CHEAP_PART: f64 = 0.25;
 /// How early advice is asked for a step whose turn has not come, beside the time of the call.
 const ASK_AHEAD: Duration = Duration::from_millis(60);
 
@@ -410,10 +413,12 @@
             (!sure, far(room), disturbs(room), std::cmp::Reverse((*count).min(missing)))
         });
         let share = self.advice.share(&step.job.rule.id);
+        let cheap = worth_asking(&rule);
         let mut expected = 0.0;
         let mut workers = Vec::new();
         for (count, sure, room) in usable {
-            if expected >= missing as f64 || workers.len() >= MOST_ASKED {
+            let enough = expected >= missing as f64 && workers.len() >= cheap;
+            if enough || workers.len() >= MOST_ASKED {
                 break;
             }
             expected += count as f64 * if sure { 1.0 } else { share };
@@ -435,6 +440,15 @@
     }
 }
 
+/// Workers that one call may as well ask about: those whose own time is a small part of the call's.
+fn worth_asking(rule: &AdviceRule) -> usize {
+    let each = rule.each.as_secs_f64();
+    match each > 0.0 {
+        true => (rule.call.as_secs_f64() * CHEAP_PART / each) as usize,
+        false => MOST_ASKED,
+    }
+}
+
 fn has_label(life: &WorkerLife, step: &StepSpec) -> bool {
     step.label.as_ref().is_none_or(|label| life.listing.labels.contains(label))
 }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -40,11 +40,13 @@
     lease: Option<LeaseId>,
     renewed: Option<Instant>,
     leadership: Option<Leadership>,
+    /// Latest epoch that this process has led under: it is not led under again.
+    last_epoch: LeaderEpoch,
 }
 
 impl ElectionDuty {
     pub(crate) fn new(shared: Arc<NodeShared>) -> Self {
-        Self { shared, lease: None, renewed: None, leadership: None }
+        Self { shared, lease: None, renewed: None, leadership: None, last_epoch: 0 }
     }
 
     /// Runs until the process stops, then hands leadership over.
@@ -140,7 +142,11 @@
                 warn!(epoch, later = view.epoch; "another leads");
                 self.end_leadership().await;
             }
-            (None, Some(leader)) if leader.epoch == view.epoch && self.lease.is_some() => {
+            (None, Some(leader))
+                if leader.epoch == view.epoch
+                    && leader.epoch > self.last_epoch
+                    && self.lease.is_some() =>
+            {
                 self.begin(leader.epoch, view.epoch_revision);
             }
             (Some(_), _) if self.leadership.as_ref().is_some_and(|led| led.task.is_finished()) => {
@@ -219,6 +225,7 @@
     /// Leads, or goes on leading under a later epoch.
     fn begin(&mut self, epoch: LeaderEpoch, revision: u64) {
         let sent = self.renewed.unwrap_or_else(Instant::now);
+        self.last_epoch = epoch;
         if let Some(leadership) = &mut self.leadership
             && leadership.epoch + 1 == epoch
             && !leadership.task.is_finished()
