--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -18,7 +18,8 @@
 use crate::graph::jobs::{JobEffect, JobTable, RunToStop};
 use crate::graph::lives::{LifeFinding, LifeTable};
 use crate::graph::name::{GraphId, LeaderEpoch, RunNumber, TaskName};
-use crate::graph::placer::PlacementPass;
+use crate::graph::placer::{PassView, PlacementPass};
+use crate::graph::preemption::RoomKeeper;
 use crate::graph::progress::GraphProgress;
 use crate::graph::queue::QueueConfig;
 use crate::graph::worker::{RunPhase, WorkerRun};
@@ -64,6 +65,7 @@
     jobs: JobTable,
     lives: LifeTable,
     advice: AdviceDesk,
+    keeper: RoomKeeper,
     commits: CommitQueue,
     waiters: BTreeMap<GraphId, Vec<CallId>>,
     /// Workers from before this leader's time that have not been heard.
@@ -104,6 +106,7 @@
             jobs,
             lives,
             advice: AdviceDesk::default(),
+            keeper: RoomKeeper::default(),
             commits: CommitQueue::default(),
             waiters: BTreeMap::new(),
             unheard: state.workers.into_iter().map(|used| used.id).collect(),
@@ -296,8 +299,21 @@
             return;
         }
         let settled = self.settled(now);
-        let (jobs, lives, advice) = (&self.jobs, &self.lives, &self.advice);
-        let plan = PlacementPass::new(now, unix, jobs, lives, advice, settled).run();
+        let jobs = &self.jobs;
+        self.keeper.prune(now, |task| {
+            jobs.wants(task)
+                && jobs.get(&task.job).is_some_and(|job| !job.live.contains_key(&task.key))
+        });
+        let view = PassView {
+            now,
+            unix,
+            settled,
+            jobs: &self.jobs,
+            lives: &self.lives,
+            advice: &self.advice,
+            keeper: &self.keeper,
+        };
+        let plan = PlacementPass::new(view).run();
         for id in &plan.settled {
             self.jobs.close(id);
         }
@@ -314,6 +330,9 @@
                 self.begin(now, start, run);
             }
         }
+        for preemption in plan.preemptions {
+            self.preempt(now, preemption);
+        }
         for call in self.advice.assign(now, plan.wishes) {
             let (job, step) = &call.key;
             let (entry, workers) = (&*call.entry, call.workers.len());
@@ -380,22 +399,9 @@
         });
         let job = self.jobs.get(&task.job);
         let step = job.and_then(|job| job.step(task.key.step));
-        let priority = job.map_or(0, |job| job.rule.priority);
-        let entry = WorkerRun {
-            run,
-            need: step.map(|step| step.reservation()).unwrap_or_default(),
-            phase: RunPhase::Running { confirmed: Duration::ZERO },
-            since: now,
-            percent,
-            moved: now,
-            figure,
-            saved,
-            priority,
-            best_effort: step.is_some_and(|step| step.best_effort),
-            target: step.and_then(|step| step.target),
-            image: step.and_then(|step| step.image.clone()),
-            throttle: 100,
-        };
+        let phase = RunPhase::Running { confirmed: Duration::ZERO };
+        let origin = job.zip(step);
+        let entry = WorkerRun { percent, figure, saved, ..WorkerRun::new(run, phase, now, origin) };
         let known = step.is_some();
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -11,6 +11,7 @@
 use crate::graph::lives::WORKER_LEASE;
 use crate::graph::name::{RunNumber, TaskName};
 use crate::graph::placer::PlannedStart;
+use crate::graph::preemption::PlannedPreemption;
 use crate::graph::worker::{RunPhase, WorkerRun};
 use crate::id::WorkerId;
 
@@ -35,21 +36,8 @@
         };
         let run = run.unwrap_or_else(|| job.next_run(&start.task, base));
         let task = job.task_name(start.task);
-        let entry = WorkerRun {
-            run,
-            need: step.reservation(),
-            phase: RunPhase::Sent { tries: 0 },
-            since: now,
-            percent: 0,
-            moved: now,
-            figure: if step.best_effort { step.need.millicores } else { 0 },
-            saved: String::new(),
-            priority: job.rule.priority,
-            best_effort: step.best_effort,
-            target: step.target,
-            image: step.image.clone(),
-            throttle: 100,
-        };
+        let phase = RunPhase::Sent { tries: 0 };
+        let entry = WorkerRun::new(run, phase, now, Some((job, step)));
         if let Some(life) = self.lives.get_mut(&start.worker) {
             life.add_run(task.clone(), entry);
         }
@@ -189,6 +177,21 @@
         self.actions.push(GraphAction::Stop { worker, address, task, run });
     }
 
+    /// Stops runs of less urgent queues and keeps their room for a task.
+    pub(super) fn preempt(&mut self, now: Instant, plan: PlannedPreemption) {
+        let PlannedPreemption { job, task, worker, need, victims } = plan;
+        let name = TaskName::new(job, task);
+        info!(task:% = name, worker = &*worker, victims = victims.len(); "room is made");
+        metrics::counter!("kelplink_preempted_runs_total").increment(victims.len() as u64);
+        self.keeper.keep(now, name, worker.clone(), need);
+        for victim in victims {
+            let run = self.lives.get(&worker).and_then(|life| life.runs.get(&victim));
+            if let Some(run) = run.map(|run| run.run) {
+                self.stop(&worker, &victim, run);
+            }
+        }
+    }
+
     /// Takes in the answer to a stop.
     pub fn stopped(
         &mut self,
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -4,7 +4,8 @@
 //! the controller. Steps are served in order of what can still meet its objective: urgent queues
 //! first, then the latest start; what is hopelessly late comes after everything else.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -13,7 +14,8 @@
 use crate::graph::job::GraphJob;
 use crate::graph::jobs::JobTable;
 use crate::graph::lives::{LifeTable, SILENCE};
-use crate::graph::name::{GraphId, StepKey, TaskKey};
+use crate::graph::name::{GraphId, StepKey, TaskKey, TaskName};
+use crate::graph::preemption::{PlannedPreemption, RoomKeeper, victims};
 use crate::graph::queue::AdviceRule;
 use crate::graph::spec::StepSpec;
 use crate::graph::worker::WorkerLife;
@@ -22,6 +24,9 @@
 
 /// Multiple of its objective after which a job's result has lost its worth.
 const WORTHLESS_AFTER: u32 = 3;
+/// How long before the latest start room is made: a stop takes 400 ms at most, and its end is seen
+/// and the start sent within 100 ms.
+const PREEMPTION_LEAD: Duration = Duration::from_millis(500);
 /// Part of a call's own time that naming more workers may add: asking again costs the whole call.
 const CHEAP_PART: f64 = 0.25;
 /// How early advice is asked for a step whose turn has not come, beside the time of the call.
@@ -45,6 +50,8 @@
     pub starts: Vec<PlannedStart>,
     /// Tasks of one gang, started together.
     pub gangs: Vec<Vec<PlannedStart>>,
+    /// Tasks for which less urgent runs are stopped.
+    pub preemptions: Vec<PlannedPreemption>,
     /// Advice to ask for, most urgent first.
     pub wishes: Vec<AdviceWish>,
     /// Jobs none of whose tasks waits.
@@ -71,46 +78,63 @@
 }
 
 /// Room on a worker as the pass goes on.
+#[derive(Clone)]
 struct PassRoom<'t> {
     life: &'t WorkerLife,
+    /// Free and not kept for a task.
     free: ResourceVector,
+    /// Free, kept or not.
+    spare: ResourceVector,
     /// Processors that best-effort tasks here would use.
     wanted: u32,
     serves: bool,
     fills: bool,
 }
 
+/// What a pass looks at.
+#[derive(Clone, Copy)]
+pub struct PassView<'t> {
+    /// The time.
+    pub now: Instant,
+    /// The time since 1970.
+    pub unix: UnixMillis,
+    /// Whether tasks of jobs from before this leader's time may be started.
+    pub settled: bool,
+    /// All jobs.
+    pub jobs: &'t JobTable,
+    /// All workers.
+    pub lives: &'t LifeTable,
+    /// All placement advice.
+    pub advice: &'t AdviceDesk,
+    /// Room that is kept for tasks.
+    pub keeper: &'t RoomKeeper,
+}
+
 /// One pass.
 pub struct PlacementPass<'t> {
-    now: Instant,
-    unix: UnixMillis,
-    jobs: &'t JobTable,
-    advice: &'t AdviceDesk,
-    /// Whether tasks of jobs from before this leader's time may be started.
-    settled: bool,
+    view: PassView<'t>,
+    /// Runs that were chosen to be stopped in this pass.
+    victims: BTreeSet<TaskName>,
     rooms: BTreeMap<WorkerId, PassRoom<'t>>,
     plan: PassPlan,
 }
 
 impl<'t> PlacementPass<'t> {
     /// Prepares a pass.
-    pub fn new(
-        now: Instant,
-        unix: UnixMillis,
-        jobs: &'t JobTable,
-        lives: &'t LifeTable,
-        advice: &'t AdviceDesk,
-        settled: bool,
-    ) -> Self {
-        let open = lives.iter().filter(|life| life.open(now, SILENCE));
-        let rooms = open.map(|life| (life.id().clone(), PassRoom::new(life))).collect();
-        Self { now, unix, jobs, advice, settled, rooms, plan: PassPlan::default() }
+    pub fn new(view: PassView<'t>) -> Self {
+        let open = view.lives.iter().filter(|life| life.open(view.now, SILENCE));
+        let room = |life: &'t WorkerLife| {
+            let free = life.free().saturating_sub(&view.keeper.on(life.id()));
+            (life.id().clone(), PassRoom::new(life, free))
+        };
+        let rooms = open.map(room).collect();
+        Self { view, victims: BTreeSet::new(), rooms, plan: PassPlan::default() }
     }
 
     /// Decides.
     pub fn run(mut self) -> PassPlan {
         let mut steps = Vec::new();
-        for job in self.jobs.open().filter(|job| self.settled || !job.inherited) {
+        for job in self.view.jobs.open().filter(|job| self.view.settled || !job.inherited) {
             let before = steps.len();
             self.open_steps(job, &mut steps);
             if steps.len() == before && job.spec.repeat.is_none() {
@@ -129,7 +153,7 @@
     fn open_steps(&self, job: &'t GraphJob, steps: &mut Vec<OpenStep<'t>>) {
         for occurrence in 0..job.spec.occurrences() {
             let due = job.spec.due(occurrence);
-            if due.is_some_and(|due| due > self.unix) {
+            if due.is_some_and(|due| due > self.view.unix) {
                 break;
             }
             for (index, step) in job.spec.steps.iter().enumerate() {
@@ -144,7 +168,7 @@
                 let ready = job.durable && job.turn_has_come(key);
                 if ready {
                     let may = |task: &TaskKey| {
-                        job.not_before.get(task).is_none_or(|start| *start <= self.now)
+                        job.not_before.get(task).is_none_or(|start| *start <= self.view.now)
                     };
                     waiting.retain(may);
                 }
@@ -162,12 +186,13 @@
         due: Option<UnixMillis>,
     ) -> ServingOrder {
         let passed = match due {
-            Some(due) => Duration::from_millis(self.unix.saturating_sub(due)),
-            None => self.now.saturating_duration_since(job.begun),
+            Some(due) => Duration::from_millis(self.view.unix.saturating_sub(due)),
+            None => self.view.now.saturating_duration_since(job.begun),
         };
         let chain = job.chains.get(key.step as usize).copied().unwrap_or_default();
         let objective = job.objective();
-        let latest = (self.now + objective).checked_sub(passed + chain).unwrap_or(self.now);
+        let latest =
+            (self.view.now + objective).checked_sub(passed + chain).unwrap_or(self.view.now);
         let late = !step.lasting && passed + chain > objective;
         let hopeless = !step.lasting && passed + chain > objective * WORTHLESS_AFTER;
         ServingOrder { hopeless, priority: job.rule.priority, late, latest_start: latest }
@@ -199,10 +224,10 @@
             return fitting.map(|room| room.life.id().clone()).collect();
         }
         let key = (step.job.spec.id.clone(), step.key);
-        let Some(advice) = self.advice.step(&key) else {
+        let Some(advice) = self.view.advice.step(&key) else {
             return Vec::new();
         };
-        let allowed = fitting.filter(|room| advice.ticket(room.life.id(), self.now).is_some());
+        let allowed = fitting.filter(|room| advice.ticket(room.life.id(), self.view.now).is_some());
         allowed.map(|room| room.life.id().clone()).collect()
     }
 
@@ -211,19 +236,92 @@
         let mut counts = self.counts(step, candidates);
         let mut missing = 0;
         for task in &step.waiting {
-            match self.choose(step, *task, candidates, &counts) {
-                Some(worker) => {
-                    *counts.entry(worker.clone()).or_default() += 1;
-                    self.take(&worker, step.step);
-                    let job = step.job.spec.id.clone();
-                    self.plan.starts.push(PlannedStart { job, task: *task, worker });
+            let kept = self.kept(step, *task, candidates, &counts);
+            let whole = kept.is_some();
+            if let Some(worker) = kept.or_else(|| self.choose(step, *task, candidates, &counts)) {
+                match whole {
+                    true => self.take_kept(&worker, step.step),
+                    false => {
+                        *counts.entry(worker.clone()).or_default() += 1;
+                        self.take(&worker, step.step);
+                    }
                 }
-                None => missing += 1,
+                let job = step.job.spec.id.clone();
+                self.plan.starts.push(PlannedStart { job, task: *task, worker });
+                continue;
+            }
+            missing += 1;
+            if self.may_preempt(step, *task) {
+                self.preempt(step, *task, candidates, &mut counts);
             }
         }
         missing
     }
 
+    /// The worker on which room was kept for a task, once it is there. `counts` has the task itself.
+    fn kept(
+        &self,
+        step: &OpenStep<'t>,
+        task: TaskKey,
+        candidates: &[WorkerId],
+        counts: &BTreeMap<WorkerId, u32>,
+    ) -> Option<WorkerId> {
+        let kept = self.view.keeper.get(&step.job.task_name(task))?;
+        let room = self.rooms.get(&kept.worker)?;
+        let most = step.step.max_per_worker.unwrap_or(u32::MAX);
+        let fits = kept.need.fits(&room.spare)
+            && candidates.contains(&kept.worker)
+            && counts.get(&kept.worker).copied().unwrap_or(0) <= most;
+        fits.then(|| kept.worker.clone())
+    }
+
+    /// Whether waiting any longer would cost the task its objective, and nothing is under way for it.
+    fn may_preempt(&self, step: &OpenStep<'t>, task: TaskKey) -> bool {
+        let pressed = step.order.latest_start <= self.view.now + PREEMPTION_LEAD;
+        let in_time = step.step.lasting || !step.order.late;
+        pressed && in_time && self.view.keeper.get(&step.job.task_name(task)).is_none()
+    }
+
+    /// Chooses the worker where making room throws least work away.
+    fn preempt(
+        &mut self,
+        step: &OpenStep<'t>,
+        task: TaskKey,
+        candidates: &[WorkerId],
+        counts: &mut BTreeMap<WorkerId, u32>,
+    ) {
+        let need = step.step.reservation();
+        let most = step.step.max_per_worker.unwrap_or(u32::MAX);
+        let worth = match step.step.lasting {
+            true => f64::MAX,
+            false => f64::from(need.millicores) / 1_000.0 * step.step.estimate.as_secs_f64(),
+        };
+        let priority = step.job.rule.priority;
+        let choice = candidates
+            .iter()
+            .filter(|id| counts.get(*id).copied().unwrap_or(0) < most)
+            .filter_map(|id| {
+                let room = self.rooms.get(id)?;
+                let found = victims(room.life, self.view.now, &room.free, &need, priority, worth);
+                let (lost, chosen) = found?;
+                let taken = chosen.iter().any(|victim| self.victims.contains(victim));
+                (!taken && !chosen.is_empty()).then_some((lost, id, chosen))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, worker, chosen)) = choice else {
+            return;
+        };
+        self.victims.extend(chosen.iter().cloned());
+        let worker = worker.clone();
+        *counts.entry(worker.clone()).or_default() += 1;
+        // What was free there goes to the task as well.
+        if let Some(room) = self.rooms.get_mut(&worker) {
+            room.free = room.free.saturating_sub(&need);
+        }
+        let job = step.job.spec.id.clone();
+        self.plan.preemptions.push(PlannedPreemption { job, task, worker, need, victims: chosen });
+    }
+
     /// Places all tasks of a gang or none.
     fn serve_gang(&mut self, step: &OpenStep<'t>, candidates: &[WorkerId]) -> usize {
         let all = step.step.count as usize;
@@ -258,17 +356,13 @@
     fn try_gang(&mut self, step: &OpenStep<'t>, set: &[WorkerId]) -> Option<Vec<PlannedStart>> {
         let mut counts = self.counts(step, set);
         let mut starts = Vec::new();
-        let saved: Vec<(WorkerId, ResourceVector, u32)> = set
+        let saved: Vec<(WorkerId, PassRoom<'t>)> = set
             .iter()
-            .filter_map(|id| self.rooms.get(id).map(|room| (id.clone(), room.free, room.wanted)))
+            .filter_map(|id| self.rooms.get(id).map(|room| (id.clone(), room.clone())))
             .collect();
         for task in &step.waiting {
             let Some(worker) = self.choose(step, *task, set, &counts) else {
-                for (id, free, wanted) in saved {
-                    if let Some(room) = self.rooms.get_mut(&id) {
-                        (room.free, room.wanted) = (free, wanted);
-                    }
-                }
+                self.rooms.extend(saved);
                 return None;
             };
             *counts.entry(worker.clone()).or_default() += 1;
@@ -286,7 +380,8 @@
         let id = &step.job.spec.id;
         let count = |worker: &WorkerId| {
             let room = self.rooms.get(worker)?;
-            Some((worker.clone(), room.life.count_of(id, step.key)))
+            let kept = self.view.keeper.count(worker, id, step.key);
+            Some((worker.clone(), room.life.count_of(id, step.key) + kept))
         };
         among.iter().filter_map(count).collect()
     }
@@ -306,7 +401,11 @@
         let avoided = step.job.avoid.get(&task);
         let fits = |id: &&WorkerId| {
             let count = counts.get(*id).copied().unwrap_or(0);
-            count < most && self.rooms.get(*id).is_some_and(|room| need.fits(&room.free))
+            count < most
+                && self
+                    .rooms
+                    .get(*id)
+                    .is_some_and(|room| need.fits(&room.free) && need.fits(&room.spare))
         };
         let cost = |id: &&WorkerId| {
             let room = &self.rooms[*id];
@@ -323,9 +422,18 @@
         among.iter().filter(fits).min_by_key(cost).cloned()
     }
 
+    /// Takes room that was kept for the task, and so is not among what is free.
+    fn take_kept(&mut self, worker: &WorkerId, spec: &StepSpec) {
+        if let Some(room) = self.rooms.get_mut(worker) {
+            room.spare = room.spare.saturating_sub(&spec.reservation());
+            room.serves |= spec.target.is_some();
+        }
+    }
+
     fn take(&mut self, worker: &WorkerId, spec: &StepSpec) {
         if let Some(room) = self.rooms.get_mut(worker) {
             room.free = room.free.saturating_sub(&spec.reservation());
+            room.spare = room.spare.saturating_sub(&spec.reservation());
             if spec.best_effort {
                 room.wanted = room.wanted.saturating_add(spec.need.millicores);
                 room.fills = true;
@@ -369,7 +477,7 @@
                 return false;
             };
             running += 1;
-            if since + step.estimate > self.now + time {
+            if since + step.estimate > self.view.now + time {
                 return false;
             }
         }
@@ -382,13 +490,22 @@
             return;
         };
         let key = (step.job.spec.id.clone(), step.key);
-        if !self.advice.may_ask(&key, self.now) {
+        if !self.view.advice.may_ask(&key, self.view.now) {
             return;
         }
-        let known = self.advice.step(&key);
+        let known = self.view.advice.step(&key);
         let need = step.step.reservation();
         let most = step.step.max_per_worker.unwrap_or(u32::MAX);
-        let holds = |room: &PassRoom<'t>| room_for(&room.free, &need).min(most) as usize;
+        let pressed = step.step.lasting || !step.order.late;
+        let priority = step.job.rule.priority;
+        let holds = |room: &PassRoom<'t>| {
+            let free = match pressed {
+                true => room.free.saturating_add(&room.preemptible(priority)),
+                false => room.free,
+            };
+            room_for(&free, &need).min(most) as usize
+        };
+        let holds_now = |room: &PassRoom<'t>| need.fits(&room.free);
         let mut usable: Vec<(usize, bool, &PassRoom<'t>)> = self
             .rooms
             .values()
@@ -396,7 +513,7 @@
             .filter(|room| has_label(room.life, step.step) && holds(room) > 0)
             .filter(|room| !known.is_some_and(|known| known.denied.contains(room.life.id())))
             .filter(|room| {
-                known.is_none_or(|known| known.ticket(room.life.id(), self.now).is_none())
+                known.is_none_or(|known| known.ticket(room.life.id(), self.view.now).is_none())
             })
             .map(|room| {
                 let sure = known.is_some_and(|known| known.allowed.contains_key(room.life.id()));
@@ -410,9 +527,9 @@
             (step.step.best_effort && room.serves) || (step.step.target.is_some() && room.fills)
         };
         usable.sort_by_key(|(count, sure, room)| {
-            (!sure, far(room), disturbs(room), std::cmp::Reverse((*count).min(missing)))
+            (!holds_now(room), !sure, far(room), disturbs(room), Reverse((*count).min(missing)))
         });
-        let share = self.advice.share(&step.job.rule.id);
+        let share = self.view.advice.share(&step.job.rule.id);
         let cheap = worth_asking(&rule);
         let mut expected = 0.0;
         let mut workers = Vec::new();
@@ -433,10 +550,10 @@
 }
 
 impl<'t> PassRoom<'t> {
-    fn new(life: &'t WorkerLife) -> Self {
+    fn new(life: &'t WorkerLife, free: ResourceVector) -> Self {
         let best_effort = life.runs.values().filter(|run| run.best_effort);
         let wanted = best_effort.map(|run| run.figure).sum();
-        Self { life, free: life.free(), wanted, serves: life.serves(), fills: life.fills() }
+        Self { life, free, spare: life.free(), wanted, serves: life.serves(), fills: life.fills() }
     }
 }
 
@@ -449,6 +566,14 @@
     }
 }
 
+impl PassRoom<'_> {
+    /// Room of runs that may be stopped for a queue.
+    fn preemptible(&self, priority: u32) -> ResourceVector {
+        let runs = self.life.runs.values().filter(|run| run.movable && run.priority > priority);
+        runs.fold(ResourceVector::default(), |sum, run| sum.saturating_add(&run.need))
+    }
+}
+
 fn has_label(life: &WorkerLife, step: &StepSpec) -> bool {
     step.label.as_ref().is_none_or(|label| life.listing.labels.contains(label))
 }
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -7,7 +7,9 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::WorkerListing;
-use crate::graph::name::{ImageId, RunNumber, StepKey, TaskName};
+use crate::graph::job::GraphJob;
+use crate::graph::name::{GraphId, ImageId, RunNumber, StepKey, TaskName};
+use crate::graph::spec::StepSpec;
 use crate::id::{RackId, WorkerId};
 use crate::resources::ResourceVector;
 
@@ -59,6 +61,10 @@
     pub priority: u32,
     /// Whether it uses only processors that are left over.
     pub best_effort: bool,
+    /// Whether it may be stopped to make room: no member of a gang, no lasting task.
+    pub movable: bool,
+    /// Whether a stop keeps what it has done.
+    pub saves: bool,
     /// Bound on its tail latency, where it serves users of its own.
     pub target: Option<Duration>,
     /// What it runs.
@@ -101,7 +107,7 @@
     /// Not used for new work until then.
     pub shunned_until: Option<Instant>,
     /// Failed runs since the last that succeeded, by job.
-    pub failed: BTreeMap<crate::graph::name::GraphId, u32>,
+    pub failed: BTreeMap<GraphId, u32>,
     /// All runs that take room.
     pub runs: BTreeMap<TaskName, WorkerRun>,
     /// Whether something unknown runs there, so that its room is not known.
@@ -109,6 +115,36 @@
     used: ResourceVector,
 }
 
+impl WorkerRun {
+    /// A run of a task of a job that this leader knows, or else one that takes no room.
+    pub fn new(
+        run: RunNumber,
+        phase: RunPhase,
+        now: Instant,
+        origin: Option<(&GraphJob, &StepSpec)>,
+    ) -> Self {
+        let step = origin.map(|(_, step)| step);
+        let is = |test: fn(&StepSpec) -> bool| step.is_some_and(test);
+        Self {
+            run,
+            need: step.map(StepSpec::reservation).unwrap_or_default(),
+            phase,
+            since: now,
+            percent: 0,
+            moved: now,
+            figure: step.filter(|step| step.best_effort).map_or(0, |step| step.need.millicores),
+            saved: String::new(),
+            priority: origin.map_or(0, |(job, _)| job.rule.priority),
+            best_effort: is(|step| step.best_effort),
+            movable: is(|step| !step.gang && !step.lasting),
+            saves: is(|step| step.checkpoints),
+            target: step.and_then(|step| step.target),
+            image: step.and_then(|step| step.image.clone()),
+            throttle: 100,
+        }
+    }
+}
+
 impl WorkerLife {
     /// A worker that has registered.
     pub fn new(listing: WorkerListing, now: Instant) -> Self {
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -55,7 +55,7 @@
             let (tasks, cores) = (self.pick(5) + 1, self.pick(3) + 1);
             let millis = u64::from(self.pick(2_500) + 50);
             let gang = self.pick(6) == 0;
-            let max = (self.pick(5) == 0).then_some(2);
+            let max = (self.pick(3) == 0).then_some(1 + self.pick(2));
             let after = if index > 0 { vec![index - 1] } else { Vec::new() };
             steps.push(StepSpec { after, gang, max_per_worker: max, ..step(tasks, cores, millis) });
         }
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -640,6 +640,11 @@
         let worker = &self.workers[id];
         let used = worker.used();
         assert!(used.fits(&worker.listing.capacity), "{id} holds {used:?} after {task}");
+        if let Some(most) = step.max_per_worker {
+            let same = |other: &&TaskName| other.job == task.job && other.key.step == task.key.step;
+            let here = worker.runs.keys().filter(same).count();
+            assert!(here <= most as usize, "{here} tasks beside {task} on {id}, at most {most}");
+        }
         let places =
             self.workers.values().filter(|worker| worker.up && worker.runs.contains_key(task));
         let places: Vec<&WorkerId> = places.map(ModelWorker::id).collect();
