--- a/src/client.rs
+++ b/src/client.rs
@@ -38,9 +38,14 @@
 impl HttpClient {
     /// A pool without connections.
     pub(crate) fn new() -> Self {
+        Self::with_connect_time(CONNECT_TIME)
+    }
+
+    /// A pool without connections that gives a connection up after `time`.
+    pub(crate) fn with_connect_time(time: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIME));
+        connector.set_connect_timeout(Some(time));
         connector.set_keepalive(Some(SILENT_TIME));
         connector.set_tcp_user_timeout(Some(SILENT_TIME));
         let client = Client::builder(TokioExecutor::new())
--- a/src/graph/commit.rs
+++ b/src/graph/commit.rs
@@ -22,8 +22,8 @@
 /// Shortest time from one group to the next: 400 writes a second are shared by all.
 const GROUP_GAP: Duration = Duration::from_millis(8);
 
-/// A group that waits longer for the store stalls: a slow store takes 240 ms.
-const STALL_TIME: Duration = Duration::from_millis(700);
+/// Time until the next group after the store has refused one.
+const REFUSED_GAP: Duration = Duration::from_millis(100);
 
 /// Changes that are stored together.
 #[derive(Clone, Debug, Default)]
@@ -61,6 +61,8 @@
     last: GroupNumber,
     sent: Option<Instant>,
     open: Option<(CommitGroup, GroupEffect)>,
+    /// Since when the store has refused every group.
+    refused_since: Option<Instant>,
 }
 
 impl CommitQueue {
@@ -99,10 +101,24 @@
         !self.added.contains(job)
     }
 
-    /// Whether the store has left a group unanswered for so long that new jobs should go elsewhere.
-    pub fn stalled(&self, now: Instant) -> bool {
-        let waits = |sent: Instant| now.saturating_duration_since(sent) > STALL_TIME;
-        self.open.is_some() && self.sent.is_some_and(waits)
+    /// Takes back jobs that are not part of a group and that `given_up` tells.
+    pub(crate) fn take_added(
+        &mut self,
+        mut given_up: impl FnMut(&GraphId) -> bool,
+    ) -> BTreeSet<GraphId> {
+        self.added.extract_if(.., |id| given_up(id)).collect()
+    }
+
+    /// Takes back a group that the store has surely not taken: all but its new jobs is due again.
+    pub(crate) fn refused(&mut self, number: GroupNumber, now: Instant) -> Option<CommitGroup> {
+        let (group, _) = self.open.take_if(|(group, _)| group.number == number)?;
+        self.changed.extend(group.progress.iter().map(|(id, _)| id.clone()));
+        self.removed.extend(group.removed.iter().cloned());
+        self.workers |= group.workers.is_some();
+        self.since.get_or_insert(now);
+        self.sent = Some(now);
+        self.refused_since.get_or_insert(now);
+        Some(group)
     }
 
     /// Whether a group waits for the store.
@@ -116,7 +132,8 @@
         if idle || self.open.is_some() {
             return None;
         }
-        let spaced = self.sent.map(|sent| sent + GROUP_GAP);
+        let gap = if self.refused_since.is_some() { REFUSED_GAP } else { GROUP_GAP };
+        let spaced = self.sent.map(|sent| sent + gap);
         let gathered = self.since.map(|since| since + GATHER);
         match (self.urgent, spaced, gathered) {
             (true, Some(spaced), _) => Some(spaced),
@@ -155,6 +172,7 @@
 
     /// Takes the group that was stored.
     pub fn stored(&mut self, number: GroupNumber) -> Option<(CommitGroup, GroupEffect)> {
+        self.refused_since = None;
         self.open.take_if(|(group, _)| group.number == number)
     }
 }
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -11,13 +11,13 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceDesk, AdviceId};
-use crate::graph::commit::CommitQueue;
+use crate::graph::commit::{CommitQueue, GroupNumber};
 use crate::graph::event::{GraphAction, GraphAnswer, PollResult};
 use crate::graph::exchange::{EndReport, RunReport, TicketText, UsedWorker, WorkerListing};
 use crate::graph::job::{GraphJob, GraphRecord, GraphState};
 use crate::graph::jobs::{JobEffect, JobTable, RunToStop};
 use crate::graph::lives::{LifeFinding, LifeTable};
-use crate::graph::name::{GraphId, LeaderEpoch, RunNumber, TaskName};
+use crate::graph::name::{AttemptId, GraphId, LeaderEpoch, RunNumber, TaskName};
 use crate::graph::placer::{PassView, PlacementPass};
 use crate::graph::preemption::RoomKeeper;
 use crate::graph::progress::GraphProgress;
@@ -27,8 +27,15 @@
 
 /// Starts of one task that a leader may make: run numbers of later leaders are above.
 const RUNS_AN_EPOCH: RunNumber = 1 << 16;
-/// Advice on when to come back to a caller whose job could not be taken.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Advice on when to come back to a caller whose job could not be taken: callers wait three seconds in
+/// all, so one second gives them two more tries. Pauses that grow with the outage up to four seconds
+/// were tried: fewer came back in time.
+const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// How long a job waits for a store that takes nothing before its caller is told to come back: with
+/// the pause that it is told, a caller's three seconds are covered by two tries.
+const STORE_WAIT: Duration = Duration::from_millis(900);
+/// How long a rejected request may still arrive again: an entry gives up after three seconds.
+const REJECTED_TIME: Duration = Duration::from_secs(10);
 /// Pause before advice is asked for again after a call that failed.
 const ADVICE_PAUSE: Duration = Duration::from_millis(60);
 /// Shortest time from one pass to the next.
@@ -67,7 +74,9 @@
     advice: AdviceDesk,
     keeper: RoomKeeper,
     commits: CommitQueue,
-    waiters: BTreeMap<GraphId, Vec<CallId>>,
+    waiters: BTreeMap<GraphId, Vec<(CallId, AttemptId)>>,
+    /// Requests that were rejected, and when.
+    rejected: BTreeMap<AttemptId, Instant>,
     /// Workers from before this leader's time that have not been heard.
     unheard: BTreeSet<WorkerId>,
     /// When nothing that they were told before can run any more.
@@ -109,6 +118,7 @@
             keeper: RoomKeeper::default(),
             commits: CommitQueue::default(),
             waiters: BTreeMap::new(),
+            rejected: BTreeMap::new(),
             unheard: state.workers.into_iter().map(|used| used.id).collect(),
             settled_at: now + bounds.blind + bounds.longest_lease.mul_f64(1.05),
             authority: now,
@@ -192,8 +202,9 @@
         self.lives.unlisted(id);
     }
 
-    /// Takes a job in; the answer comes when it is stored.
-    pub fn submit(&mut self, now: Instant, call: CallId, record: GraphRecord) {
+    /// Takes a job in; the answer comes when it is stored. `attempt` tells the caller's requests
+    /// apart: one that was rejected stays so, should it arrive again.
+    pub fn submit(&mut self, now: Instant, call: CallId, attempt: AttemptId, record: GraphRecord) {
         let id = record.spec.id.clone();
         match self.jobs.get(&id) {
             Some(job) if job.durable => {
@@ -201,10 +212,8 @@
                 return;
             }
             Some(_) => {}
-            None if self.commits.stalled(now) => {
-                warn!(job = &*id; "job rejected: the store does not answer");
-                let answer = GraphAnswer::Rejected(RETRY_AFTER);
-                self.actions.push(GraphAction::Answer(call, answer));
+            None if self.rejected.contains_key(&attempt) => {
+                self.reject(now, call, attempt, &id, "this attempt was rejected before");
                 return;
             }
             None => {
@@ -213,7 +222,55 @@
                 self.pass_wanted = true;
             }
         }
-        self.waiters.entry(id).or_default().push(call);
+        self.waiters.entry(id).or_default().push((call, attempt));
+    }
+
+    /// Rejects a request for good.
+    fn reject(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        attempt: AttemptId,
+        id: &GraphId,
+        reason: &'static str,
+    ) {
+        let retry_ms = RETRY_AFTER.as_millis() as u64;
+        warn!(job = &**id, reason, retry_ms; "job rejected");
+        metrics::counter!("kelplink_rejected_jobs_total", "reason" => reason).increment(1);
+        self.rejected.insert(attempt, now);
+        self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(RETRY_AFTER)));
+    }
+
+    /// Rejects jobs that have waited long for a store that takes nothing, where it is sure that it has
+    /// not taken them.
+    fn reject_waiting(&mut self, now: Instant) {
+        let jobs = &self.jobs;
+        let waited = |id: &GraphId| {
+            jobs.get(id).is_none_or(|job| now.saturating_duration_since(job.begun) >= STORE_WAIT)
+        };
+        for id in self.commits.take_added(waited) {
+            self.reject_job(now, &id);
+        }
+    }
+
+    /// Rejects a job that is surely not stored.
+    fn reject_job(&mut self, now: Instant, id: &GraphId) {
+        self.jobs.remove(id);
+        self.advice.forget(id);
+        for (call, attempt) in self.waiters.remove(id).unwrap_or_default() {
+            self.reject(now, call, attempt, id, "the store takes nothing");
+        }
+    }
+
+    /// The store has surely not taken a group.
+    pub fn not_stored(&mut self, now: Instant, number: GroupNumber) {
+        let Some(group) = self.commits.refused(number, now) else {
+            return;
+        };
+        for record in group.added {
+            self.commits.add(record.spec.id);
+        }
+        self.reject_waiting(now);
     }
 
     /// Cancels a job; the answer comes when that is stored.
@@ -230,7 +287,7 @@
         }
         let effect = self.jobs.cancel(id, unix);
         info!(job = &**id, stops = effect.stops.len(); "job cancelled by its caller");
-        self.waiters.entry(id.clone()).or_default().push(call);
+        self.waiters.entry(id.clone()).or_default().push((call, 0));
         self.advice.forget(id);
         self.apply(now, id, effect);
     }
@@ -267,6 +324,8 @@
         let extend = now < self.authority && !self.deposed;
         self.actions.extend(self.lives.polls(now, extend));
         self.resend(now, extend);
+        self.reject_waiting(now);
+        self.rejected.retain(|_, at| now.saturating_duration_since(*at) < REJECTED_TIME);
         let rested = now.saturating_duration_since(self.last_pass);
         let due = (self.pass_wanted && rested >= PASS_GAP) || rested >= PASS_REST;
         if due && extend {
@@ -436,7 +495,7 @@
     }
 
     fn answer_waiters(&mut self, id: &GraphId, answer: GraphAnswer) {
-        for call in self.waiters.remove(id).unwrap_or_default() {
+        for (call, _) in self.waiters.remove(id).unwrap_or_default() {
             self.actions.push(GraphAction::Answer(call, answer));
         }
     }
@@ -450,7 +509,7 @@
             if !sure {
                 continue;
             }
-            for call in calls {
+            for (call, _) in calls {
                 self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(RETRY_AFTER)));
             }
         }
--- a/src/graph/name.rs
+++ b/src/graph/name.rs
@@ -16,6 +16,8 @@
 pub type StepIndex = u32;
 /// Number of a start of a task; it rises with each.
 pub type RunNumber = u64;
+/// One request of a caller; a repeated try of an entry to hand it on has the same.
+pub type AttemptId = u64;
 /// Orders leaders; workers refuse a lower one than the highest they have seen.
 pub type LeaderEpoch = u64;
 
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -15,9 +15,14 @@
 
 /// Longest time for one try: a group takes some milliseconds, and 240 ms at a slow store.
 const TRY_TIME: Duration = Duration::from_millis(1_000);
+/// A try that has less time is not made: it could only end without an answer.
+const LEAST_TIME: Duration = Duration::from_millis(30);
 /// Pause before the next try.
 const TRY_PAUSE: Duration = Duration::from_millis(40);
-/// How long a call that has surely not arrived waits for a leader: a planned change takes less.
+/// How long a call that has surely not arrived waits for a leader while one can be elected: the
+/// leader's lease and its takeover take less.
+const ELECTION_WAIT: Duration = Duration::from_millis(2_300);
+/// How long it waits while the store does not answer, so that nobody can be elected.
 const LEADER_WAIT: Duration = Duration::from_millis(350);
 
 /// Why a call for the leader has no answer.
@@ -40,7 +45,8 @@
         Self { shared, peers: PeerClient::new() }
     }
 
-    /// Asks the leader, whoever it is by then, until `patience` is over. All calls may be repeated.
+    /// Asks the leader, whoever it is by then, until `patience` is over. All calls may be repeated; a
+    /// submission that was rejected once stays so, should an earlier try of it arrive late.
     pub(crate) async fn ask(
         &self,
         call: &LeaderCall,
@@ -50,17 +56,19 @@
         let mut failure = AccessFailure::NotTaken;
         loop {
             let left = patience.saturating_sub(begun.elapsed());
+            if left < LEAST_TIME {
+                return Err(failure);
+            }
             let result = self.try_once(call, left.min(TRY_TIME)).await;
             match result {
                 Ok(LeaderAnswer::NotLeading) | Err(PeerFailure::NotSent) => {}
-                // An earlier try may still arrive and be carried out after this refusal.
-                Ok(LeaderAnswer::Rejected(_)) if failure == AccessFailure::Unknown => {
-                    return Err(AccessFailure::Unknown);
-                }
                 Ok(answer) => return Ok(answer),
                 Err(PeerFailure::NoAnswer) => failure = AccessFailure::Unknown,
             }
             let limit = match failure {
+                AccessFailure::NotTaken if self.shared.store_is_heard() => {
+                    ELECTION_WAIT.min(patience)
+                }
                 AccessFailure::NotTaken => LEADER_WAIT.min(patience),
                 AccessFailure::Unknown => patience,
             };
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -139,7 +139,7 @@
             ProblemDetails::new(status, "no such job can be", mistakes.join("; ")).ran(RanState::No)
         })?;
         let record = GraphRecord { spec, rule: (**queue).clone() };
-        let call = LeaderCall::Submit(Box::new(record));
+        let call = LeaderCall::Submit(rand::random(), Box::new(record));
         match self.access.ask(&call, request.patience()).await {
             Ok(LeaderAnswer::Rejected(retry)) => {
                 Err(unavailable("the job could not be taken").retry_after(retry))
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -194,6 +194,9 @@
                 self.shared.note_store();
                 controller.committed(now, number);
             }
+            LeaderInput::Stored(number, GroupOutcome::Refused) => {
+                controller.not_stored(now, number)
+            }
             LeaderInput::Stored(_, GroupOutcome::Deposed) => return true,
             LeaderInput::Renewed(sent) => controller.note_authority(sent),
             LeaderInput::Epoch(epoch, revision) => {
@@ -229,9 +232,9 @@
                 let pending = controller.jobs().pending(&queue);
                 let _ = answer.send(LeaderAnswer::Pending(pending));
             }
-            LeaderCall::Submit(record) => {
+            LeaderCall::Submit(attempt, record) => {
                 self.callers.insert(id, answer);
-                controller.submit(now, id, *record);
+                controller.submit(now, id, attempt, *record);
             }
             LeaderCall::Cancel(job) => {
                 self.callers.insert(id, answer);
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum GroupOutcome {
     Stored,
+    /// The store has refused it each time: it is surely not stored.
+    Refused,
     /// Another leads: the group is not stored and never will be.
     Deposed,
 }
@@ -112,7 +114,7 @@
         }
     }
 
-    /// Stores a group, however long it takes, or finds that another leads.
+    /// Stores a group, however long it takes, or finds that another leads or the store refuses it.
     ///
     /// The group is sent unchanged until it is answered: if a send without an answer took effect, or
     /// still does, the next finds the group's own id in the store.
@@ -121,6 +123,7 @@
         let stand = self.stand();
         let id = format!("{}:{}", stand.epoch, group.number);
         let (sets, removes) = changes(&id, group);
+        let mut sure = true;
         let outcome = loop {
             let stand = self.stand();
             let change = KeyTransaction {
@@ -148,6 +151,10 @@
                 }
                 Err(failure) => {
                     warn!(group = id, failure:% = failure; "a group was not stored");
+                    sure &= matches!(failure, StoreError::NotDone(_));
+                    if sure {
+                        break GroupOutcome::Refused;
+                    }
                     sleep(RETRY_PAUSE).await;
                 }
             }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -6,14 +6,18 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use jsonrpsee::core::RegisterMethodError;
-use jsonrpsee::core::client::{ClientT, Error as RpcError};
-use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
-use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
-use tokio::time::timeout;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
+use crate::client::{ClientError, HttpClient, count_payload};
 use crate::graph::{GraphId, StepKey, TicketText};
 use crate::id::WorkerId;
 use crate::node::access::ask_here;
@@ -26,8 +30,11 @@
 const ASK: &str = "ask";
 /// A question to the service that gives placement advice.
 const ADVISE: &str = "advise";
-/// Longest time for one call; each caller sets a shorter one.
-const CALL_TIME: Duration = Duration::from_secs(5);
+/// Longest time to make a connection: entries are two milliseconds apart.
+const CONNECT_TIME: Duration = Duration::from_millis(200);
+/// How long an entry that left a call unanswered is taken to be out of reach: callers are told at
+/// once instead of waiting in vain, and one of them tries again after it.
+const SILENT_PAUSE: Duration = Duration::from_millis(250);
 /// Largest call, in bytes.
 const CALL_BYTES: u32 = 4 << 20;
 /// Added to the time of an advisor's answer for the way between entries.
@@ -86,15 +93,35 @@
     allowed.map_err(|error| failed(format!("{error:?}")))
 }
 
+/// A JSON-RPC request over HTTP. jsonrpsee's own client cannot tell a connection that was never made
+/// from a call that was not answered, and has no time limit for making one.
+#[derive(Debug, Serialize)]
+struct RpcRequest<'c, P> {
+    jsonrpc: &'static str,
+    id: u64,
+    method: &'c str,
+    params: P,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(bound = "T: DeserializeOwned")]
+struct RpcReply<T> {
+    #[serde(default)]
+    result: Option<T>,
+}
+
 /// Calls other entries.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct PeerClient {
-    clients: Arc<Mutex<BTreeMap<SocketAddr, HttpClient>>>,
+    client: HttpClient,
+    /// Entries that left the last call unanswered, and when they may be tried again.
+    silent: Arc<Mutex<BTreeMap<SocketAddr, Instant>>>,
 }
 
 impl PeerClient {
     pub(crate) fn new() -> Self {
-        Self::default()
+        let client = HttpClient::with_connect_time(CONNECT_TIME);
+        Self { client, silent: Arc::default() }
     }
 
     /// Asks the leader at an address.
@@ -104,9 +131,7 @@
         call: &LeaderCall,
         time: Duration,
     ) -> std::result::Result<LeaderAnswer, PeerFailure> {
-        let mut params = ArrayParams::new();
-        params.insert(call).map_err(|_| PeerFailure::NotSent)?;
-        self.request(address, ASK, params, time).await
+        self.request(address, ASK, (call,), time).await
     }
 
     /// Has an entry ask for advice.
@@ -118,76 +143,69 @@
         workers: Vec<WorkerId>,
         time: Duration,
     ) -> std::result::Result<Allowed, String> {
-        let mut params = ArrayParams::new();
-        let inserted = params
-            .insert(job)
-            .and_then(|()| params.insert(step.occurrence))
-            .and_then(|()| params.insert(step.step))
-            .and_then(|()| params.insert(workers))
-            .and_then(|()| params.insert(time));
-        inserted.map_err(|error| error.to_string())?;
+        let params = (job, step.occurrence, step.step, workers, time);
         let allowed = self.request(address, ADVISE, params, time + WAY_TIME).await;
         allowed.map_err(|failure| format!("{failure:?}"))
     }
 
-    async fn request<T: serde::de::DeserializeOwned>(
+    async fn request<P: Serialize, T: DeserializeOwned>(
         &self,
         address: SocketAddr,
         method: &str,
-        params: ArrayParams,
+        params: P,
         time: Duration,
     ) -> std::result::Result<T, PeerFailure> {
-        let client = self.client(address).ok_or(PeerFailure::NotSent)?;
-        match timeout(time, client.request(method, params)).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(RpcError::Call(_))) => Err(PeerFailure::NoAnswer),
-            Ok(Err(error)) => {
-                self.drop_client(address);
-                Err(if refused(&error) { PeerFailure::NotSent } else { PeerFailure::NoAnswer })
-            }
-            Err(_) => {
-                self.drop_client(address);
-                Err(PeerFailure::NoAnswer)
-            }
+        if !self.may_try(address) {
+            return Err(PeerFailure::NotSent);
         }
+        let result = self.send(address, method, params, time).await;
+        self.note(address, result.is_ok());
+        result
     }
 
-    /// A client that failed is not used again: its connections may be dead.
-    fn drop_client(&self, address: SocketAddr) {
-        self.clients.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    async fn send<P: Serialize, T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        params: P,
+        time: Duration,
+    ) -> std::result::Result<T, PeerFailure> {
+        let body = RpcRequest { jsonrpc: "2.0", id: 1, method, params };
+        let body = serde_json::to_vec(&body).map_err(|_| PeerFailure::NotSent)?;
+        count_payload("peers", body.len());
+        let request = Request::post(format!("http://{address}/"))
+            .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| PeerFailure::NotSent)?;
+        let response = match self.client.send(request, time, CALL_BYTES as usize).await {
+            Ok(response) => response,
+            Err(ClientError::NotSent(_)) => return Err(PeerFailure::NotSent),
+            Err(ClientError::NoAnswer(_)) => return Err(PeerFailure::NoAnswer),
+        };
+        let reply: RpcReply<T> =
+            serde_json::from_slice(response.body()).map_err(|_| PeerFailure::NoAnswer)?;
+        reply.result.ok_or(PeerFailure::NoAnswer)
     }
 
-    fn client(&self, address: SocketAddr) -> Option<HttpClient> {
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(client) = clients.get(&address) {
-            return Some(client.clone());
-        }
-        let built = HttpClientBuilder::new()
-            .request_timeout(CALL_TIME)
-            .max_request_size(CALL_BYTES)
-            .build(format!("http://{address}"));
-        match built {
-            Ok(client) => {
-                clients.insert(address, client.clone());
-                Some(client)
-            }
-            Err(error) => {
-                log::warn!(address:% = address, error:% = error; "no client for an entry");
-                None
+    /// Whether an entry has answered lately, or is due for another try.
+    fn may_try(&self, address: SocketAddr) -> bool {
+        let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        match silent.get_mut(&address) {
+            Some(again) if *again > now => false,
+            Some(again) => {
+                *again = now + SILENT_PAUSE;
+                true
             }
+            None => true,
         }
     }
-}
 
-/// Whether the other entry's operating system refused the connection: its process does not run.
-fn refused(error: &RpcError) -> bool {
-    let mut cause: Option<&dyn std::error::Error> = Some(error);
-    while let Some(error) = cause {
-        let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
-        if kind == Some(io::ErrorKind::ConnectionRefused) {
-            return true;
-        }
-        cause = error.source();
+    fn note(&self, address: SocketAddr, answered: bool) {
+        let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        match answered {
+            true => silent.remove(&address),
+            false => silent.insert(address, Instant::now() + SILENT_PAUSE),
+        };
     }
-    false
 }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::graph::{
-    GraphAnswer, GraphId, GraphRecord, GraphState, LeaderEpoch, QueueConfig, QueueId,
+    AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, LeaderEpoch, QueueConfig, QueueId,
 };
 use crate::id::{EntryId, UnixMillis};
 use crate::node::leader::LeaderInput;
@@ -21,6 +21,9 @@
 /// Without an answer of the store for this long an entry is not ready: its configuration may be old.
 const STORE_SILENCE: Duration = Duration::from_millis(4_000);
 
+/// Without an answer of the store for this long, no new leader is expected: watches answer each second.
+const ELECTION_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// The leader as it stands in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub(crate) struct LeaderRecord {
@@ -56,7 +59,8 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum LeaderCall {
-    Submit(Box<GraphRecord>),
+    /// A job, and which request of its caller this is.
+    Submit(AttemptId, Box<GraphRecord>),
     Cancel(GraphId),
     State(GraphId),
     Pending(QueueId),
@@ -136,6 +140,11 @@
         *lock(&self.store_answered) = Some(Instant::now());
     }
 
+    /// Whether the store has answered so lately that an election can be expected to succeed.
+    pub(crate) fn store_is_heard(&self) -> bool {
+        lock(&self.store_answered).is_some_and(|at| at.elapsed() < ELECTION_SILENCE)
+    }
+
     /// Whether this entry can serve callers.
     pub(crate) fn ready(&self) -> bool {
         let heard = lock(&self.store_answered).is_some_and(|at| at.elapsed() < STORE_SILENCE);
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -120,3 +120,57 @@
     }
     expect_that!(world.begun_runs, eq(2));
 }
+
+#[gtest]
+fn a_store_that_refuses_for_long_has_new_jobs_rejected_for_good() {
+    let mut world = World::new(8, 4);
+    world.run(seconds(1));
+    world.store.up = false;
+    world.store.refuses = true;
+    let first = world.submit("now", "a", vec![step(2, 1, 500)]);
+    world.run(Duration::from_millis(100));
+    let second = world.submit("now", "b", vec![step(2, 1, 500)]);
+    world.run(seconds(3));
+    let third = world.submit("now", "c", vec![step(2, 1, 500)]);
+    world.run(Duration::from_millis(950));
+    for call in [first, second, third] {
+        expect_that!(world.answers.get(&call), some(matches_pattern!(GraphAnswer::Rejected(_))));
+    }
+    world.store.up = true;
+    world.run(seconds(3));
+    expect_that!(world.begun_runs, eq(0));
+    expect_that!(world.store.jobs.len(), eq(0));
+    let fourth = world.submit("now", "a", vec![step(2, 1, 500)]);
+    world.run(seconds(1));
+    expect_that!(world.answers.get(&fourth), some(eq(&GraphAnswer::Accepted)));
+}
+
+#[gtest]
+fn a_silent_store_has_only_those_rejected_that_it_surely_has_not() {
+    let mut world = World::new(9, 4);
+    world.run(seconds(1));
+    world.store.up = false;
+    let sent = world.submit("now", "a", vec![step(2, 1, 500)]);
+    world.run(Duration::from_millis(100));
+    let waiting = world.submit("now", "b", vec![step(2, 1, 500)]);
+    world.run(seconds(2));
+    expect_that!(world.answers.get(&sent), none());
+    expect_that!(world.answers.get(&waiting), some(matches_pattern!(GraphAnswer::Rejected(_))));
+    world.store.up = true;
+    world.run(seconds(2));
+    expect_that!(world.answers.get(&sent), some(eq(&GraphAnswer::Accepted)));
+    expect_that!(world.store.jobs.len(), eq(1));
+}
+
+#[gtest]
+fn a_store_that_refuses_for_a_moment_costs_no_job() {
+    let mut world = World::new(10, 4);
+    world.run(seconds(1));
+    world.store.up = false;
+    world.store.refuses = true;
+    let call = world.submit("now", "a", vec![step(2, 1, 500)]);
+    world.run(Duration::from_millis(600));
+    world.store.up = true;
+    world.run(seconds(1));
+    expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Accepted)));
+}
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -100,7 +100,10 @@
                 }
             }
             8 => self.crash_worker(),
-            9 => self.world.store.up = !self.world.store.up,
+            9 => {
+                self.world.store.up = !self.world.store.up;
+                self.world.store.refuses = self.pick(2) == 0;
+            }
             10 => {
                 if let Some(id) = self.jobs.first().cloned() {
                     self.jobs.remove(&id);
@@ -142,6 +145,8 @@
             let accepted = self.world.answers.get(call) == Some(&GraphAnswer::Accepted);
             let stored = self.world.store.jobs.contains_key(id.as_str());
             assert!(!accepted || stored, "{id} was accepted and is not stored");
+            let rejected = matches!(self.world.answers.get(call), Some(GraphAnswer::Rejected(_)));
+            assert!(!rejected || !stored, "{id} was rejected and is stored");
         }
         let stored: Vec<String> = self.world.store.jobs.keys().map(ToString::to_string).collect();
         for id in stored {
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -99,6 +99,8 @@
 pub(crate) struct ModelStore {
     pub(crate) epoch: LeaderEpoch,
     pub(crate) up: bool,
+    /// Whether it says so while it is down.
+    pub(crate) refuses: bool,
     pub(crate) jobs: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
     pub(crate) workers: Vec<UsedWorker>,
     pub(crate) groups: u64,
@@ -254,7 +256,7 @@
         self.last_call += 1;
         let (now, call) = (self.now, self.last_call);
         if let Some(leader) = self.leader() {
-            leader.submit(now, call, record);
+            leader.submit(now, call, call, record);
         }
         call
     }
@@ -589,6 +591,13 @@
     }
 
     fn commit(&mut self, epoch: LeaderEpoch, group: CommitGroup) {
+        if !self.store.up && self.store.refuses {
+            let now = self.now;
+            if let Some(leader) = self.leaders.get_mut(&epoch) {
+                leader.not_stored(now, group.number);
+            }
+            return;
+        }
         if !self.store.up {
             return self.post(Duration::from_millis(60), Message::Commit { epoch, group });
         }
