--- a/src/graph/advice.rs
+++ b/src/graph/advice.rs
@@ -26,7 +26,7 @@
 /// Added to the expected time of a call before it counts as lost.
 const CALL_SLACK: Duration = Duration::from_millis(900);
 /// Workers in one call.
-pub(crate) const MOST_ASKED: usize = 30;
+pub(crate) const MOST_ASKED: usize = 48;
 /// Share of workers taken to be allowed before any answer is known.
 const FIRST_SHARE: f64 = 0.5;
 /// Weight of a new answer in the learned share.
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -37,7 +37,7 @@
 /// How long a rejected request may still arrive again: an entry gives up after three seconds.
 const REJECTED_TIME: Duration = Duration::from_secs(10);
 /// Pause before advice is asked for again after a call that failed.
-const ADVICE_PAUSE: Duration = Duration::from_millis(60);
+const ADVICE_PAUSE: Duration = Duration::from_millis(200);
 /// Shortest time from one pass to the next.
 const PASS_GAP: Duration = Duration::from_millis(4);
 /// Longest time from one pass to the next while tasks wait.
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -28,7 +28,9 @@
 /// and the start sent within 100 ms.
 const PREEMPTION_LEAD: Duration = Duration::from_millis(500);
 /// Part of a call's own time that naming more workers may add: asking again costs the whole call.
-const CHEAP_PART: f64 = 0.25;
+const CHEAP_PART: f64 = 0.5;
+/// Workers that a renewal is reckoned to name.
+const RENEWED_WORKERS: u32 = 20;
 /// How early advice is asked for a step whose turn has not come, beside the time of the call.
 const ASK_AHEAD: Duration = Duration::from_millis(60);
 
@@ -484,7 +486,11 @@
         running + job.progress.done_count(key) >= step.count
     }
 
-    /// Asks for advice on as few workers as are expected to be enough.
+    /// Asks for advice: first about as many workers as one call bears, then again to keep the tickets
+    /// of those that are allowed, and about others that have room.
+    ///
+    /// A step with tickets takes room as it comes free, and one call keeps them all for its whole
+    /// time; asking only once there is room was tried, and the room was gone when the answer came.
     fn wish(&mut self, step: &OpenStep<'t>, missing: usize) {
         let Some(rule) = step.job.rule.advice else {
             return;
@@ -496,49 +502,50 @@
         let known = self.view.advice.step(&key);
         let need = step.step.reservation();
         let most = step.step.max_per_worker.unwrap_or(u32::MAX);
-        let pressed = step.step.lasting || !step.order.late;
-        let priority = step.job.rule.priority;
-        let holds = |room: &PassRoom<'t>| {
-            let free = match pressed {
-                true => room.free.saturating_add(&room.preemptible(priority)),
-                false => room.free,
-            };
-            room_for(&free, &need).min(most) as usize
-        };
-        let holds_now = |room: &PassRoom<'t>| need.fits(&room.free);
-        let mut usable: Vec<(usize, bool, &PassRoom<'t>)> = self
-            .rooms
-            .values()
-            .filter(|room| room.life.listing.service == step.job.rule.service)
-            .filter(|room| has_label(room.life, step.step) && holds(room) > 0)
-            .filter(|room| !known.is_some_and(|known| known.denied.contains(room.life.id())))
-            .filter(|room| {
-                known.is_none_or(|known| known.ticket(room.life.id(), self.view.now).is_none())
-            })
-            .map(|room| {
-                let sure = known.is_some_and(|known| known.allowed.contains_key(room.life.id()));
-                (holds(room), sure, room)
-            })
-            .collect();
+        let holds = |room: &PassRoom<'t>| room_for(&room.free, &need).min(most) as usize;
+        let fitting = self.rooms.values().filter(|room| {
+            room.life.listing.service == step.job.rule.service
+                && has_label(room.life, step.step)
+                && need.fits(&room.life.listing.capacity)
+                && !known.is_some_and(|known| known.denied.contains(room.life.id()))
+        });
+        let renewal = self.view.now + rule.call + rule.each * RENEWED_WORKERS;
+        let (mut renewed, mut unknown, mut room_with_ticket) = (Vec::new(), Vec::new(), 0);
+        for room in fitting {
+            match known.filter(|known| known.allowed.contains_key(room.life.id())) {
+                Some(known) if known.ticket(room.life.id(), renewal).is_some() => {
+                    room_with_ticket += holds(room);
+                }
+                Some(_) => renewed.push(room),
+                None => unknown.push(room),
+            }
+        }
+        let first = known.is_none();
+        let looks_on = room_with_ticket < missing && unknown.iter().any(|room| holds(room) > 0);
+        if !first && renewed.is_empty() && !looks_on {
+            return;
+        }
         let far = |room: &PassRoom<'t>| {
             step.step.affinity.as_ref().is_some_and(|rack| rack != room.life.rack())
         };
         let disturbs = |room: &PassRoom<'t>| {
             (step.step.best_effort && room.serves) || (step.step.target.is_some() && room.fills)
         };
-        usable.sort_by_key(|(count, sure, room)| {
-            (!holds_now(room), !sure, far(room), disturbs(room), Reverse((*count).min(missing)))
+        renewed.sort_by_key(|room| (far(room), Reverse(holds(room))));
+        unknown.sort_by_key(|room| {
+            (far(room), holds(room) == 0, disturbs(room), Reverse(holds(room).min(missing)))
         });
         let share = self.view.advice.share(&step.job.rule.id);
         let cheap = worth_asking(&rule);
-        let mut expected = 0.0;
-        let mut workers = Vec::new();
-        for (count, sure, room) in usable {
+        let mut workers: Vec<WorkerId> =
+            renewed.iter().take(MOST_ASKED).map(|room| room.life.id().clone()).collect();
+        let mut expected = room_with_ticket as f64;
+        for room in unknown.iter().filter(|_| first || looks_on) {
             let enough = expected >= missing as f64 && workers.len() >= cheap;
             if enough || workers.len() >= MOST_ASKED {
                 break;
             }
-            expected += count as f64 * if sure { 1.0 } else { share };
+            expected += holds(room) as f64 * share;
             workers.push(room.life.id().clone());
         }
         if workers.is_empty() {
@@ -566,14 +573,6 @@
     }
 }
 
-impl PassRoom<'_> {
-    /// Room of runs that may be stopped for a queue.
-    fn preemptible(&self, priority: u32) -> ResourceVector {
-        let runs = self.life.runs.values().filter(|run| run.movable && run.priority > priority);
-        runs.fold(ResourceVector::default(), |sum, run| sum.saturating_add(&run.need))
-    }
-}
-
 fn has_label(life: &WorkerLife, step: &StepSpec) -> bool {
     step.label.as_ref().is_none_or(|label| life.listing.labels.contains(label))
 }
