--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -333,7 +333,7 @@
             return 0;
         }
         let mut sets: Vec<Vec<WorkerId>> = Vec::new();
-        if step.step.same_rack {
+        if step.step.one_rack {
             let mut racks: BTreeMap<&RackId, Vec<WorkerId>> = BTreeMap::new();
             for id in candidates {
                 if let Some(room) = self.rooms.get(id) {
@@ -342,7 +342,7 @@
             }
             sets.extend(racks.into_values());
         }
-        if !step.step.same_rack || step.order.late {
+        if !step.step.one_rack || step.order.late {
             sets.push(candidates.to_vec());
         }
         let placed = sets.into_iter().find_map(|set| self.try_gang(step, &set));
--- a/src/graph/spec.rs
+++ b/src/graph/spec.rs
@@ -31,7 +31,7 @@
     /// Whether the tasks work only all together.
     pub gang: bool,
     /// Whether the tasks slow each other down unless they share a rack.
-    pub same_rack: bool,
+    pub one_rack: bool,
     /// Label that a worker must have.
     pub label: Option<Arc<str>>,
     /// Rack with the data; tasks are slower on any other.
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -18,6 +18,9 @@
 /// Added to a lease before it counts as over: what was killed may take this long to be gone.
 const LAPSE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Share done, in percent, from which a run's speed can be told.
+const LEAST_PERCENT: u32 = 10;
+
 /// How far a run has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
@@ -145,6 +148,17 @@
     }
 }
 
+impl WorkerRun {
+    /// When it will end, from the share that is done where enough is, or else from its estimate.
+    pub fn expected_end(&self, estimate: Duration) -> Instant {
+        let worked = self.moved.saturating_duration_since(self.since);
+        match self.percent {
+            percent if percent >= LEAST_PERCENT => self.since + worked * 100 / percent,
+            _ => self.since + estimate,
+        }
+    }
+}
+
 impl WorkerLife {
     /// A worker that has registered.
     pub fn new(listing: WorkerListing, now: Instant) -> Self {
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -10,8 +10,9 @@
 use crate::node::shared::NodeShared;
 use crate::platform::{CONFIG_KEY, CONFIG_PREFIX, decode_config};
 
-/// Longest wait of a watch: a connection that has gone silent is noticed after it.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait of a watch: a connection that has gone silent is noticed after it and the watch's
+/// slack, within the three seconds that count as a disruption.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -19,8 +19,9 @@
 /// Prefix of the keys of entries, each under its lease.
 pub(crate) const ENTRY_PREFIX: &str = "m/entry/";
 
-/// Longest wait of a watch: a connection that has gone silent is noticed after it.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait of a watch: a connection that has gone silent is noticed after it and the watch's
+/// slack, within the three seconds that count as a disruption.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -21,7 +21,8 @@
 /// Without an answer of the store for this long an entry is not ready: its configuration may be old.
 const STORE_SILENCE: Duration = Duration::from_millis(4_000);
 
-/// Without an answer of the store for this long, no new leader is expected: watches answer each second.
+/// Without an answer of the store for this long, no new leader is expected: leases are renewed each
+/// 375 ms.
 const ELECTION_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// The leader as it stands in the store.
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -137,7 +137,7 @@
         after: wire.after,
         checkpoints: wire.checkpointing.is_set(),
         gang: wire.gang.is_set(),
-        same_rack: wire.same_rack.is_set(),
+        one_rack: wire.same_rack.is_set(),
         label: text(wire.required_label),
         affinity: text(wire.affinity),
         max_per_worker: number(wire.max_per_server),
--- /dev/null
+++ b/tests/platform/cluster.rs
@@ -0,0 +1,215 @@
+//! Real processes on loopback addresses of their own, and calls to them.
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::RETRY_AFTER;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::standin::Platform;
+
+/// Longest wait for anything; a verdict never depends on how long it took.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+/// An answer of an entry.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) retry_after: Option<String>,
+    pub(crate) body: Value,
+}
+
+/// An entry.
+pub(crate) struct Entry {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+    child: Option<Child>,
+}
+
+/// The stand-in and some entries.
+pub(crate) struct Cluster {
+    pub(crate) platform: Platform,
+    pub(crate) entries: Vec<Entry>,
+    folder: PathBuf,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// A loopback address that no other test process uses.
+fn address(test: u8, host: u8) -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 16 + test % 64 + 64 * (high % 3), low.max(1), host))
+}
+
+fn free_port(ip: IpAddr) -> u16 {
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
+}
+
+impl Cluster {
+    /// Starts everything and waits until an entry leads and all are ready.
+    pub(crate) async fn start(test: u8, entries: u8, workers: usize, queues: &[&str]) -> Self {
+        let platform = Platform::start(address(test, 1), workers).await;
+        platform.configure(1, queues);
+        let folder = std::env::temp_dir().join(format!("kelplink-{}-{test}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let http = Client::builder(TokioExecutor::new()).build_http();
+        let mut cluster = Self { platform, entries: Vec::new(), folder, http };
+        for number in 0..entries {
+            cluster.add_entry(test, number);
+        }
+        for number in 0..cluster.entries.len() {
+            cluster.wait_ready(number).await;
+        }
+        cluster
+    }
+
+    fn add_entry(&mut self, test: u8, number: u8) {
+        let ip = address(test, 10 + number);
+        let (front, ready) = (free_port(ip), free_port(ip));
+        let (peers, last) = (free_port(ip), u16::MAX);
+        let name = format!("entry-{number}");
+        let text = format!(
+            "node = \"{name}\"\nzone = \"a\"\nip = \"{ip}\"\ninternal_ports = [{peers}, {last}]\n\
+             advisor = \"{advisor}\"\nunknown_field = 7\n[zones]\na = \"r\"\n\
+             [listen]\nfront = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\n\
+             [limits]\ncpu_share = 0.25\ncores = 1\nmax_fds = 4100\n\
+             [bounds]\nhold_max_ms = 6000\nstatus_s = 120\ngrace_s = 6\n\
+             [platform]\naddress = \"{store}\"\n",
+            advisor = self.platform.advisor,
+            store = self.platform.store,
+        );
+        let file = self.folder.join(format!("{name}.toml"));
+        fs::write(&file, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_kelplink"))
+            .arg("serve")
+            .env("KELPLINK_SETTINGS", &file)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.entries.push(Entry {
+            name,
+            callers: SocketAddr::new(ip, front),
+            ready: SocketAddr::new(ip, ready),
+            metrics: SocketAddr::new(ip, 9_464),
+            child: Some(child),
+        });
+    }
+
+    async fn wait_ready(&self, number: usize) {
+        let url = format!("http://{}/api/readyz", self.entries[number].ready);
+        let ready = async || self.get_url(&url).await.is_some_and(|a| a.status == StatusCode::OK);
+        wait_for("an entry to be ready", ready).await;
+    }
+
+    pub(crate) async fn get_url(&self, url: &str) -> Option<Answer> {
+        let request = Request::get(url).body(Full::default()).unwrap();
+        self.send(request).await
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Option<Answer> {
+        let response = self.http.request(request).await.ok()?;
+        let (status, headers) = (response.status(), response.headers().clone());
+        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        let retry_after = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+        let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+        Some(Answer { status, retry_after: retry_after.map(str::to_owned), body })
+    }
+
+    /// Sends a request of a caller to an entry; `None` where the connection broke.
+    pub(crate) async fn call(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Option<Answer> {
+        let bytes = match body {
+            Value::Null => Bytes::new(),
+            body => Bytes::from(serde_json::to_vec(body).unwrap()),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entries[entry].callers))
+            .header("Host", "jobs.example")
+            .header("Deadline-Ms", "3000")
+            .body(Full::new(bytes))
+            .unwrap();
+        self.send(request).await
+    }
+
+    /// Waits until a job is shown in a state.
+    pub(crate) async fn wait_state(&self, entry: usize, path: &str, state: &str) {
+        let shown = async || {
+            let answer = self.call(entry, Method::GET, path, &Value::Null).await;
+            answer.is_some_and(|answer| answer.body["state"] == state)
+        };
+        wait_for(&format!("{path} to be {state}"), shown).await;
+    }
+
+    /// Index of the entry that leads.
+    pub(crate) async fn leading(&self) -> usize {
+        let known = async || self.leader_index().is_some();
+        wait_for("a leader", known).await;
+        self.leader_index().unwrap()
+    }
+
+    fn leader_index(&self) -> Option<usize> {
+        let leader = self.platform.leader()?;
+        let lives = |entry: &Entry| entry.name == leader && entry.child.is_some();
+        self.entries.iter().position(lives)
+    }
+
+    /// Kills an entry at once.
+    pub(crate) fn kill(&mut self, number: usize) {
+        if let Some(mut child) = self.entries[number].child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Asks an entry to stop, and gives its exit code.
+    pub(crate) async fn stop(&mut self, number: usize) -> Option<i32> {
+        let mut child = self.entries[number].child.take()?;
+        let id = child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        child.kill().unwrap();
+        child.wait().unwrap();
+        None
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for number in 0..self.entries.len() {
+            self.kill(number);
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until something holds.
+pub(crate) async fn wait_for(what: &str, holds: impl AsyncFn() -> bool) {
+    let begun = Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < PATIENCE, "waited in vain for {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/platform/jobs.rs
@@ -0,0 +1,185 @@
+//! Jobs through the running program, while processes and the store fail.
+
+use std::process::Command;
+
+use googletest::prelude::*;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::cluster::{Cluster, wait_for};
+use crate::standin::StoreFaults;
+
+const FIRST: &str = "/now/00000000000000a1";
+const SECOND: &str = "/now/00000000000000a2";
+const THIRD: &str = "/asked/00000000000000a3";
+
+/// Two steps, the second after the first; each task runs for `millis`.
+fn job(millis: u32, tasks: u32) -> Value {
+    let step = |after: &[u32]| {
+        json!({
+            "count": tasks, "millicpu": 1_000, "mem_mb": 100, "estimated_ms": millis,
+            "after": after, "checkpointing": true,
+        })
+    };
+    json!({"spec": millis.to_string(), "steps": [step(&[]), step(&[0])]})
+}
+
+fn starts(cluster: &Cluster, job: &str) -> Vec<u32> {
+    let starts = cluster.platform.state.starts.lock().unwrap();
+    let id = job.rsplit('/').next().unwrap();
+    starts.iter().filter(|(task, _)| task.starts_with(id)).map(|(_, count)| *count).collect()
+}
+
+fn broken(cluster: &Cluster) -> Vec<String> {
+    cluster.platform.state.broken.lock().unwrap().clone()
+}
+
+#[gtest]
+#[tokio::test]
+async fn jobs_are_served_at_any_entry() {
+    let cluster = Cluster::start(0, 3, 3, &["now", "asked"]).await;
+    for (entry, path) in [(0, FIRST), (1, SECOND), (2, THIRD)] {
+        let answer = cluster.call(entry, Method::POST, path, &job(50, 4)).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK), "{path}");
+    }
+    for (entry, path) in [(2, FIRST), (0, SECOND), (1, THIRD)] {
+        cluster.wait_state(entry, path, "completed").await;
+        expect_that!(starts(&cluster, path), eq(&vec![1; 8]), "{path}");
+    }
+    let again = cluster.call(1, Method::POST, FIRST, &job(50, 4)).await.unwrap();
+    expect_that!(again.status, eq(StatusCode::OK));
+    expect_that!(starts(&cluster, FIRST), eq(&vec![1; 8]));
+    expect_that!(*cluster.platform.state.tickets.lock().unwrap(), gt(0));
+    expect_that!(broken(&cluster), is_empty());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_cancelled_job_ends_everywhere() {
+    let cluster = Cluster::start(1, 2, 2, &["now"]).await;
+    let answer = cluster.call(0, Method::POST, FIRST, &job(60_000, 2)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    cluster.wait_state(1, FIRST, "running").await;
+    let answer = cluster.call(1, Method::DELETE, FIRST, &Value::Null).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    cluster.wait_state(0, FIRST, "cancelled").await;
+    let unknown = cluster.call(0, Method::DELETE, SECOND, &Value::Null).await.unwrap();
+    expect_that!(unknown.status, eq(StatusCode::GONE));
+    let unknown = cluster.call(1, Method::GET, SECOND, &Value::Null).await.unwrap();
+    expect_that!(unknown.status, eq(StatusCode::GONE));
+}
+
+#[gtest]
+#[tokio::test]
+async fn queues_come_and_go_with_the_configuration() {
+    let cluster = Cluster::start(2, 2, 1, &["now"]).await;
+    let pending = cluster.call(0, Method::GET, "/now/", &Value::Null).await.unwrap();
+    expect_that!(pending.body["pending"], eq(&json!(0)));
+    let missing =
+        cluster.call(1, Method::POST, "/next/00000000000000a4", &job(50, 1)).await.unwrap();
+    expect_that!(missing.status, eq(StatusCode::NOT_FOUND));
+    cluster.platform.configure(5, &["next"]);
+    for entry in 0..2 {
+        let status = async |path: &str| {
+            let answer = cluster.call(entry, Method::GET, path, &Value::Null).await;
+            answer.map(|answer| answer.status)
+        };
+        wait_for("the new queue", async || status("/next/").await == Some(StatusCode::OK)).await;
+        expect_that!(status("/now/").await, some(eq(StatusCode::NOT_FOUND)));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn wrong_requests_are_refused_with_their_mistakes() {
+    let cluster = Cluster::start(3, 1, 1, &["now"]).await;
+    let later = json!({"spec": "1", "steps": [{"count": 0, "after": [3]}]});
+    let answer = cluster.call(0, Method::POST, FIRST, &later).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::BAD_REQUEST));
+    let detail = answer.body["detail"].as_str().unwrap_or_default().to_owned();
+    expect_that!(detail, contains_substring("0 tasks"));
+    expect_that!(detail, contains_substring("not before it"));
+    let answer = cluster.call(0, Method::POST, "/now/short", &job(1, 1)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::BAD_REQUEST));
+    let large = json!({"spec": "x".repeat(20_000), "steps": []});
+    let answer = cluster.call(0, Method::POST, FIRST, &large).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::PAYLOAD_TOO_LARGE));
+    let url = format!("http://{}/metrics", cluster.entries[0].metrics);
+    expect_that!(cluster.get_url(&url).await.map(|a| a.status), some(eq(StatusCode::OK)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_killed_leader_costs_no_task() {
+    let mut cluster = Cluster::start(4, 3, 3, &["now"]).await;
+    let leader = cluster.leading().await;
+    let other = (leader + 1) % 3;
+    let answer = cluster.call(other, Method::POST, FIRST, &job(2_000, 4)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    cluster.wait_state(other, FIRST, "running").await;
+    cluster.kill(leader);
+    cluster.wait_state(other, FIRST, "completed").await;
+    expect_that!(starts(&cluster, FIRST), eq(&vec![1; 8]));
+    expect_that!(broken(&cluster), is_empty());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_planned_stop_hands_leadership_over() {
+    let mut cluster = Cluster::start(5, 2, 2, &["now"]).await;
+    let leader = cluster.leading().await;
+    let other = 1 - leader;
+    let answer = cluster.call(leader, Method::POST, FIRST, &job(1_500, 2)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(cluster.stop(leader).await, some(eq(0)));
+    expect_that!(cluster.leading().await, eq(other));
+    cluster.wait_state(other, FIRST, "completed").await;
+    expect_that!(starts(&cluster, FIRST), eq(&vec![1; 4]));
+    expect_that!(broken(&cluster), is_empty());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_store_that_refuses_has_jobs_refused_truthfully() {
+    let cluster = Cluster::start(6, 2, 2, &["now"]).await;
+    cluster.platform.set_faults(StoreFaults { refuses: true, loses_answers: 0 });
+    let answer = cluster.call(0, Method::POST, FIRST, &job(50, 1)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(answer.retry_after, some(eq("1")));
+    cluster.platform.set_faults(StoreFaults::default());
+    let served = async || {
+        let answer = cluster.call(1, Method::POST, SECOND, &job(50, 1)).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    };
+    wait_for("the store to take jobs again", served).await;
+    cluster.wait_state(0, SECOND, "completed").await;
+    expect_that!(starts(&cluster, FIRST), is_empty());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lost_answer_of_the_store_is_no_second_job() {
+    let cluster = Cluster::start(7, 2, 2, &["now"]).await;
+    cluster.platform.set_faults(StoreFaults { refuses: false, loses_answers: 3 });
+    let answer = cluster.call(0, Method::POST, FIRST, &job(50, 2)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    cluster.wait_state(1, FIRST, "completed").await;
+    expect_that!(starts(&cluster, FIRST), eq(&vec![1; 4]));
+}
+
+#[gtest]
+fn wrong_settings_are_reported_with_their_place() {
+    let folder = std::env::temp_dir().join(format!("kelplink-{}-settings", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("local.toml");
+    std::fs::write(&file, "node = \"a\"\nip = \"nowhere\"\n").unwrap();
+    let run = Command::new(env!("CARGO_BIN_EXE_kelplink"))
+        .arg("serve")
+        .env("KELPLINK_SETTINGS", &file)
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&run.stderr).into_owned();
+    expect_that!(run.status.code(), some(eq(1)));
+    expect_that!(text, contains_substring("local.toml:2:6"));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,5 @@
+//! The running program against a stand-in of the platform: its store, workers and advisor.
+
+mod cluster;
+mod jobs;
+mod standin;
--- /dev/null
+++ b/tests/platform/standin.rs
@@ -0,0 +1,510 @@
+//! A stand-in of the platform that speaks its protocol: the store with leases, transactions and
+//! watches, workers with fences and leases, and the service that gives placement advice.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// How often a waiting call looks again.
+const LOOK: Duration = Duration::from_millis(5);
+/// Longest lease of a worker, in milliseconds.
+const HOLD_MAX_MS: u64 = 6_000;
+
+#[derive(Default)]
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64, u64)>,
+    events: Vec<(u64, Value)>,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+}
+
+/// Faults of the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreFaults {
+    /// Every call is answered 503, and nothing is done.
+    pub(crate) refuses: bool,
+    /// So many transactions are done and not answered.
+    pub(crate) loses_answers: u32,
+}
+
+struct WorkerRun {
+    run: u64,
+    ends: Instant,
+}
+
+struct WorkerState {
+    id: String,
+    begun: Instant,
+    fence: u64,
+    until_ms: u64,
+    runs: BTreeMap<String, WorkerRun>,
+    ended: Vec<Value>,
+    last_end: u64,
+    closed: BTreeMap<String, u64>,
+}
+
+/// What the whole stand-in knows.
+pub(crate) struct PlatformState {
+    store: Mutex<StoreState>,
+    faults: Mutex<StoreFaults>,
+    workers: Mutex<Vec<WorkerState>>,
+    /// Broken promises that a worker has seen.
+    pub(crate) broken: Mutex<Vec<String>>,
+    /// Starts of tasks, by task.
+    pub(crate) starts: Mutex<BTreeMap<String, u32>>,
+    /// Tickets that were given.
+    pub(crate) tickets: Mutex<u32>,
+}
+
+/// A running stand-in.
+pub(crate) struct Platform {
+    pub(crate) state: Arc<PlatformState>,
+    pub(crate) store: SocketAddr,
+    pub(crate) advisor: SocketAddr,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap()
+}
+
+impl Platform {
+    /// Starts the store, the advisor and workers on free ports of an address.
+    pub(crate) async fn start(ip: IpAddr, workers: usize) -> Self {
+        let state = Arc::new(PlatformState {
+            store: Mutex::default(),
+            faults: Mutex::default(),
+            workers: Mutex::default(),
+            broken: Mutex::default(),
+            starts: Mutex::default(),
+            tickets: Mutex::default(),
+        });
+        let store =
+            listen(
+                ip,
+                state.clone(),
+                |state, request| async move { store_call(&state, request).await },
+            )
+            .await;
+        let advisor =
+            listen(
+                ip,
+                state.clone(),
+                |state, request| async move { advise(&state, request).await },
+            )
+            .await;
+        for number in 0..workers {
+            lock(&state.workers).push(WorkerState {
+                id: format!("w{number}"),
+                begun: Instant::now(),
+                fence: 0,
+                until_ms: 0,
+                runs: BTreeMap::new(),
+                ended: Vec::new(),
+                last_end: 0,
+                closed: BTreeMap::new(),
+            });
+            let address = listen(ip, state.clone(), move |state, request| async move {
+                worker_call(&state, number, request).await
+            })
+            .await;
+            let registration = json!({
+                "service": "svc", "address": address, "zone": "a", "version": "v1", "slots": 8,
+                "state": "ready", "cold_ms": 0, "labels": ["k", "r1-0"], "sequence": 1,
+                "capacity": {"millicpu": 8_000, "mem_mb": 16_000},
+            });
+            state.put(&format!("servers/w{number}"), &registration);
+        }
+        Self { state, store, advisor }
+    }
+
+    /// Writes a configuration with the given queues.
+    pub(crate) fn configure(&self, version: u64, queues: &[&str]) {
+        let route = |name: &&str| {
+            json!({
+                "name": name, "hostname": "jobs.example", "prefix": format!("/{name}/"),
+                "type": "non_idempotent", "timeout_ms": 3_000, "target_latency_ms": 250,
+                "priority": 0, "service": "svc", "max_attempts": 2, "slack_factor": 1.5,
+                "advisor": name.starts_with("asked").then(|| {
+                    json!({"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 2_500})
+                }),
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": queues.iter().map(route).collect::<Vec<_>>(),
+            "services": [{"name": "svc", "admission_check": false}],
+            "limits": {"max_body_bytes": 10_000, "header_timeout_ms": 3_000},
+        });
+        self.state.put("op/config", &config);
+    }
+
+    pub(crate) fn set_faults(&self, faults: StoreFaults) {
+        *lock(&self.state.faults) = faults;
+    }
+
+    /// Address of the leader as it stands in the store.
+    pub(crate) fn leader(&self) -> Option<String> {
+        let store = lock(&self.state.store);
+        let (value, ..) = store.items.get("m/leader")?;
+        let record: Value = serde_json::from_slice(value).ok()?;
+        Some(record["entry"].as_str()?.to_owned())
+    }
+}
+
+async fn listen<F, W>(ip: IpAddr, state: Arc<PlatformState>, call: F) -> SocketAddr
+where
+    F: Fn(Arc<PlatformState>, Request<Incoming>) -> W + Clone + Send + Sync + 'static,
+    W: Future<Output = Option<Response<Full<Bytes>>>> + Send + 'static,
+{
+    let listener = TcpListener::bind((ip, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (state, call) = (state.clone(), call.clone());
+            let service = service_fn(move |request| {
+                let answer = call(state.clone(), request);
+                async move { answer.await.ok_or_else(|| std::io::Error::other("answer lost")) }
+            });
+            tokio::spawn(async move {
+                let builder = Builder::new(TokioExecutor::new());
+                let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    address
+}
+
+fn answer(status: u16, body: &Value) -> Option<Response<Full<Bytes>>> {
+    let body = Full::new(Bytes::from(serde_json::to_vec(body).unwrap()));
+    Response::builder().status(StatusCode::from_u16(status).unwrap()).body(body).ok()
+}
+
+async fn body_of(request: Request<Incoming>) -> Value {
+    let bytes = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    serde_json::from_slice(&bytes).unwrap_or(Value::Null)
+}
+
+fn query(request: &Request<Incoming>, name: &str) -> String {
+    let pairs = request.uri().query().unwrap_or_default().split('&');
+    let found = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name);
+    found.map(|(_, value)| value.to_owned()).unwrap_or_default()
+}
+
+impl PlatformState {
+    fn put(&self, key: &str, value: &Value) {
+        let mut store = lock(&self.store);
+        store.revision += 1;
+        store.write(key, serde_json::to_vec(value).unwrap(), 0);
+    }
+}
+
+impl StoreState {
+    /// Writes a key under the revision of the change that it belongs to.
+    fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        self.items.insert(key.to_owned(), (value, self.revision, lease));
+        let event = self.item(key);
+        self.events.push((self.revision, event));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let event = json!({"key": key, "revision": self.revision, "deleted": true});
+            self.events.push((self.revision, event));
+        }
+    }
+
+    fn item(&self, key: &str) -> Value {
+        let (value, revision, lease) = &self.items[key];
+        json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "lease": lease})
+    }
+
+    /// Ends leases that have run out.
+    fn pass(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, (_, end))| *end < now).map(|(id, _)| *id).collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        self.revision += 1;
+        let keys = self.items.iter().filter(|(_, item)| item.2 == lease);
+        let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn transact(&mut self, change: &Value) -> (u16, Value) {
+        let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
+        let conditions = rows("expected_revision");
+        let holds = |row: &Value| {
+            let key = row["key"].as_str().unwrap_or_default();
+            let revision = self.items.get(key).map_or(0, |item| item.1);
+            row["revision"].as_u64() == Some(revision)
+        };
+        if !conditions.iter().all(holds) {
+            let keys = conditions.iter().filter_map(|row| row["key"].as_str());
+            let items = keys.filter(|key| self.items.contains_key(*key)).map(|key| self.item(key));
+            return (412, json!({"items": items.collect::<Vec<_>>()}));
+        }
+        let lease_of = |row: &Value| row["lease"].as_u64().unwrap_or(0);
+        let known = |row: &Value| lease_of(row) == 0 || self.leases.contains_key(&lease_of(row));
+        if !rows("set_keys").iter().all(known) {
+            return (404, json!({}));
+        }
+        self.revision += 1;
+        for row in rows("set_keys") {
+            let value = STANDARD.decode(row["value"].as_str().unwrap_or_default()).unwrap();
+            self.write(row["key"].as_str().unwrap_or_default(), value, lease_of(&row));
+        }
+        for key in rows("remove") {
+            self.remove(key.as_str().unwrap_or_default());
+        }
+        (200, json!({"revision": self.revision}))
+    }
+}
+
+async fn store_call(
+    state: &PlatformState,
+    request: Request<Incoming>,
+) -> Option<Response<Full<Bytes>>> {
+    if lock(&state.faults).refuses {
+        return answer(503, &json!({}));
+    }
+    lock(&state.store).pass();
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        "/api/kv-key" => {
+            let key = query(&request, "key");
+            let store = lock(&state.store);
+            match store.items.contains_key(&key) {
+                true => answer(200, &store.item(&key)),
+                false => answer(404, &json!({})),
+            }
+        }
+        "/api/kv-range" => {
+            let (prefix, after) = (query(&request, "prefix"), query(&request, "after"));
+            let store = lock(&state.store);
+            let keys = store.items.keys().filter(|key| key.starts_with(&prefix) && **key > after);
+            let items: Vec<Value> = keys.map(|key| store.item(key)).collect();
+            answer(200, &json!({"items": items, "has_more": false, "as_of": store.revision}))
+        }
+        "/api/kv-watch" => watch(state, &request).await,
+        "/api/kv-txn" => {
+            let change = body_of(request).await;
+            let (status, body) = lock(&state.store).transact(&change);
+            let lost = {
+                let mut faults = lock(&state.faults);
+                let lost = faults.loses_answers > 0;
+                faults.loses_answers = faults.loses_answers.saturating_sub(1);
+                lost
+            };
+            if lost { None } else { answer(status, &body) }
+        }
+        "/api/kv-lease" => {
+            let ttl = body_of(request).await["ttl_ms"].as_u64().unwrap_or(1_000);
+            let mut store = lock(&state.store);
+            let lease = 1 + store.leases.keys().max().copied().unwrap_or(0) + store.revision;
+            let life = Duration::from_millis(ttl);
+            store.leases.insert(lease, (life, Instant::now() + life));
+            answer(200, &json!({"lease": lease, "ttl_ms": ttl}))
+        }
+        path => {
+            let id = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
+            let mut store = lock(&state.store);
+            if path.starts_with("/api/kv-lease-end/") {
+                store.end_lease(id);
+                return answer(200, &json!({}));
+            }
+            match store.leases.get_mut(&id) {
+                Some((life, end)) => {
+                    *end = Instant::now() + *life;
+                    answer(200, &json!({"ttl_ms": life.as_millis() as u64}))
+                }
+                None => answer(404, &json!({})),
+            }
+        }
+    }
+}
+
+async fn watch(
+    state: &PlatformState,
+    request: &Request<Incoming>,
+) -> Option<Response<Full<Bytes>>> {
+    let prefix = query(request, "prefix");
+    let after: u64 = query(request, "after").parse().unwrap_or(0);
+    let wait: u64 = query(request, "wait_ms").parse().unwrap_or(0);
+    let end = Instant::now() + Duration::from_millis(wait);
+    loop {
+        {
+            let mut store = lock(&state.store);
+            store.pass();
+            let fits = |(revision, event): &&(u64, Value)| {
+                *revision > after
+                    && event["key"].as_str().is_some_and(|key| key.starts_with(&prefix))
+            };
+            let events: Vec<Value> =
+                store.events.iter().filter(fits).map(|(_, event)| event.clone()).collect();
+            if !events.is_empty() || Instant::now() >= end {
+                return answer(200, &json!({"events": events, "as_of": store.revision}));
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
+
+async fn advise(
+    state: &PlatformState,
+    request: Request<Incoming>,
+) -> Option<Response<Full<Bytes>>> {
+    let question = body_of(request).await;
+    let workers = question["workers"].as_array().cloned().unwrap_or_default();
+    let allowed = workers.iter().filter(|worker| worker.as_str() != Some("w0"));
+    let allowed: Vec<Value> = allowed.map(|worker| json!([worker, "ticket"])).collect();
+    *lock(&state.tickets) += u32::try_from(allowed.len()).unwrap();
+    answer(200, &json!({"allowed": allowed}))
+}
+
+impl WorkerState {
+    fn clock_ms(&self) -> u64 {
+        1_000 + u64::try_from(self.begun.elapsed().as_millis()).unwrap()
+    }
+
+    /// Ends what is over, and everything once the lease is.
+    fn pass(&mut self) {
+        let (now, lapsed) = (Instant::now(), self.clock_ms() > self.until_ms);
+        let over = self.runs.iter().filter(|(_, run)| lapsed || run.ends <= now);
+        let over: Vec<(String, u64)> = over.map(|(task, run)| (task.clone(), run.run)).collect();
+        for (task, run) in over {
+            self.end(&task, run, if lapsed { "lapsed" } else { "done" });
+        }
+    }
+
+    fn end(&mut self, task: &str, run: u64, how: &str) {
+        self.runs.remove(task);
+        self.close(task, run);
+        self.last_end += 1;
+        self.ended.push(json!([self.last_end, task, run, how, ""]));
+    }
+
+    fn close(&mut self, task: &str, run: u64) {
+        let closed = self.closed.entry(task.to_owned()).or_default();
+        *closed = (*closed).max(run);
+    }
+
+    fn refuse(&self, reason: &str) -> Option<Response<Full<Bytes>>> {
+        answer(409, &json!({"clock_ms": self.clock_ms(), "reason": reason}))
+    }
+}
+
+async fn worker_call(
+    state: &PlatformState,
+    number: usize,
+    request: Request<Incoming>,
+) -> Option<Response<Full<Bytes>>> {
+    let path = request.uri().path().to_owned();
+    let life = request.headers().get("Target-Instance").and_then(|life| life.to_str().ok());
+    let other_life = life.is_some_and(|life| life != format!("w{number}"));
+    let body = body_of(request).await;
+    if other_life {
+        return answer(421, &json!({}));
+    }
+    let epoch = body["fencing_token"].as_u64().unwrap_or(0);
+    {
+        let mut workers = lock(&state.workers);
+        let worker = &mut workers[number];
+        worker.pass();
+        if epoch < worker.fence {
+            return worker.refuse("fence");
+        }
+        worker.fence = epoch;
+    }
+    match path.as_str() {
+        "/api/run-start" => start(state, number, &body),
+        "/api/run-stop" => {
+            let mut workers = lock(&state.workers);
+            let worker = &mut workers[number];
+            let task = body["task"].as_str().unwrap_or_default().to_owned();
+            let run = body["run"].as_u64().unwrap_or(0);
+            match worker.runs.get(&task).is_some_and(|known| known.run <= run) {
+                true => worker.end(&task, run, "stopped"),
+                false => worker.close(&task, run),
+            }
+            answer(200, &json!({"clock_ms": worker.clock_ms()}))
+        }
+        "/api/hold" => hold(state, number, &body).await,
+        _ => answer(400, &json!({})),
+    }
+}
+
+fn start(state: &PlatformState, number: usize, body: &Value) -> Option<Response<Full<Bytes>>> {
+    let mut workers = lock(&state.workers);
+    let task = body["task"].as_str().unwrap_or_default().to_owned();
+    let run = body["run"].as_u64().unwrap_or(0);
+    let until = body["until_ms"].as_u64().unwrap_or(0);
+    let millis = body["spec"].as_str().and_then(|spec| spec.parse().ok()).unwrap_or(100);
+    let elsewhere = workers
+        .iter()
+        .any(|other| other.id != workers[number].id && other.runs.contains_key(&task));
+    let worker = &mut workers[number];
+    if until <= worker.clock_ms() {
+        return worker.refuse("late");
+    }
+    worker.until_ms = worker.until_ms.max(until.min(worker.clock_ms() + HOLD_MAX_MS));
+    if worker.closed.get(&task).is_some_and(|closed| *closed >= run) {
+        return worker.refuse("old");
+    }
+    if !worker.runs.contains_key(&task) {
+        if elsewhere {
+            lock(&state.broken).push(format!("{task} begins on {} and runs elsewhere", worker.id));
+        }
+        *lock(&state.starts).entry(task.clone()).or_default() += 1;
+        let ends = Instant::now() + Duration::from_millis(millis);
+        worker.runs.insert(task, WorkerRun { run, ends });
+    }
+    answer(200, &json!({"clock_ms": worker.clock_ms()}))
+}
+
+async fn hold(state: &PlatformState, number: usize, body: &Value) -> Option<Response<Full<Bytes>>> {
+    let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+    let acked = body["ack_cursor"].as_u64().unwrap_or(0);
+    let end = Instant::now() + wait;
+    loop {
+        {
+            let mut workers = lock(&state.workers);
+            let worker = &mut workers[number];
+            let until = body["until_ms"].as_u64().unwrap_or(0);
+            worker.until_ms = worker.until_ms.max(until.min(worker.clock_ms() + HOLD_MAX_MS));
+            worker.pass();
+            worker.ended.retain(|row| row[0].as_u64().unwrap_or(0) > acked);
+            if !worker.ended.is_empty() || Instant::now() >= end {
+                let running =
+                    worker.runs.iter().map(|(task, run)| json!([task, run.run, "", 50, 0]));
+                let running: Vec<Value> = running.collect();
+                let clock = worker.clock_ms();
+                let lists =
+                    json!({"clock_ms": clock, "running": running, "finished": worker.ended});
+                return answer(200, &lists);
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
