--- a/src/graph/advice.rs
+++ b/src/graph/advice.rs
@@ -49,6 +49,13 @@
 }
 
 impl StepAdvice {
+    /// Workers whose tickets can still be used.
+    pub fn tickets(&self, now: Instant) -> impl Iterator<Item = &WorkerId> {
+        let usable =
+            move |(_, (_, end)): &(&WorkerId, &(TicketText, Instant))| now + TICKET_MARGIN < *end;
+        self.allowed.iter().filter(usable).map(|(worker, _)| worker)
+    }
+
     /// The ticket for a worker, if it can still be used.
     pub fn ticket(&self, worker: &WorkerId, now: Instant) -> Option<TicketText> {
         let (ticket, end) = self.allowed.get(worker)?;
@@ -211,6 +218,11 @@
         self.steps.retain(|(id, _), _| id != job);
     }
 
+    /// Number of entries that could make a call.
+    pub fn idle(&self) -> usize {
+        self.entries.len().saturating_sub(self.calls.len())
+    }
+
     /// Number of calls that wait for an answer.
     pub fn waiting(&self) -> usize {
         self.calls.len()
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -40,6 +40,11 @@
 const ADVICE_PAUSE: Duration = Duration::from_millis(200);
 /// Shortest time from one pass to the next.
 const PASS_GAP: Duration = Duration::from_millis(4);
+/// Times the duration of a round that the next pass is away: passes take a fifth of the time at most,
+/// however many steps wait.
+const PASS_SHARE: u32 = 4;
+/// Longest pause between passes for their cost.
+const LONGEST_PASS_GAP: Duration = Duration::from_millis(150);
 /// Longest time from one pass to the next while tasks wait.
 const PASS_REST: Duration = Duration::from_millis(50);
 
@@ -86,6 +91,7 @@
     deposed: bool,
     pass_wanted: bool,
     last_pass: Instant,
+    pass_gap: Duration,
     actions: Vec<GraphAction>,
 }
 
@@ -125,6 +131,7 @@
             deposed: false,
             pass_wanted: true,
             last_pass: now,
+            pass_gap: PASS_GAP,
             actions: Vec::new(),
         }
     }
@@ -327,7 +334,7 @@
         self.reject_waiting(now);
         self.rejected.retain(|_, at| now.saturating_duration_since(*at) < REJECTED_TIME);
         let rested = now.saturating_duration_since(self.last_pass);
-        let due = (self.pass_wanted && rested >= PASS_GAP) || rested >= PASS_REST;
+        let due = (self.pass_wanted && rested >= self.pass_gap) || rested >= self.pass_rest();
         if due && extend {
             self.pass(now, unix);
         }
@@ -336,9 +343,9 @@
 
     /// When `tick` has something to do next.
     pub fn next_due(&self, now: Instant) -> Instant {
-        let mut due = self.last_pass + PASS_REST;
+        let mut due = self.last_pass + self.pass_rest();
         if self.pass_wanted {
-            due = due.min(self.last_pass + PASS_GAP);
+            due = due.min(self.last_pass + self.pass_gap);
         }
         due = self.lives.next_poll().map_or(due, |poll| due.min(poll));
         if self.commits.is_due(now) {
@@ -347,6 +354,15 @@
         self.commits.due().map_or(due, |commit| due.min(commit)).max(now)
     }
 
+    /// The last round of decisions took `cost` of wall time: passes take a bounded share of it.
+    pub fn note_cost(&mut self, cost: Duration) {
+        self.pass_gap = (cost * PASS_SHARE).clamp(PASS_GAP, LONGEST_PASS_GAP);
+    }
+
+    fn pass_rest(&self) -> Duration {
+        PASS_REST.max(self.pass_gap)
+    }
+
     fn settled(&self, now: Instant) -> bool {
         self.unheard.is_empty() || now >= self.settled_at
     }
@@ -420,6 +436,7 @@
                     self.apply(now, &task.job, effect);
                 }
                 LifeFinding::Confirmed(worker, task) => {
+                    self.jobs.note_begun(&task);
                     info!(task:% = task, worker = &*worker; "an unanswered start has begun");
                 }
                 LifeFinding::Deposed(worker) => {
@@ -471,6 +488,7 @@
         match wanted {
             true => {
                 self.jobs.note_run(&task, worker.clone(), run);
+                self.jobs.note_begun(&task);
                 if let Some(older) = older {
                     self.stop_all(vec![(older.worker, task, older.run)]);
                 }
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -111,6 +111,7 @@
         let failure = match result {
             Ok(clock) => {
                 entry.phase = RunPhase::Running { confirmed: clock };
+                self.jobs.note_begun(task);
                 return;
             }
             Err(failure) => failure,
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -92,10 +92,16 @@
         }
     }
 
-    /// Notes a run that was started or found.
-    pub(crate) fn note_run(&mut self, task: &TaskName, worker: WorkerId, run: RunNumber) {
+    /// Notes that a worker has begun a run of a job: only then does the job wait no more.
+    pub(crate) fn note_begun(&mut self, task: &TaskName) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.started = true;
+        }
+    }
+
+    /// Notes a run that was sent or found.
+    pub(crate) fn note_run(&mut self, task: &TaskName, worker: WorkerId, run: RunNumber) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
             let last = job.last_run.entry(task.key).or_default();
             *last = (*last).max(run);
             job.live.insert(task.key, LiveRun { worker, run });
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -31,6 +31,8 @@
 const CHEAP_PART: f64 = 0.5;
 /// Workers that a renewal is reckoned to name.
 const RENEWED_WORKERS: u32 = 20;
+/// Wishes for each entry that could make a call: long calls leave entries to the short ones behind.
+const WISHES_A_CALL: usize = 3;
 /// How early advice is asked for a step whose turn has not come, beside the time of the call.
 const ASK_AHEAD: Duration = Duration::from_millis(60);
 
@@ -115,6 +117,8 @@
 /// One pass.
 pub struct PlacementPass<'t> {
     view: PassView<'t>,
+    /// Calls for advice that could be made now; more wishes would be in vain.
+    wishes_left: usize,
     /// Runs that were chosen to be stopped in this pass.
     victims: BTreeSet<TaskName>,
     rooms: BTreeMap<WorkerId, PassRoom<'t>>,
@@ -130,7 +134,8 @@
             (life.id().clone(), PassRoom::new(life, free))
         };
         let rooms = open.map(room).collect();
-        Self { view, victims: BTreeSet::new(), rooms, plan: PassPlan::default() }
+        let wishes_left = view.advice.idle() * WISHES_A_CALL;
+        Self { view, wishes_left, victims: BTreeSet::new(), rooms, plan: PassPlan::default() }
     }
 
     /// Decides.
@@ -221,16 +226,17 @@
         let fits = |room: &&PassRoom<'t>| {
             room.life.listing.service == rule.service && has_label(room.life, step.step)
         };
-        let fitting = self.rooms.values().filter(fits);
         if rule.advice.is_none() {
+            let fitting = self.rooms.values().filter(fits);
             return fitting.map(|room| room.life.id().clone()).collect();
         }
         let key = (step.job.spec.id.clone(), step.key);
         let Some(advice) = self.view.advice.step(&key) else {
             return Vec::new();
         };
-        let allowed = fitting.filter(|room| advice.ticket(room.life.id(), self.view.now).is_some());
-        allowed.map(|room| room.life.id().clone()).collect()
+        let allowed = advice.tickets(self.view.now);
+        let rooms = allowed.filter_map(|worker| self.rooms.get(worker)).filter(fits);
+        rooms.map(|room| room.life.id().clone()).collect()
     }
 
     /// Places as many tasks as fit; gives the number of those that do not.
@@ -496,7 +502,8 @@
             return;
         };
         let key = (step.job.spec.id.clone(), step.key);
-        if !self.view.advice.may_ask(&key, self.view.now) {
+        let enough = self.plan.wishes.len() >= self.wishes_left;
+        if enough || !self.view.advice.may_ask(&key, self.view.now) {
             return;
         }
         let known = self.view.advice.step(&key);
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -137,7 +137,9 @@
                     }
                 }
             }
-            controller.tick(Instant::now(), unix_millis());
+            let begun = Instant::now();
+            controller.tick(begun, unix_millis());
+            controller.note_cost(begun.elapsed());
             for action in controller.take_actions() {
                 self.carry_out(&carrier, action);
             }
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -174,3 +174,21 @@
     world.run(seconds(1));
     expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Accepted)));
 }
+
+#[gtest]
+fn a_job_whose_starts_are_not_answered_still_waits() {
+    let mut world = World::new(11, 2);
+    world.run(seconds(1));
+    for worker in world.workers.values_mut() {
+        worker.reached = false;
+    }
+    world.submit("later", "a", vec![step(1, 1, 500)]);
+    world.run(seconds(2));
+    expect_that!(world.state("a"), some(eq(GraphState::Queued)));
+    expect_that!(world.leader().unwrap().jobs().pending("later"), eq(1));
+    for worker in world.workers.values_mut() {
+        worker.reached = true;
+    }
+    world.run(seconds(10));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+}
