--- a/src/callers/jobs.rs
+++ b/src/callers/jobs.rs
@@ -21,7 +21,8 @@
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Body of a submit.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct SubmitBody {
     /// Name of the job in its workspace, chosen by the client.
--- a/src/config/controller.rs
+++ b/src/config/controller.rs
@@ -22,7 +22,8 @@
 const SETTLE_TIME: Duration = Duration::from_secs(10);
 
 /// Why a plan was not accepted.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ConfirmRefusal {
     /// The plan was edited.
--- a/src/config/plan.rs
+++ b/src/config/plan.rs
@@ -11,7 +11,8 @@
 use crate::resources::ResourceVector;
 
 /// What a failure domain has, as its leader last told.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct DomainSummary {
     /// Workers claimed.
     pub workers: u32,
@@ -27,7 +28,8 @@
 pub type ClusterSummary = BTreeMap<DomainId, DomainSummary>;
 
 /// What an operator asks to plan.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlanRequest {
     /// Put this intent in force.
@@ -37,7 +39,8 @@
 }
 
 /// Kind of a change.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlanAction {
     /// Tasks start.
@@ -55,7 +58,8 @@
 }
 
 /// One change of a plan.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PlanChange {
     /// Kind of change.
     pub action: PlanAction,
@@ -70,7 +74,8 @@
 }
 
 /// A plan. It is not stored anywhere: it carries all that is needed to confirm it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PlanDocument {
     /// Revision that it was made against.
     pub base: Revision,
--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -15,7 +15,8 @@
 const REMEMBERED_WRITES: usize = 64;
 
 /// An intent in force.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct AcceptedIntent {
     /// The statement.
     pub spec: IntentSpec,
@@ -24,7 +25,8 @@
 }
 
 /// One accepted configuration, whole.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ConfigRevision {
     /// Its number.
     pub revision: Revision,
--- a/src/domain/event.rs
+++ b/src/domain/event.rs
@@ -46,7 +46,8 @@
 }
 
 /// What a VM is for.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "role", rename_all = "kebab-case")]
 pub enum VmRole {
     /// Runs tasks.
@@ -64,7 +65,8 @@
 }
 
 /// A VM as the platform lists it, with a lag.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct VmRecord {
     /// Its name.
     pub id: String,
--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -27,7 +27,8 @@
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
 /// A failure domain that wants more of a quota than there was left.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 struct QuotaWant {
     /// Since when.
     since: UnixMillis,
@@ -36,7 +37,8 @@
 }
 
 /// Parts of all quotas.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 struct QuotaRecord {
     parts: BTreeMap<WorkspaceId, BTreeMap<DomainId, ResourceVector>>,
     #[serde(default)]
--- a/src/finding.rs
+++ b/src/finding.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One mistake in a text: where it is, what was found and what was expected.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct InputFinding {
     /// Name of the file or interface that the text came from.
     pub source: String,
@@ -34,7 +35,8 @@
 }
 
 /// All findings about one text.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct FindingList(pub Vec<InputFinding>);
 
 impl Display for FindingList {
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -16,7 +16,7 @@
 use crate::graph::exchange::{EndReport, RunReport, TicketText, UsedWorker, WorkerListing};
 use crate::graph::job::{GraphJob, GraphRecord, GraphState};
 use crate::graph::jobs::{JobEffect, JobTable, RunToStop};
-use crate::graph::lives::{LifeFinding, LifeTable};
+use crate::graph::lives::{LifeFinding, LifeTable, WORKER_LEASE};
 use crate::graph::name::{AttemptId, GraphId, LeaderEpoch, RunNumber, TaskName};
 use crate::graph::placer::{PassView, PlacementPass};
 use crate::graph::preemption::RoomKeeper;
@@ -27,6 +27,9 @@
 
 /// Starts of one task that a leader may make: run numbers of later leaders are above.
 const RUNS_AN_EPOCH: RunNumber = 1 << 16;
+/// How long what an earlier leader left at a worker may run on: its lease, by a clock that is 2% slow,
+/// and the time to kill it.
+const LEASE_LIFE: Duration = WORKER_LEASE.saturating_add(Duration::from_millis(300));
 /// Advice on when to come back to a caller whose job could not be taken: callers wait three seconds in
 /// all, so one second gives them two more tries. Pauses that grow with the outage up to four seconds
 /// were tried: fewer came back in time.
@@ -86,6 +89,8 @@
     unheard: BTreeSet<WorkerId>,
     /// When nothing that they were told before can run any more.
     settled_at: Instant,
+    /// Whether the leader before has surely ended.
+    predecessor_ended: bool,
     /// Until when leases of workers may be extended and tasks started.
     authority: Instant,
     deposed: bool,
@@ -109,7 +114,7 @@
             let age = Duration::from_millis(unix.saturating_sub(record.spec.accepted));
             jobs.insert(GraphJob::restored(record, progress, now, age));
         }
-        let mut lives = LifeTable::new(bounds.longest_lease);
+        let mut lives = LifeTable::new(WORKER_LEASE.min(bounds.longest_lease));
         for used in &state.workers {
             lives.used(now, used, unregistered(used));
         }
@@ -126,7 +131,8 @@
             waiters: BTreeMap::new(),
             rejected: BTreeMap::new(),
             unheard: state.workers.into_iter().map(|used| used.id).collect(),
-            settled_at: now + bounds.blind + bounds.longest_lease.mul_f64(1.05),
+            settled_at: now + bounds.blind + LEASE_LIFE,
+            predecessor_ended: false,
             authority: now,
             deposed: false,
             pass_wanted: true,
@@ -172,6 +178,15 @@
         self.authority = self.authority.max(sent + self.bounds.blind);
     }
 
+    /// The leader before has surely ended: it extends no lease any more.
+    pub fn note_predecessor_ended(&mut self, now: Instant) {
+        if !self.predecessor_ended {
+            self.predecessor_ended = true;
+            self.settled_at = self.settled_at.min(now + LEASE_LIFE);
+            info!(unheard = self.unheard.len(); "the leader before has ended");
+        }
+    }
+
     /// The machine was suspended for `gap` that the steady clock did not count.
     pub fn note_suspended(&mut self, gap: Duration) {
         warn!(gap_ms = gap.as_millis() as u64; "the machine was suspended");
@@ -326,7 +341,7 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Instant, unix: UnixMillis) {
         let mut found = self.lives.lapsed(now);
-        found.extend(self.lives.vanished(now));
+        found.extend(self.lives.vanished(now, now >= self.settled_at));
         self.take_findings_at(now, unix, found);
         let extend = now < self.authority && !self.deposed;
         self.actions.extend(self.lives.polls(now, extend));
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -37,7 +37,8 @@
 }
 
 /// A worker that may run something, as the store keeps it for the next leader.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct UsedWorker {
     /// Name of this life of the worker.
     pub id: WorkerId,
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -14,7 +14,8 @@
 use crate::id::WorkerId;
 
 /// What the store keeps of a job from its acceptance on.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct GraphRecord {
     /// The job.
     pub spec: GraphSpec,
@@ -32,7 +33,8 @@
 }
 
 /// What callers are told of a job.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum GraphState {
     /// No task has been started.
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -52,7 +52,7 @@
 #[derive(Debug, Default)]
 pub struct LifeTable {
     lives: BTreeMap<WorkerId, WorkerLife>,
-    /// Longest lease that a worker takes.
+    /// Longest lease that an earlier leader may have given.
     longest_lease: Duration,
 }
 
@@ -267,10 +267,12 @@
         found
     }
 
-    /// Workers that are neither registered nor able to run anything any more.
-    pub(crate) fn vanished(&mut self, now: Instant) -> Vec<LifeFinding> {
+    /// Workers that are neither registered nor able to run anything any more; once everything from
+    /// before this leader's time is over, also those that it has never heard.
+    pub(crate) fn vanished(&mut self, now: Instant, settled: bool) -> Vec<LifeFinding> {
         let gone = |life: &&WorkerLife| {
-            !life.listed && life.runs.is_empty() && life.claimed && life.lease_over(now)
+            let over = if life.claimed { life.lease_over(now) } else { settled };
+            !life.listed && life.runs.is_empty() && over
         };
         let gone: Vec<WorkerId> =
             self.lives.values().filter(gone).map(|l| l.id().clone()).collect();
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -8,7 +8,8 @@
 use crate::id::UnixMillis;
 
 /// How a job ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum GraphVerdict {
     /// All tasks succeeded.
@@ -20,7 +21,8 @@
 }
 
 /// Progress of a job.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(from = "StoredProgress", into = "StoredProgress")]
 pub struct GraphProgress {
     /// How it ended.
@@ -58,7 +60,8 @@
 }
 
 /// The stored form: JSON knows only texts as keys.
-#[derive(Clone, Default, Deserialize, Serialize)]
+#[derive(Clone, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 struct StoredProgress {
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/src/graph/queue.rs
+++ b/src/graph/queue.rs
@@ -10,7 +10,8 @@
 use crate::id::{Revision, ServiceId};
 
 /// Time that a call for placement advice takes.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct AdviceRule {
     /// For a call.
     pub call: Duration,
@@ -21,7 +22,8 @@
 }
 
 /// A queue of jobs.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct QueueRule {
     /// Name of the queue.
     pub id: QueueId,
--- a/src/graph/spec.rs
+++ b/src/graph/spec.rs
@@ -15,7 +15,8 @@
 const MOST_TASKS: u32 = 10_000;
 
 /// A step: a number of equal tasks.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct StepSpec {
     /// Number of tasks.
@@ -63,7 +64,8 @@
 }
 
 /// A graph that runs again and again.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RepeatRule {
     /// Number of occurrences.
     pub count: u32,
@@ -74,7 +76,8 @@
 }
 
 /// A submitted job.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct GraphSpec {
     /// Name that the caller chose.
     pub id: GraphId,
--- a/src/intent.rs
+++ b/src/intent.rs
@@ -8,7 +8,8 @@
 use crate::resources::ResourceVector;
 
 /// Kind of work.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum JobKind {
     /// Tasks that run until they are stopped and answer requests.
@@ -20,7 +21,8 @@
 }
 
 /// How soon work has to start.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Urgency {
     /// A person waits.
@@ -44,7 +46,8 @@
 }
 
 /// Over what the tasks of a job are spread.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum SpreadRule {
     /// Packed as tightly as possible.
@@ -57,7 +60,8 @@
 }
 
 /// What happens to tasks of a failure domain that is cut off.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CutOffRule {
     /// They go on where they are and are never started elsewhere.
@@ -68,7 +72,8 @@
 }
 
 /// One statement of an operator.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct IntentSpec {
     /// The workspace the work belongs to.
     pub workspace: WorkspaceId,
--- a/src/job.rs
+++ b/src/job.rs
@@ -10,7 +10,8 @@
 use crate::resources::ResourceVector;
 
 /// What a job needs, fixed when it is accepted.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JobSpec {
     /// Name of the job.
     pub id: JobId,
@@ -65,7 +66,8 @@
 }
 
 /// How a task ended for good.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TaskEnd {
     /// It ran to its end.
@@ -82,7 +84,8 @@
 }
 
 /// A job with what has become of its tasks; the unit that the ledger keeps.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JobRecord {
     /// What the job needs.
     pub spec: JobSpec,
--- a/src/leadership/lease.rs
+++ b/src/leadership/lease.rs
@@ -7,7 +7,8 @@
 use crate::id::EntryId;
 
 /// Value of the key `lease/<failure domain>`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LeaseRecord {
     /// Raised whenever the holder changes.
     pub epoch: u64,
--- a/src/ledger/segment.rs
+++ b/src/ledger/segment.rs
@@ -7,7 +7,8 @@
 use crate::token::FencingToken;
 
 /// An answer kept to be given again.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct StoredAnswer {
     /// HTTP status code.
     pub status: u16,
@@ -18,7 +19,8 @@
 }
 
 /// What is known about a request that must run at most once.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum KeyState {
     /// It may be running or have run.
@@ -32,7 +34,8 @@
 }
 
 /// The key of a request that is not idempotent.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KeyRecord {
     /// Service and key.
     pub id: String,
@@ -63,7 +66,8 @@
 }
 
 /// One entry of the ledger.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LedgerRecord {
     /// A job.
@@ -109,7 +113,8 @@
 }
 
 /// One grouped commit.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JournalSegment {
     /// Place in the journal, from 1.
     pub number: u64,
@@ -122,7 +127,8 @@
 }
 
 /// Where the journal starts.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JournalBase {
     /// Generation of the snapshot; its parity tells where its parts are.
     pub generation: u64,
@@ -137,7 +143,8 @@
 }
 
 /// A part of a snapshot.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(crate) struct SnapshotPart {
     /// Generation of the snapshot.
     pub(crate) generation: u64,
--- a/src/message.rs
+++ b/src/message.rs
@@ -16,7 +16,8 @@
 pub const PROTOCOL_VERSION: u32 = 1;
 
 /// What a leader tells about itself.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LeaderNews {
     /// Its token.
     pub token: FencingToken,
@@ -29,7 +30,8 @@
 }
 
 /// Sent by each entry to all others again and again.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PeerHello {
     /// Version of the messages it speaks.
     pub protocol: u32,
@@ -48,7 +50,8 @@
 }
 
 /// A message between entries.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PeerMessage {
     /// Heartbeat.
@@ -95,7 +98,8 @@
 }
 
 /// A job that a caller submits.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JobRequest {
     /// Its name, `workspace/id`.
     pub id: JobId,
@@ -108,7 +112,8 @@
 }
 
 /// A call of a caller or operator that needs the controllers.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ClientCall {
     /// Submit a job.
@@ -153,7 +158,8 @@
 }
 
 /// A job as callers and operators see it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JobView {
     /// What is kept of it.
     pub record: JobRecord,
@@ -168,7 +174,8 @@
 }
 
 /// What is known about a request key.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum KeyAnswer {
     /// It was reserved now: the request may be sent.
@@ -184,7 +191,8 @@
 }
 
 /// State of one entry as its peers know it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EntryStatus {
     /// Its name.
     pub entry: EntryId,
@@ -201,7 +209,8 @@
 }
 
 /// State of the deployment as one entry knows it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct StatusView {
     /// The entry that answers.
     pub entry: EntryId,
@@ -218,7 +227,8 @@
 }
 
 /// Why a call could not be answered.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CallRefusal {
     /// No leader of the failure domain can be reached; nothing was done.
@@ -238,7 +248,8 @@
 }
 
 /// The answer to a call.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ClientAnswer {
     /// A job.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -10,10 +10,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::graph::LeaderEpoch;
+use crate::id::EntryId;
 use crate::node::keys::{KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome};
-use crate::node::leader::{LeaderDuty, LeaderInput};
+use crate::node::leader::{LeaderDuty, LeaderInput, LeaderTerm};
 use crate::node::members::{ENTRY_PREFIX, EPOCH_KEY, LEADER_KEY};
-use crate::node::shared::{EntryRecord, LeaderRecord, MemberView, NodeShared};
+use crate::node::shared::{EntryRecord, EpochRecord, LeaderRecord, MemberView, NodeShared};
 use crate::ring::{RingSender, ring};
 
 /// Life of the lease in the store: a leader that dies is replaced after it.
@@ -119,7 +120,11 @@
     async fn register(&mut self) -> Result<bool, StoreError> {
         let lease = self.shared.store.lease(LEASE_TTL).await?;
         let settings = &self.shared.settings;
-        let record = EntryRecord { address: settings.peers, processor: settings.processor };
+        let record = EntryRecord {
+            address: settings.peers,
+            start: self.shared.start,
+            processor: settings.processor,
+        };
         let key = format!("{ENTRY_PREFIX}{}", settings.name);
         let sets = vec![KeySet { key, value: encode(&record), lease: Some(lease) }];
         let change = KeyTransaction { sets, ..KeyTransaction::default() };
@@ -147,7 +152,9 @@
                     && leader.epoch > self.last_epoch
                     && self.lease.is_some() =>
             {
-                self.begin(leader.epoch, view.epoch_revision);
+                // Who led before is not known any more: it is taken to go on for as long as it may.
+                let unknown = Some((leader.entry.clone(), 0));
+                self.begin(leader.epoch, view.epoch_revision, unknown);
             }
             (Some(_), _) if self.leadership.as_ref().is_some_and(|led| led.task.is_finished()) => {
                 warn!("the leader's duty has ended");
@@ -192,6 +199,9 @@
             start: self.shared.start,
             epoch,
         };
+        let holder = Some((settings.name.clone(), self.shared.start));
+        let elected = EpochRecord { epoch, holder };
+        let predecessor = view.holder.clone();
         let change = KeyTransaction {
             conditions: vec![
                 (LEADER_KEY.to_owned(), 0),
@@ -199,7 +209,7 @@
             ],
             sets: vec![
                 KeySet { key: LEADER_KEY.to_owned(), value: encode(&record), lease: Some(lease) },
-                KeySet { key: EPOCH_KEY.to_owned(), value: encode(&epoch), lease: None },
+                KeySet { key: EPOCH_KEY.to_owned(), value: encode(&elected), lease: None },
             ],
             removes: Vec::new(),
         };
@@ -210,8 +220,9 @@
                     view.leader = Some(record);
                     view.epoch = epoch;
                     view.epoch_revision = revision;
+                    view.holder = elected.holder;
                 });
-                self.begin(epoch, revision);
+                self.begin(epoch, revision, predecessor);
             }
             Ok(TransactionOutcome::Conflict(_)) => sleep(RETRY_PAUSE).await,
             Ok(TransactionOutcome::NoLease) => self.lease = None,
@@ -223,7 +234,7 @@
     }
 
     /// Leads, or goes on leading under a later epoch.
-    fn begin(&mut self, epoch: LeaderEpoch, revision: u64) {
+    fn begin(&mut self, epoch: LeaderEpoch, revision: u64, predecessor: Option<(EntryId, u64)>) {
         let sent = self.renewed.unwrap_or_else(Instant::now);
         self.last_epoch = epoch;
         if let Some(leadership) = &mut self.leadership
@@ -236,7 +247,9 @@
         }
         let (input, receiver) = ring("leader", LEADER_RING);
         let _ = input.offer(LeaderInput::Renewed(sent));
-        let duty = LeaderDuty::new(self.shared.clone(), epoch, revision, input.clone(), receiver);
+        let shared = self.shared.clone();
+        let term = LeaderTerm { epoch, epoch_revision: revision, predecessor };
+        let duty = LeaderDuty::new(shared, term, input.clone(), receiver);
         let task = tokio::spawn(duty.run());
         self.leadership = Some(Leadership { epoch, input, task });
     }
@@ -266,9 +279,25 @@
         }
     }
 
-    /// A planned stop: leadership goes to another at once.
+    async fn step_down(&self) {
+        let view = self.shared.members.borrow().clone();
+        let record = EpochRecord { epoch: view.epoch, holder: None };
+        let change = KeyTransaction {
+            conditions: vec![(EPOCH_KEY.to_owned(), view.epoch_revision)],
+            sets: vec![KeySet { key: EPOCH_KEY.to_owned(), value: encode(&record), lease: None }],
+            removes: vec![LEADER_KEY.to_owned()],
+        };
+        if let Err(error) = self.shared.store.transact(&change).await {
+            warn!(error:% = error; "stepping down was not noted in the store");
+        }
+    }
+
+    /// A planned stop: leadership goes to another at once, which need not fear this process.
     async fn leave(&mut self) {
-        self.end_leadership().await;
+        if self.leadership.is_some() {
+            self.end_leadership().await;
+            self.step_down().await;
+        }
         if let Some(lease) = self.lease.take()
             && let Err(error) = self.shared.store.end_lease(lease).await
         {
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -72,7 +72,8 @@
 }
 
 /// How a call to the store failed.
-#[derive(Clone, Debug, Error)]
+#[derive(Clone, Debug)]
+#[derive(Error)]
 pub(crate) enum StoreError {
     /// Nothing was done.
     #[error("not done: {0}")]
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -13,7 +13,7 @@
     AdviceId, CommandResult, GraphAction, GraphController, GraphJob, GroupNumber, LeaderEpoch,
     PollResult, RunNumber, TaskName, TicketText, WorkerListing,
 };
-use crate::id::{CallId, WorkerId};
+use crate::id::{CallId, EntryId, WorkerId};
 use crate::node::boot::BootClock;
 use crate::node::calls::CallCarrier;
 use crate::node::ledger::{GroupOutcome, JobLedger};
@@ -47,10 +47,19 @@
     Resign,
 }
 
+/// What an election gave.
+pub(crate) struct LeaderTerm {
+    pub(crate) epoch: LeaderEpoch,
+    pub(crate) epoch_revision: u64,
+    /// Who led before, and in which start; `None` where it has stepped down.
+    pub(crate) predecessor: Option<(EntryId, u64)>,
+}
+
 /// Leads until told to stop or another does.
 pub(crate) struct LeaderDuty {
     shared: Arc<NodeShared>,
     epoch: LeaderEpoch,
+    predecessor: Option<(EntryId, u64)>,
     ledger: JobLedger,
     sender: RingSender<LeaderInput>,
     input: RingReceiver<LeaderInput>,
@@ -61,13 +70,14 @@
 impl LeaderDuty {
     pub(crate) fn new(
         shared: Arc<NodeShared>,
-        epoch: LeaderEpoch,
-        epoch_revision: u64,
+        term: LeaderTerm,
         sender: RingSender<LeaderInput>,
         input: RingReceiver<LeaderInput>,
     ) -> Self {
+        let LeaderTerm { epoch, epoch_revision, predecessor } = term;
         let ledger = JobLedger::new(shared.store.clone(), epoch, epoch_revision);
-        Self { shared, epoch, ledger, sender, input, callers: BTreeMap::new(), last_call: 0 }
+        let callers = BTreeMap::new();
+        Self { shared, epoch, predecessor, ledger, sender, input, callers, last_call: 0 }
     }
 
     /// Leads.
@@ -123,8 +133,11 @@
                     }
                 }
                 _ = members.changed() => {
-                    let entries = members.borrow_and_update().entries.keys().cloned().collect();
-                    controller.set_entries(entries);
+                    let view = members.borrow_and_update().clone();
+                    controller.set_entries(view.entries.keys().cloned().collect());
+                    if view.has_ended(&self.predecessor) {
+                        controller.note_predecessor_ended(Instant::now());
+                    }
                 }
                 _ = config.changed() => {
                     if let Some(config) = config.borrow_and_update().clone() {
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::node::keys::{KeyEvent, KeyItem, StoreError, WatchOutcome};
-use crate::node::shared::{MemberView, NodeShared};
+use crate::node::shared::{EpochRecord, MemberView, NodeShared};
 
 /// Prefix of all keys that entries watch.
 const MEMBER_PREFIX: &str = "m/";
@@ -104,7 +104,9 @@
     match item.key.as_str() {
         LEADER_KEY => view.leader = decode(item),
         EPOCH_KEY => {
-            view.epoch = decode(item).unwrap_or(view.epoch);
+            let record: EpochRecord = decode(item).unwrap_or_default();
+            view.epoch = record.epoch;
+            view.holder = record.holder;
             view.epoch_revision = item.revision;
         }
         key => {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -95,7 +95,8 @@
 
 /// A JSON-RPC request over HTTP. jsonrpsee's own client cannot tell a connection that was never made
 /// from a call that was not answered, and has no time limit for making one.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct RpcRequest<'c, P> {
     jsonrpc: &'static str,
     id: u64,
@@ -103,7 +104,8 @@
     params: P,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(bound = "T: DeserializeOwned")]
 struct RpcReply<T> {
     #[serde(default)]
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -26,7 +26,8 @@
 const ELECTION_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// The leader as it stands in the store.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(crate) struct LeaderRecord {
     pub(crate) entry: EntryId,
     /// Where other entries reach it.
@@ -36,10 +37,22 @@
     pub(crate) epoch: LeaderEpoch,
 }
 
+/// The last election as it stands in the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct EpochRecord {
+    pub(crate) epoch: LeaderEpoch,
+    /// Who was elected, and in which start; `None` once it has stepped down.
+    pub(crate) holder: Option<(EntryId, u64)>,
+}
+
 /// An entry as it stands in the store.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(crate) struct EntryRecord {
     pub(crate) address: SocketAddr,
+    /// Tells one start of the entry from another.
+    pub(crate) start: u64,
     /// Share of a processor core.
     pub(crate) processor: f64,
 }
@@ -52,12 +65,24 @@
     /// Revision of the key that counts elections; 0 before the first.
     pub(crate) epoch_revision: u64,
     pub(crate) epoch: LeaderEpoch,
+    /// Who was elected last.
+    pub(crate) holder: Option<(EntryId, u64)>,
     /// Whether the store has been read.
     pub(crate) known: bool,
 }
 
+impl MemberView {
+    /// Whether a process that was elected has surely ended: its entry has started anew.
+    pub(crate) fn has_ended(&self, holder: &Option<(EntryId, u64)>) -> bool {
+        holder.as_ref().is_none_or(|(entry, start)| {
+            self.entries.get(entry).is_some_and(|record| record.start != *start)
+        })
+    }
+}
+
 /// A call for the leader.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum LeaderCall {
     /// A job, and which request of its caller this is.
@@ -68,7 +93,8 @@
 }
 
 /// The leader's answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum LeaderAnswer {
     /// The job is stored.
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -14,7 +14,8 @@
 const MILLICORES_PER_CORE: u32 = 1_000;
 
 /// A worker as the platform lists it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct WorkerSpec {
     /// Name of the worker.
     pub id: WorkerId,
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -9,7 +9,8 @@
 use crate::resources::ResourceVector;
 
 /// Why a task is being stopped.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum StopReason {
     /// Its job was cancelled or its intent changed.
--- a/src/platform/advisor.rs
+++ b/src/platform/advisor.rs
@@ -15,13 +15,15 @@
 
 const ADVISE_PATH: &str = "/api/advise";
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireQuestion<'c> {
     step: String,
     workers: &'c [WorkerId],
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireAdvice {
     #[serde(default)]
     allowed: Vec<(WorkerId, TicketText)>,
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -13,7 +13,8 @@
 /// Prefix that is watched for it.
 pub(crate) const CONFIG_PREFIX: &str = "op/";
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireConfig {
     version: Revision,
     #[serde(default)]
@@ -24,7 +25,8 @@
     limits: WireLimits,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireRoute {
     name: Arc<str>,
     #[serde(rename = "hostname", default)]
@@ -43,7 +45,8 @@
     advice: Option<WireAdvice>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireAdvice {
     #[serde(default)]
     decide_ms: f64,
@@ -53,7 +56,8 @@
     valid_ms: f64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireService {
     name: ServiceId,
     /// Whether its workers refuse what does not fit.
@@ -63,7 +67,8 @@
     standby: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct WireLimits {
     max_body_bytes: usize,
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -22,7 +22,8 @@
 const NAME_LENGTH: usize = 16;
 
 /// A yes or no that may be written as a number.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(untagged)]
 enum WireFlag {
     Number(f64),
@@ -42,7 +43,8 @@
 }
 
 /// A step; what is zero, false or empty may be left out.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct WireStep {
     count: u32,
@@ -68,7 +70,8 @@
     max_unavailable: u32,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct WireJob {
     /// The payload that goes to the worker with each task.
@@ -79,12 +82,14 @@
     interval_ms: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireState {
     state: &'static str,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WirePending {
     pending: usize,
 }
--- a/src/platform/registrations.rs
+++ b/src/platform/registrations.rs
@@ -19,7 +19,8 @@
 const RACK_LABEL: char = 'r';
 
 /// Room of a worker; what is zero may be left out.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct WireCapacity {
     millicpu: u32,
@@ -27,7 +28,8 @@
     gpus: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireRegistration {
     service: ServiceId,
     address: SocketAddr,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,14 +16,16 @@
 const LONGEST_LEASE_MS: u64 = 6_000;
 /// How long an ended job can be asked for where the file says nothing.
 const REMEMBERED_S: f64 = 120.0;
-/// How long workers' leases are renewed after the leader's own: longer than the store is usually
-/// away, and a successor has to wait it out only for workers that it cannot reach.
-const BLIND_TIME: Duration = Duration::from_millis(7_000);
+/// How long workers' leases are renewed after the leader's own: with the worker's
+/// lease of 4.5 s, runs outlive a store that is away for nine seconds; a successor has to wait it out,
+/// but only for workers that it cannot reach.
+const BLIND_TIME: Duration = Duration::from_millis(5_000);
 
 /// Port of the metrics; the deploy file names it too.
 const METRICS_PORT: u16 = 9_464;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireSettings {
     node: String,
     ip: IpAddr,
@@ -42,13 +44,15 @@
     platform: WirePlatform,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireListen {
     front: SocketAddr,
     ready: SocketAddr,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct WireLimits {
     cpu_share: f64,
@@ -62,7 +66,8 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct WireBounds {
     hold_max_ms: u64,
@@ -76,7 +81,8 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WirePlatform {
     address: SocketAddr,
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -34,7 +34,8 @@
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
 /// An item, an event, or either without the parts that it does not have.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireItem {
     key: String,
     #[serde(default)]
@@ -45,7 +46,8 @@
     deleted: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WirePage {
     #[serde(default)]
     items: Vec<WireItem>,
@@ -56,7 +58,8 @@
     revision: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireEvents {
     #[serde(default)]
     events: Vec<WireItem>,
@@ -65,7 +68,8 @@
     revision: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireCondition<'t> {
     key: &'t str,
     revision: u64,
@@ -77,7 +81,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireSet<'t> {
     key: &'t str,
     value: String,
@@ -96,7 +101,8 @@
     *lease == 0
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireTransaction<'t> {
     /// Revision that each key must have; 0 where it must not exist.
     expected_revision: Vec<WireCondition<'t>>,
@@ -104,17 +110,20 @@
     remove: &'t [String],
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireRevision {
     revision: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireTtl {
     ttl_ms: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireLease {
     lease: u64,
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -28,7 +28,8 @@
 /// Added to the time that a poll may wait before it counts as lost.
 const POLL_SLACK: Duration = Duration::from_millis(600);
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireStart<'c> {
     task: String,
     run: RunNumber,
@@ -41,14 +42,16 @@
     ticket: Option<&'c str>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireStop {
     task: String,
     run: RunNumber,
     fencing_token: LeaderEpoch,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireThrottle {
     task: String,
     run: RunNumber,
@@ -56,7 +59,8 @@
     fencing_token: LeaderEpoch,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WirePoll {
     #[serde(skip_serializing_if = "Option::is_none")]
     until_ms: Option<u64>,
@@ -66,7 +70,8 @@
     wait_ms: Option<u64>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireAnswer {
     clock_ms: u64,
     #[serde(default)]
@@ -74,14 +79,17 @@
 }
 
 /// Task, run, last checkpoint, percent done, and the tail latency in ms or the processors in use.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireRunning(String, RunNumber, String, f64, #[serde(default)] f64);
 
 /// Number, task, run, how it ended, last checkpoint.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireEnded(u64, String, RunNumber, String, #[serde(default)] String);
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WirePollAnswer {
     clock_ms: u64,
     #[serde(default)]
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A vector of resources; all arithmetic is checked or saturating.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ResourceVector {
     /// Accelerators, whole devices.
     #[serde(default, skip_serializing_if = "is_zero")]
--- a/src/routing/report.rs
+++ b/src/routing/report.rs
@@ -10,7 +10,8 @@
 use crate::token::FencingToken;
 
 /// An upstream that answers requests of a service.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UpstreamSpec {
     /// Name of the upstream.
     pub id: UpstreamId,
@@ -23,7 +24,8 @@
 }
 
 /// What an entry holds of one upstream.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ShareHolding {
     /// Slots that it may use.
     pub share: u32,
@@ -32,7 +34,8 @@
 }
 
 /// An entry tells the leader what it holds and needs.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct DemandReport {
     /// The entry.
     pub entry: EntryId,
@@ -51,7 +54,8 @@
 }
 
 /// The leader's answer to a report; it replaces all earlier grants.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ShareGrant {
     /// The leader.
     pub token: FencingToken,
--- a/src/store.rs
+++ b/src/store.rs
@@ -33,7 +33,8 @@
 }
 
 /// A value with its version.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct StoredValue {
     /// Version of the key; rises with every write.
     pub version: KeyVersion,
--- a/src/token.rs
+++ b/src/token.rs
@@ -8,7 +8,8 @@
 ///
 /// A worker keeps the highest token seen and refuses lower ones, so that of two processes that both
 /// believe to lead only one can act on a worker.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct FencingToken {
     /// Raised by every compare-and-swap of the lease record.
     pub epoch: u64,
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -14,7 +14,8 @@
 use crate::token::FencingToken;
 
 /// What a task used, as the worker reports it with a lag.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TaskUsage {
     /// How long it has run.
     pub run_time: Duration,
@@ -30,7 +31,8 @@
 }
 
 /// How a task ended on a worker.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TaskOutcome {
     /// It ran to its end.
@@ -46,7 +48,8 @@
 }
 
 /// What a worker says of one task.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TaskReport {
     /// The task.
     pub task: TaskId,
@@ -66,7 +69,8 @@
 }
 
 /// A command to a worker.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkerCommand {
     /// Start a task; a repeated start of the same try has no effect.
@@ -104,7 +108,8 @@
 }
 
 /// One exchange, sent by a leader.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct WorkerRequest {
     /// Orders leaders; the worker refuses a lower one than the highest it has seen.
     pub token: FencingToken,
@@ -122,7 +127,8 @@
 }
 
 /// The worker's answer.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct WorkerReply {
     /// Whether the request was carried out.
     pub accepted: bool,
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -192,3 +192,27 @@
     world.run(seconds(10));
     expect_that!(world.state("a"), some(eq(GraphState::Completed)));
 }
+
+#[gtest]
+fn a_takeover_settles_sooner_when_the_leader_before_has_ended() {
+    let mut world = World::new(12, 2);
+    world.run(seconds(1));
+    world.submit("now", "a", vec![step(2, 8, 60_000)]);
+    world.run(seconds(1));
+    world.submit("now", "b", vec![step(1, 1, 500)]);
+    world.run(seconds(1));
+    for worker in world.workers.values_mut().take(1) {
+        worker.up = false;
+    }
+    let epoch = world.store.epoch;
+    world.leaders.remove(&epoch);
+    world.add_worker(6, 0);
+    world.add_worker(7, 0);
+    world.elect();
+    let now = world.now;
+    world.leader().unwrap().note_predecessor_ended(now);
+    world.run(Duration::from_millis(4_500));
+    expect_that!(world.state("b"), not(some(eq(GraphState::Completed))));
+    world.run(seconds(2));
+    expect_that!(world.state("b"), some(eq(GraphState::Completed)));
+}
