--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -25,6 +25,13 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Head start of the entry that led last, and of each entry before the next in rank.
 const RANK_PAUSE: Duration = Duration::from_millis(60);
+/// Lateness of timers from which a machine is too slow to lead: a healthy leader's are late by less
+/// than 5 ms, those of one that is seven times slower by 20 to 130 ms.
+const SLOW_LATENESS: Duration = Duration::from_millis(35);
+/// Shortest time of leading before that: a takeover itself is heavy.
+const LEAST_TERM: Duration = Duration::from_secs(4);
+/// How long a machine that was too slow does not stand.
+const SLOW_REST: Duration = Duration::from_secs(10);
 /// Places in the ring to the leader's duty.
 const LEADER_RING: usize = 8_192;
 
@@ -43,11 +50,25 @@
     leadership: Option<Leadership>,
     /// Latest epoch that this process has led under: it is not led under again.
     last_epoch: LeaderEpoch,
+    led_since: Option<Instant>,
+    /// How late timers are, smoothed over five of them.
+    lateness: Duration,
+    /// Until when this process does not stand, as its machine was too slow.
+    rests_until: Option<Instant>,
 }
 
 impl ElectionDuty {
     pub(crate) fn new(shared: Arc<NodeShared>) -> Self {
-        Self { shared, lease: None, renewed: None, leadership: None, last_epoch: 0 }
+        Self {
+            shared,
+            lease: None,
+            renewed: None,
+            leadership: None,
+            last_epoch: 0,
+            led_since: None,
+            lateness: Duration::ZERO,
+            rests_until: None,
+        }
     }
 
     /// Runs until the process stops, then hands leadership over.
@@ -62,7 +83,8 @@
                 return;
             }
             if next_renewal <= Instant::now() {
-                next_renewal = Instant::now() + self.renew().await;
+                let pause = self.renew().await;
+                next_renewal = Instant::now() + pause;
             }
             let view = members.borrow_and_update().clone();
             self.follow(&view).await;
@@ -82,13 +104,28 @@
                 }
             };
             tokio::select! {
-                () = sleep_until(wake) => {}
+                () = sleep_until(wake) => self.note_lateness(wake.elapsed()).await,
                 _ = members.changed() => {}
                 _ = draining.changed() => {}
             }
         }
     }
 
+    /// Steps down where this machine has become too slow to lead, which its timers show.
+    async fn note_lateness(&mut self, late: Duration) {
+        self.lateness = (self.lateness * 3 + late * 2) / 5;
+        let settled = self.led_since.is_some_and(|since| since.elapsed() > LEAST_TERM);
+        let others = self.shared.members.borrow().entries.len() > 1;
+        if self.lateness < SLOW_LATENESS || !settled || !others || self.leadership.is_none() {
+            return;
+        }
+        warn!(late_ms = late.as_millis() as u64; "this machine is too slow to lead");
+        self.lateness = Duration::ZERO;
+        self.rests_until = Some(Instant::now() + SLOW_REST);
+        self.end_leadership().await;
+        self.step_down().await;
+    }
+
     /// Renews the lease, or makes a new one; gives the time until the next renewal.
     async fn renew(&mut self) -> Duration {
         let sent = Instant::now();
@@ -166,7 +203,9 @@
     }
 
     fn may_stand(&self, view: &MemberView) -> bool {
+        let rests = self.rests_until.is_some_and(|until| until > Instant::now());
         view.known
+            && !rests
             && view.leader.is_none()
             && self.lease.is_some()
             && self.shared.config.borrow().is_some()
@@ -237,6 +276,7 @@
     fn begin(&mut self, epoch: LeaderEpoch, revision: u64, predecessor: Option<(EntryId, u64)>) {
         let sent = self.renewed.unwrap_or_else(Instant::now);
         self.last_epoch = epoch;
+        self.led_since = Some(Instant::now());
         if let Some(leadership) = &mut self.leadership
             && leadership.epoch + 1 == epoch
             && !leadership.task.is_finished()
--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -178,6 +178,18 @@
         }
     }
 
+    /// Lets an entry run for a seventh of the time, for a moment.
+    pub(crate) async fn slow_down(&self, number: usize) {
+        let Some(child) = &self.entries[number].child else {
+            return;
+        };
+        let id = child.id().to_string();
+        for (signal, time) in [("-STOP", 120), ("-CONT", 20)] {
+            assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+            sleep(Duration::from_millis(time)).await;
+        }
+    }
+
     /// Asks an entry to stop, and gives its exit code.
     pub(crate) async fn stop(&mut self, number: usize) -> Option<i32> {
         let mut child = self.entries[number].child.take()?;
--- a/tests/platform/jobs.rs
+++ b/tests/platform/jobs.rs
@@ -167,6 +167,24 @@
     expect_that!(starts(&cluster, FIRST), eq(&vec![1; 4]));
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_leader_on_a_slow_machine_steps_down() {
+    let cluster = Cluster::start(8, 3, 2, &["now"]).await;
+    let leader = cluster.leading().await;
+    let name = cluster.entries[leader].name.clone();
+    let replaced = async || {
+        cluster.slow_down(leader).await;
+        cluster.platform.leader().is_some_and(|leader| leader != name)
+    };
+    wait_for("another leader", replaced).await;
+    let other = (leader + 1) % 3;
+    let answer = cluster.call(other, Method::POST, FIRST, &job(100, 2)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    cluster.wait_state(other, FIRST, "completed").await;
+    expect_that!(broken(&cluster), is_empty());
+}
+
 #[gtest]
 fn wrong_settings_are_reported_with_their_place() {
     let folder = std::env::temp_dir().join(format!("kelplink-{}-settings", std::process::id()));
