--- a/src/graph/commit.rs
+++ b/src/graph/commit.rs
@@ -101,6 +101,11 @@
         !self.added.contains(job)
     }
 
+    /// Jobs that are not part of a group yet.
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = &GraphId> {
+        self.added.iter()
+    }
+
     /// Takes back jobs that are not part of a group and that `given_up` tells.
     pub(crate) fn take_added(
         &mut self,
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -37,6 +37,8 @@
 /// How long a job waits for a store that takes nothing before its caller is told to come back: with
 /// the pause that it is told, a caller's three seconds are covered by two tries.
 const STORE_WAIT: Duration = Duration::from_millis(900);
+/// Kept of a caller's patience for the way of a refusal: an answer after it would be taken for none.
+const REFUSAL_WAY: Duration = Duration::from_millis(40);
 /// How long a rejected request may still arrive again: an entry gives up after three seconds.
 const REJECTED_TIME: Duration = Duration::from_secs(10);
 /// Pause before advice is asked for again after a call that failed.
@@ -226,7 +228,15 @@
 
     /// Takes a job in; the answer comes when it is stored. `attempt` tells the caller's requests
     /// apart: one that was rejected stays so, should it arrive again.
-    pub fn submit(&mut self, now: Instant, call: CallId, attempt: AttemptId, record: GraphRecord) {
+    /// The caller waits for `patience`.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        attempt: AttemptId,
+        patience: Duration,
+        record: GraphRecord,
+    ) {
         let id = record.spec.id.clone();
         match self.jobs.get(&id) {
             Some(job) if job.durable => {
@@ -239,7 +249,9 @@
                 return;
             }
             None => {
-                self.jobs.insert(GraphJob::new(record, now));
+                let mut job = GraphJob::new(record, now);
+                job.give_up = now + STORE_WAIT.min(patience.saturating_sub(REFUSAL_WAY));
+                self.jobs.insert(job);
                 self.commits.add(id.clone());
                 self.pass_wanted = true;
             }
@@ -267,9 +279,7 @@
     /// not taken them.
     fn reject_waiting(&mut self, now: Instant) {
         let jobs = &self.jobs;
-        let waited = |id: &GraphId| {
-            jobs.get(id).is_none_or(|job| now.saturating_duration_since(job.begun) >= STORE_WAIT)
-        };
+        let waited = |id: &GraphId| jobs.get(id).is_none_or(|job| job.give_up <= now);
         for id in self.commits.take_added(waited) {
             self.reject_job(now, &id);
         }
@@ -366,6 +376,8 @@
         if self.commits.is_due(now) {
             return now;
         }
+        let waiting = self.commits.waiting().filter_map(|id| self.jobs.get(id));
+        due = waiting.map(|job| job.give_up).min().map_or(due, |give_up| due.min(give_up));
         self.commits.due().map_or(due, |commit| due.min(commit)).max(now)
     }
 
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -62,6 +62,8 @@
     pub shown: Option<GraphVerdict>,
     /// Whether the store has the job.
     pub durable: bool,
+    /// When its caller is told that it was not taken, unless the store has it by then.
+    pub give_up: Instant,
     /// Whether it is from before this leader's time.
     pub inherited: bool,
     /// When it was submitted.
@@ -90,6 +92,7 @@
             progress: GraphProgress::default(),
             shown: None,
             durable: false,
+            give_up: now,
             inherited: false,
             begun: now,
             live: BTreeMap::new(),
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -452,7 +452,7 @@
 
     /// Whether the steps before will have ended by the time that advice could be there.
     fn comes_soon(&self, step: &OpenStep<'t>) -> bool {
-        if !step.job.durable || step.step.after.is_empty() {
+        if step.step.after.is_empty() {
             return true;
         }
         let Some(rule) = step.job.rule.advice else {
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -139,8 +139,9 @@
             ProblemDetails::new(status, "no such job can be", mistakes.join("; ")).ran(RanState::No)
         })?;
         let record = GraphRecord { spec, rule: (**queue).clone() };
-        let call = LeaderCall::Submit(rand::random(), Box::new(record));
-        match self.access.ask(&call, request.patience()).await {
+        let patience = request.patience();
+        let call = LeaderCall::Submit(rand::random(), patience, Box::new(record));
+        match self.access.ask(&call, patience).await {
             Ok(LeaderAnswer::Rejected(retry)) => {
                 Err(unavailable("the job could not be taken").retry_after(retry))
             }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -247,9 +247,9 @@
                 let pending = controller.jobs().pending(&queue);
                 let _ = answer.send(LeaderAnswer::Pending(pending));
             }
-            LeaderCall::Submit(attempt, record) => {
+            LeaderCall::Submit(attempt, patience, record) => {
                 self.callers.insert(id, answer);
-                controller.submit(now, id, attempt, *record);
+                controller.submit(now, id, attempt, patience, *record);
             }
             LeaderCall::Cancel(job) => {
                 self.callers.insert(id, answer);
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -85,8 +85,8 @@
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum LeaderCall {
-    /// A job, and which request of its caller this is.
-    Submit(AttemptId, Box<GraphRecord>),
+    /// A job, which request of its caller this is, and how long that one waits.
+    Submit(AttemptId, Duration, Box<GraphRecord>),
     Cancel(GraphId),
     State(GraphId),
     Pending(QueueId),
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -216,3 +216,15 @@
     world.run(seconds(2));
     expect_that!(world.state("b"), some(eq(GraphState::Completed)));
 }
+
+#[gtest]
+fn a_caller_with_little_time_left_is_refused_within_it() {
+    let mut world = World::new(13, 4);
+    world.run(seconds(1));
+    world.store.up = false;
+    world.store.refuses = true;
+    world.patience = Duration::from_millis(200);
+    let call = world.submit("now", "a", vec![step(2, 1, 500)]);
+    world.run(Duration::from_millis(180));
+    expect_that!(world.answers.get(&call), some(matches_pattern!(GraphAnswer::Rejected(_))));
+}
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -124,6 +124,8 @@
     done: BTreeSet<TaskName>,
     /// When the store took a job's verdict.
     ended: BTreeMap<GraphId, Instant>,
+    /// How long callers wait.
+    pub(crate) patience: Duration,
     /// Share of runs that fail, in thousandths.
     pub(crate) failing: u32,
     /// Jobs every run of which fails.
@@ -181,6 +183,7 @@
             noted: BTreeMap::new(),
             done: BTreeSet::new(),
             ended: BTreeMap::new(),
+            patience: Duration::from_secs(3),
             failing: 0,
             poison: BTreeSet::new(),
             begun_runs: 0,
@@ -255,8 +258,9 @@
         };
         self.last_call += 1;
         let (now, call) = (self.now, self.last_call);
+        let patience = self.patience;
         if let Some(leader) = self.leader() {
-            leader.submit(now, call, call, record);
+            leader.submit(now, call, call, patience, record);
         }
         call
     }
