--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -1,7 +1,9 @@
 //! The leader of the job graphs: carries events between its tables and gives actions.
 
 mod commands;
+mod findings;
 mod storing;
+mod submissions;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -11,18 +13,17 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceDesk, AdviceId};
-use crate::graph::commit::{CommitQueue, GroupNumber};
-use crate::graph::event::{GraphAction, GraphAnswer, PollResult};
-use crate::graph::exchange::{EndReport, RunReport, TicketText, UsedWorker, WorkerListing};
-use crate::graph::job::{GraphJob, GraphRecord, GraphState};
-use crate::graph::jobs::{JobEffect, JobTable, RunToStop};
-use crate::graph::lives::{LifeFinding, LifeTable, WORKER_LEASE};
+use crate::graph::commit::CommitQueue;
+use crate::graph::event::{GraphAction, PollResult};
+use crate::graph::exchange::{TicketText, UsedWorker, WorkerListing};
+use crate::graph::job::{GraphJob, GraphRecord};
+use crate::graph::jobs::JobTable;
+use crate::graph::lives::{LifeTable, WORKER_LEASE};
 use crate::graph::name::{AttemptId, GraphId, LeaderEpoch, RunNumber, TaskName};
 use crate::graph::placer::{PassView, PlacementPass};
 use crate::graph::preemption::RoomKeeper;
 use crate::graph::progress::GraphProgress;
 use crate::graph::queue::QueueConfig;
-use crate::graph::worker::{RunPhase, WorkerRun};
 use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId};
 
 /// Starts of one task that a leader may make: run numbers of later leaders are above.
@@ -30,15 +31,6 @@
 /// How long what an earlier leader left at a worker may run on: its lease, by a clock that is 2% slow,
 /// and the time to kill it.
 const LEASE_LIFE: Duration = WORKER_LEASE.saturating_add(Duration::from_millis(300));
-/// Advice on when to come back to a caller whose job could not be taken: callers wait three seconds in
-/// all, so one second gives them two more tries. Pauses that grow with the outage up to four seconds
-/// were tried: fewer came back in time.
-const RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// How long a job waits for a store that takes nothing before its caller is told to come back: with
-/// the pause that it is told, a caller's three seconds are covered by two tries.
-const STORE_WAIT: Duration = Duration::from_millis(900);
-/// Kept of a caller's patience for the way of a refusal: an answer after it would be taken for none.
-const REFUSAL_WAY: Duration = Duration::from_millis(40);
 /// How long a rejected request may still arrive again: an entry gives up after three seconds.
 const REJECTED_TIME: Duration = Duration::from_secs(10);
 /// Pause before advice is asked for again after a call that failed.
@@ -226,104 +218,6 @@
         self.lives.unlisted(id);
     }
 
-    /// Takes a job in; the answer comes when it is stored. `attempt` tells the caller's requests
-    /// apart: one that was rejected stays so, should it arrive again.
-    /// The caller waits for `patience`.
-    pub fn submit(
-        &mut self,
-        now: Instant,
-        call: CallId,
-        attempt: AttemptId,
-        patience: Duration,
-        record: GraphRecord,
-    ) {
-        let id = record.spec.id.clone();
-        match self.jobs.get(&id) {
-            Some(job) if job.durable => {
-                self.actions.push(GraphAction::Answer(call, GraphAnswer::Accepted));
-                return;
-            }
-            Some(_) => {}
-            None if self.rejected.contains_key(&attempt) => {
-                self.reject(now, call, attempt, &id, "this attempt was rejected before");
-                return;
-            }
-            None => {
-                let mut job = GraphJob::new(record, now);
-                job.give_up = now + STORE_WAIT.min(patience.saturating_sub(REFUSAL_WAY));
-                self.jobs.insert(job);
-                self.commits.add(id.clone());
-                self.pass_wanted = true;
-            }
-        }
-        self.waiters.entry(id).or_default().push((call, attempt));
-    }
-
-    /// Rejects a request for good.
-    fn reject(
-        &mut self,
-        now: Instant,
-        call: CallId,
-        attempt: AttemptId,
-        id: &GraphId,
-        reason: &'static str,
-    ) {
-        let retry_ms = RETRY_AFTER.as_millis() as u64;
-        warn!(job = &**id, reason, retry_ms; "job rejected");
-        metrics::counter!("kelplink_rejected_jobs_total", "reason" => reason).increment(1);
-        self.rejected.insert(attempt, now);
-        self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(RETRY_AFTER)));
-    }
-
-    /// Rejects jobs that have waited long for a store that takes nothing, where it is sure that it has
-    /// not taken them.
-    fn reject_waiting(&mut self, now: Instant) {
-        let jobs = &self.jobs;
-        let waited = |id: &GraphId| jobs.get(id).is_none_or(|job| job.give_up <= now);
-        for id in self.commits.take_added(waited) {
-            self.reject_job(now, &id);
-        }
-    }
-
-    /// Rejects a job that is surely not stored.
-    fn reject_job(&mut self, now: Instant, id: &GraphId) {
-        self.jobs.remove(id);
-        self.advice.forget(id);
-        for (call, attempt) in self.waiters.remove(id).unwrap_or_default() {
-            self.reject(now, call, attempt, id, "the store takes nothing");
-        }
-    }
-
-    /// The store has surely not taken a group.
-    pub fn not_stored(&mut self, now: Instant, number: GroupNumber) {
-        let Some(group) = self.commits.refused(number, now) else {
-            return;
-        };
-        for record in group.added {
-            self.commits.add(record.spec.id);
-        }
-        self.reject_waiting(now);
-    }
-
-    /// Cancels a job; the answer comes when that is stored.
-    pub fn cancel(&mut self, now: Instant, unix: UnixMillis, call: CallId, id: &GraphId) {
-        let state = self.jobs.get(id).map(GraphJob::state);
-        let answer = match state {
-            None | Some(GraphState::Completed | GraphState::Failed) => Some(GraphAnswer::Gone),
-            Some(GraphState::Cancelled) => Some(GraphAnswer::Cancelled),
-            Some(GraphState::Queued | GraphState::Running) => None,
-        };
-        if let Some(answer) = answer {
-            self.actions.push(GraphAction::Answer(call, answer));
-            return;
-        }
-        let effect = self.jobs.cancel(id, unix);
-        info!(job = &**id, stops = effect.stops.len(); "job cancelled by its caller");
-        self.waiters.entry(id.clone()).or_default().push((call, 0));
-        self.advice.forget(id);
-        self.apply(now, id, effect);
-    }
-
     /// Takes in the answer to a poll.
     pub fn polled(&mut self, now: Instant, unix: UnixMillis, id: &WorkerId, result: PollResult) {
         let found = match result {
@@ -447,119 +341,6 @@
         self.epoch.saturating_sub(1) * RUNS_AN_EPOCH
     }
 
-    fn take_findings(&mut self, now: Instant, found: Vec<LifeFinding>) {
-        self.take_findings_at(now, 0, found);
-    }
-
-    fn take_findings_at(&mut self, now: Instant, unix: UnixMillis, found: Vec<LifeFinding>) {
-        for finding in found {
-            self.pass_wanted = true;
-            match finding {
-                LifeFinding::Ended(worker, end) => self.run_ended(now, unix, &worker, end),
-                LifeFinding::Unknown(worker, report) => self.run_found(now, &worker, report),
-                LifeFinding::Lost(worker, task, run, saved) => {
-                    warn!(task:% = task, run, worker = &*worker; "run lost");
-                    let effect = self.jobs.lost(&task, run, &saved);
-                    self.apply(now, &task.job, effect);
-                }
-                LifeFinding::Confirmed(worker, task) => {
-                    self.jobs.note_begun(&task);
-                    info!(task:% = task, worker = &*worker; "an unanswered start has begun");
-                }
-                LifeFinding::Deposed(worker) => {
-                    warn!(worker = &*worker, epoch = self.epoch; "a worker obeys a later leader");
-                    self.deposed = true;
-                }
-                LifeFinding::Claimed(worker) => {
-                    info!(worker = &*worker, epoch = self.epoch; "worker claimed");
-                    self.unheard.remove(&worker);
-                    self.commits.note_workers(now, true);
-                }
-                LifeFinding::Over(worker, reason) => {
-                    info!(worker = &*worker, reason; "worker is gone");
-                    self.unheard.remove(&worker);
-                    self.commits.note_workers(now, false);
-                }
-            }
-        }
-    }
-
-    fn run_ended(&mut self, now: Instant, unix: UnixMillis, worker: &WorkerId, end: EndReport) {
-        let EndReport { number, task, run, kind, .. } = &end;
-        info!(task:% = task, run, worker = &**worker, end:? = kind, number; "run ended");
-        metrics::counter!("kelplink_run_ends_total", "kind" => format!("{kind:?}")).increment(1);
-        self.commits.touch(now, false);
-        let effect = self.jobs.ended(now, unix, worker, &end);
-        self.apply(now, &end.task.job, effect);
-    }
-
-    /// A run that this leader did not start: it is taken over if it is still wanted.
-    fn run_found(&mut self, now: Instant, worker: &WorkerId, report: RunReport) {
-        let RunReport { task, run, saved, percent, figure } = report;
-        let wanted = self.jobs.get(&task.job).is_some_and(|job| {
-            let newer = job.live.get(&task.key).is_none_or(|live| live.run < run);
-            self.jobs.wants(&task) && newer
-        });
-        let job = self.jobs.get(&task.job);
-        let step = job.and_then(|job| job.step(task.key.step));
-        let phase = RunPhase::Running { confirmed: Duration::ZERO };
-        let origin = job.zip(step);
-        let entry = WorkerRun { percent, figure, saved, ..WorkerRun::new(run, phase, now, origin) };
-        let known = step.is_some();
-        info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
-        let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
-        if let Some(life) = self.lives.get_mut(worker) {
-            life.obscure |= !known;
-            life.add_run(task.clone(), entry);
-        }
-        match wanted {
-            true => {
-                self.jobs.note_run(&task, worker.clone(), run);
-                self.jobs.note_begun(&task);
-                if let Some(older) = older {
-                    self.stop_all(vec![(older.worker, task, older.run)]);
-                }
-            }
-            false => self.stop_all(vec![(worker.clone(), task, run)]),
-        }
-    }
-
-    fn apply(&mut self, now: Instant, id: &GraphId, effect: JobEffect) {
-        let JobEffect { changed, urgent, stops } = effect;
-        if changed {
-            self.commits.change(id.clone(), now, urgent);
-        }
-        self.stop_all(stops);
-        self.pass_wanted = true;
-    }
-
-    fn stop_all(&mut self, stops: Vec<RunToStop>) {
-        for (worker, task, run) in stops {
-            self.stop(&worker, &task, run);
-        }
-    }
-
-    fn answer_waiters(&mut self, id: &GraphId, answer: GraphAnswer) {
-        for (call, _) in self.waiters.remove(id).unwrap_or_default() {
-            self.actions.push(GraphAction::Answer(call, answer));
-        }
-    }
-
-    /// Ends leadership: who waits is told that the job was not taken where that is sure.
-    pub fn resign(&mut self) {
-        let waiting = std::mem::take(&mut self.waiters);
-        for (id, calls) in waiting {
-            let sure =
-                self.jobs.get(&id).is_some_and(|job| !job.durable) && !self.commits.sent(&id);
-            if !sure {
-                continue;
-            }
-            for (call, _) in calls {
-                self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(RETRY_AFTER)));
-            }
-        }
-    }
-
     /// Names of all tasks that run or may run, for the state dump.
     pub fn live_tasks(&self) -> impl Iterator<Item = (TaskName, &WorkerId)> {
         self.jobs
--- /dev/null
+++ b/src/graph/controller/findings.rs
@@ -0,0 +1,119 @@
+//! What workers' answers say of runs, and what follows for their jobs.
+
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::Instant;
+
+use crate::graph::controller::GraphController;
+use crate::graph::exchange::{EndReport, RunReport};
+use crate::graph::jobs::{JobEffect, RunToStop};
+use crate::graph::lives::LifeFinding;
+use crate::graph::name::GraphId;
+use crate::graph::worker::{RunPhase, WorkerRun};
+use crate::id::{UnixMillis, WorkerId};
+
+impl GraphController {
+    pub(super) fn take_findings(&mut self, now: Instant, found: Vec<LifeFinding>) {
+        self.take_findings_at(now, 0, found);
+    }
+
+    pub(super) fn take_findings_at(
+        &mut self,
+        now: Instant,
+        unix: UnixMillis,
+        found: Vec<LifeFinding>,
+    ) {
+        for finding in found {
+            self.pass_wanted = true;
+            match finding {
+                LifeFinding::Ended(worker, end) => self.run_ended(now, unix, &worker, end),
+                LifeFinding::Unknown(worker, report) => self.run_found(now, &worker, report),
+                LifeFinding::Lost(worker, task, run, saved) => {
+                    warn!(task:% = task, run, worker = &*worker; "run lost");
+                    let effect = self.jobs.lost(&task, run, &saved);
+                    self.apply(now, &task.job, effect);
+                }
+                LifeFinding::Confirmed(worker, task) => {
+                    self.jobs.note_begun(&task);
+                    info!(task:% = task, worker = &*worker; "an unanswered start has begun");
+                }
+                LifeFinding::Deposed(worker) => {
+                    warn!(worker = &*worker, epoch = self.epoch; "a worker obeys a later leader");
+                    self.deposed = true;
+                }
+                LifeFinding::Claimed(worker) => {
+                    info!(worker = &*worker, epoch = self.epoch; "worker claimed");
+                    self.unheard.remove(&worker);
+                    self.commits.note_workers(now, true);
+                }
+                LifeFinding::Over(worker, reason) => {
+                    info!(worker = &*worker, reason; "worker is gone");
+                    self.unheard.remove(&worker);
+                    self.commits.note_workers(now, false);
+                }
+            }
+        }
+    }
+
+    pub(super) fn run_ended(
+        &mut self,
+        now: Instant,
+        unix: UnixMillis,
+        worker: &WorkerId,
+        end: EndReport,
+    ) {
+        let EndReport { number, task, run, kind, .. } = &end;
+        info!(task:% = task, run, worker = &**worker, end:? = kind, number; "run ended");
+        metrics::counter!("kelplink_run_ends_total", "kind" => format!("{kind:?}")).increment(1);
+        self.commits.touch(now, false);
+        let effect = self.jobs.ended(now, unix, worker, &end);
+        self.apply(now, &end.task.job, effect);
+    }
+
+    /// A run that this leader did not start: it is taken over if it is still wanted.
+    pub(super) fn run_found(&mut self, now: Instant, worker: &WorkerId, report: RunReport) {
+        let RunReport { task, run, saved, percent, figure } = report;
+        let wanted = self.jobs.get(&task.job).is_some_and(|job| {
+            let newer = job.live.get(&task.key).is_none_or(|live| live.run < run);
+            self.jobs.wants(&task) && newer
+        });
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.step(task.key.step));
+        let phase = RunPhase::Running { confirmed: Duration::ZERO };
+        let origin = job.zip(step);
+        let entry = WorkerRun { percent, figure, saved, ..WorkerRun::new(run, phase, now, origin) };
+        let known = step.is_some();
+        info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
+        let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
+        if let Some(life) = self.lives.get_mut(worker) {
+            life.obscure |= !known;
+            life.add_run(task.clone(), entry);
+        }
+        match wanted {
+            true => {
+                self.jobs.note_run(&task, worker.clone(), run);
+                self.jobs.note_begun(&task);
+                if let Some(older) = older {
+                    self.stop_all(vec![(older.worker, task, older.run)]);
+                }
+            }
+            false => self.stop_all(vec![(worker.clone(), task, run)]),
+        }
+    }
+
+    pub(super) fn apply(&mut self, now: Instant, id: &GraphId, effect: JobEffect) {
+        let JobEffect { changed, urgent, stops } = effect;
+        if changed {
+            self.commits.change(id.clone(), now, urgent);
+        }
+        self.stop_all(stops);
+        self.pass_wanted = true;
+    }
+
+    pub(super) fn stop_all(&mut self, stops: Vec<RunToStop>) {
+        for (worker, task, run) in stops {
+            self.stop(&worker, &task, run);
+        }
+    }
+}
--- /dev/null
+++ b/src/graph/controller/submissions.rs
@@ -0,0 +1,144 @@
+//! Jobs as they come in, are refused, and are cancelled.
+
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::Instant;
+
+use crate::graph::commit::GroupNumber;
+use crate::graph::controller::GraphController;
+use crate::graph::event::{GraphAction, GraphAnswer};
+use crate::graph::job::{GraphJob, GraphRecord, GraphState};
+use crate::graph::name::{AttemptId, GraphId};
+use crate::id::{CallId, UnixMillis};
+
+/// Advice on when to come back to a caller whose job could not be taken: callers wait three seconds in
+/// all, so one second gives them two more tries. Pauses that grow with the outage up to four seconds
+/// were tried: fewer came back in time.
+const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// How long a job waits for a store that takes nothing before its caller is told to come back: with
+/// the pause that it is told, a caller's three seconds are covered by two tries.
+const STORE_WAIT: Duration = Duration::from_millis(900);
+/// Kept of a caller's patience for the way of a refusal: an answer after it would be taken for none.
+const REFUSAL_WAY: Duration = Duration::from_millis(40);
+
+impl GraphController {
+    /// Takes a job in; the answer comes when it is stored. `attempt` tells the caller's requests
+    /// apart: one that was rejected stays so, should it arrive again.
+    /// The caller waits for `patience`.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        attempt: AttemptId,
+        patience: Duration,
+        record: GraphRecord,
+    ) {
+        let id = record.spec.id.clone();
+        match self.jobs.get(&id) {
+            Some(job) if job.durable => {
+                self.actions.push(GraphAction::Answer(call, GraphAnswer::Accepted));
+                return;
+            }
+            Some(_) => {}
+            None if self.rejected.contains_key(&attempt) => {
+                self.reject(now, call, attempt, &id, "this attempt was rejected before");
+                return;
+            }
+            None => {
+                let mut job = GraphJob::new(record, now);
+                job.give_up = now + STORE_WAIT.min(patience.saturating_sub(REFUSAL_WAY));
+                self.jobs.insert(job);
+                self.commits.add(id.clone());
+                self.pass_wanted = true;
+            }
+        }
+        self.waiters.entry(id).or_default().push((call, attempt));
+    }
+
+    /// Rejects a request for good.
+    pub(super) fn reject(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        attempt: AttemptId,
+        id: &GraphId,
+        reason: &'static str,
+    ) {
+        let retry_ms = RETRY_AFTER.as_millis() as u64;
+        warn!(job = &**id, reason, retry_ms; "job rejected");
+        metrics::counter!("kelplink_rejected_jobs_total", "reason" => reason).increment(1);
+        self.rejected.insert(attempt, now);
+        self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(RETRY_AFTER)));
+    }
+
+    /// Rejects jobs that have waited long for a store that takes nothing, where it is sure that it has
+    /// not taken them.
+    pub(super) fn reject_waiting(&mut self, now: Instant) {
+        let jobs = &self.jobs;
+        let waited = |id: &GraphId| jobs.get(id).is_none_or(|job| job.give_up <= now);
+        for id in self.commits.take_added(waited) {
+            self.reject_job(now, &id);
+        }
+    }
+
+    /// Rejects a job that is surely not stored.
+    pub(super) fn reject_job(&mut self, now: Instant, id: &GraphId) {
+        self.jobs.remove(id);
+        self.advice.forget(id);
+        for (call, attempt) in self.waiters.remove(id).unwrap_or_default() {
+            self.reject(now, call, attempt, id, "the store takes nothing");
+        }
+    }
+
+    /// The store has surely not taken a group.
+    pub fn not_stored(&mut self, now: Instant, number: GroupNumber) {
+        let Some(group) = self.commits.refused(number, now) else {
+            return;
+        };
+        for record in group.added {
+            self.commits.add(record.spec.id);
+        }
+        self.reject_waiting(now);
+    }
+
+    /// Cancels a job; the answer comes when that is stored.
+    pub fn cancel(&mut self, now: Instant, unix: UnixMillis, call: CallId, id: &GraphId) {
+        let state = self.jobs.get(id).map(GraphJob::state);
+        let answer = match state {
+            None | Some(GraphState::Completed | GraphState::Failed) => Some(GraphAnswer::Gone),
+            Some(GraphState::Cancelled) => Some(GraphAnswer::Cancelled),
+            Some(GraphState::Queued | GraphState::Running) => None,
+        };
+        if let Some(answer) = answer {
+            self.actions.push(GraphAction::Answer(call, answer));
+            return;
+        }
+        let effect = self.jobs.cancel(id, unix);
+        info!(job = &**id, stops = effect.stops.len(); "job cancelled by its caller");
+        self.waiters.entry(id.clone()).or_default().push((call, 0));
+        self.advice.forget(id);
+        self.apply(now, id, effect);
+    }
+
+    pub(super) fn answer_waiters(&mut self, id: &GraphId, answer: GraphAnswer) {
+        for (call, _) in self.waiters.remove(id).unwrap_or_default() {
+            self.actions.push(GraphAction::Answer(call, answer));
+        }
+    }
+
+    /// Ends leadership: who waits is told that the job was not taken where that is sure.
+    pub fn resign(&mut self) {
+        let waiting = std::mem::take(&mut self.waiters);
+        for (id, calls) in waiting {
+            let sure =
+                self.jobs.get(&id).is_some_and(|job| !job.durable) && !self.commits.sent(&id);
+            if !sure {
+                continue;
+            }
+            for (call, _) in calls {
+                self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(RETRY_AFTER)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/graph/placer/room.rs
@@ -0,0 +1,34 @@
+//! Room on a worker while a pass goes on.
+
+use crate::graph::worker::WorkerLife;
+use crate::resources::ResourceVector;
+
+/// Room on a worker as the pass goes on.
+#[derive(Clone)]
+pub(super) struct PassRoom<'t> {
+    pub(super) life: &'t WorkerLife,
+    /// Free and not kept for a task.
+    pub(super) free: ResourceVector,
+    /// Free, kept or not.
+    pub(super) spare: ResourceVector,
+    /// Processors that best-effort tasks here would use.
+    pub(super) wanted: u32,
+    pub(super) serves: bool,
+    pub(super) fills: bool,
+}
+
+impl<'t> PassRoom<'t> {
+    pub(super) fn new(life: &'t WorkerLife, free: ResourceVector) -> Self {
+        let best_effort = life.runs.values().filter(|run| run.best_effort);
+        let wanted = best_effort.map(|run| run.figure).sum();
+        Self { life, free, spare: life.free(), wanted, serves: life.serves(), fills: life.fills() }
+    }
+}
+
+/// Number of tasks of a size that a room holds.
+pub(super) fn room_for(room: &ResourceVector, need: &ResourceVector) -> u32 {
+    let holds = |room: u32, need: u32| room.checked_div(need).unwrap_or(u32::MAX);
+    holds(room.millicores, need.millicores)
+        .min(holds(room.memory_mib, need.memory_mib))
+        .min(holds(room.accelerators, need.accelerators))
+}
--- /dev/null
+++ b/src/graph/placer/tasks.rs
@@ -0,0 +1,163 @@
+//! Where single tasks go, and for which of them room is made.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::graph::name::TaskKey;
+use crate::graph::placer::{OpenStep, PlacementPass, PlannedStart};
+use crate::graph::preemption::{PlannedPreemption, victims};
+use crate::graph::spec::StepSpec;
+use crate::id::WorkerId;
+
+/// How long before the latest start room is made: a stop takes 400 ms at most, and its end is seen
+/// and the start sent within 100 ms.
+const PREEMPTION_LEAD: Duration = Duration::from_millis(500);
+
+impl<'t> PlacementPass<'t> {
+    /// Places as many tasks as fit; gives the number of those that do not.
+    pub(super) fn serve_tasks(&mut self, step: &OpenStep<'t>, candidates: &[WorkerId]) -> usize {
+        let mut counts = self.counts(step, candidates);
+        let mut missing = 0;
+        for task in &step.waiting {
+            let kept = self.kept(step, *task, candidates, &counts);
+            let whole = kept.is_some();
+            if let Some(worker) = kept.or_else(|| self.choose(step, *task, candidates, &counts)) {
+                match whole {
+                    true => self.take_kept(&worker, step.step),
+                    false => {
+                        *counts.entry(worker.clone()).or_default() += 1;
+                        self.take(&worker, step.step);
+                    }
+                }
+                let job = step.job.spec.id.clone();
+                self.plan.starts.push(PlannedStart { job, task: *task, worker });
+                continue;
+            }
+            missing += 1;
+            if self.may_preempt(step, *task) {
+                self.preempt(step, *task, candidates, &mut counts);
+            }
+        }
+        missing
+    }
+
+    /// The worker on which room was kept for a task, once it is there. `counts` has the task itself.
+    pub(super) fn kept(
+        &self,
+        step: &OpenStep<'t>,
+        task: TaskKey,
+        candidates: &[WorkerId],
+        counts: &BTreeMap<WorkerId, u32>,
+    ) -> Option<WorkerId> {
+        let kept = self.view.keeper.get(&step.job.task_name(task))?;
+        let room = self.rooms.get(&kept.worker)?;
+        let most = step.step.max_per_worker.unwrap_or(u32::MAX);
+        let fits = kept.need.fits(&room.spare)
+            && candidates.contains(&kept.worker)
+            && counts.get(&kept.worker).copied().unwrap_or(0) <= most;
+        fits.then(|| kept.worker.clone())
+    }
+
+    /// Whether waiting any longer would cost the task its objective, and nothing is under way for it.
+    pub(super) fn may_preempt(&self, step: &OpenStep<'t>, task: TaskKey) -> bool {
+        let pressed = step.order.latest_start <= self.view.now + PREEMPTION_LEAD;
+        let in_time = step.step.lasting || !step.order.late;
+        pressed && in_time && self.view.keeper.get(&step.job.task_name(task)).is_none()
+    }
+
+    /// Chooses the worker where making room throws least work away.
+    pub(super) fn preempt(
+        &mut self,
+        step: &OpenStep<'t>,
+        task: TaskKey,
+        candidates: &[WorkerId],
+        counts: &mut BTreeMap<WorkerId, u32>,
+    ) {
+        let need = step.step.reservation();
+        let most = step.step.max_per_worker.unwrap_or(u32::MAX);
+        let worth = match step.step.lasting {
+            true => f64::MAX,
+            false => f64::from(need.millicores) / 1_000.0 * step.step.estimate.as_secs_f64(),
+        };
+        let priority = step.job.rule.priority;
+        let choice = candidates
+            .iter()
+            .filter(|id| counts.get(*id).copied().unwrap_or(0) < most)
+            .filter_map(|id| {
+                let room = self.rooms.get(id)?;
+                let found = victims(room.life, self.view.now, &room.free, &need, priority, worth);
+                let (lost, chosen) = found?;
+                let taken = chosen.iter().any(|victim| self.victims.contains(victim));
+                (!taken && !chosen.is_empty()).then_some((lost, id, chosen))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, worker, chosen)) = choice else {
+            return;
+        };
+        self.victims.extend(chosen.iter().cloned());
+        let worker = worker.clone();
+        *counts.entry(worker.clone()).or_default() += 1;
+        // What was free there goes to the task as well.
+        if let Some(room) = self.rooms.get_mut(&worker) {
+            room.free = room.free.saturating_sub(&need);
+        }
+        let job = step.job.spec.id.clone();
+        self.plan.preemptions.push(PlannedPreemption { job, task, worker, need, victims: chosen });
+    }
+
+    /// The best worker for a task: near its data, not one where it failed, away from tasks that it
+    /// would disturb, then the tightest fit, so that large rooms stay whole.
+    pub(super) fn choose(
+        &self,
+        step: &OpenStep<'t>,
+        task: TaskKey,
+        among: &[WorkerId],
+        counts: &BTreeMap<WorkerId, u32>,
+    ) -> Option<WorkerId> {
+        let spec = step.step;
+        let need = spec.reservation();
+        let most = spec.max_per_worker.unwrap_or(u32::MAX);
+        let avoided = step.job.avoid.get(&task);
+        let fits = |id: &&WorkerId| {
+            let count = counts.get(*id).copied().unwrap_or(0);
+            count < most
+                && self
+                    .rooms
+                    .get(*id)
+                    .is_some_and(|room| need.fits(&room.free) && need.fits(&room.spare))
+        };
+        let cost = |id: &&WorkerId| {
+            let room = &self.rooms[*id];
+            let far = spec.affinity.as_ref().is_some_and(|rack| rack != room.life.rack());
+            let failed = avoided.is_some_and(|avoided| avoided.contains(*id));
+            let disturbs =
+                (spec.best_effort && room.serves) || (spec.target.is_some() && room.fills);
+            let rest = match spec.best_effort {
+                true => u32::MAX - room.free.millicores.saturating_sub(room.wanted),
+                false => room.free.millicores - need.millicores,
+            };
+            (far, failed, disturbs, rest)
+        };
+        among.iter().filter(fits).min_by_key(cost).cloned()
+    }
+
+    /// Takes room that was kept for the task, and so is not among what is free.
+    pub(super) fn take_kept(&mut self, worker: &WorkerId, spec: &StepSpec) {
+        if let Some(room) = self.rooms.get_mut(worker) {
+            room.spare = room.spare.saturating_sub(&spec.reservation());
+            room.serves |= spec.target.is_some();
+        }
+    }
+
+    pub(super) fn take(&mut self, worker: &WorkerId, spec: &StepSpec) {
+        if let Some(room) = self.rooms.get_mut(worker) {
+            room.free = room.free.saturating_sub(&spec.reservation());
+            room.spare = room.spare.saturating_sub(&spec.reservation());
+            if spec.best_effort {
+                room.wanted = room.wanted.saturating_add(spec.need.millicores);
+                room.fills = true;
+            }
+            room.serves |= spec.target.is_some();
+        }
+    }
+}
