An entry that reaches neither the store nor the leader is not ready

Ruled out: not ready as soon as the store is silent: while the store is down for all, entries still tell callers what the leader knows. Change: once the store has been silent for 0.7 s an entry asks the leader (the leader: entries of other failure domains) each 250 ms; after a second without either it is not ready, and it closes the connections of those it refuses. In normal times no call is added. Test: an_entry_that_is_cut_off_is_not_ready_after_a_second, failed before.

--- a/src/node.rs
+++ b/src/node.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod probe;
 mod process;
+mod reach;
 mod registry;
 mod settings;
 mod shared;
@@ -23,3 +24,6 @@
 };
 pub use process::NodeProcess;
 pub use settings::NodeSettings;
+
+#[cfg(test)]
+mod tests;
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -93,7 +93,13 @@
         }
         let leader = self.shared.members.borrow().leader.clone();
         match leader.filter(|leader| leader.start != self.shared.start) {
-            Some(leader) => self.peers.ask(leader.address, call, time).await,
+            Some(leader) => {
+                let answer = self.peers.ask(leader.address, call, time).await;
+                if answer.as_ref().is_ok_and(|answer| *answer != LeaderAnswer::NotLeading) {
+                    self.shared.note_peer();
+                }
+                answer
+            }
             None => Err(PeerFailure::NotSent),
         }
     }
@@ -119,6 +125,9 @@
     let Some(leader) = shared.leading() else {
         return Some(LeaderAnswer::NotLeading);
     };
+    if matches!(call, LeaderCall::Reach) {
+        return Some(LeaderAnswer::Leading);
+    }
     let (answer, answered) = oneshot::channel();
     match leader.offer(LeaderInput::Call(call, answer)) {
         Ok(()) => answered.await.ok(),
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -11,7 +11,7 @@
 use gotham::router::builder::build_simple_router;
 use gotham::state::{FromState, State, StateData};
 use http_body_util::{BodyExt, Limited};
-use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use log::info;
 use tokio::time::{Instant, timeout};
@@ -73,6 +73,7 @@
             Ok(response) => response,
             Err(problem) => problem.response(),
         };
+        let response = desk.released(response);
         let status = response.status().as_u16();
         let took = begun.elapsed();
         metrics::histogram!("kelplink_caller_seconds", "method" => method.to_string())
@@ -127,6 +128,15 @@
         }
     }
 
+    /// Closes the connection with a refusal where this entry is not ready: an open connection stays
+    /// here, a new one goes to an entry that can serve its caller.
+    fn released(&self, mut response: Response<Body>) -> Response<Body> {
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE && !self.shared.ready() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
     async fn submit(
         &self,
         request: &CallerRequest<'_>,
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -159,6 +159,7 @@
         let settings = &self.shared.settings;
         let record = EntryRecord {
             address: settings.peers,
+            domain: settings.domain.clone(),
             start: self.shared.start,
             processor: settings.processor,
         };
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -243,6 +243,9 @@
                 let state = state.map(GraphJob::state);
                 let _ = answer.send(state.map_or(LeaderAnswer::Gone, LeaderAnswer::State));
             }
+            LeaderCall::Reach => {
+                let _ = answer.send(LeaderAnswer::Leading);
+            }
             LeaderCall::Pending(queue) => {
                 let pending = controller.jobs().pending(&queue);
                 let _ = answer.send(LeaderAnswer::Pending(pending));
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -23,6 +23,7 @@
 use crate::node::members::MemberDuty;
 use crate::node::peers::serve_peers;
 use crate::node::probe::{ProbeDesk, metric_routes, ready_routes};
+use crate::node::reach::ReachDuty;
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 
@@ -92,6 +93,7 @@
             .context("callers")?;
         tokio::spawn(ConfigDuty::new(self.shared.clone()).run());
         tokio::spawn(MemberDuty::new(self.shared.clone()).run());
+        tokio::spawn(ReachDuty::new(self.shared.clone()).run());
         let election = tokio::spawn(ElectionDuty::new(self.shared.clone()).run());
         wait_for_stop().await?;
         self.drain(stop_callers, callers, election).await;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -12,7 +12,7 @@
 use crate::graph::{
     AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, LeaderEpoch, QueueConfig, QueueId,
 };
-use crate::id::{EntryId, UnixMillis};
+use crate::id::{DomainId, EntryId, UnixMillis};
 use crate::node::leader::LeaderInput;
 use crate::node::settings::NodeSettings;
 use crate::platform::{AdvisorClient, PlatformStore};
@@ -20,6 +20,13 @@
 
 /// Without an answer of the store for this long an entry is not ready: its configuration may be old.
 const STORE_SILENCE: Duration = Duration::from_millis(4_000);
+/// Without an answer of the store for this long other entries are asked: leases are renewed each 375 ms
+/// and a slow store answers within 250 ms.
+const STORE_LATE: Duration = Duration::from_millis(700);
+/// Without an answer of the store, the leader or, for the leader, another failure domain for this long
+/// an entry is not ready. The balancer needs two seconds more, and callers of a failure domain that is
+/// cut off wait three seconds in all.
+const REACH_SILENCE: Duration = Duration::from_millis(1_000);
 
 /// Without an answer of the store for this long, no new leader is expected: leases are renewed each
 /// 375 ms.
@@ -51,6 +58,8 @@
 #[derive(Deserialize, Serialize)]
 pub(crate) struct EntryRecord {
     pub(crate) address: SocketAddr,
+    /// Its failure domain.
+    pub(crate) domain: DomainId,
     /// Tells one start of the entry from another.
     pub(crate) start: u64,
     /// Share of a processor core.
@@ -90,6 +99,8 @@
     Cancel(GraphId),
     State(GraphId),
     Pending(QueueId),
+    /// Whether it leads; any entry answers.
+    Reach,
 }
 
 /// The leader's answer.
@@ -108,6 +119,8 @@
     State(GraphState),
     /// Number of jobs that wait.
     Pending(usize),
+    /// This entry leads.
+    Leading,
     /// This entry does not lead: nothing was done.
     NotLeading,
 }
@@ -135,6 +148,8 @@
     pub(crate) draining: watch::Sender<bool>,
     leading: Mutex<Option<RingSender<LeaderInput>>>,
     store_answered: Mutex<Option<Instant>>,
+    /// When the leader answered last, or any other entry where this one leads.
+    peer_answered: Mutex<Option<Instant>>,
 }
 
 impl NodeShared {
@@ -149,6 +164,7 @@
             draining: watch::Sender::new(false),
             leading: Mutex::new(None),
             store_answered: Mutex::new(None),
+            peer_answered: Mutex::new(None),
         }
     }
 
@@ -167,19 +183,36 @@
         *lock(&self.store_answered) = Some(Instant::now());
     }
 
+    /// The leader has answered, or another entry where this one leads.
+    pub(crate) fn note_peer(&self) {
+        *lock(&self.peer_answered) = Some(Instant::now());
+    }
+
+    /// Whether the store has been silent for long enough to ask other entries.
+    pub(crate) fn store_is_late(&self) -> bool {
+        !heard(&self.store_answered, STORE_LATE)
+    }
+
     /// Whether the store has answered so lately that an election can be expected to succeed.
     pub(crate) fn store_is_heard(&self) -> bool {
-        lock(&self.store_answered).is_some_and(|at| at.elapsed() < ELECTION_SILENCE)
+        heard(&self.store_answered, ELECTION_SILENCE)
     }
 
     /// Whether this entry can serve callers.
     pub(crate) fn ready(&self) -> bool {
-        let heard = lock(&self.store_answered).is_some_and(|at| at.elapsed() < STORE_SILENCE);
+        let current = heard(&self.store_answered, STORE_SILENCE);
+        let reached =
+            heard(&self.store_answered, REACH_SILENCE) || heard(&self.peer_answered, REACH_SILENCE);
         let led = self.leading().is_some() || self.members.borrow().leader.is_some();
-        heard && led && self.config.borrow().is_some() && !*self.draining.borrow()
+        current && reached && led && self.config.borrow().is_some() && !*self.draining.borrow()
     }
 }
 
+/// Whether an answer came within a time.
+fn heard(answered: &Mutex<Option<Instant>>, within: Duration) -> bool {
+    lock(answered).is_some_and(|at| at.elapsed() < within)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/src/node/tests.rs
@@ -0,0 +1,79 @@
+//! What an entry takes itself for while the store or other entries are silent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::advance;
+
+use crate::graph::{GraphBounds, QueueConfig, RequestLimits};
+use crate::node::settings::NodeSettings;
+use crate::node::shared::{LeaderRecord, NodeShared};
+
+fn settings() -> NodeSettings {
+    let address = "127.0.0.1:9".parse().unwrap();
+    NodeSettings {
+        name: "entry-1".into(),
+        domain: "a".into(),
+        domains: vec!["a".into(), "b".into()],
+        callers: address,
+        ready: address,
+        peers: address,
+        metrics: address,
+        store: address,
+        advisor: None,
+        processor: 0.25,
+        descriptors: 1_000,
+        grace: Duration::from_secs(6),
+        bounds: GraphBounds {
+            longest_lease: Duration::from_secs(6),
+            remembered: Duration::from_secs(120),
+            blind: Duration::from_secs(5),
+        },
+    }
+}
+
+/// An entry that knows its configuration and a leader, and has just heard the store.
+fn entry() -> NodeShared {
+    let shared = NodeShared::new(settings());
+    let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
+    let config =
+        QueueConfig { version: 1, queues: Default::default(), pools: Default::default(), limits };
+    shared.config.send_replace(Some(Arc::new(config)));
+    let leader = LeaderRecord {
+        entry: "entry-2".into(),
+        address: shared.settings.peers,
+        start: 7,
+        epoch: 1,
+    };
+    shared.members.send_modify(|view| view.leader = Some(leader));
+    shared.note_store();
+    shared
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_cut_off_is_not_ready_after_a_second() {
+    let shared = entry();
+    expect_true!(shared.ready());
+    advance(Duration::from_millis(1_100)).await;
+    expect_true!(shared.store_is_late());
+    expect_false!(shared.ready());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_without_the_store_is_ready_while_the_leader_answers() {
+    let shared = entry();
+    for _ in 0..3 {
+        advance(Duration::from_millis(900)).await;
+        shared.note_peer();
+        expect_true!(shared.ready());
+    }
+    // Four seconds without the store: its configuration may be old.
+    for _ in 0..2 {
+        advance(Duration::from_millis(900)).await;
+        shared.note_peer();
+    }
+    expect_false!(shared.ready());
+}
