A leader whose entry has started anew is succeeded at once

Change: a leader whose entry has registered another start counts as gone. The key is overwritten on the condition of the epoch's revision alone, which is written with each leader's key. Test: a_leader_whose_entry_has_started_anew_leads_no_more.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -207,7 +207,7 @@
         let rests = self.rests_until.is_some_and(|until| until > Instant::now());
         view.known
             && !rests
-            && view.leader.is_none()
+            && view.leaderless()
             && self.lease.is_some()
             && self.shared.config.borrow().is_some()
     }
@@ -243,10 +243,8 @@
         let elected = EpochRecord { epoch, holder };
         let predecessor = view.holder.clone();
         let change = KeyTransaction {
-            conditions: vec![
-                (LEADER_KEY.to_owned(), 0),
-                (EPOCH_KEY.to_owned(), view.epoch_revision),
-            ],
+            // Each leader's key is written together with the epoch, so this covers both.
+            conditions: vec![(EPOCH_KEY.to_owned(), view.epoch_revision)],
             sets: vec![
                 KeySet { key: LEADER_KEY.to_owned(), value: encode(&record), lease: Some(lease) },
                 KeySet { key: EPOCH_KEY.to_owned(), value: encode(&elected), lease: None },
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -81,6 +81,14 @@
 }
 
 impl MemberView {
+    /// Whether nobody leads: there is no leader, or its process has ended, which shows as soon as its
+    /// entry has started anew; its key stands for up to the life of its lease.
+    pub(crate) fn leaderless(&self) -> bool {
+        self.leader.as_ref().is_none_or(|leader| {
+            self.entries.get(&leader.entry).is_some_and(|record| record.start != leader.start)
+        })
+    }
+
     /// Whether a process that was elected has surely ended: its entry has started anew.
     pub(crate) fn has_ended(&self, holder: &Option<(EntryId, u64)>) -> bool {
         holder.as_ref().is_none_or(|(entry, start)| {
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -8,7 +8,7 @@
 
 use crate::graph::{GraphBounds, QueueConfig, RequestLimits};
 use crate::node::settings::NodeSettings;
-use crate::node::shared::{LeaderRecord, NodeShared};
+use crate::node::shared::{EntryRecord, LeaderRecord, NodeShared};
 
 fn settings() -> NodeSettings {
     let address = "127.0.0.1:9".parse().unwrap();
@@ -77,3 +77,28 @@
     }
     expect_false!(shared.ready());
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_leader_whose_entry_has_started_anew_leads_no_more() {
+    let shared = entry();
+    let record = |start| EntryRecord {
+        address: shared.settings.peers,
+        domain: "b".into(),
+        start,
+        processor: 0.25,
+    };
+    shared.members.send_modify(|view| {
+        view.entries.insert("entry-2".into(), record(7));
+    });
+    expect_false!(shared.members.borrow().leaderless());
+    shared.members.send_modify(|view| {
+        view.entries.insert("entry-2".into(), record(8));
+    });
+    expect_true!(shared.members.borrow().leaderless());
+    // Without a registration its process may go on: its key tells.
+    shared.members.send_modify(|view| {
+        view.entries.remove("entry-2");
+    });
+    expect_false!(shared.members.borrow().leaderless());
+}
