Leases of workers that do not answer are not extended

Cause: each poll extends the lease of its worker in the leader's reckoning when it is sent, also when none of them is answered: the tasks of a worker that went dark or was cut off were held until 4.6 s after the last poll, so for as long as its registration lived and 4.6 s more. Found by reading, then by a case: nothing was restarted in 9 s. Ruled out: shorter leases: the reckoning never ended, whatever their length. Change: a worker that left the last call unanswered is looked at without an extension until it answers. Test: work_of_a_worker_that_has_gone_silent_goes_on_elsewhere_after_its_lease, failed before.

--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -140,13 +140,15 @@
         found
     }
 
-    /// Polls that are due. Without `extend` leases are left as they are.
+    /// Polls that are due. Without `extend` leases are left as they are, and so are those of workers that
+    /// left the last call unanswered: a poll that may still arrive counts as an extension, and a worker
+    /// that is cut off for 6 s would hold its tasks for 10 s instead of 5.
     pub(crate) fn polls(&mut self, now: Instant, extend: bool) -> Vec<GraphAction> {
         let due = |life: &&mut WorkerLife| life.polling.is_none() && life.next_poll <= now;
         let mut polls = Vec::new();
         for life in self.lives.values_mut().filter(due) {
             life.polling = Some(now);
-            let until = match extend {
+            let until = match extend && life.misses == 0 {
                 true => life.extend_lease(now, WORKER_LEASE),
                 false => None,
             };
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -247,3 +247,18 @@
     expect_that!(world.state("a"), some(eq(GraphState::Completed)));
     expect_that!(world.begun_runs, eq(2));
 }
+
+#[gtest]
+fn work_of_a_worker_that_has_gone_silent_goes_on_elsewhere_after_its_lease() {
+    let mut world = World::new(15, 3);
+    world.run(seconds(1));
+    world.submit("later", "a", vec![step(3, 8, 3_000)]);
+    world.run(seconds(1));
+    expect_that!(runs_of(&world, "a"), eq(3));
+    world.workers.values_mut().take(1).for_each(|worker| worker.up = false);
+    world.run(seconds(6));
+    let live = world.workers.values().filter(|worker| worker.up);
+    expect_that!(live.map(|worker| worker.runs.len()).sum::<usize>(), eq(1));
+    world.run(seconds(3));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+}
