Urgent jobs run in one failure domain

Cause: the tasks of an urgent job were spread over all failure domains: with ten tasks in three domains nearly every job had one behind a cut, and waited for its lease or the cut's end. Ruled out: marks of single starts in the store: they would let a task go on beside one that is behind the cut, but the job waits for that one all the same, and each start would wait for a write. Change: a job with an objective of at most 10 s gets a home, the domain with most room, which is stored with its acceptance. Other domains are used once the store has that too, where the home has no room (about 10 ms). A new leader holds back just the jobs that may have runs in domains with unheard workers. Tests: three cases (an_urgent_job_..., a_takeover_lets_jobs_of_other_domains_...), random runs over three domains.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -16,6 +16,7 @@
 use crate::graph::commit::CommitQueue;
 use crate::graph::event::{GraphAction, PollResult};
 use crate::graph::exchange::{TicketText, UsedWorker, WorkerListing};
+use crate::graph::home::UnsettledDomains;
 use crate::graph::job::{GraphJob, GraphRecord};
 use crate::graph::jobs::JobTable;
 use crate::graph::lives::{LifeTable, WORKER_LEASE};
@@ -284,8 +285,21 @@
         PASS_REST.max(self.pass_gap)
     }
 
-    fn settled(&self, now: Instant) -> bool {
-        self.unheard.is_empty() || now >= self.settled_at
+    /// Where runs of an earlier leader may still go on unseen.
+    fn unsettled(&self, now: Instant) -> UnsettledDomains {
+        let mut unsettled = UnsettledDomains::default();
+        if now >= self.settled_at {
+            return unsettled;
+        }
+        for id in &self.unheard {
+            match self.lives.get(id).map(|life| &life.listing.domain) {
+                Some(domain) if !domain.is_empty() => {
+                    unsettled.domains.insert(domain.clone());
+                }
+                _ => unsettled.unknown = true,
+            }
+        }
+        unsettled
     }
 
     fn pass(&mut self, now: Instant, unix: UnixMillis) {
@@ -294,7 +308,7 @@
         if self.config.is_none() {
             return;
         }
-        let settled = self.settled(now);
+        let unsettled = self.unsettled(now);
         let jobs = &self.jobs;
         self.keeper.prune(now, |task| {
             jobs.wants(task)
@@ -303,7 +317,7 @@
         let view = PassView {
             now,
             unix,
-            settled,
+            unsettled: &unsettled,
             jobs: &self.jobs,
             lives: &self.lives,
             advice: &self.advice,
@@ -326,6 +340,9 @@
                 self.begin(now, start, run);
             }
         }
+        for (id, domain) in plan.widened {
+            self.widen(now, &id, domain);
+        }
         for preemption in plan.preemptions {
             self.preempt(now, preemption);
         }
@@ -337,6 +354,17 @@
         }
     }
 
+    /// Lets a job use another failure domain, once the store has that.
+    fn widen(&mut self, now: Instant, id: &GraphId, domain: DomainId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        info!(job = &**id, home:? = job.home, domain = &*domain; "another failure domain is used");
+        metrics::counter!("kelplink_widened_jobs_total").increment(1);
+        job.progress.domains.insert(domain);
+        self.commits.change(id.clone(), now, true);
+    }
+
     fn run_base(&self) -> RunNumber {
         self.epoch.saturating_sub(1) * RUNS_AN_EPOCH
     }
@@ -355,7 +383,7 @@
         id: used.id.clone(),
         address: used.address,
         service: ServiceId::from(""),
-        domain: DomainId::from(""),
+        domain: used.domain.clone(),
         rack: RackId::from(""),
         labels: Vec::new(),
         machine: None,
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -52,7 +52,8 @@
     fn group_of(&self, ids: GroupIds) -> CommitGroup {
         let record = |id: &GraphId| {
             let job = self.jobs.get(id)?;
-            Some(GraphRecord { spec: (*job.spec).clone(), rule: (*job.rule).clone() })
+            let home = job.home.clone();
+            Some(GraphRecord { spec: (*job.spec).clone(), rule: (*job.rule).clone(), home })
         };
         let progress = |id: &GraphId| Some((id.clone(), self.jobs.get(id)?.progress.clone()));
         CommitGroup {
@@ -83,6 +84,9 @@
             }
         }
         for (id, progress) in group.progress {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.stored_domains.extend(progress.domains.iter().cloned());
+            }
             let Some(verdict) = progress.verdict else {
                 continue;
             };
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -8,6 +8,7 @@
 use crate::graph::commit::GroupNumber;
 use crate::graph::controller::GraphController;
 use crate::graph::event::{GraphAction, GraphAnswer};
+use crate::graph::home::choose_home;
 use crate::graph::job::{GraphJob, GraphRecord, GraphState};
 use crate::graph::name::{AttemptId, GraphId};
 use crate::id::{CallId, UnixMillis};
@@ -47,6 +48,7 @@
             }
             None => {
                 let mut job = GraphJob::new(record, now);
+                job.home = choose_home(&self.lives, &job, now);
                 job.give_up = now + STORE_WAIT.min(patience.saturating_sub(REFUSAL_WAY));
                 self.jobs.insert(job);
                 self.commits.add(id.clone());
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -44,6 +44,13 @@
     pub id: WorkerId,
     /// Where it answers.
     pub address: SocketAddr,
+    /// Failure domain; empty where it is not known.
+    #[serde(default = "unknown_domain")]
+    pub domain: DomainId,
+}
+
+fn unknown_domain() -> DomainId {
+    DomainId::from("")
 }
 
 /// A run that a worker lists as running.
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -11,7 +11,7 @@
 use crate::graph::progress::{GraphProgress, GraphVerdict};
 use crate::graph::queue::QueueRule;
 use crate::graph::spec::{GraphSpec, StepSpec};
-use crate::id::WorkerId;
+use crate::id::{DomainId, WorkerId};
 
 /// What the store keeps of a job from its acceptance on.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +21,9 @@
     pub spec: GraphSpec,
     /// Its queue when it was accepted; used where the queue has been removed since.
     pub rule: QueueRule,
+    /// Failure domain that it runs in; `None` for one that may run anywhere.
+    #[serde(default)]
+    pub home: Option<DomainId>,
 }
 
 /// Where a task runs, or may run.
@@ -56,6 +59,10 @@
     pub spec: Arc<GraphSpec>,
     /// Its queue.
     pub rule: Arc<QueueRule>,
+    /// Failure domain that it runs in; `None` for one that may run anywhere.
+    pub home: Option<DomainId>,
+    /// Failure domains beside its home that the store says it may use.
+    pub stored_domains: BTreeSet<DomainId>,
     /// What has become of it; the store may not have the newest yet.
     pub progress: GraphProgress,
     /// Verdict that the store has.
@@ -89,6 +96,8 @@
         Self {
             spec: Arc::new(record.spec),
             rule: Arc::new(record.rule),
+            home: record.home,
+            stored_domains: BTreeSet::new(),
             progress: GraphProgress::default(),
             shown: None,
             durable: false,
@@ -116,10 +125,21 @@
         job.inherited = true;
         job.started = !progress.is_empty();
         job.shown = progress.verdict;
+        job.stored_domains = progress.domains.clone();
         job.progress = progress;
         job
     }
 
+    /// Whether its tasks may run in a failure domain, as the store has it.
+    pub fn may_use(&self, domain: &DomainId) -> bool {
+        self.home.as_ref().is_none_or(|home| home == domain) || self.stored_domains.contains(domain)
+    }
+
+    /// Whether it may use another failure domain as soon as the store has that.
+    pub fn widens(&self) -> bool {
+        self.progress.domains.iter().any(|domain| !self.stored_domains.contains(domain))
+    }
+
     /// What callers are told.
     ///
     /// Success is told as soon as the workers have listed all ends, also while the store is away: until
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -291,7 +291,12 @@
     /// Workers that the store has to name.
     pub(crate) fn in_use(&self) -> Vec<UsedWorker> {
         let claimed = self.lives.values().filter(|life| life.claimed || life.noted);
-        claimed.map(|life| UsedWorker { id: life.id().clone(), address: life.address() }).collect()
+        let used = |life: &WorkerLife| UsedWorker {
+            id: life.id().clone(),
+            address: life.address(),
+            domain: life.listing.domain.clone(),
+        };
+        claimed.map(used).collect()
     }
 }
 
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -15,15 +15,17 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceDesk, AdviceWish};
+use crate::graph::home::UnsettledDomains;
 use crate::graph::job::GraphJob;
 use crate::graph::jobs::JobTable;
 use crate::graph::lives::{LifeTable, SILENCE};
 use crate::graph::name::{GraphId, StepKey, TaskKey, TaskName};
 use crate::graph::placer::room::PassRoom;
+pub(crate) use crate::graph::placer::room::room_for;
 use crate::graph::preemption::{PlannedPreemption, RoomKeeper};
 use crate::graph::spec::StepSpec;
 use crate::graph::worker::WorkerLife;
-use crate::id::{UnixMillis, WorkerId};
+use crate::id::{DomainId, UnixMillis, WorkerId};
 
 /// Wishes for each entry that could make a call: long calls leave entries to the short ones behind.
 const WISHES_A_CALL: usize = 3;
@@ -52,6 +54,8 @@
     pub preemptions: Vec<PlannedPreemption>,
     /// Advice to ask for, most urgent first.
     pub wishes: Vec<AdviceWish>,
+    /// Jobs that should use another failure domain as well.
+    pub widened: Vec<(GraphId, DomainId)>,
     /// Jobs none of whose tasks waits.
     pub settled: Vec<GraphId>,
 }
@@ -82,8 +86,8 @@
     pub now: Instant,
     /// The time since 1970.
     pub unix: UnixMillis,
-    /// Whether tasks of jobs from before this leader's time may be started.
-    pub settled: bool,
+    /// Where tasks of jobs from before this leader's time may still run.
+    pub unsettled: &'t UnsettledDomains,
     /// All jobs.
     pub jobs: &'t JobTable,
     /// All workers.
@@ -121,7 +125,7 @@
     /// Decides.
     pub fn run(mut self) -> PassPlan {
         let mut steps = Vec::new();
-        for job in self.view.jobs.open().filter(|job| self.view.settled || !job.inherited) {
+        for job in self.view.jobs.open().filter(|job| !self.view.unsettled.holds(job)) {
             let before = steps.len();
             self.open_steps(job, &mut steps);
             if steps.len() == before && job.spec.repeat.is_none() {
@@ -195,6 +199,12 @@
             true => self.serve_tasks(step, &candidates),
             false => step.waiting.len(),
         };
+        if missing > 0
+            && step.ready
+            && let Some(domain) = self.roomier_domain(step, missing)
+        {
+            self.plan.widened.push((step.job.spec.id.clone(), domain));
+        }
         if missing > 0 && (step.ready || self.comes_soon(step)) {
             self.wish(step, missing);
         }
@@ -204,7 +214,9 @@
     fn candidates(&self, step: &OpenStep<'t>) -> Vec<WorkerId> {
         let rule = &step.job.rule;
         let fits = |room: &&PassRoom<'t>| {
-            room.life.listing.service == rule.service && has_label(room.life, step.step)
+            room.life.listing.service == rule.service
+                && step.job.may_use(&room.life.listing.domain)
+                && has_label(room.life, step.step)
         };
         if rule.advice.is_none() {
             let fitting = self.rooms.values().filter(fits);
@@ -219,6 +231,37 @@
         rooms.map(|room| room.life.id().clone()).collect()
     }
 
+    /// The failure domain with most room among those that a job may not use yet, where those that it may
+    /// use cannot hold what is missing, whatever advice says.
+    fn roomier_domain(&self, step: &OpenStep<'t>, missing: usize) -> Option<DomainId> {
+        let job = step.job;
+        if job.home.is_none() || job.widens() {
+            return None;
+        }
+        let key = (job.spec.id.clone(), step.key);
+        let known = self.view.advice.step(&key);
+        let need = step.step.reservation();
+        let most = step.step.max_per_worker.unwrap_or(u32::MAX);
+        let mut here = 0;
+        let mut elsewhere: BTreeMap<&DomainId, usize> = BTreeMap::new();
+        for room in self.rooms.values() {
+            let (id, listing) = (room.life.id(), &room.life.listing);
+            let usable = listing.service == job.rule.service
+                && has_label(room.life, step.step)
+                && !known.is_some_and(|known| known.denied.contains(id));
+            let holds = room_for(&room.free, &need).min(most) as usize;
+            match usable {
+                true if job.may_use(&listing.domain) => here += holds,
+                true => *elsewhere.entry(&listing.domain).or_default() += holds,
+                false => {}
+            }
+        }
+        let most_room = elsewhere.into_iter().max_by_key(|(_, holds)| *holds);
+        most_room
+            .filter(|(_, holds)| here < missing && *holds > 0)
+            .map(|(domain, _)| domain.clone())
+    }
+
     fn counts(&self, step: &OpenStep<'t>, among: &[WorkerId]) -> BTreeMap<WorkerId, u32> {
         if step.step.max_per_worker.is_none() {
             return BTreeMap::new();
--- a/src/graph/placer/room.rs
+++ b/src/graph/placer/room.rs
@@ -26,7 +26,7 @@
 }
 
 /// Number of tasks of a size that a room holds.
-pub(super) fn room_for(room: &ResourceVector, need: &ResourceVector) -> u32 {
+pub(crate) fn room_for(room: &ResourceVector, need: &ResourceVector) -> u32 {
     let holds = |room: u32, need: u32| room.checked_div(need).unwrap_or(u32::MAX);
     holds(room.millicores, need.millicores)
         .min(holds(room.memory_mib, need.memory_mib))
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -18,6 +18,7 @@
     pub(super) fn serve_tasks(&mut self, step: &OpenStep<'t>, candidates: &[WorkerId]) -> usize {
         let mut counts = self.counts(step, candidates);
         let mut missing = 0;
+        let mut widens = None;
         for task in &step.waiting {
             let kept = self.kept(step, *task, candidates, &counts);
             let whole = kept.is_some();
@@ -34,7 +35,15 @@
                 continue;
             }
             missing += 1;
-            if self.may_preempt(step, *task) {
+            if !self.may_preempt(step, *task) {
+                continue;
+            }
+            // Room in another failure domain costs no work.
+            let all = step.waiting.len();
+            let widens = *widens.get_or_insert_with(|| {
+                step.job.widens() || self.roomier_domain(step, all).is_some()
+            });
+            if !widens {
                 self.preempt(step, *task, candidates, &mut counts);
             }
         }
--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -81,6 +81,7 @@
         let holds = |room: &PassRoom<'t>| room_for(&room.free, &need).min(most) as usize;
         let fitting = self.rooms.values().filter(|room| {
             room.life.listing.service == step.job.rule.service
+                && step.job.may_use(&room.life.listing.domain)
                 && has_label(room.life, step.step)
                 && need.fits(&room.life.listing.capacity)
                 && !known.is_some_and(|known| known.denied.contains(room.life.id()))
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::graph::name::{RunNumber, StepKey, TaskKey};
-use crate::id::UnixMillis;
+use crate::id::{DomainId, UnixMillis};
 
 /// How a job ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,6 +35,8 @@
     pub failures: BTreeMap<TaskKey, BTreeSet<RunNumber>>,
     /// Last checkpoint of tasks that were stopped.
     pub saved: BTreeMap<TaskKey, String>,
+    /// Failure domains that it may use beside its home.
+    pub domains: BTreeSet<DomainId>,
 }
 
 impl GraphProgress {
@@ -53,9 +55,10 @@
         self.failures.get(task).map_or(0, |runs| u32::try_from(runs.len()).unwrap_or(u32::MAX))
     }
 
-    /// Whether nothing has happened yet.
+    /// Whether nothing has happened to its tasks yet.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        let domains = self.domains.clone();
+        *self == Self { domains, ..Self::default() }
     }
 }
 
@@ -74,6 +77,8 @@
     failures: Vec<(u32, u32, u32, BTreeSet<RunNumber>)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     saved: Vec<(u32, u32, u32, String)>,
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    domains: BTreeSet<DomainId>,
 }
 
 impl From<StoredProgress> for GraphProgress {
@@ -88,6 +93,7 @@
             done: stored.done.into_iter().map(step).collect(),
             failures: stored.failures.into_iter().map(failure).collect(),
             saved: stored.saved.into_iter().map(saved).collect(),
+            domains: stored.domains,
         }
     }
 }
@@ -110,6 +116,7 @@
             done: progress.done.into_iter().map(step).collect(),
             failures: progress.failures.into_iter().map(failure).collect(),
             saved: progress.saved.into_iter().map(saved).collect(),
+            domains: progress.domains,
         }
     }
 }
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -148,7 +148,7 @@
             let status = StatusCode::BAD_REQUEST;
             ProblemDetails::new(status, "no such job can be", mistakes.join("; ")).ran(RanState::No)
         })?;
-        let record = GraphRecord { spec, rule: (**queue).clone() };
+        let record = GraphRecord { spec, rule: (**queue).clone(), home: None };
         let patience = request.patience();
         let call = LeaderCall::Submit(rand::random(), patience, Box::new(record));
         match self.access.ask(&call, patience).await {
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -291,3 +291,67 @@
     world.run(Duration::from_millis(700));
     expect_that!(world.state("b"), some(eq(GraphState::Completed)));
 }
+
+/// Failure domains in which a job has runs.
+fn domains_of(world: &World, job: &str) -> Vec<String> {
+    let runs = |worker: &&ModelWorker| worker.runs.keys().any(|task| &*task.job == job);
+    let used = world.workers.values().filter(runs);
+    let mut domains: Vec<String> = used.map(|worker| worker.listing.domain.to_string()).collect();
+    domains.sort();
+    domains.dedup();
+    domains
+}
+
+#[gtest]
+fn an_urgent_job_runs_in_one_failure_domain_and_others_in_all() {
+    let mut world = World::spread(18, 6, 3);
+    world.run(seconds(1));
+    world.submit("now", "a", vec![step(12, 1, 900)]);
+    world.submit("later", "b", vec![step(12, 2, 30_000)]);
+    world.run(Duration::from_millis(200));
+    expect_that!(domains_of(&world, "a").len(), eq(1));
+    expect_that!(domains_of(&world, "b").len(), gt(1));
+}
+
+#[gtest]
+fn an_urgent_job_uses_another_failure_domain_where_its_own_has_no_room() {
+    let mut world = World::spread(19, 6, 3);
+    world.run(seconds(1));
+    world.submit("now", "a", vec![step(40, 1, 900)]);
+    world.run(Duration::from_millis(200));
+    expect_that!(runs_of(&world, "a"), eq(40));
+    expect_that!(world.store.jobs["a"].1.domains.len(), eq(2));
+}
+
+#[gtest]
+fn a_takeover_lets_jobs_of_other_domains_go_on_while_one_is_cut_off() {
+    let mut world = World::spread(20, 6, 3);
+    world.run(seconds(1));
+    let second = StepSpec { after: vec![0], ..step(6, 1, 500) };
+    for job in ["a", "b", "c", "d"] {
+        world.submit("now", job, vec![step(6, 1, 1_000), second.clone()]);
+        world.run(Duration::from_millis(100));
+    }
+    let cut = domains_of(&world, "a");
+    for worker in world.workers.values_mut().filter(|worker| cut[0] == *worker.listing.domain) {
+        worker.reached = false;
+    }
+    let elsewhere: Vec<&str> = ["b", "c", "d"]
+        .into_iter()
+        .filter(|job| domains_of(&world, job).iter().all(|domain| *domain != cut[0]))
+        .collect();
+    expect_that!(elsewhere.len(), gt(0));
+    let epoch = world.store.epoch;
+    world.leaders.remove(&epoch);
+    world.elect();
+    world.run(Duration::from_millis(2_500));
+    for job in elsewhere {
+        expect_that!(world.state(job), some(eq(GraphState::Completed)), "{job}");
+    }
+    expect_that!(world.state("a"), not(some(eq(GraphState::Completed))));
+    for worker in world.workers.values_mut() {
+        worker.reached = true;
+    }
+    world.run(seconds(3));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+}
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -20,6 +20,10 @@
 const FAILED_ONCE: [u64; 1] = [1_000_004];
 /// Workers.
 const WORKERS: u32 = 8;
+/// Seeds from here on spread the workers over three failure domains.
+const SPREAD_SEEDS: u64 = 5_000_000;
+/// Such seeds that `cargo test` runs.
+const SHORT_SPREAD: std::ops::Range<u64> = SPREAD_SEEDS..SPREAD_SEEDS + 12;
 /// Time in which everything must have ended once all faults are over.
 const QUIET: Duration = Duration::from_secs(90);
 
@@ -34,8 +38,9 @@
 
 impl RandomRun {
     fn new(seed: u64) -> Self {
+        let domains = if seed >= SPREAD_SEEDS { 3 } else { 1 };
         Self {
-            world: World::new(seed, WORKERS),
+            world: World::spread(seed, WORKERS, domains),
             jobs: BTreeSet::new(),
             calls: Vec::new(),
             cancelled: BTreeSet::new(),
@@ -182,15 +187,15 @@
     }
     let seconds = std::env::var("KELPLINK_RANDOM_SECONDS").ok().and_then(|s| s.parse().ok());
     let Some(seconds) = seconds else {
-        for seed in FAILED_ONCE.into_iter().chain(SHORT_SEEDS) {
+        for seed in FAILED_ONCE.into_iter().chain(SHORT_SEEDS).chain(SHORT_SPREAD) {
             run(seed);
         }
         return;
     };
     let (begun, mut seed, mut runs) = (Instant::now(), 1_000_000, 0);
     while begun.elapsed() < Duration::from_secs(seconds) {
-        runs += run(seed).0;
+        runs += run(seed).0 + run(seed - 1_000_000 + SPREAD_SEEDS).0;
         seed += 1;
     }
-    println!("{} seeds, {runs} runs of tasks", seed - 1_000_000);
+    println!("{} seeds of either kind, {runs} runs of tasks", seed - 1_000_000);
 }
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -115,6 +115,7 @@
     pub(crate) faults: MessageFaults,
     /// How many of the next polls do not arrive.
     pub(crate) lost_polls: u32,
+    domains: u32,
     pub(crate) store: ModelStore,
     pub(crate) leaders: BTreeMap<LeaderEpoch, GraphController>,
     pub(crate) workers: BTreeMap<WorkerId, ModelWorker>,
@@ -166,6 +167,11 @@
 
 impl World {
     pub(crate) fn new(seed: u64, workers: u32) -> Self {
+        Self::spread(seed, workers, 1)
+    }
+
+    /// Workers that take turns among failure domains.
+    pub(crate) fn spread(seed: u64, workers: u32, domains: u32) -> Self {
         let now = Instant::now();
         let queues = [rule("now", 0, false), rule("asked", 1, true), rule("later", 2, false)];
         let queues = queues.into_iter().map(|rule| (rule.id.clone(), Arc::new(rule))).collect();
@@ -177,6 +183,7 @@
             begun: now,
             faults: MessageFaults::default(),
             lost_polls: 0,
+            domains,
             store: ModelStore { up: true, ..ModelStore::default() },
             leaders: BTreeMap::new(),
             workers: BTreeMap::new(),
@@ -211,7 +218,7 @@
             id: id.clone(),
             address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
             service: "svc".into(),
-            domain: "a".into(),
+            domain: format!("d{}", number % self.domains).into(),
             rack: format!("r1-{}", number / 4).into(),
             labels: vec![format!("r1-{}", number / 4).into()],
             machine: None,
@@ -260,6 +267,7 @@
                 accepted: self.unix(),
             },
             rule: (*self.config.queues[queue]).clone(),
+            home: None,
         };
         self.last_call += 1;
         let (now, call) = (self.now, self.last_call);
