Leases of one second

Cause: a leader that is lost with its machine is replaced after the life of its lease, 1.5 s. Change: leases of 1.0 s, the least that the store grants, renewed each 250 ms.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -18,9 +18,9 @@
 use crate::ring::{RingSender, ring};
 
 /// Life of the lease in the store: a leader that dies is replaced after it.
-const LEASE_TTL: Duration = Duration::from_millis(1_500);
+const LEASE_TTL: Duration = Duration::from_millis(1_000);
 /// Interval of renewals: three may fail before the lease ends.
-const RENEWAL: Duration = Duration::from_millis(375);
+const RENEWAL: Duration = Duration::from_millis(250);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Head start of the entry that led last, and of each entry before the next in rank.
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -20,7 +20,7 @@
 
 /// Without an answer of the store for this long an entry is not ready: its configuration may be old.
 const STORE_SILENCE: Duration = Duration::from_millis(4_000);
-/// Without an answer of the store for this long other entries are asked: leases are renewed each 375 ms
+/// Without an answer of the store for this long other entries are asked: leases are renewed each 250 ms
 /// and a slow store answers within 250 ms.
 const STORE_LATE: Duration = Duration::from_millis(700);
 /// Without an answer of the store, the leader or, for the leader, another failure domain for this long
@@ -29,7 +29,7 @@
 const REACH_SILENCE: Duration = Duration::from_millis(1_000);
 
 /// Without an answer of the store for this long, no new leader is expected: leases are renewed each
-/// 375 ms.
+/// 250 ms.
 const ELECTION_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// The leader as it stands in the store.
