--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -206,11 +206,15 @@
         heard(&self.store_answered, ELECTION_SILENCE)
     }
 
+    /// Whether the store, the leader or, for the leader, another failure domain has been heard lately.
+    pub(crate) fn reaches_others(&self) -> bool {
+        heard(&self.store_answered, REACH_SILENCE) || heard(&self.peer_answered, REACH_SILENCE)
+    }
+
     /// Whether this entry can serve callers.
     pub(crate) fn ready(&self) -> bool {
         let current = heard(&self.store_answered, STORE_SILENCE);
-        let reached =
-            heard(&self.store_answered, REACH_SILENCE) || heard(&self.peer_answered, REACH_SILENCE);
+        let reached = self.reaches_others();
         let led = self.leading().is_some() || self.members.borrow().leader.is_some();
         current && reached && led && self.config.borrow().is_some() && !*self.draining.borrow()
     }
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -248,6 +248,24 @@
     expect_that!(world.begun_runs, eq(2));
 }
 
+#[gtest]
+fn an_end_that_its_worker_may_take_away_is_not_shown_before_it_is_stored() {
+    let mut world = World::new(14, 1);
+    world.run(seconds(1));
+    world.submit("now", "a", vec![step(1, 1, 500)]);
+    world.run(Duration::from_millis(300));
+    let now = world.now;
+    let mut listing = world.workers.values().next().unwrap().listing.clone();
+    listing.leaving = Some(seconds(2));
+    world.leader().unwrap().worker_listed(now, listing);
+    world.store.up = false;
+    world.run(seconds(1));
+    expect_that!(world.state("a"), some(eq(GraphState::Running)));
+    world.store.up = true;
+    world.run(seconds(1));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+}
+
 #[gtest]
 fn work_of_a_worker_that_has_gone_silent_goes_on_elsewhere_after_its_lease() {
     let mut world = World::new(15, 3);
