Workers at fault are given little

Ruled out: counting single failures as the worker's: one run in twenty fails by its own fault. At most a quarter of the workers are left out. The tests' workers tell a real share done now. Work that is already on a slow worker is not moved.

--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -7,7 +7,7 @@
 
 use crate::graph::event::GraphAction;
 use crate::graph::exchange::{
-    CallFailure, EndReport, PollReply, RunReport, UsedWorker, WorkerListing, WorkerRefusal,
+    CallFailure, EndKind, EndReport, PollReply, RunReport, UsedWorker, WorkerListing, WorkerRefusal,
 };
 use crate::graph::name::{RunNumber, TaskName};
 use crate::graph::worker::{RunPhase, WorkerLife};
@@ -204,6 +204,11 @@
                 if life.runs.get(&end.task).is_some_and(|run| run.run == end.run) {
                     life.remove_run(&end.task);
                 }
+                match end.kind {
+                    EndKind::Done => life.health.note_success(),
+                    EndKind::Failed => life.health.note_failure(now, &end.task.job),
+                    EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+                }
                 found.push(LifeFinding::Ended(id.clone(), end));
             }
         }
@@ -324,6 +329,7 @@
 ) -> Vec<LifeFinding> {
     let id = life.id().clone();
     let mut found = Vec::new();
+    let (mut work, mut time) = (Duration::ZERO, Duration::ZERO);
     let mut listed = BTreeMap::new();
     for report in running {
         listed.insert(report.task.clone(), report.run);
@@ -339,10 +345,14 @@
                 }
                 run.figure = report.figure;
                 run.saved = report.saved;
+                let (done, took) = run.measure(now).unwrap_or_default();
+                work += done;
+                time += took;
             }
             None => found.push(LifeFinding::Unknown(id.clone(), report)),
         }
     }
+    life.health.note_work(now, work, time);
     let gone = |(task, run): &(&TaskName, &crate::graph::worker::WorkerRun)| {
         let since = match run.phase {
             RunPhase::Sent { .. } | RunPhase::Stopping { answered: None } => return false,
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceDesk, AdviceWish};
+use crate::graph::health::HealthRank;
 use crate::graph::home::UnsettledDomains;
 use crate::graph::job::GraphJob;
 use crate::graph::jobs::JobTable;
@@ -32,6 +33,10 @@
 /// Multiple of its objective after which a job's result has lost its worth.
 const WORTHLESS_AFTER: u32 = 3;
 
+/// One in this many workers at most is left out as faulty: a job that fails everywhere leaves failures
+/// on all of them, and work must not wait for that.
+const FAULTY_SHARE: usize = 4;
+
 /// A task that goes to a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlannedStart {
@@ -115,9 +120,10 @@
         let open = view.lives.iter().filter(|life| life.open(view.now, SILENCE));
         let room = |life: &'t WorkerLife| {
             let free = life.free().saturating_sub(&view.keeper.on(life.id()));
-            (life.id().clone(), PassRoom::new(life, free))
+            (life.id().clone(), PassRoom::new(life, free, view.now))
         };
-        let rooms = open.map(room).collect();
+        let mut rooms: BTreeMap<WorkerId, PassRoom<'t>> = open.map(room).collect();
+        leave_out_faulty(&mut rooms);
         let wishes_left = view.advice.idle() * WISHES_A_CALL;
         Self { view, wishes_left, victims: BTreeSet::new(), rooms, plan: PassPlan::default() }
     }
@@ -276,6 +282,15 @@
     }
 }
 
+/// Leaves out workers that are at fault, unless there are so many that the fault is not theirs.
+fn leave_out_faulty(rooms: &mut BTreeMap<WorkerId, PassRoom<'_>>) {
+    let faulty = |room: &PassRoom<'_>| room.health == HealthRank::Faulty;
+    let count = rooms.values().filter(|room| faulty(room)).count();
+    if count * FAULTY_SHARE <= rooms.len() {
+        rooms.retain(|_, room| !faulty(room));
+    }
+}
+
 fn has_label(life: &WorkerLife, step: &StepSpec) -> bool {
     step.label.as_ref().is_none_or(|label| life.listing.labels.contains(label))
 }
--- a/src/graph/placer/room.rs
+++ b/src/graph/placer/room.rs
@@ -1,5 +1,8 @@
 //! Room on a worker while a pass goes on.
 
+use tokio::time::Instant;
+
+use crate::graph::health::HealthRank;
 use crate::graph::worker::WorkerLife;
 use crate::resources::ResourceVector;
 
@@ -7,6 +10,7 @@
 #[derive(Clone)]
 pub(super) struct PassRoom<'t> {
     pub(super) life: &'t WorkerLife,
+    pub(super) health: HealthRank,
     /// Free and not kept for a task.
     pub(super) free: ResourceVector,
     /// Free, kept or not.
@@ -18,10 +22,18 @@
 }
 
 impl<'t> PassRoom<'t> {
-    pub(super) fn new(life: &'t WorkerLife, free: ResourceVector) -> Self {
+    pub(super) fn new(life: &'t WorkerLife, free: ResourceVector, now: Instant) -> Self {
         let best_effort = life.runs.values().filter(|run| run.best_effort);
         let wanted = best_effort.map(|run| run.figure).sum();
-        Self { life, free, spare: life.free(), wanted, serves: life.serves(), fills: life.fills() }
+        Self {
+            life,
+            health: life.health.rank(now),
+            free,
+            spare: life.free(),
+            wanted,
+            serves: life.serves(),
+            fills: life.fills(),
+        }
     }
 }
 
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -145,7 +145,7 @@
                 true => u32::MAX - room.free.millicores.saturating_sub(room.wanted),
                 false => room.free.millicores - need.millicores,
             };
-            (far, failed, disturbs, rest)
+            (far, failed, room.health, disturbs, rest)
         };
         among.iter().filter(fits).min_by_key(cost).cloned()
     }
--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -110,7 +110,13 @@
         };
         renewed.sort_by_key(|room| (far(room), Reverse(holds(room))));
         unknown.sort_by_key(|room| {
-            (far(room), holds(room) == 0, disturbs(room), Reverse(holds(room).min(missing)))
+            (
+                far(room),
+                holds(room) == 0,
+                room.health,
+                disturbs(room),
+                Reverse(holds(room).min(missing)),
+            )
         });
         let share = self.view.advice.share(&step.job.rule.id);
         let cheap = worth_asking(&rule);
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -7,8 +7,9 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::WorkerListing;
+use crate::graph::health::WorkerHealth;
 use crate::graph::job::GraphJob;
-use crate::graph::name::{GraphId, ImageId, RunNumber, StepKey, TaskName};
+use crate::graph::name::{ImageId, RunNumber, StepKey, TaskName};
 use crate::graph::spec::StepSpec;
 use crate::id::{RackId, WorkerId};
 use crate::resources::ResourceVector;
@@ -21,6 +22,9 @@
 /// Share done, in percent, from which a run's speed can be told.
 const LEAST_PERCENT: u32 = 10;
 
+/// Shortest time over which progress is measured: it is told in whole percent.
+const LEAST_MEASURE: Duration = Duration::from_millis(250);
+
 /// How far a run has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
@@ -52,6 +56,10 @@
     pub phase: RunPhase,
     /// When it was started or first seen.
     pub since: Instant,
+    /// Run time that its caller declares, where its progress tells the worker's speed.
+    pub estimate: Option<Duration>,
+    /// Share done in percent, and when it was measured for the worker's speed.
+    pub measured: (u32, Instant),
     /// Share done in percent, and when it last rose.
     pub percent: u32,
     /// When the share done last rose.
@@ -109,8 +117,8 @@
     pub misses: u32,
     /// Not used for new work until then.
     pub shunned_until: Option<Instant>,
-    /// Failed runs since the last that succeeded, by job.
-    pub failed: BTreeMap<GraphId, u32>,
+    /// What became of the work it was given.
+    pub health: WorkerHealth,
     /// All runs that take room.
     pub runs: BTreeMap<TaskName, WorkerRun>,
     /// Whether something unknown runs there, so that its room is not known.
@@ -133,6 +141,8 @@
             need: step.map(StepSpec::reservation).unwrap_or_default(),
             phase,
             since: now,
+            estimate: step.filter(|step| tells_speed(step)).map(|step| step.estimate),
+            measured: (0, now),
             percent: 0,
             moved: now,
             figure: step.filter(|step| step.best_effort).map_or(0, |step| step.need.millicores),
@@ -148,7 +158,26 @@
     }
 }
 
+/// Whether the progress of a step's tasks tells their worker's speed: not where they wait for each other
+/// or live on what others leave over.
+fn tells_speed(step: &StepSpec) -> bool {
+    !(step.lasting || step.best_effort || step.gang) && !step.estimate.is_zero()
+}
+
 impl WorkerRun {
+    /// Takes in its share done; gives the work since the last measurement, as its caller declares it,
+    /// and the time that it took.
+    pub(crate) fn measure(&mut self, now: Instant) -> Option<(Duration, Duration)> {
+        let estimate = self.estimate?;
+        let (percent, at) = self.measured;
+        let time = now.saturating_duration_since(at);
+        if time < LEAST_MEASURE {
+            return None;
+        }
+        self.measured = (self.percent, now);
+        Some((estimate * self.percent.saturating_sub(percent) / 100, time))
+    }
+
     /// When it will end, from the share that is done where enough is, or else from its estimate.
     pub fn expected_end(&self, estimate: Duration) -> Instant {
         let worked = self.moved.saturating_duration_since(self.since);
@@ -178,7 +207,7 @@
             answered: None,
             misses: 0,
             shunned_until: None,
-            failed: BTreeMap::new(),
+            health: WorkerHealth::default(),
             runs: BTreeMap::new(),
             obscure: false,
             used: ResourceVector::default(),
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphAnswer, GraphState, StepSpec};
+use kelplink::{GraphAnswer, GraphState, StepSpec, WorkerId};
 
 use crate::model::ModelWorker;
 use crate::world::{World, step};
@@ -373,3 +373,50 @@
     world.run(seconds(3));
     expect_that!(world.state("a"), some(eq(GraphState::Completed)));
 }
+
+/// Submits 40 jobs of one task, `pause` apart, and lets them end; gives the number that `worker` was given.
+fn given_to(world: &mut World, worker: &str, pause: Duration) -> usize {
+    let mut given = 0;
+    for number in 0..40 {
+        world.submit("now", &format!("job{number}"), vec![step(1, 1, 600)]);
+        world.run(pause);
+        let given_now = world.workers[worker].was_given(&format!("job{number}"));
+        given += usize::from(given_now);
+    }
+    world.run(seconds(15));
+    given
+}
+
+#[gtest]
+fn a_worker_that_fails_what_it_starts_is_given_little() {
+    let mut world = World::new(21, 4);
+    world.run(seconds(1));
+    world.workers.get_mut(&WorkerId::from("w0-0")).unwrap().spoils = true;
+    expect_that!(given_to(&mut world, "w0-0", Duration::from_millis(100)), lt(8));
+    for number in 0..40 {
+        expect_that!(world.state(&format!("job{number}")), some(eq(GraphState::Completed)));
+    }
+}
+
+#[gtest]
+fn a_worker_whose_work_stands_still_is_given_little() {
+    let mut world = World::new(22, 4);
+    world.run(seconds(1));
+    world.workers.get_mut(&WorkerId::from("w0-0")).unwrap().slowness = 1_000;
+    expect_that!(given_to(&mut world, "w0-0", Duration::from_millis(250)), lt(8));
+}
+
+#[gtest]
+fn a_job_that_fails_everywhere_casts_no_worker_out() {
+    let mut world = World::new(23, 4);
+    world.run(seconds(1));
+    for number in 0..8 {
+        let poison = format!("poison{number}");
+        world.poison.insert(poison.as_str().into());
+        world.submit("now", &poison, vec![step(4, 1, 100)]);
+    }
+    world.run(seconds(1));
+    world.submit("now", "a", vec![step(8, 1, 300)]);
+    world.run(Duration::from_millis(500));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+}
--- a/tests/graph/model.rs
+++ b/tests/graph/model.rs
@@ -32,6 +32,8 @@
     pub(crate) rate: u32,
     /// Times as long as they should that tasks take.
     pub(crate) slowness: u32,
+    /// Whether all that it starts fails.
+    pub(crate) spoils: bool,
     pub(crate) started: Instant,
     pub(crate) fence: LeaderEpoch,
     pub(crate) lease: Duration,
@@ -50,6 +52,7 @@
             reached: true,
             rate,
             slowness: 1,
+            spoils: false,
             started: now,
             fence: 0,
             lease: Duration::ZERO,
@@ -123,13 +126,25 @@
         self.lease = self.lease.max(until);
     }
 
+    /// Whether a task of a job was started here.
+    pub(crate) fn was_given(&self, job: &str) -> bool {
+        self.runs.keys().chain(self.closed.keys()).any(|task| &*task.job == job)
+    }
+
+    /// Share of a run that is done, in percent.
+    fn percent(&self, run: &ModelRun, now: Instant) -> u32 {
+        let length = (run.length * self.slowness).as_millis().max(1);
+        let passed = now.saturating_duration_since(run.begun).as_millis();
+        u32::try_from(passed * 100 / length).unwrap_or(100).min(100)
+    }
+
     pub(crate) fn report(&mut self, now: Instant, acked: u64) -> PollReply {
         self.ends.retain(|end| end.number > acked);
         let running = self.runs.iter().map(|(task, run)| RunReport {
             task: task.clone(),
             run: run.run,
             saved: String::new(),
-            percent: 50,
+            percent: self.percent(run, now),
             figure: 0,
         });
         let running = running.collect();
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -562,7 +562,7 @@
                                 need: step.reservation(),
                                 begun: now,
                                 length: step.estimate,
-                                fails,
+                                fails: fails || worker.spoils,
                                 stops: None,
                             };
                             worker.runs.insert(task.clone(), entry);
