What stood twice in the leader's commands stands once

Cause: what follows another life's answer stood twice (starts and stops), one match had two arms with the same result, and a gang's checkpoint was looked up through a path spelled out in the middle of a function. Change: one function for a replaced worker, one arm, a comment on whose checkpoint is used.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -9,7 +9,7 @@
 use crate::graph::event::{CommandResult, GraphAction, StartOrder};
 use crate::graph::exchange::{CallFailure, WorkerRefusal};
 use crate::graph::lives::WORKER_LEASE;
-use crate::graph::name::{RunNumber, TaskName};
+use crate::graph::name::{RunNumber, TaskKey, TaskName};
 use crate::graph::placer::PlannedStart;
 use crate::graph::preemption::PlannedPreemption;
 use crate::graph::worker::{RunPhase, WorkerRun};
@@ -54,9 +54,9 @@
         let key = (task.job.clone(), task.key.step);
         let ticket = self.advice.step(&key).and_then(|step| step.ticket(worker, now));
         let gang = job.step(task.key.step).is_some_and(|step| step.gang);
-        let saver = if gang { 0 } else { task.key.index };
-        let saved = crate::graph::name::TaskKey { index: saver, ..task.key };
-        let saved = job.progress.saved.get(&saved).cloned().unwrap_or_default();
+        // In a gang one member's checkpoint holds for all.
+        let keeper = if gang { TaskKey { index: 0, ..task.key } } else { task.key };
+        let saved = job.progress.saved.get(&keeper).cloned().unwrap_or_default();
         let payload = job.spec.payload.clone();
         let Some(life) = self.lives.get_mut(worker) else {
             return;
@@ -135,8 +135,7 @@
             }
             CallFailure::Refused(WorkerRefusal::Deposed) => self.deposed = true,
             CallFailure::Refused(WorkerRefusal::OtherLife) => {
-                let found = self.lives.over(worker, "another life answered a start");
-                self.take_findings(now, found);
+                self.replaced(now, worker, "another life answered a start");
                 return;
             }
             CallFailure::Refused(WorkerRefusal::Ticket) => {
@@ -150,6 +149,12 @@
         }
     }
 
+    /// A worker has been replaced by another life of it: all its runs are lost.
+    fn replaced(&mut self, now: Instant, worker: &WorkerId, reason: &'static str) {
+        let found = self.lives.over(worker, reason);
+        self.take_findings(now, found);
+    }
+
     /// A run that surely has not begun.
     fn withdraw(&mut self, now: Instant, worker: &WorkerId, task: &TaskName, run: RunNumber) {
         if let Some(life) = self.lives.get_mut(worker) {
@@ -213,8 +218,7 @@
                 }
             }
             Err(CallFailure::Refused(WorkerRefusal::OtherLife)) => {
-                let found = self.lives.over(worker, "another life answered a stop");
-                self.take_findings(now, found);
+                self.replaced(now, worker, "another life answered a stop");
             }
             Err(CallFailure::Refused(WorkerRefusal::Deposed)) => self.deposed = true,
             Err(failure) => {
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -197,7 +197,6 @@
             life.inherit_lease(self.longest_lease);
             found.push(LifeFinding::Claimed(id.clone()));
         }
-        let before = life.seen;
         for end in reply.ended {
             if end.number > life.seen {
                 life.seen = end.number;
@@ -219,7 +218,6 @@
         }
         life.next_poll = match life.durable == life.seen {
             true => now + POLL_GAP,
-            false if before < life.seen => now + STORE_PAUSE,
             false => now + STORE_PAUSE,
         };
         found
