A test's entries are given different ports

Trace: that entry had printed "kelplink: peers: Address already in use": the test asked for three free ports one after the other and gave each back before the next, so two may be the same (about 3 in 28,000 for each entry). Ruled out: the election and the new readiness: the process had ended at its start. Change: all three ports are held until the last is chosen. No check is changed. A port may still be taken by another process between the choice and the start.

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -52,8 +52,10 @@
     IpAddr::V4(Ipv4Addr::new(127, 16 + test % 64 + 64 * (high % 3), low.max(1), host))
 }
 
-fn free_port(ip: IpAddr) -> u16 {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
+/// Three different free ports: all are taken before the first is given back.
+fn free_ports(ip: IpAddr) -> [u16; 3] {
+    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
+    listeners.each_ref().map(|listener| listener.local_addr().unwrap().port())
 }
 
 impl Cluster {
@@ -76,8 +78,8 @@
 
     fn add_entry(&mut self, test: u8, number: u8) {
         let ip = address(test, 10 + number);
-        let (front, ready) = (free_port(ip), free_port(ip));
-        let (peers, last) = (free_port(ip), u16::MAX);
+        let [front, ready, peers] = free_ports(ip);
+        let last = u16::MAX;
         let name = format!("entry-{number}");
         let text = format!(
             "node = \"{name}\"\nzone = \"a\"\nip = \"{ip}\"\ninternal_ports = [{peers}, {last}]\n\
