A test's entries use ports that nothing else is given

What held the port was not traced; it came from the range of outgoing connections. Ruled out: two equal ports; the election and the new readiness: the process had ended at its start. Change: fixed ports below that range, as the metrics port is already; each entry has an address of its own. No check is changed.

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -1,7 +1,7 @@
 //! Real processes on loopback addresses of their own, and calls to them.
 
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -52,11 +52,9 @@
     IpAddr::V4(Ipv4Addr::new(127, 16 + test % 64 + 64 * (high % 3), low.max(1), host))
 }
 
-/// Three different free ports: all are taken before the first is given back.
-fn free_ports(ip: IpAddr) -> [u16; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
-    listeners.each_ref().map(|listener| listener.local_addr().unwrap().port())
-}
+/// Ports of callers, balancer and other entries. Each entry has an address of its own; these are below
+/// the range from which ports of outgoing connections are taken.
+const PORTS: [u16; 3] = [7_001, 7_002, 7_003];
 
 impl Cluster {
     /// Starts everything and waits until an entry leads and all are ready.
@@ -78,7 +76,7 @@
 
     fn add_entry(&mut self, test: u8, number: u8) {
         let ip = address(test, 10 + number);
-        let [front, ready, peers] = free_ports(ip);
+        let [front, ready, peers] = PORTS;
         let last = u16::MAX;
         let name = format!("entry-{number}");
         let text = format!(
