--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -21,6 +21,8 @@
 const POLL_SLACK: Duration = Duration::from_millis(250);
 /// Time from a look at all leaders to the next.
 const STEP: Duration = Duration::from_millis(5);
+/// How long a call for advice takes where the advisor is quick.
+const QUICK_ADVICE: Duration = Duration::from_millis(35);
 /// How often a leader whose store answers is told so.
 const RENEWAL: u64 = 500;
 
@@ -129,6 +131,8 @@
     done: BTreeSet<TaskName>,
     /// When the store took a job's verdict.
     ended: BTreeMap<GraphId, Instant>,
+    /// Workers that advice allows every step, where it does not follow from their numbers.
+    pub(crate) allowed: Option<BTreeSet<WorkerId>>,
     /// How long callers wait.
     pub(crate) patience: Duration,
     /// Share of runs that fail, in thousandths.
@@ -156,6 +160,16 @@
     }
 }
 
+/// A queue whose advisor takes its time: a call about 30 workers takes 645 ms, a third of a ticket's life.
+fn slowly_asked(id: &str, priority: u32) -> QueueRule {
+    let advice = AdviceRule {
+        call: Duration::from_millis(450),
+        each: Duration::from_micros(6_500),
+        valid: Duration::from_millis(2_000),
+    };
+    QueueRule { advice: Some(advice), ..rule(id, priority, false) }
+}
+
 pub(crate) fn step(count: u32, cores: u32, millis: u64) -> StepSpec {
     StepSpec {
         count,
@@ -173,7 +187,12 @@
     /// Workers that take turns among failure domains.
     pub(crate) fn spread(seed: u64, workers: u32, domains: u32) -> Self {
         let now = Instant::now();
-        let queues = [rule("now", 0, false), rule("asked", 1, true), rule("later", 2, false)];
+        let queues = [
+            rule("now", 0, false),
+            rule("asked", 1, true),
+            slowly_asked("watched", 1),
+            rule("later", 2, false),
+        ];
         let queues = queues.into_iter().map(|rule| (rule.id.clone(), Arc::new(rule))).collect();
         let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
         let config = QueueConfig { version: 1, queues, pools: BTreeMap::new(), limits };
@@ -195,6 +214,7 @@
             noted: BTreeMap::new(),
             done: BTreeSet::new(),
             ended: BTreeMap::new(),
+            allowed: None,
             patience: Duration::from_secs(3),
             failing: 0,
             poison: BTreeSet::new(),
@@ -391,7 +411,8 @@
             }
             GraphAction::Throttle { .. } => {}
             GraphAction::Advise(call) => {
-                self.post(Duration::from_millis(35), Message::Advised { leader: epoch, call });
+                let time = self.advice_time(&call);
+                self.post(time, Message::Advised { leader: epoch, call });
             }
             GraphAction::Commit(group) => self.post(way, Message::Commit { epoch, group }),
             GraphAction::Answer(call, answer) => {
@@ -400,6 +421,15 @@
         }
     }
 
+    fn advice_time(&mut self, call: &AdviceCall) -> Duration {
+        let workers = u32::try_from(call.workers.len()).unwrap();
+        let job = self.leader().and_then(|leader| leader.jobs().get(&call.key.0));
+        match job.and_then(|job| job.rule.advice) {
+            Some(rule) if rule.call > QUICK_ADVICE => rule.call + rule.each * workers,
+            _ => QUICK_ADVICE,
+        }
+    }
+
     /// Sends an order, loses it, or has it carried out late; tells whether it will be answered.
     fn send_order(&mut self, way: Duration, message: impl FnOnce(bool) -> Message) -> bool {
         if self.chance(self.faults.lost) {
@@ -455,7 +485,10 @@
                 // One worker in eight is not allowed, so that every step that a run submits can run.
                 let number = |worker: &str| worker[1..2].parse::<u32>().unwrap_or(0);
                 let job = call.key.0.bytes().map(u32::from).sum::<u32>();
-                let denied = |worker: &WorkerId| (number(worker) + job) % 8 == 0;
+                let denied = |worker: &WorkerId| match &self.allowed {
+                    Some(allowed) => !allowed.contains(worker),
+                    None => (number(worker) + job) % 8 == 0,
+                };
                 let allowed = call.workers.iter().filter(|worker| !denied(worker));
                 let allowed = allowed.map(|worker| (worker.clone(), "t".into())).collect();
                 if let Some(leader) = self.leaders.get_mut(&leader) {
