Room for a step is reckoned with its limit of tasks a worker

Cause: PlacementPass::wish reckoned the room on workers with tickets as if the step had no tasks there yet. A step at its limit on all of them seemed to have tickets for the tasks that wait, so calls for advice renewed the tickets of one set of workers while those of the other looked like room enough, in turn and for ever, and no other worker was asked about. Ruled out: advice that is denied (a worker's answer does not change; 31 of 59 allowed workers were never asked about); full workers (most of their room was free); the advisor's queue (calls were answered within their reckoned time). Change: StepRoom reckons what a step may still place on a worker: what fits, less what its limit leaves. Wishes for advice and the choice of a further failure domain use it; a worker at the limit is not named in a call. PlacementPass::counts also has what was given room earlier in the same pass.

--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -21,8 +21,8 @@
 use crate::graph::jobs::JobTable;
 use crate::graph::lives::{LifeTable, SILENCE};
 use crate::graph::name::{GraphId, StepKey, TaskKey, TaskName};
-use crate::graph::placer::room::PassRoom;
 pub(crate) use crate::graph::placer::room::room_for;
+use crate::graph::placer::room::{PassRoom, StepRoom};
 use crate::graph::preemption::{PlannedPreemption, RoomKeeper};
 use crate::graph::spec::StepSpec;
 use crate::graph::worker::WorkerLife;
@@ -246,8 +246,7 @@
         }
         let key = (job.spec.id.clone(), step.key);
         let known = self.view.advice.step(&key);
-        let need = step.step.reservation();
-        let most = step.step.max_per_worker.unwrap_or(u32::MAX);
+        let step_room = self.step_room(step);
         let mut here = 0;
         let mut elsewhere: BTreeMap<&DomainId, usize> = BTreeMap::new();
         for room in self.rooms.values() {
@@ -255,7 +254,7 @@
             let usable = listing.service == job.rule.service
                 && has_label(room.life, step.step)
                 && !known.is_some_and(|known| known.denied.contains(id));
-            let holds = room_for(&room.free, &need).min(most) as usize;
+            let holds = step_room.holds(room);
             match usable {
                 true if job.may_use(&listing.domain) => here += holds,
                 true => *elsewhere.entry(&listing.domain).or_default() += holds,
@@ -268,6 +267,14 @@
             .map(|(domain, _)| domain.clone())
     }
 
+    /// What the step may still place on workers.
+    fn step_room(&self, step: &OpenStep<'t>) -> StepRoom {
+        let all: Vec<WorkerId> = self.rooms.keys().cloned().collect();
+        StepRoom::new(step.step, self.counts(step, &all))
+    }
+
+    /// Tasks of the step that hold room, have room kept or were given room in this pass, by worker;
+    /// nothing where the step has no limit.
     fn counts(&self, step: &OpenStep<'t>, among: &[WorkerId]) -> BTreeMap<WorkerId, u32> {
         if step.step.max_per_worker.is_none() {
             return BTreeMap::new();
@@ -278,7 +285,21 @@
             let kept = self.view.keeper.count(worker, id, step.key);
             Some((worker.clone(), room.life.count_of(id, step.key) + kept))
         };
-        among.iter().filter_map(count).collect()
+        let mut counts: BTreeMap<WorkerId, u32> = among.iter().filter_map(count).collect();
+        // Room that was kept for a task is counted already.
+        let kept_here = |start: &PlannedStart| {
+            let kept = self.view.keeper.get(&step.job.task_name(start.task));
+            kept.is_some_and(|kept| kept.worker == start.worker)
+        };
+        let given = |start: &&PlannedStart| {
+            start.job == *id && start.task.step == step.key && !kept_here(start)
+        };
+        for start in self.plan.starts.iter().filter(given) {
+            if let Some(count) = counts.get_mut(&start.worker) {
+                *count += 1;
+            }
+        }
+        counts
     }
 }
 
--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -6,7 +6,7 @@
 use crate::graph::advice::{AdviceWish, MOST_ASKED};
 use crate::graph::job::GraphJob;
 use crate::graph::name::{StepKey, TaskKey};
-use crate::graph::placer::room::{PassRoom, room_for};
+use crate::graph::placer::room::PassRoom;
 use crate::graph::placer::{OpenStep, PlacementPass, has_label};
 use crate::graph::queue::AdviceRule;
 use crate::id::WorkerId;
@@ -77,13 +77,14 @@
         }
         let known = self.view.advice.step(&key);
         let need = step.step.reservation();
-        let most = step.step.max_per_worker.unwrap_or(u32::MAX);
-        let holds = |room: &PassRoom<'t>| room_for(&room.free, &need).min(most) as usize;
+        let step_room = self.step_room(step);
+        let holds = |room: &PassRoom<'t>| step_room.holds(room);
         let fitting = self.rooms.values().filter(|room| {
             room.life.listing.service == step.job.rule.service
                 && step.job.may_use(&room.life.listing.domain)
                 && has_label(room.life, step.step)
                 && need.fits(&room.life.listing.capacity)
+                && step_room.allows(room.life.id()) > 0
                 && !known.is_some_and(|known| known.denied.contains(room.life.id()))
         });
         let renewal = self.view.now + rule.call + rule.each * RENEWED_WORKERS;
