--- a/tests/graph/lasting.rs
+++ b/tests/graph/lasting.rs
@@ -61,3 +61,48 @@
     world.run(seconds(9));
     expect_that!(runs_of(&world, "a"), eq(52));
 }
+
+// Two lasting tasks of two jobs did not run for 25 s after their worker was gone for good, with room for them.
+// Each look at the worker counted as an extension of its lease, answered or not, so the lease never ended and
+// the leader held both tasks there until its own process was stopped; the next leader started them 9 ms apart,
+// one lease after it had taken over.
+#[gtest]
+fn lasting_tasks_of_a_worker_that_is_gone_start_elsewhere_under_the_same_leader() {
+    let mut world = World::new(33, 8);
+    world.run(seconds(1));
+    let lasting = || vec![StepSpec { lasting: true, ..step(4, 2, 600_000) }];
+    world.submit("now", "a", lasting());
+    world.submit("now", "b", lasting());
+    world.run(seconds(1));
+    let gone = world.workers.values_mut().find(|worker| worker.runs.len() > 1).unwrap();
+    gone.up = false;
+    let id = gone.id().clone();
+    // Its registration ends some heartbeats later.
+    world.run(seconds(4));
+    world.leader().unwrap().worker_unlisted(&id);
+    world.run(seconds(2));
+    expect_that!(runs_of(&world, "a") + runs_of(&world, "b"), eq(8));
+    expect_that!(world.store.workers.iter().any(|used| used.id == id), eq(false));
+}
+
+// The worker that is gone is not among those that the store names as in use any more, so a leader that takes
+// over has nothing to wait for there: a task that is lost then starts as soon as its own lease is over.
+#[gtest]
+fn a_takeover_does_not_wait_for_a_worker_that_went_before_it() {
+    let mut world = World::new(34, 8);
+    world.run(seconds(1));
+    world.submit("now", "a", vec![StepSpec { lasting: true, ..step(4, 2, 600_000) }]);
+    world.run(seconds(1));
+    let gone = world.workers.values_mut().find(|worker| !worker.runs.is_empty()).unwrap();
+    gone.up = false;
+    let id = gone.id().clone();
+    world.leader().unwrap().worker_unlisted(&id);
+    world.run(seconds(6));
+    let epoch = world.store.epoch;
+    world.leaders.remove(&epoch);
+    world.elect();
+    world.submit("now", "b", vec![step(2, 1, 300)]);
+    world.run(seconds(1));
+    expect_that!(world.state("b"), some(eq(kelplink::GraphState::Completed)));
+    expect_that!(runs_of(&world, "a"), eq(4));
+}
