The share of allowed workers is learned from renewals: a case that fails

Cause: AdviceDesk::answered counts all workers of a call, also those whose tickets it renews, which were allowed before and are again.

--- /dev/null
+++ b/tests/graph/advice.rs
@@ -0,0 +1,43 @@
+//! What the leader learns from placement advice.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{AdviceDesk, AdviceWish, EntryId, StepKey, WorkerId};
+use tokio::time::Instant;
+
+use crate::world::rule;
+
+/// Asks about workers and allows those whose number can be divided by three.
+fn ask(desk: &mut AdviceDesk, now: Instant, workers: &[WorkerId]) {
+    let queue = rule("asked", 1, true);
+    let wish = AdviceWish {
+        key: ("a".into(), StepKey { occurrence: 0, step: 0 }),
+        queue: queue.id.clone(),
+        rule: queue.advice.unwrap(),
+        workers: workers.to_vec(),
+    };
+    let call = desk.assign(now, vec![wish]).remove(0);
+    let allowed = workers.iter().filter(|worker| worker[1..].parse::<u32>().unwrap() % 3 == 0);
+    let allowed = allowed.map(|worker| (worker.clone(), "ticket".into())).collect();
+    desk.answered(now, call.id, Some(allowed), Duration::ZERO);
+}
+
+// The share of workers that a queue's steps are allowed decides how many are named in a call. It was learned
+// from renewals as well, in which nearly all are allowed as they were before: with a third allowed it was
+// learned as nine tenths, and calls named a third of the workers that were needed.
+#[gtest]
+fn the_share_of_allowed_workers_is_not_learned_from_renewals() {
+    let now = Instant::now();
+    let workers: Vec<WorkerId> = (0..30).map(|number| format!("w{number}").into()).collect();
+    let mut desk = AdviceDesk::default();
+    desk.set_entries([EntryId::from("e0")].into());
+    for chunk in workers.chunks(3) {
+        ask(&mut desk, now, chunk);
+    }
+    let allowed: Vec<WorkerId> = workers.iter().step_by(3).cloned().collect();
+    for _ in 0..30 {
+        ask(&mut desk, now, &allowed);
+    }
+    expect_that!(desk.share(&"asked".into()), lt(0.45));
+}
