The share of allowed workers is learned from new answers only

Ruled out: a smaller weight of each answer: renewals outnumber first answers, the share only rises more slowly. Change: AdviceDesk::answered counts workers that it had no answer about; a call of renewals alone teaches nothing.

--- a/src/graph/advice.rs
+++ b/src/graph/advice.rs
@@ -56,6 +56,11 @@
         self.allowed.iter().filter(usable).map(|(worker, _)| worker)
     }
 
+    /// Whether the advisor has answered about a worker.
+    fn knows(&self, worker: &WorkerId) -> bool {
+        self.allowed.contains_key(worker) || self.denied.contains(worker)
+    }
+
     /// The ticket for a worker, if it can still be used.
     pub fn ticket(&self, worker: &WorkerId, now: Instant) -> Option<TicketText> {
         let (ticket, end) = self.allowed.get(worker)?;
@@ -185,22 +190,26 @@
             step.retry = Some(now + retry);
             return Some(key);
         };
-        let asked = open.call.workers.len();
+        // Renewals say nothing of workers that were not asked about: counted as answers they taught a share of
+        // 0.97 where a third is allowed.
+        let new: BTreeSet<WorkerId> =
+            open.call.workers.iter().filter(|worker| !step.knows(worker)).cloned().collect();
         let (sent, valid) = (open.sent, open.rule.valid);
         // A ticket's life may begin before its answer is sent: it is counted from the call.
         let end = sent + valid;
         for worker in open.call.workers {
             step.denied.insert(worker);
         }
-        let mut count = 0;
+        let newly_allowed = allowed.iter().filter(|(worker, _)| new.contains(worker)).count();
         for (worker, ticket) in allowed {
             step.denied.remove(&worker);
             step.allowed.insert(worker, (ticket, end));
-            count += 1;
         }
-        let share = f64::from(count) / asked.max(1) as f64;
-        let learned = self.shares.entry(open.queue).or_insert(FIRST_SHARE);
-        *learned += (share - *learned) * SHARE_WEIGHT;
+        if !new.is_empty() {
+            let share = newly_allowed as f64 / new.len() as f64;
+            let learned = self.shares.entry(open.queue).or_insert(FIRST_SHARE);
+            *learned += (share - *learned) * SHARE_WEIGHT;
+        }
         Some(key)
     }
 
