An unreadable item does not stop the list it stands in

Cause: PlatformStore decoded a page, a watch and the items of a conflict as a whole. One value that was not base64 or not a text, or one place without a key, made all of it an error: the next leader listed no worker, and the same fault under j/, p/, m/ or op/ would have kept a leader from reading its jobs and all entries from following members and configuration. Ruled out: passing over such an item wholly. Its key may be that of a worker in use, so an item keeps its key with an empty value, which each decoder finds unreadable and logs with the key; only a place without a key is dropped, logged and counted. Change: lists are decoded place by place; a counter kelplink_unreadable_total{kind} at each decoder of values of the store.

--- a/src/node.rs
+++ b/src/node.rs
@@ -20,7 +20,7 @@
 
 pub(crate) use keys::{
     KeyEvent, KeyItem, KeyPage, KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome,
-    WatchOutcome,
+    UnreadableKind, WatchOutcome, count_unreadable,
 };
 pub use process::NodeProcess;
 pub use settings::NodeSettings;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -6,7 +6,9 @@
 use log::{error, info, warn};
 use tokio::time::sleep;
 
-use crate::node::keys::{KeyEvent, KeyItem, StoreError, WatchOutcome};
+use crate::node::keys::{
+    KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
+};
 use crate::node::shared::NodeShared;
 use crate::platform::{CONFIG_KEY, CONFIG_PREFIX, decode_config};
 
@@ -85,6 +87,7 @@
         let config = match decode_config(&item.value) {
             Ok(config) => config,
             Err(error) => {
+                count_unreadable(UnreadableKind::Configuration);
                 error!(error:% = error, revision = item.revision; "the configuration is unreadable");
                 return;
             }
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct KeyItem {
     pub(crate) key: String,
+    /// Empty where the store's text for it cannot be read.
     pub(crate) value: Bytes,
     /// Revision of its last change.
     pub(crate) revision: u64,
@@ -82,3 +83,34 @@
     #[error("unknown: {0}")]
     Unknown(String),
 }
+
+/// What of the store could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum UnreadableKind {
+    /// A place in a list without a key.
+    Item,
+    /// A worker's registration.
+    Registration,
+    Configuration,
+    /// An entry, the leader or the count of elections.
+    Member,
+    /// A job, its progress or the workers in use.
+    Ledger,
+}
+
+impl UnreadableKind {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Item => "item",
+            Self::Registration => "registration",
+            Self::Configuration => "configuration",
+            Self::Member => "member",
+            Self::Ledger => "ledger",
+        }
+    }
+}
+
+/// Counts what could not be read; whoever finds it writes the log line, with the key.
+pub(crate) fn count_unreadable(kind: UnreadableKind) {
+    metrics::counter!("kelplink_unreadable_total", "kind" => kind.label()).increment(1);
+}
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -12,7 +12,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::graph::{CommitGroup, GraphProgress, GraphRecord, LeaderEpoch, LeaderState};
-use crate::node::keys::{KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome};
+use crate::node::keys::{
+    KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome, UnreadableKind,
+    count_unreadable,
+};
 use crate::node::members::EPOCH_KEY;
 use crate::platform::PlatformStore;
 
@@ -242,6 +245,7 @@
 fn decode<T: DeserializeOwned>(item: &KeyItem) -> Option<T> {
     let decoded = serde_json::from_slice(&item.value);
     if let Err(failure) = &decoded {
+        count_unreadable(UnreadableKind::Ledger);
         error!(key = item.key, failure:% = failure; "a key of the ledger is unreadable");
     }
     decoded.ok()
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -7,7 +7,9 @@
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
-use crate::node::keys::{KeyEvent, KeyItem, StoreError, WatchOutcome};
+use crate::node::keys::{
+    KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
+};
 use crate::node::shared::{EpochRecord, MemberView, NodeShared};
 
 /// Prefix of all keys that entries watch.
@@ -132,6 +134,7 @@
 fn decode<T: DeserializeOwned>(item: &KeyItem) -> Option<T> {
     let decoded = serde_json::from_slice(&item.value);
     if let Err(error) = &decoded {
+        count_unreadable(UnreadableKind::Member);
         warn!(key = item.key, error:% = error; "a key of the members is unreadable");
     }
     decoded.ok()
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -8,7 +8,9 @@
 use tokio::time::sleep;
 
 use crate::id::WorkerId;
-use crate::node::keys::{KeyEvent, KeyItem, StoreError, WatchOutcome};
+use crate::node::keys::{
+    KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
+};
 use crate::node::leader::LeaderInput;
 use crate::node::shared::NodeShared;
 use crate::platform::{REGISTRATION_PREFIX, decode_registration, worker_of_key};
@@ -97,6 +99,7 @@
         let listing = match decode_registration(item) {
             Ok(listing) => listing,
             Err(reason) => {
+                count_unreadable(UnreadableKind::Registration);
                 warn!(reason; "a registration is unreadable");
                 return None;
             }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,12 +7,14 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use hyper::{Method, Response, StatusCode};
+use log::warn;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
 use crate::client::{ClientError, HttpClient};
 use crate::node::{
     KeyEvent, KeyItem, KeyPage, KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome,
-    WatchOutcome,
+    UnreadableKind, WatchOutcome, count_unreadable,
 };
 use crate::platform::http::{JsonCall, read_json, send_json};
 
@@ -33,24 +35,42 @@
 /// Added to a watch's own time before it counts as cut.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
+/// A value as the store gives it out, or what another writer has left in its place.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireValue {
+    Text(String),
+    Other(IgnoredAny),
+}
+
 /// An item, an event, or either without the parts that it does not have.
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct WireItem {
     key: String,
     #[serde(default)]
-    value: Option<String>,
+    value: Option<WireValue>,
     #[serde(default)]
     revision: u64,
     #[serde(default)]
     deleted: bool,
 }
 
+/// A place in a list: one that holds something else does not make the list unreadable.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireSlot {
+    Item(WireItem),
+    Other(IgnoredAny),
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
-struct WirePage {
+pub(super) struct WirePage {
     #[serde(default)]
-    items: Vec<WireItem>,
+    items: Vec<WireSlot>,
     #[serde(default)]
     has_more: bool,
     /// The store's revision when it answered.
@@ -58,11 +78,18 @@
     revision: u64,
 }
 
+impl From<WirePage> for KeyPage {
+    fn from(page: WirePage) -> Self {
+        let items = page.items.into_iter().filter_map(named).map(item).collect();
+        Self { items, more: page.has_more, revision: page.revision }
+    }
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct WireEvents {
     #[serde(default)]
-    events: Vec<WireItem>,
+    events: Vec<WireSlot>,
     /// Where the next watch goes on.
     #[serde(rename = "as_of", default)]
     revision: u64,
@@ -145,7 +172,7 @@
         let path = format!("{KEY_PATH}?key={key}");
         let response = self.read(&path, CALL_TIME).await?;
         match response.status() {
-            StatusCode::OK => Ok(Some(item(read(&response)?)?)),
+            StatusCode::OK => Ok(Some(item(read(&response)?))),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(refused(status)),
         }
@@ -161,8 +188,7 @@
         match response.status() {
             StatusCode::OK => {
                 let page: WirePage = read(&response)?;
-                let items = page.items.into_iter().map(item).collect::<Result<_>>()?;
-                Ok(KeyPage { items, more: page.has_more, revision: page.revision })
+                Ok(page.into())
             }
             status => Err(refused(status)),
         }
@@ -182,7 +208,7 @@
             StatusCode::OK => {
                 let events: WireEvents = read(&response)?;
                 let revision = events.revision;
-                let events = events.events.into_iter().map(event).collect::<Result<_>>()?;
+                let events = events.events.into_iter().filter_map(named).map(event).collect();
                 Ok(WatchOutcome::Events { events, revision })
             }
             StatusCode::GONE => Ok(WatchOutcome::HistoryGone),
@@ -205,8 +231,9 @@
             }
             StatusCode::PRECONDITION_FAILED => {
                 let page: WirePage = read(&response)?;
-                let items = page.items.into_iter().filter(|item| item.value.is_some());
-                Ok(TransactionOutcome::Conflict(items.map(item).collect::<Result<_>>()?))
+                let items = page.items.into_iter().filter_map(named);
+                let items = items.filter(|item| item.value.is_some()).map(item).collect();
+                Ok(TransactionOutcome::Conflict(items))
             }
             StatusCode::NOT_FOUND => Ok(TransactionOutcome::NoLease),
             status => Err(refused(status)),
@@ -296,18 +323,33 @@
     }
 }
 
-fn value(text: Option<String>) -> Result<Bytes> {
-    let bytes = STANDARD.decode(text.unwrap_or_default());
-    bytes.map(Bytes::from).map_err(|error| StoreError::Unknown(format!("a value: {error}")))
+/// The item in a place of a list, if one is there.
+fn named(slot: WireSlot) -> Option<WireItem> {
+    match slot {
+        WireSlot::Item(item) => Some(item),
+        WireSlot::Other(_) => {
+            count_unreadable(UnreadableKind::Item);
+            warn!("the store lists what is no item");
+            None
+        }
+    }
+}
+
+/// The bytes of a value; none where they cannot be read: whoever decodes them finds that, with the key.
+fn value(wire: Option<WireValue>) -> Bytes {
+    match wire {
+        Some(WireValue::Text(text)) => STANDARD.decode(text).map(Bytes::from).unwrap_or_default(),
+        Some(WireValue::Other(_)) | None => Bytes::new(),
+    }
 }
 
-fn item(wire: WireItem) -> Result<KeyItem> {
-    Ok(KeyItem { key: wire.key, value: value(wire.value)?, revision: wire.revision })
+fn item(wire: WireItem) -> KeyItem {
+    KeyItem { key: wire.key, value: value(wire.value), revision: wire.revision }
 }
 
-fn event(wire: WireItem) -> Result<KeyEvent> {
+fn event(wire: WireItem) -> KeyEvent {
     match wire.deleted {
-        true => Ok(KeyEvent::Removed(wire.key)),
-        false => item(wire).map(KeyEvent::Written),
+        true => KeyEvent::Removed(wire.key),
+        false => KeyEvent::Written(item(wire)),
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -5,8 +5,9 @@
 use serde_json::{Value, json};
 
 use crate::graph::WorkerListing;
-use crate::node::KeyItem;
+use crate::node::{KeyItem, KeyPage};
 use crate::platform::registrations::{decode_registration, worker_of_key};
+use crate::platform::store::WirePage;
 
 /// A registration with every field.
 fn whole() -> Value {
@@ -112,3 +113,33 @@
     expect_that!(worker_of_key("op/config"), none());
     expect_that!(worker_of_key("servers/i-7f3a91c2").as_deref(), some(eq("i-7f3a91c2")));
 }
+
+/// One value that was not base64, or one item of another shape, made the whole page unreadable: no
+/// worker was listed, and a leader could not read its jobs.
+#[gtest]
+fn an_unreadable_item_does_not_stop_its_page() {
+    let items = json!([
+        {"key": "servers/a", "value": "YQ==", "revision": 3, "lease": 0},
+        {"key": "servers/b", "value": "!", "revision": 4},
+        {"key": "servers/c", "value": 7, "revision": 5},
+        {"key": "servers/d", "revision": 6},
+        {"key": 7, "value": "YQ==", "revision": 7},
+        {"value": "YQ=="},
+        null, 7, "text", [],
+        {"key": "servers/e", "value": "Yg==", "revision": 8},
+    ]);
+    let body = json!({"items": items, "has_more": true, "as_of": 9});
+    let page: KeyPage = serde_json::from_value::<WirePage>(body).unwrap().into();
+    let found: Vec<(&str, &[u8])> =
+        page.items.iter().map(|item| (&*item.key, &*item.value)).collect();
+    let expected: Vec<(&str, &[u8])> = vec![
+        ("servers/a", b"a"),
+        ("servers/b", b""),
+        ("servers/c", b""),
+        ("servers/d", b""),
+        ("servers/e", b"b"),
+    ];
+    expect_that!(found, eq(&expected));
+    expect_true!(page.more);
+    expect_that!(page.revision, eq(9));
+}
