A registration that is not whole names no worker

Cause: decode_registration took every state but one for usable, a missing or empty failure domain for an unknown one, a missing capacity for none, and any key under the prefix for a worker's, and did not look at fields that nothing here uses. In the watch an entry that could not be read was dropped, so that its worker went on being used until the list was read anew. Ruled out: asking only for the fields that are used. A rack among the labels is not asked for: its form is not laid down anywhere. What runs at a worker whose entry turns bad: it is treated like one that is not registered. Nothing new is started there, it is still polled, its lease is extended while it answers, and a whole entry makes it usable again. Taking its life for ended would run its tasks twice. Nothing that it does can tell the two writers of its key apart. Change: typed states, errors and senses of fields; addresses that cannot be called (port 0, unspecified, multicast, broadcast) and ids that cannot stand in the head of a call are refused; RegistryDuty takes a bad entry for none. It is logged when it turns bad, not with each heartbeat of its writer; the counter goes with the line. Calls to an address that only bad entries name are still seen: those of a service that nothing names.

--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -13,7 +13,7 @@
 };
 use crate::node::leader::LeaderInput;
 use crate::node::shared::NodeShared;
-use crate::platform::{REGISTRATION_PREFIX, decode_registration, worker_of_key};
+use crate::platform::{REGISTRATION_PREFIX, RegistrationError, decode_registration, worker_of_key};
 use crate::ring::RingSender;
 
 /// Longest wait of a watch: a connection that has gone silent is noticed after it and the watch's
@@ -27,11 +27,13 @@
     shared: Arc<NodeShared>,
     leader: RingSender<LeaderInput>,
     known: BTreeSet<WorkerId>,
+    /// Keys whose entries name no worker: each is logged when it turns so.
+    refused: BTreeSet<String>,
 }
 
 impl RegistryDuty {
     pub(crate) fn new(shared: Arc<NodeShared>, leader: RingSender<LeaderInput>) -> Self {
-        Self { shared, leader, known: BTreeSet::new() }
+        Self { shared, leader, known: BTreeSet::new(), refused: BTreeSet::new() }
     }
 
     /// Runs until the leader's duty has ended.
@@ -83,6 +85,7 @@
                                 self.written(&item).await;
                             }
                             KeyEvent::Removed(key) => {
+                                self.refused.remove(&key);
                                 if let Some(worker) = worker_of_key(&key) {
                                     self.removed(worker).await;
                                 }
@@ -96,18 +99,31 @@
     }
 
     async fn written(&mut self, item: &KeyItem) -> Option<WorkerId> {
-        let listing = match decode_registration(item) {
-            Ok(listing) => listing,
-            Err(reason) => {
-                count_unreadable(UnreadableKind::Registration);
-                warn!(reason; "a registration is unreadable");
-                return None;
+        match decode_registration(item) {
+            Ok(listing) => {
+                let id = listing.id.clone();
+                self.refused.remove(&item.key);
+                self.known.insert(id.clone());
+                self.leader.send(LeaderInput::Listed(Box::new(listing))).await;
+                Some(id)
             }
-        };
-        let id = listing.id.clone();
-        self.known.insert(id.clone());
-        self.leader.send(LeaderInput::Listed(Box::new(listing))).await;
-        Some(id)
+            Err(error) => {
+                self.refuse(&item.key, &error).await;
+                None
+            }
+        }
+    }
+
+    /// Takes an entry that names no worker for none: what runs at a worker that it named goes on, and
+    /// nothing new is started there until the entry is whole.
+    async fn refuse(&mut self, key: &str, error: &RegistrationError) {
+        if self.refused.insert(key.to_owned()) {
+            count_unreadable(UnreadableKind::Registration);
+            warn!(key, error:% = error; "a registration names no worker");
+        }
+        if let Some(worker) = worker_of_key(key).filter(|worker| self.known.contains(worker)) {
+            self.removed(worker).await;
+        }
     }
 
     async fn removed(&mut self, worker: WorkerId) {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -6,7 +6,7 @@
 
 use crate::graph::WorkerListing;
 use crate::node::{KeyItem, KeyPage};
-use crate::platform::registrations::{decode_registration, worker_of_key};
+use crate::platform::registrations::{RegistrationError, decode_registration, worker_of_key};
 use crate::platform::store::WirePage;
 
 /// A registration with every field.
@@ -32,7 +32,7 @@
     Bytes::from(serde_json::to_vec(&registration).unwrap())
 }
 
-fn decode(key: &str, value: Bytes) -> std::result::Result<WorkerListing, String> {
+fn decode(key: &str, value: Bytes) -> std::result::Result<WorkerListing, RegistrationError> {
     decode_registration(&KeyItem { key: key.to_owned(), value, revision: 1 })
 }
 
