An entry at its address does not end a worker that answers

Cause: LifeTable::listed took the life of every other worker at a registration's address for over at once, and its tasks for lost. An entry that another writer has copied, or that of an earlier life which stands until it expires and is read anew after a lost watch, ended a worker that was alive: its tasks were started elsewhere while they ran on. Ruled out: believing the entry only where the other life has left a call unanswered: one lost poll and an old entry together would do the same. Judging entries by their age: the list has no order of lives. Change: the other lives at the address are polled at once. Calls name the life that they are meant for, and a worker refuses those for another (Target-Instance), which already ends a life. What is paid: a poll that was still waiting at a worker when its host vanished without a reset has to run out first (at most its wait and 0.25 s, and a start takes longer than that), and tasks of an earlier life whose address the leader cannot reach wait for the lease (4.7 s).

--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -89,16 +89,16 @@
         self.lives.values_mut()
     }
 
-    /// Takes in a registration. Another life at the same address is over.
-    pub(crate) fn listed(&mut self, now: Instant, listing: WorkerListing) -> Vec<LifeFinding> {
+    /// Takes in a registration. Of several lives at an address at most one is there: all are looked at,
+    /// and an answer tells which. The entry alone does not: it may be that of an earlier life, read anew.
+    /// With the other life ended by the entry, its tasks were started elsewhere while they ran on.
+    pub(crate) fn listed(&mut self, now: Instant, listing: WorkerListing) {
         let others = self
             .lives
-            .values()
+            .values_mut()
             .filter(|life| life.address() == listing.address && *life.id() != listing.id);
-        let others: Vec<WorkerId> = others.map(|life| life.id().clone()).collect();
-        let mut found = Vec::new();
         for other in others {
-            found.extend(self.over(&other, "another life has registered at its address"));
+            other.next_poll = now;
         }
         match self.lives.get_mut(&listing.id) {
             Some(life) => {
@@ -114,7 +114,6 @@
                 self.lives.insert(life.id().clone(), life);
             }
         }
-        found
     }
 
     /// A worker that the store names, before or without its registration.
