A worker of a service that nothing names is left alone

Cause: a registration was taken in whatever service it named. Such a worker got no work, as no queue points at its service, but it was polled, claimed with the leader's token, and noted in the store as one that may run something. Ruled out: refusing it where registrations are decoded, as the configuration may change after it; forgetting it then, as the store does not send it again when only the configuration changes. Taking workers out of use when a new configuration drops their service: jobs of a queue that is gone keep their rule and still need them. Change: the controller sets such registrations aside, logged once and counted (kelplink_foreign_workers_total), and looks at them again with each new configuration and twice a second. A worker in use whose entry changes so is like one that is not registered. A service is named by the list of services, by a queue, or by a job that waits.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod findings;
+mod registrations;
 mod storing;
 mod submissions;
 
@@ -83,6 +84,9 @@
     waiters: BTreeMap<GraphId, Vec<(CallId, AttemptId)>>,
     /// Requests that were rejected, and when.
     rejected: BTreeMap<AttemptId, Instant>,
+    /// Registrations of services that nothing names, and when they are looked at again.
+    foreign: BTreeMap<WorkerId, WorkerListing>,
+    next_review: Instant,
     /// Workers from before this leader's time that have not been heard.
     unheard: BTreeSet<WorkerId>,
     /// When nothing that they were told before can run any more.
@@ -129,6 +133,8 @@
             commits: CommitQueue::default(),
             waiters: BTreeMap::new(),
             rejected: BTreeMap::new(),
+            foreign: BTreeMap::new(),
+            next_review: now,
             unheard: state.workers.into_iter().map(|used| used.id).collect(),
             settled_at: now + bounds.blind + LEASE_LIFE,
             predecessor_ended: false,
@@ -204,6 +210,7 @@
             }
         }
         self.config = Some(config);
+        self.next_review = self.last_pass;
         self.pass_wanted = true;
     }
 
@@ -212,17 +219,6 @@
         self.advice.set_entries(entries);
     }
 
-    /// A worker has registered or changed its registration.
-    pub fn worker_listed(&mut self, now: Instant, listing: WorkerListing) {
-        self.lives.listed(now, listing);
-        self.pass_wanted = true;
-    }
-
-    /// A worker's registration has gone.
-    pub fn worker_unlisted(&mut self, id: &WorkerId) {
-        self.lives.unlisted(id);
-    }
-
     /// Takes in the answer to a poll.
     pub fn polled(&mut self, now: Instant, unix: UnixMillis, id: &WorkerId, result: PollResult) {
         let found = match result {
@@ -270,6 +266,7 @@
         let mut found = self.lives.lapsed(now);
         found.extend(self.lives.vanished(now, now >= self.settled_at));
         self.take_findings_at(now, unix, found);
+        self.review_foreign(now);
         self.resend(now, extend);
     }
 
--- /dev/null
+++ b/src/graph/controller/registrations.rs
@@ -0,0 +1,69 @@
+//! Which registrations name a worker to use.
+
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::Instant;
+
+use crate::graph::controller::GraphController;
+use crate::graph::exchange::WorkerListing;
+use crate::id::{ServiceId, WorkerId};
+
+/// Pause between looks at workers of services that nothing named: a job of a queue that is gone may want
+/// them again. A new configuration has them looked at once.
+const REVIEW_GAP: Duration = Duration::from_millis(500);
+
+impl GraphController {
+    /// A worker has registered or changed its registration.
+    ///
+    /// One of a service that nothing names is not called. If it was in use, it is like one that is not
+    /// registered any more: what runs there goes on.
+    pub fn worker_listed(&mut self, now: Instant, listing: WorkerListing) {
+        if !self.names_service(&listing.service) {
+            return self.set_aside(listing);
+        }
+        self.foreign.remove(&listing.id);
+        self.lives.listed(now, listing);
+        self.pass_wanted = true;
+    }
+
+    /// A worker's registration has gone, or names no worker any more.
+    pub fn worker_unlisted(&mut self, id: &WorkerId) {
+        self.foreign.remove(id);
+        self.lives.unlisted(id);
+    }
+
+    fn set_aside(&mut self, listing: WorkerListing) {
+        self.lives.unlisted(&listing.id);
+        let (worker, service) = (listing.id.clone(), listing.service.clone());
+        if self.foreign.insert(worker.clone(), listing).is_none() {
+            metrics::counter!("kelplink_foreign_workers_total").increment(1);
+            warn!(worker = &*worker, service = &*service; "nothing names a worker's service");
+        }
+    }
+
+    /// Takes in workers whose service has been named since.
+    pub(super) fn review_foreign(&mut self, now: Instant) {
+        if self.foreign.is_empty() || now < self.next_review {
+            return;
+        }
+        self.next_review = now + REVIEW_GAP;
+        for (id, listing) in std::mem::take(&mut self.foreign) {
+            match self.names_service(&listing.service) {
+                true => {
+                    info!(worker = &*id, service = &*listing.service; "a worker's service is named");
+                    self.worker_listed(now, listing);
+                }
+                false => {
+                    self.foreign.insert(id, listing);
+                }
+            }
+        }
+    }
+
+    /// Whether the configuration in force names a service, or a job whose queue is gone still needs it.
+    fn names_service(&self, service: &ServiceId) -> bool {
+        self.config.as_ref().is_none_or(|config| config.names(service))
+            || self.jobs.open().any(|job| job.rule.service == *service)
+    }
+}
--- a/src/graph/queue.rs
+++ b/src/graph/queue.rs
@@ -77,6 +77,12 @@
 }
 
 impl QueueConfig {
+    /// Whether it names a service.
+    pub fn names(&self, service: &ServiceId) -> bool {
+        self.pools.contains_key(service)
+            || self.queues.values().any(|queue| queue.service == *service)
+    }
+
     /// The queue that a request belongs to: the longest prefix among those of its host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<QueueRule>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
