A late registration of a worker's earlier life: case that fails

LifeTable::listed takes whichever life is listed last at an address for the newer. The case fails: 'a.0.0.0 runs on [w0-1, w1-0]'; its counterpart, a newer registration, passes.

--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -1,6 +1,7 @@
 //! The decisions about job graphs under failures: a leader, workers and a store in simulated time.
 
 mod cases;
+mod found;
 mod lasting;
 mod model;
 mod random;
