A job that was shown as completed is run again after an outage: case that fails

Cause: GraphJob::state tells success while only the worker lists the end and only the leader has seen it.

--- a/tests/graph/found.rs
+++ b/tests/graph/found.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use kelplink::GraphState;
 
+use crate::model::ModelWorker;
 use crate::world::{World, step};
 
 fn seconds(seconds: u64) -> Duration {
@@ -44,3 +45,27 @@
     world.run(seconds(1));
     expect_that!(world.workers["w0-1"].runs.len(), eq(2));
 }
+
+// In an outage of the store a caller was told that a job had succeeded; then the worker that listed its end was
+// lost, and the leader, before the store was back. The next leader knew of no end and ran the task again.
+#[gtest]
+fn a_job_that_was_shown_as_completed_is_not_run_again() {
+    let mut world = World::new(43, 2);
+    world.run(seconds(1));
+    world.submit("now", "a", vec![step(1, 1, 500)]);
+    world.run(Duration::from_millis(300));
+    world.store.up = false;
+    world.run(seconds(1));
+    let shown = world.state("a");
+    let held = |worker: &&mut ModelWorker| !worker.ends.is_empty();
+    world.workers.values_mut().filter(held).for_each(|worker| worker.up = false);
+    let epoch = world.store.epoch;
+    world.leaders.remove(&epoch);
+    world.run(seconds(2));
+    world.store.up = true;
+    world.elect();
+    world.run(seconds(16));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+    let again = world.begun_runs > 1;
+    expect_that!((shown, again), not(eq((Some(GraphState::Completed), true))));
+}
