An entry beside a store that refuses connections: a test that fails

Cause: users saw 252 warnings in about nine seconds from one process beside a store that refused connections, the same three messages every 100 ms. Each duty writes a line for each try that fails, none says when the store is back. Ruled out: a stand-in that answers 503, which the stand-in could do already: the report is about refused connections, so the stand-in's store can now be closed (its connections end, new ones are refused) and opened again at its address. Change: the entries' output goes to a file each instead of nowhere; tests/platform/logs.rs closes the store for four seconds and bounds the lines: one a second and 15 for other decisions, one line of the loss, one of the return with how long it was away and how many tries failed, and the tries in the metrics. No check that was there is changed.

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -91,10 +91,11 @@
         );
         let file = self.folder.join(format!("{name}.toml"));
         fs::write(&file, text).unwrap();
+        let log = fs::File::create(self.log_file(&name)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_kelplink"))
             .arg("serve")
             .env("KELPLINK_SETTINGS", &file)
-            .stdout(Stdio::null())
+            .stdout(Stdio::from(log))
             .spawn()
             .unwrap();
         self.entries.push(Entry {
@@ -106,7 +107,26 @@
         });
     }
 
-    async fn wait_ready(&self, number: usize) {
+    fn log_file(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.log"))
+    }
+
+    /// What an entry has logged so far, by line.
+    pub(crate) fn log(&self, number: usize) -> Vec<Value> {
+        let text = fs::read_to_string(self.log_file(&self.entries[number].name)).unwrap();
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    /// Value of a metric of an entry, named with its labels.
+    pub(crate) async fn metric(&self, number: usize, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.entries[number].metrics);
+        let response = self.http.get(url.parse().unwrap()).await.ok()?;
+        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
+    pub(crate) async fn wait_ready(&self, number: usize) {
         let url = format!("http://{}/api/readyz", self.entries[number].ready);
         let ready = async || self.get_url(&url).await.is_some_and(|a| a.status == StatusCode::OK);
         wait_for("an entry to be ready", ready).await;
--- /dev/null
+++ b/tests/platform/logs.rs
@@ -0,0 +1,71 @@
+//! What entries log while something that they depend on is away.
+//!
+//! While the store refused connections an entry printed 252 warnings in about nine seconds, the same three
+//! messages again and again: each duty wrote a line for each try that failed, every 100 ms, and none said
+//! when the store was back. On-call could not see for how long it had been away, and a longer outage
+//! pushed the lines about jobs out of sight. A loss is now one line, its end another, and at most one line
+//! a second stands between them.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::cluster::{Cluster, wait_for};
+
+/// How long the store is away: the lines of one try each would be over a hundred.
+const OUTAGE: Duration = Duration::from_secs(4);
+/// Lines that an entry may log in an outage besides one a second: its duties' decisions.
+const OTHER_LINES: usize = 15;
+const TRIES: &str = "kelplink_dependency_tries_failed_total{dependency=\"store\"}";
+
+fn is_about_store(line: &Value, message: &str) -> bool {
+    line["message"] == message && line["dependency"] == "store"
+}
+
+fn count(lines: &[Value], message: &str) -> usize {
+    lines.iter().filter(|line| is_about_store(line, message)).count()
+}
+
+/// A field that is a number.
+fn number(line: &Value, field: &str) -> f64 {
+    line[field].as_str().and_then(|text| text.parse().ok()).unwrap_or(-1.0)
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_store_that_refuses_connections_is_a_line_a_second() {
+    let mut cluster = Cluster::start(20, 2, 2, &["now"]).await;
+    cluster.leading().await;
+    let before = [cluster.log(0).len(), cluster.log(1).len()];
+    let begun = Instant::now();
+    cluster.platform.close_store().await;
+    sleep(OUTAGE).await;
+    let lines = [0, 1].map(|entry| cluster.log(entry).len() - before[entry]);
+    let seconds = begun.elapsed().as_secs() as usize + 1;
+    assert_that!(lines, each(le(seconds + OTHER_LINES)), "lines in {seconds} seconds");
+
+    cluster.platform.open_store().await;
+    for entry in 0..2 {
+        let since = |cluster: &Cluster| cluster.log(entry).split_off(before[entry]);
+        let back = |line: &Value| is_about_store(line, "a dependency is back");
+        wait_for("the line of the return", async || since(&cluster).iter().any(back)).await;
+        let passed = begun.elapsed();
+        let mut lines = since(&cluster);
+        lines.truncate(lines.iter().position(back).unwrap() + 1);
+        expect_that!(count(&lines, "a dependency is lost"), eq(1));
+        expect_that!(count(&lines, "a dependency is still lost"), ge(1));
+        expect_that!(
+            count(&lines, "a dependency is still lost"),
+            le(passed.as_secs() as usize + 1)
+        );
+        let back = lines.last().unwrap();
+        expect_that!(number(back, "away_ms"), ge(OUTAGE.as_secs_f64() * 500.0));
+        expect_that!(number(back, "away_ms"), le(passed.as_secs_f64() * 1_000.0));
+        expect_that!(number(back, "tries_failed"), ge(10.0));
+        let tries = cluster.metric(entry, TRIES).await;
+        expect_that!(tries, some(ge(number(back, "tries_failed"))));
+        cluster.wait_ready(entry).await;
+    }
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,4 +2,5 @@
 
 mod cluster;
 mod jobs;
+mod logs;
 mod standin;
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -17,6 +17,7 @@
 use hyper_util::server::conn::auto::Builder;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
 /// How often a waiting call looks again.
@@ -75,6 +76,7 @@
     pub(crate) state: Arc<PlatformState>,
     pub(crate) store: SocketAddr,
     pub(crate) advisor: SocketAddr,
+    store_server: JoinHandle<()>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -92,20 +94,10 @@
             starts: Mutex::default(),
             tickets: Mutex::default(),
         });
-        let store =
-            listen(
-                ip,
-                state.clone(),
-                |state, request| async move { store_call(&state, request).await },
-            )
-            .await;
-        let advisor =
-            listen(
-                ip,
-                state.clone(),
-                |state, request| async move { advise(&state, request).await },
-            )
-            .await;
+        let (store, store_server) = serve_store((ip, 0).into(), &state).await;
+        let advise =
+            |state: Arc<PlatformState>, request| async move { advise(&state, request).await };
+        let (advisor, _) = listen((ip, 0).into(), state.clone(), advise).await;
         for number in 0..workers {
             lock(&state.workers).push(WorkerState {
                 id: format!("w{number}"),
@@ -117,10 +109,10 @@
                 last_end: 0,
                 closed: BTreeMap::new(),
             });
-            let address = listen(ip, state.clone(), move |state, request| async move {
+            let call = move |state: Arc<PlatformState>, request| async move {
                 worker_call(&state, number, request).await
-            })
-            .await;
+            };
+            let (address, _) = listen((ip, 0).into(), state.clone(), call).await;
             let registration = json!({
                 "service": "svc", "address": address, "zone": "a", "version": "v1", "slots": 8,
                 "state": "ready", "cold_ms": 0, "labels": ["k", "r1-0"], "sequence": 1,
@@ -128,7 +120,18 @@
             });
             state.put(&format!("servers/w{number}"), &registration);
         }
-        Self { state, store, advisor }
+        Self { state, store, advisor, store_server }
+    }
+
+    /// Ends the store's connections and refuses new ones.
+    pub(crate) async fn close_store(&mut self) {
+        self.store_server.abort();
+        let _ = (&mut self.store_server).await;
+    }
+
+    /// Takes connections to the store again, at the same address.
+    pub(crate) async fn open_store(&mut self) {
+        (_, self.store_server) = serve_store(self.store, &self.state).await;
     }
 
     /// Writes a configuration with the given queues.
@@ -165,27 +168,43 @@
     }
 }
 
-async fn listen<F, W>(ip: IpAddr, state: Arc<PlatformState>, call: F) -> SocketAddr
+async fn serve_store(
+    address: SocketAddr,
+    state: &Arc<PlatformState>,
+) -> (SocketAddr, JoinHandle<()>) {
+    let call =
+        |state: Arc<PlatformState>, request| async move { store_call(&state, request).await };
+    listen(address, state.clone(), call).await
+}
+
+/// Serves an address; ending the task ends the connections as well.
+async fn listen<F, W>(
+    address: SocketAddr,
+    state: Arc<PlatformState>,
+    call: F,
+) -> (SocketAddr, JoinHandle<()>)
 where
     F: Fn(Arc<PlatformState>, Request<Incoming>) -> W + Clone + Send + Sync + 'static,
     W: Future<Output = Option<Response<Full<Bytes>>>> + Send + 'static,
 {
-    let listener = TcpListener::bind((ip, 0)).await.unwrap();
+    let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
+        let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
+            while connections.try_join_next().is_some() {}
             let (state, call) = (state.clone(), call.clone());
             let service = service_fn(move |request| {
                 let answer = call(state.clone(), request);
                 async move { answer.await.ok_or_else(|| std::io::Error::other("answer lost")) }
             });
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 let builder = Builder::new(TokioExecutor::new());
                 let _ = builder.serve_connection(TokioIo::new(stream), service).await;
             });
         }
     });
-    address
+    (address, task)
 }
 
 fn answer(status: u16, body: &Value) -> Option<Response<Full<Bytes>>> {
