A lost dependency is one line

Cause: each duty logged each try that failed (retries come every 60 to 150 ms), none said when the store was back, and the leader as other entries see it and the advisor left no line at all. Ruled out: a rule for each duty: a store that refuses would be five lines a second of the leader instead of one, and the line of the return would come five times. A dependency that is back with the first answer to any duty: where the store takes no writes but renews leases, it would be lost and back several times a second; so a loss lasts until each duty that failed has an answer or has not tried again (a second; 3.5 s for watches, whose tries take up to 2.8 s). A limit in the logger: it would cut decisions as well. Change: src/node/dependency.rs has one log each for store, leader and advisor; its rule (dependency/rule.rs, on the runtime's clock) gives one line at the loss, one at the return with how long it was away and how many tries failed, at most one a second between, and names the duties and the last failure. Losses that are over before their line is due are counted in the next. All duties report there instead of by lines of their own; the failure of a group names the group, that of a job's state the job. Metrics: kelplink_dependency_tries_failed_total, _losses_total and the gauge kelplink_dependency_lost. Lines of single decisions stay (lease ended, stepping down not noted, not reachable).

--- a/src/node.rs
+++ b/src/node.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod calls;
 mod configuration;
+mod dependency;
 mod election;
 mod keys;
 mod leader;
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::warn;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -11,8 +10,12 @@
 use crate::node::leader::LeaderInput;
 use crate::node::ledger::JobLedger;
 use crate::node::peers::{PeerClient, PeerFailure};
-use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared};
+use crate::node::shared::{LeaderAnswer, LeaderCall, LeaderRecord, NodeShared};
 
+/// Name in the log of calls for the leader.
+const CALL_DUTY: &str = "calls";
+/// Name in the log of reading jobs past the leader.
+const STATE_DUTY: &str = "states";
 /// Longest time for one try: a group takes some milliseconds, and 240 ms at a slow store.
 const TRY_TIME: Duration = Duration::from_millis(1_000);
 /// A try that has less time is not made: it could only end without an answer.
@@ -95,31 +98,58 @@
         match leader.filter(|leader| leader.start != self.shared.start) {
             Some(leader) => {
                 let answer = self.peers.ask(leader.address, call, time).await;
+                note_leader(&self.shared, CALL_DUTY, &leader, time, &answer);
                 if answer.as_ref().is_ok_and(|answer| *answer != LeaderAnswer::NotLeading) {
                     self.shared.note_peer();
                 }
                 answer
             }
-            None => Err(PeerFailure::NotSent),
+            None => {
+                note_no_leader(&self.shared, CALL_DUTY);
+                Err(PeerFailure::NotSent)
+            }
         }
     }
 
     /// A job's state past a leader that cannot be reached, from the store.
     pub(crate) async fn stored_state(&self, id: &str) -> Option<LeaderAnswer> {
-        match JobLedger::job(&self.shared.store, id).await {
+        let read = JobLedger::job(&self.shared.store, id).await;
+        let read = read.map_err(|error| format!("job {id}: {error}"));
+        self.shared.dependencies.store.tried(STATE_DUTY, &read);
+        match read {
             Ok(Some((record, progress))) => {
                 let job = GraphJob::restored(record, progress, Instant::now(), Duration::ZERO);
                 Some(LeaderAnswer::State(GraphState::clone(&job.state())))
             }
             Ok(None) => Some(LeaderAnswer::Gone),
-            Err(error) => {
-                warn!(job = id, error:% = error; "a job's state could not be read");
-                None
-            }
+            Err(_) => None,
         }
     }
 }
 
+/// Notes how a call of a duty to the leader went.
+pub(crate) fn note_leader(
+    shared: &NodeShared,
+    duty: &str,
+    leader: &LeaderRecord,
+    time: Duration,
+    answer: &Result<LeaderAnswer, PeerFailure>,
+) {
+    let entry = &leader.entry;
+    let tried = match answer {
+        Ok(LeaderAnswer::NotLeading) => Err(format!("{entry} does not lead")),
+        Ok(_) => Ok(()),
+        Err(PeerFailure::NotSent) => Err(format!("{entry} was not reached")),
+        Err(PeerFailure::NoAnswer) => Err(format!("{entry} did not answer in {time:?}")),
+    };
+    shared.dependencies.leader.tried(duty, &tried);
+}
+
+/// Notes that a duty has no leader to call.
+pub(crate) fn note_no_leader(shared: &NodeShared, duty: &str) {
+    shared.dependencies.leader.tried(duty, &Err::<(), _>("no other entry leads"));
+}
+
 /// Asks the leader's duty of this process; `None` where it ended without an answer.
 pub(crate) async fn ask_here(shared: &NodeShared, call: LeaderCall) -> Option<LeaderAnswer> {
     let Some(leader) = shared.leading() else {
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -98,6 +98,7 @@
                 (Some(address), _) => peers.advise(address, job.clone(), step, workers, time).await,
                 _ => Err("no such entry".to_owned()),
             };
+            shared.dependencies.advisor.tried(&format!("advice by {entry}"), &result);
             if let Err(error) = &result {
                 debug!(job = &*job, entry = &*entry, error; "no advice");
                 metrics::counter!("kelplink_advice_failures_total").increment(1);
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{error, info, warn};
+use log::{error, info};
 use tokio::time::sleep;
 
 use crate::node::keys::{KeyEvent, KeyItem, StoreError, WatchOutcome};
 use crate::node::shared::NodeShared;
 use crate::platform::{CONFIG_KEY, CONFIG_PREFIX, decode_config};
 
+/// This duty's name in the log.
+const DUTY: &str = "configuration";
 /// Longest wait of a watch: a connection that has gone silent is noticed after it and the watch's
 /// slack, within the three seconds that count as a disruption.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
@@ -32,7 +34,7 @@
             let after = match self.read().await {
                 Ok(after) => after,
                 Err(error) => {
-                    warn!(error:% = error; "the configuration could not be read");
+                    self.shared.dependencies.store.failed(DUTY, error);
                     sleep(RETRY_PAUSE).await;
                     continue;
                 }
@@ -43,7 +45,7 @@
 
     async fn read(&self) -> Result<u64, StoreError> {
         let page = self.shared.store.page(CONFIG_KEY, "").await?;
-        self.shared.note_store();
+        self.shared.note_store(DUTY);
         for item in page.items {
             self.take(&item);
         }
@@ -55,7 +57,7 @@
         loop {
             match self.shared.store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await {
                 Ok(WatchOutcome::Events { events, revision }) => {
-                    self.shared.note_store();
+                    self.shared.note_store(DUTY);
                     for event in events {
                         match event {
                             KeyEvent::Written(item) => self.take(&item),
@@ -69,7 +71,7 @@
                     return;
                 }
                 Err(error) => {
-                    warn!(error:% = error; "the watch of the configuration was cut");
+                    self.shared.dependencies.store.failed(DUTY, error);
                     sleep(RETRY_PAUSE).await;
                     return;
                 }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -17,6 +17,8 @@
 use crate::node::shared::{EntryRecord, EpochRecord, LeaderRecord, MemberView, NodeShared};
 use crate::ring::{RingSender, ring};
 
+/// This duty's name in the log.
+const DUTY: &str = "election";
 /// Life of the lease in the store: a leader that dies is replaced after it.
 const LEASE_TTL: Duration = Duration::from_millis(1_000);
 /// Interval of renewals: three may fail before the lease ends.
@@ -135,7 +137,7 @@
         };
         match result {
             Ok(true) => {
-                self.shared.note_store();
+                self.shared.note_store(DUTY);
                 self.renewed = Some(sent);
                 if let Some(leadership) = &self.leadership {
                     let _ = leadership.input.offer(LeaderInput::Renewed(sent));
@@ -143,12 +145,13 @@
                 RENEWAL.saturating_sub(sent.elapsed())
             }
             Ok(false) => {
+                self.shared.dependencies.store.answered(DUTY);
                 warn!("the lease in the store has ended");
                 self.lease = None;
                 Duration::ZERO
             }
             Err(error) => {
-                warn!(error:% = error; "the lease in the store was not renewed");
+                self.shared.dependencies.store.failed(DUTY, error);
                 RETRY_PAUSE
             }
         }
@@ -251,9 +254,11 @@
             ],
             removes: Vec::new(),
         };
-        match self.shared.store.transact(&change).await {
+        let result = self.shared.store.transact(&change).await;
+        self.shared.dependencies.store.tried(DUTY, &result);
+        match result {
             Ok(TransactionOutcome::Done(revision)) => {
-                self.shared.note_store();
+                self.shared.note_store(DUTY);
                 self.shared.members.send_modify(|view| {
                     view.leader = Some(record);
                     view.epoch = epoch;
@@ -264,10 +269,7 @@
             }
             Ok(TransactionOutcome::Conflict(_)) => sleep(RETRY_PAUSE).await,
             Ok(TransactionOutcome::NoLease) => self.lease = None,
-            Err(error) => {
-                warn!(epoch, error:% = error; "the election was not answered");
-                sleep(RETRY_PAUSE).await;
-            }
+            Err(_) => sleep(RETRY_PAUSE).await,
         }
     }
 
@@ -313,7 +315,9 @@
             sets: Vec::new(),
             removes: vec![LEADER_KEY.to_owned()],
         };
-        if let Err(error) = self.shared.store.transact(&change).await {
+        let result = self.shared.store.transact(&change).await;
+        self.shared.dependencies.store.tried(DUTY, &result);
+        if let Err(error) = result {
             warn!(error:% = error; "the leader's key was not removed");
         }
     }
@@ -326,7 +330,9 @@
             sets: vec![KeySet { key: EPOCH_KEY.to_owned(), value: encode(&record), lease: None }],
             removes: vec![LEADER_KEY.to_owned()],
         };
-        if let Err(error) = self.shared.store.transact(&change).await {
+        let result = self.shared.store.transact(&change).await;
+        self.shared.dependencies.store.tried(DUTY, &result);
+        if let Err(error) = result {
             warn!(error:% = error; "stepping down was not noted in the store");
         }
     }
@@ -337,9 +343,12 @@
             self.end_leadership().await;
             self.step_down().await;
         }
-        if let Some(lease) = self.lease.take()
-            && let Err(error) = self.shared.store.end_lease(lease).await
-        {
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        let result = self.shared.store.end_lease(lease).await;
+        self.shared.dependencies.store.tried(DUTY, &result);
+        if let Err(error) = result {
             warn!(error:% = error; "the lease was not ended");
         }
     }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -16,7 +16,7 @@
 use crate::id::{CallId, EntryId, WorkerId};
 use crate::node::boot::BootClock;
 use crate::node::calls::CallCarrier;
-use crate::node::ledger::{GroupOutcome, JobLedger};
+use crate::node::ledger::{GroupOutcome, JobLedger, LEDGER_DUTY};
 use crate::node::registry::RegistryDuty;
 use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared, unix_millis};
 use crate::ring::{RingReceiver, RingSender};
@@ -75,7 +75,7 @@
         input: RingReceiver<LeaderInput>,
     ) -> Self {
         let LeaderTerm { epoch, epoch_revision, predecessor } = term;
-        let ledger = JobLedger::new(shared.store.clone(), epoch, epoch_revision);
+        let ledger = JobLedger::new(&shared, epoch, epoch_revision);
         let callers = BTreeMap::new();
         Self { shared, epoch, predecessor, ledger, sender, input, callers, last_call: 0 }
     }
@@ -86,10 +86,7 @@
         let state = loop {
             match self.ledger.load().await {
                 Ok(state) => break state,
-                Err(error) => {
-                    warn!(error:% = error; "the ledger could not be read");
-                    sleep(RETRY_PAUSE).await;
-                }
+                Err(_) => sleep(RETRY_PAUSE).await,
             }
             if self.shared.members.borrow().epoch > self.epoch {
                 return;
@@ -206,7 +203,7 @@
             }
             LeaderInput::Advised(id, allowed) => controller.advised(now, id, allowed),
             LeaderInput::Stored(number, GroupOutcome::Stored) => {
-                self.shared.note_store();
+                self.shared.note_store(LEDGER_DUTY);
                 controller.committed(now, number);
             }
             LeaderInput::Stored(number, GroupOutcome::Refused) => {
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -12,12 +12,16 @@
 use tokio::time::{Instant, sleep};
 
 use crate::graph::{CommitGroup, GraphProgress, GraphRecord, LeaderEpoch, LeaderState};
+use crate::node::dependency::DependencyLog;
 use crate::node::keys::{KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome};
 use crate::node::members::EPOCH_KEY;
+use crate::node::shared::NodeShared;
 use crate::platform::PlatformStore;
 
 type Result<T> = std::result::Result<T, StoreError>;
 
+/// Name in the log of reading and writing the ledger.
+pub(crate) const LEDGER_DUTY: &str = "ledger";
 /// Prefix of jobs as they were submitted.
 const RECORD_PREFIX: &str = "j/";
 /// Prefix of what has become of jobs.
@@ -54,13 +58,15 @@
 #[derive(Clone)]
 pub(crate) struct JobLedger {
     store: PlatformStore,
+    tries: DependencyLog,
     stand: Arc<Mutex<LedgerStand>>,
 }
 
 impl JobLedger {
-    pub(crate) fn new(store: PlatformStore, epoch: LeaderEpoch, epoch_revision: u64) -> Self {
+    pub(crate) fn new(shared: &NodeShared, epoch: LeaderEpoch, epoch_revision: u64) -> Self {
         let stand = LedgerStand { epoch, epoch_revision, group_revision: 0 };
-        Self { store, stand: Arc::new(Mutex::new(stand)) }
+        let (store, tries) = (shared.store.clone(), shared.dependencies.store.clone());
+        Self { store, tries, stand: Arc::new(Mutex::new(stand)) }
     }
 
     /// The same leader goes on under a later epoch.
@@ -84,13 +90,15 @@
     /// took 151 ms one after the other, 112 ms so.
     pub(crate) async fn load(&self) -> Result<LeaderState> {
         let begun = Instant::now();
-        let (group, workers, records, progress) = try_join4(
+        let read = try_join4(
             self.store.get(GROUP_KEY),
             self.store.get(WORKERS_KEY),
             self.all::<GraphRecord>(RECORD_PREFIX),
             self.all::<GraphProgress>(PROGRESS_PREFIX),
         )
-        .await?;
+        .await;
+        self.tries.tried(LEDGER_DUTY, &read);
+        let (group, workers, records, progress) = read?;
         self.change(|stand| stand.group_revision = group.map_or(0, |item| item.revision));
         let workers = workers.and_then(|item| decode(&item)).unwrap_or_default();
         let mut progress = progress;
@@ -140,7 +148,7 @@
                 sets: sets.clone(),
                 removes: removes.clone(),
             };
-            match self.store.transact(&change).await {
+            match self.sent(&id, &change).await {
                 Ok(TransactionOutcome::Done(revision)) => {
                     self.change(|stand| stand.group_revision = revision);
                     break GroupOutcome::Stored;
@@ -151,12 +159,8 @@
                         None => sleep(RETRY_PAUSE).await,
                     }
                 }
-                Ok(TransactionOutcome::NoLease) => {
-                    error!("the store asks for a lease where none is used");
-                    sleep(RETRY_PAUSE).await;
-                }
+                Ok(TransactionOutcome::NoLease) => sleep(RETRY_PAUSE).await,
                 Err(failure) => {
-                    warn!(group = id, failure:% = failure; "a group was not stored");
                     sure &= matches!(failure, StoreError::NotDone(_));
                     if sure {
                         break GroupOutcome::Refused;
@@ -173,6 +177,20 @@
         outcome
     }
 
+    /// Sends a group once.
+    async fn sent(&self, id: &str, change: &KeyTransaction) -> Result<TransactionOutcome> {
+        let result = self.store.transact(change).await;
+        let tried = match &result {
+            Ok(TransactionOutcome::NoLease) => {
+                Err(format!("group {id}: it asks for a lease where none is used"))
+            }
+            Ok(_) => Ok(()),
+            Err(failure) => Err(format!("group {id}: {failure}")),
+        };
+        self.tries.tried(LEDGER_DUTY, &tried);
+        result
+    }
+
     /// What a conflict means; `None` where the leader has another epoch by now and tries again.
     fn conflict(&self, id: &str, stand: LedgerStand, items: &[KeyItem]) -> Option<GroupOutcome> {
         let group = items.iter().find(|item| item.key == GROUP_KEY);
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -19,6 +19,8 @@
 /// Prefix of the keys of entries, each under its lease.
 pub(crate) const ENTRY_PREFIX: &str = "m/entry/";
 
+/// This duty's name in the log.
+const DUTY: &str = "members";
 /// Longest wait of a watch: a connection that has gone silent is noticed after it and the watch's
 /// slack, within the three seconds that count as a disruption.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
@@ -43,7 +45,7 @@
                 Err(error) => Err(error),
             };
             if let Err(error) = result {
-                warn!(error:% = error; "the members could not be followed");
+                self.shared.dependencies.store.failed(DUTY, error);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -51,7 +53,7 @@
 
     async fn read(&self) -> Result<u64, StoreError> {
         let page = self.shared.store.page(MEMBER_PREFIX, "").await?;
-        self.shared.note_store();
+        self.shared.note_store(DUTY);
         let mut view = MemberView { known: true, ..MemberView::default() };
         for item in page.items {
             written(&mut view, &item);
@@ -64,7 +66,7 @@
         loop {
             match self.shared.store.watch(MEMBER_PREFIX, after, WATCH_WAIT).await? {
                 WatchOutcome::Events { events, revision } => {
-                    self.shared.note_store();
+                    self.shared.note_store(DUTY);
                     after = after.max(revision);
                     if events.is_empty() {
                         continue;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -26,6 +26,8 @@
 type Result<T> = std::result::Result<T, ErrorObjectOwned>;
 type Allowed = Vec<(WorkerId, TicketText)>;
 
+/// Name in the log of asking for advice on behalf of another entry.
+const DUTY: &str = "advice for the leader";
 /// A call for the leader.
 const ASK: &str = "ask";
 /// A question to the service that gives placement advice.
@@ -90,7 +92,9 @@
     let failed = |reason: String| ErrorObjectOwned::owned(ADVISOR_CODE, reason, None::<()>);
     let advisor = shared.advisor.as_ref().ok_or_else(|| failed("no advisor is set".to_owned()))?;
     let allowed = advisor.advise(&job, step, &workers, time).await;
-    allowed.map_err(|error| failed(format!("{error:?}")))
+    let allowed = allowed.map_err(|error| format!("{error:?}"));
+    shared.dependencies.advisor.tried(DUTY, &allowed);
+    allowed.map_err(failed)
 }
 
 /// A JSON-RPC request over HTTP. jsonrpsee's own client cannot tell a connection that was never made
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -93,6 +93,7 @@
             .context("callers")?;
         tokio::spawn(ConfigDuty::new(self.shared.clone()).run());
         tokio::spawn(MemberDuty::new(self.shared.clone()).run());
+        tokio::spawn(self.shared.dependencies.clone().run());
         tokio::spawn(ReachDuty::new(self.shared.clone()).run());
         let election = tokio::spawn(ElectionDuty::new(self.shared.clone()).run());
         wait_for_stop().await?;
--- a/src/node/reach.rs
+++ b/src/node/reach.rs
@@ -7,9 +7,12 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
+use crate::node::access::{note_leader, note_no_leader};
 use crate::node::peers::PeerClient;
 use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared};
 
+/// This duty's name in the log.
+const DUTY: &str = "reach";
 /// Interval of looks at the store's silence.
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for an answer: entries are two milliseconds apart, and a slow machine needs tens.
@@ -48,10 +51,13 @@
 
     async fn reaches_leader(&self) -> bool {
         let leader = self.shared.members.borrow().leader.clone();
-        match leader {
-            Some(leader) => self.ask(leader.address).await == Some(LeaderAnswer::Leading),
-            None => false,
-        }
+        let Some(leader) = leader else {
+            note_no_leader(&self.shared, DUTY);
+            return false;
+        };
+        let answer = self.peers.ask(leader.address, &LeaderCall::Reach, ANSWER_TIME).await;
+        note_leader(&self.shared, DUTY, &leader, ANSWER_TIME, &answer);
+        answer == Ok(LeaderAnswer::Leading)
     }
 
     /// Whether an entry of another failure domain answers; where there is none, nothing can be told.
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -14,6 +14,8 @@
 use crate::platform::{REGISTRATION_PREFIX, decode_registration, worker_of_key};
 use crate::ring::RingSender;
 
+/// This duty's name in the log.
+const DUTY: &str = "registrations";
 /// Longest wait of a watch: a connection that has gone silent is noticed after it and the watch's
 /// slack, within the three seconds that count as a disruption.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
@@ -35,12 +37,16 @@
     /// Runs until the leader's duty has ended.
     pub(crate) async fn run(mut self) {
         loop {
+            let store = self.shared.dependencies.store.clone();
             let result = match self.read().await {
-                Ok(after) => self.follow(after).await,
+                Ok(after) => {
+                    store.answered(DUTY);
+                    self.follow(after).await
+                }
                 Err(error) => Err(error),
             };
             if let Err(error) = result {
-                warn!(error:% = error; "the registrations could not be followed");
+                store.failed(DUTY, error);
                 sleep(RETRY_PAUSE).await;
             }
         }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -13,6 +13,7 @@
     AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, LeaderEpoch, QueueConfig, QueueId,
 };
 use crate::id::{DomainId, EntryId, UnixMillis};
+use crate::node::dependency::NodeDependencies;
 use crate::node::leader::LeaderInput;
 use crate::node::settings::NodeSettings;
 use crate::platform::{AdvisorClient, PlatformStore};
@@ -151,6 +152,8 @@
     pub(crate) start: u64,
     pub(crate) store: PlatformStore,
     pub(crate) advisor: Option<AdvisorClient>,
+    /// How tries of the store, the leader and the advisor go.
+    pub(crate) dependencies: NodeDependencies,
     pub(crate) config: watch::Sender<Option<Arc<QueueConfig>>>,
     pub(crate) members: watch::Sender<MemberView>,
     pub(crate) draining: watch::Sender<bool>,
@@ -167,6 +170,7 @@
             store: PlatformStore::new(settings.store),
             advisor: settings.advisor.map(AdvisorClient::new),
             settings,
+            dependencies: NodeDependencies::new(),
             config: watch::Sender::new(None),
             members: watch::Sender::new(MemberView::default()),
             draining: watch::Sender::new(false),
@@ -186,8 +190,9 @@
         lock(&self.leading).clone()
     }
 
-    /// The store has answered.
-    pub(crate) fn note_store(&self) {
+    /// The store has answered a duty.
+    pub(crate) fn note_store(&self, duty: &str) {
+        self.dependencies.store.answered(duty);
         *lock(&self.store_answered) = Some(Instant::now());
     }
 
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -1,12 +1,13 @@
-//! What an entry takes itself for while the store or other entries are silent.
+//! What an entry takes itself for while the store or other entries are silent, and what it logs.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::time::advance;
+use tokio::time::{Instant, advance};
 
 use crate::graph::{GraphBounds, QueueConfig, RequestLimits};
+use crate::node::dependency::{DependencyLine, DependencyRule, DutyRhythm};
 use crate::node::settings::NodeSettings;
 use crate::node::shared::{EntryRecord, LeaderRecord, NodeShared};
 
@@ -47,7 +48,7 @@
         epoch: 1,
     };
     shared.members.send_modify(|view| view.leader = Some(leader));
-    shared.note_store();
+    shared.note_store("members");
     shared
 }
 
@@ -102,3 +103,92 @@
     });
     expect_false!(shared.members.borrow().leaderless());
 }
+
+/// Lines of a store that refuses two duties each 100 ms for a time.
+async fn refuse(rule: &mut DependencyRule, time: Duration) -> Vec<DependencyLine> {
+    let mut lines = Vec::new();
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        lines.extend(rule.failed("members", DutyRhythm::Steady, "refused".to_owned()));
+        lines.extend(rule.failed("election", DutyRhythm::Steady, "refused".to_owned()));
+        advance(Duration::from_millis(100)).await;
+    }
+    lines
+}
+
+// While the store refused connections, each duty logged each try: 28 lines a second of one process, and
+// none when the store was back.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_lost_dependency_is_a_line_a_second() {
+    let mut rule = DependencyRule::default();
+    expect_that!(rule.answered("members"), none());
+    advance(Duration::from_millis(250)).await;
+    let lines = refuse(&mut rule, Duration::from_millis(9_050)).await;
+    let lost = DependencyLine::Lost {
+        duty: "members".to_owned(),
+        failure: "refused".to_owned(),
+        answer_age: Some(Duration::from_millis(250)),
+        short_losses: 0,
+    };
+    expect_that!(lines.first(), some(eq(&lost)));
+    let still = DependencyLine::StillLost {
+        duties: vec!["election".to_owned(), "members".to_owned()],
+        failure: "refused".to_owned(),
+        away: Duration::from_secs(9),
+        tries_failed: 181,
+    };
+    expect_that!(lines.last(), some(eq(&still)));
+    expect_that!(lines.len(), eq(10));
+    expect_that!(rule.answered("election"), none());
+    let away = Duration::from_millis(9_100);
+    let back = DependencyLine::Back { away, tries_failed: 182 };
+    expect_that!(rule.answered("members"), some(eq(&back)));
+    expect_that!(rule.is_lost(), eq(false));
+}
+
+// A duty may end while its last try has failed: the group that the store refused is given up, or the entry
+// leads no more. The loss ends without an answer to it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_loss_ends_with_the_duty_that_suffered_from_it() {
+    let mut rule = DependencyRule::default();
+    expect_that!(rule.failed("ledger", DutyRhythm::AtNeed, "503".to_owned()), some(anything()));
+    advance(Duration::from_millis(200)).await;
+    expect_that!(rule.failed("members", DutyRhythm::Steady, "503".to_owned()), none());
+    advance(Duration::from_millis(300)).await;
+    expect_that!(rule.answered("members"), none());
+    advance(Duration::from_millis(400)).await;
+    expect_that!(rule.look(), none());
+    advance(Duration::from_millis(200)).await;
+    let away = Duration::from_millis(500);
+    let back = DependencyLine::Back { away, tries_failed: 2 };
+    expect_that!(rule.look(), some(eq(&back)));
+
+    expect_that!(rule.failed("members", DutyRhythm::Steady, "503".to_owned()), none());
+    advance(Duration::from_millis(3_000)).await;
+    expect_that!(rule.look(), none());
+    advance(Duration::from_millis(600)).await;
+    expect_that!(rule.look(), none());
+    expect_that!(rule.is_lost(), eq(false));
+}
+
+// A store that fails every other call would be lost and back many times a second.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_dependency_that_comes_and_goes_is_two_lines_a_second() {
+    let mut rule = DependencyRule::default();
+    let mut lines = Vec::new();
+    for _ in 0..100 {
+        lines.extend(rule.failed("election", DutyRhythm::Steady, "503".to_owned()));
+        advance(Duration::from_millis(50)).await;
+        lines.extend(rule.answered("election"));
+        advance(Duration::from_millis(50)).await;
+    }
+    expect_that!(lines.len(), le(20));
+    let told = |line: &DependencyLine| match line {
+        DependencyLine::Lost { short_losses, .. } => 1 + short_losses,
+        DependencyLine::StillLost { .. } | DependencyLine::Back { .. } => 0,
+    };
+    expect_that!(lines.iter().map(told).sum::<u64>(), ge(90));
+}
