A stop that is not answered is one line

Cause: each send of a stop that failed was a line; stops are sent again each 0.4 s until the worker's lease is over. Ruled out: fewer sends: a worker that can be reached again has to stop the run at once. A line for each worker instead of each run: on-call looks for the task's id. Change: a run counts its failed stops and the first of them is logged; what became of the run is told by `run lost` or `run ended` as before. A stop that fails for a run that has gone meanwhile is counted and not logged.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -222,9 +222,14 @@
             }
             Err(CallFailure::Refused(WorkerRefusal::Deposed)) => self.deposed = true,
             Err(failure) => {
-                warn!(task:% = task, run, worker = &**worker, failure:?; "stop failed");
+                metrics::counter!("kelplink_failed_stops_total").increment(1);
                 if let Some(entry) = life.runs.get_mut(task).filter(|entry| entry.run == run) {
                     entry.moved = now;
+                    entry.failed_stops += 1;
+                    // A worker that is away for its whole lease is sent each stop eleven times.
+                    if entry.failed_stops == 1 {
+                        warn!(task:% = task, run, worker = &**worker, failure:?; "stop failed");
+                    }
                 }
             }
         }
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -82,6 +82,8 @@
     pub image: Option<ImageId>,
     /// Share that it was throttled to, in percent.
     pub throttle: u32,
+    /// Sends of its stop that have failed.
+    pub failed_stops: u32,
 }
 
 /// A life of a worker.
@@ -154,6 +156,7 @@
             target: step.and_then(|step| step.target),
             image: step.and_then(|step| step.image.clone()),
             throttle: 100,
+            failed_stops: 0,
         }
     }
 }
