A leader that is lost is a line a second: a test of the running program

Cause: the rule of also holds for the leader as another entry sees it; only the store was tested on the program. Ruled out: a test of the advisor: the stand-in's cannot fail yet, so that stays untested on the program. Change: a test kills the leader beside an entry that callers use: one line of the loss, at most one a second between, one of the return.

--- a/tests/platform/logs.rs
+++ b/tests/platform/logs.rs
@@ -22,8 +22,12 @@
 const OTHER_LINES: usize = 15;
 const TRIES: &str = "kelplink_dependency_tries_failed_total{dependency=\"store\"}";
 
+fn is_about(dependency: &str, line: &Value, message: &str) -> bool {
+    line["message"] == message && line["dependency"] == dependency
+}
+
 fn is_about_store(line: &Value, message: &str) -> bool {
-    line["message"] == message && line["dependency"] == "store"
+    is_about("store", line, message)
 }
 
 fn count(lines: &[Value], message: &str) -> usize {
@@ -101,3 +105,31 @@
     expect_that!(tasks("stop failed").into_iter().collect::<BTreeSet<_>>().len(), eq(4));
     expect_that!(cluster.metric(0, "kelplink_failed_stops_total").await, some(gt(4.0)));
 }
+
+// Nothing said that an entry had not reached its leader: callers were answered 503 or late, and the only
+// trace was the next leader's election. Calls are tried each 40 ms, so the rule of the store holds here.
+#[gtest]
+#[tokio::test]
+async fn a_leader_that_is_lost_is_a_line_a_second() {
+    let mut cluster = Cluster::start(22, 2, 2, &["now"]).await;
+    let leader = cluster.leading().await;
+    let other = 1 - leader;
+    let before = cluster.log(other).len();
+    let begun = Instant::now();
+    cluster.kill(leader);
+    let served = async || {
+        let answer = cluster.call(other, Method::GET, "/now/", &Value::Null).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    };
+    wait_for("the other entry to lead", served).await;
+    let since = || cluster.log(other).split_off(before);
+    let back = |line: &Value| is_about("leader", line, "a dependency is back");
+    wait_for("the line of the return", async || since().iter().any(back)).await;
+    let mut lines = since();
+    lines.truncate(lines.iter().position(back).unwrap() + 1);
+    let lost = lines.iter().filter(|line| is_about("leader", line, "a dependency is lost"));
+    expect_that!(lost.count(), eq(1));
+    let still = lines.iter().filter(|line| is_about("leader", line, "a dependency is still lost"));
+    expect_that!(still.count(), le(begun.elapsed().as_secs() as usize + 1));
+    expect_that!(number(lines.last().unwrap(), "tries_failed"), ge(3.0));
+}
