--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the platform that speaks its protocol: the store with leases, transactions and
 //! watches, workers with fences and leases, and the service that gives placement advice.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -17,6 +17,7 @@
 use hyper_util::server::conn::auto::Builder;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
 /// How often a waiting call looks again.
@@ -64,6 +65,8 @@
     store: Mutex<StoreState>,
     faults: Mutex<StoreFaults>,
     workers: Mutex<Vec<WorkerState>>,
+    /// Workers that leave calls unanswered.
+    silent: Mutex<BTreeSet<String>>,
     /// Broken promises that a worker has seen.
     pub(crate) broken: Mutex<Vec<String>>,
     /// Starts of tasks, by task.
@@ -77,6 +80,7 @@
     pub(crate) state: Arc<PlatformState>,
     pub(crate) store: SocketAddr,
     pub(crate) advisor: SocketAddr,
+    store_server: JoinHandle<()>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -90,24 +94,15 @@
             store: Mutex::default(),
             faults: Mutex::default(),
             workers: Mutex::default(),
+            silent: Mutex::default(),
             broken: Mutex::default(),
             starts: Mutex::default(),
             tickets: Mutex::default(),
         });
-        let store =
-            listen(
-                ip,
-                state.clone(),
-                |state, request| async move { store_call(&state, request).await },
-            )
-            .await;
-        let advisor =
-            listen(
-                ip,
-                state.clone(),
-                |state, request| async move { advise(&state, request).await },
-            )
-            .await;
+        let (store, store_server) = serve_store((ip, 0).into(), &state).await;
+        let advise =
+            |state: Arc<PlatformState>, request| async move { advise(&state, request).await };
+        let (advisor, _) = listen((ip, 0).into(), state.clone(), advise).await;
         for number in 0..workers {
             lock(&state.workers).push(WorkerState {
                 id: format!("w{number}"),
@@ -119,10 +114,10 @@
                 last_end: 0,
                 closed: BTreeMap::new(),
             });
-            let address = listen(ip, state.clone(), move |state, request| async move {
+            let call = move |state: Arc<PlatformState>, request| async move {
                 worker_call(&state, number, request).await
-            })
-            .await;
+            };
+            let (address, _) = listen((ip, 0).into(), state.clone(), call).await;
             let registration = json!({
                 "service": "svc", "address": address, "zone": "a", "version": "v1", "slots": 8,
                 "state": "ready", "cold_ms": 0, "labels": ["k", "r1-0"], "sequence": 1,
@@ -130,7 +125,23 @@
             });
             state.put(&format!("servers/w{number}"), &registration);
         }
-        Self { state, store, advisor }
+        Self { state, store, advisor, store_server }
+    }
+
+    /// Has a worker leave calls unanswered from now on.
+    pub(crate) fn silence(&self, worker: &str) {
+        lock(&self.state.silent).insert(worker.to_owned());
+    }
+
+    /// Ends the store's connections and refuses new ones.
+    pub(crate) async fn close_store(&mut self) {
+        self.store_server.abort();
+        let _ = (&mut self.store_server).await;
+    }
+
+    /// Takes connections to the store again, at the same address.
+    pub(crate) async fn open_store(&mut self) {
+        (_, self.store_server) = serve_store(self.store, &self.state).await;
     }
 
     /// Writes a configuration with the given queues.
@@ -167,27 +178,43 @@
     }
 }
 
-async fn listen<F, W>(ip: IpAddr, state: Arc<PlatformState>, call: F) -> SocketAddr
+async fn serve_store(
+    address: SocketAddr,
+    state: &Arc<PlatformState>,
+) -> (SocketAddr, JoinHandle<()>) {
+    let call =
+        |state: Arc<PlatformState>, request| async move { store_call(&state, request).await };
+    listen(address, state.clone(), call).await
+}
+
+/// Serves an address; ending the task ends the connections as well.
+async fn listen<F, W>(
+    address: SocketAddr,
+    state: Arc<PlatformState>,
+    call: F,
+) -> (SocketAddr, JoinHandle<()>)
 where
     F: Fn(Arc<PlatformState>, Request<Incoming>) -> W + Clone + Send + Sync + 'static,
     W: Future<Output = Option<Response<Full<Bytes>>>> + Send + 'static,
 {
-    let listener = TcpListener::bind((ip, 0)).await.unwrap();
+    let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
+        let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
+            while connections.try_join_next().is_some() {}
             let (state, call) = (state.clone(), call.clone());
             let service = service_fn(move |request| {
                 let answer = call(state.clone(), request);
                 async move { answer.await.ok_or_else(|| std::io::Error::other("answer lost")) }
             });
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 let builder = Builder::new(TokioExecutor::new());
                 let _ = builder.serve_connection(TokioIo::new(stream), service).await;
             });
         }
     });
-    address
+    (address, task)
 }
 
 fn answer(status: u16, body: &Value) -> Option<Response<Full<Bytes>>> {
@@ -207,6 +234,13 @@
 }
 
 impl PlatformState {
+    /// Leaves a call unanswered for as long as a worker is silent.
+    async fn pass_silence(&self, worker: &str) {
+        while lock(&self.silent).contains(worker) {
+            sleep(LOOK).await;
+        }
+    }
+
     pub(crate) fn put(&self, key: &str, value: &Value) {
         self.put_bytes(key, serde_json::to_vec(value).unwrap());
     }
@@ -447,6 +481,7 @@
     number: usize,
     request: Request<Incoming>,
 ) -> Option<Response<Full<Bytes>>> {
+    state.pass_silence(&format!("w{number}")).await;
     let path = request.uri().path().to_owned();
     let life = request.headers().get("Target-Instance").and_then(|life| life.to_str().ok());
     let other_life = life.is_some_and(|life| life != format!("w{number}"));
