Unreadable keys of our own: cases that fail

Configuration, the leader's key, entries and job records were found sound: the version in force stays, an election follows, the others hold. The model of the store can hide that list; the member's decoder is visible to its tests.

--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -102,7 +102,7 @@
     }
 }
 
-fn written(view: &mut MemberView, item: &KeyItem) {
+pub(super) fn written(view: &mut MemberView, item: &KeyItem) {
     match item.key.as_str() {
         LEADER_KEY => view.leader = decode(item),
         EPOCH_KEY => {
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use googletest::prelude::*;
 use tokio::time::advance;
 
 use crate::graph::{GraphBounds, QueueConfig, RequestLimits};
+use crate::node::KeyItem;
+use crate::node::members::{ENTRY_PREFIX, EPOCH_KEY, written};
 use crate::node::settings::NodeSettings;
-use crate::node::shared::{EntryRecord, LeaderRecord, NodeShared};
+use crate::node::shared::{EntryRecord, LeaderRecord, MemberView, NodeShared};
 
 fn settings() -> NodeSettings {
     let address = "127.0.0.1:9".parse().unwrap();
@@ -102,3 +105,34 @@
     });
     expect_false!(shared.members.borrow().leaderless());
 }
+
+/// An unreadable count of elections was taken for none: the next leader had epoch 1, below or equal to
+/// that of the one before, and took that one for ended. Each election raises the store's revision, so
+/// that the key's own is at least as high as any epoch.
+#[gtest]
+fn an_unreadable_count_of_elections_is_taken_for_a_high_one() {
+    let holder = ("entry-2".into(), 7);
+    let before = MemberView { epoch: 5, holder: Some(holder), ..MemberView::default() };
+    for mut view in [before, MemberView::default()] {
+        let value = Bytes::from("no json");
+        written(&mut view, &KeyItem { key: EPOCH_KEY.to_owned(), value, revision: 40 });
+        expect_that!(view.epoch, eq(40));
+        expect_that!(view.epoch_revision, eq(40));
+        let holder = view.holder.clone();
+        expect_that!(holder, some(anything()));
+        expect_false!(view.has_ended(&holder));
+    }
+}
+
+#[gtest]
+fn an_unreadable_entry_takes_no_other_away() {
+    let mut view = MemberView::default();
+    let record = r#"{"address":"127.0.0.1:9","domain":"a","start":7,"processor":0.25}"#;
+    for (name, value) in [("e1", record), ("e2", "no json"), ("e3", record), ("e1", "[]")] {
+        let item =
+            KeyItem { key: format!("{ENTRY_PREFIX}{name}"), value: value.into(), revision: 1 };
+        written(&mut view, &item);
+    }
+    let names: Vec<&str> = view.entries.keys().map(|name| &**name).collect();
+    expect_that!(names, eq(&vec!["e1", "e3"]));
+}
--- a/tests/graph/registrations.rs
+++ b/tests/graph/registrations.rs
@@ -1,4 +1,4 @@
-//! Registrations that another writer has left: they take no worker away and name none.
+//! Values in the store that another writer has left: they take no worker away and name none.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -129,3 +129,25 @@
     world.run(Duration::from_millis(200));
     expect_true!(world.workers["w0-0"].was_given("b"));
 }
+
+/// A list of workers in use that could not be read was taken for an empty one: the next leader started at
+/// once what still ran at a worker that it could not reach.
+#[gtest]
+fn a_takeover_without_the_list_of_workers_waits_for_what_may_run() {
+    let mut world = World::new(5, 2);
+    world.run(seconds(1));
+    world.submit("now", "a", vec![step(1, 8, 30_000)]);
+    world.run(seconds(1));
+    for worker in world.workers.values_mut().filter(|worker| worker.was_given("a")) {
+        worker.reached = false;
+    }
+    world.store.spoilt = true;
+    let epoch = world.store.epoch;
+    world.leaders.remove(&epoch);
+    world.elect();
+    world.run(seconds(9));
+    expect_that!(world.begun_runs, eq(1));
+    world.run(seconds(40));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+    expect_that!(world.begun_runs, eq(2));
+}
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -107,6 +107,8 @@
     pub(crate) refuses: bool,
     pub(crate) jobs: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
     pub(crate) workers: Vec<UsedWorker>,
+    /// Whether the list of these workers cannot be read.
+    pub(crate) spoilt: bool,
     pub(crate) groups: u64,
 }
 
@@ -257,10 +259,11 @@
     pub(crate) fn elect(&mut self) -> LeaderEpoch {
         self.store.epoch += 1;
         let epoch = self.store.epoch;
-        let state = LeaderState {
-            jobs: self.store.jobs.values().cloned().collect(),
-            workers: self.store.workers.clone(),
+        let workers = match self.store.spoilt {
+            true => Vec::new(),
+            false => self.store.workers.clone(),
         };
+        let state = LeaderState { jobs: self.store.jobs.values().cloned().collect(), workers };
         let mut leader = GraphController::new(self.now, self.unix(), epoch, BOUNDS, state);
         leader.set_config(self.config.clone());
         leader.set_entries((0..5).map(|entry| EntryId::from(format!("e{entry}"))).collect());
