Unreadable keys of our own let nothing run twice

Cause: the decoders of our own keys took what they could not read for what a new deployment has: no progress, no workers in use, no elections. Each is the one reading under which tasks that are done or still run are started again. Ruled out: not leading until somebody repairs the key, which nobody does; keeping a job without its progress as running, which no part of the leader can end. Change: a job of which record or progress is unreadable is left out, with an error line, and an entry that reads past the leader says that it does not know it instead of that there is none; without the list of workers a takeover waits for as long as it does for workers that it cannot reach; an unreadable count of elections stands for the revision of its key, which is at least as high, and for a predecessor that may go on. What is lost: a job that is left out is shown as unknown by the leader, and its runs are stopped as strays. A second takeover within ten seconds of one without the list does not know what the first had not heard.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -68,6 +68,8 @@
     pub jobs: Vec<(GraphRecord, GraphProgress)>,
     /// Workers that may run something.
     pub workers: Vec<UsedWorker>,
+    /// Whether there may be others: the list could not be read.
+    pub unknown_workers: bool,
 }
 
 /// Decides for all jobs and workers of its scope.
@@ -122,6 +124,12 @@
             lives.used(now, used, unregistered(used));
         }
         info!(epoch, jobs = jobs.iter().count(), workers = state.workers.len(); "leadership begins");
+        let mut unheard: BTreeSet<WorkerId> =
+            state.workers.into_iter().map(|used| used.id).collect();
+        if state.unknown_workers {
+            // No worker answers under this name: it is waited for until nothing can run any more.
+            unheard.insert(WorkerId::from(""));
+        }
         Self {
             epoch,
             bounds,
@@ -135,7 +143,7 @@
             rejected: BTreeMap::new(),
             foreign: BTreeMap::new(),
             next_review: now,
-            unheard: state.workers.into_iter().map(|used| used.id).collect(),
+            unheard,
             settled_at: now + bounds.blind + LEASE_LIFE,
             predecessor_ended: false,
             authority: now,
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -95,26 +95,22 @@
         )
         .await?;
         self.change(|stand| stand.group_revision = group.map_or(0, |item| item.revision));
-        let workers = workers.and_then(|item| decode(&item)).unwrap_or_default();
-        let mut progress = progress;
-        let jobs: Vec<_> = records
-            .into_iter()
-            .map(|(id, record)| (record, progress.remove(&id).unwrap_or_default()))
-            .collect();
+        let workers = workers.map_or_else(|| Some(Vec::new()), |item| decode(&item));
+        let jobs = join(records, progress);
         info!(jobs = jobs.len(), took_ms = begun.elapsed().as_millis() as u64; "ledger read");
-        Ok(LeaderState { jobs, workers })
+        let unknown_workers = workers.is_none();
+        Ok(LeaderState { jobs, workers: workers.unwrap_or_default(), unknown_workers })
     }
 
-    async fn all<T: DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<String, T>> {
+    /// Reads all values under a prefix; `None` stands for one that is unreadable.
+    async fn all<T: DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<String, Option<T>>> {
         let mut found = BTreeMap::new();
         let mut after = String::new();
         loop {
             let page = self.store.page(prefix, &after).await?;
             for item in &page.items {
                 let id = item.key.strip_prefix(prefix).unwrap_or(&item.key);
-                if let Some(value) = decode(item) {
-                    found.insert(id.to_owned(), value);
-                }
+                found.insert(id.to_owned(), decode(item));
             }
             match page.items.last() {
                 Some(last) if page.more => after = last.key.clone(),
@@ -201,16 +197,36 @@
         store: &PlatformStore,
         id: &str,
     ) -> Result<Option<(GraphRecord, GraphProgress)>> {
-        let record = store.get(&format!("{RECORD_PREFIX}{id}")).await?;
-        let Some(record) = record.and_then(|item| decode(&item)) else {
+        let unreadable = || StoreError::Unknown(format!("job {id} is unreadable"));
+        let Some(record) = store.get(&format!("{RECORD_PREFIX}{id}")).await? else {
             return Ok(None);
         };
-        let progress = store.get(&format!("{PROGRESS_PREFIX}{id}")).await?;
-        let progress = progress.and_then(|item| decode(&item)).unwrap_or_default();
+        let record = decode(&record).ok_or_else(unreadable)?;
+        let progress = match store.get(&format!("{PROGRESS_PREFIX}{id}")).await? {
+            Some(progress) => decode(&progress).ok_or_else(unreadable)?,
+            None => GraphProgress::default(),
+        };
         Ok(Some((record, progress)))
     }
 }
 
+/// Jobs with what has become of them. One of which either is unreadable is left out: taken for a job that
+/// has not begun, its tasks would run again.
+fn join(
+    records: BTreeMap<String, Option<GraphRecord>>,
+    mut progress: BTreeMap<String, Option<GraphProgress>>,
+) -> Vec<(GraphRecord, GraphProgress)> {
+    let mut whole = Vec::with_capacity(records.len());
+    for (id, record) in records {
+        let progress = progress.remove(&id).unwrap_or_else(|| Some(GraphProgress::default()));
+        match record.zip(progress) {
+            Some(job) => whole.push(job),
+            None => error!(job = id; "a job with an unreadable key is left out"),
+        }
+    }
+    whole
+}
+
 fn changes(id: &str, group: &CommitGroup) -> (Vec<KeySet>, Vec<String>) {
     let mut sets = vec![set(GROUP_KEY.to_owned(), Bytes::from(id.to_owned()))];
     for record in &group.added {
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
+use crate::id::EntryId;
 use crate::node::keys::{
     KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
 };
@@ -106,7 +107,7 @@
     match item.key.as_str() {
         LEADER_KEY => view.leader = decode(item),
         EPOCH_KEY => {
-            let record: EpochRecord = decode(item).unwrap_or_default();
+            let record = decode(item).unwrap_or_else(|| unreadable_epoch(item));
             view.epoch = record.epoch;
             view.holder = record.holder;
             view.epoch_revision = item.revision;
@@ -121,6 +122,12 @@
     }
 }
 
+/// What an unreadable count of elections stands for: each election has raised the store's revision, so
+/// that the key's own is no lower than any epoch, and who was elected last may go on.
+fn unreadable_epoch(item: &KeyItem) -> EpochRecord {
+    EpochRecord { epoch: item.revision, holder: Some((EntryId::from(""), 0)) }
+}
+
 fn removed(view: &mut MemberView, key: &str) {
     match key.strip_prefix(ENTRY_PREFIX) {
         Some(name) => {
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -263,7 +263,11 @@
             true => Vec::new(),
             false => self.store.workers.clone(),
         };
-        let state = LeaderState { jobs: self.store.jobs.values().cloned().collect(), workers };
+        let state = LeaderState {
+            jobs: self.store.jobs.values().cloned().collect(),
+            workers,
+            unknown_workers: self.store.spoilt,
+        };
         let mut leader = GraphController::new(self.now, self.unix(), epoch, BOUNDS, state);
         leader.set_config(self.config.clone());
         leader.set_entries((0..5).map(|entry| EntryId::from(format!("e{entry}"))).collect());
