Keys are escaped where they stand in a query

Cause: the next page of a list begins after a key, which went into the query as it was. After one with a space the call could not be made, after one with "&", "#", "%" or "+" the store saw another key: the same page again and again, without a pause, or keys left out. Found by reading; keys of this kind can only come from another writer. Ruled out: a crate for it (form_urlencoded is there indirectly): it is ten lines, and "/" stays as it is, so that the queries for all keys of our own and of the platform's workers are byte for byte what they were. Change: escape_query for the key of a read and the key that a page begins after. Figures: a_strange_key_in_a_query_is_escaped, with the function doing nothing: "a b&c=%#+?ü"; after: "a%20b%26c%3D%25%23%2B%3F%C3%BC". A page that really ends with such a key was not played: the tests' stand-in gives all items in one page.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -169,7 +169,7 @@
 
     /// Reads a key; `None` where it does not exist.
     pub(crate) async fn get(&self, key: &str) -> Result<Option<KeyItem>> {
-        let path = format!("{KEY_PATH}?key={key}");
+        let path = format!("{KEY_PATH}?key={}", escape_query(key));
         let response = self.read(&path, CALL_TIME).await?;
         match response.status() {
             StatusCode::OK => Ok(Some(item(read(&response)?))),
@@ -182,7 +182,7 @@
     pub(crate) async fn page(&self, prefix: &str, after: &str) -> Result<KeyPage> {
         let path = match after.is_empty() {
             true => format!("{RANGE_PATH}?prefix={prefix}"),
-            false => format!("{RANGE_PATH}?prefix={prefix}&after={after}"),
+            false => format!("{RANGE_PATH}?prefix={prefix}&after={}", escape_query(after)),
         };
         let response = self.read(&path, RANGE_TIME).await?;
         match response.status() {
@@ -301,6 +301,19 @@
     }
 }
 
+/// A text as it stands in a query: a page that ends with a strange key has a next one, too.
+pub(super) fn escape_query(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'-' | b'.' | b'_' | b'~' | b'/' => escaped.push(byte.into()),
+            byte if byte.is_ascii_alphanumeric() => escaped.push(byte.into()),
+            byte => escaped.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    escaped
+}
+
 fn read<T: serde::de::DeserializeOwned>(response: &Response<Bytes>) -> Result<T> {
     read_json(response).map_err(failed)
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -7,7 +7,7 @@
 use crate::graph::WorkerListing;
 use crate::node::{KeyItem, KeyPage};
 use crate::platform::registrations::{RegistrationError, decode_registration, worker_of_key};
-use crate::platform::store::WirePage;
+use crate::platform::store::{WirePage, escape_query};
 
 /// A registration with every field.
 fn whole() -> Value {
@@ -143,3 +143,12 @@
     expect_true!(page.more);
     expect_that!(page.revision, eq(9));
 }
+
+/// The next page begins after a key. Where that key had a sign with a meaning in a query, the same page
+/// was read again and again, or none.
+#[gtest]
+fn a_strange_key_in_a_query_is_escaped() {
+    expect_that!(escape_query("servers/i-7f3a91c2"), eq("servers/i-7f3a91c2"));
+    expect_that!(escape_query("m/entry/front-a.1_2~3"), eq("m/entry/front-a.1_2~3"));
+    expect_that!(escape_query("a b&c=%#+?ü"), eq("a%20b%26c%3D%25%23%2B%3F%C3%BC"));
+}
