A number below zero does not make a registration another writer's

A worker that counts down may write one at its last heartbeat; refused, it would count as unregistered instead of as leaving. Change: only the types of these fields are asked for; a time left below zero is none, as before. Two rows of the new table of bad registrations are taken back as wrong, and a case takes their place: a worker that leaves with such numbers is leaving.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -218,6 +218,7 @@
             }
         }
         self.config = Some(config);
+        // Workers of services that it names are taken in at the next sweep.
         self.next_review = self.last_pass;
         self.pass_wanted = true;
     }
--- a/src/platform/registrations.rs
+++ b/src/platform/registrations.rs
@@ -63,10 +63,13 @@
     zone: DomainId,
     #[serde(rename = "version")]
     _version: Arc<str>,
-    slots: f64,
+    #[serde(rename = "slots")]
+    _slots: f64,
     state: WireState,
-    cold_ms: f64,
-    sequence: f64,
+    #[serde(rename = "cold_ms")]
+    _cold_ms: f64,
+    #[serde(rename = "sequence")]
+    _sequence: f64,
     capacity: WireCapacity,
     /// Kind and rack.
     labels: Vec<Arc<str>>,
@@ -80,15 +83,10 @@
 impl WireRegistration {
     /// The first field whose value means nothing.
     fn senseless(&self) -> Option<&'static str> {
-        let remaining = self.remaining_ms.unwrap_or(0.0);
         let rules = [
             ("service", self.service.is_empty()),
             ("address", !is_callable(&self.address)),
             ("failure domain", self.zone.is_empty()),
-            ("number of slots", self.slots < 0.0),
-            ("slow time", self.cold_ms < 0.0),
-            ("sequence", self.sequence < 0.0),
-            ("time left", remaining < 0.0),
         ];
         rules.into_iter().find(|(_, broken)| *broken).map(|(name, _)| name)
     }
@@ -113,7 +111,7 @@
     }
     let rack = wire.labels.iter().find(|label| is_rack(label));
     let rack = rack.map_or_else(|| RackId::from(""), RackId::clone);
-    let left = || Duration::from_millis(wire.remaining_ms.unwrap_or(0.0) as u64);
+    let left = || Duration::from_millis(wire.remaining_ms.unwrap_or(0.0).max(0.0) as u64);
     let WireCapacity { millicpu, mem_mb, gpus } = wire.capacity;
     Ok(WorkerListing {
         id,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,5 +1,7 @@
 //! What the adapter makes of values that another writer has left in the store.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -49,6 +51,11 @@
     }
     let leaving = decode("servers/w1", with("state", json!("draining"))).unwrap();
     expect_that!(leaving.leaving, some(anything()));
+    let late = json!({"state": "draining", "remaining_ms": -3.5, "cold_ms": -0.5});
+    let mut registration = whole();
+    registration.as_object_mut().unwrap().extend(late.as_object().unwrap().clone());
+    let late = decode("servers/w1", Bytes::from(registration.to_string())).unwrap();
+    expect_that!(late.leaving, some(eq(Duration::ZERO)));
 }
 
 /// A registration in a state that nothing names was taken for a usable one, and so was one without a
@@ -80,8 +87,6 @@
         ("state", json!("asleep")),
         ("version", json!(1)),
         ("slots", json!("8")),
-        ("slots", json!(-8)),
-        ("cold_ms", json!(-1)),
         ("remaining_ms", json!("soon")),
         ("labels", json!("r1-3")),
         ("labels", json!([1])),
