Bad input on the entries of the platform: one table that fails

Cause: what callers send wrongly was tested with four requests. A table of raw requests (framing, header lines, ids, JSON, shapes of jobs) now tells for each what is answered, whether the connection is closed, that what follows on it is never answered or run, and that a proper job on a connection of its own is then taken and done. Ruled out: sending by the tests' HTTP client: it makes no wrong requests. The four requests stay as they are; the stand-in's limit on bodies can be set for one test, as chains of many steps need more than 10,000 bytes. Framing: chunks over the limit [413, 200]; a length with chunks, both orders [200]; a bad chunk, one without its end, one beyond all numbers [413]; no host [404, 200]; two hosts [200, 200], left open; a host that is none [404, 200]; a target of another host [200, 200]; a huge line [400, 200]; a huge target [410, 200], 40,299 bytes, left open; a connection that says nothing stays open. Header: Deadline-Ms NaN or negative [503], inf or a word [200]. Jobs: 15,000 steps, an answer of 619,264 bytes; a step after one that lasts, a negative duration and one of 1e300 ms [200]. A chain of 256 endless durations ended the leader (overflow of Duration in the placement pass) and, as it was stored by then, each leader after it: 504 for it and the eleven rows from there on, and for the jobs after them.

--- /dev/null
+++ b/tests/platform/inputs.rs
@@ -0,0 +1,591 @@
+//! Requests that no proper caller sends: each is refused clearly, and the next one is served.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::cluster::Cluster;
+
+/// Longest wait for an answer or the end of a connection; an entry's own bounds are three seconds.
+const ANSWER_TIME: Duration = Duration::from_secs(8);
+/// Largest answer to a refused request, in bytes: some lines of text.
+const ANSWER_BYTES: usize = 4_096;
+/// Largest body that the configuration allows, in bytes.
+const BODY_BYTES: usize = 60_000;
+/// A job that is sent behind what is wrong and must never be taken for a request.
+const SMUGGLED: &str = "00000000000000ff";
+
+/// What becomes of the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RowEnding {
+    /// It stays open, and its next request is served.
+    Open,
+    /// It is closed, and what follows on it is never read as a request.
+    Closed,
+    /// It is closed though nothing follows.
+    Cut,
+    /// The caller ends it without having sent all.
+    Away,
+}
+
+/// One wrong, or odd, request.
+struct InputRow {
+    name: &'static str,
+    sent: Vec<u8>,
+    /// The answer's status; `None` where there need not be one.
+    status: Option<u16>,
+    ending: RowEnding,
+    /// Pause between two bytes.
+    pace: Duration,
+}
+
+/// What came back on a connection.
+#[derive(Debug, Default)]
+struct RowReply {
+    statuses: Vec<u16>,
+    bytes: usize,
+    closed: bool,
+}
+
+fn row(name: &'static str, sent: impl Into<Vec<u8>>, status: u16, ending: RowEnding) -> InputRow {
+    InputRow { name, sent: sent.into(), status: Some(status), ending, pace: Duration::ZERO }
+}
+
+/// A request with a job whose id is the hexadecimal number of its row.
+fn post_with(id: &str, lines: &str, body: &str) -> String {
+    format!("POST /now/{id} HTTP/1.1\r\nHost: jobs.example\r\n{lines}\r\n{body}")
+}
+
+fn post(id: &str, body: &str) -> String {
+    post_with(id, &format!("Content-Length: {}\r\n", body.len()), body)
+}
+
+fn ask(method: &str, target: &str) -> String {
+    format!("{method} {target} HTTP/1.1\r\nHost: jobs.example\r\n\r\n")
+}
+
+/// A job that is done in a moment.
+fn good_job() -> String {
+    job(&json!([{"count": 1, "millicpu": 100, "mem_mb": 10, "estimated_ms": 5}]))
+}
+
+fn job(steps: &Value) -> String {
+    json!({"spec": "5", "steps": steps}).to_string()
+}
+
+fn repeated(count: u64, first: u64, interval: u64) -> String {
+    let steps = [json!({"count": 1, "millicpu": 1_000, "mem_mb": 10})];
+    let job = json!({
+        "spec": "5", "steps": steps, "repeat_count": count, "first_ms": first,
+        "interval_ms": interval,
+    });
+    job.to_string()
+}
+
+/// A chain of steps.
+fn chain(steps: usize, estimate: &str) -> String {
+    let mut text = format!("{{\"steps\":[{{\"count\":1,\"estimated_ms\":{estimate}}}");
+    for before in 0..steps - 1 {
+        write!(text, ",{{\"count\":1,\"estimated_ms\":{estimate},\"after\":[{before}]}}").unwrap();
+    }
+    text + "]}"
+}
+
+/// Requests that break the rules of HTTP, or that come to no end.
+fn framing_rows() -> Vec<InputRow> {
+    use RowEnding::{Closed, Cut};
+    let good = good_job();
+    let chunked = format!("{:x}\r\n{good}\r\n0\r\n\r\n", good.len());
+    let coding = "Transfer-Encoding: chunked\r\n";
+    let length = format!("Content-Length: {}\r\n", good.len());
+    let large = "x".repeat(BODY_BYTES + 1);
+    let long = "a".repeat(40_000);
+    let lines =
+        |count: usize| (0..count).fold(String::new(), |all, n| all + &format!("A{n}: b\r\n"));
+    let mut rows = vec![
+        row(
+            "a body announced over the limit",
+            post_with("0000000000000101", "Content-Length: 60001\r\n", ""),
+            413,
+            Closed,
+        ),
+        row(
+            "a length beyond all numbers",
+            post_with("0000000000000102", "Content-Length: 99999999999999999999\r\n", ""),
+            400,
+            Closed,
+        ),
+        row(
+            "chunks over the limit",
+            post_with("0000000000000103", coding, &format!("ea61\r\n{large}\r\n0\r\n\r\n")),
+            413,
+            Closed,
+        ),
+        row(
+            "a length, then chunks",
+            post_with("0000000000000104", &format!("{length}{coding}"), &chunked),
+            400,
+            Closed,
+        ),
+        row(
+            "chunks, then a length",
+            post_with("0000000000000105", &format!("{coding}{length}"), &chunked),
+            400,
+            Closed,
+        ),
+        row(
+            "a length that ends before the chunks",
+            post_with("0000000000000106", &format!("Content-Length: 5\r\n{coding}"), "0\r\n\r\n"),
+            400,
+            Closed,
+        ),
+        row(
+            "two lengths",
+            post_with("0000000000000107", &format!("Content-Length: 5\r\n{length}"), &good),
+            400,
+            Closed,
+        ),
+        row(
+            "a signed length",
+            post_with("0000000000000108", "Content-Length: +5\r\n", "{}   "),
+            400,
+            Closed,
+        ),
+        row(
+            "a list of lengths",
+            post_with("0000000000000109", "Content-Length: 5, 5\r\n", "{}   "),
+            400,
+            Closed,
+        ),
+        row(
+            "a bad chunk",
+            post_with("000000000000010a", coding, "zz\r\n{}\r\n0\r\n\r\n"),
+            400,
+            Closed,
+        ),
+        row(
+            "a chunk without its end",
+            post_with("000000000000010b", coding, "2\r\n{}{}\r\n0\r\n\r\n"),
+            400,
+            Closed,
+        ),
+        row(
+            "a chunk beyond all numbers",
+            post_with("000000000000010c", coding, "fffffffffffffffff\r\n{}"),
+            400,
+            Closed,
+        ),
+        row(
+            "an unknown coding",
+            post_with("000000000000010d", "Transfer-Encoding: gzip\r\n", &good),
+            400,
+            Closed,
+        ),
+        row(
+            "chunks inside another coding",
+            post_with("000000000000010e", "Transfer-Encoding: chunked, gzip\r\n", &chunked),
+            400,
+            Closed,
+        ),
+        row(
+            "chunks in HTTP/1.0",
+            format!(
+                "POST /now/000000000000010f HTTP/1.0\r\nHost: jobs.example\r\n{coding}\r\n{chunked}"
+            ),
+            400,
+            Closed,
+        ),
+        row("no host", "GET /now/ HTTP/1.1\r\n\r\n", 400, Closed),
+        row(
+            "two hosts",
+            "GET /now/ HTTP/1.1\r\nHost: jobs.example\r\nHost: jobs.example\r\n\r\n",
+            400,
+            Closed,
+        ),
+        row("a host that is none", "GET /now/ HTTP/1.1\r\nHost: jobs example\r\n\r\n", 400, Closed),
+        row("a target of another host", ask("GET", "http://other.example/now/"), 400, Closed),
+        row(
+            "a space before a colon",
+            "GET /now/ HTTP/1.1\r\nHost : jobs.example\r\n\r\n",
+            400,
+            Closed,
+        ),
+        row(
+            "a folded line",
+            "GET /now/ HTTP/1.1\r\nHost: jobs.example\r\nA: b\r\n c\r\n\r\n",
+            400,
+            Closed,
+        ),
+        row(
+            "a zero byte in a line",
+            "GET /now/ HTTP/1.1\r\nHost: jobs.example\r\nA: b\0c\r\n\r\n",
+            400,
+            Closed,
+        ),
+        row("no request at all", "\x16\x03\x01\x02\0\x01\0\x01\r\n\r\n", 400, Closed),
+        row("another version", "GET /now/ HTTP/3.0\r\nHost: jobs.example\r\n\r\n", 400, Closed),
+        row(
+            "a huge line",
+            post_with("0000000000000110", &format!("A: {long}\r\n"), ""),
+            431,
+            Closed,
+        ),
+        row("a huge target", ask("GET", &format!("/now/{long}")), 431, Closed),
+        row("many lines", post_with("0000000000000111", &lines(200), ""), 431, Closed),
+        row(
+            "a body that stops",
+            post_with("0000000000000112", "Content-Length: 500\r\n", "{\"spec\":"),
+            408,
+            Cut,
+        ),
+    ];
+    let silent = |name, sent: &str, pace| InputRow {
+        name,
+        sent: sent.into(),
+        status: None,
+        ending: Cut,
+        pace: Duration::from_millis(pace),
+    };
+    rows.push(silent("a connection that says nothing", "", 0));
+    rows.push(silent("a head that stops", "GET /now/ HTTP/1.1\r\nHost: jobs", 0));
+    rows.push(silent("a slow head", &ask("GET", "/now/"), 200));
+    rows.push(InputRow {
+        ending: Closed,
+        ..silent("the preface of HTTP/2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 0)
+    });
+    rows.push(InputRow {
+        ending: RowEnding::Away,
+        ..silent(
+            "a caller that goes away",
+            &post_with("0000000000000113", "Content-Length: 500\r\n", &good),
+            0,
+        )
+    });
+    rows
+}
+
+/// Requests whose line or header is wrong for a queue.
+fn request_rows() -> Vec<InputRow> {
+    use RowEnding::Open;
+    let good = good_job();
+    let length = format!("Content-Length: {}\r\n", good.len());
+    let timed = |name, id, time: &str, status| {
+        let lines = format!("{length}Deadline-Ms: {time}\r\n");
+        row(name, post_with(id, &lines, &good), status, Open)
+    };
+    vec![
+        timed("a time that is no number", "0000000000000201", "NaN", 400),
+        timed("a time without end", "0000000000000202", "inf", 400),
+        timed("a negative time", "0000000000000203", "-5", 400),
+        timed("a time in words", "0000000000000204", "soon", 400),
+        timed("a time beyond all clocks", "0000000000000205", "1e300", 200),
+        row("a short id", post("0205", &good), 400, Open),
+        row("a long id", post("00000000000000206", &good), 400, Open),
+        row("an id that is none", post("000000000000020g", &good), 400, Open),
+        row("an id with a step's number", post("0000000000207.0", &good), 400, Open),
+        row("an encoded id", post("%300000000000000207", &good), 400, Open),
+        row(
+            "an id with a field behind it",
+            ask("GET", "/now/0000000000000101&allow_stale=1"),
+            410,
+            Open,
+        ),
+        row("a state of no id", ask("GET", "/now/a/b/%2e%2e"), 410, Open),
+        row("cancelling no id", ask("DELETE", "/now/x"), 410, Open),
+        row("bytes that are no text in a target", ask("GET", "/now/%ff%fe"), 410, Open),
+        row("no queue", ask("GET", "/%6eow/"), 404, Open),
+        row("another method", ask("PUT", "/now/0000000000000208"), 405, Open),
+        row("a method of no server", ask("BREW", "/now/0000000000000208"), 405, Open),
+        row("a POST without an id", post("", &good), 405, Open),
+        row("an id in upper case", post("00000000000002AB", &good), 200, Open),
+        row("a state in upper case", ask("GET", "/now/00000000000002AB"), 200, Open),
+        row("a state in the other case", ask("GET", "/now/00000000000002ab"), 410, Open),
+        row(
+            "a target with its host",
+            format!(
+                "POST http://jobs.example/now/0000000000000209 HTTP/1.1\r\nHost: jobs.example\r\n{length}\r\n{good}"
+            ),
+            200,
+            Open,
+        ),
+        row(
+            "an announced body",
+            post_with("000000000000020a", &format!("Expect: 100-continue\r\n{length}"), &good),
+            200,
+            Open,
+        ),
+        row(
+            "a body in chunks",
+            post_with(
+                "000000000000020b",
+                "Transfer-Encoding: chunked\r\n",
+                &format!("{:x}\r\n{good}\r\n0\r\n\r\n", good.len()),
+            ),
+            200,
+            Open,
+        ),
+        row(
+            "the same length twice",
+            post_with("000000000000020c", &format!("{length}{length}"), &good),
+            200,
+            Open,
+        ),
+    ]
+}
+
+/// Jobs that cannot be.
+fn refused_rows() -> Vec<InputRow> {
+    let deep = "[".repeat(5_000);
+    let step = |fields: &str| format!("{{\"steps\":[{{\"count\":1{fields}}}]}}");
+    let lasting = json!([{"count": 1, "persistent": true}, {"count": 1, "after": [0]}]);
+    let jobs = vec![
+        ("no body", "0000000000000301", String::new()),
+        ("no JSON", "0000000000000302", "steps=1".into()),
+        ("JSON and more", "0000000000000303", good_job() + "}"),
+        ("no object", "0000000000000304", "null".into()),
+        ("a deep array", "0000000000000305", format!("{{\"steps\":{deep}")),
+        ("a deep flag", "0000000000000306", step(&format!(",\"gang\":{deep}"))),
+        ("a field twice", "0000000000000307", "{\"steps\":[],\"steps\":[]}".into()),
+        ("a number that is none", "0000000000000308", step(",\"estimated_ms\":NaN")),
+        ("a number in a string", "0000000000000309", step(",\"millicpu\":\"100\"")),
+        (
+            "a long text for a number",
+            "000000000000031e",
+            step(&format!(",\"millicpu\":\"{}\"", "x".repeat(50_000))),
+        ),
+        ("a count with an exponent", "000000000000030a", "{\"steps\":[{\"count\":1e3}]}".into()),
+        ("a negative count", "000000000000030b", "{\"steps\":[{\"count\":-1}]}".into()),
+        ("no tasks", "000000000000030c", "{\"steps\":[{\"count\":0}]}".into()),
+        ("four billion tasks", "000000000000030d", "{\"steps\":[{\"count\":4294967295}]}".into()),
+        (
+            "more tasks than numbers",
+            "000000000000030e",
+            "{\"steps\":[{\"count\":4294967296}]}".into(),
+        ),
+        ("no steps", "000000000000030f", "{\"spec\":\"5\"}".into()),
+        ("thousands of steps", "0000000000000310", job(&json!(vec![json!({}); 15_000]))),
+        ("a step after itself", "0000000000000311", step(",\"after\":[0]")),
+        (
+            "a step after a later one",
+            "0000000000000312",
+            job(&json!([{"count": 1, "after": [1]}, {"count": 1}])),
+        ),
+        ("a step after none", "0000000000000313", step(",\"after\":[4294967295]")),
+        ("a step after one that lasts", "0000000000000314", job(&lasting)),
+        (
+            "a long payload",
+            "0000000000000315",
+            json!({"spec": "x".repeat(4_001), "steps": [{"count": 1}]}).to_string(),
+        ),
+        ("a negative duration", "0000000000000316", step(",\"estimated_ms\":-1")),
+        ("an endless duration", "0000000000000317", step(",\"estimated_ms\":1e300")),
+        ("a chain of endless durations", "0000000000000318", chain(256, "1e99")),
+        ("billions of occurrences", "0000000000000319", repeated(4_294_967_295, 0, 0)),
+        ("millions of occurrences", "000000000000031a", repeated(2_000_000, 1, 1)),
+        ("an endless interval", "000000000000031b", repeated(3, 1, u64::MAX)),
+        ("a first time that never comes", "000000000000031c", repeated(1, u64::MAX, 1)),
+        (
+            "many steps of many tasks",
+            "000000000000031d",
+            job(&json!(vec![json!({"count": 10_000}); 256])),
+        ),
+    ];
+    let refused = |(name, id, body): (&'static str, &str, String)| {
+        row(name, post(id, &body), 400, RowEnding::Open)
+    };
+    jobs.into_iter().map(refused).collect()
+}
+
+/// Odd jobs that may be sent; they are cancelled at the end.
+fn accepted_rows() -> Vec<InputRow> {
+    let wide = json!({"count": 10_000, "millicpu": 1_000, "mem_mb": 10, "estimated_ms": 1e9});
+    let large = json!([{"count": 3, "millicpu": 4_294_967_295u32, "mem_mb": 4_294_967_295u32}]);
+    let gang = json!([{"count": 2, "millicpu": 100, "gang": true, "persistent": true}]);
+    let jobs = vec![
+        ("a gang that lasts", "0000000000000401", job(&gang)),
+        ("tasks larger than any worker", "0000000000000402", job(&large)),
+        ("thousands of tasks", "0000000000000403", job(&json!(vec![wide; 8]))),
+        ("thousands of occurrences at once", "0000000000000404", repeated(15_000, 1, 0)),
+        (
+            "an unknown field with deep content",
+            "0000000000000405",
+            format!(
+                "{{\"x\":{}{},\"steps\":[{{\"count\":1}}]}}",
+                "[".repeat(5_000),
+                "]".repeat(5_000)
+            ),
+        ),
+        (
+            "a step named many times",
+            "0000000000000406",
+            job(&json!([{"count": 1}, {"count": 1, "after": vec![0; 20_000]}])),
+        ),
+    ];
+    let accepted = |(name, id, body): (&'static str, &str, String)| {
+        row(name, post(id, &body), 200, RowEnding::Open)
+    };
+    jobs.into_iter().map(accepted).collect()
+}
+
+/// Reads one whole answer into the reply, or notes the connection's end.
+async fn read_answer(stream: &mut TcpStream, rest: &mut Vec<u8>, reply: &mut RowReply) {
+    loop {
+        if let Some((status, end)) = whole_answer(rest) {
+            rest.drain(..end);
+            if status >= 200 {
+                reply.statuses.push(status);
+                return;
+            }
+            continue;
+        }
+        let mut buffer = [0; 4_096];
+        match timeout(ANSWER_TIME, stream.read(&mut buffer)).await {
+            Ok(Ok(0) | Err(_)) => {
+                reply.closed = true;
+                return;
+            }
+            Ok(Ok(count)) => {
+                reply.bytes += count;
+                rest.extend(&buffer[..count]);
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+/// Status and length of the answer that some bytes begin with, once it is whole.
+fn whole_answer(bytes: &[u8]) -> Option<(u16, usize)> {
+    let head = bytes.windows(4).position(|end| end == b"\r\n\r\n")? + 4;
+    let text = String::from_utf8_lossy(&bytes[..head]).to_lowercase();
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    let length = text.lines().find_map(|line| line.strip_prefix("content-length:"));
+    let length: usize = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
+    (bytes.len() >= head + length).then_some((status, head + length))
+}
+
+async fn send(stream: &mut TcpStream, row: &InputRow) {
+    if row.pace.is_zero() {
+        let _ = stream.write_all(&row.sent).await;
+        return;
+    }
+    for byte in &row.sent {
+        if stream.write_all(&[*byte]).await.is_err() {
+            return;
+        }
+        sleep(row.pace).await;
+    }
+}
+
+/// Plays one row on a connection of its own.
+async fn play(address: SocketAddr, row: &InputRow) -> RowReply {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let (mut reply, mut rest) = (RowReply::default(), Vec::new());
+    send(&mut stream, row).await;
+    match row.ending {
+        RowEnding::Open => {
+            read_answer(&mut stream, &mut rest, &mut reply).await;
+            let _ = stream.write_all(ask("GET", "/now/").as_bytes()).await;
+            read_answer(&mut stream, &mut rest, &mut reply).await;
+        }
+        RowEnding::Closed | RowEnding::Cut => {
+            if row.ending == RowEnding::Closed {
+                let _ = stream.write_all(post(SMUGGLED, &good_job()).as_bytes()).await;
+            }
+            while !reply.closed {
+                let before = reply.bytes;
+                read_answer(&mut stream, &mut rest, &mut reply).await;
+                if reply.bytes == before {
+                    break;
+                }
+            }
+        }
+        RowEnding::Away => {
+            let _ = stream.shutdown().await;
+            read_answer(&mut stream, &mut rest, &mut reply).await;
+            reply.statuses.clear();
+        }
+    }
+    reply
+}
+
+/// What is wrong with an answer.
+fn faults(row: &InputRow, reply: &RowReply) -> Vec<String> {
+    let mut expected: Vec<u16> = row.status.into_iter().collect();
+    if row.ending == RowEnding::Open {
+        expected.push(200);
+    }
+    let mut faults = Vec::new();
+    if row.status.is_some() && reply.statuses != expected {
+        faults.push(format!("answers {:?} instead of {expected:?}", reply.statuses));
+    }
+    if row.status.is_none() && row.ending == RowEnding::Closed && reply.bytes > 0 {
+        faults.push(format!("{} bytes where nothing is to be answered", reply.bytes));
+    }
+    if matches!(row.ending, RowEnding::Closed | RowEnding::Cut) && !reply.closed {
+        faults.push("the connection stays open".to_owned());
+    }
+    if reply.bytes > ANSWER_BYTES {
+        faults.push(format!("an answer of {} bytes", reply.bytes));
+    }
+    faults
+}
+
+/// A proper job on a connection of its own is taken and done.
+async fn next_is_served(cluster: &Cluster, number: usize) -> Option<String> {
+    let path = format!("/now/{:016x}", 0xf000 + number);
+    let body: Value = serde_json::from_str(&good_job()).unwrap();
+    let answer = cluster.call(0, Method::POST, &path, &body).await;
+    let status = answer.map(|answer| answer.status);
+    if status != Some(StatusCode::OK) {
+        return Some(format!("the next job got {status:?}"));
+    }
+    let shown = async || {
+        let answer = cluster.call(0, Method::GET, &path, &Value::Null).await;
+        answer.is_some_and(|answer| answer.body["state"] == "completed")
+    };
+    let done = timeout(ANSWER_TIME, async {
+        while !shown().await {
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+    done.await.is_err().then(|| "the next job was not done".to_owned())
+}
+
+/// Requests came in over the open network that no proper caller sends: lengths that contradict each
+/// other, bodies and heads without end, numbers that no clock knows, jobs that no cluster could do.
+/// Some were taken for proper ones, one ended the leader, and some kept it busy for seconds. Each
+/// has a clear refusal, what follows it on its connection is no request, and the next is served.
+#[gtest]
+#[tokio::test]
+async fn bad_input_is_refused_and_the_next_request_is_served() {
+    let cluster = Cluster::start(20, 1, 1, &["now"]).await;
+    cluster.platform.configure_bodies(2, &["now"], BODY_BYTES);
+    sleep(Duration::from_millis(500)).await;
+    let address = cluster.entries[0].callers;
+    let mut found = Vec::new();
+    let tables = [framing_rows(), request_rows(), refused_rows(), accepted_rows()];
+    for (number, row) in tables.into_iter().flatten().enumerate() {
+        let reply = play(address, &row).await;
+        let mut faults = faults(&row, &reply);
+        faults.extend(next_is_served(&cluster, number).await);
+        found.extend(faults.into_iter().map(|fault| format!("{}: {fault}", row.name)));
+    }
+    for id in ["0401", "0402", "0403", "0404"] {
+        let path = format!("/now/000000000000{id}");
+        let answer = cluster.call(0, Method::DELETE, &path, &Value::Null).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK), "cancelling {id}");
+    }
+    let starts = cluster.platform.state.starts.lock().unwrap().clone();
+    let ran = |prefix: &str| starts.keys().filter(|task| task.starts_with(prefix)).count();
+    for prefix in [SMUGGLED, "00000000000001", "00000000000003"] {
+        expect_that!(ran(prefix), eq(0), "tasks of {prefix} that were begun");
+    }
+    expect_that!(found, is_empty());
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The running program against a stand-in of the platform: its store, workers and advisor.
 
 mod cluster;
+mod inputs;
 mod jobs;
 mod standin;
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -133,6 +133,11 @@
 
     /// Writes a configuration with the given queues.
     pub(crate) fn configure(&self, version: u64, queues: &[&str]) {
+        self.configure_bodies(version, queues, 10_000);
+    }
+
+    /// Writes a configuration with the given queues and the largest body, in bytes.
+    pub(crate) fn configure_bodies(&self, version: u64, queues: &[&str], body_bytes: usize) {
         let route = |name: &&str| {
             json!({
                 "name": name, "hostname": "jobs.example", "prefix": format!("/{name}/"),
@@ -147,7 +152,7 @@
             "version": version,
             "routes": queues.iter().map(route).collect::<Vec<_>>(),
             "services": [{"name": "svc", "admission_check": false}],
-            "limits": {"max_body_bytes": 10_000, "header_timeout_ms": 3_000},
+            "limits": {"max_body_bytes": body_bytes, "header_timeout_ms": 3_000},
         });
         self.state.put("op/config", &config);
     }
