The entries' listeners speak HTTP/1 only and take heads of 16 KiB

Cause: the accept loop let hyper-util tell HTTP/1 from HTTP/2 first. A head could take 400 KB of a connection's buffer: with 2,900 connections more than the memory of any machine. Ruled out: hyper's limit on the parsed head (max_header_size): it looks at whole heads only, not at what is buffered before. Change: http1_only, and max_buf_size of 16 KiB.

--- a/src/http.rs
+++ b/src/http.rs
@@ -24,6 +24,10 @@
 /// Longest pause after errors of accept.
 const LONGEST_ACCEPT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Largest head of a request, in bytes: twice what RFC 9112 (section 3) asks servers to take for a request
+/// line. Each connection may keep as much.
+const HEAD_BYTES: usize = 16 << 10;
+
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ListenerLimits {
@@ -108,8 +112,13 @@
         prepare(&mut state);
         call_handler(router.clone(), AssertUnwindSafe(state))
     });
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(limits.head_time);
+    // Telling the versions of HTTP apart has no limit of time, and another version none of these bounds.
+    let mut builder = Builder::new(TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(HEAD_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
