A body that breaks off or is malformed is refused as that, and the connection closed

Cause: any error of a body, a bad chunk too, was told as "too large" (413), and nothing in a refusal said that the connection ends: after chunks over the limit the rest was read to its end and the next request on the connection was answered. Ruled out: framing in our own code: hyper finds what is wrong; only its error was not looked at. Change: 413 for the limit alone, else 400; both, and 408 for a late body, carry "Connection: close".

--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -10,7 +10,7 @@
 use gotham::router::Router;
 use gotham::router::builder::build_simple_router;
 use gotham::state::{FromState, State, StateData};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use log::info;
@@ -205,6 +205,7 @@
     let too_large = || {
         let detail = format!("at most {most} bytes");
         ProblemDetails::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large", detail)
+            .closing()
     };
     let announced = request.headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
     let announced = announced.and_then(|length| length.parse::<usize>().ok());
@@ -213,14 +214,22 @@
     }
     match timeout(BODY_TIME, Limited::new(body, most).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(too_large()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(malformed("the body is not whole")),
         Err(_) => {
             let detail = format!("not whole after {BODY_TIME:?}");
-            Err(ProblemDetails::new(StatusCode::REQUEST_TIMEOUT, "the body is late", detail))
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(ProblemDetails::new(status, "the body is late", detail).closing())
         }
     }
 }
 
+/// The request breaks the rules of HTTP, so where the next begins is not sure.
+fn malformed(detail: &str) -> ProblemDetails {
+    let status = StatusCode::BAD_REQUEST;
+    ProblemDetails::new(status, "malformed", detail).ran(RanState::No).closing()
+}
+
 /// The request has not run and will not.
 fn unavailable(detail: &str) -> ProblemDetails {
     ProblemDetails::new(StatusCode::SERVICE_UNAVAILABLE, "not taken", detail)
--- a/src/problem.rs
+++ b/src/problem.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
@@ -43,6 +43,7 @@
     detail: String,
     retry_after: Option<Duration>,
     ran: Option<RanState>,
+    closes: bool,
 }
 
 #[derive(Serialize)]
@@ -56,7 +57,7 @@
 
 impl ProblemDetails {
     pub(crate) fn new(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Self {
-        Self { status, title, detail: detail.into(), retry_after: None, ran: None }
+        Self { status, title, detail: detail.into(), retry_after: None, ran: None, closes: false }
     }
 
     /// Tells what became of the request.
@@ -71,6 +72,12 @@
         self
     }
 
+    /// Ends the connection: what follows on it may not be a request.
+    pub(crate) fn closing(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
     /// The response.
     pub(crate) fn response(&self) -> Response<Body> {
         let (parts, bytes) = self.bytes_response().into_parts();
@@ -97,6 +104,9 @@
         if let Some(ran) = self.ran {
             headers.insert(RAN_HEADER, HeaderValue::from_static(ran.label()));
         }
+        if self.closes {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         response
     }
 }
