A request without one clear host is refused

Cause: a request with no host, or one that is none, got 404 and the connection stayed; with two, the first counted; with a target that names another host than the line, the line did. RFC 9112 (3.2) asks for 400. What stands before an entry may have taken another. Ruled out: a setting of hyper: it leaves hosts to its users. Change: a check before anything else; HTTP/1.0 without a host goes on as before.

--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -12,7 +12,8 @@
 use gotham::state::{FromState, State, StateData};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use hyper::http::uri::Authority;
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, Version};
 use log::info;
 use tokio::time::{Instant, timeout};
 
@@ -67,8 +68,9 @@
         let desk = CallerDesk::borrow_from(&state).clone();
         let method = Method::borrow_from(&state).clone();
         let uri = Uri::borrow_from(&state).clone();
+        let version = *Version::borrow_from(&state);
         let headers = HeaderMap::borrow_from(&state);
-        let request = CallerRequest { begun, method: &method, uri: &uri, headers };
+        let request = CallerRequest { begun, version, method: &method, uri: &uri, headers };
         let response = match desk.answer(&request, body).await {
             Ok(response) => response,
             Err(problem) => problem.response(),
@@ -87,6 +89,7 @@
 /// A request of a caller, without its body.
 struct CallerRequest<'r> {
     begun: Instant,
+    version: Version,
     method: &'r Method,
     uri: &'r Uri,
     headers: &'r HeaderMap,
@@ -103,10 +106,31 @@
         let named = self.headers.get(HOST).and_then(|host| host.to_str().ok());
         named.or(self.uri.host()).unwrap_or_default()
     }
+
+    /// Refuses a request without one clear host, as others on its way may have taken it for another's.
+    fn check_host(&self) -> Result<()> {
+        let mut hosts = self.headers.get_all(HOST).iter();
+        let named = match (hosts.next(), hosts.next()) {
+            (None, _) if self.version < Version::HTTP_11 => return Ok(()),
+            (Some(host), None) => host,
+            _ => return Err(malformed("one host is expected")),
+        };
+        if named.is_empty() && self.uri.authority().is_none() {
+            return Ok(());
+        }
+        let Ok(named) = Authority::try_from(named.as_bytes()) else {
+            return Err(malformed("the host is none"));
+        };
+        match self.uri.authority() {
+            Some(target) if *target != named => Err(malformed("the target has another host")),
+            _ => Ok(()),
+        }
+    }
 }
 
 impl CallerDesk {
     async fn answer(&self, request: &CallerRequest<'_>, body: Body) -> Result<Response<Body>> {
+        request.check_host()?;
         let config = self.shared.config.borrow().clone();
         let Some(config) = config else {
             return Err(unavailable("there is no configuration yet"));
