A time to wait that is no time is refused

Cause: Deadline-Ms of NaN or below 0 counted as 0, so that a good job got 503; a word counted as nothing said; "inf" and 1e300 as more than five hundred million years, for which tries to reach a leader would have gone on. Ruled out: taking a wrong time as none: the caller would learn nothing of its mistake. Change: 400 for what is no finite number of 0 or more; longer than 60 s counts as 60 s.

--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -98,7 +98,7 @@
 impl CallerRequest<'_> {
     /// Time that is left for an answer.
     fn patience(&self) -> Duration {
-        let whole = caller_patience(self.headers).unwrap_or(PATIENCE);
+        let whole = caller_patience(self.headers).ok().flatten().unwrap_or(PATIENCE);
         whole.saturating_sub(ANSWER_MARGIN).saturating_sub(self.begun.elapsed())
     }
 
@@ -126,11 +126,17 @@
             _ => Ok(()),
         }
     }
+
+    fn check_patience(&self) -> Result<()> {
+        let wrong = |detail| ProblemDetails::new(StatusCode::BAD_REQUEST, "no such time", detail);
+        caller_patience(self.headers).map(|_| ()).map_err(|detail| wrong(detail).ran(RanState::No))
+    }
 }
 
 impl CallerDesk {
     async fn answer(&self, request: &CallerRequest<'_>, body: Body) -> Result<Response<Body>> {
         request.check_host()?;
+        request.check_patience()?;
         let config = self.shared.config.borrow().clone();
         let Some(config) = config else {
             return Err(unavailable("there is no configuration yet"));
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -20,6 +20,9 @@
 const PAYLOAD_BYTES: usize = 4_000;
 /// Length of a job's name: hexadecimal digits.
 const NAME_LENGTH: usize = 16;
+/// Longest time that a caller is taken to wait: twenty times what callers do. It bounds how long tries
+/// to reach a leader go on.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(60);
 
 /// A yes or no that may be written as a number.
 #[derive(Clone, Copy, Debug, Default)]
@@ -156,9 +159,18 @@
 }
 
 /// How long a caller waits, where it says so.
-pub(crate) fn caller_patience(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(PATIENCE_HEADER)?.to_str().ok()?;
-    text.parse::<f64>().ok().map(|millis| Duration::from_millis(millis.max(0.0) as u64))
+///
+/// # Errors
+/// What is wrong, in words for the caller.
+pub(crate) fn caller_patience(headers: &HeaderMap) -> Result<Option<Duration>, &'static str> {
+    let Some(value) = headers.get(PATIENCE_HEADER) else {
+        return Ok(None);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<f64>().ok());
+    match millis.filter(|millis| millis.is_finite() && *millis >= 0.0) {
+        Some(millis) => Ok(Some(Duration::from_millis(millis as u64).min(LONGEST_PATIENCE))),
+        None => Err("the time to wait has to be a number of milliseconds, 0 or more"),
+    }
 }
 
 /// A job's state as callers get it.
