What is no job's name is not asked of the leader or the store

Cause: POST checked names, GET and DELETE did not: any text of a path went to the leader and, without one, into the query of a call to the store, where an & in it would have begun another field; the answer repeated it, up to 40,299 bytes. Making one case of both: names go to workers the way that callers wrote them, and a task under another spelling would be one that nobody sent. Change: one check for all three; GET and DELETE answer 410 at once. An id in upper case is the job's name in all three, as before.

--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -20,7 +20,7 @@
 use crate::graph::{GraphRecord, QueueRule};
 use crate::node::access::{AccessFailure, LeaderAccess};
 use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared, unix_millis};
-use crate::platform::{caller_patience, decode_job, encode_pending, encode_state};
+use crate::platform::{caller_patience, decode_job, encode_pending, encode_state, is_job_name};
 use crate::problem::{ProblemDetails, RanState, json_response};
 
 type Result<T> = std::result::Result<T, ProblemDetails>;
@@ -148,6 +148,9 @@
         let name = path.strip_prefix(&*queue.prefix).unwrap_or_default().trim_matches('/');
         match (request.method, name) {
             (&Method::GET, "") => self.pending(request, queue).await,
+            (&Method::GET | &Method::DELETE, name) if !name.is_empty() && !is_job_name(name) => {
+                Err(gone("no job has such a name"))
+            }
             (&Method::GET, name) => self.state(request, name).await,
             (&Method::POST, name) if !name.is_empty() => {
                 let body = read_body(request, body, config.limits.body_bytes).await?;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -13,7 +13,9 @@
 
 pub(crate) use advisor::AdvisorClient;
 pub(crate) use configuration::{CONFIG_KEY, CONFIG_PREFIX, decode_config};
-pub(crate) use jobs::{READY_PATH, caller_patience, decode_job, encode_pending, encode_state};
+pub(crate) use jobs::{
+    READY_PATH, caller_patience, decode_job, encode_pending, encode_state, is_job_name,
+};
 pub(crate) use registrations::{REGISTRATION_PREFIX, decode_registration, worker_of_key};
 pub use settings::{SETTINGS_VARIABLE, parse_platform_settings};
 pub(crate) use store::PlatformStore;
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -97,6 +97,12 @@
     pending: usize,
 }
 
+/// Whether a text can be a job's name. Upper and lower case tell jobs apart, as names go to workers the
+/// way that callers wrote them.
+pub(crate) fn is_job_name(name: &str) -> bool {
+    name.len() == NAME_LENGTH && name.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
 /// Decodes a job of a queue; all mistakes are told together.
 ///
 /// # Errors
@@ -109,7 +115,7 @@
 ) -> Result<GraphSpec, Vec<String>> {
     let wire: WireJob = serde_json::from_slice(body).map_err(|error| vec![error.to_string()])?;
     let mut mistakes = Vec::new();
-    if name.len() != NAME_LENGTH || !name.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+    if !is_job_name(name) {
         mistakes.push(format!("the job's name has to have {NAME_LENGTH} hexadecimal digits"));
     }
     if wire.spec.len() > PAYLOAD_BYTES {
