A refusal names ten mistakes at most

Cause: each step of a job has its own line in a refusal, and a mistake of syntax quotes what was read: 15,000 empty steps, a body of 45 KB, were answered with 619,264 bytes. Ruled out: a lower limit on bodies: it is the operator's. Change: the first ten mistakes, each of 200 characters at most.

--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -23,6 +23,10 @@
 /// Longest time that a caller is taken to wait: twenty times what callers do. It bounds how long tries
 /// to reach a leader go on.
 const LONGEST_PATIENCE: Duration = Duration::from_secs(60);
+/// Mistakes that a refusal names at most.
+const MOST_MISTAKES: usize = 10;
+/// Longest text of a mistake, in characters: that of a mistake of syntax may quote the body.
+const MISTAKE_CHARACTERS: usize = 200;
 
 /// A yes or no that may be written as a number.
 #[derive(Clone, Copy, Debug, Default)]
@@ -103,7 +107,7 @@
     name.len() == NAME_LENGTH && name.bytes().all(|byte| byte.is_ascii_hexdigit())
 }
 
-/// Decodes a job of a queue; all mistakes are told together.
+/// Decodes a job of a queue; the first mistakes are told together.
 ///
 /// # Errors
 /// What is wrong, in words for the caller.
@@ -113,7 +117,9 @@
     body: &[u8],
     accepted: UnixMillis,
 ) -> Result<GraphSpec, Vec<String>> {
-    let wire: WireJob = serde_json::from_slice(body).map_err(|error| vec![error.to_string()])?;
+    let short = |text: String| text.chars().take(MISTAKE_CHARACTERS).collect();
+    let wire: WireJob =
+        serde_json::from_slice(body).map_err(|error| vec![short(error.to_string())])?;
     let mut mistakes = Vec::new();
     if !is_job_name(name) {
         mistakes.push(format!("the job's name has to have {NAME_LENGTH} hexadecimal digits"));
@@ -135,6 +141,7 @@
         accepted,
     };
     mistakes.extend(spec.mistakes());
+    mistakes.truncate(MOST_MISTAKES);
     match mistakes.is_empty() {
         true => Ok(spec),
         false => Err(mistakes),
