Run times that are negative or of over a year are refused

Cause: a declared run time of 1e300 ms was taken as the longest that a Duration holds. Sums over a chain of 256 steps, times three for what is hopelessly late, overflow: "overflow when multiplying duration by scalar" ended the leader's duty in its first pass, and as the job was stored by then, that of each leader after it. Nothing was served any more. Ruled out: saturating each sum and product: there are a dozen of them, and a year is more than any task's estimate. Change: 400 for run times and targets below 0 or over 366 days. A record of an older version that is in a store is not mended by this.

--- a/src/graph/spec.rs
+++ b/src/graph/spec.rs
@@ -13,6 +13,9 @@
 const MOST_STEPS: usize = 256;
 /// Tasks in one step.
 const MOST_TASKS: u32 = 10_000;
+/// Longest run time or bound on one that a step may declare, a year: sums over a graph and their multiples
+/// stay far from what a `Duration` can hold.
+const LONGEST_TIME: Duration = Duration::from_secs(366 * 24 * 3_600);
 
 /// A step: a number of equal tasks.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -140,6 +143,9 @@
             if step.after.iter().any(|before| *before as usize >= index) {
                 found.push(format!("step {index} waits for a step that is not before it"));
             }
+            if step.estimate.max(step.target.unwrap_or_default()) > LONGEST_TIME {
+                found.push(format!("step {index} has a time of over {LONGEST_TIME:?}"));
+            }
         }
         found
     }
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -127,6 +127,7 @@
     if wire.spec.len() > PAYLOAD_BYTES {
         mistakes.push(format!("{} bytes of payload: at most {PAYLOAD_BYTES}", wire.spec.len()));
     }
+    mistakes.extend(negative_times(&wire.steps));
     let repeat = (wire.repeat_count > 0).then(|| RepeatRule {
         count: wire.repeat_count,
         first: wire.first_ms,
@@ -148,6 +149,12 @@
     }
 }
 
+fn negative_times(steps: &[WireStep]) -> impl Iterator<Item = String> {
+    let negative = |step: &WireStep| step.estimated_ms < 0.0 || step.target_ms < 0.0;
+    let found = steps.iter().enumerate().filter(move |(_, step)| negative(step));
+    found.map(|(index, _)| format!("step {index} has a negative time"))
+}
+
 fn step(wire: WireStep) -> StepSpec {
     let text = |text: Arc<str>| (!text.is_empty()).then_some(text);
     let number = |number: u32| (number > 0).then_some(number);
