Schedules that never end or do not fit into the store are refused

Cause: nothing bounded occurrences but 32 bits, nor when they are due. A job whose last occurrence is due in 500 million years is accepted and never ends. What becomes of a job is one value of the store, at most 1 MiB (DEPLOY names it); a group with a larger one is refused with an answer that counts as unknown, so it is sent again for ever and no other job is stored any more (read, not run). Ruled out: a bound on occurrences alone: 256 steps of 10,000 tasks, allowed until now, have the same weight in one occurrence. Change: 400 where the notes of all successes would take over 512 KiB (24 bytes a step and occurrence, 5 a task: 18,000 occurrences of one task, 100,000 tasks in one), or the last occurrence is due over a hundred years after the job's acceptance. A schedule of more occurrences needs notes that name whole ranges.

--- a/src/graph/spec.rs
+++ b/src/graph/spec.rs
@@ -16,6 +16,15 @@
 /// Longest run time or bound on one that a step may declare, a year: sums over a graph and their multiples
 /// stay far from what a `Duration` can hold.
 const LONGEST_TIME: Duration = Duration::from_secs(366 * 24 * 3_600);
+/// How long after its acceptance a job's last occurrence may be due, a century: a later one will not come.
+const LONGEST_SCHEDULE: Duration = Duration::from_secs(100 * 366 * 24 * 3_600);
+/// Bytes that notes of what succeeded may take in the store: half of its largest value, 1 MiB. The rest is
+/// for checkpoints and failed runs.
+const MOST_NOTE_BYTES: u64 = 512 << 10;
+/// Bytes of a task's note, four digits and a comma.
+const TASK_NOTE_BYTES: u64 = 5;
+/// Bytes of a step's note in an occurrence, beside its tasks: two numbers and what encloses them.
+const STEP_NOTE_BYTES: u64 = 24;
 
 /// A step: a number of equal tasks.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -147,6 +156,24 @@
                 found.push(format!("step {index} has a time of over {LONGEST_TIME:?}"));
             }
         }
+        found.extend(self.repeat_mistakes());
+        found
+    }
+
+    /// What is wrong with its occurrences: that the last is never due, or that what becomes of them all
+    /// does not fit into a value of the store.
+    fn repeat_mistakes(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        let last = self.due(self.occurrences().saturating_sub(1)).unwrap_or_default();
+        let latest = u64::try_from(LONGEST_SCHEDULE.as_millis()).unwrap_or(u64::MAX);
+        if last.saturating_sub(self.accepted) > latest {
+            found.push(format!("the last occurrence is due after over {LONGEST_SCHEDULE:?}"));
+        }
+        let note = |step: &StepSpec| STEP_NOTE_BYTES + TASK_NOTE_BYTES * u64::from(step.count);
+        let notes: u64 = self.steps.iter().map(note).sum();
+        if notes.saturating_mul(self.occurrences().into()) > MOST_NOTE_BYTES {
+            found.push("too many tasks over all steps and occurrences".to_owned());
+        }
         found
     }
 }
