A step that waits for one that lasts is refused

Cause: tasks that last never succeed, so a step after them has no turn; the job was accepted, and the step never ran.

--- a/src/graph/spec.rs
+++ b/src/graph/spec.rs
@@ -152,6 +152,9 @@
             if step.after.iter().any(|before| *before as usize >= index) {
                 found.push(format!("step {index} waits for a step that is not before it"));
             }
+            if step.after.iter().any(|before| self.step_lasts(*before)) {
+                found.push(format!("step {index} waits for a step that lasts"));
+            }
             if step.estimate.max(step.target.unwrap_or_default()) > LONGEST_TIME {
                 found.push(format!("step {index} has a time of over {LONGEST_TIME:?}"));
             }
@@ -160,6 +163,10 @@
         found
     }
 
+    fn step_lasts(&self, step: StepIndex) -> bool {
+        self.steps.get(step as usize).is_some_and(|step| step.lasting)
+    }
+
     /// What is wrong with its occurrences: that the last is never due, or that what becomes of them all
     /// does not fit into a value of the store.
     fn repeat_mistakes(&self) -> Vec<String> {
