A step that is named many times in one list counts once

Cause: a list of steps to wait for could name one step as often as the body's limit allows, 130,000 times at 256 KiB; each pass goes through it, and the store keeps it. Ruled out: refusing it: it says nothing wrong. Change: the list is sorted and freed of doubles when it is decoded.

--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::graph::{GraphSpec, GraphState, QueueId, RepeatRule, StepSpec};
+use crate::graph::{GraphSpec, GraphState, QueueId, RepeatRule, StepIndex, StepSpec};
 use crate::id::{RackId, UnixMillis};
 use crate::problem::json_response;
 use crate::resources::ResourceVector;
@@ -155,6 +155,13 @@
     found.map(|(index, _)| format!("step {index} has a negative time"))
 }
 
+/// The steps that a step waits for, each once.
+fn distinct(mut steps: Vec<StepIndex>) -> Vec<StepIndex> {
+    steps.sort_unstable();
+    steps.dedup();
+    steps
+}
+
 fn step(wire: WireStep) -> StepSpec {
     let text = |text: Arc<str>| (!text.is_empty()).then_some(text);
     let number = |number: u32| (number > 0).then_some(number);
@@ -162,7 +169,7 @@
         count: wire.count,
         need: ResourceVector::new(wire.millicpu, wire.mem_mb, wire.gpus),
         estimate: Duration::from_millis(wire.estimated_ms.max(0.0) as u64),
-        after: wire.after,
+        after: distinct(wire.after),
         checkpoints: wire.checkpointing.is_set(),
         gang: wire.gang.is_set(),
         one_rack: wire.same_rack.is_set(),
