A length beside a transfer coding is refused

Cause: hyper 1.12 takes such a request by its coding, drops the length from the headers, answers it and closes the connection. That is safe here, and RFC 9112 (6.1) allows it, but what stands before an entry may have taken the request by its length; it is to get 400. Ruled out: a check of headers behind hyper: the length is gone there, in either order. Change: a connection notes what came in since its last answer, up to 16 KiB; a request with a coding whose noted head has a length, or is not whole, gets 400 and the connection is closed. Chunks sent before the answer to the request in front of them are refused too, as where their head began is not known then; nobody who waits for answers does that.

--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,7 @@
 //! HTTP listening: our own accept loop around gotham's handlers, so that it can drain.
 
+mod tap;
+
 use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -9,7 +11,9 @@
 use gotham::router::Router;
 use gotham::service::call_handler;
 use gotham::state::State;
+use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
@@ -19,6 +23,9 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::http::tap::{HeadBytes, TappedStream, has_no_length};
+use crate::problem::{ProblemDetails, RanState};
+
 /// First pause after an error of accept, for instance too many open files; it doubles.
 const FIRST_ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 /// Longest pause after errors of accept.
@@ -107,10 +114,22 @@
 ) {
     let _ = stream.set_nodelay(true);
     let (router, prepare) = (router.clone(), prepare.clone());
+    let seen = HeadBytes::default();
+    let stream = TappedStream::new(stream, seen.clone());
     let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let mut state = State::from_request(request, address);
-        prepare(&mut state);
-        call_handler(router.clone(), AssertUnwindSafe(state))
+        let head = seen.take();
+        let (router, prepare, seen) = (router.clone(), prepare.clone(), seen.clone());
+        async move {
+            if request.headers().contains_key(TRANSFER_ENCODING) && !has_no_length(&head) {
+                return Ok(two_lengths().response());
+            }
+            let mut state = State::from_request(request, address);
+            prepare(&mut state);
+            let answer = call_handler(router, AssertUnwindSafe(state)).await;
+            // What came in until now belongs to this request, unless the next was sent before its answer.
+            seen.take();
+            answer
+        }
     });
     // Telling the versions of HTTP apart has no limit of time, and another version none of these bounds.
     let mut builder = Builder::new(TokioExecutor::new()).http1_only();
@@ -129,6 +148,12 @@
     });
 }
 
+/// Where the next request begins depends on which of both a reader goes by.
+fn two_lengths() -> ProblemDetails {
+    let detail = "a transfer coding may not stand beside a length";
+    ProblemDetails::new(StatusCode::BAD_REQUEST, "malformed", detail).ran(RanState::No).closing()
+}
+
 /// Binds a listener; the address may have port 0.
 ///
 /// # Errors
