Tests of a listener: a handler that panics, chunks that were not waited for

Cause: two properties of the listener can't be brought about through the running program or are no row of the table: a panic in a handler costs its request alone, and chunks whose head cannot be placed are refused. Ruled out: a route that panics in the program itself. Change: two tests against a listener of their own. The first passed without any change: gotham traps panics (500).

--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,8 @@
 //! HTTP listening: our own accept loop around gotham's handlers, so that it can drain.
 
 mod tap;
+#[cfg(test)]
+mod tests;
 
 use std::io;
 use std::net::SocketAddr;
