The table of bad input: where no answer is to come, none may

Cause: rows without a status (silent connections, slow heads, HTTP/2) were not checked for answers, so a slow head that was served after all would have passed. Ruled out: a time for each row: verdicts of the platform's tests do not depend on how long things take. Change: such rows expect no answer at all, but for a caller that has gone away.

--- a/tests/platform/inputs.rs
+++ b/tests/platform/inputs.rs
@@ -39,7 +39,7 @@
 struct InputRow {
     name: &'static str,
     sent: Vec<u8>,
-    /// The answer's status; `None` where there need not be one.
+    /// The answer's status; `None` where there is none, or nobody to take it.
     status: Option<u16>,
     ending: RowEnding,
     /// Pause between two bytes.
@@ -529,7 +529,7 @@
         expected.push(200);
     }
     let mut faults = Vec::new();
-    if row.status.is_some() && reply.statuses != expected {
+    if row.ending != RowEnding::Away && reply.statuses != expected {
         faults.push(format!("answers {:?} instead of {expected:?}", reply.statuses));
     }
     if row.status.is_none() && row.ending == RowEnding::Closed && reply.bytes > 0 {
