At most 512 starts are without an answer at the same time

Cause: a pass plans all starts that there is room for, and each is sent at once on a connection of its own. Tasks that ask for nothing always have room: a step of 10,000, 25 bytes of JSON, kept the leader at its limit of processor and broke its limit of descriptors. A semaphore around the calls: orders would grow old in a queue that the decisions do not see. A bound for each worker: with 600 workers it bounds nothing. Change: a pass plans starts up to 512 without an answer; what is left waits for the next pass, 50 ms at most. Workers that are given no work do not count, so that a failure domain that is cut off holds up no other. A gang goes out whole if any start is left. A gang of thousands that ask for nothing still goes out at once, and one worker may come to run thousands of tasks.

--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -25,13 +25,17 @@
 pub(crate) use crate::graph::placer::room::room_for;
 use crate::graph::preemption::{PlannedPreemption, RoomKeeper};
 use crate::graph::spec::StepSpec;
-use crate::graph::worker::WorkerLife;
+use crate::graph::worker::{RunPhase, WorkerLife};
 use crate::id::{DomainId, UnixMillis, WorkerId};
 
 /// Wishes for each entry that could make a call: long calls leave entries to the short ones behind.
 const WISHES_A_CALL: usize = 3;
 /// Multiple of its objective after which a job's result has lost its worth.
 const WORTHLESS_AFTER: u32 = 3;
+/// Starts that may be without an answer at the same time, but for one more gang: each has a connection, and
+/// an entry keeps 1,200 descriptors for these, for polls and for the store. Starts are answered within
+/// some milliseconds, and users have 350 a second at their peak.
+const MOST_UNANSWERED: usize = 512;
 /// Open steps of one job that a pass looks at: four occurrences of the largest graph. Later ones wait
 /// for these: 15,000 that were due at once took 450 ms a pass with 250 workers, 50 ms so (debug build).
 const MOST_OPEN_STEPS: usize = 1_024;
@@ -111,6 +115,8 @@
     view: PassView<'t>,
     /// Calls for advice that could be made now; more wishes would be in vain.
     wishes_left: usize,
+    /// Starts that may be planned.
+    starts_left: usize,
     /// Runs that were chosen to be stopped in this pass.
     victims: BTreeSet<TaskName>,
     rooms: BTreeMap<WorkerId, PassRoom<'t>>,
@@ -128,7 +134,15 @@
         let mut rooms: BTreeMap<WorkerId, PassRoom<'t>> = open.map(room).collect();
         leave_out_faulty(&mut rooms);
         let wishes_left = view.advice.idle() * WISHES_A_CALL;
-        Self { view, wishes_left, victims: BTreeSet::new(), rooms, plan: PassPlan::default() }
+        let starts_left = MOST_UNANSWERED.saturating_sub(unanswered(&rooms));
+        Self {
+            view,
+            wishes_left,
+            starts_left,
+            victims: BTreeSet::new(),
+            rooms,
+            plan: PassPlan::default(),
+        }
     }
 
     /// Decides.
@@ -295,6 +309,13 @@
     }
 }
 
+/// Starts that workers have not answered. Those that are given no work do not count: many may have been
+/// cut off at once, and work must not wait for that.
+fn unanswered(rooms: &BTreeMap<WorkerId, PassRoom<'_>>) -> usize {
+    let runs = rooms.values().flat_map(|room| room.life.runs.values());
+    runs.filter(|run| matches!(run.phase, RunPhase::Sent { .. })).count()
+}
+
 fn has_label(life: &WorkerLife, step: &StepSpec) -> bool {
     step.label.as_ref().is_none_or(|label| life.listing.labels.contains(label))
 }
--- a/src/graph/placer/gangs.rs
+++ b/src/graph/placer/gangs.rs
@@ -12,7 +12,7 @@
         let all = step.step.count as usize;
         let open = step.waiting.len();
         let done = step.job.progress.done_count(step.key) as usize;
-        if open + done < all {
+        if open + done < all || self.starts_left == 0 {
             return 0;
         }
         let mut sets: Vec<Vec<WorkerId>> = Vec::new();
@@ -31,6 +31,7 @@
         let placed = sets.into_iter().find_map(|set| self.try_gang(step, &set));
         match placed {
             Some(starts) => {
+                self.starts_left = self.starts_left.saturating_sub(starts.len());
                 self.plan.gangs.push(starts);
                 0
             }
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -23,6 +23,9 @@
         // 80,000 tasks took 2.3 s a pass with 250 workers, 0.2 s so (debug build).
         let (mut placeable, mut preempts) = (true, true);
         for task in &step.waiting {
+            if self.starts_left == 0 {
+                break;
+            }
             let kept = self.kept(step, *task, candidates, &counts);
             let whole = kept.is_some();
             let choose = || placeable.then(|| self.choose(step, *task, candidates, &counts));
@@ -34,6 +37,7 @@
                         self.take(&worker, step.step);
                     }
                 }
+                self.starts_left -= 1;
                 let job = step.job.spec.id.clone();
                 self.plan.starts.push(PlannedStart { job, task: *task, worker });
                 continue;
--- a/tests/platform/inputs.rs
+++ b/tests/platform/inputs.rs
@@ -419,6 +419,11 @@
         ("a gang that lasts", "0000000000000401", job(&gang)),
         ("tasks larger than any worker", "0000000000000402", job(&large)),
         ("thousands of tasks", "0000000000000403", job(&json!(vec![wide; 8]))),
+        (
+            "thousands of tasks that ask for nothing",
+            "0000000000000407",
+            job(&json!([{"count": 10_000}])),
+        ),
         ("thousands of occurrences at once", "0000000000000404", repeated(15_000, 1, 0)),
         (
             "an unknown field with deep content",
