--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,9 @@
 //! HTTP listening: our own accept loop around gotham's handlers, so that it can drain.
 
+mod tap;
+#[cfg(test)]
+mod tests;
+
 use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -9,7 +13,9 @@
 use gotham::router::Router;
 use gotham::service::call_handler;
 use gotham::state::State;
+use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
@@ -19,11 +25,18 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::http::tap::{HeadBytes, TappedStream, has_no_length};
+use crate::problem::{ProblemDetails, RanState};
+
 /// First pause after an error of accept, for instance too many open files; it doubles.
 const FIRST_ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 /// Longest pause after errors of accept.
 const LONGEST_ACCEPT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Largest head of a request, in bytes: twice what RFC 9112 (section 3) asks servers to take for a request
+/// line. Each connection may keep as much.
+const HEAD_BYTES: usize = 16 << 10;
+
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ListenerLimits {
@@ -103,13 +116,30 @@
 ) {
     let _ = stream.set_nodelay(true);
     let (router, prepare) = (router.clone(), prepare.clone());
+    let seen = HeadBytes::default();
+    let stream = TappedStream::new(stream, seen.clone());
     let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let mut state = State::from_request(request, address);
-        prepare(&mut state);
-        call_handler(router.clone(), AssertUnwindSafe(state))
+        let head = seen.take();
+        let (router, prepare, seen) = (router.clone(), prepare.clone(), seen.clone());
+        async move {
+            if request.headers().contains_key(TRANSFER_ENCODING) && !has_no_length(&head) {
+                return Ok(two_lengths().response());
+            }
+            let mut state = State::from_request(request, address);
+            prepare(&mut state);
+            let answer = call_handler(router, AssertUnwindSafe(state)).await;
+            // What came in until now belongs to this request, unless the next was sent before its answer.
+            seen.take();
+            answer
+        }
     });
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(limits.head_time);
+    // Telling the versions of HTTP apart has no limit of time, and another version none of these bounds.
+    let mut builder = Builder::new(TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(HEAD_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
@@ -120,6 +150,12 @@
     });
 }
 
+/// Where the next request begins depends on which of both a reader goes by.
+fn two_lengths() -> ProblemDetails {
+    let detail = "a transfer coding may not stand beside a length";
+    ProblemDetails::new(StatusCode::BAD_REQUEST, "malformed", detail).ran(RanState::No).closing()
+}
+
 /// Binds a listener; the address may have port 0.
 ///
 /// # Errors
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -10,16 +10,17 @@
 use gotham::router::Router;
 use gotham::router::builder::build_simple_router;
 use gotham::state::{FromState, State, StateData};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use hyper::http::uri::Authority;
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, Version};
 use log::info;
 use tokio::time::{Instant, timeout};
 
 use crate::graph::{GraphRecord, QueueRule};
 use crate::node::access::{AccessFailure, LeaderAccess};
 use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared, unix_millis};
-use crate::platform::{caller_patience, decode_job, encode_pending, encode_state};
+use crate::platform::{caller_patience, decode_job, encode_pending, encode_state, is_job_name};
 use crate::problem::{ProblemDetails, RanState, json_response};
 
 type Result<T> = std::result::Result<T, ProblemDetails>;
@@ -67,8 +68,9 @@
         let desk = CallerDesk::borrow_from(&state).clone();
         let method = Method::borrow_from(&state).clone();
         let uri = Uri::borrow_from(&state).clone();
+        let version = *Version::borrow_from(&state);
         let headers = HeaderMap::borrow_from(&state);
-        let request = CallerRequest { begun, method: &method, uri: &uri, headers };
+        let request = CallerRequest { begun, version, method: &method, uri: &uri, headers };
         let response = match desk.answer(&request, body).await {
             Ok(response) => response,
             Err(problem) => problem.response(),
@@ -87,6 +89,7 @@
 /// A request of a caller, without its body.
 struct CallerRequest<'r> {
     begun: Instant,
+    version: Version,
     method: &'r Method,
     uri: &'r Uri,
     headers: &'r HeaderMap,
@@ -95,7 +98,7 @@
 impl CallerRequest<'_> {
     /// Time that is left for an answer.
     fn patience(&self) -> Duration {
-        let whole = caller_patience(self.headers).unwrap_or(PATIENCE);
+        let whole = caller_patience(self.headers).ok().flatten().unwrap_or(PATIENCE);
         whole.saturating_sub(ANSWER_MARGIN).saturating_sub(self.begun.elapsed())
     }
 
@@ -103,10 +106,37 @@
         let named = self.headers.get(HOST).and_then(|host| host.to_str().ok());
         named.or(self.uri.host()).unwrap_or_default()
     }
+
+    /// Refuses a request without one clear host, as others on its way may have taken it for another's.
+    fn check_host(&self) -> Result<()> {
+        let mut hosts = self.headers.get_all(HOST).iter();
+        let named = match (hosts.next(), hosts.next()) {
+            (None, _) if self.version < Version::HTTP_11 => return Ok(()),
+            (Some(host), None) => host,
+            _ => return Err(malformed("one host is expected")),
+        };
+        if named.is_empty() && self.uri.authority().is_none() {
+            return Ok(());
+        }
+        let Ok(named) = Authority::try_from(named.as_bytes()) else {
+            return Err(malformed("the host is none"));
+        };
+        match self.uri.authority() {
+            Some(target) if *target != named => Err(malformed("the target has another host")),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_patience(&self) -> Result<()> {
+        let wrong = |detail| ProblemDetails::new(StatusCode::BAD_REQUEST, "no such time", detail);
+        caller_patience(self.headers).map(|_| ()).map_err(|detail| wrong(detail).ran(RanState::No))
+    }
 }
 
 impl CallerDesk {
     async fn answer(&self, request: &CallerRequest<'_>, body: Body) -> Result<Response<Body>> {
+        request.check_host()?;
+        request.check_patience()?;
         let config = self.shared.config.borrow().clone();
         let Some(config) = config else {
             return Err(unavailable("there is no configuration yet"));
@@ -118,6 +148,9 @@
         let name = path.strip_prefix(&*queue.prefix).unwrap_or_default().trim_matches('/');
         match (request.method, name) {
             (&Method::GET, "") => self.pending(request, queue).await,
+            (&Method::GET | &Method::DELETE, name) if !name.is_empty() && !is_job_name(name) => {
+                Err(gone("no job has such a name"))
+            }
             (&Method::GET, name) => self.state(request, name).await,
             (&Method::POST, name) if !name.is_empty() => {
                 let body = read_body(request, body, config.limits.body_bytes).await?;
@@ -205,6 +238,7 @@
     let too_large = || {
         let detail = format!("at most {most} bytes");
         ProblemDetails::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large", detail)
+            .closing()
     };
     let announced = request.headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
     let announced = announced.and_then(|length| length.parse::<usize>().ok());
@@ -213,14 +247,22 @@
     }
     match timeout(BODY_TIME, Limited::new(body, most).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(too_large()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(malformed("the body is not whole")),
         Err(_) => {
             let detail = format!("not whole after {BODY_TIME:?}");
-            Err(ProblemDetails::new(StatusCode::REQUEST_TIMEOUT, "the body is late", detail))
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(ProblemDetails::new(status, "the body is late", detail).closing())
         }
     }
 }
 
+/// The request breaks the rules of HTTP, so where the next begins is not sure.
+fn malformed(detail: &str) -> ProblemDetails {
+    let status = StatusCode::BAD_REQUEST;
+    ProblemDetails::new(status, "malformed", detail).ran(RanState::No).closing()
+}
+
 /// The request has not run and will not.
 fn unavailable(detail: &str) -> ProblemDetails {
     ProblemDetails::new(StatusCode::SERVICE_UNAVAILABLE, "not taken", detail)
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::graph::{GraphSpec, GraphState, QueueId, RepeatRule, StepSpec};
+use crate::graph::{GraphSpec, GraphState, QueueId, RepeatRule, StepIndex, StepSpec};
 use crate::id::{RackId, UnixMillis};
 use crate::problem::json_response;
 use crate::resources::ResourceVector;
@@ -20,6 +20,13 @@
 const PAYLOAD_BYTES: usize = 4_000;
 /// Length of a job's name: hexadecimal digits.
 const NAME_LENGTH: usize = 16;
+/// Longest time that a caller is taken to wait: twenty times what callers do. It bounds how long tries
+/// to reach a leader go on.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(60);
+/// Mistakes that a refusal names at most.
+const MOST_MISTAKES: usize = 10;
+/// Longest text of a mistake, in characters: that of a mistake of syntax may quote the body.
+const MISTAKE_CHARACTERS: usize = 200;
 
 /// A yes or no that may be written as a number.
 #[derive(Clone, Copy, Debug, Default)]
@@ -94,7 +101,13 @@
     pending: usize,
 }
 
-/// Decodes a job of a queue; all mistakes are told together.
+/// Whether a text can be a job's name. Upper and lower case tell jobs apart, as names go to workers the
+/// way that callers wrote them.
+pub(crate) fn is_job_name(name: &str) -> bool {
+    name.len() == NAME_LENGTH && name.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
+/// Decodes a job of a queue; the first mistakes are told together.
 ///
 /// # Errors
 /// What is wrong, in words for the caller.
@@ -104,14 +117,17 @@
     body: &[u8],
     accepted: UnixMillis,
 ) -> Result<GraphSpec, Vec<String>> {
-    let wire: WireJob = serde_json::from_slice(body).map_err(|error| vec![error.to_string()])?;
+    let short = |text: String| text.chars().take(MISTAKE_CHARACTERS).collect();
+    let wire: WireJob =
+        serde_json::from_slice(body).map_err(|error| vec![short(error.to_string())])?;
     let mut mistakes = Vec::new();
-    if name.len() != NAME_LENGTH || !name.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+    if !is_job_name(name) {
         mistakes.push(format!("the job's name has to have {NAME_LENGTH} hexadecimal digits"));
     }
     if wire.spec.len() > PAYLOAD_BYTES {
         mistakes.push(format!("{} bytes of payload: at most {PAYLOAD_BYTES}", wire.spec.len()));
     }
+    mistakes.extend(negative_times(&wire.steps));
     let repeat = (wire.repeat_count > 0).then(|| RepeatRule {
         count: wire.repeat_count,
         first: wire.first_ms,
@@ -126,12 +142,26 @@
         accepted,
     };
     mistakes.extend(spec.mistakes());
+    mistakes.truncate(MOST_MISTAKES);
     match mistakes.is_empty() {
         true => Ok(spec),
         false => Err(mistakes),
     }
 }
 
+fn negative_times(steps: &[WireStep]) -> impl Iterator<Item = String> {
+    let negative = |step: &WireStep| step.estimated_ms < 0.0 || step.target_ms < 0.0;
+    let found = steps.iter().enumerate().filter(move |(_, step)| negative(step));
+    found.map(|(index, _)| format!("step {index} has a negative time"))
+}
+
+/// The steps that a step waits for, each once.
+fn distinct(mut steps: Vec<StepIndex>) -> Vec<StepIndex> {
+    steps.sort_unstable();
+    steps.dedup();
+    steps
+}
+
 fn step(wire: WireStep) -> StepSpec {
     let text = |text: Arc<str>| (!text.is_empty()).then_some(text);
     let number = |number: u32| (number > 0).then_some(number);
@@ -139,7 +169,7 @@
         count: wire.count,
         need: ResourceVector::new(wire.millicpu, wire.mem_mb, wire.gpus),
         estimate: Duration::from_millis(wire.estimated_ms.max(0.0) as u64),
-        after: wire.after,
+        after: distinct(wire.after),
         checkpoints: wire.checkpointing.is_set(),
         gang: wire.gang.is_set(),
         one_rack: wire.same_rack.is_set(),
@@ -156,9 +186,18 @@
 }
 
 /// How long a caller waits, where it says so.
-pub(crate) fn caller_patience(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(PATIENCE_HEADER)?.to_str().ok()?;
-    text.parse::<f64>().ok().map(|millis| Duration::from_millis(millis.max(0.0) as u64))
+///
+/// # Errors
+/// What is wrong, in words for the caller.
+pub(crate) fn caller_patience(headers: &HeaderMap) -> Result<Option<Duration>, &'static str> {
+    let Some(value) = headers.get(PATIENCE_HEADER) else {
+        return Ok(None);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<f64>().ok());
+    match millis.filter(|millis| millis.is_finite() && *millis >= 0.0) {
+        Some(millis) => Ok(Some(Duration::from_millis(millis as u64).min(LONGEST_PATIENCE))),
+        None => Err("the time to wait has to be a number of milliseconds, 0 or more"),
+    }
 }
 
 /// A job's state as callers get it.
--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -62,7 +62,8 @@
         let platform = Platform::start(address(test, 1), workers).await;
         platform.configure(1, queues);
         let folder = std::env::temp_dir().join(format!("kelplink-{}-{test}", std::process::id()));
-        fs::create_dir_all(&folder).unwrap();
+        // Fails where two tests have one number: they would share addresses and logs.
+        fs::create_dir(&folder).unwrap();
         let http = Client::builder(TokioExecutor::new()).build_http();
         let mut cluster = Self { platform, entries: Vec::new(), folder, http };
         for number in 0..entries {
