After a cancellation: late starts, a leader that is gone, and both, as scenarios

Cause: a task of a cancelled job must also be stopped in time where its worker carried out an old start order late and where the leader that sent it is gone for good; no test showed either, nor both together. Ruled out: late orders by chance only: the random runs had them, but asked of a cancelled job only that it ended. Change: the tests' world can delay or lose the next starts and lose the next stops, and checks in every run that no run of an ended job goes on for over 2.5 s at a worker that is reached while a leader is in place, the store answers and no message is lost. Thirteen scenarios: late starts before and after their stops, with a leader that is gone, one that does not know of its successor, a successor that is cut off, a worker that was not registered for a while or leaves, a gang, occurrences, a cancellation before the job is stored, one that could not be stored, and one repeated at the next leader.

--- /dev/null
+++ b/tests/graph/cancellation.rs
@@ -0,0 +1,292 @@
+//! Runs of a cancelled job: begun late by an old order, by a leader that is gone, or both.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{GraphAnswer, GraphState, RepeatRule, StepSpec, WorkerId};
+
+use crate::model::ModelWorker;
+use crate::world::{World, step};
+
+/// Longest time that a run of a cancelled job goes on at an idle worker that can be reached: its poll
+/// waits 1.2 s, a stop takes 0.2 s.
+const GONE: Duration = Duration::from_millis(1_500);
+/// How late an order may be carried out so that it still holds: a start holds for 4.5 s.
+const LATE: Duration = Duration::from_millis(3_500);
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn runs_of(world: &World, job: &str) -> usize {
+    let up = world.workers.values().filter(|worker| worker.up);
+    let tasks = up.flat_map(|worker: &ModelWorker| worker.runs.keys());
+    tasks.filter(|task| &*task.job == job).count()
+}
+
+/// The next start is carried out late; no other send of it arrives.
+fn delay_start(world: &mut World, late: Duration) {
+    world.fates.starts = VecDeque::from([Some(late), None, None, None]);
+}
+
+/// Cancels a job and lets the answer come.
+fn cancel(world: &mut World, job: &str) {
+    let call = world.cancel(job);
+    world.run(millis(100));
+    expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Cancelled)));
+}
+
+fn remove_leader(world: &mut World) {
+    let epoch = world.store.epoch;
+    world.leaders.remove(&epoch);
+}
+
+fn only_worker(world: &mut World) -> &mut ModelWorker {
+    world.workers.values_mut().next().unwrap()
+}
+
+#[gtest]
+fn a_start_carried_out_after_its_stop_is_refused() {
+    let mut world = World::new(41, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, LATE);
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    world.run(seconds(10));
+    expect_that!(world.begun_runs, eq(0));
+}
+
+#[gtest]
+fn a_late_start_whose_stops_were_lost_is_stopped() {
+    let mut world = World::new(42, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, LATE);
+    world.fates.lost_stops = u32::MAX;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    world.run(LATE - millis(200));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    world.fates.lost_stops = 0;
+    world.run(GONE);
+    expect_that!(world.begun_runs, eq(1));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn a_late_start_of_a_leader_that_is_gone_is_stopped_by_its_successor() {
+    let mut world = World::new(43, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, millis(2_400));
+    world.fates.lost_stops = u32::MAX;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    remove_leader(&mut world);
+    world.run(millis(2_200));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    world.fates.lost_stops = 0;
+    world.elect();
+    world.run(millis(400));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn a_late_start_of_a_leader_that_is_gone_is_refused_once_its_successor_was_heard() {
+    let mut world = World::new(44, 2);
+    world.run(seconds(1));
+    delay_start(&mut world, LATE);
+    world.fates.lost_stops = u32::MAX;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    remove_leader(&mut world);
+    world.run(seconds(1));
+    world.elect();
+    world.run(seconds(10));
+    expect_that!(world.begun_runs, eq(0));
+}
+
+// The successor hears the worker only after the order of the leader that is gone was carried out there, and the
+// first stops that it sends are lost as well.
+#[gtest]
+fn a_late_start_of_a_leader_that_is_gone_is_stopped_where_the_successor_was_cut_off() {
+    let mut world = World::new(45, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, millis(2_400));
+    world.fates.lost_stops = 3;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    remove_leader(&mut world);
+    world.run(millis(2_200));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    only_worker(&mut world).reached = false;
+    world.elect();
+    world.run(millis(500));
+    only_worker(&mut world).reached = true;
+    world.run(seconds(2));
+    expect_that!(runs_of(&world, "a"), eq(0));
+    expect_that!(world.state("a"), some(eq(GraphState::Cancelled)));
+}
+
+// An earlier leader goes on without knowing of its successor, which cannot look at the worker before the order
+// of the earlier one was carried out there.
+#[gtest]
+fn a_late_start_of_a_leader_that_does_not_know_of_its_successor_is_stopped() {
+    let mut world = World::new(46, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, millis(1_200));
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    world.lost_polls = u32::MAX;
+    world.elect();
+    cancel(&mut world, "a");
+    world.run(millis(1_000));
+    expect_that!(world.leaders.len(), eq(2));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    world.lost_polls = 0;
+    world.run(GONE);
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn a_cancel_repeated_at_the_next_leader_is_answered_and_still_stops_what_starts_late() {
+    let mut world = World::new(47, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, millis(2_400));
+    world.fates.lost_stops = u32::MAX;
+    world.submit("later", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    remove_leader(&mut world);
+    world.run(millis(2_200));
+    world.elect();
+    let again = world.cancel("a");
+    world.fates.lost_stops = 0;
+    world.run(millis(400));
+    expect_that!(world.answers.get(&again), some(eq(&GraphAnswer::Cancelled)));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn a_cancel_that_its_leader_could_not_store_holds_from_its_repetition_on() {
+    let mut world = World::new(48, 2);
+    world.run(seconds(1));
+    world.submit("later", "a", vec![step(4, 1, 60_000)]);
+    world.run(millis(300));
+    world.store.up = false;
+    let first = world.cancel("a");
+    world.run(seconds(1));
+    expect_that!(world.answers.get(&first), none());
+    remove_leader(&mut world);
+    world.store.up = true;
+    world.elect();
+    world.run(seconds(1));
+    expect_that!(world.state("a"), some(eq(GraphState::Running)));
+    cancel(&mut world, "a");
+    world.run(millis(400));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn a_job_cancelled_before_it_was_stored_starts_nothing() {
+    let mut world = World::new(49, 2);
+    world.run(seconds(1));
+    world.store.up = false;
+    world.submit("now", "a", vec![step(4, 1, 60_000)]);
+    world.run(millis(100));
+    let call = world.cancel("a");
+    world.run(millis(300));
+    world.store.up = true;
+    world.run(seconds(3));
+    expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Cancelled)));
+    expect_that!(world.begun_runs, eq(0));
+}
+
+#[gtest]
+fn a_late_start_at_a_worker_that_was_not_registered_for_a_while_is_stopped() {
+    let mut world = World::new(50, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, LATE);
+    world.fates.lost_stops = u32::MAX;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    let id: WorkerId = "w0-0".into();
+    world.leader().unwrap().worker_unlisted(&id);
+    world.run(seconds(3));
+    let (now, listing) = (world.now, world.workers[&id].listing.clone());
+    world.leader().unwrap().worker_listed(now, listing);
+    world.run(millis(220));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    world.fates.lost_stops = 0;
+    world.run(GONE);
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn a_late_start_at_a_worker_that_leaves_is_stopped() {
+    let mut world = World::new(51, 1);
+    world.run(seconds(1));
+    delay_start(&mut world, LATE);
+    world.fates.lost_stops = u32::MAX;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    let id: WorkerId = "w0-0".into();
+    let (now, mut listing) = (world.now, world.workers[&id].listing.clone());
+    listing.leaving = Some(seconds(1));
+    world.leader().unwrap().worker_listed(now, listing);
+    world.run(seconds(2));
+    world.leader().unwrap().worker_unlisted(&id);
+    world.run(millis(1_220));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    world.fates.lost_stops = 0;
+    world.run(GONE);
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn a_late_member_of_a_cancelled_gang_is_stopped() {
+    let mut world = World::new(52, 3);
+    world.run(seconds(1));
+    delay_start(&mut world, millis(2_400));
+    world.submit("now", "a", vec![StepSpec { gang: true, ..step(3, 5, 60_000) }]);
+    world.run(millis(200));
+    cancel(&mut world, "a");
+    remove_leader(&mut world);
+    world.run(millis(2_200));
+    world.elect();
+    world.run(millis(400));
+    expect_that!(runs_of(&world, "a"), eq(0));
+    world.run(seconds(10));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+#[gtest]
+fn occurrences_of_a_cancelled_job_are_stopped_and_no_more_begin() {
+    let mut world = World::new(53, 3);
+    world.run(seconds(1));
+    let repeat =
+        RepeatRule { count: 6, first: world.unix() + 200, interval: Duration::from_millis(500) };
+    world.submit_repeated("now", "a", vec![step(1, 1, 60_000)], Some(repeat));
+    world.run(millis(400));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    delay_start(&mut world, millis(2_400));
+    world.run(millis(900));
+    cancel(&mut world, "a");
+    world.run(GONE);
+    let begun = world.begun_runs;
+    expect_that!(runs_of(&world, "a"), eq(0));
+    remove_leader(&mut world);
+    world.elect();
+    world.run(seconds(10));
+    expect_that!(world.begun_runs, eq(begun));
+}
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -1,5 +1,6 @@
 //! The decisions about job graphs under failures: a leader, workers and a store in simulated time.
 
+mod cancellation;
 mod cases;
 mod lasting;
 mod model;
--- a/tests/graph/model.rs
+++ b/tests/graph/model.rs
@@ -35,6 +35,8 @@
     /// Whether all that it starts fails.
     pub(crate) spoils: bool,
     pub(crate) started: Instant,
+    /// Since when nothing is in the way between it and a leader.
+    pub(crate) calm_since: Instant,
     pub(crate) fence: LeaderEpoch,
     pub(crate) lease: Duration,
     pub(crate) runs: BTreeMap<TaskName, ModelRun>,
@@ -54,6 +56,7 @@
             slowness: 1,
             spoils: false,
             started: now,
+            calm_since: now,
             fence: 0,
             lease: Duration::ZERO,
             runs: BTreeMap::new(),
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -1,6 +1,6 @@
 //! Leaders, workers and a store that exchange messages which may be lost, late and out of order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +23,9 @@
 const STEP: Duration = Duration::from_millis(5);
 /// How long a call for advice takes where the advisor is quick.
 const QUICK_ADVICE: Duration = Duration::from_millis(35);
+/// How long a run of a job that has ended may go on where nothing is in the way: two polls of an idle
+/// worker, the first of which was lost, and a stop.
+const STOPPED_WITHIN: Duration = Duration::from_millis(2_500);
 /// How often a leader whose store answers is told so.
 const RENEWAL: u64 = 500;
 
@@ -37,6 +40,21 @@
     pub(crate) late: u32,
 }
 
+impl MessageFaults {
+    fn none(&self) -> bool {
+        self.lost == 0 && self.unanswered == 0 && self.late == 0
+    }
+}
+
+/// What becomes of the next orders, whatever the faults of messages are.
+#[derive(Debug, Default)]
+pub(crate) struct OrderFates {
+    /// How late the next starts are carried out, unanswered; `None` for one that does not arrive.
+    pub(crate) starts: VecDeque<Option<Duration>>,
+    /// How many of the next stops do not arrive.
+    pub(crate) lost_stops: u32,
+}
+
 #[derive(Clone, Debug)]
 enum Message {
     Poll {
@@ -117,6 +135,7 @@
     pub(crate) faults: MessageFaults,
     /// How many of the next polls do not arrive.
     pub(crate) lost_polls: u32,
+    pub(crate) fates: OrderFates,
     domains: u32,
     pub(crate) store: ModelStore,
     pub(crate) leaders: BTreeMap<LeaderEpoch, GraphController>,
@@ -202,6 +221,7 @@
             begun: now,
             faults: MessageFaults::default(),
             lost_polls: 0,
+            fates: OrderFates::default(),
             domains,
             store: ModelStore { up: true, ..ModelStore::default() },
             leaders: BTreeMap::new(),
@@ -277,13 +297,23 @@
     }
 
     pub(crate) fn submit(&mut self, queue: &str, id: &str, steps: Vec<StepSpec>) -> CallId {
+        self.submit_repeated(queue, id, steps, None)
+    }
+
+    pub(crate) fn submit_repeated(
+        &mut self,
+        queue: &str,
+        id: &str,
+        steps: Vec<StepSpec>,
+        repeat: Option<RepeatRule>,
+    ) -> CallId {
         let record = GraphRecord {
             spec: GraphSpec {
                 id: id.into(),
                 queue: queue.into(),
                 payload: "run".into(),
                 steps,
-                repeat: None,
+                repeat,
                 accepted: self.unix(),
             },
             rule: (*self.config.queues[queue]).clone(),
@@ -331,6 +361,7 @@
                 self.deliver(message);
             }
             self.tick();
+            self.check_stopped();
         }
     }
 
@@ -382,12 +413,11 @@
             GraphAction::Start(order) => {
                 let (worker, task, run) = (order.worker.clone(), order.task.clone(), order.run);
                 let sent = self.now;
-                let answered = self.send_order(way, |answered| Message::Start {
-                    epoch,
-                    order,
-                    sent,
-                    answered,
-                });
+                let message = |answered| Message::Start { epoch, order, sent, answered };
+                let answered = match self.fates.starts.pop_front() {
+                    Some(late) => self.delay_order(late, message),
+                    None => self.send_order(way, message),
+                };
                 if !answered {
                     let result = Err(CallFailure::NoAnswer);
                     let lost = Message::Started { leader: epoch, worker, task, run, result };
@@ -396,13 +426,14 @@
             }
             GraphAction::Stop { worker, task, run, .. } => {
                 let (to, name) = (worker.clone(), task.clone());
-                let answered = self.send_order(way, |answered| Message::Stop {
-                    epoch,
-                    worker: to,
-                    task: name,
-                    run,
-                    answered,
-                });
+                let message =
+                    |answered| Message::Stop { epoch, worker: to, task: name, run, answered };
+                let lost = self.fates.lost_stops > 0;
+                self.fates.lost_stops = self.fates.lost_stops.saturating_sub(1);
+                let answered = match lost {
+                    true => self.delay_order(None, message),
+                    false => self.send_order(way, message),
+                };
                 if !answered {
                     let result = Err(CallFailure::NoAnswer);
                     let lost = Message::Stopped { leader: epoch, worker, task, run, result };
@@ -430,6 +461,18 @@
         }
     }
 
+    /// Has an order carried out late or never; it will not be answered.
+    fn delay_order(
+        &mut self,
+        late: Option<Duration>,
+        message: impl FnOnce(bool) -> Message,
+    ) -> bool {
+        if let Some(late) = late {
+            self.post(late, message(false));
+        }
+        false
+    }
+
     /// Sends an order, loses it, or has it carried out late; tells whether it will be answered.
     fn send_order(&mut self, way: Duration, message: impl FnOnce(bool) -> Message) -> bool {
         if self.chance(self.faults.lost) {
@@ -690,6 +733,27 @@
         }
     }
 
+    /// No run of a job that has ended in the store goes on at a worker that can be reached, wherever it
+    /// was begun, and by whom.
+    fn check_stopped(&mut self) {
+        let led = self.leaders.contains_key(&self.store.epoch);
+        let calm = led && self.store.up && self.faults.none();
+        for worker in self.workers.values_mut().filter(|worker| worker.up) {
+            if !(calm && worker.reached) {
+                worker.calm_since = self.now;
+            }
+            for (task, run) in &worker.runs {
+                let Some(ended) = self.ended.get(&task.job) else {
+                    continue;
+                };
+                let since = run.begun.max(*ended).max(worker.calm_since);
+                let goes_on = self.now.saturating_duration_since(since);
+                let id = &worker.listing.id;
+                assert!(goes_on <= STOPPED_WITHIN, "{task} run {} goes on at {id}", run.run);
+            }
+        }
+    }
+
     /// What must hold whenever a task begins.
     fn check_start(
         &mut self,
