A lost stop that is put off by its run's progress: a case that fails

Cause: a run's `moved` says when its share done last rose and, while it is being stopped, when its stop was last sent. Each list of the worker that shows more progress sets it anew, so where lists come oftener than every 400 ms (other tasks end there) an unanswered stop is not sent again while the task works on: a cancelled job's task runs to its end. Ruled out: the stop was never made (it is, and the run is in its phase); no authority (the leader renews throughout). Change: one case: a 20 s task, one lost stop, a task of 150 ms ending each 100 ms beside it. Conclusion: the mend follows.

--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -290,3 +290,21 @@
     world.run(seconds(10));
     expect_that!(world.begun_runs, eq(begun));
 }
+
+// The stop of a cancelled job's task was not answered. The task went on working, and each list of its worker
+// showed more of its work done; where lists come often, because other tasks end there, the pause before the stop
+// is sent again began anew with each of them, and the stop was never sent again.
+#[gtest]
+fn a_lost_stop_is_sent_again_while_its_run_makes_progress() {
+    let mut world = World::new(54, 1);
+    world.run(seconds(1));
+    world.submit("later", "a", vec![step(1, 1, 20_000)]);
+    world.run(millis(300));
+    world.fates.lost_stops = 1;
+    cancel(&mut world, "a");
+    for number in 0..15 {
+        world.submit("later", &format!("short{number}"), vec![step(1, 1, 150)]);
+        world.run(millis(100));
+    }
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
