A lost stop is sent again whatever its run does

Cause: the pause before an unanswered stop is sent again was counted from the moment at which the run's share done last rose, so that a run that works on, at a worker whose lists come often, was never stopped. Ruled out: sending stops with each list instead: a worker that does not answer would get a call each 15 ms. Change: the phase of a run that is being stopped keeps when its stop was sent or found unanswered; progress does not touch it, and a stop that was sent no longer touches the measure of progress, from which expected ends are reckoned.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -125,7 +125,7 @@
                 life.shunned_until = Some(now + SHUN_SILENT);
                 match tries < START_TRIES && self.jobs.wants(task) {
                     true => self.send_start(now, worker, task),
-                    false => self.stop(worker, task, run),
+                    false => self.stop(now, worker, task, run),
                 }
                 return;
             }
@@ -145,7 +145,7 @@
         }
         match surely_not {
             true => self.withdraw(now, worker, task, run),
-            false => self.stop(worker, task, run),
+            false => self.stop(now, worker, task, run),
         }
     }
 
@@ -165,7 +165,13 @@
     }
 
     /// Stops a run.
-    pub(super) fn stop(&mut self, worker: &WorkerId, task: &TaskName, run: RunNumber) {
+    pub(super) fn stop(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        task: &TaskName,
+        run: RunNumber,
+    ) {
         let Some(life) = self.lives.get_mut(worker) else {
             return;
         };
@@ -176,8 +182,7 @@
         if matches!(entry.phase, RunPhase::Stopping { .. }) {
             return;
         }
-        entry.phase = RunPhase::Stopping { answered: None };
-        entry.moved = entry.moved.max(self.last_pass);
+        entry.phase = RunPhase::Stopping { answered: None, sent: now };
         info!(task:% = task, run, worker = &**worker; "stop sent");
         let (worker, task) = (worker.clone(), task.clone());
         self.actions.push(GraphAction::Stop { worker, address, task, run });
@@ -193,7 +198,7 @@
         for victim in victims {
             let run = self.lives.get(&worker).and_then(|life| life.runs.get(&victim));
             if let Some(run) = run.map(|run| run.run) {
-                self.stop(&worker, &victim, run);
+                self.stop(now, &worker, &victim, run);
             }
         }
     }
@@ -214,7 +219,7 @@
             Ok(clock) => {
                 life.note_answer(now, clock);
                 if let Some(entry) = life.runs.get_mut(task).filter(|entry| entry.run == run) {
-                    entry.phase = RunPhase::Stopping { answered: Some(clock) };
+                    entry.phase = RunPhase::Stopping { answered: Some(clock), sent: now };
                 }
             }
             Err(CallFailure::Refused(WorkerRefusal::OtherLife)) => {
@@ -223,8 +228,10 @@
             Err(CallFailure::Refused(WorkerRefusal::Deposed)) => self.deposed = true,
             Err(failure) => {
                 warn!(task:% = task, run, worker = &**worker, failure:?; "stop failed");
-                if let Some(entry) = life.runs.get_mut(task).filter(|entry| entry.run == run) {
-                    entry.moved = now;
+                let entry = life.runs.get_mut(task).filter(|entry| entry.run == run);
+                let phase = entry.map(|entry| &mut entry.phase);
+                if let Some(RunPhase::Stopping { answered: None, sent }) = phase {
+                    *sent = now;
                 }
             }
         }
@@ -238,9 +245,11 @@
         for life in self.lives.iter_mut() {
             let (id, address) = (life.id().clone(), life.address());
             for (task, entry) in &mut life.runs {
-                let open = entry.phase == (RunPhase::Stopping { answered: None });
-                if open && now.saturating_duration_since(entry.moved) >= STOP_AGAIN {
-                    entry.moved = now;
+                let RunPhase::Stopping { answered: None, sent } = &mut entry.phase else {
+                    continue;
+                };
+                if now.saturating_duration_since(*sent) >= STOP_AGAIN {
+                    *sent = now;
                     self.actions.push(GraphAction::Stop {
                         worker: id.clone(),
                         address,
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -105,10 +105,10 @@
                 self.jobs.note_run(&task, worker.clone(), run);
                 self.jobs.note_begun(&task);
                 if let Some(older) = older {
-                    self.stop_all(vec![(older.worker, task, older.run)]);
+                    self.stop_all(now, vec![(older.worker, task, older.run)]);
                 }
             }
-            false => self.stop_all(vec![(worker.clone(), task, run)]),
+            false => self.stop_all(now, vec![(worker.clone(), task, run)]),
         }
     }
 
@@ -117,13 +117,13 @@
         if changed {
             self.commits.change(id.clone(), now, urgent);
         }
-        self.stop_all(stops);
+        self.stop_all(now, stops);
         self.pass_wanted = true;
     }
 
-    pub(super) fn stop_all(&mut self, stops: Vec<RunToStop>) {
+    pub(super) fn stop_all(&mut self, now: Instant, stops: Vec<RunToStop>) {
         for (worker, task, run) in stops {
-            self.stop(&worker, &task, run);
+            self.stop(now, &worker, &task, run);
         }
     }
 }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -363,9 +363,9 @@
     life.health.note_work(now, work, time);
     let gone = |(task, run): &(&TaskName, &crate::graph::worker::WorkerRun)| {
         let since = match run.phase {
-            RunPhase::Sent { .. } | RunPhase::Stopping { answered: None } => return false,
+            RunPhase::Sent { .. } | RunPhase::Stopping { answered: None, .. } => return false,
             RunPhase::Running { confirmed } => confirmed,
-            RunPhase::Stopping { answered: Some(answered) } => answered,
+            RunPhase::Stopping { answered: Some(answered), .. } => answered,
         };
         since < clock && listed.get(*task) != Some(&run.run)
     };
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -42,6 +42,8 @@
     Stopping {
         /// The worker's clock when it answered a stop.
         answered: Option<Duration>,
+        /// When the stop was sent last, or was found to be unanswered.
+        sent: Instant,
     },
 }
 
