A worker that once held a run of a forgotten job is given no work: a case that fails

Cause: a run of a job that the leader does not know (its record has been removed, or cannot be read) takes room that is not known; the worker is marked so and is given no new work, rightly. The mark is never taken back. Ruled out: the run goes on (it is stopped and gone within 1.5 s); the worker is silent or shunned (it answers each poll). Change: one case: such a run at the only worker, then a job for which it has all its room.

--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphAnswer, GraphState, RepeatRule, StepSpec, WorkerId};
+use kelplink::{GraphAnswer, GraphState, RepeatRule, RunNumber, StepSpec, WorkerId};
 
-use crate::model::ModelWorker;
+use crate::model::{ModelRun, ModelWorker};
 use crate::world::{World, step};
 
 /// Longest time that a run of a cancelled job goes on at an idle worker that can be reached: its poll
@@ -50,6 +50,19 @@
     world.workers.values_mut().next().unwrap()
 }
 
+/// Lets the only worker hold a run that no leader knows.
+fn give_run(world: &mut World, task: &str, run: RunNumber) {
+    let entry = ModelRun {
+        run,
+        need: step(1, 1, 0).reservation(),
+        begun: world.now,
+        length: seconds(600),
+        fails: false,
+        stops: None,
+    };
+    only_worker(world).runs.insert(task.parse().unwrap(), entry);
+}
+
 #[gtest]
 fn a_start_carried_out_after_its_stop_is_refused() {
     let mut world = World::new(41, 1);
@@ -308,3 +321,17 @@
     }
     expect_that!(runs_of(&world, "a"), eq(0));
 }
+
+// A worker held a run of a job that its leader did not know any more. The run was stopped, but what runs unknown
+// takes room that is not known, so the worker was given no work, and that stayed so for the leader's whole time.
+#[gtest]
+fn a_worker_that_held_a_run_of_a_forgotten_job_is_given_work_once_that_is_stopped() {
+    let mut world = World::new(55, 1);
+    world.run(seconds(1));
+    give_run(&mut world, "forgotten.0.0.0", 1);
+    world.run(GONE);
+    expect_that!(runs_of(&world, "forgotten"), eq(0));
+    world.submit("later", "b", vec![step(1, 1, 300)]);
+    world.run(seconds(1));
+    expect_that!(world.state("b"), some(eq(GraphState::Completed)));
+}
