A worker is given work again once no run of unknown room is left there

Cause: the mark of a worker on which a run of unknown room was found was set and never taken back: one such run cost its worker's whole capacity for as long as the leader led. Ruled out: dropping the mark: such a run takes room, and a worker that does not guard its capacity could be overfilled. Change: each run says whether its room is known, and the worker's mark follows from its runs whenever these change.

--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -93,11 +93,9 @@
         let phase = RunPhase::Running { confirmed: Duration::ZERO };
         let origin = job.zip(step);
         let entry = WorkerRun { percent, figure, saved, ..WorkerRun::new(run, phase, now, origin) };
-        let known = step.is_some();
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
         if let Some(life) = self.lives.get_mut(worker) {
-            life.obscure |= !known;
             life.add_run(task.clone(), entry);
         }
         match wanted {
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -54,6 +54,8 @@
     pub run: RunNumber,
     /// Room that it takes.
     pub need: ResourceVector,
+    /// Whether its room is known: not that of a run of a job that this leader does not know.
+    pub sized: bool,
     /// How far it has come.
     pub phase: RunPhase,
     /// When it was started or first seen.
@@ -123,8 +125,8 @@
     pub health: WorkerHealth,
     /// All runs that take room.
     pub runs: BTreeMap<TaskName, WorkerRun>,
-    /// Whether something unknown runs there, so that its room is not known.
-    pub obscure: bool,
+    /// Whether the room of any of them is not known.
+    obscure: bool,
     used: ResourceVector,
 }
 
@@ -141,6 +143,7 @@
         Self {
             run,
             need: step.map(StepSpec::reservation).unwrap_or_default(),
+            sized: step.is_some(),
             phase,
             since: now,
             estimate: step.filter(|step| tells_speed(step)).map(|step| step.estimate),
@@ -321,6 +324,7 @@
     }
 
     fn recount(&mut self) {
+        self.obscure = self.runs.values().any(|run| !run.sized);
         let needs = self.runs.values().map(|run| run.need);
         self.used = needs.fold(ResourceVector::default(), |sum, need| sum.saturating_add(&need));
     }
