A registration that a worker left behind ends its present life: two cases that fail

Cause: a registration is removed only some intervals after its worker died, later still after an outage of the store. When registrations are read again, or by a new leader, a worker's former one may come after that of its present life. The table takes it for a newcomer at that address, ends the present life and counts its runs as lost: they are started elsewhere while they still run (TWICE), the worker is not looked at any more, and a cancelled job's runs there are not stopped. In a new leader it also takes the worker off the list of those it waits for, although it has never heard it. Ruled out: that the watch alone brings it about: there the order is that of the writes, and the former life is ended rightly. Change: two cases: read again by the same leader, and by a new one that has not heard the worker.

--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphAnswer, GraphState, RepeatRule, RunNumber, StepSpec, WorkerId};
+use kelplink::{GraphAnswer, GraphState, RepeatRule, RunNumber, StepSpec, WorkerId, WorkerListing};
 
 use crate::model::{ModelRun, ModelWorker};
 use crate::world::{World, step};
@@ -335,3 +335,58 @@
     world.run(seconds(1));
     expect_that!(world.state("b"), some(eq(GraphState::Completed)));
 }
+
+/// A worker whose only task was begun after it came back under another name, and the registration that it left
+/// under the earlier one.
+fn replaced_worker(seed: u64) -> (World, WorkerListing) {
+    let mut world = World::new(seed, 1);
+    world.run(seconds(1));
+    let stale = only_worker(&mut world).listing.clone();
+    world.add_worker(0, 1);
+    world.run(seconds(1));
+    world.submit("later", "a", vec![step(1, 1, 60_000)]);
+    world.run(seconds(1));
+    world.add_worker(1, 0);
+    world.run(seconds(1));
+    expect_that!(world.workers[&WorkerId::from("w0-1")].was_given("a"), eq(true));
+    (world, stale)
+}
+
+// The registrations were read again after an outage of the store, in which that of a worker's earlier life had
+// not expired. Taken for a newcomer, it ended the life that had taken its place: that worker was looked at no
+// more, what ran there counted as lost and was started elsewhere as well, and was not stopped on cancellation.
+#[gtest]
+fn a_registration_that_a_worker_left_behind_does_not_end_its_present_life() {
+    let (mut world, stale) = replaced_worker(56);
+    let now = world.now;
+    world.leader().unwrap().worker_listed(now, stale);
+    world.run(seconds(2));
+    expect_that!(world.begun_runs, eq(1));
+    cancel(&mut world, "a");
+    world.run(millis(400));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+// A new leader read both registrations, the one left behind first, before it had heard the worker. It gave up
+// waiting for the worker that the store names as one in use, and started its task elsewhere as well.
+#[gtest]
+fn a_registration_left_behind_does_not_hide_from_a_new_leader_what_runs_there() {
+    let (mut world, stale) = replaced_worker(57);
+    let id: WorkerId = "w0-1".into();
+    remove_leader(&mut world);
+    // Its registration has not been read yet at the election.
+    world.workers.get_mut(&id).unwrap().up = false;
+    world.elect();
+    world.workers.get_mut(&id).unwrap().up = true;
+    world.workers.get_mut(&id).unwrap().reached = false;
+    let (now, present) = (world.now, world.workers[&id].listing.clone());
+    world.leader().unwrap().worker_listed(now, stale);
+    world.leader().unwrap().worker_listed(now, present);
+    world.run(millis(700));
+    world.workers.get_mut(&id).unwrap().reached = true;
+    world.run(seconds(2));
+    expect_that!(world.begun_runs, eq(1));
+    cancel(&mut world, "a");
+    world.run(millis(400));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
