A leaving worker that is cut off counts as gone: a case that fails

Cause: a worker whose announced time is over and whose registration has gone counts as gone, with all its runs, as soon as a connection to it cannot be made. That is so where nothing listens there any more, but also where it is cut off: a connection that is not made in time is told in the same way. A worker may go on for many seconds after its announced time, and its lease holds for up to 4.5 s: its tasks are started elsewhere while they run. Ruled out: that polls show it as unanswered: a connection given up after its own time comes back as never made (client.rs). Change: one case: a leaving worker, its time over, unregistered, cut off, one call not connected.

--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphAnswer, GraphState, RepeatRule, RunNumber, StepSpec, WorkerId, WorkerListing};
+use kelplink::{
+    CallFailure, GraphAnswer, GraphState, RepeatRule, RunNumber, StepSpec, WorkerId, WorkerListing,
+};
 
 use crate::model::{ModelRun, ModelWorker};
 use crate::world::{World, step};
@@ -390,3 +392,26 @@
     world.run(millis(400));
     expect_that!(runs_of(&world, "a"), eq(0));
 }
+
+// A worker was leaving and its announced time was over. It was cut off, from the store as well, so that its
+// registration went, and no connection to it could be made. That was taken for its end: what ran there was started
+// elsewhere while it went on, and was not stopped on cancellation.
+#[gtest]
+fn a_leaving_worker_that_cannot_be_reached_may_still_run_what_it_has() {
+    let mut world = World::new(58, 1);
+    world.run(seconds(1));
+    world.submit("later", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(300));
+    world.add_worker(1, 0);
+    let id: WorkerId = "w0-0".into();
+    let (now, mut listing) = (world.now, world.workers[&id].listing.clone());
+    listing.leaving = Some(millis(300));
+    world.leader().unwrap().worker_listed(now, listing);
+    world.run(seconds(1));
+    world.leader().unwrap().worker_unlisted(&id);
+    only_worker(&mut world).reached = false;
+    let (now, unix) = (world.now, world.unix());
+    world.leader().unwrap().polled(now, unix, &id, Err(CallFailure::NotSent));
+    world.run(seconds(2));
+    expect_that!(runs_of(&world, "a"), eq(1));
+}
