A leaving worker counts as gone only where nothing listens any more

Ruled out: waiting for the lease of every worker that has left: its tasks would be started again up to 4.6 s later than now; counting a connection that was given up as unanswered: a request that surely did not arrive may be sent elsewhere at once. Change: a refused connection is a failure of its own, told apart by the kind of the error below; callers that ask only whether a request arrived treat it as before. A worker that has left as announced is over on that failure alone; one that is cut off is kept until its lease is over. How often a connection to a cut-off worker fails at once was not measured: after one unanswered call the next ones have 250 ms, less than a connection may take, and come back as unanswered; only an error of the network itself brings it about.

--- a/src/callers/dispatch.rs
+++ b/src/callers/dispatch.rs
@@ -228,7 +228,9 @@
                     (RouteOutcome::Failed, AttemptEnd::Unknown(detail, ended))
                 }
             },
-            Err(ClientError::NotSent(detail)) => (RouteOutcome::Failed, AttemptEnd::NotRun(detail)),
+            Err(ClientError::NotSent(detail) | ClientError::Refused(detail)) => {
+                (RouteOutcome::Failed, AttemptEnd::NotRun(detail))
+            }
             Err(ClientError::NoAnswer(detail)) => {
                 (RouteOutcome::Failed, AttemptEnd::Unknown(detail, ended))
             }
@@ -345,7 +347,9 @@
         let most = self.context.limits.answer_bytes;
         match self.context.handed.send(request, left + LIMIT_MARGIN, most).await {
             Ok(response) => judge_handed(response),
-            Err(ClientError::NotSent(detail)) => AttemptEnd::NotRun(detail),
+            Err(ClientError::NotSent(detail) | ClientError::Refused(detail)) => {
+                AttemptEnd::NotRun(detail)
+            }
             Err(ClientError::NoAnswer(detail)) => {
                 AttemptEnd::Unknown(detail, self.identity.deadline)
             }
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,5 +1,9 @@
 //! HTTP requests to the platform, workers and upstreams.
 
+#[cfg(test)]
+mod tests;
+
+use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +29,8 @@
 pub(crate) enum ClientError {
     /// No connection could be made: the request surely did not arrive.
     NotSent(String),
+    /// Nothing listens at the address: the request surely did not arrive.
+    Refused(String),
     /// It was sent, or may have been, and no whole answer came.
     NoAnswer(String),
 }
@@ -76,6 +82,7 @@
     ) -> Result<Response<Bytes>> {
         let response =
             self.client.request(request).await.map_err(|error| match error.is_connect() {
+                true if is_refused(&error) => ClientError::Refused(describe(&error)),
                 true => ClientError::NotSent(describe(&error)),
                 false => ClientError::NoAnswer(describe(&error)),
             })?;
@@ -110,6 +117,13 @@
     metrics::counter!("kelplink_payload_bytes_total", "line" => line).increment(bytes as u64);
 }
 
+/// Whether the address answered that nothing listens there.
+fn is_refused(error: &dyn std::error::Error) -> bool {
+    let causes = std::iter::successors(error.source(), |cause| cause.source());
+    let mut kinds = causes.filter_map(|cause| cause.downcast_ref::<Error>()).map(Error::kind);
+    kinds.any(|kind| kind == ErrorKind::ConnectionRefused)
+}
+
 /// An error with its causes.
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -272,7 +272,7 @@
         let request = request.body(Full::default()).ok()?;
         match http.send(request, ANSWER_TIME, ANSWER_BYTES).await {
             Ok(response) => return Some(response),
-            Err(ClientError::NotSent(_)) => {}
+            Err(ClientError::NotSent(_) | ClientError::Refused(_)) => {}
             Err(ClientError::NoAnswer(detail)) => {
                 println!("request {mark} had no answer: {detail}");
                 return None;
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -63,7 +63,9 @@
         let result =
             self.http.call(method, self.address, &path, body, CALL_TIME, VALUE_BYTES).await;
         match (result, request) {
-            (Err(ClientError::NotSent(_)), _) => StoreOutcome::Unavailable,
+            (Err(ClientError::NotSent(_) | ClientError::Refused(_)), _) => {
+                StoreOutcome::Unavailable
+            }
             (Err(ClientError::NoAnswer(_)), StoreRequest::Read { .. }) => StoreOutcome::Unavailable,
             (Err(ClientError::NoAnswer(_)), StoreRequest::Swap { .. }) => StoreOutcome::Unknown,
             (Ok(response), _) => outcome(request, response.status(), response.body()),
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -129,7 +129,9 @@
                 }
                 return;
             }
-            CallFailure::NotSent => life.shunned_until = Some(now + SHUN_SILENT),
+            CallFailure::NotSent | CallFailure::NothingThere => {
+                life.shunned_until = Some(now + SHUN_SILENT);
+            }
             CallFailure::Refused(WorkerRefusal::Unwell) => {
                 life.shunned_until = Some(now + SHUN_UNWELL);
             }
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -139,6 +139,8 @@
 pub enum CallFailure {
     /// It surely did not arrive.
     NotSent,
+    /// Nothing listens at the worker's address any more.
+    NothingThere,
     /// It may have arrived, and may still be carried out.
     NoAnswer,
     /// The worker refused it.
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -267,7 +267,7 @@
             CallFailure::Refused(WorkerRefusal::Deposed) => {
                 vec![LifeFinding::Deposed(id.clone())]
             }
-            CallFailure::NotSent if life.left(now) => self.over(id, "it has left"),
+            CallFailure::NothingThere if life.left(now) => self.over(id, "it has left"),
             _ => Vec::new(),
         }
     }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -181,7 +181,9 @@
             .map_err(|_| PeerFailure::NotSent)?;
         let response = match self.client.send(request, time, CALL_BYTES as usize).await {
             Ok(response) => response,
-            Err(ClientError::NotSent(_)) => return Err(PeerFailure::NotSent),
+            Err(ClientError::NotSent(_) | ClientError::Refused(_)) => {
+                return Err(PeerFailure::NotSent);
+            }
             Err(ClientError::NoAnswer(_)) => return Err(PeerFailure::NoAnswer),
         };
         let reply: RpcReply<T> =
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -280,7 +280,7 @@
 
 fn failed(error: ClientError) -> StoreError {
     match error {
-        ClientError::NotSent(reason) => StoreError::NotDone(reason),
+        ClientError::NotSent(reason) | ClientError::Refused(reason) => StoreError::NotDone(reason),
         ClientError::NoAnswer(reason) => StoreError::Unknown(reason),
     }
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -230,6 +230,7 @@
 fn failed(error: ClientError) -> CallFailure {
     match error {
         ClientError::NotSent(_) => CallFailure::NotSent,
+        ClientError::Refused(_) => CallFailure::NothingThere,
         ClientError::NoAnswer(_) => CallFailure::NoAnswer,
     }
 }
--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -415,3 +415,23 @@
     world.run(seconds(2));
     expect_that!(runs_of(&world, "a"), eq(1));
 }
+
+#[gtest]
+fn a_leaving_worker_at_whose_address_nothing_listens_has_left() {
+    let mut world = World::new(59, 1);
+    world.run(seconds(1));
+    world.submit("later", "a", vec![step(1, 1, 60_000)]);
+    world.run(millis(300));
+    world.add_worker(1, 0);
+    let id: WorkerId = "w0-0".into();
+    let (now, mut listing) = (world.now, world.workers[&id].listing.clone());
+    listing.leaving = Some(millis(300));
+    world.leader().unwrap().worker_listed(now, listing);
+    world.run(seconds(1));
+    world.leader().unwrap().worker_unlisted(&id);
+    only_worker(&mut world).up = false;
+    let (now, unix) = (world.now, world.unix());
+    world.leader().unwrap().polled(now, unix, &id, Err(CallFailure::NothingThere));
+    world.run(millis(200));
+    expect_that!(runs_of(&world, "a"), eq(1));
+}
