--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod findings;
+mod registrations;
 mod storing;
 mod submissions;
 
@@ -67,6 +68,8 @@
     pub jobs: Vec<(GraphRecord, GraphProgress)>,
     /// Workers that may run something.
     pub workers: Vec<UsedWorker>,
+    /// Whether there may be others: the list could not be read.
+    pub unknown_workers: bool,
 }
 
 /// Decides for all jobs and workers of its scope.
@@ -83,6 +86,9 @@
     waiters: BTreeMap<GraphId, Vec<(CallId, AttemptId)>>,
     /// Requests that were rejected, and when.
     rejected: BTreeMap<AttemptId, Instant>,
+    /// Registrations of services that nothing names, and when they are looked at again.
+    foreign: BTreeMap<WorkerId, WorkerListing>,
+    next_review: Instant,
     /// Workers from before this leader's time that have not been heard.
     unheard: BTreeSet<WorkerId>,
     /// When nothing that they were told before can run any more.
@@ -118,6 +124,12 @@
             lives.used(now, used, unregistered(used));
         }
         info!(epoch, jobs = jobs.iter().count(), workers = state.workers.len(); "leadership begins");
+        let mut unheard: BTreeSet<WorkerId> =
+            state.workers.into_iter().map(|used| used.id).collect();
+        if state.unknown_workers {
+            // No worker answers under this name: it is waited for until nothing can run any more.
+            unheard.insert(WorkerId::from(""));
+        }
         Self {
             epoch,
             bounds,
@@ -129,7 +141,9 @@
             commits: CommitQueue::default(),
             waiters: BTreeMap::new(),
             rejected: BTreeMap::new(),
-            unheard: state.workers.into_iter().map(|used| used.id).collect(),
+            foreign: BTreeMap::new(),
+            next_review: now,
+            unheard,
             settled_at: now + bounds.blind + LEASE_LIFE,
             predecessor_ended: false,
             authority: now,
@@ -204,6 +218,8 @@
             }
         }
         self.config = Some(config);
+        // Workers of services that it names are taken in at the next sweep.
+        self.next_review = self.last_pass;
         self.pass_wanted = true;
     }
 
@@ -212,18 +228,6 @@
         self.advice.set_entries(entries);
     }
 
-    /// A worker has registered or changed its registration.
-    pub fn worker_listed(&mut self, now: Instant, listing: WorkerListing) {
-        let found = self.lives.listed(now, listing);
-        self.take_findings(now, found);
-        self.pass_wanted = true;
-    }
-
-    /// A worker's registration has gone.
-    pub fn worker_unlisted(&mut self, id: &WorkerId) {
-        self.lives.unlisted(id);
-    }
-
     /// Takes in the answer to a poll.
     pub fn polled(&mut self, now: Instant, unix: UnixMillis, id: &WorkerId, result: PollResult) {
         let found = match result {
@@ -271,6 +275,7 @@
         let mut found = self.lives.lapsed(now);
         found.extend(self.lives.vanished(now, now >= self.settled_at));
         self.take_findings_at(now, unix, found);
+        self.review_foreign(now);
         self.resend(now, extend);
     }
 
@@ -394,7 +399,6 @@
 fn unregistered(used: &UsedWorker) -> WorkerListing {
     WorkerListing {
         id: used.id.clone(),
-        revision: 0,
         address: used.address,
         service: ServiceId::from(""),
         domain: used.domain.clone(),
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -229,11 +229,17 @@
             }
             Err(CallFailure::Refused(WorkerRefusal::Deposed)) => self.deposed = true,
             Err(failure) => {
-                warn!(task:% = task, run, worker = &**worker, failure:?; "stop failed");
+                metrics::counter!("kelplink_failed_stops_total").increment(1);
                 let entry = life.runs.get_mut(task).filter(|entry| entry.run == run);
-                let phase = entry.map(|entry| &mut entry.phase);
-                if let Some(RunPhase::Stopping { answered: None, sent }) = phase {
-                    *sent = now;
+                if let Some(entry) = entry {
+                    entry.failed_stops += 1;
+                    // A worker that is away for its whole lease is sent each stop eleven times.
+                    if entry.failed_stops == 1 {
+                        warn!(task:% = task, run, worker = &**worker, failure:?; "stop failed");
+                    }
+                    if let RunPhase::Stopping { answered: None, sent } = &mut entry.phase {
+                        *sent = now;
+                    }
                 }
             }
         }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use log::info;
 use tokio::time::Instant;
 
 use crate::graph::event::GraphAction;
@@ -90,23 +89,17 @@
         self.lives.values_mut()
     }
 
-    /// Takes in a registration. An earlier life at the same address is over; a registration that such a
-    /// life left behind says nothing. Of a life that only the store's note names it is not known which is
-    /// the earlier: a call will tell.
-    pub(crate) fn listed(&mut self, now: Instant, listing: WorkerListing) -> Vec<LifeFinding> {
-        let others = || {
-            let others = self.lives.values().map(|life| &life.listing);
-            others.filter(|other| other.address == listing.address && other.id != listing.id)
-        };
-        if others().any(|other| other.revision > listing.revision) {
-            info!(worker = &*listing.id, revision = listing.revision; "a registration was left behind");
-            return Vec::new();
-        }
-        let earlier = others().filter(|other| other.revision > 0);
-        let earlier: Vec<WorkerId> = earlier.map(|other| other.id.clone()).collect();
-        let mut found = Vec::new();
-        for other in earlier {
-            found.extend(self.over(&other, "another life has registered at its address"));
+    /// Takes in a registration. Of two lives at an address only the worker itself can tell which is over: an
+    /// earlier one may be registered once more after the newer. So the others there are polled at once, and a
+    /// life that is over is refused. Taking the last to register for the newer had up to 13 tasks of a day
+    /// run twice, on days on which workers crash behind a cut.
+    pub(crate) fn listed(&mut self, now: Instant, listing: WorkerListing) {
+        let others = self
+            .lives
+            .values_mut()
+            .filter(|life| life.address() == listing.address && *life.id() != listing.id);
+        for other in others {
+            other.next_poll = now;
         }
         match self.lives.get_mut(&listing.id) {
             Some(life) => {
@@ -122,7 +115,6 @@
                 self.lives.insert(life.id().clone(), life);
             }
         }
-        found
     }
 
     /// A worker that the store names, before or without its registration.
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod calls;
 mod configuration;
+mod dependency;
 mod election;
 mod keys;
 mod leader;
@@ -20,7 +21,7 @@
 
 pub(crate) use keys::{
     KeyEvent, KeyItem, KeyPage, KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome,
-    WatchOutcome,
+    UnreadableKind, WatchOutcome, count_unreadable,
 };
 pub use process::NodeProcess;
 pub use settings::NodeSettings;
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -12,12 +12,19 @@
 use tokio::time::{Instant, sleep};
 
 use crate::graph::{CommitGroup, GraphProgress, GraphRecord, LeaderEpoch, LeaderState};
-use crate::node::keys::{KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome};
+use crate::node::dependency::DependencyLog;
+use crate::node::keys::{
+    KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome, UnreadableKind,
+    count_unreadable,
+};
 use crate::node::members::EPOCH_KEY;
+use crate::node::shared::NodeShared;
 use crate::platform::PlatformStore;
 
 type Result<T> = std::result::Result<T, StoreError>;
 
+/// Name in the log of reading and writing the ledger.
+pub(crate) const LEDGER_DUTY: &str = "ledger";
 /// Prefix of jobs as they were submitted.
 const RECORD_PREFIX: &str = "j/";
 /// Prefix of what has become of jobs.
@@ -54,13 +61,15 @@
 #[derive(Clone)]
 pub(crate) struct JobLedger {
     store: PlatformStore,
+    tries: DependencyLog,
     stand: Arc<Mutex<LedgerStand>>,
 }
 
 impl JobLedger {
-    pub(crate) fn new(store: PlatformStore, epoch: LeaderEpoch, epoch_revision: u64) -> Self {
+    pub(crate) fn new(shared: &NodeShared, epoch: LeaderEpoch, epoch_revision: u64) -> Self {
         let stand = LedgerStand { epoch, epoch_revision, group_revision: 0 };
-        Self { store, stand: Arc::new(Mutex::new(stand)) }
+        let (store, tries) = (shared.store.clone(), shared.dependencies.store.clone());
+        Self { store, tries, stand: Arc::new(Mutex::new(stand)) }
     }
 
     /// The same leader goes on under a later epoch.
@@ -84,34 +93,32 @@
     /// took 151 ms one after the other, 112 ms so.
     pub(crate) async fn load(&self) -> Result<LeaderState> {
         let begun = Instant::now();
-        let (group, workers, records, progress) = try_join4(
+        let read = try_join4(
             self.store.get(GROUP_KEY),
             self.store.get(WORKERS_KEY),
             self.all::<GraphRecord>(RECORD_PREFIX),
             self.all::<GraphProgress>(PROGRESS_PREFIX),
         )
-        .await?;
+        .await;
+        self.tries.tried(LEDGER_DUTY, &read);
+        let (group, workers, records, progress) = read?;
         self.change(|stand| stand.group_revision = group.map_or(0, |item| item.revision));
-        let workers = workers.and_then(|item| decode(&item)).unwrap_or_default();
-        let mut progress = progress;
-        let jobs: Vec<_> = records
-            .into_iter()
-            .map(|(id, record)| (record, progress.remove(&id).unwrap_or_default()))
-            .collect();
+        let workers = workers.map_or_else(|| Some(Vec::new()), |item| decode(&item));
+        let jobs = join(records, progress);
         info!(jobs = jobs.len(), took_ms = begun.elapsed().as_millis() as u64; "ledger read");
-        Ok(LeaderState { jobs, workers })
+        let unknown_workers = workers.is_none();
+        Ok(LeaderState { jobs, workers: workers.unwrap_or_default(), unknown_workers })
     }
 
-    async fn all<T: DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<String, T>> {
+    /// Reads all values under a prefix; `None` stands for one that is unreadable.
+    async fn all<T: DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<String, Option<T>>> {
         let mut found = BTreeMap::new();
         let mut after = String::new();
         loop {
             let page = self.store.page(prefix, &after).await?;
             for item in &page.items {
                 let id = item.key.strip_prefix(prefix).unwrap_or(&item.key);
-                if let Some(value) = decode(item) {
-                    found.insert(id.to_owned(), value);
-                }
+                found.insert(id.to_owned(), decode(item));
             }
             match page.items.last() {
                 Some(last) if page.more => after = last.key.clone(),
@@ -140,7 +147,7 @@
                 sets: sets.clone(),
                 removes: removes.clone(),
             };
-            match self.store.transact(&change).await {
+            match self.sent(&id, &change).await {
                 Ok(TransactionOutcome::Done(revision)) => {
                     self.change(|stand| stand.group_revision = revision);
                     break GroupOutcome::Stored;
@@ -151,12 +158,8 @@
                         None => sleep(RETRY_PAUSE).await,
                     }
                 }
-                Ok(TransactionOutcome::NoLease) => {
-                    error!("the store asks for a lease where none is used");
-                    sleep(RETRY_PAUSE).await;
-                }
+                Ok(TransactionOutcome::NoLease) => sleep(RETRY_PAUSE).await,
                 Err(failure) => {
-                    warn!(group = id, failure:% = failure; "a group was not stored");
                     sure &= matches!(failure, StoreError::NotDone(_));
                     if sure {
                         break GroupOutcome::Refused;
@@ -173,6 +176,20 @@
         outcome
     }
 
+    /// Sends a group once.
+    async fn sent(&self, id: &str, change: &KeyTransaction) -> Result<TransactionOutcome> {
+        let result = self.store.transact(change).await;
+        let tried = match &result {
+            Ok(TransactionOutcome::NoLease) => {
+                Err(format!("group {id}: it asks for a lease where none is used"))
+            }
+            Ok(_) => Ok(()),
+            Err(failure) => Err(format!("group {id}: {failure}")),
+        };
+        self.tries.tried(LEDGER_DUTY, &tried);
+        result
+    }
+
     /// What a conflict means; `None` where the leader has another epoch by now and tries again.
     fn conflict(&self, id: &str, stand: LedgerStand, items: &[KeyItem]) -> Option<GroupOutcome> {
         let group = items.iter().find(|item| item.key == GROUP_KEY);
@@ -198,16 +215,36 @@
         store: &PlatformStore,
         id: &str,
     ) -> Result<Option<(GraphRecord, GraphProgress)>> {
-        let record = store.get(&format!("{RECORD_PREFIX}{id}")).await?;
-        let Some(record) = record.and_then(|item| decode(&item)) else {
+        let unreadable = || StoreError::Unknown(format!("job {id} is unreadable"));
+        let Some(record) = store.get(&format!("{RECORD_PREFIX}{id}")).await? else {
             return Ok(None);
         };
-        let progress = store.get(&format!("{PROGRESS_PREFIX}{id}")).await?;
-        let progress = progress.and_then(|item| decode(&item)).unwrap_or_default();
+        let record = decode(&record).ok_or_else(unreadable)?;
+        let progress = match store.get(&format!("{PROGRESS_PREFIX}{id}")).await? {
+            Some(progress) => decode(&progress).ok_or_else(unreadable)?,
+            None => GraphProgress::default(),
+        };
         Ok(Some((record, progress)))
     }
 }
 
+/// Jobs with what has become of them. One of which either is unreadable is left out: taken for a job that
+/// has not begun, its tasks would run again.
+fn join(
+    records: BTreeMap<String, Option<GraphRecord>>,
+    mut progress: BTreeMap<String, Option<GraphProgress>>,
+) -> Vec<(GraphRecord, GraphProgress)> {
+    let mut whole = Vec::with_capacity(records.len());
+    for (id, record) in records {
+        let progress = progress.remove(&id).unwrap_or_else(|| Some(GraphProgress::default()));
+        match record.zip(progress) {
+            Some(job) => whole.push(job),
+            None => error!(job = id; "a job with an unreadable key is left out"),
+        }
+    }
+    whole
+}
+
 fn changes(id: &str, group: &CommitGroup) -> (Vec<KeySet>, Vec<String>) {
     let mut sets = vec![set(GROUP_KEY.to_owned(), Bytes::from(id.to_owned()))];
     for record in &group.added {
@@ -242,6 +279,7 @@
 fn decode<T: DeserializeOwned>(item: &KeyItem) -> Option<T> {
     let decoded = serde_json::from_slice(&item.value);
     if let Err(failure) = &decoded {
+        count_unreadable(UnreadableKind::Ledger);
         error!(key = item.key, failure:% = failure; "a key of the ledger is unreadable");
     }
     decoded.ok()
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -7,7 +7,10 @@
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
-use crate::node::keys::{KeyEvent, KeyItem, StoreError, WatchOutcome};
+use crate::id::EntryId;
+use crate::node::keys::{
+    KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
+};
 use crate::node::shared::{EpochRecord, MemberView, NodeShared};
 
 /// Prefix of all keys that entries watch.
@@ -19,6 +22,8 @@
 /// Prefix of the keys of entries, each under its lease.
 pub(crate) const ENTRY_PREFIX: &str = "m/entry/";
 
+/// This duty's name in the log.
+const DUTY: &str = "members";
 /// Longest wait of a watch: a connection that has gone silent is noticed after it and the watch's
 /// slack, within the three seconds that count as a disruption.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
@@ -43,7 +48,7 @@
                 Err(error) => Err(error),
             };
             if let Err(error) = result {
-                warn!(error:% = error; "the members could not be followed");
+                self.shared.dependencies.store.failed(DUTY, error);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -51,7 +56,7 @@
 
     async fn read(&self) -> Result<u64, StoreError> {
         let page = self.shared.store.page(MEMBER_PREFIX, "").await?;
-        self.shared.note_store();
+        self.shared.note_store(DUTY);
         let mut view = MemberView { known: true, ..MemberView::default() };
         for item in page.items {
             written(&mut view, &item);
@@ -64,7 +69,7 @@
         loop {
             match self.shared.store.watch(MEMBER_PREFIX, after, WATCH_WAIT).await? {
                 WatchOutcome::Events { events, revision } => {
-                    self.shared.note_store();
+                    self.shared.note_store(DUTY);
                     after = after.max(revision);
                     if events.is_empty() {
                         continue;
@@ -100,11 +105,11 @@
     }
 }
 
-fn written(view: &mut MemberView, item: &KeyItem) {
+pub(super) fn written(view: &mut MemberView, item: &KeyItem) {
     match item.key.as_str() {
         LEADER_KEY => view.leader = decode(item),
         EPOCH_KEY => {
-            let record: EpochRecord = decode(item).unwrap_or_default();
+            let record = decode(item).unwrap_or_else(|| unreadable_epoch(item));
             view.epoch = record.epoch;
             view.holder = record.holder;
             view.epoch_revision = item.revision;
@@ -119,6 +124,12 @@
     }
 }
 
+/// What an unreadable count of elections stands for: each election has raised the store's revision, so
+/// that the key's own is no lower than any epoch, and who was elected last may go on.
+fn unreadable_epoch(item: &KeyItem) -> EpochRecord {
+    EpochRecord { epoch: item.revision, holder: Some((EntryId::from(""), 0)) }
+}
+
 fn removed(view: &mut MemberView, key: &str) {
     match key.strip_prefix(ENTRY_PREFIX) {
         Some(name) => {
@@ -132,6 +143,7 @@
 fn decode<T: DeserializeOwned>(item: &KeyItem) -> Option<T> {
     let decoded = serde_json::from_slice(&item.value);
     if let Err(error) = &decoded {
+        count_unreadable(UnreadableKind::Member);
         warn!(key = item.key, error:% = error; "a key of the members is unreadable");
     }
     decoded.ok()
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -125,6 +125,8 @@
     pub(crate) refuses: bool,
     pub(crate) jobs: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
     pub(crate) workers: Vec<UsedWorker>,
+    /// Whether the list of these workers cannot be read.
+    pub(crate) spoilt: bool,
     pub(crate) groups: u64,
 }
 
@@ -137,8 +139,6 @@
     pub(crate) lost_polls: u32,
     pub(crate) fates: OrderFates,
     domains: u32,
-    /// Registrations of workers so far.
-    registrations: u64,
     pub(crate) store: ModelStore,
     pub(crate) leaders: BTreeMap<LeaderEpoch, GraphController>,
     pub(crate) workers: BTreeMap<WorkerId, ModelWorker>,
@@ -227,7 +227,6 @@
             lost_polls: 0,
             fates: OrderFates::default(),
             domains,
-            registrations: 0,
             store: ModelStore { up: true, ..ModelStore::default() },
             leaders: BTreeMap::new(),
             workers: BTreeMap::new(),
@@ -260,10 +259,8 @@
     /// Starts a worker, or another life of it at the same address.
     pub(crate) fn add_worker(&mut self, number: u32, life: u32) {
         let id: WorkerId = format!("w{number}-{life}").into();
-        self.registrations += 1;
         let listing = WorkerListing {
             id: id.clone(),
-            revision: self.registrations,
             address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
             service: "svc".into(),
             domain: format!("d{}", number % self.domains).into(),
@@ -285,9 +282,14 @@
     pub(crate) fn elect(&mut self) -> LeaderEpoch {
         self.store.epoch += 1;
         let epoch = self.store.epoch;
+        let workers = match self.store.spoilt {
+            true => Vec::new(),
+            false => self.store.workers.clone(),
+        };
         let state = LeaderState {
             jobs: self.store.jobs.values().cloned().collect(),
-            workers: self.store.workers.clone(),
+            workers,
+            unknown_workers: self.store.spoilt,
         };
         let mut leader = GraphController::new(self.now, self.unix(), epoch, BOUNDS, state);
         leader.set_config(self.config.clone());
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,4 +2,6 @@
 
 mod cluster;
 mod jobs;
+mod logs;
+mod registrations;
 mod standin;
