--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -83,11 +83,9 @@
         let phase = RunPhase::Running { confirmed: Duration::ZERO };
         let origin = job.zip(step);
         let entry = WorkerRun { percent, figure, saved, ..WorkerRun::new(run, phase, now, origin) };
-        let known = step.is_some();
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
         if let Some(life) = self.lives.get_mut(worker) {
-            life.obscure |= !known;
             life.add_run(task.clone(), entry);
         }
         match wanted {
@@ -95,10 +93,10 @@
                 self.jobs.note_run(&task, worker.clone(), run);
                 self.jobs.note_begun(&task);
                 if let Some(older) = older {
-                    self.stop_all(vec![(older.worker, task, older.run)]);
+                    self.stop_all(now, vec![(older.worker, task, older.run)]);
                 }
             }
-            false => self.stop_all(vec![(worker.clone(), task, run)]),
+            false => self.stop_all(now, vec![(worker.clone(), task, run)]),
         }
     }
 
@@ -107,13 +105,13 @@
         if changed {
             self.commits.change(id.clone(), now, urgent);
         }
-        self.stop_all(stops);
+        self.stop_all(now, stops);
         self.pass_wanted = true;
     }
 
-    pub(super) fn stop_all(&mut self, stops: Vec<RunToStop>) {
+    pub(super) fn stop_all(&mut self, now: Instant, stops: Vec<RunToStop>) {
         for (worker, task, run) in stops {
-            self.stop(&worker, &task, run);
+            self.stop(now, &worker, &task, run);
         }
     }
 }
