The home of an urgent job is chosen by room alone: a case that fails

Cause: choose_home reckons what a domain's workers hold without the step's limit of tasks a worker and without its label, the same omission that kept steps at their limit waiting. Placement then finds too few workers there, and the job uses a second domain from its first task on, which a cut of either takes down.

--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphAnswer, GraphState, GraphVerdict, StepSpec, WorkerId};
+use kelplink::{GraphAnswer, GraphState, GraphVerdict, ResourceVector, StepSpec, WorkerId};
 
 use crate::model::ModelWorker;
 use crate::world::{World, step};
@@ -425,3 +425,27 @@
     world.run(Duration::from_millis(500));
     expect_that!(world.state("a"), some(eq(GraphState::Completed)));
 }
+
+// The home of an urgent job was chosen by room alone. Where a worker may hold one task of the step, or must have
+// a label, the domain with most room may have too few workers for it, and the job had to use a second domain.
+#[gtest]
+fn the_home_of_an_urgent_job_has_workers_for_its_widest_step() {
+    let one_a_worker = StepSpec { max_per_worker: Some(1), ..step(3, 1, 900) };
+    let labelled = StepSpec { label: Some("special".into()), ..step(3, 1, 900) };
+    for widest in [one_a_worker, labelled] {
+        let mut world = World::spread(24, 6, 2);
+        // Two large workers in one domain, three small ones with the label in the other.
+        world.workers.remove("w0-0");
+        let small = world.workers.values_mut().filter(|worker| &*worker.listing.domain == "d1");
+        for worker in small {
+            worker.listing.capacity = ResourceVector::new(4_000, 16_000, 0);
+            worker.listing.labels.push("special".into());
+        }
+        world.elect();
+        world.run(seconds(1));
+        world.submit("now", "a", vec![widest]);
+        world.run(Duration::from_millis(200));
+        expect_that!(domains_of(&world, "a"), elements_are![eq("d1")]);
+        expect_that!(world.store.jobs["a"].0.home.as_deref(), some(eq("d1")));
+    }
+}
