A home has workers for the widest step

Ruled out: leaving it to the domain that is added where there is no room: each job then has two domains that a cut can hit. Change: choose_home reckons a worker's room with the step's limit and label; the label's test stands once, at WorkerLife.

--- a/src/graph/home.rs
+++ b/src/graph/home.rs
@@ -27,12 +27,13 @@
         return None;
     }
     let widest = job.spec.steps.iter().max_by_key(|step| step.count)?;
+    let most = widest.max_per_worker.unwrap_or(u32::MAX);
     let mut room: BTreeMap<&DomainId, u32> = BTreeMap::new();
     let service = &job.rule.service;
     for life in lives.iter().filter(|life| life.open(now, SILENCE)) {
-        if life.listing.service == *service {
+        if life.listing.service == *service && life.has_label(widest) {
             *room.entry(&life.listing.domain).or_default() +=
-                room_for(&life.free(), &widest.reservation());
+                room_for(&life.free(), &widest.reservation()).min(most);
         }
     }
     room.into_iter().max_by_key(|(_, room)| *room).map(|(domain, _)| domain.clone())
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -240,7 +240,7 @@
         let fits = |room: &&PassRoom<'t>| {
             room.life.listing.service == rule.service
                 && step.job.may_use(&room.life.listing.domain)
-                && has_label(room.life, step.step)
+                && room.life.has_label(step.step)
         };
         if rule.advice.is_none() {
             let fitting = self.rooms.values().filter(fits);
@@ -270,7 +270,7 @@
         for room in self.rooms.values() {
             let (id, listing) = (room.life.id(), &room.life.listing);
             let usable = listing.service == job.rule.service
-                && has_label(room.life, step.step)
+                && room.life.has_label(step.step)
                 && !known.is_some_and(|known| known.denied.contains(id));
             let holds = step_room.holds(room);
             match usable {
@@ -336,7 +336,3 @@
     let runs = rooms.values().flat_map(|room| room.life.runs.values());
     runs.filter(|run| matches!(run.phase, RunPhase::Sent { .. })).count()
 }
-
-fn has_label(life: &WorkerLife, step: &StepSpec) -> bool {
-    step.label.as_ref().is_none_or(|label| life.listing.labels.contains(label))
-}
--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -7,7 +7,7 @@
 use crate::graph::job::GraphJob;
 use crate::graph::name::{StepKey, TaskKey};
 use crate::graph::placer::room::PassRoom;
-use crate::graph::placer::{OpenStep, PlacementPass, has_label};
+use crate::graph::placer::{OpenStep, PlacementPass};
 use crate::graph::queue::AdviceRule;
 use crate::id::WorkerId;
 
@@ -82,7 +82,7 @@
         let fitting = self.rooms.values().filter(|room| {
             room.life.listing.service == step.job.rule.service
                 && step.job.may_use(&room.life.listing.domain)
-                && has_label(room.life, step.step)
+                && room.life.has_label(step.step)
                 && need.fits(&room.life.listing.capacity)
                 && step_room.allows(room.life.id()) > 0
                 && !known.is_some_and(|known| known.denied.contains(room.life.id()))
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -297,6 +297,11 @@
             && self.answered.is_some_and(|at| now.saturating_duration_since(at) < silence)
     }
 
+    /// Whether it has the label that a step wants.
+    pub fn has_label(&self, step: &StepSpec) -> bool {
+        step.label.as_ref().is_none_or(|label| self.listing.labels.contains(label))
+    }
+
     /// Adds a run and takes its room.
     pub fn add_run(&mut self, task: TaskName, run: WorkerRun) {
         self.runs.insert(task, run);
