--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -9,4 +9,5 @@
 mod random;
 mod random_cancellation;
 mod registrations;
+mod stuck;
 mod world;
--- a/tests/graph/model.rs
+++ b/tests/graph/model.rs
@@ -34,6 +34,8 @@
     pub(crate) slowness: u32,
     /// Whether all that it starts fails.
     pub(crate) spoils: bool,
+    /// Why it refuses every start.
+    pub(crate) refuses: Option<WorkerRefusal>,
     pub(crate) started: Instant,
     /// Since when nothing is in the way between it and a leader.
     pub(crate) calm_since: Instant,
@@ -55,6 +57,7 @@
             rate,
             slowness: 1,
             spoils: false,
+            refuses: None,
             started: now,
             calm_since: now,
             fence: 0,
--- /dev/null
+++ b/tests/graph/stuck.rs
@@ -0,0 +1,85 @@
+//! Tasks that wait for something that nobody looks at again.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{StepSpec, WorkerId};
+
+use crate::world::{World, step};
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// A step of tasks that last.
+fn lasting(count: u32, cores: u32) -> StepSpec {
+    StepSpec { lasting: true, ..step(count, cores, 600_000) }
+}
+
+fn runs_of(world: &World, job: &str) -> usize {
+    let up = world.workers.values().filter(|worker| worker.up);
+    let tasks = up.flat_map(|worker| worker.runs.keys());
+    tasks.filter(|task| &*task.job == job).count()
+}
+
+/// Lets advice allow every worker whose place in the list is told.
+fn allow(world: &mut World, told: impl Fn(usize) -> bool) {
+    let workers = world.workers.keys().cloned().enumerate();
+    let allowed: BTreeSet<WorkerId> =
+        workers.filter(|(place, _)| told(*place)).map(|(_, worker)| worker).collect();
+    world.allowed = Some(allowed);
+}
+
+/// Leaves jobs of a queue no time beside its target, so that room is made for them at once.
+fn press(world: &mut World, queue: &str) {
+    let config = Arc::make_mut(&mut world.config);
+    Arc::make_mut(config.queues.get_mut(queue).unwrap()).slack = 0.0;
+}
+
+// All workers are full of work that may be stopped. Advice allowed a third of the first 48 that were asked about;
+// room was made there, and the other tasks waited: only workers with free room were asked about after that, and
+// in a full service none has any.
+#[gtest]
+fn a_step_in_a_full_service_asks_about_workers_on_which_room_can_be_made() {
+    let mut world = World::new(51, 150);
+    press(&mut world, "watched");
+    allow(&mut world, |place| place % 3 == 0);
+    world.run(seconds(1));
+    world.submit("later", "full", vec![step(150, 8, 600_000)]);
+    world.run(seconds(3));
+    expect_that!(runs_of(&world, "full"), eq(150));
+    let one_a_worker = StepSpec { max_per_worker: Some(1), ..lasting(40, 1) };
+    world.submit("watched", "a", vec![one_a_worker]);
+    world.run(seconds(15));
+    expect_that!(runs_of(&world, "a"), eq(40));
+}
+
+// The first call for advice had no answer while all workers were full of work that may be stopped. The step
+// counted as known from then on, and what is known and without tickets is asked about only where room is free.
+#[gtest]
+fn a_first_call_for_advice_without_an_answer_is_made_again_in_a_full_service() {
+    let mut world = World::new(52, 8);
+    press(&mut world, "watched");
+    world.run(seconds(1));
+    world.submit("later", "full", vec![step(8, 8, 600_000)]);
+    world.run(seconds(2));
+    world.lost_advice = 1;
+    world.submit("watched", "a", vec![lasting(1, 1)]);
+    world.run(seconds(10));
+    expect_that!(runs_of(&world, "a"), eq(1));
+}
+
+// A step that has filled a hundred workers with its own tasks has their tickets renewed for ever, though it can
+// place nothing there. These names fill each call, so that workers with room that nobody has asked about yet
+// are never named, and the rest of the step waits.
+#[gtest]
+fn a_wide_step_is_asked_for_beyond_the_workers_that_it_has_filled() {
+    let mut world = World::new(53, 220);
+    allow(&mut world, |place| place % 3 != 0);
+    world.run(seconds(1));
+    world.submit("watched", "a", vec![lasting(130, 8)]);
+    world.run(seconds(30));
+    expect_that!(runs_of(&world, "a"), eq(130));
+}
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -138,6 +138,8 @@
     /// How many of the next polls do not arrive.
     pub(crate) lost_polls: u32,
     pub(crate) fates: OrderFates,
+    /// How many of the next calls for advice have no answer.
+    pub(crate) lost_advice: u32,
     domains: u32,
     pub(crate) store: ModelStore,
     pub(crate) leaders: BTreeMap<LeaderEpoch, GraphController>,
@@ -226,6 +228,7 @@
             faults: MessageFaults::default(),
             lost_polls: 0,
             fates: OrderFates::default(),
+            lost_advice: 0,
             domains,
             store: ModelStore { up: true, ..ModelStore::default() },
             leaders: BTreeMap::new(),
@@ -451,6 +454,13 @@
                 }
             }
             GraphAction::Throttle { .. } => {}
+            GraphAction::Advise(call) if self.lost_advice > 0 => {
+                self.lost_advice -= 1;
+                let now = self.now;
+                if let Some(leader) = self.leaders.get_mut(&epoch) {
+                    leader.advised(now, call.id, None);
+                }
+            }
             GraphAction::Advise(call) => {
                 let time = self.advice_time(&call);
                 self.post(time, Message::Advised { leader: epoch, call });
@@ -634,7 +644,7 @@
                     Ok(()) if worker.closed.get(&task).is_some_and(|closed| *closed >= run) => {
                         Some(WorkerRefusal::OldRun)
                     }
-                    Ok(()) => None,
+                    Ok(()) => worker.refuses,
                 };
                 match refused {
                     Some(refusal) => Err(CallFailure::Refused(refusal)),
