--- a/tests/graph/stuck.rs
+++ b/tests/graph/stuck.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{StepSpec, WorkerId};
+use kelplink::{StepSpec, WorkerId, WorkerRefusal};
 
 use crate::world::{World, step};
 
@@ -83,3 +83,45 @@
     world.run(seconds(30));
     expect_that!(runs_of(&world, "a"), eq(130));
 }
+
+// One worker refused each start for want of room, while its polls said that it was empty. The refusal taught
+// nothing: the same worker was chosen again in the next pass, some hundred times a second.
+#[gtest]
+fn a_worker_that_refuses_for_want_of_room_is_not_tried_for_ever() {
+    let mut world = World::new(55, 4);
+    world.run(seconds(1));
+    world.workers.values_mut().next().unwrap().refuses = Some(WorkerRefusal::NoRoom);
+    world.submit("now", "a", vec![lasting(1, 1)]);
+    world.run(seconds(3));
+    expect_that!(runs_of(&world, "a"), eq(1));
+}
+
+// Twelve steps wait for whole workers, and none is free. Renewals of their tickets come before the first question
+// of a small step behind them, which was never asked for advice though every worker had room for it.
+#[gtest]
+fn renewals_of_steps_without_room_leave_calls_to_steps_that_have_some() {
+    let mut world = World::new(56, 24);
+    world.run(seconds(1));
+    let one_a_worker = StepSpec { max_per_worker: Some(1), ..lasting(24, 1) };
+    world.submit("now", "spread", vec![one_a_worker]);
+    world.run(seconds(1));
+    for number in 0..12 {
+        world.submit("watched", &format!("whole-{number}"), vec![lasting(4, 8)]);
+    }
+    world.run(seconds(1));
+    world.submit("watched", "small", vec![lasting(1, 1)]);
+    world.run(seconds(20));
+    expect_that!(runs_of(&world, "small"), eq(1));
+}
+
+// A gang that lasts wants one rack, and none is large enough. Several racks are used once a step is late, and
+// what lasts is never late.
+#[gtest]
+fn a_lasting_gang_that_no_rack_holds_is_placed_on_several() {
+    let mut world = World::new(57, 8);
+    world.run(seconds(1));
+    let gang = StepSpec { gang: true, one_rack: true, ..lasting(40, 1) };
+    world.submit("now", "a", vec![gang]);
+    world.run(seconds(10));
+    expect_that!(runs_of(&world, "a"), eq(40));
+}
