A worker that refused a start for want of room is left alone for a moment

Cause: the refusal gave the task back and nothing else; the next pass, 4 ms later, chose the same worker, the tightest fit. Ruled out: 1.5 s as for workers that are not well: where workers guard their room a stop's room may come free in between. Change: 0.25 s without new work after such a refusal, or one that calls the start invalid.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -21,6 +21,9 @@
 const SHUN_UNWELL: Duration = Duration::from_millis(1_500);
 /// How long a worker that left a start unanswered is given no new work.
 const SHUN_SILENT: Duration = Duration::from_millis(700);
+/// How long a worker that refused a start for want of room is given no new work: its next list, which a
+/// poll brings within half a second at a busy worker, may show why.
+const SHUN_REFUSED: Duration = Duration::from_millis(250);
 /// Time from one stop of a run to the next, while it is not answered.
 const STOP_AGAIN: Duration = Duration::from_millis(400);
 
@@ -143,6 +146,10 @@
             CallFailure::Refused(WorkerRefusal::Ticket) => {
                 self.advice.refused(&(task.job.clone(), task.key.step), worker, now);
             }
+            // What is known of its room is wrong: chosen again at once, it refused a hundred starts a second.
+            CallFailure::Refused(WorkerRefusal::NoRoom | WorkerRefusal::Invalid) => {
+                life.shunned_until = Some(now + SHUN_REFUSED);
+            }
             CallFailure::Refused(_) => {}
         }
         match surely_not {
