A lasting gang uses several racks where none holds it

Cause: several racks are tried once a step is late, and a step that lasts is never late. Ruled out: waiting until its latest start has passed: it counts as lost after three calm seconds. Change: for a step that lasts several racks are tried after each single rack.

--- a/src/graph/placer/gangs.rs
+++ b/src/graph/placer/gangs.rs
@@ -25,7 +25,8 @@
             }
             sets.extend(racks.into_values());
         }
-        if !step.step.one_rack || step.order.late {
+        // A step that lasts is never late: it would wait for good for a rack that can hold it.
+        if !step.step.one_rack || step.order.late || step.step.lasting {
             sets.push(candidates.to_vec());
         }
         let placed = sets.into_iter().find_map(|set| self.try_gang(step, &set));
