Calls for advice that can place nothing now come last

Cause: a step that waits for room renews its tickets in each call, in the order of urgency; twelve such steps took every long call, and a step behind them was never asked for, though every worker had room for it. Ruled out: fewer renewals: the room was gone when the answer came (tried before). Change: calls by which a step could place nothing now are kept apart and made where no other call is wanted.

--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -121,6 +121,9 @@
     victims: BTreeSet<TaskName>,
     rooms: BTreeMap<WorkerId, PassRoom<'t>>,
     plan: PassPlan,
+    /// Wishes of steps that can place nothing now. They come last: before the others, those of twelve steps
+    /// kept a small step with room everywhere from ever being asked for.
+    renewals: Vec<AdviceWish>,
 }
 
 impl<'t> PlacementPass<'t> {
@@ -142,6 +145,7 @@
             victims: BTreeSet::new(),
             rooms,
             plan: PassPlan::default(),
+            renewals: Vec::new(),
         }
     }
 
@@ -161,6 +165,7 @@
         for step in steps {
             self.serve(&step);
         }
+        self.plan.wishes.extend(self.renewals);
         self.plan
     }
 
--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -75,12 +75,16 @@
         if enough || !self.view.advice.may_ask(&key, self.view.now) {
             return;
         }
-        let workers = self.workers_to_name(step, &rule, missing);
+        let NamedWorkers { workers, useful } = self.workers_to_name(step, &rule, missing);
         if workers.is_empty() {
             return;
         }
         let queue = step.job.rule.id.clone();
-        self.plan.wishes.push(AdviceWish { key, queue, rule, workers });
+        let wish = AdviceWish { key, queue, rule, workers };
+        match useful {
+            true => self.plan.wishes.push(wish),
+            false => self.renewals.push(wish),
+        }
     }
 
     /// Workers that a call for a step names: first those whose tickets it can use, then as many unknown
@@ -90,7 +94,7 @@
         step: &OpenStep<'t>,
         rule: &AdviceRule,
         missing: usize,
-    ) -> Vec<WorkerId> {
+    ) -> NamedWorkers {
         let AdviceRooms { ready, renewed, mut unknown } = self.advice_rooms(step, rule);
         let first = self.knows_nothing(step);
         let looks_on = ready < missing && unknown.iter().any(|asked| asked.holds > 0);
@@ -103,6 +107,7 @@
         };
         let (mut usable, full): (Vec<_>, Vec<_>) =
             renewed.into_iter().partition(|asked| asked.holds > 0);
+        let useful = first || looks_on || !usable.is_empty();
         usable.sort_by_key(|asked| (far(asked), Reverse(asked.holds)));
         unknown.sort_by_key(|asked| {
             let none = asked.holds == 0;
@@ -125,7 +130,7 @@
         // Named first, workers that the step has filled took up each call: 96 of 130 tasks ran for good.
         let left = MOST_ASKED - workers.len();
         workers.extend(full.iter().take(left).map(AskedRoom::worker));
-        workers
+        NamedWorkers { workers, useful }
     }
 
     /// Workers that a step might use, by what is known of them.
@@ -190,6 +195,13 @@
     }
 }
 
+/// Workers that a call names.
+struct NamedWorkers {
+    workers: Vec<WorkerId>,
+    /// Whether the step could place a task on one of them now; else it only keeps tickets for later.
+    useful: bool,
+}
+
 /// Workers that a step might use.
 #[derive(Default)]
 struct AdviceRooms<'p, 't> {
