--- a/tests/graph/stuck.rs
+++ b/tests/graph/stuck.rs
@@ -1,6 +1,6 @@
 //! Tasks that wait for something that nobody looks at again.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -84,6 +84,20 @@
     expect_that!(runs_of(&world, "a"), eq(130));
 }
 
+// A worker answered polls, and no start or stop. Its answers renewed its lease and said that nothing ran there,
+// and the start that it had left unanswered held the task for as long as the stop was not answered either. A
+// start is refused once its lease has passed on the worker's clock, so a list after that without it is certain.
+#[gtest]
+fn a_start_that_cannot_arrive_in_time_any_more_does_not_hold_its_task() {
+    let mut world = World::new(54, 4);
+    world.run(seconds(1));
+    world.fates.starts = VecDeque::from([None; 4]);
+    world.fates.lost_stops = u32::MAX;
+    world.submit("now", "a", vec![lasting(1, 1)]);
+    world.run(seconds(20));
+    expect_that!(runs_of(&world, "a"), eq(1));
+}
+
 // One worker refused each start for want of room, while its polls said that it was empty. The refusal taught
 // nothing: the same worker was chosen again in the next pass, some hundred times a second.
 #[gtest]
@@ -125,3 +139,15 @@
     world.run(seconds(10));
     expect_that!(runs_of(&world, "a"), eq(40));
 }
+
+// A worker went dark just before a start. Each of the four sends of the start counted as an extension of its
+// lease, as the looks at it had once.
+#[gtest]
+fn sending_an_unanswered_start_again_extends_no_lease() {
+    let mut world = World::new(58, 4);
+    world.run(seconds(1));
+    world.workers.values_mut().next().unwrap().up = false;
+    world.submit("now", "a", vec![lasting(1, 1)]);
+    world.run(Duration::from_millis(5_500));
+    expect_that!(runs_of(&world, "a"), eq(1));
+}
