A start that cannot arrive in time any more holds no task

Cause: a start without an answer counted as on its way until a stop was answered, and answers to looks renewed the lease in between; a worker that answers only looks held the task for good. Ruled out: giving the task up after some tries: the start may still be carried out, and the task would run twice. Change: a run keeps until when, on the worker's clock, a start of it may be carried out; a list from after that without the run says that it is not there and cannot come. Starts sent again to a worker that left the last call unanswered keep the time that was sent before.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -64,7 +64,10 @@
         let Some(life) = self.lives.get_mut(worker) else {
             return;
         };
-        let Some(until) = life.extend_lease(now, WORKER_LEASE) else {
+        // Sent again to a worker that may be gone, a start extends no lease: its task ran elsewhere after
+        // 6.2 s in place of 4.6 s.
+        let before = life.runs.get(task).and_then(|run| run.until).filter(|_| life.misses > 0);
+        let Some(until) = before.or_else(|| life.extend_lease(now, WORKER_LEASE)) else {
             return;
         };
         let address = life.address();
@@ -77,6 +80,7 @@
             RunPhase::Running { .. } | RunPhase::Stopping { .. } => return,
         };
         entry.phase = RunPhase::Sent { tries };
+        entry.until = entry.until.max(Some(until));
         info!(task:% = task, run, worker = &**worker, tries, resumes = !saved.is_empty(); "start sent");
         self.actions.push(GraphAction::Start(StartOrder {
             worker: worker.clone(),
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -363,7 +363,12 @@
     life.health.note_work(now, work, time);
     let gone = |(task, run): &(&TaskName, &crate::graph::worker::WorkerRun)| {
         let since = match run.phase {
-            RunPhase::Sent { .. } | RunPhase::Stopping { answered: None, .. } => return false,
+            // A start is refused once its time has passed on the worker's clock. A worker that answered
+            // looks, and neither starts nor stops, held a task for good.
+            RunPhase::Sent { .. } | RunPhase::Stopping { answered: None, .. } => match run.until {
+                Some(until) => until,
+                None => return false,
+            },
             RunPhase::Running { confirmed } => confirmed,
             RunPhase::Stopping { answered: Some(answered), .. } => answered,
         };
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -88,6 +88,8 @@
     pub throttle: u32,
     /// Sends of its stop that have failed.
     pub failed_stops: u32,
+    /// Until when, on the worker's clock, a start of it that was sent may still be carried out.
+    pub until: Option<Duration>,
 }
 
 /// A life of a worker.
@@ -162,6 +164,7 @@
             image: step.and_then(|step| step.image.clone()),
             throttle: 100,
             failed_stops: 0,
+            until: None,
         }
     }
 }
