Types that pass between the duties of a process have files of their own

Reason: eight files of src/node formed one circle (access, calls, leader, ledger, members, peers, registry, shared): shared held the records, the view of members and the messages, and imported the leader's duty for its input. Change: message (LeaderCall, LeaderAnswer), input (LeaderInput and GroupOutcome, which it carries), records (LeaderRecord, EpochRecord, EntryRecord) and view (MemberView) import no duty; names of the members' keys are in keys; boot is now clock and has unix_millis too. shared imports only input, view, settings, dependency and the platform's clients. Moves and imports only, no logic; in ledger.rs GroupOutcome has left and the imports follow. Conclusion: of the circle, only access and peers still import each other.

--- a/src/node.rs
+++ b/src/node.rs
@@ -1,23 +1,27 @@
 //! The process on the platform: duties that carry out what the decisions in [`crate::graph`] ask for.
 
 mod access;
-mod boot;
 mod callers;
 mod calls;
+mod clock;
 mod configuration;
 mod dependency;
 mod election;
+mod input;
 mod keys;
 mod leader;
 mod ledger;
 mod members;
+mod message;
 mod peers;
 mod probe;
 mod process;
 mod reach;
+mod records;
 mod registry;
 mod settings;
 mod shared;
+mod view;
 
 pub(crate) use keys::{
     KeyEvent, KeyItem, KeyPage, KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome,
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -7,10 +7,12 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::graph::{GraphJob, GraphState};
-use crate::node::leader::LeaderInput;
+use crate::node::input::LeaderInput;
 use crate::node::ledger::JobLedger;
+use crate::node::message::{LeaderAnswer, LeaderCall};
 use crate::node::peers::{PeerClient, PeerFailure};
-use crate::node::shared::{LeaderAnswer, LeaderCall, LeaderRecord, NodeShared};
+use crate::node::records::LeaderRecord;
+use crate::node::shared::NodeShared;
 
 /// Name in the log of calls for the leader.
 const CALL_DUTY: &str = "calls";
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -19,7 +19,9 @@
 
 use crate::graph::{GraphRecord, QueueRule};
 use crate::node::access::{AccessFailure, LeaderAccess};
-use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared, unix_millis};
+use crate::node::clock::unix_millis;
+use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::shared::NodeShared;
 use crate::platform::{caller_patience, decode_job, encode_pending, encode_state, is_job_name};
 use crate::problem::{ProblemDetails, RanState, json_response};
 
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -8,7 +8,7 @@
 
 use crate::graph::{AdviceCall, CommitGroup, GraphAction, LeaderEpoch, StartOrder};
 use crate::id::EntryId;
-use crate::node::leader::LeaderInput;
+use crate::node::input::LeaderInput;
 use crate::node::ledger::JobLedger;
 use crate::node::peers::PeerClient;
 use crate::node::shared::NodeShared;
--- a/src/node/boot.rs
+++ b/src/node/clock.rs
@@ -1,10 +1,12 @@
-//! The clock that goes on while the machine is suspended.
+//! The clocks of a machine: the one that goes on while it is suspended, and the time since 1970.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
+use crate::id::UnixMillis;
+
 /// Shortest suspension that is reported: below, it is the jitter of two clock readings.
 const LEAST_GAP: Duration = Duration::from_millis(50);
 
@@ -34,3 +36,9 @@
 fn boot_time() -> Duration {
     clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default()
 }
+
+/// Milliseconds since the Unix epoch.
+pub(crate) fn unix_millis() -> UnixMillis {
+    let passed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(passed.as_millis()).unwrap_or(0)
+}
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -11,10 +11,15 @@
 
 use crate::graph::LeaderEpoch;
 use crate::id::EntryId;
-use crate::node::keys::{KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome};
-use crate::node::leader::{LeaderDuty, LeaderInput, LeaderTerm};
-use crate::node::members::{ENTRY_PREFIX, EPOCH_KEY, LEADER_KEY};
-use crate::node::shared::{EntryRecord, EpochRecord, LeaderRecord, MemberView, NodeShared};
+use crate::node::input::LeaderInput;
+use crate::node::keys::{
+    ENTRY_PREFIX, EPOCH_KEY, KeySet, KeyTransaction, LEADER_KEY, LeaseId, StoreError,
+    TransactionOutcome,
+};
+use crate::node::leader::{LeaderDuty, LeaderTerm};
+use crate::node::records::{EntryRecord, EpochRecord, LeaderRecord};
+use crate::node::shared::NodeShared;
+use crate::node::view::MemberView;
 use crate::ring::{RingSender, ring};
 
 /// This duty's name in the log.
--- /dev/null
+++ b/src/node/input.rs
@@ -0,0 +1,42 @@
+//! What the other duties of a process tell the leader's duty.
+
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::graph::{
+    AdviceId, CommandResult, GroupNumber, LeaderEpoch, PollResult, RunNumber, TaskName, TicketText,
+    WorkerListing,
+};
+use crate::id::WorkerId;
+use crate::node::message::{LeaderAnswer, LeaderCall};
+
+/// What comes to the leader's duty.
+pub(crate) enum LeaderInput {
+    /// A call of an entry, and where its answer goes.
+    Call(LeaderCall, oneshot::Sender<LeaderAnswer>),
+    Listed(Box<WorkerListing>),
+    Unlisted(WorkerId),
+    Polled(WorkerId, PollResult),
+    Started(WorkerId, TaskName, RunNumber, CommandResult),
+    Stopped(WorkerId, TaskName, RunNumber, CommandResult),
+    Advised(AdviceId, Option<Vec<(WorkerId, TicketText)>>),
+    Stored(GroupNumber, GroupOutcome),
+    /// The lease in the store was renewed by a call sent then.
+    Renewed(Instant),
+    /// This leader goes on under a later epoch.
+    Epoch(LeaderEpoch, u64),
+    /// State for people to read.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// Stop leading.
+    Resign,
+}
+
+/// How storing a group ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum GroupOutcome {
+    Stored,
+    /// The store has refused it each time: it is surely not stored.
+    Refused,
+    /// Another leads: the group is not stored and never will be.
+    Deposed,
+}
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -3,6 +3,15 @@
 use bytes::Bytes;
 use thiserror::Error;
 
+/// Prefix of all keys that entries watch.
+pub(crate) const MEMBER_PREFIX: &str = "m/";
+/// The leader, under its lease.
+pub(crate) const LEADER_KEY: &str = "m/leader";
+/// Number of elections; its revision is the condition of all that a leader writes.
+pub(crate) const EPOCH_KEY: &str = "m/epoch";
+/// Prefix of the keys of entries, each under its lease.
+pub(crate) const ENTRY_PREFIX: &str = "m/entry/";
+
 /// Name of a lease in the store.
 pub(crate) type LeaseId = u64;
 
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -9,16 +9,15 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::graph::{
-    AdviceId, CommandResult, GraphAction, GraphController, GraphJob, GroupNumber, LeaderEpoch,
-    PollResult, RunNumber, TaskName, TicketText, WorkerListing,
-};
-use crate::id::{CallId, EntryId, WorkerId};
-use crate::node::boot::BootClock;
+use crate::graph::{GraphAction, GraphController, GraphJob, LeaderEpoch};
+use crate::id::{CallId, EntryId};
 use crate::node::calls::CallCarrier;
-use crate::node::ledger::{GroupOutcome, JobLedger, LEDGER_DUTY};
+use crate::node::clock::{BootClock, unix_millis};
+use crate::node::input::{GroupOutcome, LeaderInput};
+use crate::node::ledger::{JobLedger, LEDGER_DUTY};
+use crate::node::message::{LeaderAnswer, LeaderCall};
 use crate::node::registry::RegistryDuty;
-use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared, unix_millis};
+use crate::node::shared::NodeShared;
 use crate::ring::{RingReceiver, RingSender};
 
 /// Pause after the ledger could not be read.
@@ -26,27 +25,6 @@
 /// Inputs taken in before what is due is done.
 const MOST_INPUTS: usize = 64;
 
-/// What comes to the leader's duty.
-pub(crate) enum LeaderInput {
-    /// A call of an entry, and where its answer goes.
-    Call(LeaderCall, oneshot::Sender<LeaderAnswer>),
-    Listed(Box<WorkerListing>),
-    Unlisted(WorkerId),
-    Polled(WorkerId, PollResult),
-    Started(WorkerId, TaskName, RunNumber, CommandResult),
-    Stopped(WorkerId, TaskName, RunNumber, CommandResult),
-    Advised(AdviceId, Option<Vec<(WorkerId, TicketText)>>),
-    Stored(GroupNumber, GroupOutcome),
-    /// The lease in the store was renewed by a call sent then.
-    Renewed(Instant),
-    /// This leader goes on under a later epoch.
-    Epoch(LeaderEpoch, u64),
-    /// State for people to read.
-    Dump(oneshot::Sender<serde_json::Value>),
-    /// Stop leading.
-    Resign,
-}
-
 /// What an election gave.
 pub(crate) struct LeaderTerm {
     pub(crate) epoch: LeaderEpoch,
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -13,11 +13,11 @@
 
 use crate::graph::{CommitGroup, GraphProgress, GraphRecord, LeaderEpoch, LeaderState};
 use crate::node::dependency::DependencyLog;
+use crate::node::input::GroupOutcome;
 use crate::node::keys::{
-    KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome, UnreadableKind,
+    EPOCH_KEY, KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome, UnreadableKind,
     count_unreadable,
 };
-use crate::node::members::EPOCH_KEY;
 use crate::node::shared::NodeShared;
 use crate::platform::PlatformStore;
 
@@ -47,16 +47,6 @@
     pub(crate) group_revision: u64,
 }
 
-/// How storing a group ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum GroupOutcome {
-    Stored,
-    /// The store has refused it each time: it is surely not stored.
-    Refused,
-    /// Another leads: the group is not stored and never will be.
-    Deposed,
-}
-
 /// Reads and writes jobs for one leader.
 #[derive(Clone)]
 pub(crate) struct JobLedger {
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -9,18 +9,12 @@
 
 use crate::id::EntryId;
 use crate::node::keys::{
-    KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
+    ENTRY_PREFIX, EPOCH_KEY, KeyEvent, KeyItem, LEADER_KEY, MEMBER_PREFIX, StoreError,
+    UnreadableKind, WatchOutcome, count_unreadable,
 };
-use crate::node::shared::{EpochRecord, MemberView, NodeShared};
-
-/// Prefix of all keys that entries watch.
-const MEMBER_PREFIX: &str = "m/";
-/// The leader, under its lease.
-pub(crate) const LEADER_KEY: &str = "m/leader";
-/// Number of elections; its revision is the condition of all that a leader writes.
-pub(crate) const EPOCH_KEY: &str = "m/epoch";
-/// Prefix of the keys of entries, each under its lease.
-pub(crate) const ENTRY_PREFIX: &str = "m/entry/";
+use crate::node::records::EpochRecord;
+use crate::node::shared::NodeShared;
+use crate::node::view::MemberView;
 
 /// This duty's name in the log.
 const DUTY: &str = "members";
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -21,7 +21,8 @@
 use crate::graph::{GraphId, StepKey, TicketText};
 use crate::id::WorkerId;
 use crate::node::access::ask_here;
-use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared};
+use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::shared::NodeShared;
 
 type Result<T> = std::result::Result<T, ErrorObjectOwned>;
 type Allowed = Vec<(WorkerId, TicketText)>;
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::node::leader::LeaderInput;
+use crate::node::input::LeaderInput;
 use crate::node::shared::NodeShared;
 use crate::platform::READY_PATH;
 use crate::problem::{full, json_response};
--- a/src/node/reach.rs
+++ b/src/node/reach.rs
@@ -8,8 +8,9 @@
 use tokio::time::sleep;
 
 use crate::node::access::{note_leader, note_no_leader};
+use crate::node::message::{LeaderAnswer, LeaderCall};
 use crate::node::peers::PeerClient;
-use crate::node::shared::{LeaderAnswer, LeaderCall, NodeShared};
+use crate::node::shared::NodeShared;
 
 /// This duty's name in the log.
 const DUTY: &str = "reach";
--- /dev/null
+++ b/src/node/records.rs
@@ -0,0 +1,42 @@
+//! The members as they stand in the store.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::graph::LeaderEpoch;
+use crate::id::{DomainId, EntryId};
+
+/// The leader as it stands in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct LeaderRecord {
+    pub(crate) entry: EntryId,
+    /// Where other entries reach it.
+    pub(crate) address: SocketAddr,
+    /// Tells one start of the entry from another.
+    pub(crate) start: u64,
+    pub(crate) epoch: LeaderEpoch,
+}
+
+/// The last election as it stands in the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct EpochRecord {
+    pub(crate) epoch: LeaderEpoch,
+    /// Who was elected, and in which start; `None` once it has stepped down.
+    pub(crate) holder: Option<(EntryId, u64)>,
+}
+
+/// An entry as it stands in the store.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct EntryRecord {
+    pub(crate) address: SocketAddr,
+    /// Its failure domain.
+    pub(crate) domain: DomainId,
+    /// Tells one start of the entry from another.
+    pub(crate) start: u64,
+    /// Share of a processor core.
+    pub(crate) processor: f64,
+}
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -8,10 +8,10 @@
 use tokio::time::sleep;
 
 use crate::id::WorkerId;
+use crate::node::input::LeaderInput;
 use crate::node::keys::{
     KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
 };
-use crate::node::leader::LeaderInput;
 use crate::node::shared::NodeShared;
 use crate::platform::{REGISTRATION_PREFIX, RegistrationError, decode_registration, worker_of_key};
 use crate::ring::RingSender;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,21 +1,16 @@
 //! What the duties of a process share.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::graph::{
-    AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, LeaderEpoch, QueueConfig, QueueId,
-};
-use crate::id::{DomainId, EntryId, UnixMillis};
+use crate::graph::QueueConfig;
 use crate::node::dependency::NodeDependencies;
-use crate::node::leader::LeaderInput;
+use crate::node::input::LeaderInput;
 use crate::node::settings::NodeSettings;
+use crate::node::view::MemberView;
 use crate::platform::{AdvisorClient, PlatformStore};
 use crate::ring::RingSender;
 
@@ -33,118 +28,6 @@
 /// 250 ms.
 const ELECTION_SILENCE: Duration = Duration::from_millis(1_500);
 
-/// The leader as it stands in the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub(crate) struct LeaderRecord {
-    pub(crate) entry: EntryId,
-    /// Where other entries reach it.
-    pub(crate) address: SocketAddr,
-    /// Tells one start of the entry from another.
-    pub(crate) start: u64,
-    pub(crate) epoch: LeaderEpoch,
-}
-
-/// The last election as it stands in the store.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub(crate) struct EpochRecord {
-    pub(crate) epoch: LeaderEpoch,
-    /// Who was elected, and in which start; `None` once it has stepped down.
-    pub(crate) holder: Option<(EntryId, u64)>,
-}
-
-/// An entry as it stands in the store.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub(crate) struct EntryRecord {
-    pub(crate) address: SocketAddr,
-    /// Its failure domain.
-    pub(crate) domain: DomainId,
-    /// Tells one start of the entry from another.
-    pub(crate) start: u64,
-    /// Share of a processor core.
-    pub(crate) processor: f64,
-}
-
-/// Who takes part.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct MemberView {
-    pub(crate) leader: Option<LeaderRecord>,
-    pub(crate) entries: BTreeMap<EntryId, EntryRecord>,
-    /// Revision of the key that counts elections; 0 before the first.
-    pub(crate) epoch_revision: u64,
-    pub(crate) epoch: LeaderEpoch,
-    /// Who was elected last.
-    pub(crate) holder: Option<(EntryId, u64)>,
-    /// Whether the store has been read.
-    pub(crate) known: bool,
-}
-
-impl MemberView {
-    /// Whether nobody leads: there is no leader, or its process has ended, which shows as soon as its
-    /// entry has started anew; its key stands for up to the life of its lease.
-    pub(crate) fn leaderless(&self) -> bool {
-        self.leader.as_ref().is_none_or(|leader| {
-            self.entries.get(&leader.entry).is_some_and(|record| record.start != leader.start)
-        })
-    }
-
-    /// Whether a process that was elected has surely ended: its entry has started anew.
-    pub(crate) fn has_ended(&self, holder: &Option<(EntryId, u64)>) -> bool {
-        holder.as_ref().is_none_or(|(entry, start)| {
-            self.entries.get(entry).is_some_and(|record| record.start != *start)
-        })
-    }
-}
-
-/// A call for the leader.
-#[derive(Clone, Debug)]
-#[derive(Deserialize, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum LeaderCall {
-    /// A job, which request of its caller this is, and how long that one waits.
-    Submit(AttemptId, Duration, Box<GraphRecord>),
-    Cancel(GraphId),
-    State(GraphId),
-    Pending(QueueId),
-    /// Whether it leads; any entry answers.
-    Reach,
-}
-
-/// The leader's answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum LeaderAnswer {
-    /// The job is stored.
-    Accepted,
-    /// The job never runs; when to come back.
-    Rejected(Duration),
-    /// The job is cancelled, and that is stored.
-    Cancelled,
-    /// No such job, or it has ended.
-    Gone,
-    State(GraphState),
-    /// Number of jobs that wait.
-    Pending(usize),
-    /// This entry leads.
-    Leading,
-    /// This entry does not lead: nothing was done.
-    NotLeading,
-}
-
-impl From<GraphAnswer> for LeaderAnswer {
-    fn from(answer: GraphAnswer) -> Self {
-        match answer {
-            GraphAnswer::Accepted => Self::Accepted,
-            GraphAnswer::Rejected(retry) => Self::Rejected(retry),
-            GraphAnswer::Cancelled => Self::Cancelled,
-            GraphAnswer::Gone => Self::Gone,
-        }
-    }
-}
-
 /// Shared by all duties.
 pub(crate) struct NodeShared {
     pub(crate) settings: NodeSettings,
@@ -233,9 +116,3 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// Milliseconds since the Unix epoch.
-pub(crate) fn unix_millis() -> UnixMillis {
-    let passed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(passed.as_millis()).unwrap_or(0)
-}
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -10,9 +10,12 @@
 use crate::graph::{GraphBounds, QueueConfig, RequestLimits};
 use crate::node::KeyItem;
 use crate::node::dependency::{DependencyLine, DependencyRule, DutyRhythm};
-use crate::node::members::{ENTRY_PREFIX, EPOCH_KEY, written};
+use crate::node::keys::{ENTRY_PREFIX, EPOCH_KEY};
+use crate::node::members::written;
+use crate::node::records::{EntryRecord, LeaderRecord};
 use crate::node::settings::NodeSettings;
-use crate::node::shared::{EntryRecord, LeaderRecord, MemberView, NodeShared};
+use crate::node::shared::NodeShared;
+use crate::node::view::MemberView;
 
 fn settings() -> NodeSettings {
     let address = "127.0.0.1:9".parse().unwrap();
