Calling another entry and answering one do not know each other

Reason: peers held both sides of the calls between entries and imported ask_here from access, which imports the client from peers: the last circle of src/node. Change: peers is the client only; peer_service answers other entries; own_leader (ask_here) hands a call to the leader's duty of this process, for access and peer_service alike. What both sides must agree on (names of the methods, largest call, the workers advice allows) is in message. Names on the wire, codes, limits and times are as they were. Conclusion: the arrows of src/node go one way.

--- a/src/node.rs
+++ b/src/node.rs
@@ -13,6 +13,8 @@
 mod ledger;
 mod members;
 mod message;
+mod own_leader;
+mod peer_service;
 mod peers;
 mod probe;
 mod process;
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::graph::{GraphJob, GraphState};
-use crate::node::input::LeaderInput;
 use crate::node::ledger::JobLedger;
 use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::own_leader::ask_here;
 use crate::node::peers::{PeerClient, PeerFailure};
 use crate::node::records::LeaderRecord;
 use crate::node::shared::NodeShared;
@@ -151,18 +150,3 @@
 pub(crate) fn note_no_leader(shared: &NodeShared, duty: &str) {
     shared.dependencies.leader.tried(duty, &Err::<(), _>("no other entry leads"));
 }
-
-/// Asks the leader's duty of this process; `None` where it ended without an answer.
-pub(crate) async fn ask_here(shared: &NodeShared, call: LeaderCall) -> Option<LeaderAnswer> {
-    let Some(leader) = shared.leading() else {
-        return Some(LeaderAnswer::NotLeading);
-    };
-    if matches!(call, LeaderCall::Reach) {
-        return Some(LeaderAnswer::Leading);
-    }
-    let (answer, answered) = oneshot::channel();
-    match leader.offer(LeaderInput::Call(call, answer)) {
-        Ok(()) => answered.await.ok(),
-        Err(_) => Some(LeaderAnswer::NotLeading),
-    }
-}
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -4,11 +4,11 @@
 use tokio::time::Instant;
 
 use crate::graph::{
-    AdviceId, CommandResult, GroupNumber, LeaderEpoch, PollResult, RunNumber, TaskName, TicketText,
+    AdviceId, CommandResult, GroupNumber, LeaderEpoch, PollResult, RunNumber, TaskName,
     WorkerListing,
 };
 use crate::id::WorkerId;
-use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::message::{AllowedWorkers, LeaderAnswer, LeaderCall};
 
 /// What comes to the leader's duty.
 pub(crate) enum LeaderInput {
@@ -19,7 +19,7 @@
     Polled(WorkerId, PollResult),
     Started(WorkerId, TaskName, RunNumber, CommandResult),
     Stopped(WorkerId, TaskName, RunNumber, CommandResult),
-    Advised(AdviceId, Option<Vec<(WorkerId, TicketText)>>),
+    Advised(AdviceId, Option<AllowedWorkers>),
     Stored(GroupNumber, GroupOutcome),
     /// The lease in the store was renewed by a call sent then.
     Renewed(Instant),
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -1,10 +1,21 @@
-//! Messages between an entry and the leader.
+//! Messages between entries, most of them for the leader.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::graph::{AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId};
+use crate::graph::{AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId, TicketText};
+use crate::id::WorkerId;
+
+/// A call for the leader.
+pub(crate) const ASK_METHOD: &str = "ask";
+/// A question to the service that gives placement advice.
+pub(crate) const ADVISE_METHOD: &str = "advise";
+/// Largest call or answer, in bytes.
+pub(crate) const CALL_BYTES: u32 = 4 << 20;
+
+/// Workers that the service for placement advice allows, with its tickets.
+pub(crate) type AllowedWorkers = Vec<(WorkerId, TicketText)>;
 
 /// A call for the leader.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/src/node/peer_service.rs
@@ -0,0 +1,65 @@
+//! Answers to calls of other entries by JSON-RPC.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::core::RegisterMethodError;
+use jsonrpsee::server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+
+use crate::graph::{GraphId, StepKey};
+use crate::id::WorkerId;
+use crate::node::message::{ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, LeaderCall};
+use crate::node::own_leader::ask_here;
+use crate::node::shared::NodeShared;
+
+type Result<T> = std::result::Result<T, ErrorObjectOwned>;
+
+/// Name in the log of asking for advice on behalf of another entry.
+const DUTY: &str = "advice for the leader";
+/// JSON-RPC code of an error on the way to the advisor.
+const ADVISOR_CODE: i32 = -32_001;
+/// JSON-RPC code where leadership ended during a call: it may have been carried out.
+const ENDED_CODE: i32 = -32_002;
+
+/// Serves calls of other entries.
+pub(crate) fn serve_peers(shared: Arc<NodeShared>) -> io::Result<ServerHandle> {
+    let listener = crate::http::bind(shared.settings.peers)?;
+    let config = ServerConfig::builder().max_request_body_size(CALL_BYTES).http_only().build();
+    let server = ServerBuilder::new().set_config(config).build_from_tcp(listener)?;
+    Ok(server.start(module(shared).map_err(io::Error::other)?))
+}
+
+fn module(
+    shared: Arc<NodeShared>,
+) -> std::result::Result<RpcModule<Arc<NodeShared>>, RegisterMethodError> {
+    let mut module = RpcModule::new(shared);
+    module.register_async_method(ASK_METHOD, |params, shared, _| async move {
+        let (call,): (LeaderCall,) = params.parse()?;
+        let answer = ask_here(&shared, call).await;
+        answer.ok_or_else(|| ErrorObjectOwned::owned(ENDED_CODE, "leadership ended", None::<()>))
+    })?;
+    module.register_async_method(ADVISE_METHOD, |params, shared, _| async move {
+        let (job, occurrence, step, workers, time): (GraphId, u32, u32, Vec<WorkerId>, Duration) =
+            params.parse()?;
+        let step = StepKey { occurrence, step };
+        advise_here(&shared, job, step, workers, time).await
+    })?;
+    Ok(module)
+}
+
+async fn advise_here(
+    shared: &NodeShared,
+    job: GraphId,
+    step: StepKey,
+    workers: Vec<WorkerId>,
+    time: Duration,
+) -> Result<AllowedWorkers> {
+    let failed = |reason: String| ErrorObjectOwned::owned(ADVISOR_CODE, reason, None::<()>);
+    let advisor = shared.advisor.as_ref().ok_or_else(|| failed("no advisor is set".to_owned()))?;
+    let allowed = advisor.advise(&job, step, &workers, time).await;
+    let allowed = allowed.map_err(|error| format!("{error:?}"));
+    shared.dependencies.advisor.tried(DUTY, &allowed);
+    allowed.map_err(failed)
+}
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,7 +1,6 @@
-//! Calls between entries by JSON-RPC.
+//! Calls to other entries by JSON-RPC.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -10,43 +9,26 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use jsonrpsee::core::RegisterMethodError;
-use jsonrpsee::server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle};
-use jsonrpsee::types::ErrorObjectOwned;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::client::{ClientError, HttpClient, count_payload};
-use crate::graph::{GraphId, StepKey, TicketText};
+use crate::graph::{GraphId, StepKey};
 use crate::id::WorkerId;
-use crate::node::access::ask_here;
-use crate::node::message::{LeaderAnswer, LeaderCall};
-use crate::node::shared::NodeShared;
-
-type Result<T> = std::result::Result<T, ErrorObjectOwned>;
-type Allowed = Vec<(WorkerId, TicketText)>;
-
-/// Name in the log of asking for advice on behalf of another entry.
-const DUTY: &str = "advice for the leader";
-/// A call for the leader.
-const ASK: &str = "ask";
-/// A question to the service that gives placement advice.
-const ADVISE: &str = "advise";
+use crate::node::message::{
+    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, LeaderAnswer, LeaderCall,
+};
+
+type Result<T> = std::result::Result<T, PeerFailure>;
+
 /// Longest time to make a connection: entries are two milliseconds apart.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
 /// How long an entry that left a call unanswered is taken to be out of reach: callers are told at
 /// once instead of waiting in vain, and one of them tries again after it.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
-/// Largest call, in bytes.
-const CALL_BYTES: u32 = 4 << 20;
 /// Added to the time of an advisor's answer for the way between entries.
 const WAY_TIME: Duration = Duration::from_millis(200);
-/// JSON-RPC code of an error on the way to the advisor.
-const ADVISOR_CODE: i32 = -32_001;
-
-/// JSON-RPC code where leadership ended during a call: it may have been carried out.
-const ENDED_CODE: i32 = -32_002;
 
 /// How a call to another entry failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -57,47 +39,6 @@
     NoAnswer,
 }
 
-/// Serves calls of other entries.
-pub(crate) fn serve_peers(shared: Arc<NodeShared>) -> io::Result<ServerHandle> {
-    let listener = crate::http::bind(shared.settings.peers)?;
-    let config = ServerConfig::builder().max_request_body_size(CALL_BYTES).http_only().build();
-    let server = ServerBuilder::new().set_config(config).build_from_tcp(listener)?;
-    Ok(server.start(module(shared).map_err(io::Error::other)?))
-}
-
-fn module(
-    shared: Arc<NodeShared>,
-) -> std::result::Result<RpcModule<Arc<NodeShared>>, RegisterMethodError> {
-    let mut module = RpcModule::new(shared);
-    module.register_async_method(ASK, |params, shared, _| async move {
-        let (call,): (LeaderCall,) = params.parse()?;
-        let answer = ask_here(&shared, call).await;
-        answer.ok_or_else(|| ErrorObjectOwned::owned(ENDED_CODE, "leadership ended", None::<()>))
-    })?;
-    module.register_async_method(ADVISE, |params, shared, _| async move {
-        let (job, occurrence, step, workers, time): (GraphId, u32, u32, Vec<WorkerId>, Duration) =
-            params.parse()?;
-        let step = StepKey { occurrence, step };
-        advise_here(&shared, job, step, workers, time).await
-    })?;
-    Ok(module)
-}
-
-async fn advise_here(
-    shared: &NodeShared,
-    job: GraphId,
-    step: StepKey,
-    workers: Vec<WorkerId>,
-    time: Duration,
-) -> Result<Allowed> {
-    let failed = |reason: String| ErrorObjectOwned::owned(ADVISOR_CODE, reason, None::<()>);
-    let advisor = shared.advisor.as_ref().ok_or_else(|| failed("no advisor is set".to_owned()))?;
-    let allowed = advisor.advise(&job, step, &workers, time).await;
-    let allowed = allowed.map_err(|error| format!("{error:?}"));
-    shared.dependencies.advisor.tried(DUTY, &allowed);
-    allowed.map_err(failed)
-}
-
 /// A JSON-RPC request over HTTP. jsonrpsee's own client cannot tell a connection that was never made
 /// from a call that was not answered, and has no time limit for making one.
 #[derive(Debug)]
@@ -137,8 +78,8 @@
         address: SocketAddr,
         call: &LeaderCall,
         time: Duration,
-    ) -> std::result::Result<LeaderAnswer, PeerFailure> {
-        self.request(address, ASK, (call,), time).await
+    ) -> Result<LeaderAnswer> {
+        self.request(address, ASK_METHOD, (call,), time).await
     }
 
     /// Has an entry ask for advice.
@@ -149,9 +90,9 @@
         step: StepKey,
         workers: Vec<WorkerId>,
         time: Duration,
-    ) -> std::result::Result<Allowed, String> {
+    ) -> std::result::Result<AllowedWorkers, String> {
         let params = (job, step.occurrence, step.step, workers, time);
-        let allowed = self.request(address, ADVISE, params, time + WAY_TIME).await;
+        let allowed = self.request(address, ADVISE_METHOD, params, time + WAY_TIME).await;
         allowed.map_err(|failure| format!("{failure:?}"))
     }
 
@@ -161,7 +102,7 @@
         method: &str,
         params: P,
         time: Duration,
-    ) -> std::result::Result<T, PeerFailure> {
+    ) -> Result<T> {
         if !self.may_try(address) {
             return Err(PeerFailure::NotSent);
         }
@@ -176,7 +117,7 @@
         method: &str,
         params: P,
         time: Duration,
-    ) -> std::result::Result<T, PeerFailure> {
+    ) -> Result<T> {
         let body = RpcRequest { jsonrpc: "2.0", id: 1, method, params };
         let body = serde_json::to_vec(&body).map_err(|_| PeerFailure::NotSent)?;
         count_payload("peers", body.len());
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -21,7 +21,7 @@
 use crate::node::configuration::ConfigDuty;
 use crate::node::election::ElectionDuty;
 use crate::node::members::MemberDuty;
-use crate::node::peers::serve_peers;
+use crate::node::peer_service::serve_peers;
 use crate::node::probe::{ProbeDesk, metric_routes, ready_routes};
 use crate::node::reach::ReachDuty;
 use crate::node::settings::NodeSettings;
