Homes of jobs do not know the placement pass

Reason: graph/home took room_for from graph/placer, and placer takes UnsettledDomains from home. Change: room_for and StepRoom are in graph/room, which imports graph/spec only; StepRoom::holds is given the worker and what is free on it in place of the pass's PassRoom, which stays in placer/room. Same arithmetic. Conclusion: home imports job, lives and room; placer and controller import home, and home neither of them.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -15,6 +15,7 @@
 mod preemption;
 mod progress;
 mod queue;
+mod room;
 mod spec;
 mod worker;
 
--- a/src/graph/home.rs
+++ b/src/graph/home.rs
@@ -13,7 +13,7 @@
 
 use crate::graph::job::GraphJob;
 use crate::graph::lives::{LifeTable, SILENCE};
-use crate::graph::placer::room_for;
+use crate::graph::room::room_for;
 use crate::id::DomainId;
 
 /// Longest objective of a job that has a home: what may take longer outlives a cut of a domain, which
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -21,9 +21,9 @@
 use crate::graph::jobs::JobTable;
 use crate::graph::lives::{LifeTable, SILENCE};
 use crate::graph::name::{GraphId, StepKey, TaskKey, TaskName};
-pub(crate) use crate::graph::placer::room::room_for;
-use crate::graph::placer::room::{PassRoom, StepRoom};
+use crate::graph::placer::room::PassRoom;
 use crate::graph::preemption::{PlannedPreemption, RoomKeeper};
+use crate::graph::room::StepRoom;
 use crate::graph::spec::StepSpec;
 use crate::graph::worker::{RunPhase, WorkerLife};
 use crate::id::{DomainId, UnixMillis, WorkerId};
@@ -272,7 +272,7 @@
             let usable = listing.service == job.rule.service
                 && has_label(room.life, step.step)
                 && !known.is_some_and(|known| known.denied.contains(id));
-            let holds = step_room.holds(room);
+            let holds = step_room.holds(id, &room.free);
             match usable {
                 true if job.may_use(&listing.domain) => here += holds,
                 true => *elsewhere.entry(&listing.domain).or_default() += holds,
--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -78,7 +78,7 @@
         let known = self.view.advice.step(&key);
         let need = step.step.reservation();
         let step_room = self.step_room(step);
-        let holds = |room: &PassRoom<'t>| step_room.holds(room);
+        let holds = |room: &PassRoom<'t>| step_room.holds(room.life.id(), &room.free);
         let fitting = self.rooms.values().filter(|room| {
             room.life.listing.service == step.job.rule.service
                 && step.job.may_use(&room.life.listing.domain)
