--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -149,7 +149,7 @@
         let renewal = self.view.now + rule.call + rule.each * RENEWED_WORKERS;
         let mut rooms = AdviceRooms::default();
         for room in fitting {
-            let free = step_room.holds(room);
+            let free = step_room.holds(room.life.id(), &room.free);
             match known.filter(|known| known.allowed.contains_key(room.life.id())) {
                 Some(known) if known.ticket(room.life.id(), renewal).is_some() => {
                     rooms.ready += free;
--- /dev/null
+++ b/src/node/message.rs
@@ -0,0 +1,65 @@
+//! Messages between entries, most of them for the leader.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::graph::{AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId, TicketText};
+use crate::id::WorkerId;
+
+/// A call for the leader.
+pub(crate) const ASK_METHOD: &str = "ask";
+/// A question to the service that gives placement advice.
+pub(crate) const ADVISE_METHOD: &str = "advise";
+/// Largest call or answer, in bytes.
+pub(crate) const CALL_BYTES: u32 = 4 << 20;
+
+/// Workers that the service for placement advice allows, with its tickets.
+pub(crate) type AllowedWorkers = Vec<(WorkerId, TicketText)>;
+
+/// A call for the leader.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum LeaderCall {
+    /// A job, which request of its caller this is, and how long that one waits.
+    Submit(AttemptId, Duration, Box<GraphRecord>),
+    Cancel(GraphId),
+    State(GraphId),
+    Pending(QueueId),
+    /// Whether it leads; any entry answers.
+    Reach,
+}
+
+/// The leader's answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum LeaderAnswer {
+    /// The job is stored.
+    Accepted,
+    /// The job never runs; when to come back.
+    Rejected(Duration),
+    /// The job is cancelled, and that is stored.
+    Cancelled,
+    /// No such job, or it has ended.
+    Gone,
+    State(GraphState),
+    /// Number of jobs that wait.
+    Pending(usize),
+    /// This entry leads.
+    Leading,
+    /// This entry does not lead: nothing was done.
+    NotLeading,
+}
+
+impl From<GraphAnswer> for LeaderAnswer {
+    fn from(answer: GraphAnswer) -> Self {
+        match answer {
+            GraphAnswer::Accepted => Self::Accepted,
+            GraphAnswer::Rejected(retry) => Self::Rejected(retry),
+            GraphAnswer::Cancelled => Self::Cancelled,
+            GraphAnswer::Gone => Self::Gone,
+        }
+    }
+}
