--- a/tests/graph/stuck.rs
+++ b/tests/graph/stuck.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{StepSpec, WorkerId, WorkerRefusal};
+use kelplink::{GraphState, StepSpec, WorkerId, WorkerRefusal};
 
+use crate::model::ModelWorker;
 use crate::world::{World, step};
 
 fn seconds(seconds: u64) -> Duration {
@@ -151,3 +152,65 @@
     world.run(Duration::from_millis(5_500));
     expect_that!(runs_of(&world, "a"), eq(1));
 }
+
+// The rack with a job's data had room on one worker only, on which all runs failed. Nearness outweighed that: the
+// job failed for good within a second, with seven sound workers empty.
+#[gtest]
+fn a_task_that_failed_near_its_data_is_tried_elsewhere() {
+    let mut world = World::new(63, 8);
+    world.run(seconds(1));
+    let rack = world.workers["w0-0"].listing.rack.clone();
+    let near = StepSpec { label: Some((*rack).into()), ..lasting(3, 8) };
+    world.submit("now", "full", vec![near]);
+    world.run(seconds(1));
+    let left = |worker: &&mut ModelWorker| worker.listing.rack == rack && worker.runs.is_empty();
+    world.workers.values_mut().find(left).unwrap().spoils = true;
+    world.submit("now", "a", vec![StepSpec { affinity: Some(rack), ..step(1, 1, 100) }]);
+    world.run(seconds(5));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+}
+
+// One member of a lasting gang ended and its worker did not break the others. A gang is started as a whole, and
+// nothing stopped the rest of it.
+#[gtest]
+fn a_lasting_gang_that_lost_a_member_by_its_end_is_started_again() {
+    let mut world = World::new(61, 6);
+    world.run(seconds(1));
+    for (place, worker) in world.workers.values_mut().enumerate() {
+        worker.slowness = if place == 0 { 1 } else { 1_000 };
+    }
+    let gang = StepSpec { gang: true, lasting: true, ..step(3, 8, 1_500) };
+    world.submit("now", "a", vec![gang]);
+    world.run(seconds(1));
+    expect_that!(runs_of(&world, "a"), eq(3));
+    world.run(Duration::from_millis(1_600));
+    expect_that!(runs_of(&world, "a"), eq(3));
+}
+
+// A worker is not registered any more, runs nothing and answers polls. Each answer renewed its lease, which has to
+// end before it counts as gone.
+#[gtest]
+fn a_worker_without_registration_and_runs_is_left_alone() {
+    let mut world = World::new(62, 3);
+    world.run(seconds(1));
+    let id: WorkerId = "w0-0".into();
+    world.leader().unwrap().worker_unlisted(&id);
+    world.run(seconds(10));
+    expect_that!(world.leader().unwrap().lives().get(&id).is_some(), eq(false));
+    expect_that!(world.store.workers.iter().any(|used| used.id == id), eq(false));
+}
+
+// What lasts is started again however it ends, as often as it may be.
+#[gtest]
+fn lasting_tasks_are_started_again_however_they_end() {
+    let mut world = World::new(60, 4);
+    world.failing = 500;
+    world.run(seconds(1));
+    world.submit("now", "a", vec![StepSpec { lasting: true, ..step(3, 1, 1_000) }]);
+    for _ in 0..20 {
+        world.run(Duration::from_millis(400));
+        let before = world.begun_runs;
+        world.run(Duration::from_millis(1_400));
+        expect_that!(world.begun_runs - before, ge(3));
+    }
+}
