--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -18,7 +18,7 @@
 fn worth(step: &StepSpec) -> f64 {
     match step.lasting {
         true => f64::MAX,
-        false => f64::from(step.need.millicores) / 1_000.0 * step.estimate.as_secs_f64(),
+        false => f64::from(step.reservation().millicores) / 1_000.0 * step.estimate.as_secs_f64(),
     }
 }
 
