A worker in doubt where a task failed comes after distance

Cause: the choice of a worker put distance from the data before failures and health; lasting tasks' failures were not noted. Ruled out: failures before distance in all cases: a job's own fault fails everywhere, and would be driven from its data. Change: a worker on which the task failed and which is in doubt comes last; failures of lasting tasks are noted as well.

--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -163,6 +163,9 @@
                 }
             }
             EndKind::Done | EndKind::Failed if step.lasting => {
+                if kind == EndKind::Failed {
+                    job.avoid.entry(task.key).or_default().insert(worker.clone());
+                }
                 job.not_before.insert(task.key, now + LASTING_PAUSE);
             }
             EndKind::Failed => {
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::graph::health::HealthRank;
 use crate::graph::name::TaskKey;
 use crate::graph::placer::room::PassRoom;
 use crate::graph::placer::{OpenStep, PlacementPass, PlannedStart};
@@ -173,7 +174,9 @@
                 true => u32::MAX - room.free.millicores.saturating_sub(room.wanted),
                 false => room.free.millicores - need.millicores,
             };
-            (far, failed, room.health, disturbs, rest)
+            // Before distance: a job failed for good on the one bad worker of its rack, seven others empty.
+            let doubted = failed && room.health != HealthRank::Sound;
+            (doubted, far, failed, room.health, disturbs, rest)
         };
         among.iter().filter(fits).min_by_key(cost).cloned()
     }
