The rest of a lasting gang is stopped when a member ends

Cause: an end of a lasting task only has that task started again; a gang is started as a whole, so it went on without it. Change: the others are stopped, and the gang is started again. Ruled out: starting the member alone: members share one run number.

--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -167,6 +167,7 @@
                     job.avoid.entry(task.key).or_default().insert(worker.clone());
                 }
                 job.not_before.insert(task.key, now + LASTING_PAUSE);
+                effect.stops = rest_of_gang(job, task.key, run);
             }
             EndKind::Failed => {
                 job.progress.failures.entry(task.key).or_default().insert(run);
