An idle worker that is not registered is left alone

Cause: each answer to a look extended the lease of a worker that has no registration and no runs; it has to end before the worker counts as gone, so it was polled, each poll a price, and named in the store for as long as it answered. Ruled out: taking it for gone at once: a registration comes back within two seconds of the store's return. Change: its lease is not extended; it counts as gone when it has run out, 4.7 s later. Before and after: still polled after 30 s; gone. tests/graph: 71 passed.

--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -156,7 +156,9 @@
         let mut polls = Vec::new();
         for life in self.lives.values_mut().filter(due) {
             life.polling = Some(now);
-            let until = match extend && life.misses == 0 {
+            // An idle worker that is not registered is left alone once its lease is over: it was polled for good.
+            let used = life.listed || !life.runs.is_empty();
+            let until = match extend && used && life.misses == 0 {
                 true => life.extend_lease(now, WORKER_LEASE),
                 false => None,
             };
