Verdicts wait for other jobs' progress in the order of names: a case that fails

Where a slow store takes fewer than there are, a job with a late name is not shown as completed for as long as the load lasts (a second and more in the case: 240 ms a group, forty jobs of six tasks a second).

--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -9,5 +9,6 @@
 mod random;
 mod random_cancellation;
 mod registrations;
+mod storing;
 mod stuck;
 mod world;
--- /dev/null
+++ b/tests/graph/storing.rs
@@ -0,0 +1,40 @@
+//! What is stored first where the store takes less than there is to store.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::GraphState;
+
+use crate::world::{World, step};
+
+/// Jobs of six tasks that end one after another, forty a second while a group takes 240 ms, for four seconds.
+fn press(world: &mut World) {
+    for number in 0..160 {
+        let tasks = (1..=6).map(|task| step(1, 1, 120 * task)).collect();
+        world.submit("now", &format!("job{number:03}"), tasks);
+        world.run(Duration::from_millis(25));
+    }
+}
+
+fn busy_world() -> World {
+    let mut world = World::new(61, 60);
+    world.run(Duration::from_secs(1));
+    world.store.slowness = Duration::from_millis(240);
+    world
+}
+
+// A group holds 28 changes, taken in the order of the jobs' names, and each end of a task is a change of its job.
+// Under more ends than a slow store takes, jobs with late names waited for as long as the load lasted, also to be
+// shown as completed. Verdicts go first now, then what has waited longest.
+#[gtest]
+fn a_verdict_does_not_wait_for_progress_of_other_jobs() {
+    let mut world = busy_world();
+    press(&mut world);
+    world.submit("now", "late", vec![step(1, 1, 100)]);
+    for number in 160..200 {
+        let tasks = (1..=6).map(|task| step(1, 1, 120 * task)).collect();
+        world.submit("now", &format!("job{number:03}"), tasks);
+        world.run(Duration::from_millis(25));
+    }
+    expect_that!(world.state("late"), some(eq(GraphState::Completed)));
+}
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -123,6 +123,8 @@
     pub(crate) up: bool,
     /// Whether it says so while it is down.
     pub(crate) refuses: bool,
+    /// How much longer than usual it takes for a group.
+    pub(crate) slowness: Duration,
     pub(crate) jobs: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
     pub(crate) workers: Vec<UsedWorker>,
     /// Whether the list of these workers cannot be read.
@@ -742,7 +744,7 @@
         if let Some(workers) = group.workers {
             self.store.workers = workers;
         }
-        let way = self.way();
+        let way = self.way() + self.store.slowness;
         self.post(way, Message::Stored { leader: epoch, number });
     }
 
