--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -292,13 +292,16 @@
 
     /// What the step may still place on workers.
     fn step_room(&self, step: &OpenStep<'t>) -> StepRoom {
-        let all: Vec<WorkerId> = self.rooms.keys().cloned().collect();
-        StepRoom::new(step.step, self.counts(step, &all))
+        StepRoom::new(step.step, self.counts(step, self.rooms.keys()))
     }
 
     /// Tasks of the step that hold room, have room kept or were given room in this pass, by worker;
     /// nothing where the step has no limit.
-    fn counts(&self, step: &OpenStep<'t>, among: &[WorkerId]) -> BTreeMap<WorkerId, u32> {
+    fn counts<'w>(
+        &self,
+        step: &OpenStep<'t>,
+        among: impl Iterator<Item = &'w WorkerId>,
+    ) -> BTreeMap<WorkerId, u32> {
         if step.step.max_per_worker.is_none() {
             return BTreeMap::new();
         }
@@ -308,7 +311,7 @@
             let kept = self.view.keeper.count(worker, id, step.key);
             Some((worker.clone(), room.life.count_of(id, step.key) + kept))
         };
-        let mut counts: BTreeMap<WorkerId, u32> = among.iter().filter_map(count).collect();
+        let mut counts: BTreeMap<WorkerId, u32> = among.filter_map(count).collect();
         // Room that was kept for a task is counted already.
         let kept_here = |start: &PlannedStart| {
             let kept = self.view.keeper.get(&step.job.task_name(start.task));
--- a/src/graph/placer/gangs.rs
+++ b/src/graph/placer/gangs.rs
@@ -45,7 +45,7 @@
         step: &OpenStep<'t>,
         set: &[WorkerId],
     ) -> Option<Vec<PlannedStart>> {
-        let mut counts = self.counts(step, set);
+        let mut counts = self.counts(step, set.iter());
         let mut starts = Vec::new();
         let saved: Vec<(WorkerId, PassRoom<'t>)> = set
             .iter()
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -26,7 +26,7 @@
 impl<'t> PlacementPass<'t> {
     /// Places as many tasks as fit; gives the number of those that do not.
     pub(super) fn serve_tasks(&mut self, step: &OpenStep<'t>, candidates: &[WorkerId]) -> usize {
-        let mut counts = self.counts(step, candidates);
+        let mut counts = self.counts(step, candidates.iter());
         let mut missing = 0;
         let mut widens = None;
         // All tasks of a step need the same, so where one finds no worker or no victims, none after it does:
