What the graph tests count stands once

Reason: the same two functions stood in six and in four test files. seconds and runs_of are in the tests' world now; runs_of counts runs at workers that are up everywhere, which differs from before in tests/graph/cases.rs only, where it is asked while all are up.

--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::model::{ModelRun, ModelWorker};
-use crate::world::{World, step};
+use crate::world::{World, runs_of, seconds, step};
 
 /// Longest time that a run of a cancelled job goes on at an idle worker that can be reached: its poll
 /// waits 1.2 s, a stop takes 0.2 s.
@@ -17,20 +17,10 @@
 /// How late an order may be carried out so that it still holds: a start holds for 4.5 s.
 const LATE: Duration = Duration::from_millis(3_500);
 
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
-
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-fn runs_of(world: &World, job: &str) -> usize {
-    let up = world.workers.values().filter(|worker| worker.up);
-    let tasks = up.flat_map(|worker: &ModelWorker| worker.runs.keys());
-    tasks.filter(|task| &*task.job == job).count()
-}
-
 /// The next start is carried out late; no other send of it arrives.
 fn delay_start(world: &mut World, late: Duration) {
     world.fates.starts = VecDeque::from([Some(late), None, None, None]);
--- a/tests/graph/cases.rs
+++ b/tests/graph/cases.rs
@@ -6,16 +6,7 @@
 use kelplink::{GraphAnswer, GraphState, GraphVerdict, ResourceVector, StepSpec, WorkerId};
 
 use crate::model::ModelWorker;
-use crate::world::{World, step};
-
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
-
-fn runs_of(world: &World, job: &str) -> usize {
-    let tasks = world.workers.values().flat_map(|worker: &ModelWorker| worker.runs.keys());
-    tasks.filter(|task| &*task.job == job).count()
-}
+use crate::world::{World, runs_of, seconds, step};
 
 #[gtest]
 fn a_job_runs_step_by_step() {
--- a/tests/graph/found.rs
+++ b/tests/graph/found.rs
@@ -6,11 +6,7 @@
 use kelplink::GraphState;
 
 use crate::model::ModelWorker;
-use crate::world::{World, step};
-
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
+use crate::world::{World, seconds, step};
 
 // A worker crashed behind a cut and started again; a heartbeat that its earlier life had sent reached the store
 // after the registration of the new one. The leader took the new life for replaced, its runs for lost, and
--- a/tests/graph/lasting.rs
+++ b/tests/graph/lasting.rs
@@ -7,23 +7,13 @@
 use kelplink::{StepSpec, WorkerId};
 
 use crate::model::ModelWorker;
-use crate::world::{World, step};
-
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
+use crate::world::{World, runs_of, seconds, step};
 
 /// A lasting step of tasks of one core, one a worker.
 fn one_a_worker(count: u32) -> StepSpec {
     StepSpec { lasting: true, max_per_worker: Some(1), ..step(count, 1, 600_000) }
 }
 
-fn runs_of(world: &World, job: &str) -> usize {
-    let up = world.workers.values().filter(|worker| worker.up);
-    let tasks = up.flat_map(|worker: &ModelWorker| worker.runs.keys());
-    tasks.filter(|task| &*task.job == job).count()
-}
-
 /// Lets advice allow one worker in three, for all steps.
 fn allow_a_third(world: &mut World) {
     let workers: Vec<WorkerId> = world.workers.keys().cloned().collect();
--- a/tests/graph/registrations.rs
+++ b/tests/graph/registrations.rs
@@ -6,11 +6,7 @@
 use googletest::prelude::*;
 use kelplink::{GraphState, WorkerId, WorkerListing};
 
-use crate::world::{World, rule, step};
-
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
+use crate::world::{World, rule, seconds, step};
 
 fn listing_of(world: &World, worker: &str) -> WorkerListing {
     world.workers[worker].listing.clone()
--- a/tests/graph/stuck.rs
+++ b/tests/graph/stuck.rs
@@ -8,23 +8,13 @@
 use kelplink::{GraphState, StepSpec, WorkerId, WorkerRefusal};
 
 use crate::model::ModelWorker;
-use crate::world::{World, step};
-
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
+use crate::world::{World, runs_of, seconds, step};
 
 /// A step of tasks that last.
 fn lasting(count: u32, cores: u32) -> StepSpec {
     StepSpec { lasting: true, ..step(count, cores, 600_000) }
 }
 
-fn runs_of(world: &World, job: &str) -> usize {
-    let up = world.workers.values().filter(|worker| worker.up);
-    let tasks = up.flat_map(|worker| worker.runs.keys());
-    tasks.filter(|task| &*task.job == job).count()
-}
-
 /// Lets advice allow every worker whose place in the list is told.
 fn allow(world: &mut World, told: impl Fn(usize) -> bool) {
     let workers = world.workers.keys().cloned().enumerate();
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -206,6 +206,17 @@
     }
 }
 
+pub(crate) fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Number of a job's runs at workers that are up.
+pub(crate) fn runs_of(world: &World, job: &str) -> usize {
+    let up = world.workers.values().filter(|worker| worker.up);
+    let tasks = up.flat_map(|worker| worker.runs.keys());
+    tasks.filter(|task| &*task.job == job).count()
+}
+
 impl World {
     pub(crate) fn new(seed: u64, workers: u32) -> Self {
         Self::spread(seed, workers, 1)
