A question for a job's state waits for the verdict that is being stored

Change: StateDesk holds such a question until the store has the verdict, 250 ms at most; then it tells what the store has.

--- a/src/node.rs
+++ b/src/node.rs
@@ -23,6 +23,7 @@
 mod registry;
 mod settings;
 mod shared;
+mod state_desk;
 mod view;
 
 pub(crate) use keys::{
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::graph::{GraphAction, GraphController, GraphJob, LeaderEpoch};
+use crate::graph::{GraphAction, GraphController, GraphId, GraphJob, LeaderEpoch};
 use crate::id::{CallId, EntryId};
 use crate::node::calls::CallCarrier;
 use crate::node::clock::{BootClock, unix_millis};
@@ -18,6 +18,7 @@
 use crate::node::message::{LeaderAnswer, LeaderCall};
 use crate::node::registry::RegistryDuty;
 use crate::node::shared::NodeShared;
+use crate::node::state_desk::{StateDesk, StateNews};
 use crate::ring::{RingReceiver, RingSender};
 
 /// Pause after the ledger could not be read.
@@ -42,6 +43,7 @@
     sender: RingSender<LeaderInput>,
     input: RingReceiver<LeaderInput>,
     callers: BTreeMap<CallId, oneshot::Sender<LeaderAnswer>>,
+    states: StateDesk,
     last_call: CallId,
 }
 
@@ -55,7 +57,8 @@
         let LeaderTerm { epoch, epoch_revision, predecessor } = term;
         let ledger = JobLedger::new(&shared, epoch, epoch_revision);
         let callers = BTreeMap::new();
-        Self { shared, epoch, predecessor, ledger, sender, input, callers, last_call: 0 }
+        let states = StateDesk::default();
+        Self { shared, epoch, predecessor, ledger, sender, input, callers, states, last_call: 0 }
     }
 
     /// Leads.
@@ -131,6 +134,7 @@
             for action in controller.take_actions() {
                 self.carry_out(&carrier, action);
             }
+            self.states.answer(begun, |job| state_news(controller, job));
             if controller.deposed() {
                 warn!(epoch = self.epoch; "a worker has seen a later leader: leadership ends");
                 return;
@@ -214,9 +218,8 @@
         let id = self.last_call;
         match call {
             LeaderCall::State(job) => {
-                let state = controller.jobs().get(&job).filter(|job| job.durable);
-                let state = state.map(GraphJob::state);
-                let _ = answer.send(state.map_or(LeaderAnswer::Gone, LeaderAnswer::State));
+                let news = state_news(controller, &job);
+                self.states.ask(now, job, news, answer);
             }
             LeaderCall::Reach => {
                 let _ = answer.send(LeaderAnswer::Leading);
@@ -286,3 +289,12 @@
         "workers": controller.lives().iter().map(worker).collect::<Vec<_>>(),
     })
 }
+
+/// What may be told of a job.
+fn state_news(controller: &GraphController, id: &GraphId) -> StateNews {
+    match controller.jobs().get(id).filter(|job| job.durable) {
+        Some(job) if job.over() && job.shown.is_none() => StateNews::Ending(job.state()),
+        Some(job) => StateNews::Final(job.state()),
+        None => StateNews::Gone,
+    }
+}
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -5,16 +5,19 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, advance};
 
-use crate::graph::{GraphBounds, QueueConfig, RequestLimits};
+use crate::graph::{GraphBounds, GraphId, GraphState, QueueConfig, RequestLimits};
 use crate::node::KeyItem;
 use crate::node::dependency::{DependencyLine, DependencyRule, DutyRhythm};
 use crate::node::keys::{ENTRY_PREFIX, EPOCH_KEY};
 use crate::node::members::written;
+use crate::node::message::LeaderAnswer;
 use crate::node::records::{EntryRecord, LeaderRecord};
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
+use crate::node::state_desk::{StateDesk, StateNews};
 use crate::node::view::MemberView;
 
 fn settings() -> NodeSettings {
@@ -229,3 +232,31 @@
     let names: Vec<&str> = view.entries.keys().map(|name| &**name).collect();
     expect_that!(names, eq(&vec!["e1", "e3"]));
 }
+
+// A caller asks for a job's state right after its last task has ended, when its verdict is on the way to the store.
+// Told that the job runs on, it came back 0.2 s later on the median.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_question_for_a_state_waits_for_the_verdict_that_is_being_stored() {
+    let (now, job) = (Instant::now(), GraphId::from("a"));
+    let ending = StateNews::Ending(GraphState::Running);
+    let stored = StateNews::Final(GraphState::Completed);
+    let mut desk = StateDesk::default();
+
+    let (answer, mut answered) = oneshot::channel();
+    desk.ask(now, job.clone(), StateNews::Final(GraphState::Running), answer);
+    expect_that!(answered.try_recv(), ok(eq(&LeaderAnswer::State(GraphState::Running))));
+
+    let (answer, mut answered) = oneshot::channel();
+    desk.ask(now, job.clone(), ending, answer);
+    desk.answer(now + Duration::from_millis(20), |_| ending);
+    expect_that!(answered.try_recv(), err(anything()));
+    desk.answer(now + Duration::from_millis(21), |_| stored);
+    expect_that!(answered.try_recv(), ok(eq(&LeaderAnswer::State(GraphState::Completed))));
+
+    // The store is away: what it has is told.
+    let (answer, mut answered) = oneshot::channel();
+    desk.ask(now, job, ending, answer);
+    desk.answer(now + Duration::from_millis(300), |_| ending);
+    expect_that!(answered.try_recv(), ok(eq(&LeaderAnswer::State(GraphState::Running))));
+}
