--- /dev/null
+++ b/tests/graph/random_shards.rs
@@ -0,0 +1,201 @@
+//! Long random runs over several shards: seeded, with kills, succeeded leaders, cuts, late orders and a store
+//! that goes away, and jobs that several shards run or that come in at two of them.
+//!
+//! `KELPLINK_SHARD_SECONDS` lets them run for that long with ever new seeds, from `KELPLINK_RANDOM_FIRST` on;
+//! `KELPLINK_SHARD_SEED` repeats one.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use kelplink::{GraphAnswer, GraphState, ShardId, StepSpec};
+use rand::RngExt;
+
+use crate::world::{MessageFaults, World, runs_of, step};
+
+/// Rounds of faults in one run.
+const ROUNDS: u32 = 20;
+/// Seeds that `cargo test` runs.
+const SHORT_SEEDS: std::ops::Range<u64> = 0..12;
+/// Seeds of long runs begin here.
+const LONG_SEEDS: u64 = 1_000_000;
+/// Workers.
+const WORKERS: u32 = 12;
+/// Time in which everything must have ended once all faults are over.
+const QUIET: Duration = Duration::from_secs(90);
+
+struct ShardRun {
+    world: World,
+    shards: Vec<ShardId>,
+    calls: Vec<(u64, String)>,
+    lasting: BTreeMap<String, u32>,
+    cancelled: BTreeSet<String>,
+    lives: u32,
+}
+
+impl ShardRun {
+    fn new(seed: u64) -> Self {
+        let domains = 2 + u32::try_from(seed % 4).unwrap_or(0);
+        let world = World::sharded(seed, WORKERS, domains);
+        let shards = world.plan.shards();
+        let (calls, lasting, cancelled) = Default::default();
+        Self { world, shards, calls, lasting, cancelled, lives: 0 }
+    }
+
+    fn pick(&mut self, most: u32) -> u32 {
+        self.world.rng.random_range(0..most)
+    }
+
+    fn pick_shard(&mut self) -> ShardId {
+        let count = u32::try_from(self.shards.len()).unwrap_or(1);
+        let number = self.pick(count);
+        self.shards[number as usize].clone()
+    }
+
+    fn submit(&mut self) {
+        let (home, again) = (self.pick_shard(), self.pick_shard());
+        let id = format!("job{}", self.calls.len());
+        let steps = match self.pick(4) {
+            0 => {
+                // The largest that all workers hold beside others.
+                let count = self.pick(4) + 1;
+                self.lasting.insert(id.clone(), count);
+                vec![StepSpec { lasting: true, ..step(count, 1, 600_000) }]
+            }
+            _ => {
+                let (tasks, millis) = (self.pick(4) + 1, u64::from(self.pick(2_000) + 50));
+                let second = StepSpec { after: vec![0], ..step(tasks, 1, millis) };
+                vec![step(self.pick(3) + 1, 2, millis), second]
+            }
+        };
+        let queue = ["now", "asked", "later"][self.pick(3) as usize];
+        let call = self.world.submit_in(&home, queue, &id, steps.clone());
+        self.calls.push((call, id.clone()));
+        if self.pick(3) == 0 {
+            let call = self.world.submit_in(&again, queue, &id, steps);
+            self.calls.push((call, id));
+        }
+    }
+
+    fn round(&mut self) {
+        for _ in 0..self.pick(4) {
+            self.submit();
+        }
+        match self.pick(12) {
+            0 => self.world.faults = MessageFaults { lost: 20, unanswered: 20, late: 20 },
+            1 => self.world.faults = MessageFaults { lost: 100, unanswered: 100, late: 60 },
+            2 | 3 => self.world.faults = MessageFaults::default(),
+            4 => {
+                let shard = self.pick_shard();
+                let epoch = self.world.epoch_in(&shard);
+                self.world.leaders.remove(&epoch);
+                let pause = Duration::from_millis(u64::from(self.pick(3_000)));
+                self.world.run(pause);
+                self.world.elect_in(&shard);
+            }
+            5 => {
+                let shard = self.pick_shard();
+                self.world.elect_in(&shard);
+            }
+            6 => {
+                let cut = self.pick(WORKERS) as usize;
+                for worker in self.world.workers.values_mut().take(cut) {
+                    worker.reached = false;
+                }
+            }
+            7 => self.reach_all(),
+            8 => {
+                let number = self.pick(WORKERS);
+                self.lives += 1;
+                let life = self.lives;
+                self.world.add_worker(number, life);
+            }
+            9 => {
+                self.world.store.up = !self.world.store.up;
+                self.world.store.refuses = self.pick(2) == 0;
+            }
+            10 => self.cancel(),
+            _ => self.world.failing = self.pick(150),
+        }
+        let time = Duration::from_millis(u64::from(self.pick(2_500)));
+        self.world.run(time);
+    }
+
+    fn reach_all(&mut self) {
+        for worker in self.world.workers.values_mut() {
+            worker.reached = true;
+        }
+    }
+
+    /// Cancels the first job at the leader that has it.
+    fn cancel(&mut self) {
+        let open = self.world.jobs_by_shard().into_iter();
+        let first = open.filter(|(id, _)| !self.cancelled.contains(id)).min();
+        if let Some((id, shard)) = first {
+            self.world.cancel_in(&shard, &id);
+            self.cancelled.insert(id);
+        }
+    }
+
+    /// All faults end, and everything that was accepted comes to its end or to all its tasks.
+    fn finish(&mut self) {
+        self.world.faults = MessageFaults::default();
+        self.world.failing = 0;
+        self.world.store.up = true;
+        self.reach_all();
+        for shard in self.shards.clone() {
+            self.world.elect_in(&shard);
+        }
+        self.world.run(QUIET);
+        for (call, id) in &self.calls {
+            let stored = self.world.store.jobs.contains_key(id.as_str());
+            let accepted = self.world.answers.get(call) == Some(&GraphAnswer::Accepted);
+            assert!(!accepted || stored, "{id} was accepted and is not stored");
+        }
+        for (id, _) in self.world.jobs_by_shard() {
+            let (state, runs) = (self.world.state_in(&id), runs_of(&self.world, &id));
+            let lasting = self.lasting.get(&id).copied();
+            let ended = match (state, lasting) {
+                (Some(GraphState::Cancelled), _) => self.cancelled.contains(&id) && runs == 0,
+                (Some(GraphState::Running), Some(count)) => runs == count as usize,
+                (Some(GraphState::Completed), None) => true,
+                (Some(GraphState::Failed), None) => true,
+                _ => false,
+            };
+            assert!(ended, "{id} is {state:?} with {runs} runs, lasting: {lasting:?}");
+        }
+    }
+}
+
+fn run(seed: u64) -> u64 {
+    println!("seed {seed}: KELPLINK_SHARD_SEED={seed} cargo test --test graph random_shards");
+    let mut run = ShardRun::new(seed);
+    run.world.run(Duration::from_secs(1));
+    for _ in 0..ROUNDS {
+        run.round();
+    }
+    run.finish();
+    run.world.begun_runs
+}
+
+#[gtest]
+fn random_runs_over_several_shards_keep_every_promise() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    if let Some(seed) = number("KELPLINK_SHARD_SEED") {
+        run(seed);
+        return;
+    }
+    let Some(seconds) = number("KELPLINK_SHARD_SECONDS") else {
+        SHORT_SEEDS.for_each(|seed| {
+            run(seed);
+        });
+        return;
+    };
+    let first = number("KELPLINK_RANDOM_FIRST").unwrap_or(LONG_SEEDS);
+    let (begun, mut seed, mut runs) = (Instant::now(), first, 0);
+    while begun.elapsed() < Duration::from_secs(seconds) {
+        runs += run(seed);
+        seed += 1;
+    }
+    println!("{} seeds, {runs} runs of tasks", seed - first);
+}
--- /dev/null
+++ b/tests/graph/shards.rs
@@ -0,0 +1,216 @@
+//! Several leaders: how the workers are divided, and jobs that more than one shard runs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{
+    DomainId, EntryId, GraphAnswer, GraphState, NoticeKind, RackId, ShardId, ShardPlan, StepSpec,
+    TaskShare, WorkerId,
+};
+
+use crate::world::{World, runs_of, seconds, step};
+
+/// Half a core for each of the best machines.
+const PROCESSOR: f64 = 0.5;
+
+fn fleet(workers: &[usize]) -> ShardPlan {
+    let counts = workers.iter().enumerate();
+    let counts = counts.map(|(number, count)| (DomainId::from(format!("d{number}")), *count));
+    ShardPlan::for_fleet(&counts.collect(), PROCESSOR)
+}
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec { lasting: true, max_per_worker: Some(1), ..step(count, 1, 600_000) }
+}
+
+fn shards(world: &World) -> Vec<ShardId> {
+    world.plan.shards()
+}
+
+/// Kills a shard's leader.
+fn kill_leader(world: &mut World, shard: &ShardId) {
+    let epoch = world.epoch_in(shard);
+    world.leaders.remove(&epoch);
+}
+
+#[gtest]
+fn a_small_fleet_has_one_leader() {
+    let plan = fleet(&[16, 16, 16]);
+    expect_false!(plan.is_divided());
+    expect_that!(plan.shards(), eq(&vec![ShardId::from("")]));
+    expect_that!(&*plan.shard_of(&"d1".into(), &"r1-1".into()), eq(""));
+}
+
+#[gtest]
+fn a_large_fleet_has_a_leader_a_failure_domain() {
+    let plan = fleet(&[220; 5]);
+    let names: Vec<String> = plan.shards().iter().map(ToString::to_string).collect();
+    expect_that!(names, eq(&vec!["d0", "d1", "d2", "d3", "d4"]));
+    expect_that!(&*plan.shard_of(&"d3".into(), &"r1-7".into()), eq("d3"));
+    // A domain that came later than the division belongs to one of its shards.
+    let later = plan.shard_of(&"d9".into(), &"r1-7".into());
+    expect_true!(plan.shards().contains(&later));
+}
+
+#[gtest]
+fn a_domain_that_no_machine_carries_is_divided_by_racks() {
+    let plan = fleet(&[1_000, 200]);
+    expect_that!(plan.shards().len(), eq(5));
+    let mut racks: BTreeMap<ShardId, u32> = BTreeMap::new();
+    for rack in 0..100 {
+        let rack = RackId::from(format!("r1-{rack}"));
+        *racks.entry(plan.shard_of(&"d0".into(), &rack)).or_default() += 1;
+    }
+    expect_that!(racks.len(), eq(4));
+    expect_true!(racks.values().all(|count| *count >= 10), "{racks:?}");
+    // Each shard of the domain has its own entries to ask for advice.
+    for number in 0..50 {
+        let entry = EntryId::from(format!("e{number}"));
+        let helped = plan.shards();
+        let helped = helped.iter().filter(|shard| plan.is_helped_by(shard, &entry, &"d0".into()));
+        expect_that!(helped.count(), eq(1));
+    }
+}
+
+#[gtest]
+fn a_job_goes_to_its_own_domain_first_and_then_to_all_others() {
+    let plan = fleet(&[220; 5]);
+    let mut seconds = BTreeSet::new();
+    for number in 0..40 {
+        let order = plan.order_for(&"d2".into(), &format!("{number}").into());
+        expect_that!(&*order[0], eq("d2"));
+        expect_that!(order.iter().collect::<BTreeSet<_>>().len(), eq(5));
+        seconds.insert(order[1].clone());
+    }
+    // Callers of a domain without a leader are spread over the others.
+    expect_that!(seconds.len(), eq(4));
+}
+
+#[gtest]
+fn a_plan_reads_back_as_it_was_written() {
+    for plan in [ShardPlan::whole(), fleet(&[220; 5]), fleet(&[1_000, 200])] {
+        let text = serde_json::to_string(&plan).unwrap();
+        expect_that!(serde_json::from_str::<ShardPlan>(&text).unwrap(), eq(&plan));
+    }
+}
+
+#[gtest]
+fn each_task_belongs_to_exactly_one_share() {
+    for weights in [vec![1, 1], vec![220, 0, 220, 219, 3], vec![7, 1, 1]] {
+        let names = (0..weights.len()).map(|number| ShardId::from(format!("s{number}")));
+        let shares: Vec<(ShardId, usize)> = names.zip(weights).collect();
+        let share = TaskShare::new(shares[0].0.clone(), &shares);
+        for count in [1, 2, 13, 40, 240, 10_000] {
+            for index in 0..count {
+                let holds = |(shard, _): &&(ShardId, usize)| share.holds(shard, index, count);
+                expect_that!(shares.iter().filter(holds).count(), eq(1), "{index} of {count}");
+            }
+        }
+    }
+}
+
+// A third of a shard's workers may run a step, one task each: forty tasks want more than one shard of 30
+// workers has.
+#[gtest]
+fn a_lasting_job_that_is_wider_than_a_shard_runs_in_several() {
+    let mut world = World::sharded(41, 90, 3);
+    let home = shards(&world)[1].clone();
+    let workers: Vec<WorkerId> = world.workers.keys().cloned().collect();
+    world.allowed = Some(workers.into_iter().step_by(2).collect());
+    world.run(seconds(1));
+    let call = world.submit_in(&home, "asked", "a", vec![lasting(40)]);
+    world.run(seconds(3));
+    expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Accepted)));
+    expect_that!(runs_of(&world, "a"), eq(40));
+    expect_that!(world.state_in("a"), some(eq(GraphState::Running)));
+    let call = world.cancel_in(&home, "a");
+    world.run(seconds(2));
+    expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Cancelled)));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
+// What a leader has told the others stands in the store: neither its loss nor theirs loses a share.
+#[gtest]
+fn a_job_that_is_shared_out_outlives_its_leaders() {
+    let mut world = World::sharded(42, 30, 3);
+    let all = shards(&world);
+    world.run(seconds(1));
+    kill_leader(&mut world, &all[2]);
+    world.submit_in(&all[0], "now", "a", vec![lasting(20)]);
+    world.run(Duration::from_millis(30));
+    kill_leader(&mut world, &all[0]);
+    world.run(seconds(1));
+    world.elect_in(&all[0]);
+    world.elect_in(&all[2]);
+    world.run(seconds(20));
+    expect_that!(runs_of(&world, "a"), eq(20));
+    kill_leader(&mut world, &all[1]);
+    world.cancel_in(&all[0], "a");
+    world.run(Duration::from_millis(30));
+    kill_leader(&mut world, &all[0]);
+    world.run(seconds(1));
+    world.elect_in(&all[0]);
+    world.elect_in(&all[1]);
+    world.run(seconds(15));
+    expect_that!(runs_of(&world, "a"), eq(0));
+    expect_that!(world.state_in("a"), some(eq(GraphState::Cancelled)));
+}
+
+// A caller whose first request was accepted in one shard, unanswered, comes back to another.
+#[gtest]
+fn a_job_submitted_in_two_shards_is_one_job() {
+    let mut world = World::sharded(43, 12, 3);
+    let all = shards(&world);
+    world.run(seconds(1));
+    let first = world.submit_in(&all[0], "now", "a", vec![step(2, 1, 500)]);
+    let second = world.submit_in(&all[1], "now", "a", vec![step(2, 1, 500)]);
+    world.run(seconds(3));
+    let third = world.submit_in(&all[2], "now", "a", vec![step(2, 1, 500)]);
+    world.run(seconds(2));
+    for call in [first, second, third] {
+        expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Accepted)));
+    }
+    expect_that!(world.begun_runs, eq(2));
+    expect_that!(world.state_in("a"), some(eq(GraphState::Completed)));
+}
+
+#[gtest]
+fn a_job_goes_to_the_shard_with_its_data() {
+    let mut world = World::sharded(44, 12, 3);
+    let all = shards(&world);
+    let worker = world.workers.values().find(|worker| &*worker.listing.domain == "d2");
+    let rack = worker.unwrap().listing.rack.clone();
+    for worker in world.workers.values_mut() {
+        worker.listing.rack = format!("{}-{}", worker.listing.rack, worker.listing.domain).into();
+    }
+    let rack = RackId::from(format!("{rack}-d2"));
+    for shard in &all {
+        world.elect_in(shard);
+    }
+    world.run(seconds(1));
+    let near = StepSpec { affinity: Some(rack), ..step(2, 1, 500) };
+    let call = world.submit_in(&all[0], "now", "a", vec![near.clone()]);
+    world.run(seconds(1));
+    let elsewhere = GraphAnswer::Elsewhere(Arc::from("d2"));
+    expect_that!(world.answers.get(&call), some(eq(&elsewhere)));
+    let call = world.submit_in(&all[2], "now", "a", vec![near]);
+    world.run(seconds(1));
+    expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Accepted)));
+}
+
+// A leader that has been succeeded and does not know it sees a notice as its successor does. Only what the
+// store takes from it may run.
+#[gtest]
+fn a_succeeded_leader_runs_no_share() {
+    let mut world = World::sharded(45, 12, 2);
+    let all = shards(&world);
+    world.run(seconds(1));
+    world.elect_in(&all[1]);
+    world.submit_in(&all[0], "now", "a", vec![lasting(8)]);
+    world.run(seconds(5));
+    expect_that!(runs_of(&world, "a"), eq(8));
+    expect_that!(world.begun_runs, eq(8));
+    expect_that!(NoticeKind::Start, lt(NoticeKind::Cancel));
+}
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -90,6 +90,12 @@
     Stored {
         leader: LeaderEpoch,
         number: GroupNumber,
+        taken: Vec<GraphId>,
+    },
+    Notice {
+        leader: LeaderEpoch,
+        kind: NoticeKind,
+        job: GraphId,
     },
     Polled {
         leader: LeaderEpoch,
@@ -127,11 +133,24 @@
     pub(crate) slowness: Duration,
     pub(crate) jobs: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
     pub(crate) workers: Vec<UsedWorker>,
+    /// What each shard has beside that, where there are several.
+    pub(crate) shards: BTreeMap<ShardId, ModelShard>,
     /// Whether the list of these workers cannot be read.
     pub(crate) spoilt: bool,
     pub(crate) groups: u64,
 }
 
+/// What the store has of one shard.
+#[derive(Debug, Default)]
+pub(crate) struct ModelShard {
+    /// The leader that was elected last.
+    pub(crate) epoch: LeaderEpoch,
+    workers: Vec<UsedWorker>,
+    /// Jobs of other shards that are run here in part.
+    parts: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
+    notices: BTreeMap<(NoticeKind, GraphId), Option<GraphRecord>>,
+}
+
 pub(crate) struct World {
     pub(crate) rng: StdRng,
     pub(crate) now: Instant,
@@ -144,7 +163,12 @@
     pub(crate) lost_advice: u32,
     domains: u32,
     pub(crate) store: ModelStore,
+    pub(crate) plan: Arc<ShardPlan>,
     pub(crate) leaders: BTreeMap<LeaderEpoch, GraphController>,
+    /// Shard of each leader.
+    led: BTreeMap<LeaderEpoch, ShardId>,
+    /// Shard that each job was accepted in.
+    index: BTreeMap<GraphId, ShardId>,
     pub(crate) workers: BTreeMap<WorkerId, ModelWorker>,
     pub(crate) answers: BTreeMap<CallId, GraphAnswer>,
     pub(crate) config: Arc<QueueConfig>,
@@ -210,6 +234,21 @@
     Duration::from_secs(seconds)
 }
 
+/// Tells a leader of a worker.
+fn register(
+    plan: &ShardPlan,
+    shard: &ShardId,
+    leader: &mut GraphController,
+    now: Instant,
+    listing: WorkerListing,
+) {
+    let place = plan.shard_of(&listing.domain, &listing.rack);
+    match place == *shard {
+        true => leader.worker_listed(now, listing),
+        false => leader.worker_listed_elsewhere(place, listing),
+    }
+}
+
 /// Number of a job's runs at workers that are up.
 pub(crate) fn runs_of(world: &World, job: &str) -> usize {
     let up = world.workers.values().filter(|worker| worker.up);
@@ -224,6 +263,18 @@
 
     /// Workers that take turns among failure domains.
     pub(crate) fn spread(seed: u64, workers: u32, domains: u32) -> Self {
+        Self::divided(seed, workers, domains, ShardPlan::whole())
+    }
+
+    /// Workers that take turns among failure domains, each of which is a shard.
+    pub(crate) fn sharded(seed: u64, workers: u32, domains: u32) -> Self {
+        let count = |domain: u32| (DomainId::from(format!("d{domain}")), workers as usize);
+        let counts = (0..domains).map(count).collect();
+        let processor = f64::from(workers) / 600.0;
+        Self::divided(seed, workers, domains, ShardPlan::for_fleet(&counts, processor))
+    }
+
+    fn divided(seed: u64, workers: u32, domains: u32, plan: ShardPlan) -> Self {
         let now = Instant::now();
         let queues = [
             rule("now", 0, false),
@@ -244,7 +295,10 @@
             lost_advice: 0,
             domains,
             store: ModelStore { up: true, ..ModelStore::default() },
+            plan: Arc::new(plan),
             leaders: BTreeMap::new(),
+            led: BTreeMap::new(),
+            index: BTreeMap::new(),
             workers: BTreeMap::new(),
             answers: BTreeMap::new(),
             config: Arc::new(config),
@@ -264,7 +318,9 @@
         for number in 0..workers {
             world.add_worker(number, 0);
         }
-        world.elect();
+        for shard in world.plan.shards() {
+            world.elect_in(&shard);
+        }
         world
     }
 
@@ -289,35 +345,110 @@
         let rate = self.rng.random_range(980..=1_000);
         self.workers.retain(|_, worker| worker.listing.address != listing.address);
         self.workers.insert(id, ModelWorker::new(listing.clone(), self.now, rate));
-        for leader in self.leaders.values_mut() {
-            leader.worker_listed(self.now, listing.clone());
+        for (epoch, leader) in &mut self.leaders {
+            register(&self.plan, &self.led[epoch], leader, self.now, listing.clone());
         }
     }
 
     /// A new leader takes over; earlier ones may go on without knowing.
     pub(crate) fn elect(&mut self) -> LeaderEpoch {
+        let shard = self.plan.shards()[0].clone();
+        self.elect_in(&shard)
+    }
+
+    /// A new leader takes over a shard; earlier ones may go on without knowing.
+    pub(crate) fn elect_in(&mut self, shard: &ShardId) -> LeaderEpoch {
         self.store.epoch += 1;
         let epoch = self.store.epoch;
-        let workers = match self.store.spoilt {
-            true => Vec::new(),
-            false => self.store.workers.clone(),
+        let stored = self.store.shards.entry(shard.clone()).or_default();
+        stored.epoch = epoch;
+        let workers = match (self.store.spoilt, self.plan.is_divided()) {
+            (true, _) => Vec::new(),
+            (false, true) => stored.workers.clone(),
+            (false, false) => self.store.workers.clone(),
         };
+        let own = self.store.jobs.values().filter(|(record, _)| {
+            self.index.get(&record.spec.id).is_none_or(|place| place == shard)
+        });
+        let parts = stored.parts.values();
+        let notices: Vec<(NoticeKind, GraphId)> = stored.notices.keys().cloned().collect();
         let state = LeaderState {
-            jobs: self.store.jobs.values().cloned().collect(),
+            jobs: own.chain(parts).cloned().collect(),
             workers,
             unknown_workers: self.store.spoilt,
         };
-        let mut leader = GraphController::new(self.now, self.unix(), epoch, BOUNDS, state);
+        let scope = ShardScope::new(self.plan.clone(), shard.clone());
+        let mut leader =
+            GraphController::new(self.now, self.unix(), epoch, BOUNDS, state).with_scope(scope);
         leader.set_config(self.config.clone());
         leader.set_entries((0..5).map(|entry| EntryId::from(format!("e{entry}"))).collect());
         leader.note_authority(self.now);
         for worker in self.workers.values().filter(|worker| worker.up) {
-            leader.worker_listed(self.now, worker.listing.clone());
+            register(&self.plan, shard, &mut leader, self.now, worker.listing.clone());
         }
+        self.led.insert(epoch, shard.clone());
         self.leaders.insert(epoch, leader);
+        for (kind, job) in notices {
+            self.post(STEP, Message::Notice { leader: epoch, kind, job });
+        }
         epoch
     }
 
+    /// Whether a leader is the last that was elected in its shard.
+    fn is_current(&self, epoch: LeaderEpoch) -> bool {
+        let shard = self.led.get(&epoch).and_then(|shard| self.store.shards.get(shard));
+        shard.is_some_and(|shard| shard.epoch == epoch)
+    }
+
+    /// The leader that was elected last in a shard.
+    pub(crate) fn epoch_in(&self, shard: &ShardId) -> LeaderEpoch {
+        self.store.shards[shard].epoch
+    }
+
+    pub(crate) fn leader_in(&mut self, shard: &ShardId) -> Option<&mut GraphController> {
+        let epoch = self.epoch_in(shard);
+        self.leaders.get_mut(&epoch)
+    }
+
+    /// Submits a job in a shard; it goes elsewhere where that is better.
+    pub(crate) fn submit_in(
+        &mut self,
+        shard: &ShardId,
+        queue: &str,
+        id: &str,
+        steps: Vec<StepSpec>,
+    ) -> CallId {
+        let record = self.record(queue, id, steps, None);
+        self.last_call += 1;
+        let (now, call, patience) = (self.now, self.last_call, self.patience);
+        if let Some(leader) = self.leader_in(shard) {
+            leader.submit(now, call, call, patience, record);
+        }
+        call
+    }
+
+    pub(crate) fn cancel_in(&mut self, shard: &ShardId, id: &str) -> CallId {
+        self.last_call += 1;
+        let (now, unix, call) = (self.now, self.unix(), self.last_call);
+        if let Some(leader) = self.leader_in(shard) {
+            leader.cancel(now, unix, call, &id.into());
+        }
+        call
+    }
+
+    /// All accepted jobs, and where.
+    pub(crate) fn jobs_by_shard(&self) -> Vec<(String, ShardId)> {
+        self.index.iter().map(|(id, shard)| (id.to_string(), shard.clone())).collect()
+    }
+
+    /// A job's state as the leader that accepted it tells it.
+    pub(crate) fn state_in(&mut self, id: &str) -> Option<GraphState> {
+        let id: GraphId = id.into();
+        let shard = self.index.get(&id)?.clone();
+        let job = self.leader_in(&shard)?.jobs().get(&id)?;
+        job.durable.then(|| job.state())
+    }
+
     pub(crate) fn leader(&mut self) -> Option<&mut GraphController> {
         self.leaders.get_mut(&self.store.epoch)
     }
@@ -333,7 +464,24 @@
         steps: Vec<StepSpec>,
         repeat: Option<RepeatRule>,
     ) -> CallId {
-        let record = GraphRecord {
+        let record = self.record(queue, id, steps, repeat);
+        self.last_call += 1;
+        let (now, call) = (self.now, self.last_call);
+        let patience = self.patience;
+        if let Some(leader) = self.leader() {
+            leader.submit(now, call, call, patience, record);
+        }
+        call
+    }
+
+    fn record(
+        &self,
+        queue: &str,
+        id: &str,
+        steps: Vec<StepSpec>,
+        repeat: Option<RepeatRule>,
+    ) -> GraphRecord {
+        GraphRecord {
             spec: GraphSpec {
                 id: id.into(),
                 queue: queue.into(),
@@ -345,14 +493,7 @@
             rule: (*self.config.queues[queue]).clone(),
             home: None,
             share: None,
-        };
-        self.last_call += 1;
-        let (now, call) = (self.now, self.last_call);
-        let patience = self.patience;
-        if let Some(leader) = self.leader() {
-            leader.submit(now, call, call, patience, record);
         }
-        call
     }
 
     pub(crate) fn cancel(&mut self, id: &str) -> CallId {
@@ -397,7 +538,8 @@
         let renewal = unix % RENEWAL < STEP.as_millis() as u64 && self.store.up;
         let mut actions = Vec::new();
         for (epoch, leader) in &mut self.leaders {
-            if renewal && *epoch == self.store.epoch {
+            let shard = &self.store.shards[&self.led[epoch]];
+            if renewal && *epoch == shard.epoch {
                 leader.note_authority(now);
             }
             if leader.next_due(now) <= now {
@@ -538,9 +680,21 @@
                 self.stop(epoch, worker, task, run, answered);
             }
             Message::Commit { epoch, group } => self.commit(epoch, group),
-            Message::Stored { leader, number } => {
+            Message::Stored { leader, number, taken } => {
+                if let Some(leader) = self.leaders.get_mut(&leader) {
+                    leader.committed_without(now, number, &taken);
+                }
+            }
+            Message::Notice { leader, kind, job } => {
+                let stored = self.led.get(&leader).and_then(|shard| self.store.shards.get(shard));
+                let record = stored.and_then(|shard| shard.notices.get(&(kind, job.clone())));
+                let record = record.cloned().flatten();
                 if let Some(leader) = self.leaders.get_mut(&leader) {
-                    leader.committed(now, number);
+                    match (kind, record) {
+                        (NoticeKind::Start, Some(record)) => leader.take_share(now, record),
+                        (NoticeKind::Cancel, _) => leader.cancel_share(now, unix, &job),
+                        (NoticeKind::Start, None) => {}
+                    }
                 }
             }
             Message::Polled { leader, worker, result } => {
@@ -676,7 +830,9 @@
                                 stops: None,
                             };
                             worker.runs.insert(task.clone(), entry);
-                            let by_leader = (epoch == self.store.epoch).then_some(sent);
+                            let current =
+                                self.store.shards.values().any(|shard| shard.epoch == epoch);
+                            let by_leader = current.then_some(sent);
                             self.check_start(&id, &task, &step, by_leader);
                         }
                         Ok(clock)
@@ -732,32 +888,73 @@
         if !self.store.up {
             return self.post(Duration::from_millis(60), Message::Commit { epoch, group });
         }
-        if epoch != self.store.epoch {
+        if !self.is_current(epoch) {
             self.leaders.remove(&epoch);
             return;
         }
         self.store.groups += 1;
         let number = group.number;
+        let shard = self.led[&epoch].clone();
+        let mut taken = Vec::new();
         for record in group.added {
             let id = record.spec.id.clone();
+            let stored = self.store.shards.entry(shard.clone()).or_default();
+            if record.share.as_ref().is_some_and(|share| share.owner != shard) {
+                stored.notices.remove(&(NoticeKind::Start, id.clone()));
+                stored.parts.insert(id, (record, GraphProgress::default()));
+                continue;
+            }
+            if self.index.contains_key(&id) {
+                taken.push(id);
+                continue;
+            }
+            self.index.insert(id.clone(), shard.clone());
             self.store.jobs.insert(id, (record, GraphProgress::default()));
         }
+        for notice in group.notices {
+            let key = (notice.kind(), notice.job.clone());
+            self.store
+                .shards
+                .entry(notice.shard.clone())
+                .or_default()
+                .notices
+                .insert(key, notice.record.clone());
+            let followers = self.led.iter().filter(|(_, place)| **place == notice.shard);
+            let followers: Vec<LeaderEpoch> = followers.map(|(epoch, _)| *epoch).collect();
+            for leader in followers {
+                let (kind, job, way) = (notice.kind(), notice.job.clone(), self.way());
+                self.post(way, Message::Notice { leader, kind, job });
+            }
+        }
+        for (job, kind) in group.settled {
+            self.store.shards.entry(shard.clone()).or_default().notices.remove(&(kind, job));
+        }
         for (id, progress) in group.progress {
             if progress.verdict.is_some() {
                 self.ended.entry(id.clone()).or_insert(self.now);
             }
-            if let Some(job) = self.store.jobs.get_mut(&id) {
-                job.1 = progress;
+            let stored = self.store.shards.entry(shard.clone()).or_default();
+            match stored.parts.get_mut(&id) {
+                Some(part) => part.1 = progress,
+                None => {
+                    if let Some(job) = self.store.jobs.get_mut(&id) {
+                        job.1 = progress;
+                    }
+                }
             }
         }
         for id in group.removed {
-            self.store.jobs.remove(&id);
+            let stored = self.store.shards.entry(shard.clone()).or_default();
+            if stored.parts.remove(&id).is_none() {
+                self.store.jobs.remove(&id);
+            }
         }
         if let Some(workers) = group.workers {
+            self.store.shards.entry(shard.clone()).or_default().workers = workers.clone();
             self.store.workers = workers;
         }
         let way = self.way() + self.store.slowness;
-        self.post(way, Message::Stored { leader: epoch, number });
+        self.post(way, Message::Stored { leader: epoch, number, taken });
     }
 
     fn note_done(&mut self) {
@@ -770,7 +967,7 @@
     /// No run of a job that has ended in the store goes on at a worker that can be reached, wherever it
     /// was begun, and by whom.
     fn check_stopped(&mut self) {
-        let led = self.leaders.contains_key(&self.store.epoch);
+        let led = self.store.shards.values().all(|shard| self.leaders.contains_key(&shard.epoch));
         let calm = led && self.store.up && self.faults.none();
         for worker in self.workers.values_mut().filter(|worker| worker.up) {
             if !(calm && worker.reached) {
