An end that is heard after its task was begun again is never acknowledged

Cause: a run is given up with its worker's lease and begun again elsewhere; when the worker is heard again, its list has the first run as ended well, and the leader acknowledged that.

Ruled out: a lease longer than reckoned (each until sent is kept as the highest, on a clock taken 2% slow).

Change: ends of runs that were given up, or that a later leader began again without having heard the worker, are withheld: the worker is not told that they are taken in, and gets no new work, unless a lease has run out since with something running. The first run that counts is stored with the job's progress, so that a successor knows.

Tests: two cases that fail without it (tests/graph/links.rs).

--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -34,6 +34,11 @@
                     let effect = self.jobs.lost(&task, run, &saved);
                     self.apply(now, &task.job, effect);
                 }
+                LifeFinding::GivenUp(worker, task, run, saved) => {
+                    warn!(task:% = task, run, worker = &*worker; "run given up with its worker's lease");
+                    let effect = self.jobs.given_up(&task, run, &saved);
+                    self.apply(now, &task.job, effect);
+                }
                 LifeFinding::Confirmed(worker, task) => {
                     self.jobs.note_begun(&task);
                     info!(task:% = task, worker = &*worker; "an unanswered start has begun");
@@ -68,6 +73,13 @@
         metrics::counter!("kelplink_run_ends_total", "kind" => format!("{kind:?}")).increment(1);
         self.commits.touch(now, false);
         let effect = self.jobs.ended(now, unix, worker, &end);
+        if effect.superseded
+            && let Some(life) = self.lives.get_mut(worker)
+        {
+            life.withhold(end.number);
+            warn!(task:% = end.task, run = end.run, worker = &**worker; "an end comes too late");
+            metrics::counter!("kelplink_late_ends_total").increment(1);
+        }
         self.apply(now, &end.task.job, effect);
     }
 
@@ -101,7 +113,7 @@
     }
 
     pub(super) fn apply(&mut self, now: Instant, id: &GraphId, effect: JobEffect) {
-        let JobEffect { changed, urgent, stops } = effect;
+        let JobEffect { changed, urgent, stops, .. } = effect;
         if changed {
             self.commits.change(id.clone(), now, urgent);
         }
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -29,6 +29,8 @@
     pub(crate) urgent: bool,
     /// Runs that are not wanted any more.
     pub(crate) stops: Vec<RunToStop>,
+    /// It is the success of a run after which the task was begun again.
+    pub(crate) superseded: bool,
 }
 
 /// All jobs.
@@ -99,6 +101,12 @@
         }
     }
 
+    /// Runs of a task before `first` do not count any more; tells whether that is new.
+    pub(crate) fn raise_floor(&mut self, task: &TaskName, first: RunNumber) -> bool {
+        let job = self.jobs.get_mut(&task.job);
+        job.is_some_and(|job| job.progress.raise_floor(task.key, first))
+    }
+
     /// Notes a run that was sent or found.
     pub(crate) fn note_run(&mut self, task: &TaskName, worker: WorkerId, run: RunNumber) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
@@ -125,6 +133,15 @@
         effect
     }
 
+    /// A run is given up with its worker's lease: its end, should it be heard later, must not be acknowledged.
+    pub(crate) fn given_up(&mut self, task: &TaskName, run: RunNumber, saved: &str) -> JobEffect {
+        let mut effect = self.lost(task, run, saved);
+        if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.over()) {
+            effect.changed |= job.progress.raise_floor(task.key, run + 1);
+        }
+        effect
+    }
+
     /// A run ended.
     pub(crate) fn ended(
         &mut self,
@@ -140,6 +157,7 @@
             return effect;
         };
         let last = job.last_run.entry(task.key).or_default();
+        let begun_again = *last > run;
         *last = (*last).max(run);
         job.started = true;
         if job.live.get(&task.key).is_some_and(|live| live.run == run && live.worker == *worker) {
@@ -148,6 +166,8 @@
         let Some(step) = job.step(task.key.step).cloned() else {
             return effect;
         };
+        let late = begun_again || !job.progress.counts(&task.key, run);
+        effect.superseded = late && kind == EndKind::Done && !step.lasting;
         if job.over() || job.progress.is_done(&task.key) {
             return effect;
         }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -26,6 +26,8 @@
 const BUSY_POLLS: u32 = 80;
 /// Pause before the next poll while ends wait for the store.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before the next poll of a worker that lists an end for good: it answers each at once.
+const WITHHELD_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after the second poll in a row without an answer, doubled with each up to the longest. After the
 /// first there is none: a single poll that was lost says nothing of the worker.
 const MISS_PAUSE: Duration = Duration::from_millis(100);
@@ -45,6 +47,8 @@
     Unknown(WorkerId, RunReport),
     /// A run that the worker does not have any more, or never got.
     Lost(WorkerId, TaskName, RunNumber, String),
+    /// A run that may have gone on or ended when its worker's lease was over.
+    GivenUp(WorkerId, TaskName, RunNumber, String),
     /// A run that was sent is there.
     Confirmed(WorkerId, TaskName),
     /// The worker obeys a later leader.
@@ -162,7 +166,8 @@
                 true => life.extend_lease(now, WORKER_LEASE),
                 false => None,
             };
-            let current = life.claimed && life.durable == life.seen && life.misses == 0;
+            let heard = life.durable == life.seen && life.withheld.is_none();
+            let current = life.claimed && heard && life.misses == 0;
             let wait = match current {
                 true if life.runs.is_empty() => IDLE_WAIT,
                 true => busy_wait,
@@ -172,7 +177,7 @@
                 worker: life.id().clone(),
                 address: life.address(),
                 until,
-                acked: life.durable,
+                acked: life.acknowledgeable(),
                 wait,
             });
         }
@@ -206,6 +211,9 @@
         for end in reply.ended {
             if end.number > life.seen {
                 life.seen = end.number;
+                if end.kind == EndKind::Lapsed {
+                    life.last_lapse = end.number;
+                }
                 if life.runs.get(&end.task).is_some_and(|run| run.run == end.run) {
                     life.remove_run(&end.task);
                 }
@@ -222,7 +230,11 @@
             let running = take_running(life, now, reply.running, reply.clock);
             found.extend(running);
         }
+        if life.withheld.is_some_and(|number| number < life.last_lapse) {
+            life.withheld = None;
+        }
         life.next_poll = match life.durable == life.seen {
+            _ if life.withheld.is_some() => now + WITHHELD_PAUSE,
             true => now + POLL_GAP,
             false => now + STORE_PAUSE,
         };
@@ -276,7 +288,7 @@
             let tasks: Vec<TaskName> = life.runs.keys().cloned().collect();
             for task in tasks {
                 if let Some(run) = life.remove_run(&task) {
-                    found.push(LifeFinding::Lost(life.id().clone(), task, run.run, run.saved));
+                    found.push(LifeFinding::GivenUp(life.id().clone(), task, run.run, run.saved));
                 }
             }
         }
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -35,6 +35,9 @@
     pub failures: BTreeMap<TaskKey, BTreeSet<RunNumber>>,
     /// Last checkpoint of tasks that were stopped.
     pub saved: BTreeMap<TaskKey, String>,
+    /// First run that counts of tasks that were begun again while it was not known what had become of an
+    /// earlier one.
+    pub floors: BTreeMap<TaskKey, RunNumber>,
     /// Failure domains that it may use beside its home.
     pub domains: BTreeSet<DomainId>,
 }
@@ -55,6 +58,19 @@
         self.failures.get(task).map_or(0, |runs| u32::try_from(runs.len()).unwrap_or(u32::MAX))
     }
 
+    /// Runs of a task before `first` do not count any more.
+    pub fn raise_floor(&mut self, task: TaskKey, first: RunNumber) -> bool {
+        let floor = self.floors.entry(task).or_default();
+        let raised = *floor < first;
+        *floor = (*floor).max(first);
+        raised
+    }
+
+    /// Whether a run of a task is one that counts.
+    pub fn counts(&self, task: &TaskKey, run: RunNumber) -> bool {
+        self.floors.get(task).is_none_or(|first| run >= *first)
+    }
+
     /// Whether nothing has happened to its tasks yet.
     pub fn is_empty(&self) -> bool {
         let domains = self.domains.clone();
@@ -77,6 +93,8 @@
     failures: Vec<(u32, u32, u32, BTreeSet<RunNumber>)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     saved: Vec<(u32, u32, u32, String)>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    floors: Vec<(u32, u32, u32, RunNumber)>,
     #[serde(skip_serializing_if = "BTreeSet::is_empty")]
     domains: BTreeSet<DomainId>,
 }
@@ -87,12 +105,14 @@
         let failure =
             |(occurrence, step, index, runs)| (TaskKey::new(occurrence, step, index), runs);
         let saved = |(occurrence, step, index, text)| (TaskKey::new(occurrence, step, index), text);
+        let floor = |(occurrence, step, index, run)| (TaskKey::new(occurrence, step, index), run);
         Self {
             verdict: stored.verdict,
             ended: stored.ended,
             done: stored.done.into_iter().map(step).collect(),
             failures: stored.failures.into_iter().map(failure).collect(),
             saved: stored.saved.into_iter().map(saved).collect(),
+            floors: stored.floors.into_iter().map(floor).collect(),
             domains: stored.domains,
         }
     }
@@ -110,12 +130,17 @@
             let (occurrence, step, index) = parts(task);
             (occurrence, step, index, text)
         };
+        let floor = |(task, run)| {
+            let (occurrence, step, index) = parts(task);
+            (occurrence, step, index, run)
+        };
         Self {
             verdict: progress.verdict,
             ended: progress.ended,
             done: progress.done.into_iter().map(step).collect(),
             failures: progress.failures.into_iter().map(failure).collect(),
             saved: progress.saved.into_iter().map(saved).collect(),
+            floors: progress.floors.into_iter().map(floor).collect(),
             domains: progress.domains,
         }
     }
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -115,6 +115,10 @@
     pub seen: u64,
     /// Number of the last end that the store has.
     pub durable: u64,
+    /// Number of the last end by a lease that ran out.
+    pub last_lapse: u64,
+    /// Number of the first end that must not be acknowledged: its task was begun again before it was heard.
+    pub withheld: Option<u64>,
     /// When a poll was sent that is not answered.
     pub polling: Option<Instant>,
     /// When the next poll is due.
@@ -213,6 +217,8 @@
             lease: None,
             seen: 0,
             durable: 0,
+            last_lapse: 0,
+            withheld: None,
             polling: None,
             next_poll: now,
             answered: None,
@@ -281,6 +287,19 @@
         }
     }
 
+    /// Number up to which ends may be acknowledged.
+    pub fn acknowledgeable(&self) -> u64 {
+        self.withheld.map_or(self.durable, |first| self.durable.min(first.saturating_sub(1)))
+    }
+
+    /// Never acknowledges an end whose task was begun again, unless the lease has run out since with
+    /// something running: only that leaves a trace on the worker, and the end stands for good without.
+    pub fn withhold(&mut self, number: u64) {
+        if self.last_lapse < number {
+            self.withheld = Some(self.withheld.map_or(number, |first| first.min(number)));
+        }
+    }
+
     /// Room that is not taken.
     pub fn free(&self) -> ResourceVector {
         self.listing.capacity.saturating_sub(&self.used)
@@ -295,6 +314,7 @@
             && self.claimed
             && self.noted
             && !self.obscure
+            && self.withheld.is_none()
             && self.misses == 0
             && self.shunned_until.is_none_or(|until| until <= now)
             && self.answered.is_some_and(|at| now.saturating_duration_since(at) < silence)
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -5,6 +5,7 @@
 mod cases;
 mod found;
 mod lasting;
+mod links;
 mod model;
 mod random;
 mod random_cancellation;
