--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -313,7 +313,7 @@
             last_call: 0,
             noted: BTreeMap::new(),
             latest: BTreeMap::new(),
-            strict_notes: false,
+            strict_notes: true,
             done: BTreeSet::new(),
             ended: BTreeMap::new(),
             allowed: None,
