What counts of a task that is begun again is stored before it is begun

A worker with a withheld end comes last in place of getting nothing: in a shard of two workers the other was full, and a job waited for good.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -99,6 +99,8 @@
     unheard: BTreeSet<WorkerId>,
     /// When nothing that they were told before can run any more.
     settled_at: Instant,
+    /// Whether runs that nobody was heard of have been given up.
+    voided: bool,
     /// Whether the leader before has surely ended.
     predecessor_ended: bool,
     /// Until when leases of workers may be extended and tasks started.
@@ -153,6 +155,7 @@
             next_review: now,
             unheard,
             settled_at: now + bounds.blind + LEASE_LIFE,
+            voided: false,
             predecessor_ended: false,
             authority: now,
             deposed: false,
@@ -280,6 +283,7 @@
 
     /// Looks through all workers and runs for what time alone has brought about.
     fn sweep(&mut self, now: Instant, unix: UnixMillis, extend: bool) {
+        self.void_unseen(now);
         let mut found = self.lives.lapsed(now);
         found.extend(self.lives.vanished(now, now >= self.settled_at));
         self.take_findings_at(now, unix, found);
@@ -287,6 +291,20 @@
         self.resend(now, extend);
     }
 
+    /// Once nothing from before this leader's time can run any more, work of workers that were never heard is
+    /// begun again.
+    fn void_unseen(&mut self, now: Instant) {
+        if self.voided || now < self.settled_at {
+            return;
+        }
+        self.voided = true;
+        let unsettled = self.unheard_domains();
+        let first = self.run_base() + 1;
+        for job in self.jobs.void_unseen(first, |job| unsettled.holds(job)) {
+            self.commits.change(job, now, true);
+        }
+    }
+
     /// When `tick` has something to do next.
     pub fn next_due(&self, now: Instant) -> Instant {
         let mut due = self.last_pass + self.pass_rest();
@@ -313,10 +331,14 @@
 
     /// Where runs of an earlier leader may still go on unseen.
     fn unsettled(&self, now: Instant) -> UnsettledDomains {
-        let mut unsettled = UnsettledDomains::default();
-        if now >= self.settled_at {
-            return unsettled;
+        match now >= self.settled_at {
+            true => UnsettledDomains::default(),
+            false => self.unheard_domains(),
         }
+    }
+
+    fn unheard_domains(&self) -> UnsettledDomains {
+        let mut unsettled = UnsettledDomains::default();
         for id in &self.unheard {
             match self.lives.get(id).map(|life| &life.listing.domain) {
                 Some(domain) if !domain.is_empty() => {
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -38,8 +38,6 @@
             return;
         };
         let run = run.unwrap_or_else(|| job.next_run(&start.task, base));
-        // What a worker that this leader has not heard ran of it may have ended.
-        let unseen = job.inherited && !self.unheard.is_empty() && !step.lasting;
         let task = job.task_name(start.task);
         let phase = RunPhase::Sent { tries: 0 };
         let entry = WorkerRun::new(run, phase, now, Some((job, step)));
@@ -47,9 +45,6 @@
             life.add_run(task.clone(), entry);
         }
         self.jobs.note_run(&task, start.worker.clone(), run);
-        if unseen && self.jobs.raise_floor(&task, base + 1) {
-            self.commits.change(task.job.clone(), now, false);
-        }
         metrics::counter!("kelplink_run_starts_total").increment(1);
         self.send_start(now, &start.worker, &task);
     }
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -115,7 +115,10 @@
         for (id, progress) in group.progress {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.stored_domains.extend(progress.domains.iter().cloned());
+                job.stored_floors = progress.floors.clone();
             }
+            // Tasks may have waited for that.
+            self.jobs.reopen(&id);
             let Some(verdict) = progress.verdict else {
                 continue;
             };
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -74,6 +74,8 @@
     pub stored_domains: BTreeSet<DomainId>,
     /// What has become of it; the store may not have the newest yet.
     pub progress: GraphProgress,
+    /// First runs that count, as the store has them.
+    pub stored_floors: BTreeMap<TaskKey, RunNumber>,
     /// Verdict that the store has.
     pub shown: Option<GraphVerdict>,
     /// Whether the store has the job.
@@ -110,6 +112,7 @@
             shard: ShardId::from(""),
             stored_domains: BTreeSet::new(),
             progress: GraphProgress::default(),
+            stored_floors: BTreeMap::new(),
             shown: None,
             durable: false,
             give_up: now,
@@ -137,6 +140,7 @@
         job.started = !progress.is_empty();
         job.shown = progress.verdict;
         job.stored_domains = progress.domains.clone();
+        job.stored_floors = progress.floors.clone();
         job.progress = progress;
         job
     }
@@ -212,13 +216,35 @@
         let here = |index: &u32| {
             self.share.as_ref().is_none_or(|share| share.holds(&self.shard, *index, count))
         };
+        // Begun before the store knows that an earlier run counts no more, its end might be acknowledged later.
+        let settled =
+            |task: &TaskKey| self.progress.floors.get(task) == self.stored_floors.get(task);
         (0..count)
             .filter(here)
             .map(|index| TaskKey { step: key, index })
             .filter(|task| !self.progress.is_done(task) && !self.live.contains_key(task))
+            .filter(settled)
             .collect()
     }
 
+    /// Tasks that may have been begun by an earlier leader and that this one has heard nothing of. Tasks whose
+    /// turn had not come in what is stored may have been begun as well: the last progress may be lost.
+    pub(crate) fn unseen_tasks(&self) -> Vec<TaskKey> {
+        let mut unseen = Vec::new();
+        for occurrence in 0..self.spec.occurrences() {
+            for (index, step) in
+                self.spec.steps.iter().enumerate().filter(|(_, step)| !step.lasting)
+            {
+                let key = StepKey { occurrence, step: u32::try_from(index).unwrap_or(u32::MAX) };
+                let tasks = (0..step.count).map(|index| TaskKey { step: key, index });
+                unseen.extend(tasks.filter(|task| {
+                    !self.progress.is_done(task) && !self.last_run.contains_key(task)
+                }));
+            }
+        }
+        unseen
+    }
+
     /// Time from hand-in within which its worth is whole.
     pub fn objective(&self) -> Duration {
         let chain = self.chains.iter().max().copied().unwrap_or_default();
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -101,12 +101,6 @@
         }
     }
 
-    /// Runs of a task before `first` do not count any more; tells whether that is new.
-    pub(crate) fn raise_floor(&mut self, task: &TaskName, first: RunNumber) -> bool {
-        let job = self.jobs.get_mut(&task.job);
-        job.is_some_and(|job| job.progress.raise_floor(task.key, first))
-    }
-
     /// Notes a run that was sent or found.
     pub(crate) fn note_run(&mut self, task: &TaskName, worker: WorkerId, run: RunNumber) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
@@ -137,11 +131,34 @@
     pub(crate) fn given_up(&mut self, task: &TaskName, run: RunNumber, saved: &str) -> JobEffect {
         let mut effect = self.lost(task, run, saved);
         if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.over()) {
-            effect.changed |= job.progress.raise_floor(task.key, run + 1);
+            let lasting = job.step(task.key.step).is_some_and(|step| step.lasting);
+            if !lasting && job.progress.raise_floor(task.key, run + 1) {
+                (effect.changed, effect.urgent) = (true, true);
+            }
         }
         effect
     }
 
+    /// Runs of earlier leaders may have gone on or ended unseen: those of tasks that this one knows nothing of
+    /// count no more. Tells the jobs for which that is new.
+    pub(crate) fn void_unseen(
+        &mut self,
+        first: RunNumber,
+        held: impl Fn(&GraphJob) -> bool,
+    ) -> Vec<GraphId> {
+        let mut changed = Vec::new();
+        let open = self.jobs.values_mut().filter(|job| job.inherited && !job.over() && held(job));
+        for job in open {
+            let unseen: Vec<TaskKey> = job.unseen_tasks();
+            let raised =
+                unseen.iter().filter(|task| job.progress.raise_floor(**task, first)).count();
+            if raised > 0 {
+                changed.push(job.spec.id.clone());
+            }
+        }
+        changed
+    }
+
     /// A run ended.
     pub(crate) fn ended(
         &mut self,
--- a/src/graph/placer/room.rs
+++ b/src/graph/placer/room.rs
@@ -27,7 +27,7 @@
         let wanted = best_effort.map(|run| run.figure).sum();
         Self {
             life,
-            health: life.health.rank(now),
+            health: life.rank(now),
             free,
             spare: life.free(),
             wanted,
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::WorkerListing;
-use crate::graph::health::WorkerHealth;
+use crate::graph::health::{HealthRank, WorkerHealth};
 use crate::graph::job::GraphJob;
 use crate::graph::name::{ImageId, RunNumber, StepKey, TaskName};
 use crate::graph::spec::StepSpec;
@@ -314,12 +314,20 @@
             && self.claimed
             && self.noted
             && !self.obscure
-            && self.withheld.is_none()
             && self.misses == 0
             && self.shunned_until.is_none_or(|until| until <= now)
             && self.answered.is_some_and(|at| now.saturating_duration_since(at) < silence)
     }
 
+    /// What it is good for now. Where an end is withheld, those after it are not acknowledged either, and of a long
+    /// list the last are not shown: it comes last, but a shard of two workers has to use it.
+    pub fn rank(&self, now: Instant) -> HealthRank {
+        match self.withheld {
+            Some(_) => self.health.rank(now).max(HealthRank::Doubtful),
+            None => self.health.rank(now),
+        }
+    }
+
     /// Whether it has the label that a step wants.
     pub fn has_label(&self, step: &StepSpec) -> bool {
         step.label.as_ref().is_none_or(|label| self.listing.labels.contains(label))
--- a/tests/graph/links.rs
+++ b/tests/graph/links.rs
@@ -34,7 +34,7 @@
     set_reached(&mut world, &silent, true);
     world.run(seconds(5));
     expect_that!(world.state("a"), some(eq(GraphState::Completed)));
-    // The worker is given no more work, whose ends could not be acknowledged either.
+    // The worker comes last for more work, whose ends could not be acknowledged either.
     world.submit("now", "b", vec![step(1, 6, 400)]);
     world.run(Duration::from_millis(200));
     expect_that!(worker_of(&world, "b"), not(eq(&silent)));
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -17,7 +17,7 @@
 /// Seeds that `cargo test` runs.
 const SHORT_SEEDS: std::ops::Range<u64> = 0..12;
 /// Seeds that failed once; `docs/MEASUREMENTS.md` says why.
-const FAILED_ONCE: [u64; 1] = [1_000_004];
+const FAILED_ONCE: [u64; 2] = [1_000_004, 8_000_006];
 /// Seeds of long runs begin here.
 const LONG_SEEDS: u64 = 1_000_000;
 /// Workers.
--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -18,8 +18,9 @@
 /// Seeds that `cargo test` runs.
 const SHORT_SEEDS: std::ops::Range<u64> = 0..12;
 /// Seeds that failed once: a share's task was started while the notice of the job's cancellation was on its way,
-/// which is allowed for 50 ms.
-const FAILED_ONCE: [u64; 1] = [1_000_638];
+/// which is allowed for 50 ms; ends were acknowledged of which a leader that was lost had begun the task again; a
+/// worker with such an end was given no more work, and the other in its shard was full.
+const FAILED_ONCE: [u64; 3] = [1_000_638, 3_000_000, 4_000_091];
 /// Seeds of long runs begin here.
 const LONG_SEEDS: u64 = 1_000_000;
 /// Workers.
