Waits, starts without an answer and leadership follow what is measured

Change: the wait is the smoothed time of answers and four times its deviation, doubled while nothing is answered (150 ms to 1.5 s); starts without an answer are limited by a window that grows with answers in time and is halved by late or missing ones (16 to 512); a machine is slow where its timers are late and little is done meanwhile.

Tests: the_wait_for_an_answer_follows_a_link_that_is_slow, the_window_follows_what_a_link_carries, a_leader_that_is_late_with_much_done_is_not_slow.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -1,6 +1,7 @@
 //! Jobs that are graphs of steps: all decisions of a leader, without input or output.
 
 mod advice;
+mod answer_time;
 mod changes;
 mod commit;
 mod controller;
@@ -19,12 +20,14 @@
 mod progress;
 mod queue;
 mod room;
+mod send_window;
 mod shard;
 mod share;
 mod spec;
 mod worker;
 
 pub use advice::{AdviceCall, AdviceDesk, AdviceId, AdviceKey, AdviceWish, StepAdvice};
+pub use answer_time::AnswerTime;
 pub use commit::{CommitGroup, CommitQueue, GroupEffect, GroupNumber};
 pub use controller::{GraphBounds, GraphController, LeaderState};
 pub use event::{CommandResult, GraphAction, GraphAnswer, PollResult, StartOrder};
@@ -40,6 +43,7 @@
 pub use preemption::{KeptRoom, PlannedPreemption, RoomKeeper};
 pub use progress::{GraphProgress, GraphVerdict};
 pub use queue::{AdviceRule, PoolRule, QueueConfig, QueueRule, RequestLimits};
+pub use send_window::SendWindow;
 pub use shard::{ShardId, ShardPlan, ShardScope};
 pub use share::{ShareRange, TaskShare};
 pub use spec::{GraphSpec, RepeatRule, StepSpec};
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -28,6 +28,7 @@
 use crate::graph::preemption::RoomKeeper;
 use crate::graph::progress::GraphProgress;
 use crate::graph::queue::QueueConfig;
+use crate::graph::send_window::SendWindow;
 use crate::graph::shard::ShardScope;
 use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId};
 
@@ -88,6 +89,7 @@
     lives: LifeTable,
     advice: AdviceDesk,
     keeper: RoomKeeper,
+    window: SendWindow,
     commits: CommitQueue,
     waiters: BTreeMap<GraphId, Vec<(CallId, AttemptId)>>,
     /// Requests that were rejected, and when.
@@ -148,6 +150,7 @@
             lives,
             advice: AdviceDesk::default(),
             keeper: RoomKeeper::default(),
+            window: SendWindow::default(),
             commits: CommitQueue::default(),
             waiters: BTreeMap::new(),
             rejected: BTreeMap::new(),
@@ -370,6 +373,7 @@
             lives: &self.lives,
             advice: &self.advice,
             keeper: &self.keeper,
+            unanswered: self.window.limit(),
         };
         let plan = PlacementPass::new(view).run();
         for id in &plan.settled {
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -115,6 +115,14 @@
         let RunPhase::Sent { tries } = entry.phase else {
             return;
         };
+        match &result {
+            // What was sent again does not tell which send was answered.
+            Ok(_) if tries == 1 => {
+                self.window.answered(now, now.saturating_duration_since(entry.since));
+            }
+            Err(CallFailure::NoAnswer) => self.window.unanswered(now),
+            _ => {}
+        }
         let failure = match result {
             Ok(clock) => {
                 entry.phase = RunPhase::Running { confirmed: clock };
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -32,10 +32,6 @@
 const WISHES_A_CALL: usize = 3;
 /// Multiple of its objective after which a job's result has lost its worth.
 const WORTHLESS_AFTER: u32 = 3;
-/// Starts that may be without an answer at the same time, but for one more gang: each has a connection, and
-/// an entry keeps 1,200 descriptors for these, for polls and for the store. Starts are answered within
-/// some milliseconds, and users have 350 a second at their peak.
-const MOST_UNANSWERED: usize = 512;
 /// Open steps of one job that a pass looks at: four occurrences of the largest graph. Later ones wait
 /// for these: 15,000 that were due at once took 450 ms a pass with 250 workers, 50 ms so (debug build).
 const MOST_OPEN_STEPS: usize = 1_024;
@@ -108,6 +104,8 @@
     pub advice: &'t AdviceDesk,
     /// Room that is kept for tasks.
     pub keeper: &'t RoomKeeper,
+    /// Starts that may be without an answer, but for one more gang.
+    pub unanswered: usize,
 }
 
 /// One pass.
@@ -137,7 +135,7 @@
         let mut rooms: BTreeMap<WorkerId, PassRoom<'t>> = open.map(room).collect();
         leave_out_faulty(&mut rooms);
         let wishes_left = view.advice.idle() * WISHES_A_CALL;
-        let starts_left = MOST_UNANSWERED.saturating_sub(unanswered(&rooms));
+        let starts_left = view.unanswered.saturating_sub(unanswered(&rooms));
         Self {
             view,
             wishes_left,
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 mod election;
 mod input;
 mod keys;
+mod lateness;
 mod leader;
 mod ledger;
 mod members;
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -2,17 +2,22 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use log::debug;
+use tokio::time::Instant;
 
-use crate::graph::{AdviceCall, CommitGroup, GraphAction, LeaderEpoch, StartOrder};
+use crate::graph::{
+    AdviceCall, AnswerTime, CallFailure, CommandResult, CommitGroup, GraphAction, LeaderEpoch,
+    StartOrder,
+};
 use crate::id::EntryId;
 use crate::node::input::LeaderInput;
 use crate::node::ledger::JobLedger;
 use crate::node::peers::PeerClient;
 use crate::node::shared::NodeShared;
-use crate::platform::WorkerClient;
+use crate::platform::{CallTerms, WorkerClient};
 use crate::ring::RingSender;
 
 /// Makes calls, each in a task of its own whose outcome goes back to the leader's duty.
@@ -23,6 +28,33 @@
     workers: WorkerClient,
     peers: PeerClient,
     epoch: LeaderEpoch,
+    times: AnswerTimes,
+}
+
+/// Measured times of the answers of all workers, shared by all calls.
+#[derive(Clone, Debug, Default)]
+struct AnswerTimes {
+    times: Arc<Mutex<AnswerTime>>,
+}
+
+impl AnswerTimes {
+    fn lock(&self) -> MutexGuard<'_, AnswerTime> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait(&self) -> Duration {
+        self.lock().wait()
+    }
+
+    /// Notes how a command that was sent at `sent` was answered.
+    fn note(&self, sent: Instant, result: &CommandResult) {
+        let now = Instant::now();
+        match result {
+            Ok(_) | Err(CallFailure::Refused(_)) => self.lock().answered(now - sent),
+            Err(CallFailure::NoAnswer) => self.lock().unanswered(now),
+            Err(CallFailure::NotSent | CallFailure::NothingThere) => {}
+        }
+    }
 }
 
 impl CallCarrier {
@@ -33,7 +65,8 @@
         epoch: LeaderEpoch,
     ) -> Self {
         let (workers, peers) = (WorkerClient::new(), PeerClient::new());
-        Self { shared, leader, ledger, workers, peers, epoch }
+        let times = AnswerTimes::default();
+        Self { shared, leader, ledger, workers, peers, epoch, times }
     }
 
     /// Later calls carry this epoch.
@@ -43,31 +76,36 @@
 
     /// Makes a call.
     pub(crate) fn carry(&self, action: GraphAction) {
-        let (epoch, workers, leader) = (self.epoch, self.workers.clone(), self.leader.clone());
+        let (workers, leader) = (self.workers.clone(), self.leader.clone());
+        let (times, sent) = (self.times.clone(), Instant::now());
+        let terms = CallTerms { epoch: self.epoch, time: times.wait() };
         match action {
             GraphAction::Poll { worker, address, until, acked, wait } => {
                 tokio::spawn(async move {
-                    let result = workers.poll(epoch, &worker, address, until, acked, wait).await;
+                    let poll = workers.poll(terms, &worker, address, until, acked, wait);
+                    let result = poll.await;
                     leader.send(LeaderInput::Polled(worker, result)).await;
                 });
             }
             GraphAction::Start(order) => {
                 tokio::spawn(async move {
-                    let result = workers.start(epoch, &order).await;
+                    let result = workers.start(terms, &order).await;
+                    times.note(sent, &result);
                     let StartOrder { worker, task, run, .. } = order;
                     leader.send(LeaderInput::Started(worker, task, run, result)).await;
                 });
             }
             GraphAction::Stop { worker, address, task, run } => {
                 tokio::spawn(async move {
-                    let result = workers.stop(epoch, &worker, address, &task, run).await;
+                    let result = workers.stop(terms, &worker, address, &task, run).await;
+                    times.note(sent, &result);
                     leader.send(LeaderInput::Stopped(worker, task, run, result)).await;
                 });
             }
             GraphAction::Throttle { worker, address, task, run, percent } => {
                 tokio::spawn(async move {
-                    let result =
-                        workers.throttle(epoch, &worker, address, &task, run, percent).await;
+                    let throttle = workers.throttle(terms, &worker, address, &task, run, percent);
+                    let result = throttle.await;
                     debug!(task:% = task, run, percent, result:?; "throttle answered");
                 });
             }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -15,6 +15,7 @@
     ENTRY_PREFIX, KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome, epoch_key,
     leader_key,
 };
+use crate::node::lateness::LatenessRule;
 use crate::node::leader::LeaderTerm;
 use crate::node::records::{EntryRecord, EpochRecord, LeaderRecord};
 use crate::node::shared::NodeShared;
@@ -28,10 +29,7 @@
 const RENEWAL: Duration = Duration::from_millis(250);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Lateness of timers from which a machine is too slow to lead: a healthy leader's are late by less
-/// than 5 ms, those of one that is seven times slower by 20 to 130 ms.
-const SLOW_LATENESS: Duration = Duration::from_millis(35);
-/// Shortest time of leading before that: a takeover itself is heavy.
+/// Shortest time of leading before a machine is taken for too slow: a takeover itself is heavy.
 const LEAST_TERM: Duration = Duration::from_secs(4);
 /// How long a machine that was too slow does not stand.
 const SLOW_REST: Duration = Duration::from_secs(10);
@@ -43,8 +41,7 @@
     renewed: Option<Instant>,
     /// This process in each shard.
     candidacies: BTreeMap<ShardId, Candidacy>,
-    /// How late timers are, smoothed over five of them.
-    lateness: Duration,
+    lateness: LatenessRule,
     /// Until when this process does not stand, as its machine was too slow.
     rests_until: Option<Instant>,
 }
@@ -56,7 +53,7 @@
             lease: None,
             renewed: None,
             candidacies: BTreeMap::new(),
-            lateness: Duration::ZERO,
+            lateness: LatenessRule::new(),
             rests_until: None,
         }
     }
@@ -111,14 +108,15 @@
 
     /// Steps down where this machine has become too slow to lead, which its timers show.
     async fn note_lateness(&mut self, late: Duration) {
-        self.lateness = (self.lateness * 3 + late * 2) / 5;
+        self.lateness.note(late, self.shared.leader_inputs());
         let settled = self.candidacies.values().any(|own| own.leads_for(LEAST_TERM));
         let others = self.shared.members.borrow().entries.len() > 1;
-        if self.lateness < SLOW_LATENESS || !settled || !others {
+        let slow = self.lateness.is_slow(self.shared.settings.processor);
+        if !slow || !settled || !others {
             return;
         }
         warn!(late_ms = late.as_millis() as u64; "this machine is too slow to lead");
-        self.lateness = Duration::ZERO;
+        self.lateness.forget();
         self.rests_until = Some(Instant::now() + SLOW_REST);
         self.hand_over().await;
     }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -196,6 +196,7 @@
         input: LeaderInput,
     ) -> bool {
         let (now, unix) = (Instant::now(), unix_millis());
+        self.shared.note_leader_input();
         match input {
             LeaderInput::Call(call, answer) => self.call(controller, now, call, answer),
             LeaderInput::Listed(listing) => controller.worker_listed(now, *listing),
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,6 +1,7 @@
 //! What the duties of a process share.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     pub(crate) config: watch::Sender<Option<Arc<QueueConfig>>>,
     pub(crate) members: watch::Sender<MemberView>,
     pub(crate) draining: watch::Sender<bool>,
+    /// Inputs that leaders of this process have taken.
+    leader_inputs: AtomicU64,
     leading: Mutex<BTreeMap<ShardId, RingSender<LeaderInput>>>,
     store_answered: Mutex<Option<Instant>>,
     /// When the leader answered last, or any other entry where this one leads.
@@ -58,6 +61,7 @@
             config: watch::Sender::new(None),
             members: watch::Sender::new(MemberView::default()),
             draining: watch::Sender::new(false),
+            leader_inputs: AtomicU64::new(0),
             leading: Mutex::new(BTreeMap::new()),
             store_answered: Mutex::new(None),
             peer_answered: Mutex::new(None),
@@ -78,6 +82,16 @@
         lock(&self.leading).get(shard).cloned()
     }
 
+    /// A leader of this process has taken an input.
+    pub(crate) fn note_leader_input(&self) {
+        self.leader_inputs.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Inputs that leaders of this process have taken.
+    pub(crate) fn leader_inputs(&self) -> u64 {
+        self.leader_inputs.load(Ordering::Relaxed)
+    }
+
     /// All shards that this process leads.
     pub(crate) fn led_shards(&self) -> Vec<ShardId> {
         lock(&self.leading).keys().cloned().collect()
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -15,6 +15,7 @@
 use crate::node::candidacy::Candidacy;
 use crate::node::dependency::{DependencyLine, DependencyRule, DutyRhythm};
 use crate::node::keys::{ENTRY_PREFIX, epoch_key};
+use crate::node::lateness::LatenessRule;
 use crate::node::members::written;
 use crate::node::message::LeaderAnswer;
 use crate::node::records::{EntryRecord, LeaderRecord};
@@ -182,6 +183,27 @@
     expect_that!(candidacy.turn(&view), gt(Instant::now()));
 }
 
+/// Timers of `late` for three seconds, with so many inputs a second.
+async fn late_timers(rule: &mut LatenessRule, late: Duration, inputs: u64) {
+    let mut taken = 0;
+    for _ in 0..10 {
+        advance(Duration::from_millis(300)).await;
+        taken += inputs * 3 / 10;
+        rule.note(late, taken);
+    }
+}
+
+// Nine entries in turn took themselves for too slow while each was given more than any machine can do.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_is_late_with_much_done_is_not_slow() {
+    for (late, inputs, slow) in [(60, 100, true), (60, 1_200, false), (5, 100, false)] {
+        let mut rule = LatenessRule::new();
+        late_timers(&mut rule, Duration::from_millis(late), inputs).await;
+        expect_that!(rule.is_slow(0.5), eq(slow), "{late} ms with {inputs} inputs a second");
+    }
+}
+
 /// Lines of a store that refuses two duties each 100 ms for a time.
 async fn refuse(rule: &mut DependencyRule, time: Duration) -> Vec<DependencyLine> {
     let mut lines = Vec::new();
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -21,7 +21,7 @@
 };
 pub use settings::{SETTINGS_VARIABLE, parse_platform_settings};
 pub(crate) use store::PlatformStore;
-pub(crate) use workers::WorkerClient;
+pub(crate) use workers::{CallTerms, WorkerClient};
 
 #[cfg(test)]
 mod tests;
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -23,11 +23,8 @@
 /// Names the life of the worker that a call is meant for; any other answers 421.
 const LIFE_HEADER: &str = "Target-Instance";
 
-/// Longest time for a command: an answer takes a few milliseconds. Commands may be repeated, so one that
-/// was lost costs its task this time only.
-const COMMAND_TIME: Duration = Duration::from_millis(150);
-/// Added to the time that a poll may wait before it counts as lost.
-const POLL_SLACK: Duration = Duration::from_millis(250);
+/// Added to the time of an answer before a poll counts as lost: its answer lists all that runs.
+const POLL_SLACK: Duration = Duration::from_millis(100);
 
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -99,6 +96,15 @@
     finished: Vec<WireEnded>,
 }
 
+/// What all calls to workers have in common.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallTerms {
+    /// Epoch of the leader that calls.
+    pub(crate) epoch: LeaderEpoch,
+    /// Longest time for an answer.
+    pub(crate) time: Duration,
+}
+
 /// A client of all workers.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerClient {
@@ -111,50 +117,51 @@
     }
 
     /// Starts a run; a run that is there already is no error.
-    pub(crate) async fn start(&self, epoch: LeaderEpoch, order: &StartOrder) -> CommandResult {
+    pub(crate) async fn start(&self, terms: CallTerms, order: &StartOrder) -> CommandResult {
         let body = WireStart {
             task: order.task.to_string(),
             run: order.run,
             spec: &order.payload,
             until_ms: millis(order.until),
-            fencing_token: epoch,
+            fencing_token: terms.epoch,
             checkpoint: &order.saved,
             ticket: order.ticket.as_deref(),
         };
-        self.command(&order.worker, order.address, START_PATH, &body).await
+        self.command(&order.worker, order.address, START_PATH, &body, terms.time).await
     }
 
     /// Stops a run; one that has not begun will be refused from then on.
     pub(crate) async fn stop(
         &self,
-        epoch: LeaderEpoch,
+        terms: CallTerms,
         worker: &WorkerId,
         address: SocketAddr,
         task: &TaskName,
         run: RunNumber,
     ) -> CommandResult {
-        let body = WireStop { task: task.to_string(), run, fencing_token: epoch };
-        self.command(worker, address, STOP_PATH, &body).await
+        let body = WireStop { task: task.to_string(), run, fencing_token: terms.epoch };
+        self.command(worker, address, STOP_PATH, &body, terms.time).await
     }
 
     /// Lets a run work at a share of its speed.
     pub(crate) async fn throttle(
         &self,
-        epoch: LeaderEpoch,
+        terms: CallTerms,
         worker: &WorkerId,
         address: SocketAddr,
         task: &TaskName,
         run: RunNumber,
         percent: u32,
     ) -> CommandResult {
-        let body = WireThrottle { task: task.to_string(), run, percent, fencing_token: epoch };
-        self.command(worker, address, THROTTLE_PATH, &body).await
+        let body =
+            WireThrottle { task: task.to_string(), run, percent, fencing_token: terms.epoch };
+        self.command(worker, address, THROTTLE_PATH, &body, terms.time).await
     }
 
     /// Looks at a worker, renews its lease and acknowledges ends.
     pub(crate) async fn poll(
         &self,
-        epoch: LeaderEpoch,
+        terms: CallTerms,
         worker: &WorkerId,
         address: SocketAddr,
         until: Option<Duration>,
@@ -163,11 +170,12 @@
     ) -> PollResult {
         let body = WirePoll {
             until_ms: until.map(millis),
-            fencing_token: epoch,
+            fencing_token: terms.epoch,
             ack_cursor: acked,
             wait_ms: (!wait.is_zero()).then(|| millis(wait)),
         };
-        let response = self.call(worker, address, POLL_PATH, &body, wait + POLL_SLACK).await?;
+        let response =
+            self.call(worker, address, POLL_PATH, &body, wait + terms.time + POLL_SLACK).await?;
         let answer: WirePollAnswer = read_json(&response).map_err(failed)?;
         let ended = answer.finished.into_iter().filter_map(ended).collect();
         let running = answer.running.into_iter().filter_map(running).collect();
@@ -180,8 +188,9 @@
         address: SocketAddr,
         path: &str,
         body: &B,
+        time: Duration,
     ) -> CommandResult {
-        let response = self.call(worker, address, path, body, COMMAND_TIME).await?;
+        let response = self.call(worker, address, path, body, time).await?;
         let answer: WireAnswer = read_json(&response).map_err(failed)?;
         Ok(Duration::from_millis(answer.clock_ms))
     }
--- a/tests/graph/links.rs
+++ b/tests/graph/links.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphState, WorkerId};
+use kelplink::{AnswerTime, GraphState, SendWindow, WorkerId};
+use tokio::time::Instant;
 
 use crate::world::{World, seconds, step};
 
@@ -63,3 +64,60 @@
     world.run(seconds(5));
     expect_that!(world.state("a"), some(eq(GraphState::Completed)));
 }
+
+// A link that is full: each answer takes 400 ms. A wait of 150 ms gave all of them up for good.
+#[gtest]
+fn the_wait_for_an_answer_follows_a_link_that_is_slow() {
+    let (mut times, mut now) = (AnswerTime::default(), Instant::now());
+    for _ in 0..200 {
+        times.answered(Duration::from_millis(3));
+    }
+    expect_that!(times.wait(), eq(Duration::from_millis(150)));
+    let took = Duration::from_millis(400);
+    let mut given_up = 0;
+    for _ in 0..100 {
+        now += took;
+        match times.wait() > took {
+            true => times.answered(took),
+            false => {
+                given_up += 1;
+                times.unanswered(now);
+            }
+        }
+    }
+    expect_that!(given_up, le(4));
+    expect_that!(times.wait(), le(Duration::from_millis(1_500)));
+    // Many that were sent together say no more than one.
+    let before = times.wait();
+    for _ in 0..50 {
+        times.unanswered(now);
+    }
+    expect_that!(times.wait(), le(before * 2));
+    // It is quick again once the link is.
+    for _ in 0..60 {
+        times.answered(Duration::from_millis(3));
+    }
+    expect_that!(times.wait(), le(Duration::from_millis(200)));
+}
+
+// A link that carries 100 starts a second: what is sent beyond that waits in it, before renewals and stops.
+#[gtest]
+fn the_window_follows_what_a_link_carries() {
+    let (mut window, mut now) = (SendWindow::default(), Instant::now());
+    for _ in 0..2_000 {
+        let queue = Duration::from_millis(10) * u32::try_from(window.limit()).unwrap();
+        now += Duration::from_millis(10);
+        window.answered(now, queue);
+    }
+    expect_that!(window.limit(), all![ge(8), le(32)]);
+    // Five thousand answers in time open it for the widest steps.
+    for _ in 0..5_000 {
+        now += Duration::from_millis(3);
+        window.answered(now, Duration::from_millis(4));
+    }
+    expect_that!(window.limit(), ge(256));
+    window.unanswered(now);
+    let left = window.limit();
+    window.unanswered(now);
+    expect_that!(window.limit(), eq(left));
+}
