A weak machine hands leadership over once a stronger one leads nothing

Cause: since a leader that is late with much done is not taken for slow, a machine of an eighth of a core that was elected while strong ones were away would lead 350 workers for good.

Change: a leader whose timers are late steps down where an entry with more than twice its processor leads nothing. Nothing changes where all machines are equal. Test: a_weak_leader_finds_that_a_stronger_machine_leads_nothing.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -112,15 +112,21 @@
         let settled = self.candidacies.values().any(|own| own.leads_for(LEAST_TERM));
         let others = self.shared.members.borrow().entries.len() > 1;
         let slow = self.lateness.is_slow(self.shared.settings.processor);
-        if !slow || !settled || !others {
+        let weaker = self.lateness.is_late() && self.is_weaker();
+        if !(slow || weaker) || !settled || !others {
             return;
         }
-        warn!(late_ms = late.as_millis() as u64; "this machine is too slow to lead");
+        warn!(late_ms = late.as_millis() as u64, weaker; "this machine is too slow to lead");
         self.lateness.forget();
         self.rests_until = Some(Instant::now() + SLOW_REST);
         self.hand_over().await;
     }
 
+    /// Whether a machine with twice the processor leads nothing: with more to do than this one can, it goes first.
+    fn is_weaker(&self) -> bool {
+        self.shared.members.borrow().has_stronger(&self.shared.settings.name)
+    }
+
     /// Renews the lease, or makes a new one; gives the time until the next renewal.
     async fn renew(&mut self) -> Duration {
         let sent = Instant::now();
--- a/src/node/lateness.rs
+++ b/src/node/lateness.rs
@@ -43,9 +43,14 @@
         }
     }
 
+    /// Whether timers are late.
+    pub(crate) fn is_late(&self) -> bool {
+        self.lateness >= SLOW_LATENESS
+    }
+
     /// Whether a machine with so many cores is too slow to lead.
     pub(crate) fn is_slow(&self, processor: f64) -> bool {
-        self.lateness >= SLOW_LATENESS && self.inputs_a_second < SOUND_INPUTS * processor
+        self.is_late() && self.inputs_a_second < SOUND_INPUTS * processor
     }
 
     /// Begins to measure anew.
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -169,6 +169,21 @@
     expect_that!(ranks(&view), eq([2, 4, 0, 1, 3]));
 }
 
+// A machine of an eighth of a core that was elected while the strong ones were away is given more than it can do,
+// and keeps on as it does much of it: it goes once a strong one is there.
+#[gtest]
+fn a_weak_leader_finds_that_a_stronger_machine_leads_nothing() {
+    let mut view = divided(&[("e1", "a", 0.12), ("e2", "a", 0.12)]);
+    expect_false!(view.has_stronger(&"e1".into()));
+    view.entries.extend(divided(&[("e3", "b", 0.5)]).entries);
+    expect_true!(view.has_stronger(&"e1".into()));
+    expect_false!(view.has_stronger(&"e3".into()));
+    let address = "127.0.0.1:9".parse().unwrap();
+    let leader = LeaderRecord { entry: "e3".into(), address, start: 7, epoch: 1 };
+    view.shards.entry("b".into()).or_default().leader = Some(leader);
+    expect_false!(view.has_stronger(&"e1".into()));
+}
+
 // While a failure domain was cut off, entries of the others waited for it. When it was back, their turn had long
 // come: one took its shard, and all leaders took the time since for the lateness of their timers and stepped down.
 #[gtest]
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -117,6 +117,14 @@
         })
     }
 
+    /// Whether an entry that leads nothing has a machine of more than twice the processor of another's.
+    pub(crate) fn has_stronger(&self, entry: &EntryId) -> bool {
+        let own = self.entries.get(entry).map_or(0.0, |record| record.processor);
+        let leads = |name: &EntryId| self.leaders().any(|leader| leader.entry == *name);
+        let mut others = self.entries.iter();
+        others.any(|(name, record)| record.processor * STRONG_SHARE > own && !leads(name))
+    }
+
     /// Whether an entry leads a shard other than this one.
     fn leads_other(&self, shard: &ShardId, entry: &EntryId) -> bool {
         self.shards.iter().any(|(other, view)| {
