Names and steps of the way to a job's shard, its keys and notices

No behaviour changes: what the store's index says of a job is a type of its own, the conditions of a group are built in one place, kinds of notices are found without a map, and the leader of a shard is told of workers by the shard that they belong to.

--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -26,8 +26,8 @@
             job.shard = scope.shard.clone();
         }
         self.scope = scope;
-        let shared: Vec<GraphId> =
-            self.jobs.iter().filter(|job| job.share.is_some()).map(id).collect();
+        let shared = self.jobs.iter().filter(|job| job.share.is_some());
+        let shared: Vec<GraphId> = shared.map(|job| job.spec.id.clone()).collect();
         // Whether the leader before has sent them is not known.
         for job in shared {
             self.send_notices(&job);
@@ -129,7 +129,3 @@
         }
     }
 }
-
-fn id(job: &GraphJob) -> GraphId {
-    job.spec.id.clone()
-}
--- a/src/graph/shard.rs
+++ b/src/graph/shard.rs
@@ -149,9 +149,4 @@
     pub fn new(plan: Arc<ShardPlan>, shard: ShardId) -> Self {
         Self { plan, shard }
     }
-
-    /// Whether a rack belongs to the leader.
-    pub fn holds(&self, domain: &DomainId, rack: &RackId) -> bool {
-        !self.plan.is_divided() || self.plan.shard_of(domain, rack) == self.shard
-    }
 }
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -43,6 +43,16 @@
     Unknown,
 }
 
+/// What the store's index says of a job.
+enum IndexedShard {
+    /// This shard has it.
+    Known(ShardId),
+    /// No shard has it.
+    None,
+    /// The store does not answer.
+    Unread,
+}
+
 /// The way to the leader.
 pub(crate) struct LeaderAccess {
     shared: Arc<NodeShared>,
@@ -123,14 +133,7 @@
         call: &LeaderCall,
         patience: Duration,
     ) -> Result<LeaderAnswer, AccessFailure> {
-        let (near, divided) = {
-            let view = self.shared.members.borrow();
-            let domain = &self.shared.settings.domain;
-            let near =
-                view.plan.as_ref().and_then(|plan| plan.order_for(domain, job).into_iter().next());
-            let divided = view.plan.as_ref().is_some_and(|plan| plan.is_divided());
-            (near.unwrap_or_else(|| ShardId::from("")), divided)
-        };
+        let (near, divided) = self.near_shard(job);
         if !divided {
             return self.ask(&near, call, patience).await;
         }
@@ -140,21 +143,34 @@
             Ok(LeaderAnswer::Gone) | Err(_) => {}
             answer => return answer,
         }
-        match self.stored_shard(job).await {
-            Some(None) => Ok(LeaderAnswer::Gone),
-            Some(Some(shard)) if shard == near && first.is_ok() => first,
-            Some(Some(shard)) => {
+        match self.indexed_shard(job).await {
+            IndexedShard::None => Ok(LeaderAnswer::Gone),
+            IndexedShard::Known(shard) if shard == near && first.is_ok() => first,
+            IndexedShard::Known(shard) => {
                 self.ask(&shard, call, patience.saturating_sub(begun.elapsed())).await
             }
-            None => Err(first.err().unwrap_or(AccessFailure::NotTaken)),
+            IndexedShard::Unread => Err(first.err().unwrap_or(AccessFailure::NotTaken)),
         }
     }
 
-    /// The shard of a job, by the store's index; `None` where the store does not answer.
-    async fn stored_shard(&self, job: &GraphId) -> Option<Option<ShardId>> {
+    /// The shard that most likely has a job that is asked about here, and whether there are others.
+    fn near_shard(&self, job: &GraphId) -> (ShardId, bool) {
+        let view = self.shared.members.borrow();
+        let plan = view.plan.clone().unwrap_or_default();
+        let shards = plan.order_for(&self.shared.settings.domain, job);
+        let near = shards.into_iter().next().unwrap_or_else(|| ShardId::from(""));
+        (near, plan.is_divided())
+    }
+
+    /// The shard of a job, by the store's index.
+    async fn indexed_shard(&self, job: &GraphId) -> IndexedShard {
         let read = JobLedger::shard_of(&self.shared.store, job).await;
         self.shared.dependencies.store.tried(STATE_DUTY, &read);
-        read.ok()
+        match read {
+            Ok(Some(shard)) => IndexedShard::Known(shard),
+            Ok(None) => IndexedShard::None,
+            Err(_) => IndexedShard::Unread,
+        }
     }
 
     /// Counts the jobs of a queue that wait, over all shards; `None` where one cannot be asked.
@@ -251,13 +267,14 @@
 
     /// A job's state past a leader that cannot be reached, from the store.
     pub(crate) async fn stored_state(&self, id: &GraphId) -> Option<LeaderAnswer> {
-        let divided = self.shared.members.borrow().all_shards().len() > 1;
+        let (near, divided) = self.near_shard(id);
         let shard = match divided {
-            true => match self.stored_shard(id).await? {
-                Some(shard) => shard,
-                None => return Some(LeaderAnswer::Gone),
+            true => match self.indexed_shard(id).await {
+                IndexedShard::Known(shard) => shard,
+                IndexedShard::None => return Some(LeaderAnswer::Gone),
+                IndexedShard::Unread => return None,
             },
-            false => ShardId::from(""),
+            false => near,
         };
         let read = JobLedger::job(&self.shared.store, &shard, id).await;
         let read = read.map_err(|error| format!("job {id}: {error}"));
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -200,11 +200,7 @@
         let mut sure = true;
         let outcome = loop {
             let stand = self.stand();
-            let mut conditions = vec![
-                (epoch_key(&self.keys.shard), stand.epoch_revision),
-                (self.keys.group(), stand.group_revision),
-            ];
-            conditions.extend(added.iter().map(|job| (index_key(job), 0)));
+            let conditions = self.keys.conditions(stand, &added);
             let change =
                 KeyTransaction { conditions, sets: sets.clone(), removes: removes.clone() };
             match self.sent(&id, &change).await {
@@ -335,6 +331,16 @@
 }
 
 impl ShardKeys {
+    /// What must hold for a group: the leader's epoch, the group before, and jobs that no shard has.
+    fn conditions(&self, stand: LedgerStand, added: &[GraphId]) -> Vec<(String, u64)> {
+        let mut conditions = vec![
+            (epoch_key(&self.shard), stand.epoch_revision),
+            (self.group(), stand.group_revision),
+        ];
+        conditions.extend(added.iter().map(|job| (index_key(job), 0)));
+        conditions
+    }
+
     /// Jobs of a group that must not be in the index yet.
     fn indexed(&self, group: &CommitGroup) -> Vec<GraphId> {
         let own = group.added.iter().filter(|record| self.divided() && !self.is_part(record));
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -1,6 +1,5 @@
 //! The duty of following what other shards' leaders have to tell, while this process leads.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -116,9 +115,10 @@
 
     /// The kind of a notice and its job.
     fn named<'k>(&self, key: &'k str) -> Option<(NoticeKind, &'k str)> {
-        let (kind, job) = key.strip_prefix(&self.prefix)?.split_once('/')?;
-        let kinds = BTreeMap::from([NoticeKind::Start, NoticeKind::Cancel].map(|k| (label(k), k)));
-        kinds.get(kind).map(|kind| (*kind, job))
+        let (text, job) = key.strip_prefix(&self.prefix)?.split_once('/')?;
+        let kinds = [NoticeKind::Start, NoticeKind::Cancel];
+        let kind = kinds.into_iter().find(|kind| label(*kind) == text)?;
+        Some((kind, job))
     }
 
     async fn take(&self, item: &KeyItem) {
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -116,13 +116,10 @@
                 let id = listing.id.clone();
                 self.refused.remove(&item.key);
                 self.known.insert(id.clone());
-                let place = (&listing.domain, &listing.rack);
-                let input = match self.scope.holds(place.0, place.1) {
+                let shard = self.scope.plan.shard_of(&listing.domain, &listing.rack);
+                let input = match shard == self.scope.shard {
                     true => LeaderInput::Listed(Box::new(listing)),
-                    false => {
-                        let shard = self.scope.plan.shard_of(place.0, place.1);
-                        LeaderInput::ListedElsewhere(shard, Box::new(listing))
-                    }
+                    false => LeaderInput::ListedElsewhere(shard, Box::new(listing)),
                 };
                 self.leader.send(input).await;
                 Some(id)
