--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -7,14 +7,22 @@
 
 use crate::graph::controller::GraphController;
 use crate::graph::exchange::WorkerListing;
+use crate::graph::home::runs_on;
 use crate::graph::job::{GraphJob, GraphRecord};
-use crate::graph::name::GraphId;
+use crate::graph::name::{GraphId, TaskName};
 use crate::graph::notice::NoticeKind;
 use crate::graph::progress::GraphVerdict;
+use crate::graph::room::room_for;
 use crate::graph::shard::{ShardId, ShardScope};
 use crate::graph::share::TaskShare;
+use crate::graph::spec::StepSpec;
+use crate::graph::worker::WorkerLife;
 use crate::id::UnixMillis;
+use crate::resources::ResourceVector;
 
+/// Part of the room beside lasting tasks that a gang may take: the rest is in use by other jobs, which stop for no
+/// gang, and tickets for only half of the allowed workers hold at a time.
+const GANG_PART: f64 = 0.25;
 /// A share that another leader has accepted is never rejected, however long the store takes nothing.
 const NEVER: Duration = Duration::from_secs(366 * 24 * 3_600);
 
@@ -60,14 +68,37 @@
         Some(TaskShare::new(self.scope.shard.clone(), &weights))
     }
 
-    /// Whether a gang of a job is too large for any shard. Advice is reckoned as it was answered so far.
+    /// Whether a gang of a job is too large for a shard: for a part of the room that lasting tasks leave on the
+    /// workers that advice allows, as it was answered so far.
+    ///
+    /// Load it answers: gangs of 33 and 75 tasks of 15 cores in shards of 220 workers, a third of which may run
+    /// them, most of them with a lasting task of nine cores. Accepted, they waited for good; no other shard is
+    /// larger, so they are rejected at once.
     pub(super) fn is_too_large(&self, record: &GraphRecord) -> bool {
-        let (spec, rule) = (&record.spec, &record.rule);
-        let gangs = spec.steps.iter().any(|step| step.gang);
+        let rule = &record.rule;
         let share = rule.advice.map_or(1.0, |_| self.advice.share(&rule.id));
-        gangs
-            && self.scope.plan.is_divided()
-            && !self.neighbours.holds_gangs(spec, rule, share, self.own_listings())
+        let part = rule.advice.map_or(1.0, |_| GANG_PART);
+        let holds = |step: &StepSpec| {
+            let most = step.max_per_worker.unwrap_or(u32::MAX);
+            let fitting = self.lives.iter().filter(|life| life.listed);
+            let fitting = fitting.filter(|life| runs_on(step, rule, &life.listing));
+            let room = |life: &WorkerLife| {
+                room_for(&self.room_beside_lasting(life), &step.reservation()).min(most)
+            };
+            fitting.map(|life| f64::from(room(life))).sum::<f64>() * share * part
+        };
+        let mut gangs = record.spec.steps.iter().filter(|step| step.gang);
+        self.scope.plan.is_divided() && gangs.any(|step| f64::from(step.count) > holds(step))
+    }
+
+    /// Room of a worker without all but its lasting tasks.
+    fn room_beside_lasting(&self, life: &WorkerLife) -> ResourceVector {
+        let lasts = |task: &TaskName| {
+            let step = self.jobs.get(&task.job).and_then(|job| job.step(task.key.step));
+            step.is_some_and(|step| step.lasting)
+        };
+        let lasting = life.runs.iter().filter(|(task, _)| lasts(task));
+        lasting.fold(life.listing.capacity, |room, (_, run)| room.saturating_sub(&run.need))
     }
 
     fn own_listings(&self) -> impl Iterator<Item = &WorkerListing> + Clone {
--- a/src/graph/neighbours.rs
+++ b/src/graph/neighbours.rs
@@ -8,7 +8,6 @@
 use crate::graph::exchange::WorkerListing;
 use crate::graph::home::runs_on;
 use crate::graph::queue::QueueRule;
-use crate::graph::room::room_for;
 use crate::graph::shard::{ShardId, ShardScope};
 use crate::graph::spec::{GraphSpec, StepSpec};
 use crate::id::WorkerId;
@@ -56,28 +55,6 @@
         shards.iter().filter(|shard| **shard != scope.shard).find(whole).cloned()
     }
 
-    /// Whether a shard of these workers holds all tasks of each gang at once while it is empty, where advice
-    /// allows a share of the workers.
-    ///
-    /// Load it answers: gangs of 31 tasks in shards of 24 workers, a third of which may run them. Accepted, they
-    /// waited for good; no other shard is larger, so they are rejected at once.
-    pub(crate) fn holds_gangs<'w>(
-        &self,
-        spec: &GraphSpec,
-        rule: &QueueRule,
-        share: f64,
-        own: impl Iterator<Item = &'w WorkerListing> + Clone,
-    ) -> bool {
-        let room = |step: &StepSpec| {
-            let most = step.max_per_worker.unwrap_or(u32::MAX);
-            let fitting = own.clone().filter(|listing| runs_on(step, rule, listing));
-            let each =
-                fitting.map(|listing| room_for(&listing.capacity, &step.reservation()).min(most));
-            each.map(f64::from).sum::<f64>() * share
-        };
-        spec.steps.iter().filter(|step| step.gang).all(|step| f64::from(step.count) <= room(step))
-    }
-
     /// The shard whose racks most tasks of a job have their data in.
     fn shard_of_data<'w>(
         &self,
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -202,3 +202,9 @@
     }
     println!("{} seeds of either kind, {runs} runs of tasks", seed - first);
 }
+
+// Red: see KNOWN-RED.txt. An end is acknowledged although its task was begun again, in one of some thousand seeds.
+#[gtest]
+fn seed_6000367_notes_no_end_of_a_task_that_was_begun_again() {
+    run(6_000_367);
+}
--- a/tests/graph/shards.rs
+++ b/tests/graph/shards.rs
@@ -242,3 +242,26 @@
     let rejection = GraphAnswer::Rejected(seconds(60));
     expect_that!(world.answers.get(&large), some(eq(&rejection)));
 }
+
+// Three workers of eight cores, each with a lasting task of four: a gang of two tasks of six cores fits in the empty
+// shard, and would wait for good. Where advice is needed, a quarter of the room that it allows is left to a gang.
+#[gtest]
+fn a_gang_is_measured_by_what_lasting_tasks_leave() {
+    let mut world = World::sharded(47, 9, 3);
+    let home = shards(&world)[0].clone();
+    world.run(seconds(1));
+    for number in 0..3 {
+        let steps = vec![StepSpec { lasting: true, ..step(3, 4, 600_000) }];
+        world.submit_in(&home, "now", &format!("l{number}"), steps);
+        world.run(seconds(1));
+    }
+    let gang = |cores| StepSpec { gang: true, ..step(2, cores, 500) };
+    let large = world.submit_in(&home, "now", "a", vec![gang(6)]);
+    let fits = world.submit_in(&home, "now", "b", vec![gang(2)]);
+    let advised = world.submit_in(&home, "asked", "c", vec![gang(2)]);
+    world.run(seconds(2));
+    let rejection = GraphAnswer::Rejected(seconds(60));
+    expect_that!(world.answers.get(&large), some(eq(&rejection)));
+    expect_that!(world.answers.get(&fits), some(eq(&GraphAnswer::Accepted)));
+    expect_that!(world.answers.get(&advised), some(eq(&rejection)));
+}
