Gangs are accepted for a sixteenth of the room that is left

Suspected: room on the workers whose tickets hold at the same time. Until that is traced nothing is accepted that was seen to wait for good.

Change: a sixteenth in place of a quarter, where advice is needed. Gangs are 8% of one kind of jobs; the wider ones are rejected at once. Test: a_gang_is_measured_by_what_lasting_tasks_leave.

--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -20,9 +20,9 @@
 use crate::id::UnixMillis;
 use crate::resources::ResourceVector;
 
-/// Part of the room beside lasting tasks that a gang may take: the rest is in use by other jobs, which stop for no
-/// gang, and tickets for only half of the allowed workers hold at a time.
-const GANG_PART: f64 = 0.25;
+/// Part of the room beside lasting tasks that a gang may take where advice is needed: the rest is in use by other
+/// jobs, which stop for no gang. Of 22 tasks of 11 cores, for which 154 such places were allowed, none ever ran.
+const GANG_PART: f64 = 0.06;
 /// A share that another leader has accepted is never rejected, however long the store takes nothing.
 const NEVER: Duration = Duration::from_secs(366 * 24 * 3_600);
 
--- a/tests/graph/shards.rs
+++ b/tests/graph/shards.rs
@@ -244,7 +244,7 @@
 }
 
 // Three workers of eight cores, each with a lasting task of four: a gang of two tasks of six cores fits in the empty
-// shard, and would wait for good. Where advice is needed, a quarter of the room that it allows is left to a gang.
+// shard, and would wait for good. Where advice is needed, a part of the room that it allows is left to a gang.
 #[gtest]
 fn a_gang_is_measured_by_what_lasting_tasks_leave() {
     let mut world = World::sharded(47, 9, 3);
