Sight: how a worker's life ended, and how long after a start it was last heard

Cause: 'run lost' did not show whether the run was new when its worker went, no metric counted workers that crash, and the reason of 'worker is gone' was the same for a worker that had left as announced and one that crashed. Change: a typed end of a life (replaced, left, vanished) in the log and in kelplink_worker_ends_total; heard_ms on each lost run; kelplink_lost_runs_total by cause. No decision changes.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -47,4 +47,4 @@
 pub use shard::{ShardId, ShardPlan, ShardScope};
 pub use share::{ShareRange, TaskShare};
 pub use spec::{GraphSpec, RepeatRule, StepSpec};
-pub use worker::{RunPhase, WorkerLife, WorkerRun};
+pub use worker::{LifeEnd, RunPhase, WorkerLife, WorkerRun};
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -152,7 +152,7 @@
             }
             CallFailure::Refused(WorkerRefusal::Deposed) => self.deposed = true,
             CallFailure::Refused(WorkerRefusal::OtherLife) => {
-                self.replaced(now, worker, "another life answered a start");
+                self.replaced(now, worker);
                 return;
             }
             CallFailure::Refused(WorkerRefusal::Ticket) => {
@@ -171,8 +171,8 @@
     }
 
     /// A worker has been replaced by another life of it: all its runs are lost.
-    fn replaced(&mut self, now: Instant, worker: &WorkerId, reason: &'static str) {
-        let found = self.lives.over(worker, reason);
+    fn replaced(&mut self, now: Instant, worker: &WorkerId) {
+        let found = self.lives.replaced(worker);
         self.take_findings(now, found);
     }
 
@@ -244,7 +244,7 @@
                 }
             }
             Err(CallFailure::Refused(WorkerRefusal::OtherLife)) => {
-                self.replaced(now, worker, "another life answered a stop");
+                self.replaced(now, worker);
             }
             Err(CallFailure::Refused(WorkerRefusal::Deposed)) => self.deposed = true,
             Err(failure) => {
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -8,11 +8,16 @@
 use crate::graph::controller::GraphController;
 use crate::graph::exchange::{EndReport, RunReport};
 use crate::graph::jobs::{JobEffect, RunToStop};
-use crate::graph::lives::LifeFinding;
+use crate::graph::lives::{LifeFinding, LostRun};
 use crate::graph::name::GraphId;
 use crate::graph::worker::{RunPhase, WorkerRun};
 use crate::id::{UnixMillis, WorkerId};
 
+/// Counts a run that ended without an end that its worker told.
+fn count_lost(cause: &'static str) {
+    metrics::counter!("kelplink_lost_runs_total", "cause" => cause).increment(1);
+}
+
 impl GraphController {
     pub(super) fn take_findings(&mut self, now: Instant, found: Vec<LifeFinding>) {
         self.take_findings_at(now, 0, found);
@@ -29,13 +34,19 @@
             match finding {
                 LifeFinding::Ended(worker, end) => self.run_ended(now, unix, &worker, end),
                 LifeFinding::Unknown(worker, report) => self.run_found(now, &worker, report),
-                LifeFinding::Lost(worker, task, run, saved) => {
-                    warn!(task:% = task, run, worker = &*worker; "run lost");
+                LifeFinding::Lost(worker, lost) => {
+                    let LostRun { task, run, saved, outlived } = lost;
+                    let heard_ms = outlived.as_millis() as u64;
+                    warn!(task:% = task, run, worker = &*worker, heard_ms; "run lost");
+                    count_lost("lost");
                     let effect = self.jobs.lost(&task, run, &saved);
                     self.apply(now, &task.job, effect);
                 }
-                LifeFinding::GivenUp(worker, task, run, saved) => {
-                    warn!(task:% = task, run, worker = &*worker; "run given up with its worker's lease");
+                LifeFinding::GivenUp(worker, lost) => {
+                    let LostRun { task, run, saved, outlived } = lost;
+                    let heard_ms = outlived.as_millis() as u64;
+                    warn!(task:% = task, run, worker = &*worker, heard_ms; "run given up with its worker's lease");
+                    count_lost("given up");
                     let effect = self.jobs.given_up(&task, run, &saved);
                     self.apply(now, &task.job, effect);
                 }
@@ -52,8 +63,10 @@
                     self.unheard.remove(&worker);
                     self.commits.note_workers(now, true);
                 }
-                LifeFinding::Over(worker, reason) => {
-                    info!(worker = &*worker, reason; "worker is gone");
+                LifeFinding::Over(worker, end) => {
+                    info!(worker = &*worker, end:? = end; "worker is gone");
+                    metrics::counter!("kelplink_worker_ends_total", "end" => format!("{end:?}"))
+                        .increment(1);
                     self.unheard.remove(&worker);
                     self.commits.note_workers(now, false);
                 }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -10,7 +10,7 @@
     CallFailure, EndKind, EndReport, PollReply, RunReport, UsedWorker, WorkerListing, WorkerRefusal,
 };
 use crate::graph::name::{RunNumber, TaskName};
-use crate::graph::worker::{RunPhase, WorkerLife};
+use crate::graph::worker::{LifeEnd, RunPhase, WorkerLife, WorkerRun};
 use crate::id::WorkerId;
 
 /// How long what runs at a worker goes on without another call. A worker that dies holds its tasks
@@ -46,9 +46,9 @@
     /// A run that this leader has not started.
     Unknown(WorkerId, RunReport),
     /// A run that the worker does not have any more, or never got.
-    Lost(WorkerId, TaskName, RunNumber, String),
+    Lost(WorkerId, LostRun),
     /// A run that may have gone on or ended when its worker's lease was over.
-    GivenUp(WorkerId, TaskName, RunNumber, String),
+    GivenUp(WorkerId, LostRun),
     /// A run that was sent is there.
     Confirmed(WorkerId, TaskName),
     /// The worker obeys a later leader.
@@ -56,7 +56,28 @@
     /// The worker answered for the first time under this leader.
     Claimed(WorkerId),
     /// This life of the worker is over.
-    Over(WorkerId, &'static str),
+    Over(WorkerId, LifeEnd),
+}
+
+/// A run that is gone without an end that its worker told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct LostRun {
+    /// The task.
+    pub(crate) task: TaskName,
+    /// Number of the start.
+    pub(crate) run: RunNumber,
+    /// Last checkpoint; empty where there is none.
+    pub(crate) saved: String,
+    /// How long after the run's start its worker was last heard; zero where it was not.
+    pub(crate) outlived: Duration,
+}
+
+impl LostRun {
+    fn new(task: TaskName, run: WorkerRun, answered: Option<Instant>) -> Self {
+        let outlived =
+            answered.map_or(Duration::ZERO, |at| at.saturating_duration_since(run.since));
+        Self { task, run: run.run, saved: run.saved, outlived }
+    }
 }
 
 /// All workers.
@@ -138,16 +159,20 @@
         }
     }
 
+    /// Another life of a worker answers in place of this one.
+    pub(crate) fn replaced(&mut self, id: &WorkerId) -> Vec<LifeFinding> {
+        let announced = self.lives.get(id).is_some_and(|life| life.leaves.is_some());
+        self.over(id, if announced { LifeEnd::Left } else { LifeEnd::Replaced })
+    }
+
     /// A life that has ended: all its runs are lost.
-    pub(crate) fn over(&mut self, id: &WorkerId, reason: &'static str) -> Vec<LifeFinding> {
+    fn over(&mut self, id: &WorkerId, end: LifeEnd) -> Vec<LifeFinding> {
         let Some(life) = self.lives.remove(id) else {
             return Vec::new();
         };
-        let mut found = vec![LifeFinding::Over(id.clone(), reason)];
-        let lost = life.runs.into_iter();
-        found.extend(
-            lost.map(|(task, run)| LifeFinding::Lost(id.clone(), task, run.run, run.saved)),
-        );
+        let mut found = vec![LifeFinding::Over(id.clone(), end)];
+        let lost = life.runs.into_iter().map(|(task, run)| LostRun::new(task, run, life.answered));
+        found.extend(lost.map(|lost| LifeFinding::Lost(id.clone(), lost)));
         found
     }
 
@@ -267,13 +292,11 @@
         life.misses = life.misses.saturating_add(1);
         life.next_poll = now + miss_pause(life.misses);
         match failure {
-            CallFailure::Refused(WorkerRefusal::OtherLife) => {
-                self.over(id, "another life answers at its address")
-            }
+            CallFailure::Refused(WorkerRefusal::OtherLife) => self.replaced(id),
             CallFailure::Refused(WorkerRefusal::Deposed) => {
                 vec![LifeFinding::Deposed(id.clone())]
             }
-            CallFailure::NothingThere if life.left(now) => self.over(id, "it has left"),
+            CallFailure::NothingThere if life.left(now) => self.over(id, LifeEnd::Left),
             _ => Vec::new(),
         }
     }
@@ -288,7 +311,8 @@
             let tasks: Vec<TaskName> = life.runs.keys().cloned().collect();
             for task in tasks {
                 if let Some(run) = life.remove_run(&task) {
-                    found.push(LifeFinding::GivenUp(life.id().clone(), task, run.run, run.saved));
+                    let lost = LostRun::new(task, run, life.answered);
+                    found.push(LifeFinding::GivenUp(life.id().clone(), lost));
                 }
             }
         }
@@ -304,9 +328,7 @@
         };
         let gone: Vec<WorkerId> =
             self.lives.values().filter(gone).map(|l| l.id().clone()).collect();
-        gone.iter()
-            .flat_map(|id| self.over(id, "it is not registered and its lease is over"))
-            .collect()
+        gone.iter().flat_map(|id| self.over(id, LifeEnd::Vanished)).collect()
     }
 
     /// Workers that the store has to name.
@@ -375,7 +397,7 @@
         }
     }
     life.health.note_work(now, work, time);
-    let gone = |(task, run): &(&TaskName, &crate::graph::worker::WorkerRun)| {
+    let gone = |(task, run): &(&TaskName, &WorkerRun)| {
         let since = match run.phase {
             // A start is refused once its time has passed on the worker's clock. A worker that answered
             // looks, and neither starts nor stops, held a task for good.
@@ -391,7 +413,7 @@
     let gone: Vec<TaskName> = life.runs.iter().filter(gone).map(|(task, _)| task.clone()).collect();
     for task in gone {
         if let Some(run) = life.remove_run(&task) {
-            found.push(LifeFinding::Lost(id.clone(), task, run.run, run.saved));
+            found.push(LifeFinding::Lost(id.clone(), LostRun::new(task, run, Some(now))));
         }
     }
     found
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -25,6 +25,17 @@
 /// Shortest time over which progress is measured: it is told in whole percent.
 const LEAST_MEASURE: Duration = Duration::from_millis(250);
 
+/// Why a life of a worker counts as over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LifeEnd {
+    /// Another life answers at its address, and it had not announced that it leaves: it has crashed.
+    Replaced,
+    /// It has left as announced.
+    Left,
+    /// It is not registered and its lease is over.
+    Vanished,
+}
+
 /// How far a run has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
