Tests: a task that crashes its workers is started again without end (red); rooms that shrink

The world of tests/graph gets tasks that crash their worker some milliseconds after they start, workers that come back under another name after seconds, with closed ports or silent, and rooms that shrink and grow again. Its checker counts what workers and callers see: three starts by a leader in office after three workers have crashed under a task are too many; a job is shown as failed only after max_attempts failed runs or two crashes under one task; a start may not bring a worker over a room that shrank 4.5 s before (a start that is carried out late: before it was sent).

Seeds below 20,000,000 draw what they drew before.

--- /dev/null
+++ b/tests/graph/crashes.rs
@@ -0,0 +1,69 @@
+//! Tasks that crash every worker that starts them, and tasks beside them that do not.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{GraphState, StepSpec, WorkerId};
+
+use crate::world::{World, seconds, step};
+
+/// How long after its start a task crashes its worker, as in the logs of a deployment.
+const CRASH_AFTER: Duration = Duration::from_millis(10);
+
+/// Workers whose ports are closed while they are down.
+fn world(seed: u64, workers: u32) -> World {
+    let mut world = World::new(seed, workers);
+    world.refusing = true;
+    world.run(seconds(1));
+    world
+}
+
+/// Submits a job whose first task crashes its workers, among `count` tasks.
+fn submit_crashing(world: &mut World, queue: &str, job: &str, steps: Vec<StepSpec>) {
+    world.crashers.insert(format!("{job}.0.0.0").parse().unwrap(), CRASH_AFTER);
+    world.submit(queue, job, steps);
+}
+
+// Tasks that crashed every worker that started them were started again every three seconds until the day was over: the
+// run number of one went to 131082, under three leaders, and monitoring counted 292 workers that stopped answering.
+// Only ends that a worker lists counted against a task, and a worker that has crashed lists none; the log of each round
+// says "worker is gone" with the end Replaced, "run lost" with heard_ms 2 and "start sent" 35 ms later.
+#[gtest]
+fn a_task_that_crashes_its_workers_is_given_up_and_its_job_shown_as_failed() {
+    let mut world = world(41, 8);
+    submit_crashing(&mut world, "now", "bad", vec![step(4, 1, 800)]);
+    world.run(seconds(30));
+    expect_that!(world.state("bad"), some(eq(GraphState::Failed)));
+    expect_that!(world.checker.crashes(&"bad.0.0.0".parse().unwrap()), le(3));
+}
+
+// The same where the worker says nothing while it is down and is back after its lease: the run is given up first, and
+// only the next life at the address shows that the one before had crashed.
+// A count in a leader's memory begins anew with each leader: under three of them a task was started without end.
+// All members of a gang start under one number: each of them may be the one that crashes its worker.
+// Tasks that run or start beside those that crash their workers are lost with them, up to seven runs of six jobs at a
+// time in the logs. Counted against all of them, the crashes would end sound jobs.
+// Workers of three racks go at once, as with a switch, and again when their tasks have begun elsewhere: such crashes
+// say nothing of the tasks.
+#[gtest]
+fn jobs_whose_workers_crash_for_other_reasons_complete() {
+    let mut world = world(47, 20);
+    for job in 0..12 {
+        let lasting = job % 3 == 0;
+        let millis = if lasting { 600_000 } else { 4_000 };
+        let steps = vec![StepSpec { lasting, ..step(4, 1, millis) }];
+        world.submit("now", &format!("job{job}"), steps);
+    }
+    world.run(Duration::from_millis(300));
+    for round in 0..4 {
+        let used = |id: &&WorkerId| !world.workers[*id].runs.is_empty() && world.workers[*id].up;
+        let used: Vec<WorkerId> = world.workers.keys().filter(used).take(4).cloned().collect();
+        used.iter().for_each(|id| world.crash(id));
+        world.run(Duration::from_millis(3_600 + round * 400));
+    }
+    world.run(seconds(30));
+    for job in 0..12 {
+        let state = if job % 3 == 0 { GraphState::Running } else { GraphState::Completed };
+        expect_that!(world.state(&format!("job{job}")), some(eq(state)), "job{job}");
+    }
+}
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -3,6 +3,8 @@
 mod advice;
 mod cancellation;
 mod cases;
+mod checker;
+mod crashes;
 mod found;
 mod lasting;
 mod links;
@@ -11,6 +13,7 @@
 mod random_cancellation;
 mod random_shards;
 mod registrations;
+mod room;
 mod shards;
 mod storing;
 mod stuck;
--- a/tests/graph/model.rs
+++ b/tests/graph/model.rs
@@ -9,6 +9,10 @@
 };
 use tokio::time::Instant;
 
+/// How long a room that has shrunk does not count yet: three seconds in which a leader in touch hears of it, and
+/// one heartbeat.
+const SHRUNK_AFTER: Duration = Duration::from_millis(4_500);
+
 /// A run at a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct ModelRun {
@@ -25,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ModelWorker {
     pub(crate) listing: WorkerListing,
+    /// Its room since a moment, oldest first.
+    rooms: Vec<(Instant, ResourceVector)>,
     pub(crate) up: bool,
     /// Whether calls reach it.
     pub(crate) reached: bool,
@@ -51,6 +57,7 @@
 impl ModelWorker {
     pub(crate) fn new(listing: WorkerListing, now: Instant, rate: u32) -> Self {
         Self {
+            rooms: vec![(now, listing.capacity)],
             listing,
             up: true,
             reached: true,
@@ -82,6 +89,25 @@
         needs.fold(ResourceVector::default(), |sum, need| sum.saturating_add(&need))
     }
 
+    /// Its room is another from now on, and it says so with its next heartbeat.
+    pub(crate) fn resize(&mut self, now: Instant, room: ResourceVector) {
+        self.listing.capacity = room;
+        self.rooms.push((now, room));
+    }
+
+    /// The most that it may hold by a start that was sent at a moment: a room that has shrunk counts only after a while.
+    pub(crate) fn most_room(&self, sent: Instant) -> ResourceVector {
+        let since = sent.checked_sub(SHRUNK_AFTER).unwrap_or(sent);
+        let next = self.rooms.iter().skip(1).map(|(from, _)| Some(*from)).chain([None]);
+        let counts =
+            self.rooms.iter().zip(next).filter(|(_, until)| until.is_none_or(|at| at > since));
+        counts.fold(ResourceVector::default(), |most, ((_, room), _)| ResourceVector {
+            millicores: most.millicores.max(room.millicores),
+            memory_mib: most.memory_mib.max(room.memory_mib),
+            accelerators: most.accelerators.max(room.accelerators),
+        })
+    }
+
     /// Lets time pass: ends what is over, kills all when the lease has run out.
     pub(crate) fn pass(&mut self, now: Instant) {
         let lapsed = self.clock(now) > self.lease;
@@ -101,7 +127,7 @@
         }
     }
 
-    fn end(&mut self, task: &TaskName, run: RunNumber, kind: EndKind) {
+    pub(crate) fn end(&mut self, task: &TaskName, run: RunNumber, kind: EndKind) {
         self.runs.remove(task);
         self.close(task, run);
         self.last_end += 1;
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use kelplink::{GraphAnswer, GraphState, StepSpec};
+use kelplink::{GraphAnswer, GraphState, ResourceVector, StepSpec, WorkerId};
 use rand::RngExt;
 
 use crate::world::{MessageFaults, World, step};
@@ -26,6 +26,10 @@
 const SPREAD_SEEDS: u64 = 5_000_000;
 /// Such seeds that `cargo test` runs.
 const SHORT_SPREAD: std::ops::Range<u64> = SPREAD_SEEDS..SPREAD_SEEDS + 12;
+/// Seeds from here on have tasks that crash their workers, and workers whose room shrinks and grows.
+const CRASH_SEEDS: u64 = 20_000_000;
+/// Such seeds that `cargo test` runs.
+const SHORT_CRASHES: std::ops::Range<u64> = CRASH_SEEDS..CRASH_SEEDS + 16;
 /// Time in which everything must have ended once all faults are over.
 const QUIET: Duration = Duration::from_secs(90);
 
@@ -34,15 +38,31 @@
     jobs: BTreeSet<String>,
     calls: Vec<(u64, String)>,
     cancelled: BTreeSet<String>,
+    /// Jobs with a task that crashes its workers.
+    crashing: BTreeSet<String>,
+    /// Whether there are such jobs, and rooms that change.
+    crashes: bool,
     zombies: u32,
     lives: u32,
 }
 
 impl RandomRun {
     fn new(seed: u64) -> Self {
-        let domains = if seed >= SPREAD_SEEDS { 3 } else { 1 };
+        let crashes = seed >= CRASH_SEEDS;
+        let domains = match crashes {
+            true => 1 + u32::try_from(seed % 3).unwrap_or(0),
+            false if seed >= SPREAD_SEEDS => 3,
+            false => 1,
+        };
+        let mut world = World::spread(seed, WORKERS, domains);
+        if crashes {
+            world.refusing = seed.is_multiple_of(2);
+            world.away = Duration::from_millis(1_000 + seed * 1_300 % 7_000);
+        }
         Self {
-            world: World::spread(seed, WORKERS, domains),
+            world,
+            crashing: BTreeSet::new(),
+            crashes,
             jobs: BTreeSet::new(),
             calls: Vec::new(),
             cancelled: BTreeSet::new(),
@@ -76,12 +96,37 @@
         if self.pick(15) == 0 {
             self.world.poison.insert(id.as_str().into());
         }
+        if self.crashes && self.pick(8) == 0 {
+            self.let_crash(&id, &steps);
+        }
         let call = self.world.submit(queue, &id, steps);
         self.calls.push((call, id.clone()));
         self.jobs.insert(id);
     }
 
+    /// Has one task of a job crash each worker that starts it.
+    fn let_crash(&mut self, id: &str, steps: &[StepSpec]) {
+        let step = self.pick(u32::try_from(steps.len()).unwrap());
+        let index = self.pick(steps[step as usize].count);
+        let after = Duration::from_millis(u64::from(5 + self.pick(300)));
+        // A task that has succeeded before its worker goes is no such task.
+        let after = after.min(steps[step as usize].estimate / 2);
+        self.world.crashers.insert(format!("{id}.0.{step}.{index}").parse().unwrap(), after);
+        self.crashing.insert(id.to_owned());
+    }
+
+    /// A worker's room becomes a part of what it was at first.
+    fn resize_worker(&mut self) {
+        let ids: Vec<WorkerId> = self.world.workers.keys().cloned().collect();
+        let id = &ids[self.pick(WORKERS) as usize % ids.len()];
+        let quarters = 1 + self.pick(4);
+        self.world.resize(id, ResourceVector::new(2_000 * quarters, 4_000 * quarters, 0));
+    }
+
     fn round(&mut self) {
+        if self.crashes && self.pick(3) == 0 {
+            self.resize_worker();
+        }
         for _ in 0..self.pick(4) {
             self.submit();
         }
@@ -146,6 +191,11 @@
         for worker in self.world.workers.values_mut() {
             worker.reached = true;
         }
+        if self.crashes {
+            let ids: Vec<WorkerId> = self.world.workers.keys().cloned().collect();
+            let whole = ResourceVector::new(8_000, 16_000, 0);
+            ids.iter().for_each(|id| self.world.resize(id, whole));
+        }
         self.world.elect();
         self.world.run(QUIET);
         for (call, id) in &self.calls {
@@ -160,7 +210,7 @@
             let state = self.world.state(&id);
             let poisoned = self.world.poison.contains(id.as_str());
             let ended = match state {
-                Some(GraphState::Completed) => !poisoned,
+                Some(GraphState::Completed) => !poisoned && !self.crashing.contains(&id),
                 Some(GraphState::Failed) => true,
                 Some(GraphState::Cancelled) => self.cancelled.contains(&id),
                 _ => false,
@@ -197,10 +247,17 @@
     let first = number("KELPLINK_RANDOM_FIRST").unwrap_or(LONG_SEEDS);
     let (begun, mut seed, mut runs) = (Instant::now(), first, 0);
     while begun.elapsed() < Duration::from_secs(seconds) {
-        runs += run(seed).0 + run(seed + SPREAD_SEEDS).0;
+        runs += run(seed).0 + run(seed + SPREAD_SEEDS).0 + run(seed + CRASH_SEEDS).0;
         seed += 1;
     }
-    println!("{} seeds of either kind, {runs} runs of tasks", seed - first);
+    println!("{} seeds of each kind, {runs} runs of tasks", seed - first);
+}
+
+#[gtest]
+fn random_runs_with_tasks_that_crash_their_workers_keep_every_promise() {
+    SHORT_CRASHES.for_each(|seed| {
+        run(seed);
+    });
 }
 
 // Red: see KNOWN-RED.txt. An end is acknowledged although its task was begun again, in one of some thousand seeds.
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
 
+use crate::checker::CrashChecker;
 use crate::model::{ModelRun, ModelWorker};
 
 pub(crate) const LONGEST_LEASE: Duration = Duration::from_secs(6);
@@ -28,6 +29,12 @@
 const STOPPED_WITHIN: Duration = Duration::from_millis(2_500);
 /// How long a cancellation takes to the other shards of a job, where nothing is in the way.
 const NOTICE_TIME: Duration = Duration::from_millis(50);
+/// A worker says what it has this often at the latest.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Silence after which a worker's registration is removed.
+const REGISTRATION_LIFE: Duration = Duration::from_millis(4_500);
+/// Lives of workers that come back after a crash are numbered from here.
+const REBORN_LIVES: u32 = 1_000;
 /// How often a leader whose store answers is told so.
 const RENEWAL: u64 = 500;
 
@@ -122,6 +129,23 @@
         leader: LeaderEpoch,
         call: AdviceCall,
     },
+    /// A worker crashes under a task.
+    Crash {
+        worker: WorkerId,
+        task: TaskName,
+    },
+    /// The registration of a worker that is down has lapsed.
+    Unlisted {
+        worker: WorkerId,
+    },
+    /// A worker that has crashed is back.
+    Reborn {
+        worker: WorkerId,
+    },
+    /// A worker says what it has.
+    Heartbeat {
+        worker: WorkerId,
+    },
 }
 
 /// What the store has.
@@ -194,6 +218,15 @@
     pub(crate) failing: u32,
     /// Jobs every run of which fails.
     pub(crate) poison: BTreeSet<GraphId>,
+    /// Tasks that crash each worker that starts them, and how long after the start.
+    pub(crate) crashers: BTreeMap<TaskName, Duration>,
+    /// How long a worker that a task has crashed is away.
+    pub(crate) away: Duration,
+    /// Whether calls to a worker that is down are refused at once, in place of being left without an answer.
+    pub(crate) refusing: bool,
+    reborn: u32,
+    /// What was seen of crashes and failures.
+    pub(crate) checker: CrashChecker,
     pub(crate) begun_runs: u64,
     /// Longest time that a run of an ended job went on where nothing was in the way.
     pub(crate) longest_stop: Duration,
@@ -318,6 +351,11 @@
             patience: Duration::from_secs(3),
             failing: 0,
             poison: BTreeSet::new(),
+            crashers: BTreeMap::new(),
+            away: Duration::from_secs(3),
+            refusing: false,
+            reborn: 0,
+            checker: CrashChecker::default(),
             begun_runs: 0,
             longest_stop: Duration::ZERO,
         };
@@ -349,6 +387,11 @@
             leaving: None,
         };
         let rate = self.rng.random_range(980..=1_000);
+        let before =
+            self.workers.values().filter(|worker| worker.listing.address == listing.address);
+        for worker in before.filter(|worker| worker.up) {
+            worker.runs.keys().for_each(|task| self.checker.note_crash(worker.id(), task));
+        }
         self.workers.retain(|_, worker| worker.listing.address != listing.address);
         self.workers.insert(id, ModelWorker::new(listing.clone(), self.now, rate));
         for (epoch, leader) in &mut self.leaders {
@@ -718,6 +761,21 @@
                     leader.stopped(now, &worker, &task, run, result);
                 }
             }
+            Message::Crash { worker, task } => {
+                let runs = self.workers.get(&worker).is_some_and(|at| at.runs.contains_key(&task));
+                if runs {
+                    self.crash(&worker);
+                }
+            }
+            Message::Unlisted { worker } => {
+                if self.workers.contains_key(&worker) {
+                    for leader in self.leaders.values_mut() {
+                        leader.worker_unlisted(&worker);
+                    }
+                }
+            }
+            Message::Reborn { worker } => self.reborn(&worker),
+            Message::Heartbeat { worker } => self.heartbeat(&worker),
             Message::Advised { leader, call } => {
                 // One worker in eight is not allowed, so that every step that a run submits can run.
                 // Where there are several shards, one in eight of each.
@@ -741,6 +799,80 @@
         }
     }
 
+    /// A worker goes with all that runs there, and is back under another name after a while.
+    pub(crate) fn crash(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.up) else {
+            return;
+        };
+        worker.up = false;
+        for task in worker.runs.keys() {
+            self.checker.note_crash(id, task);
+        }
+        let lost: Vec<(TaskName, RunNumber)> =
+            worker.runs.iter().map(|(task, run)| (task.clone(), run.run)).collect();
+        lost.iter().for_each(|(task, run)| self.break_gang(task, *run));
+        let away = self.away;
+        if away > REGISTRATION_LIFE {
+            self.post(REGISTRATION_LIFE, Message::Unlisted { worker: id.clone() });
+        }
+        self.post(away, Message::Reborn { worker: id.clone() });
+    }
+
+    /// The other members of a gang end with one that is gone.
+    fn break_gang(&mut self, gone: &TaskName, run: RunNumber) {
+        let step = gone.key.step;
+        let record = self.store.jobs.get(&gone.job);
+        let spec = record.and_then(|(record, _)| record.spec.steps.get(step.step as usize));
+        if !spec.is_some_and(|spec| spec.gang) {
+            return;
+        }
+        for worker in self.workers.values_mut().filter(|worker| worker.up) {
+            let members = worker.runs.iter().filter(|(task, member)| {
+                task.job == gone.job && task.key.step == step && member.run == run
+            });
+            let members: Vec<TaskName> = members.map(|(task, _)| task.clone()).collect();
+            members.iter().for_each(|task| worker.end(task, run, EndKind::Broken));
+        }
+    }
+
+    fn reborn(&mut self, id: &WorkerId) {
+        // Another life may have come in its place meanwhile.
+        if !self.workers.contains_key(id) {
+            return;
+        }
+        let number = id[1..].split('-').next().and_then(|text| text.parse().ok());
+        let number = number.unwrap_or_else(|| panic!("{id} has no number"));
+        self.reborn += 1;
+        self.add_worker(number, REBORN_LIVES + self.reborn);
+    }
+
+    /// A worker's room changes; it says so with its next heartbeat.
+    pub(crate) fn resize(&mut self, id: &WorkerId, room: ResourceVector) {
+        let (now, beat) = (self.now, HEARTBEAT.mul_f64(self.rng.random()));
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.resize(now, room);
+            self.post(beat, Message::Heartbeat { worker: id.clone() });
+        }
+    }
+
+    fn heartbeat(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id).filter(|worker| worker.up) else {
+            return;
+        };
+        for (epoch, leader) in &mut self.leaders {
+            register(&self.plan, &self.led[epoch], leader, self.now, worker.listing.clone());
+        }
+    }
+
+    /// How a call to a worker that is not reached fails, and when.
+    fn failure_at(&self, id: &WorkerId, silence: Duration) -> (CallFailure, Duration) {
+        let down = self.workers.get(id).is_none_or(|worker| !worker.up);
+        match down && self.refusing {
+            true => (CallFailure::NothingThere, STEP),
+            false => (CallFailure::NoAnswer, silence),
+        }
+    }
+
     fn reachable(&mut self, worker: &WorkerId) -> Option<&mut ModelWorker> {
         self.workers.get_mut(worker).filter(|worker| worker.up && worker.reached)
     }
@@ -756,12 +888,11 @@
         let now = self.now;
         let replaced = !self.workers.contains_key(&id);
         let Some(worker) = self.reachable(&id) else {
-            let failure = match replaced {
-                true => CallFailure::Refused(WorkerRefusal::OtherLife),
-                false => CallFailure::NoAnswer,
+            let (failure, after) = match replaced {
+                true => (CallFailure::Refused(WorkerRefusal::OtherLife), STEP),
+                false => self.failure_at(&id, wait + Duration::from_millis(600)),
             };
             let result = Err(failure);
-            let after = if replaced { STEP } else { wait + Duration::from_millis(600) };
             return self.post(after, Message::Polled { leader: epoch, worker: id, result });
         };
         if let Err(refusal) = worker.fenced(epoch) {
@@ -801,9 +932,13 @@
         let (now, way) = (self.now, self.way());
         let lost = self.chance(self.faults.unanswered);
         let Some(worker) = self.reachable(&id) else {
-            let result = Err(CallFailure::NoAnswer);
-            return self
-                .post(Duration::from_millis(600), Message::Polled { leader, worker: id, result });
+            let (failure, after) = match self.failure_at(&id, Duration::from_millis(600)) {
+                // The call was under way when the worker went.
+                (CallFailure::NothingThere, after) => (CallFailure::NoAnswer, after),
+                silent => silent,
+            };
+            let result = Err(failure);
+            return self.post(after, Message::Polled { leader, worker: id, result });
         };
         worker.pass(now);
         if worker.ends.iter().all(|end| end.number <= acked) && now < until {
@@ -828,7 +963,7 @@
             .map(|(record, _)| record.spec.steps[task.key.step.step as usize].clone());
         let step = step.unwrap_or_else(|| panic!("{task} is started and was never accepted"));
         let result = match self.reachable(&id) {
-            None => Err(CallFailure::NoAnswer),
+            None => Err(self.failure_at(&id, Duration::ZERO).0),
             Some(worker) => {
                 worker.pass(now);
                 let refused = match worker.fenced(epoch) {
@@ -859,8 +994,12 @@
                             *latest = run.max(*latest);
                             let current =
                                 self.store.shards.values().any(|shard| shard.epoch == epoch);
-                            let by_leader = current.then_some(sent);
-                            self.check_start(&id, &task, &step, by_leader);
+                            self.check_start(&id, &task, &step, sent, current);
+                            if let Some(after) = self.crashers.get(&task).copied() {
+                                let crash =
+                                    Message::Crash { worker: id.clone(), task: task.clone() };
+                                self.post(after, crash);
+                            }
                         }
                         Ok(clock)
                     }
@@ -884,7 +1023,7 @@
     ) {
         let now = self.now;
         let result = match self.reachable(&id) {
-            None => Err(CallFailure::NoAnswer),
+            None => Err(self.failure_at(&id, Duration::ZERO).0),
             Some(worker) => match worker.fenced(epoch) {
                 Err(refusal) => Err(CallFailure::Refused(refusal)),
                 Ok(()) => {
@@ -960,6 +1099,11 @@
             if progress.verdict.is_some() {
                 self.ended.entry(id.clone()).or_insert(self.now);
             }
+            if progress.verdict == Some(GraphVerdict::Failed)
+                && let Some((record, _)) = self.store.jobs.get(&id)
+            {
+                self.checker.check_failed(record);
+            }
             let stored = self.store.shards.entry(shard.clone()).or_default();
             match stored.parts.get_mut(&id) {
                 Some(part) => part.1 = progress,
@@ -988,6 +1132,9 @@
         for worker in self.workers.values() {
             let done = worker.ends.iter().filter(|end| end.kind == EndKind::Done);
             self.done.extend(done.map(|end| end.task.clone()));
+            for end in worker.ends.iter().filter(|end| end.kind == EndKind::Failed) {
+                self.checker.note_failure(&end.task, end.run);
+            }
         }
     }
 
@@ -1019,13 +1166,14 @@
         id: &WorkerId,
         task: &TaskName,
         step: &StepSpec,
-        sent: Option<Instant>,
+        sent: Instant,
+        current: bool,
     ) {
         self.begun_runs += 1;
         self.note_done();
         let worker = &self.workers[id];
         let used = worker.used();
-        assert!(used.fits(&worker.listing.capacity), "{id} holds {used:?} after {task}");
+        assert!(used.fits(&worker.most_room(sent)), "{id} holds {used:?} after {task}");
         if let Some(most) = step.max_per_worker {
             let same = |other: &&TaskName| other.job == task.job && other.key.step == task.key.step;
             let here = worker.runs.keys().filter(same).count();
@@ -1046,7 +1194,10 @@
             step.lasting || failed < record.rule.max_attempts as usize,
             "{task} has failed {failed} times"
         );
-        if let (Some(sent), Some(ended)) = (sent, self.ended.get(&task.job)) {
+        if current && self.crashers.contains_key(task) {
+            self.checker.check_start(task);
+        }
+        if let Some(ended) = self.ended.get(&task.job).filter(|_| current) {
             // The owner's notice to the other shards of a job is on its way.
             let way = if record.share.is_some() { NOTICE_TIME } else { Duration::ZERO };
             assert!(
