A share that fails ends the whole job: its leader tells the owner

Cause: with several leaders a lasting job that is wider than a shard is run in shares. A leader that gives a task of its share up ends the share; the owner knew nothing of it, showed the job as running and let the other shares go on. Change: a third kind of notice through the store, sent with the verdict of a share and again by the share's next leader; the owner ends the job and tells the other shares, and removes the notice once its own verdict is stored.

--- a/src/graph/commit.rs
+++ b/src/graph/commit.rs
@@ -157,7 +157,7 @@
         }
         self.removed.extend(group.removed.iter().cloned());
         for notice in &group.notices {
-            self.notices.send(notice.job.clone(), notice.shard.clone(), notice.kind());
+            self.notices.send(notice.job.clone(), notice.shard.clone(), notice.kind);
         }
         for (job, kind) in &group.settled {
             self.notices.settle(job.clone(), *kind);
--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -107,15 +107,22 @@
 
     /// Tells the other shards of a job what they have to know by now.
     pub(super) fn send_notices(&mut self, id: &GraphId) {
-        let Some(job) = self.jobs.get(id).filter(|job| !job.is_part() && job.durable) else {
+        let Some(job) = self.jobs.get(id).filter(|job| job.durable) else {
             return;
         };
-        let kind = match job.progress.verdict {
-            None => NoticeKind::Start,
-            Some(GraphVerdict::Cancelled) => NoticeKind::Cancel,
-            Some(GraphVerdict::Completed | GraphVerdict::Failed) => return,
+        let Some(share) = &job.share else {
+            return;
         };
-        let others: Vec<ShardId> = job.share.iter().flat_map(TaskShare::others).cloned().collect();
+        let (kind, others): (NoticeKind, Vec<ShardId>) =
+            match (job.progress.verdict, job.is_part()) {
+                (None, false) => (NoticeKind::Start, share.others().cloned().collect()),
+                (Some(GraphVerdict::Cancelled | GraphVerdict::Failed), false) => {
+                    (NoticeKind::Cancel, share.others().cloned().collect())
+                }
+                (Some(GraphVerdict::Failed), true) => (NoticeKind::Fail, vec![share.owner.clone()]),
+                (None | Some(GraphVerdict::Cancelled), true)
+                | (Some(GraphVerdict::Completed), _) => return,
+            };
         for shard in others {
             self.commits.send_notice(id.clone(), shard, kind);
         }
@@ -139,7 +146,22 @@
         }
     }
 
-    /// The owner of a job that is run here in part has cancelled it.
+    /// A share of a job that was accepted here has failed, and so has the job.
+    pub fn fail_shared(&mut self, now: Instant, unix: UnixMillis, id: &GraphId) {
+        match self.jobs.get(id) {
+            Some(job) if job.over() && job.shown.is_none() => {}
+            Some(job) if !job.over() => {
+                let effect = self.jobs.fail(id, unix);
+                info!(job = &**id, stops = effect.stops.len(); "a share of a job has failed");
+                self.advice.forget(id);
+                self.apply(now, id, effect);
+            }
+            // It has ended, or is forgotten.
+            _ => self.commits.settle_notice(id.clone(), NoticeKind::Fail, now),
+        }
+    }
+
+    /// The owner of a job that is run here in part has ended it.
     pub fn cancel_share(&mut self, now: Instant, unix: UnixMillis, id: &GraphId) {
         match self.jobs.get(id) {
             Some(job) if job.shown.is_some() => {
@@ -148,7 +170,7 @@
             Some(job) if job.over() => {}
             Some(_) => {
                 let effect = self.jobs.cancel(id, unix);
-                info!(job = &**id, stops = effect.stops.len(); "job cancelled by its owner");
+                info!(job = &**id, stops = effect.stops.len(); "job ended by its owner");
                 self.advice.forget(id);
                 self.apply(now, id, effect);
             }
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -62,9 +62,9 @@
         let notice = |(job, shard, kind): (GraphId, ShardId, NoticeKind)| {
             let record = match kind {
                 NoticeKind::Start => Some(record(&job)?),
-                NoticeKind::Cancel => None,
+                NoticeKind::Cancel | NoticeKind::Fail => None,
             };
-            Some(ShardNotice { shard, job, record })
+            Some(ShardNotice { shard, job, kind, record })
         };
         let is_part = |id: &&GraphId| self.jobs.get(id).is_some_and(GraphJob::is_part);
         let progress = |id: &GraphId| Some((id.clone(), self.jobs.get(id)?.progress.clone()));
@@ -128,10 +128,15 @@
             }
             self.advice.forget(&id);
             match self.jobs.get(&id).filter(|job| job.share.is_some()) {
-                Some(job) if job.is_part() => {
+                Some(job) if job.is_part() && verdict != GraphVerdict::Failed => {
                     self.commits.settle_notice(id.clone(), NoticeKind::Cancel, now);
                 }
-                Some(_) => self.send_notices(&id),
+                Some(job) => {
+                    if !job.is_part() {
+                        self.commits.settle_notice(id.clone(), NoticeKind::Fail, now);
+                    }
+                    self.send_notices(&id);
+                }
                 None => {}
             }
             let answer = match verdict {
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -295,12 +295,21 @@
 
     /// Cancels a job.
     pub(crate) fn cancel(&mut self, id: &GraphId, unix: UnixMillis) -> JobEffect {
+        self.end(id, GraphVerdict::Cancelled, unix)
+    }
+
+    /// Ends a job that has failed elsewhere.
+    pub(crate) fn fail(&mut self, id: &GraphId, unix: UnixMillis) -> JobEffect {
+        self.end(id, GraphVerdict::Failed, unix)
+    }
+
+    fn end(&mut self, id: &GraphId, verdict: GraphVerdict, unix: UnixMillis) -> JobEffect {
         let mut effect = JobEffect::default();
         if let Some(job) = self.jobs.get_mut(id).filter(|job| !job.over()) {
             effect.stops = all_runs(job);
             effect.changed = true;
             effect.urgent = true;
-            end_job(job, GraphVerdict::Cancelled, unix);
+            end_job(job, verdict, unix);
             self.open.remove(id);
         }
         effect
--- a/src/graph/notice.rs
+++ b/src/graph/notice.rs
@@ -14,8 +14,10 @@
 pub enum NoticeKind {
     /// Run a share of a job's tasks.
     Start,
-    /// The job is cancelled.
+    /// The job is over: its other shards stop it.
     Cancel,
+    /// A task of a share has been given up: the job has failed, and its owner ends it everywhere.
+    Fail,
 }
 
 /// A notice to send.
@@ -25,18 +27,10 @@
     pub shard: ShardId,
     /// The job.
     pub job: GraphId,
-    /// The job with its shares; `None` for one that is cancelled.
-    pub record: Option<GraphRecord>,
-}
-
-impl ShardNotice {
     /// What it says.
-    pub fn kind(&self) -> NoticeKind {
-        match self.record {
-            Some(_) => NoticeKind::Start,
-            None => NoticeKind::Cancel,
-        }
-    }
+    pub kind: NoticeKind,
+    /// The job with its shares, where it is to start.
+    pub record: Option<GraphRecord>,
 }
 
 /// Notices that wait for a group.
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -20,8 +20,10 @@
     Unlisted(WorkerId),
     /// A share of a job that another shard's leader has accepted.
     Share(Box<GraphRecord>),
-    /// The owner of a job that is shared out has cancelled it.
-    ShareCancelled(GraphId),
+    /// The owner of a job that is shared out has ended it.
+    ShareEnded(GraphId),
+    /// A share of a job that was accepted here has failed.
+    ShareFailed(GraphId),
     Polled(WorkerId, PollResult),
     Started(WorkerId, TaskName, RunNumber, CommandResult),
     Stopped(WorkerId, TaskName, RunNumber, CommandResult),
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -210,7 +210,8 @@
                 controller.worker_listed_elsewhere(shard, *listing);
             }
             LeaderInput::Share(record) => controller.take_share(now, *record),
-            LeaderInput::ShareCancelled(job) => controller.cancel_share(now, unix, &job),
+            LeaderInput::ShareEnded(job) => controller.cancel_share(now, unix, &job),
+            LeaderInput::ShareFailed(job) => controller.fail_shared(now, unix, &job),
             LeaderInput::Unlisted(worker) => controller.worker_unlisted(&worker),
             LeaderInput::Polled(worker, result) => controller.polled(now, unix, &worker, result),
             LeaderInput::Started(worker, task, run, result) => {
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -372,7 +372,7 @@
         }
         for notice in &group.notices {
             let value = notice.record.as_ref().map(encode).unwrap_or_default();
-            sets.push(set(notice_key(&notice.shard, notice.kind(), &notice.job), value));
+            sets.push(set(notice_key(&notice.shard, notice.kind, &notice.job), value));
         }
         if let Some(workers) = &group.workers {
             sets.push(set(self.workers(), encode(workers)));
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -33,6 +33,7 @@
     match kind {
         NoticeKind::Start => "start",
         NoticeKind::Cancel => "cancel",
+        NoticeKind::Fail => "fail",
     }
 }
 
@@ -82,7 +83,7 @@
             for item in &page.items {
                 match self.named(&item.key) {
                     Some((NoticeKind::Cancel, _)) => cancelled.push(item.clone()),
-                    Some((NoticeKind::Start, _)) | None => self.take(item).await,
+                    Some((NoticeKind::Start | NoticeKind::Fail, _)) | None => self.take(item).await,
                 }
             }
             match page.items.last() {
@@ -116,14 +117,15 @@
     /// The kind of a notice and its job.
     fn named<'k>(&self, key: &'k str) -> Option<(NoticeKind, &'k str)> {
         let (text, job) = key.strip_prefix(&self.prefix)?.split_once('/')?;
-        let kinds = [NoticeKind::Start, NoticeKind::Cancel];
+        let kinds = [NoticeKind::Start, NoticeKind::Cancel, NoticeKind::Fail];
         let kind = kinds.into_iter().find(|kind| label(*kind) == text)?;
         Some((kind, job))
     }
 
     async fn take(&self, item: &KeyItem) {
         let input = match self.named(&item.key) {
-            Some((NoticeKind::Cancel, job)) => LeaderInput::ShareCancelled(job.into()),
+            Some((NoticeKind::Cancel, job)) => LeaderInput::ShareEnded(job.into()),
+            Some((NoticeKind::Fail, job)) => LeaderInput::ShareFailed(job.into()),
             Some((NoticeKind::Start, _)) => {
                 match serde_json::from_slice::<GraphRecord>(&item.value) {
                     Ok(record) => LeaderInput::Share(Box::new(record)),
--- a/tests/graph/shards.rs
+++ b/tests/graph/shards.rs
@@ -170,6 +170,53 @@
     expect_that!(world.state_in("a"), some(eq(GraphState::Cancelled)));
 }
 
+// A leader that runs a share of a job gives up a task of it that crashes its workers. Without a word to the job's owner
+// its share stood still, and the job was shown as running for good.
+#[gtest]
+fn a_shared_job_fails_as_a_whole_when_one_share_has_a_task_that_crashes_its_workers() {
+    let mut world = World::sharded(48, 24, 3);
+    world.refusing = true;
+    let all = shards(&world);
+    world.run(seconds(1));
+    for (job, index) in [("a", 1), ("b", 18)] {
+        world
+            .crashers
+            .insert(format!("{job}.0.0.{index}").parse().unwrap(), Duration::from_millis(10));
+        world.submit_in(&all[0], "now", job, vec![lasting(20)]);
+        world.run(seconds(20));
+        expect_that!(world.state_in(job), some(eq(GraphState::Failed)), "{job}");
+        expect_that!(runs_of(&world, job), eq(0), "{job}");
+    }
+}
+
+// The leader of the share is lost as soon as it has stored that the task is given up.
+#[gtest]
+fn the_next_leader_of_a_share_tells_the_owner_that_a_task_is_given_up() {
+    let mut world = World::sharded(49, 24, 3);
+    world.refusing = true;
+    let all = shards(&world);
+    world.run(seconds(1));
+    world.crashers.insert("a.0.0.18".parse().unwrap(), Duration::from_millis(10));
+    world.submit_in(&all[0], "now", "a", vec![lasting(20)]);
+    let given_up = |world: &World| {
+        let parts = world.store.shards.values().flat_map(|shard| shard.parts.values());
+        parts.into_iter().any(|(_, progress)| progress.verdict.is_some())
+    };
+    for _ in 0..4_000 {
+        if given_up(&world) {
+            break;
+        }
+        world.run(Duration::from_millis(5));
+    }
+    expect_true!(given_up(&world));
+    kill_leader(&mut world, &all[2]);
+    world.run(seconds(1));
+    world.elect_in(&all[2]);
+    world.run(seconds(5));
+    expect_that!(world.state_in("a"), some(eq(GraphState::Failed)));
+    expect_that!(runs_of(&world, "a"), eq(0));
+}
+
 // A caller whose first request was accepted in one shard, unanswered, comes back to another.
 #[gtest]
 fn a_job_submitted_in_two_shards_is_one_job() {
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -175,7 +175,7 @@
     pub(crate) epoch: LeaderEpoch,
     workers: Vec<UsedWorker>,
     /// Jobs of other shards that are run here in part.
-    parts: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
+    pub(crate) parts: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
     notices: BTreeMap<(NoticeKind, GraphId), Option<GraphRecord>>,
 }
 
@@ -751,6 +751,7 @@
                     match (kind, record) {
                         (NoticeKind::Start, Some(record)) => leader.take_share(now, record),
                         (NoticeKind::Cancel, _) => leader.cancel_share(now, unix, &job),
+                        (NoticeKind::Fail, _) => leader.fail_shared(now, unix, &job),
                         (NoticeKind::Start, None) => {}
                     }
                 }
@@ -1087,7 +1088,7 @@
             self.store.jobs.insert(id, (record, GraphProgress::default()));
         }
         for notice in group.notices {
-            let key = (notice.kind(), notice.job.clone());
+            let key = (notice.kind, notice.job.clone());
             self.store
                 .shards
                 .entry(notice.shard.clone())
@@ -1097,7 +1098,7 @@
             let followers = self.led.iter().filter(|(_, place)| **place == notice.shard);
             let followers: Vec<LeaderEpoch> = followers.map(|(epoch, _)| *epoch).collect();
             for leader in followers {
-                let (kind, job, way) = (notice.kind(), notice.job.clone(), self.way());
+                let (kind, job, way) = (notice.kind, notice.job.clone(), self.way());
                 self.post(way, Message::Notice { leader, kind, job });
             }
         }
