The scheduler of entries with their own settings gives up a task whose workers are lost each time it starts

Change: young losses in a row (30 s from the start, a lease counted) are counted a task; from four on the task ends as failed and its job is stopped. Any end that a worker tells, or a late loss, begins the count anew. The count is in the leader's memory, like that of failures there.

--- a/src/placement/scheduler.rs
+++ b/src/placement/scheduler.rs
@@ -105,6 +105,8 @@
     live: BTreeSet<TaskIndex>,
     attempts: BTreeMap<TaskIndex, Attempt>,
     preemptions: BTreeMap<TaskIndex, u32>,
+    /// Starts in a row of tasks that ended with their workers.
+    losses: BTreeMap<TaskIndex, u32>,
     /// Tasks that were started before and are not idempotent: they never start again.
     spent: BTreeSet<TaskIndex>,
     cancelled: bool,
@@ -318,6 +320,7 @@
             live: BTreeSet::new(),
             attempts: BTreeMap::new(),
             preemptions: BTreeMap::new(),
+            losses: BTreeMap::new(),
             spent: record.started.clone(),
             cancelled: false,
         };
--- a/src/placement/scheduler/outcomes.rs
+++ b/src/placement/scheduler/outcomes.rs
@@ -2,6 +2,14 @@
 
 use super::*;
 
+/// Age of a run, with the lease of its worker, up to which a loss counts against its task: a lease is 10 s where the
+/// settings do not say otherwise.
+const YOUNG_LOSS: Duration = Duration::from_secs(30);
+/// Young losses in a row from which a task is given up: it crashes the workers that start it. One that runs beside such a
+/// task is started elsewhere each time.
+const MOST_LOSSES: u32 = 4;
+const LOST_REASON: &str = "its workers are lost as it starts";
+
 impl TaskScheduler {
     /// The worker reports that a task runs, under the try named; a later start of it is then void.
     pub fn task_running(&mut self, now: Instant, task: &TaskId, attempt: Attempt) {
@@ -27,6 +35,9 @@
             return;
         };
         self.release(task);
+        if let Some(job) = self.jobs.get_mut(&task.0) {
+            job.losses.remove(&task.1);
+        }
         match outcome {
             TaskOutcome::Succeeded => self.succeeded(now, &spec, task, &live, usage),
             TaskOutcome::Failed(reason) => self.failed(now, &spec, task, worker, reason),
@@ -141,12 +152,30 @@
         match live.stop_reason() {
             Some(StopReason::Cancelled) => self.end(task, TaskEnd::Cancelled { ran: true }),
             _ if !spec.idempotent => self.end(task, TaskEnd::Unknown),
+            _ if self.is_lost_too_often(now, task, &live) => {
+                self.end(task, TaskEnd::Failed(LOST_REASON.to_owned()));
+                self.stop_job(&task.0, LOST_REASON);
+            }
             _ => self.delay(now, task, pause),
         }
         self.fail_gang(&spec);
         self.dirty = true;
     }
 
+    /// Counts the starts in a row that ended with their worker; tells whether there were too many.
+    fn is_lost_too_often(&mut self, now: Instant, task: &TaskId, live: &LiveTask) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.0) else {
+            return false;
+        };
+        let age = live.since().map(|since| now.saturating_duration_since(since));
+        let losses = job.losses.entry(task.1).or_default();
+        *losses = match age {
+            Some(age) if age <= YOUNG_LOSS => *losses + 1,
+            _ => 0,
+        };
+        *losses >= MOST_LOSSES
+    }
+
     /// A task that was delivered to a worker is not there any more.
     pub fn task_vanished(&mut self, now: Instant, worker: &WorkerId, task: &TaskId) {
         if self.live.get(task).is_some_and(|live| live.worker() == worker) {
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -168,6 +168,15 @@
         }
     }
 
+    /// When it was started, or first seen to run; for one that is being stopped, only if it was seen to run.
+    pub fn since(&self) -> Option<Instant> {
+        match self {
+            Self::Starting(life) => Some(life.stage.since),
+            Self::Running(life) => Some(life.stage.since),
+            Self::Stopping(life) => life.stage.ran_since,
+        }
+    }
+
     /// Why it is being stopped.
     pub fn stop_reason(&self) -> Option<StopReason> {
         match self {
