--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -9,7 +9,7 @@
 use crate::graph::crash::PROBATION;
 use crate::graph::exchange::{EndReport, RunReport};
 use crate::graph::jobs::{JobEffect, RunToStop};
-use crate::graph::lives::{LifeFinding, LostRun};
+use crate::graph::life_finding::{LifeFinding, LostRun};
 use crate::graph::name::GraphId;
 use crate::graph::worker::{RunPhase, WorkerRun};
 use crate::id::{UnixMillis, WorkerId};
