A test of the running program with a task that crashes its workers

The stand-in's workers go 10 ms after the start of such a task and come back under another name after 0.7 s. The job is shown as failed at another entry, the job beside it completes, five starts at most.

--- a/tests/platform/jobs.rs
+++ b/tests/platform/jobs.rs
@@ -108,6 +108,24 @@
     expect_that!(cluster.get_url(&url).await.map(|a| a.status), some(eq(StatusCode::OK)));
 }
 
+// A task that crashed every worker that started it was started again for good, with all that ran beside it lost each time.
+#[gtest]
+#[tokio::test]
+async fn a_task_that_crashes_its_workers_ends_its_job_and_no_other() {
+    let cluster = Cluster::start(12, 2, 4, &["now"]).await;
+    let crashing = "00000000000000a1.0.0.1".to_owned();
+    cluster.platform.state.crashing.lock().unwrap().insert(crashing.clone());
+    for path in [FIRST, SECOND] {
+        let answer = cluster.call(0, Method::POST, path, &job(400, 3)).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK), "{path}");
+    }
+    cluster.wait_state(1, FIRST, "failed").await;
+    cluster.wait_state(0, SECOND, "completed").await;
+    let starts = cluster.platform.state.starts.lock().unwrap()[&crashing];
+    expect_that!(starts, le(5));
+    expect_that!(broken(&cluster), is_empty());
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_killed_leader_costs_no_task() {
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -22,6 +22,9 @@
 
 /// How often a waiting call looks again.
 const LOOK: Duration = Duration::from_millis(5);
+/// How long after the start of a task that crashes it a worker goes, and how long it is away.
+const CRASH_AFTER: Duration = Duration::from_millis(10);
+const AWAY: Duration = Duration::from_millis(700);
 /// Longest lease of a worker, in milliseconds.
 const HOLD_MAX_MS: u64 = 6_000;
 
@@ -51,6 +54,10 @@
 
 struct WorkerState {
     id: String,
+    /// Number of its starts before this one.
+    lives: u32,
+    /// Whether it leaves calls unanswered.
+    down: bool,
     begun: Instant,
     fence: u64,
     until_ms: u64,
@@ -73,6 +80,8 @@
     pub(crate) starts: Mutex<BTreeMap<String, u32>>,
     /// Tickets that were given.
     pub(crate) tickets: Mutex<u32>,
+    /// Tasks that crash each worker that starts them.
+    pub(crate) crashing: Mutex<BTreeSet<String>>,
 }
 
 /// A running stand-in.
@@ -99,22 +108,14 @@
             broken: Mutex::default(),
             starts: Mutex::default(),
             tickets: Mutex::default(),
+            crashing: Mutex::default(),
         });
         let (store, store_server) = serve_store((ip, 0).into(), &state).await;
         let advise =
             |state: Arc<PlatformState>, request| async move { advise(&state, request).await };
         let (advisor, _) = listen((ip, 0).into(), state.clone(), advise).await;
         for number in 0..workers {
-            lock(&state.workers).push(WorkerState {
-                id: format!("w{number}"),
-                begun: Instant::now(),
-                fence: 0,
-                until_ms: 0,
-                runs: BTreeMap::new(),
-                ended: Vec::new(),
-                last_end: 0,
-                closed: BTreeMap::new(),
-            });
+            lock(&state.workers).push(WorkerState::new(format!("w{number}")));
             let call = move |state: Arc<PlatformState>, request| async move {
                 worker_call(&state, number, request).await
             };
@@ -452,6 +453,21 @@
 }
 
 impl WorkerState {
+    fn new(id: String) -> Self {
+        Self {
+            id,
+            lives: 0,
+            down: false,
+            begun: Instant::now(),
+            fence: 0,
+            until_ms: 0,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            closed: BTreeMap::new(),
+        }
+    }
+
     fn clock_ms(&self) -> u64 {
         1_000 + u64::try_from(self.begun.elapsed().as_millis()).unwrap()
     }
@@ -484,14 +500,21 @@
 }
 
 async fn worker_call(
-    state: &PlatformState,
+    state: &Arc<PlatformState>,
     number: usize,
     request: Request<Incoming>,
 ) -> Option<Response<Full<Bytes>>> {
     state.pass_silence(&format!("w{number}")).await;
+    let id = {
+        let worker = &lock(&state.workers)[number];
+        if worker.down {
+            return None;
+        }
+        worker.id.clone()
+    };
     let path = request.uri().path().to_owned();
     let life = request.headers().get("Target-Instance").and_then(|life| life.to_str().ok());
-    let other_life = life.is_some_and(|life| life != format!("w{number}"));
+    let other_life = life.is_some_and(|life| life != id);
     let body = body_of(request).await;
     if other_life {
         return answer(421, &json!({}));
@@ -507,7 +530,14 @@
         worker.fence = epoch;
     }
     match path.as_str() {
-        "/api/run-start" => start(state, number, &body),
+        "/api/run-start" => {
+            let answer = start(state, number, &body);
+            let task = body["task"].as_str().unwrap_or_default();
+            if lock(&state.crashing).contains(task) {
+                tokio::spawn(crash(state.clone(), number));
+            }
+            answer
+        }
         "/api/run-stop" => {
             let mut workers = lock(&state.workers);
             let worker = &mut workers[number];
@@ -519,11 +549,29 @@
             }
             answer(200, &json!({"clock_ms": worker.clock_ms()}))
         }
-        "/api/hold" => hold(state, number, &body).await,
+        "/api/hold" => hold(state, number, &id, &body).await,
         _ => answer(400, &json!({})),
     }
 }
 
+/// A worker goes some milliseconds after a start, and is back under another name.
+async fn crash(state: Arc<PlatformState>, number: usize) {
+    sleep(CRASH_AFTER).await;
+    lock(&state.workers)[number].down = true;
+    sleep(AWAY).await;
+    let old = format!("servers/{}", lock(&state.workers)[number].id);
+    let registration = state.value(&old).unwrap_or_default();
+    let id = {
+        let mut workers = lock(&state.workers);
+        let lives = workers[number].lives + 1;
+        let id = format!("w{number}-{lives}");
+        workers[number] = WorkerState { lives, ..WorkerState::new(id.clone()) };
+        id
+    };
+    lock(&state.store).remove(&old);
+    state.put(&format!("servers/{id}"), &registration);
+}
+
 fn start(state: &PlatformState, number: usize, body: &Value) -> Option<Response<Full<Bytes>>> {
     let mut workers = lock(&state.workers);
     let task = body["task"].as_str().unwrap_or_default().to_owned();
@@ -552,7 +600,12 @@
     answer(200, &json!({"clock_ms": worker.clock_ms()}))
 }
 
-async fn hold(state: &PlatformState, number: usize, body: &Value) -> Option<Response<Full<Bytes>>> {
+async fn hold(
+    state: &PlatformState,
+    number: usize,
+    id: &str,
+    body: &Value,
+) -> Option<Response<Full<Bytes>>> {
     let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
     let acked = body["ack_cursor"].as_u64().unwrap_or(0);
     let end = Instant::now() + wait;
@@ -560,6 +613,9 @@
         {
             let mut workers = lock(&state.workers);
             let worker = &mut workers[number];
+            if worker.down || worker.id != id {
+                return None;
+            }
             let until = body["until_ms"].as_u64().unwrap_or(0);
             worker.until_ms = worker.until_ms.max(until.min(worker.clock_ms() + HOLD_MAX_MS));
             worker.pass();
