--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -9,14 +9,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::graph::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
-use serde::{Deserialize, Serialize};
 
 /// How long a worker has to outlive a start before the run counts as harmless: tasks that crash their workers do so as
 /// they start, after 10 ms in the logs; one that loads for a second first is covered as well.
 pub(crate) const PROBATION: Duration = Duration::from_secs(1);
-/// Crashes under runs that surely went on that are enough proof: one may have any cause.
+/// How many of the crashes have to be under runs that surely went on until then: one may have any cause.
 const SURE_CRASHES: usize = 2;
 /// Crashes from which a task is given up where nothing else explains the last of them. Each costs a worker with all that
 /// runs there.
@@ -25,7 +26,7 @@
 pub(crate) const BLURRED_LIMIT: usize = 3;
 /// The same where other workers went at the same moment: racks that go three times in a row leave it short of this.
 pub(crate) const COMMON_LIMIT: usize = 4;
-/// The same without that proof, where all workers were replaced: a start that is not answered may not have arrived, and
+/// The same without two such crashes, where all workers were replaced: a start that is not answered may not have arrived, and
 /// a run may have ended unheard before its worker went.
 const PROVEN_LIMIT: usize = 3;
 /// The same where some are only silent.
@@ -33,6 +34,7 @@
 /// Longest pause before a suspected task is started again. Several that start at one moment crash their workers at one
 /// moment, which then looks like a rack that goes: four of them were started in step six times.
 const SPREAD: Duration = Duration::from_millis(800);
+
 /// Pause before a suspected task is started again, which differs from task to task.
 pub(crate) fn pause_after(task: &TaskName, run: RunNumber) -> Duration {
     let mut hasher = DefaultHasher::new();
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -34,8 +34,8 @@
     pub done: BTreeMap<StepKey, BTreeSet<u32>>,
     /// Runs that failed; a set, since a worker lists an end until it is acknowledged.
     pub failures: BTreeMap<TaskKey, BTreeSet<RunNumber>>,
-    /// Runs under which a worker has crashed, with whether they surely went on until then; those of a task that a worker
-    /// has outlived since are forgotten. Kept by one leader only, the count began anew with the next: a task was started under three.
+    /// Runs under which a worker has crashed, with whether they surely went on until then; those of a task that a
+    /// worker has outlived since are forgotten. Kept in memory only, the count began anew with each leader.
     pub crashes: BTreeMap<TaskKey, BTreeMap<RunNumber, bool>>,
     /// Runs of suspected tasks, and runs that were given up with a silent worker, that may have crashed it.
     pub trials: BTreeMap<TaskKey, Vec<RunTrial>>,
