Starts of tasks that may have gone with an unheard worker are noted as they are made

Four leaders in turn are lost before they could note that a worker crashed under a task; each start is the first that its leader knows of, so the count begins anew with each. The store knows nothing of a start until its worker has been silent for 0.1 s and had answered it. Ruled out: writing every start ahead (a group before each start, 10 ms and twice the writes). Change: a leader that loses a worker which it never heard notes the first start of each task of an earlier leader's jobs that nobody has heard of, as it makes it; a worker that outlives the start clears the note.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -102,6 +102,8 @@
     next_review: Instant,
     /// Workers from before this leader's time that have not been heard.
     unheard: BTreeSet<WorkerId>,
+    /// Whether one of them was lost unheard, with whatever an earlier leader had started there.
+    lost_unheard: bool,
     /// When nothing that they were told before can run any more.
     settled_at: Instant,
     /// Whether runs that nobody was heard of have been given up.
@@ -168,6 +170,7 @@
             foreign: BTreeMap::new(),
             next_review: now,
             unheard,
+            lost_unheard: false,
             settled_at: now + bounds.blind + LEASE_LIFE,
             voided: false,
             predecessor_ended: false,
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -46,10 +46,14 @@
             suspected: job.is_suspected(start.task),
             ..WorkerRun::new(run, phase, now, Some((job, step)))
         };
-        let suspected = entry.suspected;
+        // Its last run may have gone with a worker that nobody has heard since: leaders that were lost one after the
+        // other, each before it could note the crash, let a task crash six workers.
+        let doubted = self.lost_unheard && job.inherited && !job.last_run.contains_key(&start.task);
+        let noted = entry.suspected || doubted;
+        let entry = WorkerRun { doubted, ..entry };
         if let Some(life) = self.lives.get_mut(&start.worker) {
             life.add_run(task.clone(), entry);
-            if suspected {
+            if noted {
                 let worker = start.worker.clone();
                 let trial = RunTrial { run, worker, address: life.address() };
                 self.jobs.note_trial(&task, trial);
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -11,7 +11,7 @@
 use crate::graph::jobs::{JobEffect, RunToStop};
 use crate::graph::life_finding::{LifeFinding, LostRun};
 use crate::graph::name::GraphId;
-use crate::graph::worker::{RunPhase, WorkerRun};
+use crate::graph::worker::{LifeEnd, RunPhase, WorkerRun};
 use crate::id::{UnixMillis, WorkerId};
 
 /// Counts a run that ended without an end that its worker told.
@@ -80,7 +80,7 @@
                     info!(worker = &*worker, end:? = end; "worker is gone");
                     metrics::counter!("kelplink_worker_ends_total", "end" => format!("{end:?}"))
                         .increment(1);
-                    self.unheard.remove(&worker);
+                    self.lost_unheard |= self.unheard.remove(&worker) && end != LifeEnd::Left;
                     self.commits.note_workers(now, false);
                 }
             }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -416,7 +416,7 @@
                 }
                 if run.probation.is_some_and(|end| end <= now) {
                     run.probation = None;
-                    if run.suspected {
+                    if run.suspected || run.doubted {
                         found.push(LifeFinding::Outlived(report.task, report.run));
                     }
                 }
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -107,7 +107,7 @@
     pub probation: Option<Instant>,
     /// Whether a worker has crashed under an earlier run of its task, or is silent with this one.
     pub suspected: bool,
-    /// Whether the store was told that its worker is silent.
+    /// Whether the store was told that it may crash its worker, before or since that fell silent.
     pub doubted: bool,
 }
 
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -28,7 +28,7 @@
 const SHORT_SPREAD: std::ops::Range<u64> = SPREAD_SEEDS..SPREAD_SEEDS + 12;
 /// Seeds from here on have tasks that crash their workers, and workers whose room shrinks and grows.
 const CRASH_SEEDS: u64 = 20_000_000;
-/// One that stands in a test of its own.
+/// One that stands in a test of its own: crashes that no leader saw.
 const UNHEARD_CRASHES: u64 = CRASH_SEEDS + 11;
 /// Such seeds that `cargo test` runs.
 const SHORT_CRASHES: std::ops::Range<u64> = CRASH_SEEDS..CRASH_SEEDS + 16;
@@ -273,14 +273,27 @@
     });
 }
 
-// Red: see KNOWN-RED.txt. A task crashes its workers under four leaders in turn, each of which is lost before it has
-// noticed that the worker is silent, or before a store that was down has its note. The fifth counts from the first
-// again: with workers that say nothing while they are down, and are back after their leases, three more starts follow.
+// A task crashed its workers under four leaders in turn, each of which was lost before it had noticed that the worker was
+// silent. The fifth counted from the first again, and three more starts followed. A leader that never heard a worker
+// which is lost now notes the starts of tasks that may have been there as it makes them: of 300 such seeds 2 fail, in
+// place of 8.
 #[gtest]
-fn seed_20000011_starts_a_task_on_after_crashes_that_no_leader_could_note() {
+fn seed_20000011_counts_crashes_that_no_leader_saw() {
     run(UNHEARD_CRASHES);
 }
 
+// Red: see KNOWN-RED.txt. The leader that notes such a start is itself lost before the store has the note.
+#[gtest]
+fn seed_20000157_starts_a_task_on_after_notes_that_no_store_took() {
+    run(CRASH_SEEDS + 157);
+}
+
+// Red: see KNOWN-RED.txt. The same.
+#[gtest]
+fn seed_20000221_starts_a_task_on_after_notes_that_no_store_took() {
+    run(CRASH_SEEDS + 221);
+}
+
 // An end was acknowledged although its task was begun again, in one of some thousand seeds, by which way is not traced.
 // Since suspected tasks start elsewhere and later, this seed does not come to it any more.
 #[gtest]
