--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -15,6 +15,7 @@
 mod registrations;
 mod room;
 mod shards;
+mod standing;
 mod storing;
 mod stuck;
 mod world;
