A group is sent again as soon as the store answers anything; last tries get a chance

Callers come back once more with their last 60 ms and were refused within 1 ms, since 150 ms are kept for the way. Ruled out: that refusals come from the queue of groups (their tail is this, by the log of tries). Change: while a group is unanswered the group key is read each 100 ms; its own id there means stored, any answer later than the send has it sent again. Of a short patience a third at most is kept. The ledger's keys and sender are files of their own.

--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -24,6 +24,8 @@
 const STORE_WAIT: Duration = Duration::from_millis(900);
 /// Kept of a caller's patience for the way of a refusal: an answer after it would be taken for none.
 const REFUSAL_WAY: Duration = Duration::from_millis(40);
+/// Part of a short patience that is kept at most: a group is stored within 10 ms.
+const WAY_PART: u32 = 3;
 
 impl GraphController {
     /// Takes a job in, unless another shard's leader should have it.
@@ -75,7 +77,8 @@
                 job.shard = self.scope.shard.clone();
                 job.home = choose_home(&self.lives, &job, now);
                 job.share = self.share_out(&job);
-                job.give_up = now + STORE_WAIT.min(patience.saturating_sub(REFUSAL_WAY));
+                let way = REFUSAL_WAY.min(patience / WAY_PART);
+                job.give_up = now + STORE_WAIT.min(patience.saturating_sub(way));
                 self.jobs.insert(job);
                 self.commits.add(id.clone());
                 self.pass_wanted = true;
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -31,6 +31,9 @@
 const PATIENCE: Duration = Duration::from_millis(3_000);
 /// Kept for the answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Part of a short patience that is kept at most: callers come back once more with their last 60 ms, and a job is taken
+/// within 15 ms.
+const MARGIN_PART: u32 = 3;
 /// Longest time for a body to arrive.
 const BODY_TIME: Duration = Duration::from_millis(2_000);
 /// Advice on when to come back while there is no leader: an election takes two seconds at most.
@@ -101,7 +104,8 @@
     /// Time that is left for an answer.
     fn patience(&self) -> Duration {
         let whole = caller_patience(self.headers).ok().flatten().unwrap_or(PATIENCE);
-        whole.saturating_sub(ANSWER_MARGIN).saturating_sub(self.begun.elapsed())
+        let margin = ANSWER_MARGIN.min(whole / MARGIN_PART);
+        whole.saturating_sub(margin).saturating_sub(self.begun.elapsed())
     }
 
     fn host(&self) -> &str {
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -1,26 +1,30 @@
 //! Jobs in the store: reading them all at a takeover, and storing groups of changes.
 
+pub(crate) mod group_sender;
+mod shard_keys;
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::future::try_join4;
 use log::{error, info, warn};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep};
 
 use crate::graph::{
-    CommitGroup, GraphId, GraphProgress, GraphRecord, LeaderEpoch, LeaderState, NoticeKind, ShardId,
+    CommitGroup, GraphId, GraphProgress, GraphRecord, LeaderEpoch, LeaderState, ShardId,
 };
 use crate::node::dependency::DependencyLog;
 use crate::node::input::GroupOutcome;
 use crate::node::keys::{
-    KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome, UnreadableKind,
-    count_unreadable, epoch_key, sharded,
+    KeyItem, KeyTransaction, StoreError, TransactionOutcome, UnreadableKind, count_unreadable,
+    epoch_key,
 };
-use crate::node::notices::notice_key;
+use crate::node::ledger::group_sender::GroupSender;
+use crate::node::ledger::shard_keys::{ShardKeys, index_key};
 use crate::node::shared::NodeShared;
 use crate::platform::PlatformStore;
 
@@ -28,17 +32,6 @@
 
 /// Name in the log of reading and writing the ledger.
 pub(crate) const LEDGER_DUTY: &str = "ledger";
-/// Start of the keys of jobs as they were submitted.
-const RECORD_PREFIX: &str = "j";
-/// Start of the keys of what has become of jobs.
-const PROGRESS_PREFIX: &str = "p";
-/// Where there are several leaders: the shard of each job. The condition that a job has no such key keeps
-/// two leaders from accepting it.
-const INDEX_PREFIX: &str = "i";
-/// Id of the last group; not under the prefix that entries watch.
-const GROUP_KEY: &str = "l/group";
-/// Workers that may run something.
-const WORKERS_KEY: &str = "l/workers";
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// A group that took longer is worth a warning: callers wait for it.
@@ -53,44 +46,6 @@
     pub(crate) group_revision: u64,
 }
 
-/// Names of the keys of one shard.
-#[derive(Clone, Debug)]
-struct ShardKeys {
-    shard: ShardId,
-}
-
-impl ShardKeys {
-    fn record(&self, job: &str) -> String {
-        format!("{}/{job}", sharded(RECORD_PREFIX, &self.shard))
-    }
-
-    fn progress(&self, job: &str) -> String {
-        format!("{}/{job}", sharded(PROGRESS_PREFIX, &self.shard))
-    }
-
-    fn group(&self) -> String {
-        sharded(GROUP_KEY, &self.shard)
-    }
-
-    fn workers(&self) -> String {
-        sharded(WORKERS_KEY, &self.shard)
-    }
-
-    /// Whether there are others.
-    fn divided(&self) -> bool {
-        !self.shard.is_empty()
-    }
-
-    /// Whether another shard's leader has accepted a job that is stored here.
-    fn is_part(&self, record: &GraphRecord) -> bool {
-        record.share.as_ref().is_some_and(|share| share.owner != self.shard)
-    }
-}
-
-fn index_key(job: &str) -> String {
-    format!("{INDEX_PREFIX}/{job}")
-}
-
 /// Why the conditions of a group did not hold.
 enum GroupConflict {
     /// An earlier send of it has taken effect.
@@ -240,7 +195,8 @@
 
     /// Sends a group once.
     async fn sent(&self, id: &str, change: &KeyTransaction) -> Result<TransactionOutcome> {
-        let result = self.store.transact(change).await;
+        let (store, key) = (&self.store, &self.keys.group());
+        let result = GroupSender { store, key, id }.send(change).await;
         let tried = match &result {
             Ok(TransactionOutcome::NoLease) => {
                 Err(format!("group {id}: it asks for a lease where none is used"))
@@ -330,80 +286,6 @@
     whole
 }
 
-impl ShardKeys {
-    /// What must hold for a group: the leader's epoch, the group before, and jobs that no shard has.
-    fn conditions(&self, stand: LedgerStand, added: &[GraphId]) -> Vec<(String, u64)> {
-        let mut conditions = vec![
-            (epoch_key(&self.shard), stand.epoch_revision),
-            (self.group(), stand.group_revision),
-        ];
-        conditions.extend(added.iter().map(|job| (index_key(job), 0)));
-        conditions
-    }
-
-    /// Jobs of a group that must not be in the index yet.
-    fn indexed(&self, group: &CommitGroup) -> Vec<GraphId> {
-        let own = group.added.iter().filter(|record| self.divided() && !self.is_part(record));
-        own.map(|record| record.spec.id.clone()).collect()
-    }
-
-    /// Whether a key to write belongs to a job that another shard has.
-    fn belongs(&self, set: &KeySet, job: &GraphId) -> bool {
-        [self.record(job), self.progress(job), index_key(job)].contains(&set.key)
-    }
-
-    /// Keys that a group writes and removes.
-    fn changes(&self, id: &str, group: &CommitGroup) -> (Vec<KeySet>, Vec<String>) {
-        let mut sets = vec![set(self.group(), Bytes::from(id.to_owned()))];
-        let mut removes = Vec::new();
-        for record in &group.added {
-            let job = &record.spec.id;
-            sets.push(set(self.record(job), encode(record)));
-            match self.is_part(record) {
-                true => removes.push(notice_key(&self.shard, NoticeKind::Start, job)),
-                false if self.divided() => {
-                    sets.push(set(index_key(job), Bytes::from(self.shard.to_string())));
-                }
-                false => {}
-            }
-        }
-        for (job, progress) in &group.progress {
-            sets.push(set(self.progress(job), encode(progress)));
-        }
-        for notice in &group.notices {
-            let value = notice.record.as_ref().map(encode).unwrap_or_default();
-            sets.push(set(notice_key(&notice.shard, notice.kind, &notice.job), value));
-        }
-        if let Some(workers) = &group.workers {
-            sets.push(set(self.workers(), encode(workers)));
-        }
-        for (job, kind) in &group.settled {
-            removes.push(notice_key(&self.shard, *kind, job));
-        }
-        for job in &group.removed {
-            removes.extend([self.record(job), self.progress(job)]);
-            if self.divided() && !group.removed_parts.contains(job) {
-                removes.push(index_key(job));
-            }
-        }
-        (sets, removes)
-    }
-}
-
-fn set(key: String, value: Bytes) -> KeySet {
-    KeySet { key, value, lease: None }
-}
-
-fn encode<T: Serialize>(value: &T) -> Bytes {
-    match serde_json::to_vec(value) {
-        Ok(bytes) => Bytes::from(bytes),
-        Err(failure) => {
-            error!(failure:% = failure; "a value could not be encoded");
-            Bytes::new()
-        }
-    }
-}
-
 fn decode<T: DeserializeOwned>(item: &KeyItem) -> Option<T> {
     let decoded = serde_json::from_slice(&item.value);
     if let Err(failure) = &decoded {
