The test of lost polls has one long task on each worker

With all four on one worker only that one was polled often, so the polls to lose were never sent: the test failed with and without the change. Now it fails without it and passes with it.

--- a/tests/graph/links.rs
+++ b/tests/graph/links.rs
@@ -152,7 +152,8 @@
 fn an_end_is_seen_within_half_a_second_where_polls_are_lost_often() {
     let mut world = World::new(18, 4);
     world.run(seconds(1));
-    world.submit("later", "long", vec![step(4, 2, 60_000)]);
+    // One on each worker, so that all are looked at often.
+    world.submit("later", "long", vec![step(4, 5, 60_000)]);
     world.run(Duration::from_millis(500));
     world.lost_polls = 4;
     world.run(Duration::from_millis(1_500));
