Late jobs are served by when they lose what they can still earn

Ruled out: claims (48 workers within 40 ms), advice (tickets were there at 14.5 s, starts came at 17.6 s). Change: the order within a queue is the latest start with which a job still earns what it can: all of it up to its objective, a part up to three times that. Room is made for a late job that is about to lose that part as well.

--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -1,8 +1,9 @@
 //! Which waiting task goes to which worker, and what advice is missing for it.
 //!
 //! A pass looks at a copy of the room on the workers and changes nothing; its plan is carried out by
-//! the controller. Steps are served in order of what can still meet its objective: urgent queues
-//! first, then the latest start; what is hopelessly late comes after everything else.
+//! the controller. Urgent queues are served first, then by the latest start with which a job still earns what it can:
+//! all of its worth up to its objective, a part of it up to three times that, nothing later. What is past that comes
+//! after everything else.
 
 mod gangs;
 mod room;
@@ -73,8 +74,8 @@
 struct ServingOrder {
     hopeless: bool,
     priority: u32,
-    late: bool,
     latest_start: Instant,
+    late: bool,
 }
 
 /// A step with tasks to start, or whose turn comes soon.
@@ -210,11 +211,14 @@
         };
         let chain = job.chains.get(key.step as usize).copied().unwrap_or_default();
         let objective = job.objective();
-        let latest =
-            (self.view.now + objective).checked_sub(passed + chain).unwrap_or(self.view.now);
         let late = !step.lasting && passed + chain > objective;
         let hopeless = !step.lasting && passed + chain > objective * WORTHLESS_AFTER;
-        ServingOrder { hopeless, priority: job.rule.priority, late, latest_start: latest }
+        // Served after all that are in time, late jobs lost what they still had: of a backlog of 5 s that a second
+        // leader found, 26 of 67 quick jobs were not done within three times their objective.
+        let loses_at = if late { objective * WORTHLESS_AFTER } else { objective };
+        let latest =
+            (self.view.now + loses_at).checked_sub(passed + chain).unwrap_or(self.view.now);
+        ServingOrder { hopeless, priority: job.rule.priority, latest_start: latest, late }
     }
 
     fn serve(&mut self, step: &OpenStep<'t>) {
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -88,15 +88,15 @@
         fits.then(|| kept.worker.clone())
     }
 
-    /// Whether waiting any longer would cost the task its objective, and nothing is under way for it.
+    /// Whether waiting any longer would cost the task what its job can still earn, and nothing is under way for it.
     pub(super) fn may_preempt(&self, step: &OpenStep<'t>, task: TaskKey) -> bool {
         self.presses(step) && self.view.keeper.get(&step.job.task_name(task)).is_none()
     }
 
-    /// Whether waiting any longer would cost a step its objective.
+    /// Whether waiting any longer would cost a step what its job can still earn.
     pub(super) fn presses(&self, step: &OpenStep<'t>) -> bool {
         let pressed = step.order.latest_start <= self.view.now + PREEMPTION_LEAD;
-        pressed && (step.step.lasting || !step.order.late)
+        pressed && (step.step.lasting || !step.order.hopeless)
     }
 
     /// Whether room for a task of a step can be made on a worker.
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -9,6 +9,7 @@
 mod lasting;
 mod links;
 mod model;
+mod overload;
 mod random;
 mod random_cancellation;
 mod random_shards;
