A leaving leader names its successor in the store

Change: the leader asks the best entry that was started last for its lease, writes the next epoch with that entry as leader in one transaction, goes on until that is stored, ends, and says so; the successor begins at once, or as after any election where the word does not come. A store that is down keeps the leader for most of its grace period. Jobs that wait at a leader which ends go to the next. An entry that does not lead says who does. Who still may go on is passed along where the leaving leader had not outlived it.

--- a/src/node.rs
+++ b/src/node.rs
@@ -28,6 +28,7 @@
 mod settings;
 mod shared;
 mod state_desk;
+mod succession;
 mod view;
 
 pub(crate) use keys::{
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -252,6 +252,7 @@
         match leader.filter(|leader| leader.start != self.shared.start) {
             Some(leader) => {
                 let answer = self.peers.ask(leader.address, shard, call, time).await;
+                let answer = answer.map(|answer| self.learned(shard, answer));
                 note_leader(&self.shared, CALL_DUTY, &leader, time, &answer);
                 if answer.as_ref().is_ok_and(|answer| *answer != LeaderAnswer::NotLeading) {
                     self.shared.note_peer();
@@ -265,6 +266,22 @@
         }
     }
 
+    /// Takes in who leads, where the entry that was asked does not; of two the later epoch counts.
+    fn learned(&self, shard: &ShardId, answer: LeaderAnswer) -> LeaderAnswer {
+        let LeaderAnswer::LedBy(leader) = answer else {
+            return answer;
+        };
+        self.shared.members.send_if_modified(|view| {
+            let known = view.leader(shard).map_or(0, |known| known.epoch);
+            let later = leader.epoch > known.max(view.shard(shard).epoch);
+            if later {
+                view.shards.entry(shard.clone()).or_default().leader = Some(leader);
+            }
+            later
+        });
+        LeaderAnswer::NotLeading
+    }
+
     /// A job's state past a leader that cannot be reached, from the store.
     pub(crate) async fn stored_state(&self, id: &GraphId) -> Option<LeaderAnswer> {
         let (near, divided) = self.near_shard(id);
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -8,8 +8,10 @@
 use tokio::time::Instant;
 
 use crate::graph::{LeaderEpoch, ShardId};
+use crate::id::EntryId;
 use crate::node::input::LeaderInput;
-use crate::node::leader::{LeaderDuty, LeaderTerm};
+use crate::node::leader::LeaderDuty;
+use crate::node::records::LeaderTerm;
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 use crate::ring::{RingSender, ring};
@@ -68,11 +70,21 @@
     /// Latest epoch that this process has led under: it is not led under again.
     last_epoch: LeaderEpoch,
     led_since: Option<Instant>,
+    /// Who led before it.
+    predecessor: Option<(EntryId, u64)>,
 }
 
 impl Candidacy {
     pub(crate) fn new(shared: Arc<NodeShared>, shard: ShardId) -> Self {
-        Self { shard, waiting: None, shared, leadership: None, last_epoch: 0, led_since: None }
+        Self {
+            shard,
+            waiting: None,
+            shared,
+            leadership: None,
+            last_epoch: 0,
+            led_since: None,
+            predecessor: None,
+        }
     }
 
     pub(crate) fn leads(&self) -> bool {
@@ -84,6 +96,24 @@
         self.leads() && self.led_since.is_some_and(|since| since.elapsed() > time)
     }
 
+    /// Whether it has led under an epoch.
+    pub(crate) fn has_led(&self, epoch: LeaderEpoch) -> bool {
+        self.last_epoch >= epoch
+    }
+
+    /// Epoch that it leads under.
+    pub(crate) fn epoch(&self) -> Option<LeaderEpoch> {
+        self.leadership.as_ref().map(|leadership| leadership.epoch)
+    }
+
+    /// Who may still go on once this process has ended: the leader before it, unless that has ended or this one has
+    /// led for longer than that could go on.
+    pub(crate) fn still_going(&self, view: &MemberView) -> Option<(EntryId, u64)> {
+        let bounds = self.shared.settings.bounds;
+        let long = self.leads_for(bounds.blind + bounds.longest_lease);
+        self.predecessor.clone().filter(|_| !long && !view.has_ended(&self.predecessor))
+    }
+
     /// The lease in the store was renewed by a call sent then.
     pub(crate) fn note_renewal(&self, sent: Instant) {
         if let Some(leadership) = &self.leadership {
@@ -100,6 +130,11 @@
                 warn!(shard = &*self.shard, epoch = own.epoch, later = led.epoch; "another leads");
                 Standing::Succeeded
             }
+            (None, Some(leader))
+                if self.shared.succession.awaits_word(&self.shard, leader.epoch) =>
+            {
+                Standing::Unchanged
+            }
             (None, Some(leader))
                 if leader.epoch == led.epoch && leader.epoch > self.last_epoch && registered =>
             {
@@ -154,7 +189,6 @@
     pub(crate) fn begin(&mut self, term: LeaderTerm, renewed: Option<Instant>) {
         let epoch = term.epoch;
         self.last_epoch = epoch;
-        self.led_since = Some(Instant::now());
         if let Some(leadership) = &mut self.leadership
             && leadership.epoch + 1 == epoch
             && !leadership.task.is_finished()
@@ -163,6 +197,8 @@
             let _ = leadership.input.offer(LeaderInput::Epoch(epoch, term.epoch_revision));
             return;
         }
+        self.led_since = Some(Instant::now());
+        self.predecessor = term.predecessor.clone();
         let (input, receiver) = ring("leader", LEADER_RING);
         let _ = input.offer(LeaderInput::Renewed(renewed.unwrap_or_else(Instant::now)));
         let shard = self.shard.clone();
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -19,6 +19,7 @@
 use crate::node::ledger::{JobLedger, LEDGER_DUTY};
 use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::notices::NoticeDuty;
+use crate::node::records::LeaderTerm;
 use crate::node::registry::RegistryDuty;
 use crate::node::shared::NodeShared;
 use crate::node::state_desk::{StateDesk, StateNews};
@@ -33,14 +34,6 @@
 /// Inputs taken in before what is due is done.
 const MOST_INPUTS: usize = 64;
 
-/// What an election gave.
-pub(crate) struct LeaderTerm {
-    pub(crate) epoch: LeaderEpoch,
-    pub(crate) epoch_revision: u64,
-    /// Who led before, and in which start; `None` where it has stepped down.
-    pub(crate) predecessor: Option<(EntryId, u64)>,
-}
-
 /// Leads until told to stop or another does.
 pub(crate) struct LeaderDuty {
     shared: Arc<NodeShared>,
@@ -291,15 +284,16 @@
         }
     }
 
-    /// Answers those of whom it is sure that nothing was done; the others get no answer.
+    /// Answers those of whom it is sure that nothing was done, who go to the next leader; the others get no answer.
+    /// Told to come back after a second, jobs of a planned stop were late.
     fn end(mut self, mut controller: GraphController, followers: &[JoinHandle<()>]) {
         followers.iter().for_each(JoinHandle::abort);
         controller.resign();
         for action in controller.take_actions() {
-            if let GraphAction::Answer(call, answer) = action
+            if let GraphAction::Answer(call, _) = action
                 && let Some(caller) = self.callers.remove(&call)
             {
-                let _ = caller.send(answer.into());
+                let _ = caller.send(LeaderAnswer::NotLeading);
             }
         }
         while let Some(input) = self.input.try_recv() {
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -119,7 +119,7 @@
         && let Some(entry) = decode::<EntryRecord>(item)
     {
         view.best = view.best.max(entry.processor);
-        view.entries.insert(name.into(), entry);
+        view.entries.insert(name.into(), EntryRecord { revision: item.revision, ..entry });
     }
 }
 
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -8,11 +8,16 @@
     AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId, ShardId, TicketText,
 };
 use crate::id::WorkerId;
+use crate::node::records::LeaderRecord;
 
 /// A call for the leader.
 pub(crate) const ASK_METHOD: &str = "ask";
 /// A question to the service that gives placement advice.
 pub(crate) const ADVISE_METHOD: &str = "advise";
+/// A question of a leader that leaves: whether an entry can lead after it.
+pub(crate) const OFFER_METHOD: &str = "offer";
+/// The word of a leader that has ended to the entry that the store names after it.
+pub(crate) const GIVE_METHOD: &str = "give";
 /// Largest call or answer, in bytes.
 pub(crate) const CALL_BYTES: u32 = 4 << 20;
 
@@ -67,6 +72,8 @@
     Leading,
     /// This entry does not lead: nothing was done.
     NotLeading,
+    /// The same from one that knows who does.
+    LedBy(LeaderRecord),
 }
 
 impl From<GraphAnswer> for LeaderAnswer {
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -7,12 +7,18 @@
 use jsonrpsee::core::RegisterMethodError;
 use jsonrpsee::server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
+use log::info;
 
-use crate::graph::{GraphId, ShardId, StepKey};
+use crate::graph::{GraphId, LeaderEpoch, ShardId, StepKey};
 use crate::id::WorkerId;
-use crate::node::message::{ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, LeaderCall};
+use crate::node::message::{
+    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, GIVE_METHOD, LeaderAnswer, LeaderCall,
+    OFFER_METHOD,
+};
 use crate::node::own_leader::ask_here;
+use crate::node::records::LeaderTerm;
 use crate::node::shared::NodeShared;
+use crate::node::succession::SuccessorOffer;
 
 type Result<T> = std::result::Result<T, ErrorObjectOwned>;
 
@@ -37,7 +43,8 @@
     let mut module = RpcModule::new(shared);
     module.register_async_method(ASK_METHOD, |params, shared, _| async move {
         let (shard, call): (ShardId, LeaderCall) = params.parse()?;
-        let answer = ask_here(&shared, &shard, call).await;
+        let answer =
+            ask_here(&shared, &shard, call).await.map(|answer| led_by(&shared, &shard, answer));
         answer.ok_or_else(|| ErrorObjectOwned::owned(ENDED_CODE, "leadership ended", None::<()>))
     })?;
     module.register_async_method(ADVISE_METHOD, |params, shared, _| async move {
@@ -46,9 +53,45 @@
         let step = StepKey { occurrence, step };
         advise_here(&shared, job, step, workers, time).await
     })?;
+    module.register_async_method(OFFER_METHOD, |params, shared, _| async move {
+        let (shard, epoch): (ShardId, LeaderEpoch) = params.parse()?;
+        Ok::<_, ErrorObjectOwned>(offer_here(&shared, shard, epoch))
+    })?;
+    module.register_async_method(GIVE_METHOD, |params, shared, _| async move {
+        let (shard, term): (ShardId, LeaderTerm) = params.parse()?;
+        info!(shard = &*shard, epoch = term.epoch; "leadership is given to this entry");
+        shared.succession.give(shard, term);
+        Ok::<_, ErrorObjectOwned>(true)
+    })?;
     Ok(module)
 }
 
+/// Who leads, where this entry does not and knows of another: callers' entries may hear of a change late from a store
+/// that is slow.
+fn led_by(shared: &NodeShared, shard: &ShardId, answer: LeaderAnswer) -> LeaderAnswer {
+    let leader = shared.members.borrow().leader(shard).cloned();
+    match (answer, leader) {
+        (LeaderAnswer::NotLeading, Some(leader)) if leader.entry != shared.settings.name => {
+            LeaderAnswer::LedBy(leader)
+        }
+        (answer, _) => answer,
+    }
+}
+
+/// What this entry offers as the next leader of a shard; nothing where it leads, leaves or is not registered.
+fn offer_here(shared: &NodeShared, shard: ShardId, epoch: LeaderEpoch) -> Option<SuccessorOffer> {
+    if *shared.draining.borrow()
+        || shared.config.borrow().is_none()
+        || !shared.led_shards().is_empty()
+    {
+        return None;
+    }
+    let lease = shared.succession.name(shard, epoch)?;
+    let settings = &shared.settings;
+    let (entry, address) = (settings.name.clone(), settings.peers);
+    Some(SuccessorOffer { entry, address, start: shared.start, lease })
+}
+
 async fn advise_here(
     shared: &NodeShared,
     job: GraphId,
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -14,11 +14,14 @@
 use tokio::time::Instant;
 
 use crate::client::{ClientError, HttpClient, count_payload};
-use crate::graph::{GraphId, ShardId, StepKey};
+use crate::graph::{GraphId, LeaderEpoch, ShardId, StepKey};
 use crate::id::WorkerId;
 use crate::node::message::{
-    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, LeaderAnswer, LeaderCall,
+    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, GIVE_METHOD, LeaderAnswer, LeaderCall,
+    OFFER_METHOD,
 };
+use crate::node::records::LeaderTerm;
+use crate::node::succession::SuccessorOffer;
 
 type Result<T> = std::result::Result<T, PeerFailure>;
 
@@ -27,6 +30,8 @@
 /// How long an entry that left a call unanswered is taken to be out of reach: callers are told at
 /// once instead of waiting in vain, and one of them tries again after it.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time for words on who leads next: entries are two milliseconds apart, and the next candidate is asked after it.
+const OFFER_TIME: Duration = Duration::from_millis(150);
 /// Added to the time of an advisor's answer for the way between entries.
 const WAY_TIME: Duration = Duration::from_millis(200);
 
@@ -97,6 +102,26 @@
         allowed.map_err(|failure| format!("{failure:?}"))
     }
 
+    /// Asks an entry whether it can lead a shard after an epoch.
+    pub(crate) async fn offer(
+        &self,
+        address: SocketAddr,
+        shard: &ShardId,
+        epoch: LeaderEpoch,
+    ) -> Result<Option<SuccessorOffer>> {
+        self.request(address, OFFER_METHOD, (shard, epoch), OFFER_TIME).await
+    }
+
+    /// Tells an entry that it leads a shard and that the leader before has ended.
+    pub(crate) async fn give(
+        &self,
+        address: SocketAddr,
+        shard: &ShardId,
+        term: &LeaderTerm,
+    ) -> Result<bool> {
+        self.request(address, GIVE_METHOD, (shard, term), OFFER_TIME).await
+    }
+
     async fn request<P: Serialize, T: DeserializeOwned>(
         &self,
         address: SocketAddr,
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use futures_util::future::join;
 use gotham::router::Router;
 use log::{info, warn};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -33,8 +34,9 @@
 const NOTICE_SHARE: f64 = 0.45;
 /// Part of the grace period that requests in flight may take after that.
 const DRAIN_SHARE: f64 = 0.35;
-/// Longest time to hand leadership over.
-const HANDOVER: Duration = Duration::from_millis(1_500);
+/// Part of the grace period in which leadership has to be handed over: with a store that is down it is kept for most of
+/// it, since nobody else can be elected.
+const HANDOVER_SHARE: f64 = 0.8;
 /// Descriptors kept for files, the store, workers and other entries.
 const KEPT_DESCRIPTORS: usize = 1_200;
 /// Longest time for the head of a request to arrive.
@@ -127,12 +129,18 @@
     ) {
         info!("planned stop begins");
         self.shared.draining.send_replace(true);
-        if timeout(HANDOVER, election).await.is_err() {
-            warn!("leadership was not handed over in time");
-        }
-        sleep(self.shared.settings.grace.mul_f64(NOTICE_SHARE)).await;
-        let _ = stop_callers.send(true);
-        match callers.await {
+        let grace = self.shared.settings.grace;
+        let handover = async {
+            if timeout(grace.mul_f64(HANDOVER_SHARE), election).await.is_err() {
+                warn!("leadership was not handed over in time");
+            }
+        };
+        let callers = async {
+            sleep(grace.mul_f64(NOTICE_SHARE)).await;
+            let _ = stop_callers.send(true);
+            callers.await
+        };
+        match join(handover, callers).await.1 {
             Ok(true) => info!("all requests in flight have ended"),
             Ok(false) | Err(_) => warn!("the grace period cut requests in flight"),
         }
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -19,6 +19,16 @@
     pub(crate) epoch: LeaderEpoch,
 }
 
+/// What an election gave, or the leader before.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct LeaderTerm {
+    pub(crate) epoch: LeaderEpoch,
+    pub(crate) epoch_revision: u64,
+    /// Who led before, and in which start; `None` where it has stepped down.
+    pub(crate) predecessor: Option<(EntryId, u64)>,
+}
+
 /// The last election as it stands in the store.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -42,4 +52,7 @@
     pub(crate) start: u64,
     /// Share of a processor core.
     pub(crate) processor: f64,
+    /// Revision of its key: of two entries the one with the higher has registered later.
+    #[serde(skip)]
+    pub(crate) revision: u64,
 }
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -12,7 +12,7 @@
     GraphBounds, GraphId, GraphState, QueueConfig, RequestLimits, ShardId, ShardPlan,
 };
 use crate::node::KeyItem;
-use crate::node::candidacy::Candidacy;
+use crate::node::candidacy::{Candidacy, Standing};
 use crate::node::dependency::{DependencyLine, DependencyRule, DutyRhythm};
 use crate::node::keys::{ENTRY_PREFIX, epoch_key};
 use crate::node::lateness::LatenessRule;
@@ -108,6 +108,7 @@
         domain: "b".into(),
         start,
         processor: 0.25,
+        revision: 0,
     };
     shared.members.send_modify(|view| {
         view.entries.insert("entry-2".into(), record(7));
@@ -132,6 +133,7 @@
         domain: domain.into(),
         start: 7,
         processor,
+        revision: 0,
     };
     let entry = |(name, domain, processor): &(&str, &str, f64)| {
         ((*name).into(), record(domain, *processor))
@@ -409,3 +411,52 @@
     desk.answer(now + Duration::from_millis(300), |_| ending);
     expect_that!(answered.try_recv(), ok(eq(&LeaderAnswer::State(GraphState::Running))));
 }
+
+// Entries are stopped in turn: one that has been started again will not be stopped soon, and a leader that was handed to
+// the next in turn was handed on two seconds later.
+#[gtest]
+fn leadership_is_handed_to_a_strong_entry_that_was_started_last() {
+    let address = |host: &str| format!("127.0.0.{host}:9").parse().unwrap();
+    let record = |host, processor, revision| EntryRecord {
+        address: address(host),
+        domain: "a".into(),
+        start: 7,
+        processor,
+        revision,
+    };
+    let entries = [
+        ("e1".into(), record("1", 0.25, 3)),
+        ("e2".into(), record("2", 0.25, 9)),
+        ("e3".into(), record("3", 0.25, 5)),
+        ("e4".into(), record("4", 0.05, 12)),
+    ];
+    let view = MemberView { entries: entries.into(), known: true, ..MemberView::default() };
+    let order = view.successors(&whole(), &"e1".into());
+    expect_that!(order, eq(&["2", "3", "4"].map(address).to_vec()));
+}
+
+// The store names this entry before the leader before has ended. It leads once it is told so, or, where that leader is
+// lost before it says so, after a while as after any election.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_named_entry_waits_for_the_word_of_the_leader_before() {
+    let shared = Arc::new(entry());
+    let candidacy = Candidacy::new(shared.clone(), whole());
+    let own = LeaderRecord {
+        entry: shared.settings.name.clone(),
+        address: shared.settings.peers,
+        start: shared.start,
+        epoch: 5,
+    };
+    let mut view = MemberView { known: true, ..MemberView::default() };
+    let led = ShardView { leader: Some(own), epoch: 5, ..ShardView::default() };
+    view.shards.insert(whole(), led);
+    shared.succession.set_lease(Some(3));
+    expect_that!(shared.succession.name(whole(), 4), some(eq(3)));
+    expect_that!(matches!(candidacy.standing(&view, true), Standing::Unchanged), eq(true));
+    advance(Duration::from_millis(1_600)).await;
+    expect_that!(matches!(candidacy.standing(&view, true), Standing::Won(_)), eq(true));
+    // One that leaves is not named.
+    shared.succession.set_lease(None);
+    expect_that!(shared.succession.name(whole(), 5), none());
+}
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,6 +1,8 @@
 //! Who takes part, as an entry knows it.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::graph::{LeaderEpoch, ShardId, ShardPlan};
@@ -111,6 +113,22 @@
         CandidateRank { before, away: self.entries.get(entry).is_some_and(is_away) }
     }
 
+    /// Entries that could lead a shard after one that leaves, best first: strong ones that lead nothing, of the shard's
+    /// failure domain, then those that started last, since where entries are stopped in turn these are done.
+    pub(crate) fn successors(&self, shard: &ShardId, leaving: &EntryId) -> Vec<SocketAddr> {
+        let place = self.plan.as_ref().and_then(|plan| plan.place_of(shard));
+        let best = self.best_registered();
+        let order = |(name, record): &(&EntryId, &EntryRecord)| {
+            let weak = record.processor < best * STRONG_SHARE;
+            let away = place.is_some_and(|(domain, _)| *domain != record.domain);
+            (self.leads_other(shard, name), weak, away, Reverse(record.revision))
+        };
+        let others = self.entries.iter().filter(|(name, _)| *name != leaving);
+        let mut others: Vec<(&EntryId, &EntryRecord)> = others.collect();
+        others.sort_by_key(order);
+        others.into_iter().map(|(_, record)| record.address).collect()
+    }
+
     /// Whether no entry of a shard's failure domain is registered.
     pub(crate) fn is_cut_off(&self, shard: &ShardId) -> bool {
         let place = self.plan.as_ref().and_then(|plan| plan.place_of(shard));
