Revert "Runs that stand still are begun anew elsewhere"

And a worker that reports no progress had all its tasks of two seconds started twice: a_killed_leader_costs_no_task failed each time.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -307,9 +307,6 @@
         found.extend(self.lives.vanished(now, now >= self.settled_at));
         self.take_findings_at(now, unix, found);
         self.review_foreign(now);
-        if extend {
-            self.stop_still_runs(now);
-        }
         self.resend(now, extend);
     }
 
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -9,7 +9,6 @@
 use crate::graph::crash::{PROBATION, RunTrial};
 use crate::graph::event::{CommandResult, GraphAction, StartOrder};
 use crate::graph::exchange::{CallFailure, WorkerRefusal};
-use crate::graph::jobs::RunToStop;
 use crate::graph::lives::WORKER_LEASE;
 use crate::graph::name::{RunNumber, TaskKey, TaskName};
 use crate::graph::placer::PlannedStart;
@@ -227,20 +226,6 @@
         self.actions.push(GraphAction::Stop { worker, address, task, run });
     }
 
-    /// Stops runs that stand still: their tasks start elsewhere.
-    pub(super) fn stop_still_runs(&mut self, now: Instant) {
-        let still = self.lives.iter().flat_map(|life| {
-            let runs = life.still_runs(now).into_iter();
-            runs.map(|(task, run)| (life.id().clone(), task, run))
-        });
-        let still: Vec<RunToStop> = still.collect();
-        for (worker, task, run) in &still {
-            info!(task:% = task, run, worker = &**worker; "a run stands still");
-        }
-        metrics::counter!("kelplink_still_runs_total").increment(still.len() as u64);
-        self.stop_all(now, still);
-    }
-
     /// Stops runs of less urgent queues and keeps their room for a task.
     pub(super) fn preempt(&mut self, now: Instant, plan: PlannedPreemption) {
         let PlannedPreemption { job, task, worker, need, victims } = plan;
--- a/src/graph/health.rs
+++ b/src/graph/health.rs
@@ -87,17 +87,12 @@
         self.measured_at.as_ref().filter(|at| fresh(at)).map(|_| self.speed)
     }
 
-    /// Whether all that runs there stands still.
-    pub(crate) fn stands(&self, now: Instant) -> bool {
-        self.speed(now).is_some_and(|speed| speed < STANDING_SPEED)
-    }
-
     /// What the worker is good for now.
     pub fn rank(&self, now: Instant) -> HealthRank {
         let since = self.failed_at.map(|at| now.saturating_duration_since(at));
         match (since, self.speed(now)) {
             (Some(since), _) if since < self.pause() => HealthRank::Faulty,
-            _ if self.stands(now) => HealthRank::Faulty,
+            (_, Some(speed)) if speed < STANDING_SPEED => HealthRank::Faulty,
             (_, Some(speed)) if speed < SLOW_SPEED => HealthRank::Doubtful,
             (Some(since), _) if since < DOUBT_TIME => HealthRank::Doubtful,
             _ => HealthRank::Sound,
--- a/src/graph/preemption.rs
+++ b/src/graph/preemption.rs
@@ -10,12 +10,14 @@
 use tokio::time::Instant;
 
 use crate::graph::name::{GraphId, StepKey, TaskKey, TaskName};
-use crate::graph::worker::{RunPhase, SAVED_LOSS, WorkerLife, WorkerRun};
+use crate::graph::worker::{RunPhase, WorkerLife, WorkerRun};
 use crate::id::WorkerId;
 use crate::resources::ResourceVector;
 
 /// How long room is kept: a stop takes 400 ms at most, its end is listed within a poll.
 const KEEP_TIME: Duration = Duration::from_millis(1_200);
+/// Work of a checkpointing task that a stop loses, on the mean: half of the checkpoint interval.
+const SAVED_LOSS: Duration = Duration::from_millis(250);
 /// Runs stopped for one task.
 const MOST_VICTIMS: usize = 3;
 /// Work, in core-seconds, that may be thrown away for each core-second of the task that needs room.
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -22,14 +22,6 @@
 /// Share done, in percent, from which a run's speed can be told.
 const LEAST_PERCENT: u32 = 10;
 
-/// How long a run has to stand before it is begun anew elsewhere: its share done is told in whole percent, and a run of
-/// thirty seconds takes a third of one for each.
-const STILL_TIME: Duration = Duration::from_millis(1_000);
-/// The same on a worker all of whose work stands: twice the interval of polls that show it.
-const STILL_BESIDE: Duration = Duration::from_millis(500);
-/// Work of a checkpointing task that a stop loses, on the mean: half of the checkpoint interval.
-pub(crate) const SAVED_LOSS: Duration = Duration::from_millis(250);
-
 /// Shortest time over which progress is measured: it is told in whole percent.
 const LEAST_MEASURE: Duration = Duration::from_millis(250);
 
@@ -226,18 +218,6 @@
         Some((estimate * self.percent.saturating_sub(percent) / 100, time))
     }
 
-    /// Whether it stood still for `least` or longer, by an answer from `answered`, and for as long as what a stop
-    /// throws away took: whoever waits no longer than that loses at most as much again.
-    fn is_still(&self, answered: Instant, least: Duration) -> bool {
-        let Some(estimate) = self.estimate.filter(|_| self.movable) else {
-            return false;
-        };
-        let done = estimate * self.percent / 100;
-        let lost = if self.saves { done.min(SAVED_LOSS) } else { done };
-        let stood = answered.saturating_duration_since(self.moved);
-        matches!(self.phase, RunPhase::Running { .. }) && stood >= lost.max(least)
-    }
-
     /// When it will end, from the share that is done where enough is, or else from its estimate.
     pub fn expected_end(&self, estimate: Duration) -> Instant {
         let worked = self.moved.saturating_duration_since(self.since);
@@ -386,17 +366,6 @@
         }
     }
 
-    /// Runs that stand still and should be begun anew elsewhere. Tasks of 0.7 s waited 4 to 6 s for workers that hung,
-    /// past three times their objective.
-    pub(crate) fn still_runs(&self, now: Instant) -> Vec<(TaskName, RunNumber)> {
-        let Some(answered) = self.answered.filter(|_| self.misses == 0) else {
-            return Vec::new();
-        };
-        let least = if self.health.stands(now) { STILL_BESIDE } else { STILL_TIME };
-        let still = self.runs.iter().filter(|(_, run)| run.is_still(answered, least));
-        still.map(|(task, run)| (task.clone(), run.run)).collect()
-    }
-
     /// Whether it has the label that a step wants.
     pub fn has_label(&self, step: &StepSpec) -> bool {
         step.label.as_ref().is_none_or(|label| self.listing.labels.contains(label))
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -16,7 +16,6 @@
 mod registrations;
 mod room;
 mod shards;
-mod standing;
 mod storing;
 mod stuck;
 mod world;
--- a/tests/graph/model.rs
+++ b/tests/graph/model.rs
@@ -38,8 +38,6 @@
     pub(crate) rate: u32,
     /// Times as long as they should that tasks take.
     pub(crate) slowness: u32,
-    /// Since when nothing that it runs moves.
-    pub(crate) hangs: Option<Instant>,
     /// Whether all that it starts fails.
     pub(crate) spoils: bool,
     /// Why it refuses every start.
@@ -65,7 +63,6 @@
             reached: true,
             rate,
             slowness: 1,
-            hangs: None,
             spoils: false,
             refuses: None,
             started: now,
@@ -117,7 +114,7 @@
         let tasks: Vec<TaskName> = self.runs.keys().cloned().collect();
         for task in tasks {
             let run = &self.runs[&task];
-            let done = self.hangs.is_none() && now >= run.begun + run.length * self.slowness;
+            let done = now >= run.begun + run.length * self.slowness;
             let kind = match () {
                 () if lapsed => EndKind::Lapsed,
                 () if run.stops.is_some_and(|stops| stops <= now) => EndKind::Stopped,
@@ -169,7 +166,6 @@
     /// Share of a run that is done, in percent.
     fn percent(&self, run: &ModelRun, now: Instant) -> u32 {
         let length = (run.length * self.slowness).as_millis().max(1);
-        let now = self.hangs.unwrap_or(now);
         let passed = now.saturating_duration_since(run.begun).as_millis();
         u32::try_from(passed * 100 / length).unwrap_or(100).min(100)
     }
