--- a/src/graph/placer/gangs.rs
+++ b/src/graph/placer/gangs.rs
@@ -28,7 +28,8 @@
         }
         // A step that lasts is never late: it would wait for good for a rack that can hold it.
         let waits = step.step.one_rack && !step.order.late && !step.step.lasting;
-        if !waits || !self.some_rack_holds(step) {
+        let one_rack = waits && self.some_rack_holds(step);
+        if !one_rack {
             sets.push(candidates.to_vec());
         }
         let placed = sets.into_iter().find_map(|set| self.try_gang(step, &set));
@@ -38,7 +39,10 @@
                 self.plan.gangs.push(starts);
                 0
             }
-            None => open,
+            None => {
+                self.reserve(step, one_rack);
+                open
+            }
         }
     }
 
