A leader that is cut off does not vouch for its domain

Change: a leader that reaches neither the store nor another domain says that it does not lead; its answers count as reach only beyond its domain; an entry that reaches nobody refuses at once, so that its caller goes elsewhere.

--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -222,6 +222,8 @@
                 Err(AccessFailure::Unknown) => failure = AccessFailure::Unknown,
             }
             let limit = match failure {
+                // Another entry may serve the caller, who is sent there.
+                AccessFailure::NotTaken if !self.shared.reaches_others() => Duration::ZERO,
                 AccessFailure::NotTaken if self.shared.store_is_heard() => {
                     ELECTION_WAIT.min(patience)
                 }
@@ -254,7 +256,8 @@
                 let answer = self.peers.ask(leader.address, shard, call, time).await;
                 let answer = answer.map(|answer| self.learned(shard, answer));
                 note_leader(&self.shared, CALL_DUTY, &leader, time, &answer);
-                if answer.as_ref().is_ok_and(|answer| *answer != LeaderAnswer::NotLeading) {
+                let led = answer.as_ref().is_ok_and(|answer| *answer != LeaderAnswer::NotLeading);
+                if led && self.is_beyond(&leader) {
                     self.shared.note_peer();
                 }
                 answer
@@ -266,6 +269,14 @@
         }
     }
 
+    /// Whether a leader is in another failure domain: the answer of one in this domain does not show that either of them
+    /// is not cut off.
+    fn is_beyond(&self, leader: &LeaderRecord) -> bool {
+        let view = self.shared.members.borrow();
+        let record = view.entries.get(&leader.entry);
+        record.is_some_and(|record| record.domain != self.shared.settings.domain)
+    }
+
     /// Takes in who leads, where the entry that was asked does not; of two the later epoch counts.
     fn learned(&self, shard: &ShardId, answer: LeaderAnswer) -> LeaderAnswer {
         let LeaderAnswer::LedBy(leader) = answer else {
--- a/src/node/own_leader.rs
+++ b/src/node/own_leader.rs
@@ -17,7 +17,12 @@
         return Some(LeaderAnswer::NotLeading);
     };
     if matches!(call, LeaderCall::Reach) {
-        return Some(LeaderAnswer::Leading);
+        // One that is cut off together with those that ask is of no use to them: their callers were sent to it for 6 s
+        // in place of 1, and were refused.
+        return Some(match shared.reaches_others() {
+            true => LeaderAnswer::Leading,
+            false => LeaderAnswer::NotLeading,
+        });
     }
     let (answer, answered) = oneshot::channel();
     match leader.offer(LeaderInput::Call(call, answer)) {
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -17,12 +17,14 @@
 use crate::node::keys::{ENTRY_PREFIX, epoch_key};
 use crate::node::lateness::LatenessRule;
 use crate::node::members::written;
-use crate::node::message::LeaderAnswer;
+use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::own_leader::ask_here;
 use crate::node::records::{EntryRecord, EpochRecord, LeaderRecord};
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 use crate::node::state_desk::{StateDesk, StateNews};
 use crate::node::view::{MemberView, ShardView};
+use crate::ring::ring;
 
 /// The only shard of a deployment that is not divided.
 fn whole() -> ShardId {
@@ -460,3 +462,20 @@
     shared.succession.set_lease(None);
     expect_that!(shared.succession.name(whole(), 5), none());
 }
+
+// A failure domain was cut off with the leader in it. Its entries heard that leader, which could store nothing, took
+// themselves for able to serve, and refused their callers for as long as the cut lasted.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_is_cut_off_does_not_vouch_for_its_domain() {
+    let shared = entry();
+    let (input, _receiver) = ring("leader", 4);
+    shared.set_leading(&whole(), Some(input));
+    let reach = || ask_here(&shared, &whole(), LeaderCall::Reach);
+    expect_that!(reach().await, some(eq(&LeaderAnswer::Leading)));
+    advance(Duration::from_millis(1_100)).await;
+    expect_that!(reach().await, some(eq(&LeaderAnswer::NotLeading)));
+    // Another failure domain answers it: only the store is away.
+    shared.note_peer();
+    expect_that!(reach().await, some(eq(&LeaderAnswer::Leading)));
+}
