--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -471,7 +471,8 @@
     let shared = entry();
     let (input, _receiver) = ring("leader", 4);
     shared.set_leading(&whole(), Some(input));
-    let reach = || ask_here(&shared, &whole(), LeaderCall::Reach);
+    let shard = whole();
+    let reach = || ask_here(&shared, &shard, LeaderCall::Reach);
     expect_that!(reach().await, some(eq(&LeaderAnswer::Leading)));
     advance(Duration::from_millis(1_100)).await;
     expect_that!(reach().await, some(eq(&LeaderAnswer::NotLeading)));
