--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -6,7 +6,6 @@
 //! after everything else.
 
 mod gangs;
-mod reservations;
 mod room;
 mod tasks;
 mod wishes;
@@ -117,8 +116,6 @@
     wishes_left: usize,
     /// Starts that may be planned.
     starts_left: usize,
-    /// Gangs for which room is held.
-    reservations: usize,
     /// Runs that were chosen to be stopped in this pass.
     victims: BTreeSet<TaskName>,
     rooms: BTreeMap<WorkerId, PassRoom<'t>>,
@@ -145,7 +142,6 @@
             view,
             wishes_left,
             starts_left,
-            reservations: 0,
             victims: BTreeSet::new(),
             rooms,
             plan: PassPlan::default(),
--- a/src/graph/placer/gangs.rs
+++ b/src/graph/placer/gangs.rs
@@ -28,8 +28,7 @@
         }
         // A step that lasts is never late: it would wait for good for a rack that can hold it.
         let waits = step.step.one_rack && !step.order.late && !step.step.lasting;
-        let one_rack = waits && self.some_rack_holds(step);
-        if !one_rack {
+        if !waits || !self.some_rack_holds(step) {
             sets.push(candidates.to_vec());
         }
         let placed = sets.into_iter().find_map(|set| self.try_gang(step, &set));
@@ -39,10 +38,7 @@
                 self.plan.gangs.push(starts);
                 0
             }
-            None => {
-                self.reserve(step, one_rack);
-                open
-            }
+            None => open,
         }
     }
 
--- a/src/graph/placer/room.rs
+++ b/src/graph/placer/room.rs
@@ -6,7 +6,6 @@
 
 use crate::graph::health::HealthRank;
 use crate::graph::name::GraphId;
-use crate::graph::placer::reservations::RoomReservation;
 use crate::graph::worker::WorkerLife;
 use crate::resources::ResourceVector;
 
@@ -29,8 +28,6 @@
     pub(super) suspect: Option<GraphId>,
     /// Whether the machine has crashed lately.
     pub(super) crashed: bool,
-    /// Room that is held for a gang.
-    pub(super) reserved: Option<RoomReservation>,
 }
 
 impl<'t> PassRoom<'t> {
@@ -55,7 +52,6 @@
             on_probation: new().map(|(task, _)| task.job.clone()).collect(),
             suspect,
             crashed,
-            reserved: None,
         }
     }
 
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -161,14 +161,9 @@
         let avoided = step.job.avoid.get(&task);
         let job = &step.job.spec.id;
         let suspected = step.job.is_suspected(task);
-        let end = (!spec.lasting).then(|| self.view.now + spec.estimate);
         let fits = |id: &&WorkerId| {
             let count = counts.get(*id).copied().unwrap_or(0);
             count < most
-                && self
-                    .rooms
-                    .get(*id)
-                    .is_some_and(|room| room.spares_held(&need, job, step.key, end))
                 && self
                     .rooms
                     .get(*id)
--- a/src/graph/placer/wishes.rs
+++ b/src/graph/placer/wishes.rs
@@ -153,9 +153,7 @@
         let renewal = self.view.now + rule.call + rule.each * RENEWED_WORKERS;
         let mut rooms = AdviceRooms::default();
         for room in fitting {
-            // Room that is held for the step and due by the time of an answer counts as free.
-            let due = room.is_due(&step.job.spec.id, step.key, renewal);
-            let free = step_room.holds(room.life.id(), &room.free).max(usize::from(due));
+            let free = step_room.holds(room.life.id(), &room.free);
             match known.filter(|known| known.allowed.contains_key(room.life.id())) {
                 Some(known) if known.ticket(room.life.id(), renewal).is_some() => {
                     rooms.ready += free;
