A leader that was succeeded names no successor

Cause: the change that ends a term stood on the epoch in view, not on the leaver's own. Stepping down had the same fault before, without a successor that is told that nobody is left. Change: no change where the epoch in view is another; a term that is given is not begun where a later one is known.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -318,8 +318,16 @@
             return true;
         };
         let predecessor = self.candidacy(shard).still_going(&view);
-        let offer = self.successor(shard, epoch, &view).await;
-        let change = succession_change(shard, &led, offer.as_ref(), predecessor.clone(), view.best);
+        let offer = match led.epoch == epoch {
+            true => self.successor(shard, epoch, &view).await,
+            false => None,
+        };
+        let going = predecessor.clone();
+        let change = succession_change(shard, &led, epoch, offer.as_ref(), going, view.best);
+        let Some(change) = change else {
+            self.candidacy(shard).end().await;
+            return true;
+        };
         let result = self.shared.store.transact(&change).await;
         self.shared.dependencies.store.tried(DUTY, &result);
         match result {
@@ -389,7 +397,8 @@
             epoch: term.epoch,
         };
         let renewed = self.renewed;
-        if self.candidacy(shard).has_led(term.epoch) {
+        let later = self.shared.members.borrow().shard(shard).epoch > term.epoch;
+        if later || self.candidacy(shard).has_led(term.epoch) {
             return;
         }
         self.shared.members.send_modify(|view| {
@@ -446,22 +455,27 @@
     LeaderRecord { entry: offer.entry.clone(), address: offer.address, start: offer.start, epoch }
 }
 
-/// The change that ends a leader's term: it names the next where there is an offer, or else leaves the choice to an
-/// election, for which `going` may go on.
-fn succession_change(
+/// The change that ends a leader's term under an epoch: it names the next where there is an offer, or else leaves the
+/// choice to an election, for which `going` may go on. Nothing where the shard has a later leader: a change on the
+/// condition of that one's epoch ended its term and told the next that nobody was left, so that 8 tasks ran twice.
+pub(crate) fn succession_change(
     shard: &ShardId,
     led: &ShardView,
+    epoch: LeaderEpoch,
     offer: Option<&SuccessorOffer>,
     going: Option<(EntryId, u64)>,
     best: f64,
-) -> KeyTransaction {
+) -> Option<KeyTransaction> {
+    if led.epoch != epoch {
+        return None;
+    }
     let conditions = vec![(epoch_key(shard), led.epoch_revision)];
     let Some(offer) = offer else {
         let record = EpochRecord { epoch: led.epoch, holder: going, best };
         let sets = vec![KeySet { key: epoch_key(shard), value: encode(&record), lease: None }];
-        return KeyTransaction { conditions, sets, removes: vec![leader_key(shard)] };
+        return Some(KeyTransaction { conditions, sets, removes: vec![leader_key(shard)] });
     };
-    let epoch = led.epoch + 1;
+    let epoch = epoch + 1;
     let holder = Some((offer.entry.clone(), offer.start));
     let leader = encode(&leader_record(offer, epoch));
     let record = EpochRecord { epoch, holder, best };
@@ -469,7 +483,7 @@
         KeySet { key: leader_key(shard), value: leader, lease: Some(offer.lease) },
         KeySet { key: epoch_key(shard), value: encode(&record), lease: None },
     ];
-    KeyTransaction { conditions, sets, removes: Vec::new() }
+    Some(KeyTransaction { conditions, sets, removes: Vec::new() })
 }
 
 fn encode<T: Serialize>(value: &T) -> Bytes {
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -14,7 +14,8 @@
 use crate::node::KeyItem;
 use crate::node::candidacy::{Candidacy, Standing};
 use crate::node::dependency::{DependencyLine, DependencyRule, DutyRhythm};
-use crate::node::keys::{ENTRY_PREFIX, epoch_key};
+use crate::node::election::succession_change;
+use crate::node::keys::{ENTRY_PREFIX, epoch_key, leader_key};
 use crate::node::lateness::LatenessRule;
 use crate::node::members::written;
 use crate::node::message::{LeaderAnswer, LeaderCall};
@@ -23,6 +24,7 @@
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 use crate::node::state_desk::{StateDesk, StateNews};
+use crate::node::succession::SuccessorOffer;
 use crate::node::view::{MemberView, ShardView};
 use crate::ring::ring;
 
@@ -480,3 +482,28 @@
     shared.note_peer();
     expect_that!(reach().await, some(eq(&LeaderAnswer::Leading)));
 }
+
+// An entry whose leadership had ended under it, as another was elected, found its timers late and handed leadership on:
+// on the condition of the other's epoch, which it knew from the store. The next leader took the other for ended, and on
+// one hunted day 8 tasks ran in two places.
+#[gtest]
+fn a_leader_that_was_succeeded_names_no_successor() {
+    let led = ShardView { epoch: 2, epoch_revision: 40, ..ShardView::default() };
+    let offer = SuccessorOffer {
+        entry: "e3".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        start: 7,
+        lease: 3,
+    };
+    let change = |epoch| succession_change(&whole(), &led, epoch, Some(&offer), None, 0.25);
+    expect_that!(change(1).is_none(), eq(true));
+    let own = change(2).unwrap();
+    expect_that!(own.conditions, eq(&vec![(epoch_key(&whole()), 40)]));
+    expect_that!(
+        own.sets.iter().map(|set| set.lease).collect::<Vec<_>>(),
+        eq(&vec![Some(3), None])
+    );
+    // Without a successor the choice is left to an election.
+    let left = succession_change(&whole(), &led, 2, None, None, 0.25).unwrap();
+    expect_that!(left.removes, eq(&vec![leader_key(&whole())]));
+}
