--- a/src/graph.rs
+++ b/src/graph.rs
@@ -19,6 +19,7 @@
 mod neighbours;
 mod notice;
 mod placer;
+mod poll_rhythm;
 mod preemption;
 mod progress;
 mod queue;
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -1,6 +1,6 @@
 //! All workers of a leader: polls, leases, and what their answers say of runs.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -13,27 +13,13 @@
 };
 use crate::graph::life_finding::{LifeFinding, LostRun};
 use crate::graph::name::TaskName;
+use crate::graph::poll_rhythm::{IDLE_WAIT, PollRhythm};
 use crate::graph::worker::{LifeEnd, RunPhase, WorkerLife, WorkerRun};
 use crate::id::WorkerId;
 
 /// How long what runs at a worker goes on without another call. A worker that dies holds its tasks
 /// for that long; a leader that dies must be replaced within it.
 pub(crate) const WORKER_LEASE: Duration = Duration::from_millis(4_500);
-/// How long a poll waits for an end at a worker without runs.
-pub(crate) const IDLE_WAIT: Duration = Duration::from_millis(1_200);
-/// How long a poll waits for an end at a worker with runs, where workers are few. Of the polls one in
-/// twenty may be lost, and an end is seen only after that was noticed: with 1.2 s it was seen up to 2 s
-/// late.
-const BUSY_WAIT: Duration = Duration::from_millis(500);
-/// Polls a second that a leader spends on noticing that: with more workers each poll waits longer.
-const BUSY_POLLS: u32 = 80;
-/// The same two where polls are being lost: a lost one is noticed 0.4 s sooner. Of 201 quick jobs handed in while workers
-/// left one order in seventeen unanswered, 94 were late.
-const LOSSY_WAIT: Duration = Duration::from_millis(100);
-const LOSSY_POLLS: u32 = 400;
-/// Polls that were lost at workers which answered the next, within a time, from which more are expected.
-const LOSSY_COUNT: usize = 3;
-const LOSSY_MEMORY: Duration = Duration::from_secs(3);
 /// Pause before the next poll while ends wait for the store.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause before the next poll of a worker that lists an end for good: it answers each at once.
@@ -57,8 +43,7 @@
 pub struct LifeTable {
     lives: BTreeMap<WorkerId, WorkerLife>,
     crashes: CrashTable,
-    /// When polls were last found to be lost at workers that answer.
-    lost_polls: VecDeque<Instant>,
+    rhythm: PollRhythm,
     /// Longest lease that an earlier leader may have given.
     longest_lease: Duration,
 }
@@ -176,7 +161,7 @@
     /// that is cut off for 6 s would hold its tasks for 10 s instead of 5.
     pub(crate) fn polls(&mut self, now: Instant, extend: bool) -> Vec<GraphAction> {
         let due = |life: &&mut WorkerLife| life.polling.is_none() && life.next_poll <= now;
-        let busy_wait = busy_wait(self.lives.len(), self.is_lossy(now));
+        let busy_wait = self.rhythm.busy_wait(now, self.lives.len());
         let mut polls = Vec::new();
         for life in self.lives.values_mut().filter(due) {
             life.polling = Some(now);
@@ -204,20 +189,6 @@
         polls
     }
 
-    /// Whether polls are being lost at workers that answer others.
-    fn is_lossy(&self, now: Instant) -> bool {
-        let lost = self.lost_polls.iter().rev().nth(LOSSY_COUNT - 1);
-        lost.is_some_and(|at| now.saturating_duration_since(*at) < LOSSY_MEMORY)
-    }
-
-    /// A worker answers after a single poll that it did not.
-    fn note_lost_poll(&mut self, now: Instant) {
-        self.lost_polls.push_back(now);
-        if self.lost_polls.len() > LOSSY_COUNT {
-            self.lost_polls.pop_front();
-        }
-    }
-
     /// When the next poll is due.
     pub(crate) fn next_poll(&self) -> Option<Instant> {
         let idle = self.lives.values().filter(|life| life.polling.is_none());
@@ -248,7 +219,7 @@
         }
         self.crashes.answered(id);
         if lost_one {
-            self.note_lost_poll(now);
+            self.rhythm.note_lost(now);
         }
         let Some(life) = self.lives.get_mut(id) else {
             return found;
@@ -390,13 +361,6 @@
     }
 }
 
-/// How long polls wait at a worker with runs among a number of workers.
-fn busy_wait(workers: usize, lossy: bool) -> Duration {
-    let workers = u32::try_from(workers).unwrap_or(u32::MAX);
-    let (polls, least) = if lossy { (LOSSY_POLLS, LOSSY_WAIT) } else { (BUSY_POLLS, BUSY_WAIT) };
-    (Duration::from_secs(1) * workers / polls).clamp(least, IDLE_WAIT)
-}
-
 /// Pause after a number of polls in a row without an answer.
 fn miss_pause(misses: u32) -> Duration {
     match misses {
--- /dev/null
+++ b/src/graph/poll_rhythm.rs
@@ -0,0 +1,58 @@
+//! How long polls wait at workers for an end.
+//!
+//! Load it answers: workers that leave one order in seventeen unanswered, polls among them. An end is seen only once
+//! the loss of its poll is noticed, which takes the poll's own wait and a little more.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// How long a poll waits for an end at a worker without runs.
+pub(crate) const IDLE_WAIT: Duration = Duration::from_millis(1_200);
+/// How long a poll waits for an end at a worker with runs, where workers are few. Of the polls one in
+/// twenty may be lost, and an end is seen only after that was noticed: with 1.2 s it was seen up to 2 s
+/// late.
+const BUSY_WAIT: Duration = Duration::from_millis(500);
+/// Polls a second that a leader spends on noticing that: with more workers each poll waits longer.
+const BUSY_POLLS: u32 = 80;
+/// The same two where polls are being lost: a lost one is noticed 0.4 s sooner. Of 201 quick jobs handed in while workers
+/// left one order in seventeen unanswered, 94 were late.
+const LOSSY_WAIT: Duration = Duration::from_millis(100);
+const LOSSY_POLLS: u32 = 400;
+/// Polls that were lost at workers which answered the next, within a time, from which more are expected.
+const LOSSY_COUNT: usize = 3;
+const LOSSY_MEMORY: Duration = Duration::from_secs(3);
+
+/// Polls that were lost of late, and how long the next wait for it.
+#[derive(Debug, Default)]
+pub(crate) struct PollRhythm {
+    /// When polls were last found to be lost at workers that answer.
+    lost: VecDeque<Instant>,
+}
+
+impl PollRhythm {
+    /// A worker answers after a single poll that it did not.
+    pub(crate) fn note_lost(&mut self, now: Instant) {
+        self.lost.push_back(now);
+        if self.lost.len() > LOSSY_COUNT {
+            self.lost.pop_front();
+        }
+    }
+
+    /// How long polls wait at a worker with runs among a number of workers.
+    pub(crate) fn busy_wait(&self, now: Instant, workers: usize) -> Duration {
+        let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+        let (polls, least) = match self.is_lossy(now) {
+            true => (LOSSY_POLLS, LOSSY_WAIT),
+            false => (BUSY_POLLS, BUSY_WAIT),
+        };
+        (Duration::from_secs(1) * workers / polls).clamp(least, IDLE_WAIT)
+    }
+
+    /// Whether polls are being lost at workers that answer others.
+    fn is_lossy(&self, now: Instant) -> bool {
+        let first = self.lost.front().filter(|_| self.lost.len() == LOSSY_COUNT);
+        first.is_some_and(|at| now.saturating_duration_since(*at) < LOSSY_MEMORY)
+    }
+}
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -14,7 +14,7 @@
 use crate::node::KeyItem;
 use crate::node::candidacy::{Candidacy, Standing};
 use crate::node::dependency::{DependencyLine, DependencyRule, DutyRhythm};
-use crate::node::election::succession_change;
+use crate::node::election::handover::succession_change;
 use crate::node::keys::{ENTRY_PREFIX, epoch_key, leader_key};
 use crate::node::lateness::LatenessRule;
 use crate::node::members::written;
