--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -46,8 +46,8 @@
             suspected: job.is_suspected(start.task),
             ..WorkerRun::new(run, phase, now, Some((job, step)))
         };
-        // Its last run may have gone with a worker that nobody has heard since: leaders that were lost one after the
-        // other, each before it could note the crash, let a task crash six workers.
+        // Its last run may have gone with a worker that nobody has heard since: leaders that are lost one after the
+        // other, each before it can note the crash, would count it anew each time.
         let doubted = self.lost_unheard && job.inherited && !job.last_run.contains_key(&start.task);
         let noted = entry.suspected || doubted;
         let entry = WorkerRun { doubted, ..entry };
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -213,8 +213,7 @@
         let objective = job.objective();
         let late = !step.lasting && passed + chain > objective;
         let hopeless = !step.lasting && passed + chain > objective * WORTHLESS_AFTER;
-        // Served after all that are in time, late jobs lost what they still had: of a backlog of 5 s that a second
-        // leader found, 26 of 67 quick jobs were not done within three times their objective.
+        // Served after all that are in time, a backlog would wait until load falls and lose what it still can earn.
         let loses_at = if late { objective * WORTHLESS_AFTER } else { objective };
         let latest =
             (self.view.now + loses_at).checked_sub(passed + chain).unwrap_or(self.view.now);
--- a/src/graph/poll_rhythm.rs
+++ b/src/graph/poll_rhythm.rs
@@ -16,8 +16,7 @@
 const BUSY_WAIT: Duration = Duration::from_millis(500);
 /// Polls a second that a leader spends on noticing that: with more workers each poll waits longer.
 const BUSY_POLLS: u32 = 80;
-/// The same two where polls are being lost: a lost one is noticed 0.4 s sooner. Of 201 quick jobs handed in while workers
-/// left one order in seventeen unanswered, 94 were late.
+/// The same two where polls are being lost, so that the next lost one is noticed sooner.
 const LOSSY_WAIT: Duration = Duration::from_millis(100);
 const LOSSY_POLLS: u32 = 400;
 /// Polls that were lost at workers which answered the next, within a time, from which more are expected.
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -23,9 +23,8 @@
 /// Head start of a failure domain none of whose entries is registered: it is cut off, for 5 to 7 s on our
 /// users' deployments, and its leader goes on with all that it knows when it is back.
 const CUT_PAUSE: Duration = Duration::from_millis(7_000);
-/// How long a weak machine waits for a strong one that was seen before: after all have ended, or a store that lapsed
-/// their registrations is back, they register within 0.9 s of each other. A weak one that was first read 2,100 jobs for
-/// 14 s, and nothing was taken meanwhile.
+/// How long a weak machine waits for a strong one that was seen before: entries that all start anew, or whose
+/// registrations have lapsed, register within a second of each other, and a weak one needs many to read the jobs.
 const STRONG_PAUSE: Duration = Duration::from_millis(1_500);
 /// Places in the ring to the leader's duty.
 const LEADER_RING: usize = 8_192;
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -32,10 +32,8 @@
         all
     }
 
-    /// Names the next leader of a shard in the store, goes on until the store has that, and tells it.
-    ///
-    /// An election in its place took 1.9 s beside a store that takes 0.4 s a call, and with a store that is down
-    /// nobody led until it was back.
+    /// Names the next leader of a shard in the store, goes on until the store has that, and tells it: an election in its
+    /// place leaves the shard without a leader for several calls to the store, or until a store that is down is back.
     async fn pass_on(&mut self, shard: &ShardId) -> bool {
         let view = self.shared.members.borrow().clone();
         let led = view.shard(shard);
@@ -182,7 +180,7 @@
 
 /// The change that ends a leader's term under an epoch: it names the next where there is an offer, or else leaves the
 /// choice to an election, for which `going` may go on. Nothing where the shard has a later leader: a change on the
-/// condition of that one's epoch ended its term and told the next that nobody was left, so that 8 tasks ran twice.
+/// condition of that one's epoch would end its term and tell the next that nobody is left, so that tasks run twice.
 pub(crate) fn succession_change(
     shard: &ShardId,
     led: &ShardView,
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -285,7 +285,7 @@
     }
 
     /// Answers those of whom it is sure that nothing was done, who go to the next leader; the others get no answer.
-    /// Told to come back after a second, jobs of a planned stop were late.
+    /// Told to come back instead, jobs would be late by the pause.
     fn end(mut self, mut controller: GraphController, followers: &[JoinHandle<()>]) {
         followers.iter().for_each(JoinHandle::abort);
         controller.resign();
--- a/src/node/ledger/group_sender.rs
+++ b/src/node/ledger/group_sender.rs
@@ -1,8 +1,7 @@
 //! Sending one group: again as soon as the store answers anything.
 //!
-//! Load it answers: a store that has been silent, or whose answers are lost. A send that was left without an answer
-//! waited 0.8 s before the next, so that jobs were taken up to 0.9 s after the store was back, and each lost answer
-//! held all later groups as long.
+//! Load it answers: a store that has been silent, or whose answers are lost. Waited out, a send without an answer keeps
+//! jobs from being taken after the store is back, and holds all later groups.
 
 use std::time::Duration;
 
--- a/src/node/own_leader.rs
+++ b/src/node/own_leader.rs
@@ -17,8 +17,8 @@
         return Some(LeaderAnswer::NotLeading);
     };
     if matches!(call, LeaderCall::Reach) {
-        // One that is cut off together with those that ask is of no use to them: their callers were sent to it for 6 s
-        // in place of 1, and were refused.
+        // One that is cut off together with those that ask is of no use to them: it can store nothing, and their callers
+        // would be sent to it and refused for as long as the cut lasts.
         return Some(match shared.reaches_others() {
             true => LeaderAnswer::Leading,
             false => LeaderAnswer::NotLeading,
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -282,12 +282,25 @@
     run(UNHEARD_CRASHES);
 }
 
-// Red: see KNOWN-RED.txt. The leader that notes such a start is itself lost before the store has the note.
+// A leader that notes such a start was itself lost before the store had the note. Since late jobs are served by when they
+// lose what is left, this seed does not come to it any more; three others in 300 do.
 #[gtest]
 fn seed_20000157_starts_a_task_on_after_notes_that_no_store_took() {
     run(CRASH_SEEDS + 157);
 }
 
+// Red: see KNOWN-RED.txt. The same.
+#[gtest]
+fn seed_20000070_starts_a_task_on_after_notes_that_no_store_took() {
+    run(CRASH_SEEDS + 70);
+}
+
+// Red: see KNOWN-RED.txt. The same.
+#[gtest]
+fn seed_20000141_starts_a_task_on_after_notes_that_no_store_took() {
+    run(CRASH_SEEDS + 141);
+}
+
 // Red: see KNOWN-RED.txt. The same.
 #[gtest]
 fn seed_20000221_starts_a_task_on_after_notes_that_no_store_took() {
