A leader whose hand-over the store does not take goes on leading

Found by reading the handover once more: where the named entry's lease had ended, or the store did not answer, a leader that was too slow ended all the same; its key stood under its own live lease, so that nobody could be elected for as long as it lived. Change: without the named entry's lease the choice is left to an election in a second transaction; a slow leader that the store does not hear goes on and tries again.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -126,12 +126,10 @@
         }
         warn!(late_ms = late.as_millis() as u64, weaker; "this machine is too slow to lead");
         self.lateness.forget();
-        self.rests_until = Some(Instant::now() + SLOW_REST);
-        self.shared.succession.set_lease(None);
-        if !self.hand_over().await {
-            for candidacy in self.candidacies.values_mut() {
-                candidacy.end().await;
-            }
+        // Ended without the store knowing of it, the shard would be without a leader for as long as this entry lives.
+        if self.hand_over().await {
+            self.rests_until = Some(Instant::now() + SLOW_REST);
+            self.shared.succession.set_lease(None);
         }
     }
 
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -45,13 +45,20 @@
             true => self.successor(shard, epoch, &view).await,
             false => None,
         };
-        let going = predecessor.clone();
-        let change = succession_change(shard, &led, epoch, offer.as_ref(), going, view.best);
-        let Some(change) = change else {
+        let change = |offer: Option<&SuccessorOffer>| {
+            succession_change(shard, &led, epoch, offer, predecessor.clone(), view.best)
+        };
+        let (Some(named), Some(unnamed)) = (change(offer.as_ref()), change(None)) else {
             self.candidacy(shard).end().await;
             return true;
         };
-        let result = self.shared.store.transact(&change).await;
+        let mut offer = offer;
+        let mut result = self.shared.store.transact(&named).await;
+        if matches!(result, Ok(TransactionOutcome::NoLease)) {
+            // The one that was named has gone meanwhile: the choice is left to an election.
+            offer = None;
+            result = self.shared.store.transact(&unnamed).await;
+        }
         self.shared.dependencies.store.tried(DUTY, &result);
         match result {
             Ok(TransactionOutcome::Done(epoch_revision)) => {
