Sight: who counted the jobs that wait, and by what a job counts as begun

The log could not tell apart the hypotheses on a count of 0 where five accepted jobs waited: a line of an answer had path, status and time.

Volume: a line a question, a line a job, a line an open job with progress at a takeover.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod answer_time;
+mod begin_evidence;
 mod changes;
 mod commit;
 mod controller;
--- /dev/null
+++ b/src/graph/begin_evidence.rs
@@ -0,0 +1,12 @@
+//! What shows that a task of a job has begun.
+
+/// What a worker said of a run that shows that its task has begun.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BeginEvidence {
+    /// It answered the start.
+    Answered,
+    /// It lists the run.
+    Listed,
+    /// It lists the run's end.
+    Ended,
+}
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -146,6 +146,10 @@
             }
         }
         info!(epoch, jobs = jobs.iter().count(), workers = state.workers.len(); "leadership begins");
+        for job in jobs.iter().filter(|job| !job.over() && !job.progress.is_blank()) {
+            let (id, recorded) = (&*job.spec.id, job.progress.recorded());
+            info!(job = id, state:? = job.state(), recorded; "job restored");
+        }
         let mut unheard: BTreeSet<WorkerId> =
             state.workers.into_iter().map(|used| used.id).collect();
         if state.unknown_workers {
@@ -190,6 +194,11 @@
         self.epoch = epoch;
     }
 
+    /// Time since the call was sent that renewed this leader's lease last.
+    pub fn lease_age(&self, now: Instant) -> Duration {
+        (now + self.bounds.blind).saturating_duration_since(self.authority)
+    }
+
     /// Epoch of this leader.
     pub fn epoch(&self) -> LeaderEpoch {
         self.epoch
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -5,6 +5,7 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
+use crate::graph::begin_evidence::BeginEvidence;
 use crate::graph::controller::GraphController;
 use crate::graph::crash::{PROBATION, RunTrial};
 use crate::graph::event::{CommandResult, GraphAction, StartOrder};
@@ -143,7 +144,7 @@
             Ok(clock) => {
                 entry.phase = RunPhase::Running { confirmed: clock };
                 entry.begun = true;
-                self.jobs.note_begun(task);
+                self.jobs.note_begun(task, BeginEvidence::Answered);
                 return;
             }
             Err(failure) => failure,
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -5,6 +5,7 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
+use crate::graph::begin_evidence::BeginEvidence;
 use crate::graph::controller::GraphController;
 use crate::graph::crash::PROBATION;
 use crate::graph::exchange::{EndReport, RunReport};
@@ -52,7 +53,7 @@
                     self.apply(now, &task.job, effect);
                 }
                 LifeFinding::Confirmed(worker, task) => {
-                    self.jobs.note_begun(&task);
+                    self.jobs.note_begun(&task, BeginEvidence::Listed);
                     info!(task:% = task, worker = &*worker; "an unanswered start has begun");
                 }
                 LifeFinding::Deposed(worker) => {
@@ -145,7 +146,7 @@
         match wanted {
             true => {
                 self.jobs.note_run(&task, worker.clone(), run);
-                self.jobs.note_begun(&task);
+                self.jobs.note_begun(&task, BeginEvidence::Listed);
                 if let Some(older) = older {
                     self.stop_all(now, vec![(older.worker, task, older.run)]);
                 }
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -5,8 +5,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use log::info;
 use tokio::time::Instant;
 
+use crate::graph::begin_evidence::BeginEvidence;
 use crate::graph::crash::{BLURRED_LIMIT, RunTrial};
 use crate::graph::exchange::{EndKind, EndReport};
 use crate::graph::job::{GraphJob, GraphState, LiveRun};
@@ -99,9 +101,9 @@
     }
 
     /// Notes that a worker has begun a run of a job: only then does the job wait no more.
-    pub(crate) fn note_begun(&mut self, task: &TaskName) {
+    pub(crate) fn note_begun(&mut self, task: &TaskName, evidence: BeginEvidence) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.started = true;
+            begin_job(job, task, evidence);
         }
     }
 
@@ -195,7 +197,7 @@
         let last = job.last_run.entry(task.key).or_default();
         let begun_again = *last > run;
         *last = (*last).max(run);
-        job.started = true;
+        begin_job(job, task, BeginEvidence::Ended);
         if job.live.get(&task.key).is_some_and(|live| live.run == run && live.worker == *worker) {
             job.live.remove(&task.key);
         }
@@ -301,6 +303,13 @@
     }
 }
 
+fn begin_job(job: &mut GraphJob, task: &TaskName, evidence: BeginEvidence) {
+    if !job.started {
+        job.started = true;
+        info!(task:% = task, evidence:?; "job has begun");
+    }
+}
+
 fn end_job(job: &mut GraphJob, verdict: GraphVerdict, unix: UnixMillis) {
     job.progress.verdict = Some(verdict);
     job.progress.ended = Some(unix);
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -113,6 +113,27 @@
         self.failures.get(task).map_or(0, |runs| u32::try_from(runs.len()).unwrap_or(u32::MAX))
     }
 
+    /// Whether the store has nothing to keep of it.
+    pub(crate) fn is_blank(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// Names of what it has, for the log.
+    pub(crate) fn recorded(&self) -> String {
+        let parts = [
+            (self.verdict.is_some(), "verdict"),
+            (!self.done.is_empty(), "done"),
+            (!self.failures.is_empty(), "failures"),
+            (!self.crashes.is_empty(), "crashes"),
+            (!self.trials.is_empty(), "trials"),
+            (!self.saved.is_empty(), "saved"),
+            (!self.floors.is_empty(), "floors"),
+            (!self.domains.is_empty(), "domains"),
+        ];
+        let names = parts.iter().filter(|(has, _)| *has).map(|(_, name)| *name);
+        names.collect::<Vec<_>>().join(" ")
+    }
+
     /// Whether nothing has happened to its tasks yet.
     pub fn is_empty(&self) -> bool {
         let (domains, floors) = (self.domains.clone(), self.floors.clone());
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::info;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::graph::{GraphId, GraphJob, GraphState, QueueId, ShardId};
@@ -179,11 +180,18 @@
         let call = LeaderCall::Pending(queue.clone());
         let asked = shards.iter().map(|shard| self.ask(shard, &call, patience));
         let answers = futures_util::future::join_all(asked).await;
+        let counts = shards.iter().zip(&answers).map(|(shard, answer)| match answer {
+            Ok(LeaderAnswer::Pending(count)) => format!("{shard}: {count}"),
+            answer => format!("{shard}: {answer:?}"),
+        });
+        let counts = counts.collect::<Vec<_>>().join(", ");
         let counted = answers.into_iter().map(|answer| match answer {
-            Ok(LeaderAnswer::Pending(pending)) => Some(pending),
+            Ok(LeaderAnswer::Pending(count)) => Some(count.jobs),
             _ => None,
         });
-        counted.sum()
+        let pending: Option<usize> = counted.sum();
+        info!(queue = &**queue, pending:?, shards = shards.len(), counts; "waiting jobs counted");
+        pending
     }
 
     async fn ask_once(
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -19,6 +19,7 @@
 use crate::node::ledger::{JobLedger, LEDGER_DUTY};
 use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::notices::NoticeDuty;
+use crate::node::pending_count::PendingCount;
 use crate::node::records::LeaderTerm;
 use crate::node::registry::RegistryDuty;
 use crate::node::shared::NodeShared;
@@ -255,8 +256,13 @@
                 let _ = answer.send(LeaderAnswer::Leading);
             }
             LeaderCall::Pending(queue) => {
-                let pending = controller.jobs().pending(&queue);
-                let _ = answer.send(LeaderAnswer::Pending(pending));
+                let count = PendingCount {
+                    jobs: controller.jobs().pending(&queue),
+                    entry: self.shared.settings.name.clone(),
+                    epoch: self.epoch,
+                    lease_age: controller.lease_age(now),
+                };
+                let _ = answer.send(LeaderAnswer::Pending(count));
             }
             LeaderCall::Submit(submission) => {
                 self.callers.insert(id, answer);
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -8,6 +8,7 @@
     AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId, ShardId, TicketText,
 };
 use crate::id::WorkerId;
+use crate::node::pending_count::PendingCount;
 use crate::node::records::LeaderRecord;
 
 /// A call for the leader.
@@ -66,8 +67,8 @@
     /// No such job, or it has ended.
     Gone,
     State(GraphState),
-    /// Number of jobs that wait.
-    Pending(usize),
+    /// Jobs of a queue that wait.
+    Pending(PendingCount),
     /// This entry leads.
     Leading,
     /// This entry does not lead: nothing was done.
