A check of what callers are told of jobs that wait, red: a start that no worker carried out counts as begun

Callers saw: a count of 0 where five accepted jobs had not begun (the users' MIXED). The simulated leaders of tests/graph had no check of that: their workers know which tasks began, and nothing compared it with what leaders tell.

New: WaitingChecker notes from the model workers alone which jobs have begun, and the world compares, at once after an election and every 100 ms, for the last elected leader of each shard: (1) a job that no worker has begun is Queued, and (2) `pending` is no less than their number, under any fault; (3) a job whose task runs at a claimed worker is not Queued after 2.5 s with nothing in the way. takeover.rs has the cases one by one, and the reverse (done, failed, saved, surely crashed, silent with a begun run: Running).

Cause as far as it shows: GraphJob::restored takes any progress beyond floors and domains as a begun task, also trials and crashes of starts that never arrived.

--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -18,4 +18,6 @@
 mod shards;
 mod storing;
 mod stuck;
+mod takeover;
+mod waiting_checker;
 mod world;
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -313,3 +313,16 @@
 fn seed_6000367_notes_no_end_of_a_task_that_was_begun_again() {
     run(6_000_367);
 }
+
+// Starts that no worker carried out were noted as ones that may have crashed their worker, and after a takeover the job
+// was shown as running and left out of the count.
+#[gtest]
+fn seed_2_counts_a_job_whose_starts_were_never_carried_out() {
+    run(2);
+}
+
+// The same, beside tasks that crash their workers.
+#[gtest]
+fn seed_20000012_counts_a_job_whose_starts_were_never_carried_out() {
+    run(CRASH_SEEDS + 12);
+}
--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -205,3 +205,10 @@
     }
     println!("{} seeds, {runs} runs of tasks", seed - first);
 }
+
+// Starts that no worker carried out were noted as ones that may have crashed their worker, and after a takeover of the
+// shard the job was shown as running and left out of the count.
+#[gtest]
+fn shard_seed_7_counts_a_job_whose_starts_were_never_carried_out() {
+    run(7);
+}
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -13,6 +13,7 @@
 
 use crate::checker::CrashChecker;
 use crate::model::{ModelRun, ModelWorker};
+use crate::waiting_checker::WaitingChecker;
 
 pub(crate) const LONGEST_LEASE: Duration = Duration::from_secs(6);
 const BOUNDS: GraphBounds = GraphBounds {
@@ -227,6 +228,8 @@
     calm_since: Instant,
     /// What was seen of crashes and failures.
     pub(crate) checker: CrashChecker,
+    /// What was seen of jobs that wait.
+    waiting: WaitingChecker,
     pub(crate) begun_runs: u64,
     /// Longest time that a run of an ended job went on where nothing was in the way.
     pub(crate) longest_stop: Duration,
@@ -358,6 +361,7 @@
             reborn: 0,
             calm_since: now,
             checker: CrashChecker::default(),
+            waiting: WaitingChecker::default(),
             begun_runs: 0,
             longest_stop: Duration::ZERO,
         };
@@ -581,6 +585,7 @@
             }
             self.tick();
             self.check_stopped();
+            self.check_waiting();
         }
     }
 
@@ -1092,6 +1097,32 @@
         }
     }
 
+    /// What the last leader of each shard tells callers of jobs that wait, and of those that do not any more.
+    fn check_waiting(&mut self) {
+        for shard in self.store.shards.values() {
+            let Some(leader) = self.leaders.get(&shard.epoch) else {
+                continue;
+            };
+            let Some(first) = self.waiting.due(self.now, shard.epoch) else {
+                continue;
+            };
+            let tasks = self.workers.values().flat_map(|worker| worker.runs.keys());
+            tasks.for_each(|task| self.waiting.note_begun(task));
+            self.waiting.check_waiting(leader);
+            let claimed = |worker: &&ModelWorker| {
+                let life = leader.lives().get(worker.id());
+                worker.up && worker.reached && life.is_some_and(|life| life.claimed && life.listed)
+            };
+            for worker in self.workers.values().filter(claimed) {
+                let clear = self.calm_since.max(worker.calm_since).max(first);
+                for (task, run) in &worker.runs {
+                    let clear = self.now.saturating_duration_since(clear.max(run.begun));
+                    self.waiting.check_shown(leader, task, clear);
+                }
+            }
+        }
+    }
+
     /// What must hold whenever a task begins.
     fn check_start(
         &mut self,
@@ -1102,6 +1133,7 @@
         current: bool,
     ) {
         self.begun_runs += 1;
+        self.waiting.note_begun(task);
         self.note_done();
         let worker = &self.workers[id];
         let used = worker.used();
