Three red tests on evidence of a begun task that a leader has and does not use

The reverse of the count that is too low: the job is told as queued, and counted, though its leader was told that a task of it had begun. No caller has reported it, and the users' rule sets only a lower bound; kept from being lost sight of as the evidence moves into the store.

--- a/tests/graph/takeover.rs
+++ b/tests/graph/takeover.rs
@@ -270,6 +270,20 @@
     expect_that!(told(&mut world), eq(BEGUN));
 }
 
+// A run that its worker has outlived by far is given up with the worker's lease: the store is told which runs count.
+#[gtest]
+fn a_job_whose_run_was_given_up_after_it_had_begun_is_running_after_a_takeover() {
+    let mut world = claimed(90, 2);
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(seconds(3));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    world.workers.values_mut().for_each(|worker| worker.up = false);
+    world.run(seconds(8));
+    expect_that!(world.store.jobs["a"].1.floors.len(), eq(1));
+    take_over(&mut world);
+    expect_that!(told(&mut world), eq(BEGUN));
+}
+
 #[gtest]
 fn a_job_whose_worker_crashed_under_its_task_is_running_after_a_takeover() {
     let mut world = claimed(91, 1);
@@ -284,3 +298,33 @@
     take_over(&mut world);
     expect_that!(told(&mut world), eq(BEGUN));
 }
+
+// The start is carried out before its stop is sent, after four sends without an answer, and the stop is lost.
+#[gtest]
+fn a_run_that_is_listed_while_it_is_being_stopped_has_begun() {
+    let mut world = claimed(92, 1);
+    world.fates.starts.extend([Some(Duration::from_millis(1_790)), None, None, None]);
+    world.fates.lost_stops = 100;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(seconds(3));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    expect_that!(told(&mut world), eq(BEGUN));
+}
+
+// The answer to one of four sends comes after the stop that followed them.
+#[gtest]
+fn a_start_that_is_answered_while_its_run_is_being_stopped_has_begun() {
+    let mut world = claimed(93, 1);
+    world.fates.starts.extend([Some(Duration::from_millis(1_790)), None, None, None]);
+    world.fates.lost_stops = 100;
+    world.submit("now", "a", vec![step(1, 1, 60_000)]);
+    world.run(Duration::from_millis(100));
+    world.lost_polls = 100;
+    world.run(Duration::from_millis(1_750));
+    expect_that!(runs_of(&world, "a"), eq(1));
+    expect_that!(told(&mut world), eq(WAITS));
+    let (now, worker, task) = (world.now, "w0-0".into(), "a.0.0.0".parse().unwrap());
+    let (run, clock) = (world.workers[&worker].runs[&task].run, world.workers[&worker].clock(now));
+    world.leader().unwrap().started(now, &worker, &task, run, Ok(clock));
+    expect_that!(told(&mut world), eq(BEGUN));
+}
