A job counts as begun by what a worker said, also after a takeover

Callers saw: 0 jobs said to wait where five accepted ones had not begun; the state of such a job was running, for good. Cause: whether a job had begun stood in two places that disagreed. In memory it was set by an answered start, a list of runs or a list of ends; what is stored had no such fact, so GraphJob::restored took any progress but domains and floors for it. Trials and crashes are doubts: a run is noted there because its worker fell silent or its start is being sent, though nothing may ever have begun. Ruled out: floors and domains alone (their tests passed before), the count in memory (right until the takeover, in all cases). Change: the fact itself is stored (GraphProgress::begun) and is the only source of a job's state, in memory and after a takeover; nothing is inferred from the rest but for records of earlier versions, by what only a worker can have said. It goes along with the next change of the job, without a write of its own. Evidence is not dropped any more where a start is answered, or its run listed, after the run was told to stop or given up, or where a found run is not the one that is wanted.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -120,6 +120,10 @@
         run: RunNumber,
         result: CommandResult,
     ) {
+        if result.is_ok() {
+            // The run may have been given up or told to stop since.
+            self.jobs.note_begun(task, BeginEvidence::Answered);
+        }
         let Some(life) = self.lives.get_mut(worker) else {
             return;
         };
@@ -144,7 +148,6 @@
             Ok(clock) => {
                 entry.phase = RunPhase::Running { confirmed: clock };
                 entry.begun = true;
-                self.jobs.note_begun(task, BeginEvidence::Answered);
                 return;
             }
             Err(failure) => failure,
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -139,6 +139,7 @@
         let known = WorkerRun::new(run, phase, now, origin);
         let entry = WorkerRun { percent, figure, saved, probation, suspected, ..known };
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
+        self.jobs.note_begun(&task, BeginEvidence::Listed);
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
         if let Some(life) = self.lives.get_mut(worker) {
             life.add_run(task.clone(), entry);
@@ -146,7 +147,6 @@
         match wanted {
             true => {
                 self.jobs.note_run(&task, worker.clone(), run);
-                self.jobs.note_begun(&task, BeginEvidence::Listed);
                 if let Some(older) = older {
                     self.stop_all(now, vec![(older.worker, task, older.run)]);
                 }
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -45,7 +45,7 @@
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum GraphState {
-    /// No task has been started.
+    /// No task has begun.
     Queued,
     /// It is under way.
     Running,
@@ -94,8 +94,6 @@
     pub avoid: BTreeMap<TaskKey, BTreeSet<WorkerId>>,
     /// When a task may be started again.
     pub not_before: BTreeMap<TaskKey, Instant>,
-    /// Whether a task has ever been started.
-    pub started: bool,
     /// Longest chains to the end of the graph, a step.
     pub chains: Vec<Duration>,
 }
@@ -122,7 +120,6 @@
             last_run: BTreeMap::new(),
             avoid: BTreeMap::new(),
             not_before: BTreeMap::new(),
-            started: false,
             chains,
         }
     }
@@ -137,11 +134,12 @@
         let mut job = Self::new(record, now.checked_sub(age).unwrap_or(now));
         job.durable = true;
         job.inherited = true;
-        job.started = !progress.is_empty();
         job.shown = progress.verdict;
         job.stored_domains = progress.domains.clone();
         job.stored_floors = progress.floors.clone();
         job.progress = progress;
+        // Progress that an earlier version stored does not say so.
+        job.progress.begun = job.progress.shows_begun();
         job
     }
 
@@ -165,7 +163,7 @@
             Some(GraphVerdict::Completed) => GraphState::Completed,
             Some(GraphVerdict::Failed) => GraphState::Failed,
             Some(GraphVerdict::Cancelled) => GraphState::Cancelled,
-            None if self.started => GraphState::Running,
+            None if self.progress.begun => GraphState::Running,
             None => GraphState::Queued,
         }
     }
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -283,7 +283,7 @@
         job.is_some_and(|job| !job.over() && !job.progress.is_done(&task.key))
     }
 
-    /// Accepted jobs of a queue none of whose tasks has been started.
+    /// Accepted jobs of a queue none of whose tasks has begun.
     pub fn pending(&self, queue: &str) -> usize {
         let waits = |job: &&GraphJob| {
             let waits = job.durable && job.state() == GraphState::Queued;
@@ -304,8 +304,8 @@
 }
 
 fn begin_job(job: &mut GraphJob, task: &TaskName, evidence: BeginEvidence) {
-    if !job.started {
-        job.started = true;
+    if !job.progress.begun {
+        job.progress.begun = true;
         info!(task:% = task, evidence:?; "job has begun");
     }
 }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -397,9 +397,10 @@
         listed.insert(report.task.clone(), report.run);
         match life.runs.get_mut(&report.task).filter(|run| run.run == report.run) {
             Some(run) => {
-                run.begun = true;
                 if let RunPhase::Sent { .. } = run.phase {
                     run.phase = RunPhase::Running { confirmed: clock };
+                }
+                if !std::mem::replace(&mut run.begun, true) {
                     found.push(LifeFinding::Confirmed(id.clone(), report.task.clone()));
                 }
                 if report.percent != run.percent {
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -30,6 +30,9 @@
     pub verdict: Option<GraphVerdict>,
     /// When it ended.
     pub ended: Option<UnixMillis>,
+    /// Whether a worker has said that it has begun a task. A start that was sent says nothing of that, nor does a run
+    /// that was given up; both leave other parts of the progress.
+    pub begun: bool,
     /// Tasks that succeeded.
     pub done: BTreeMap<StepKey, BTreeSet<u32>>,
     /// Runs that failed; a set, since a worker lists an end until it is acknowledged.
@@ -113,6 +116,16 @@
         self.failures.get(task).map_or(0, |runs| u32::try_from(runs.len()).unwrap_or(u32::MAX))
     }
 
+    /// Whether it shows that a task has begun: by what only a worker can have said.
+    pub(crate) fn shows_begun(&self) -> bool {
+        let sure = |runs: &BTreeMap<RunNumber, bool>| runs.values().any(|sure| *sure);
+        self.begun
+            || !self.done.is_empty()
+            || !self.failures.is_empty()
+            || !self.saved.is_empty()
+            || self.crashes.values().any(sure)
+    }
+
     /// Whether the store has nothing to keep of it.
     pub(crate) fn is_blank(&self) -> bool {
         *self == Self::default()
@@ -122,6 +135,7 @@
     pub(crate) fn recorded(&self) -> String {
         let parts = [
             (self.verdict.is_some(), "verdict"),
+            (self.begun, "begun"),
             (!self.done.is_empty(), "done"),
             (!self.failures.is_empty(), "failures"),
             (!self.crashes.is_empty(), "crashes"),
@@ -133,12 +147,6 @@
         let names = parts.iter().filter(|(has, _)| *has).map(|(_, name)| *name);
         names.collect::<Vec<_>>().join(" ")
     }
-
-    /// Whether nothing has happened to its tasks yet.
-    pub fn is_empty(&self) -> bool {
-        let (domains, floors) = (self.domains.clone(), self.floors.clone());
-        *self == Self { domains, floors, ..Self::default() }
-    }
 }
 
 /// The stored form: JSON knows only texts as keys.
@@ -150,6 +158,8 @@
     verdict: Option<GraphVerdict>,
     #[serde(skip_serializing_if = "Option::is_none")]
     ended: Option<UnixMillis>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    begun: bool,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     done: Vec<(u32, u32, BTreeSet<u32>)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -179,6 +189,7 @@
         Self {
             verdict: stored.verdict,
             ended: stored.ended,
+            begun: stored.begun,
             done: stored.done.into_iter().map(step).collect(),
             failures: stored.failures.into_iter().map(runs).collect(),
             crashes: stored.crashes.into_iter().map(crashes).collect(),
@@ -217,6 +228,7 @@
         Self {
             verdict: progress.verdict,
             ended: progress.ended,
+            begun: progress.begun,
             done: progress.done.into_iter().map(step).collect(),
             failures: progress.failures.into_iter().map(of_task).collect(),
             crashes: progress.crashes.into_iter().map(crashes).collect(),
