An entry that does not know the division waits for it and reads it as nothing else

Callers saw: 0 as the number of jobs that wait, and 410 for jobs that were accepted, from an entry that had its configuration and had not read how the workers are divided; submissions and cancellations were held for the leader of a shard that need not exist. Cause: MemberView::all_shards gave no shard for an unknown division, over which the sum is 0. shards_for and near_shard took it for an undivided deployment, whose records stand under other keys. Ruled out: the configuration as a guard, which is read apart from the members; a leader that is not known, which gave no count. Change: all_shards tells unknown from none by its type. What needs the division waits for it as for a leader that is to be elected, within the same limits, and is not taken after them: 503 with Retry-After. The state of a job past its leader is not told without the division. The state dump has null in place of no shards.

--- a/src/node.rs
+++ b/src/node.rs
@@ -39,5 +39,7 @@
 pub use process::NodeProcess;
 pub use settings::NodeSettings;
 
+#[cfg(test)]
+mod access_tests;
 #[cfg(test)]
 mod tests;
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -7,7 +7,7 @@
 use log::info;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::graph::{GraphId, GraphJob, GraphState, QueueId, ShardId};
+use crate::graph::{GraphId, GraphJob, GraphState, QueueId, ShardId, ShardPlan};
 use crate::node::ledger::JobLedger;
 use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::own_leader::ask_here;
@@ -77,7 +77,8 @@
         let begun = Instant::now();
         let job = submission.record.spec.id.clone();
         let mut call = LeaderCall::Submit(Box::new(submission));
-        let mut shards = VecDeque::from(self.shards_for(&job));
+        let plan = self.division(patience).await?;
+        let mut shards = VecDeque::from(self.shards_for(&plan, &job));
         let mut failure = AccessFailure::NotTaken;
         let mut rejection = None;
         while let Some(shard) = shards.pop_front() {
@@ -112,12 +113,29 @@
         }
     }
 
+    /// How the workers are divided, waited for like a leader while it is not known.
+    async fn division(&self, patience: Duration) -> Result<Arc<ShardPlan>, AccessFailure> {
+        let mut members = self.shared.members.subscribe();
+        let known = members.wait_for(|view| view.plan.is_some());
+        match timeout(self.leader_wait().min(patience), known).await {
+            Ok(Ok(view)) => view.plan.clone().ok_or(AccessFailure::NotTaken),
+            Ok(Err(_)) | Err(_) => Err(AccessFailure::NotTaken),
+        }
+    }
+
+    /// How long a call that has surely not arrived waits for a leader.
+    fn leader_wait(&self) -> Duration {
+        match () {
+            // Another entry may serve the caller, who is sent there.
+            () if !self.shared.reaches_others() => Duration::ZERO,
+            () if self.shared.store_is_heard() => ELECTION_WAIT,
+            () => LEADER_WAIT,
+        }
+    }
+
     /// Shards that may take a job, those first whose leaders are known.
-    fn shards_for(&self, job: &GraphId) -> Vec<ShardId> {
+    fn shards_for(&self, plan: &ShardPlan, job: &GraphId) -> Vec<ShardId> {
         let view = self.shared.members.borrow();
-        let Some(plan) = &view.plan else {
-            return vec![ShardId::from("")];
-        };
         let mut shards = plan.order_for(&self.shared.settings.domain, job);
         shards.sort_by_key(|shard| view.leaderless(shard));
         shards.truncate(MOST_SHARDS_TRIED);
@@ -134,11 +152,12 @@
         call: &LeaderCall,
         patience: Duration,
     ) -> Result<LeaderAnswer, AccessFailure> {
-        let (near, divided) = self.near_shard(job);
-        if !divided {
-            return self.ask(&near, call, patience).await;
-        }
         let begun = Instant::now();
+        let plan = self.division(patience).await?;
+        let near = self.near_shard(&plan, job);
+        if !plan.is_divided() {
+            return self.ask(&near, call, patience.saturating_sub(begun.elapsed())).await;
+        }
         let first = self.ask_once(&near, call, patience.min(TRY_TIME)).await;
         match first {
             Ok(LeaderAnswer::Gone) | Err(_) => {}
@@ -154,13 +173,10 @@
         }
     }
 
-    /// The shard that most likely has a job that is asked about here, and whether there are others.
-    fn near_shard(&self, job: &GraphId) -> (ShardId, bool) {
-        let view = self.shared.members.borrow();
-        let plan = view.plan.clone().unwrap_or_default();
+    /// The shard that most likely has a job that is asked about here.
+    fn near_shard(&self, plan: &ShardPlan, job: &GraphId) -> ShardId {
         let shards = plan.order_for(&self.shared.settings.domain, job);
-        let near = shards.into_iter().next().unwrap_or_else(|| ShardId::from(""));
-        (near, plan.is_divided())
+        shards.into_iter().next().unwrap_or_else(|| ShardId::from(""))
     }
 
     /// The shard of a job, by the store's index.
@@ -174,11 +190,14 @@
         }
     }
 
-    /// Counts the jobs of a queue that wait, over all shards; `None` where one cannot be asked.
+    /// Counts the jobs of a queue that wait, over all shards; `None` where one cannot be asked or the division is
+    /// not known.
     pub(crate) async fn pending(&self, queue: &QueueId, patience: Duration) -> Option<usize> {
-        let shards = self.shared.members.borrow().all_shards();
+        let begun = Instant::now();
+        let shards = self.division(patience).await.ok()?.shards();
+        let left = patience.saturating_sub(begun.elapsed());
         let call = LeaderCall::Pending(queue.clone());
-        let asked = shards.iter().map(|shard| self.ask(shard, &call, patience));
+        let asked = shards.iter().map(|shard| self.ask(shard, &call, left));
         let answers = futures_util::future::join_all(asked).await;
         let counts = shards.iter().zip(&answers).map(|(shard, answer)| match answer {
             Ok(LeaderAnswer::Pending(count)) => format!("{shard}: {count}"),
@@ -230,12 +249,7 @@
                 Err(AccessFailure::Unknown) => failure = AccessFailure::Unknown,
             }
             let limit = match failure {
-                // Another entry may serve the caller, who is sent there.
-                AccessFailure::NotTaken if !self.shared.reaches_others() => Duration::ZERO,
-                AccessFailure::NotTaken if self.shared.store_is_heard() => {
-                    ELECTION_WAIT.min(patience)
-                }
-                AccessFailure::NotTaken => LEADER_WAIT.min(patience),
+                AccessFailure::NotTaken => self.leader_wait().min(patience),
                 AccessFailure::Unknown => patience,
             };
             if begun.elapsed() + TRY_PAUSE >= limit {
@@ -301,16 +315,16 @@
         LeaderAnswer::NotLeading
     }
 
-    /// A job's state past a leader that cannot be reached, from the store.
+    /// A job's state past a leader that cannot be reached, from the store; `None` where that cannot tell it.
     pub(crate) async fn stored_state(&self, id: &GraphId) -> Option<LeaderAnswer> {
-        let (near, divided) = self.near_shard(id);
-        let shard = match divided {
+        let plan = self.shared.members.borrow().plan.clone()?;
+        let shard = match plan.is_divided() {
             true => match self.indexed_shard(id).await {
                 IndexedShard::Known(shard) => shard,
                 IndexedShard::None => return Some(LeaderAnswer::Gone),
                 IndexedShard::Unread => return None,
             },
-            false => near,
+            false => self.near_shard(&plan, id),
         };
         let read = JobLedger::job(&self.shared.store, &shard, id).await;
         let read = read.map_err(|error| format!("job {id}: {error}"));
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -81,7 +81,8 @@
             }
             let view = members.borrow_and_update().clone();
             let mut wake = next_renewal;
-            for shard in view.all_shards() {
+            // Nobody leads before the division is known.
+            for shard in view.all_shards().unwrap_or_default() {
                 self.follow(&shard, &view).await;
                 wake = self.stand_in_turn(&shard, &view).await.map_or(wake, |turn| turn.min(wake));
             }
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -79,9 +79,10 @@
             leading.insert(shard, state);
         }
         let view = shared.members.borrow().clone();
-        let shards = view.all_shards();
-        let leaders: BTreeMap<_, _> =
-            shards.iter().map(|shard| (shard, view.leader(shard).cloned())).collect();
+        let leaders = view.all_shards().map(|shards| {
+            let led = shards.into_iter().map(|shard| (view.leader(&shard).cloned(), shard));
+            led.map(|(leader, shard)| (shard, leader)).collect::<BTreeMap<_, _>>()
+        });
         let body = serde_json::json!({
             "entry": &*shared.settings.name,
             "ready": shared.ready(),
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -33,7 +33,7 @@
     ShardId::from("")
 }
 
-fn settings() -> NodeSettings {
+pub(super) fn settings() -> NodeSettings {
     let address = "127.0.0.1:9".parse().unwrap();
     NodeSettings {
         name: "entry-1".into(),
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -26,7 +26,7 @@
 /// Who takes part.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct MemberView {
-    /// The division of the workers, once it is agreed.
+    /// The division of the workers; `None` while it is not agreed or not read.
     pub(crate) plan: Option<Arc<ShardPlan>>,
     pub(crate) shards: BTreeMap<ShardId, ShardView>,
     pub(crate) entries: BTreeMap<EntryId, EntryRecord>,
@@ -51,9 +51,9 @@
         self.shards.get(shard).cloned().unwrap_or_default()
     }
 
-    /// All shards, none before their division is agreed.
-    pub(crate) fn all_shards(&self) -> Vec<ShardId> {
-        self.plan.as_ref().map(|plan| plan.shards()).unwrap_or_default()
+    /// All shards; `None` while their division is not known.
+    pub(crate) fn all_shards(&self) -> Option<Vec<ShardId>> {
+        self.plan.as_ref().map(|plan| plan.shards())
     }
 
     /// The leader of a shard.
