Test: a leader that does not know whether it still leads answers 410 and counts too few

`LeaderDuty` is given questions as its own callers and other entries put them, with its lease renewed some time ago, sent some time ago but answered just now, or the machine suspended since. Each time a job that it does not know is gone (410), also for a cancellation, and the count is given from its tables, though a leader elected after the end of its lease may have accepted jobs.

--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -1,5 +1,8 @@
 //! The duty of the leader: feeds the decisions and has their actions carried out.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
