Test: a leader that was succeeded without knowing it denies the next leader's jobs

Each entry has a door of the stand-in's store of its own, which can refuse all calls or all reads. The leader's door is shut, another entry is elected and accepts a job that no worker begins, and the first is asked for it through its own callers' port. It answers 410 to GET and DELETE and counts the jobs from before for as long as no worker tells it of the next leader. Let in again but for reads, it registers under a new lease, and its renewals pass for those of the lease that it was elected under. The jobs that it has accepted it has to tell of all the same.

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -69,6 +69,27 @@
         workers: usize,
         queues: &[&str],
         domains: &[&str],
+    ) -> Self {
+        Self::start_on(test, entries, workers, queues, domains, false).await
+    }
+
+    /// The same in one failure domain, with a door of the store for each entry, of the entry's number.
+    pub(crate) async fn start_apart(
+        test: u8,
+        entries: u8,
+        workers: usize,
+        queues: &[&str],
+    ) -> Self {
+        Self::start_on(test, entries, workers, queues, &["a"], true).await
+    }
+
+    async fn start_on(
+        test: u8,
+        entries: u8,
+        workers: usize,
+        queues: &[&str],
+        domains: &[&str],
+        apart: bool,
     ) -> Self {
         let platform = Platform::start(address(test, 1), workers, domains).await;
         platform.configure(1, queues);
@@ -78,7 +99,11 @@
         let http = Client::builder(TokioExecutor::new()).build_http();
         let mut cluster = Self { platform, entries: Vec::new(), folder, http };
         for number in 0..entries {
-            cluster.add_entry(test, number, domains);
+            let store = match apart {
+                true => cluster.platform.add_door().await,
+                false => cluster.platform.store,
+            };
+            cluster.add_entry(test, number, domains, store);
         }
         for number in 0..cluster.entries.len() {
             cluster.wait_ready(number).await;
@@ -86,7 +111,7 @@
         cluster
     }
 
-    fn add_entry(&mut self, test: u8, number: u8, domains: &[&str]) {
+    fn add_entry(&mut self, test: u8, number: u8, domains: &[&str], store: SocketAddr) {
         let domain = domains[usize::from(number) % domains.len()];
         let zones = domains.iter().map(|domain| format!("{domain} = \"r\"\n"));
         let zones: String = zones.collect();
@@ -102,7 +127,6 @@
              [bounds]\nhold_max_ms = 6000\nstatus_s = 120\ngrace_s = 6\n\
              [platform]\naddress = \"{store}\"\n",
             advisor = self.platform.advisor,
-            store = self.platform.store,
         );
         let file = self.folder.join(format!("{name}.toml"));
         fs::write(&file, text).unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,3 +7,4 @@
 mod registrations;
 mod shards;
 mod standin;
+mod succession;
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -47,6 +47,18 @@
     pub(crate) loses_answers: u32,
 }
 
+/// What the store answers at one of its doors.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum StoreDoor {
+    /// Everything.
+    #[default]
+    Open,
+    /// Changes and leases; reads and watches are answered 503.
+    Unread,
+    /// Nothing: every call is answered 503.
+    Closed,
+}
+
 struct WorkerRun {
     run: u64,
     ends: Instant,
@@ -71,6 +83,8 @@
 pub(crate) struct PlatformState {
     store: Mutex<StoreState>,
     faults: Mutex<StoreFaults>,
+    /// Addresses of the store beside its first, by number.
+    doors: Mutex<Vec<StoreDoor>>,
     workers: Mutex<Vec<WorkerState>>,
     /// Workers that leave calls unanswered.
     silent: Mutex<BTreeSet<String>>,
@@ -103,6 +117,7 @@
         let state = Arc::new(PlatformState {
             store: Mutex::default(),
             faults: Mutex::default(),
+            doors: Mutex::default(),
             workers: Mutex::default(),
             silent: Mutex::default(),
             broken: Mutex::default(),
@@ -147,6 +162,25 @@
         (_, self.store_server) = serve_store(self.store, &self.state).await;
     }
 
+    /// Opens one more address of the store, whose callers can be cut off by themselves.
+    pub(crate) async fn add_door(&self) -> SocketAddr {
+        let number = {
+            let mut doors = lock(&self.state.doors);
+            doors.push(StoreDoor::Open);
+            doors.len() - 1
+        };
+        let call = move |state: Arc<PlatformState>, request| async move {
+            door_call(&state, number, request).await
+        };
+        let (address, _) = listen((self.store.ip(), 0).into(), self.state.clone(), call).await;
+        address
+    }
+
+    /// Sets what the store answers at a door, also to calls that it has taken and not answered yet.
+    pub(crate) fn set_door(&self, number: usize, door: StoreDoor) {
+        lock(&self.state.doors)[number] = door;
+    }
+
     /// Writes a configuration with the given queues.
     pub(crate) fn configure(&self, version: u64, queues: &[&str]) {
         self.configure_bodies(version, queues, 10_000);
@@ -414,6 +448,26 @@
     }
 }
 
+async fn door_call(
+    state: &PlatformState,
+    number: usize,
+    request: Request<Incoming>,
+) -> Option<Response<Full<Bytes>>> {
+    let path = request.uri().path();
+    let reads = ["/api/kv-key", "/api/kv-range", "/api/kv-watch"].contains(&path);
+    let refuses = || match lock(&state.doors)[number] {
+        StoreDoor::Open => false,
+        StoreDoor::Unread => reads,
+        StoreDoor::Closed => true,
+    };
+    if refuses() {
+        return answer(503, &json!({}));
+    }
+    let answered = store_call(state, request).await;
+    // A watch that waits must not tell of what comes after the door was shut.
+    if reads && refuses() { answer(503, &json!({})) } else { answered }
+}
+
 async fn watch(
     state: &PlatformState,
     request: &Request<Incoming>,
