A leader counts waiting jobs only for two seconds after its lease was renewed

Callers saw: a count without the jobs that the next leader had accepted, given by a leader that was cut off from the store, frozen and woken, or whose machine alone the store refused, for as long as no worker told it of the next.

Cause: `Pending` was answered from the tables, however old the lease. Ruled out as a place for the look: `ask_here`, which knows only when the store answered any duty; the store may answer reads and refuse renewals.

Change: `AnswerBasis` states once what an answer rests on and how old the lease may be then; a count holds for two seconds after the sending of the last renewal, less the time that the machine was suspended. After that the leader answers that it does not lead, so that the entry that asks tries the next leader or tells its caller to come back. The age gathers only here: the lease itself stands for the first of the two seconds, and what the way between entries and the other shards take comes after the caller's question.

Before: a_leader_without_its_lease_counts_too_few red.

--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,7 @@
 //! The process on the platform: duties that carry out what the decisions in [`crate::graph`] ask for.
 
 mod access;
+mod answer_basis;
 mod callers;
 mod calls;
 mod candidacy;
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -16,6 +16,7 @@
     GraphAction, GraphController, GraphId, GraphJob, LeaderEpoch, ShardId, ShardScope,
 };
 use crate::id::{CallId, EntryId};
+use crate::node::answer_basis::AnswerBasis;
 use crate::node::calls::CallCarrier;
 use crate::node::clock::{BootClock, unix_millis};
 use crate::node::input::{GroupOutcome, LeaderInput};
@@ -250,6 +251,7 @@
     ) {
         self.last_call += 1;
         let id = self.last_call;
+        let lease_age = controller.lease_age(now);
         match call {
             LeaderCall::State(job) => {
                 let news = state_news(controller, &job);
@@ -258,12 +260,15 @@
             LeaderCall::Reach => {
                 let _ = answer.send(LeaderAnswer::Leading);
             }
+            LeaderCall::Pending(_) if !AnswerBasis::Count.holds(lease_age) => {
+                let _ = answer.send(LeaderAnswer::NotLeading);
+            }
             LeaderCall::Pending(queue) => {
                 let count = PendingCount {
                     jobs: controller.jobs().pending(&queue),
                     entry: self.shared.settings.name.clone(),
                     epoch: self.epoch,
-                    lease_age: controller.lease_age(now),
+                    lease_age,
                 };
                 let _ = answer.send(LeaderAnswer::Pending(count));
             }
