A leader takes an unknown job for gone only while its lease surely stands

Callers saw: 410 for an accepted job, from a leader that was succeeded without knowing it: what the next leader accepts it does not know, and it answered `Gone` however long ago its lease was renewed.

Cause: the state of a job was told from the tables alone, and "not here" passed for "nowhere". Ruled out: the job's own state; what a leader has is stored, and is told as before, also through an outage of the whole store.

Change: `AnswerBasis::Absence`: within the lease's life of the last renewal's sending, by the one constant that the lease is made with, which moves there from the election. After it the question is answered with `NotLeading`, one that has waited for a verdict as well, and the entry that asks tries the next leader, reads the store or answers 503.

--- a/src/node/answer_basis.rs
+++ b/src/node/answer_basis.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+/// Life of the lease in the store: a leader that dies is replaced after it.
+pub(crate) const LEASE_TTL: Duration = Duration::from_millis(1_000);
 /// How old a count of waiting jobs may be.
 const COUNT_AGE: Duration = Duration::from_millis(2_000);
 
@@ -14,6 +16,8 @@
 pub(crate) enum AnswerBasis {
     /// It counts the jobs that it has.
     Count,
+    /// It does not have the job.
+    Absence,
 }
 
 impl AnswerBasis {
@@ -21,6 +25,7 @@
     pub(crate) fn holds(self, lease_age: Duration) -> bool {
         match self {
             Self::Count => lease_age < COUNT_AGE,
+            Self::Absence => lease_age < LEASE_TTL,
         }
     }
 }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::graph::ShardId;
+use crate::node::answer_basis::LEASE_TTL;
 use crate::node::candidacy::{Candidacy, Standing};
 use crate::node::keys::{
     ENTRY_PREFIX, KeySet, KeyTransaction, LeaseId, StoreError, TransactionOutcome, epoch_key,
@@ -25,8 +26,6 @@
 
 /// This duty's name in the log.
 const DUTY: &str = "election";
-/// Life of the lease in the store: a leader that dies is replaced after it.
-const LEASE_TTL: Duration = Duration::from_millis(1_000);
 /// Interval of renewals: three may fail before the lease ends.
 const RENEWAL: Duration = Duration::from_millis(250);
 /// Pause after a call that failed.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -162,7 +162,7 @@
             for action in controller.take_actions() {
                 self.carry_out(&carrier, action);
             }
-            self.states.answer(begun, |job| state_news(controller, job));
+            self.states.answer(begun, |job| state_news(controller, begun, job));
             if controller.deposed() {
                 warn!(epoch = self.epoch; "a worker has seen a later leader: leadership ends");
                 return;
@@ -254,7 +254,7 @@
         let lease_age = controller.lease_age(now);
         match call {
             LeaderCall::State(job) => {
-                let news = state_news(controller, &job);
+                let news = state_news(controller, now, &job);
                 self.states.ask(now, job, news, answer);
             }
             LeaderCall::Reach => {
@@ -340,11 +340,16 @@
 }
 
 /// What may be told of a job.
-fn state_news(controller: &GraphController, id: &GraphId) -> StateNews {
-    // For a job that is run here in part its owner answers.
-    match controller.jobs().get(id).filter(|job| job.durable && !job.is_part()) {
+fn state_news(controller: &GraphController, now: Instant, id: &GraphId) -> StateNews {
+    match own_job(controller, id).filter(|job| job.durable) {
         Some(job) if job.over() && job.shown.is_none() => StateNews::Ending(job.state()),
         Some(job) => StateNews::Final(job.state()),
-        None => StateNews::Gone,
+        None if AnswerBasis::Absence.holds(controller.lease_age(now)) => StateNews::Gone,
+        None => StateNews::Unsure,
     }
 }
+
+/// A job that this leader has; for one that is run here in part its owner answers.
+fn own_job<'c>(controller: &'c GraphController, id: &GraphId) -> Option<&'c GraphJob> {
+    controller.jobs().get(id).filter(|job| !job.is_part())
+}
--- a/src/node/state_desk.rs
+++ b/src/node/state_desk.rs
@@ -21,6 +21,8 @@
     Ending(GraphState),
     /// There is no such job.
     Gone,
+    /// There was none, and a later leader may have accepted it since.
+    Unsure,
 }
 
 struct StateQuestion {
@@ -67,6 +69,7 @@
     let told = match news {
         StateNews::Final(state) | StateNews::Ending(state) => LeaderAnswer::State(state),
         StateNews::Gone => LeaderAnswer::Gone,
+        StateNews::Unsure => LeaderAnswer::NotLeading,
     };
     let _ = answer.send(told);
 }
