A leader answers the cancellation of an unknown job as gone only while its lease surely stands

Callers saw: 410 to a DELETE, which says that there is nothing to cancel, from a leader that was succeeded without knowing it; the job, accepted by the next leader, ran all the same.

Cause: `GraphController::cancel` answers `Gone` for a job that it does not have. Ruled out: a job that it has and that is over is told of from memory, as before; one that it has and that runs is cancelled by a change of the store under the condition of its epoch, which a later leader makes fail.

Change: an unknown job is looked at before, by the same rule as questions for a state; the answer is `NotLeading`, so that the cancellation goes to the next leader or its caller is told 503, has not run.

--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -280,6 +280,12 @@
                     false => controller.submit(now, id, attempt, patience, record),
                 }
             }
+            LeaderCall::Cancel(job)
+                if own_job(controller, &job).is_none()
+                    && !AnswerBasis::Absence.holds(lease_age) =>
+            {
+                let _ = answer.send(LeaderAnswer::NotLeading);
+            }
             LeaderCall::Cancel(job) => {
                 self.callers.insert(id, answer);
                 controller.cancel(now, unix_millis(), id, &job);
