Renewals of a new lease do not bear out a leader that was elected under the one before

Callers saw: 410 for jobs of the next leader, also with the answers bound to the lease, from a leader whose lease had ended while the store turned its machine away, and which was let in again but for its reads. Beyond answers: it went on renewing workers' leases for as long, while the next leader reckons that it stops 5 s after its last renewal and then begins again what it has not heard of.

Cause: the lease is the entry's. `ElectionDuty::renew` registers anew as soon as the old lease has ended, and told each leadership of this process of the new lease as of a renewal, though the leader's key had gone with the old one. Ruled out: that the members tell it in time; they are read and watched by other calls, which may be refused, late or cut.

Change: `Candidacy` notes that the lease has ended and passes on no renewal until the store has elected it again under a later epoch, which nobody else can have led before; that election brings the renewal with it.

--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -32,6 +32,8 @@
 /// This process as the leader.
 struct Leadership {
     epoch: LeaderEpoch,
+    /// Whether the lease has ended that its key stood under.
+    lapsed: bool,
     input: RingSender<LeaderInput>,
     task: JoinHandle<()>,
 }
@@ -113,13 +115,21 @@
         self.predecessor.clone().filter(|_| !long && !view.has_ended(&self.predecessor))
     }
 
-    /// The lease in the store was renewed by a call sent then.
+    /// The lease in the store was renewed, or made, by a call sent then. A new lease does not bear out a leader that was
+    /// elected under the one before: another may have been elected in between.
     pub(crate) fn note_renewal(&self, sent: Instant) {
-        if let Some(leadership) = &self.leadership {
+        if let Some(leadership) = self.leadership.as_ref().filter(|own| !own.lapsed) {
             let _ = leadership.input.offer(LeaderInput::Renewed(sent));
         }
     }
 
+    /// The lease in the store has ended.
+    pub(crate) fn note_lapse(&mut self) {
+        if let Some(leadership) = &mut self.leadership {
+            leadership.lapsed = true;
+        }
+    }
+
     /// What the store says of this process; `registered` tells whether it has a lease there.
     pub(crate) fn standing(&self, view: &MemberView, registered: bool) -> Standing {
         let led = view.shard(&self.shard);
@@ -187,23 +197,26 @@
     /// Leads, or goes on leading under a later epoch; the lease was renewed last by a call sent at `renewed`.
     pub(crate) fn begin(&mut self, term: LeaderTerm, renewed: Option<Instant>) {
         let epoch = term.epoch;
+        let renewal = LeaderInput::Renewed(renewed.unwrap_or_else(Instant::now));
         self.last_epoch = epoch;
         if let Some(leadership) = &mut self.leadership
             && leadership.epoch + 1 == epoch
             && !leadership.task.is_finished()
         {
             leadership.epoch = epoch;
+            leadership.lapsed = false;
             let _ = leadership.input.offer(LeaderInput::Epoch(epoch, term.epoch_revision));
+            let _ = leadership.input.offer(renewal);
             return;
         }
         self.led_since = Some(Instant::now());
         self.predecessor = term.predecessor.clone();
         let (input, receiver) = ring("leader", LEADER_RING);
-        let _ = input.offer(LeaderInput::Renewed(renewed.unwrap_or_else(Instant::now)));
+        let _ = input.offer(renewal);
         let shard = self.shard.clone();
         let duty = LeaderDuty::new(self.shared.clone(), shard, term, input.clone(), receiver);
         let task = tokio::spawn(duty.run());
-        self.leadership = Some(Leadership { epoch, input, task });
+        self.leadership = Some(Leadership { epoch, lapsed: false, input, task });
     }
 
     /// Ends leadership, if there is one.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -156,8 +156,7 @@
             Ok(false) => {
                 self.shared.dependencies.store.answered(DUTY);
                 warn!("the lease in the store has ended");
-                self.lease = None;
-                self.shared.succession.set_lease(None);
+                self.note_lapse();
                 Duration::ZERO
             }
             Err(error) => {
@@ -167,6 +166,13 @@
         }
     }
 
+    /// The lease has ended, and with it the keys of this entry and of its leaders.
+    fn note_lapse(&mut self) {
+        self.lease = None;
+        self.shared.succession.set_lease(None);
+        self.candidacies.values_mut().for_each(Candidacy::note_lapse);
+    }
+
     /// Tells leaders that leave whether this entry can lead next.
     fn offer_lease(&self) {
         let rests = self.rests_until.is_some_and(|until| until > Instant::now());
@@ -265,7 +271,7 @@
                 self.candidacy(shard).begin(term, renewed);
             }
             Ok(TransactionOutcome::Conflict(_)) => sleep(RETRY_PAUSE).await,
-            Ok(TransactionOutcome::NoLease) => self.lease = None,
+            Ok(TransactionOutcome::NoLease) => self.note_lapse(),
             Err(_) => sleep(RETRY_PAUSE).await,
         }
     }
