A leader that takes over keeps jobs until it has read the registrations

Callers saw, for as long as a new leader of a divided deployment had not read all registrations (three pages for 1,100 workers): gangs refused for a minute as too large; jobs accepted of which some tasks or all waited for good. Cause: `is_too_large`, `better_shard` and `share_out` took workers that were not read yet for none. Which shards run a job is stored as it is accepted, so that the mistake stays. Ruled out: an undivided deployment, where the three are not asked. Refusing at once was tried first: the entry goes on to another shard and has that take the job whatever it says, without the workers that the job needs. Change: a leader keeps jobs until the registry's duty has read all pages, for 0.4 s at most, within an entry's try for a shard; then its caller's entry is told that it was not taken, as by one that does not lead (between entries the answer is the same). Questions, cancellations and shares of accepted jobs do not wait. Tests: `take_over` says that the registrations are awaited, as the leader's duty does; the gang has to be accepted now where it had only not to be refused for a minute. Two more: a job is not kept for good, and not kept by a leader that ends.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -16,6 +16,7 @@
 
 use crate::graph::advice::{AdviceDesk, AdviceId};
 use crate::graph::commit::CommitQueue;
+use crate::graph::controller::submissions::HeldSubmission;
 use crate::graph::crash::WorkerCrash;
 use crate::graph::event::{GraphAction, PollResult};
 use crate::graph::exchange::{TicketText, UsedWorker, WorkerListing};
@@ -85,6 +86,10 @@
     scope: ShardScope,
     /// Workers of other shards.
     neighbours: NeighbourTable,
+    /// Whether registrations are still missing from what is known of the workers.
+    registrations_awaited: bool,
+    /// Jobs that wait for them.
+    held: Vec<HeldSubmission>,
     config: Option<Arc<QueueConfig>>,
     jobs: JobTable,
     lives: LifeTable,
@@ -161,6 +166,8 @@
             bounds,
             scope: ShardScope::default(),
             neighbours: NeighbourTable::default(),
+            registrations_awaited: false,
+            held: Vec::new(),
             config: None,
             jobs,
             lives,
@@ -299,6 +306,7 @@
         self.actions.extend(self.lives.polls(now, extend));
         self.review_crashes(now, unix);
         self.reject_waiting(now);
+        self.release_overdue(now);
         self.rejected.retain(|_, at| now.saturating_duration_since(*at) < REJECTED_TIME);
         let rested = now.saturating_duration_since(self.last_pass);
         let due = (self.pass_wanted && rested >= self.pass_gap) || rested >= self.pass_rest();
@@ -340,6 +348,7 @@
             due = due.min(self.last_pass + self.pass_gap);
         }
         due = self.lives.next_poll().map_or(due, |poll| due.min(poll));
+        due = self.held.iter().map(|held| held.until).fold(due, Instant::min);
         if self.commits.is_due(now) || !self.crashes.is_empty() {
             return now;
         }
--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -14,6 +14,23 @@
 const REVIEW_GAP: Duration = Duration::from_millis(500);
 
 impl GraphController {
+    /// Has it keep jobs waiting until the registrations have been read, where these settle which shard takes them.
+    pub fn awaiting_registrations(mut self) -> Self {
+        self.registrations_awaited = true;
+        self
+    }
+
+    /// All workers that are registered have been listed.
+    pub fn registrations_read(&mut self, now: Instant) {
+        self.registrations_awaited = false;
+        self.take_held(now);
+    }
+
+    /// Whether it cannot be told yet where a job can run.
+    pub(super) fn awaits_registrations(&self) -> bool {
+        self.registrations_awaited && self.scope.plan.is_divided()
+    }
+
     /// A worker has registered or changed its registration.
     ///
     /// One of a service that nothing names is not called. If it was in use, it is like one that is not
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -27,6 +27,24 @@
 /// Part of a short patience that is kept at most: a group is stored within 10 ms.
 const WAY_PART: u32 = 3;
 
+/// How long a job waits for the registrations to be read: an entry's try for a shard takes a second at most.
+const READING_WAIT: Duration = Duration::from_millis(400);
+
+/// A job that waits for the registrations to be read.
+#[derive(Clone, Debug)]
+pub(super) struct HeldSubmission {
+    call: CallId,
+    attempt: AttemptId,
+    /// How long the caller waits, from `since`.
+    patience: Duration,
+    record: GraphRecord,
+    /// Whether it is to be taken though another shard might be better.
+    forced: bool,
+    since: Instant,
+    /// When its caller's entry is told to go on without.
+    pub(super) until: Instant,
+}
+
 impl GraphController {
     /// Takes a job in, unless another shard's leader should have it.
     pub fn submit(
@@ -39,6 +57,9 @@
     ) {
         let known = self.jobs.get(&record.spec.id).is_some();
         match self.better_shard(&record).filter(|_| !known) {
+            _ if !known && self.awaits_registrations() => {
+                self.hold(now, call, attempt, patience, record, false);
+            }
             Some(shard) => {
                 self.actions.push(GraphAction::Answer(call, GraphAnswer::Elsewhere(shard)));
             }
@@ -68,6 +89,10 @@
                 self.reject(now, call, attempt, &id, "this attempt was rejected before");
                 return;
             }
+            None if self.awaits_registrations() => {
+                self.hold(now, call, attempt, patience, record, true);
+                return;
+            }
             None if self.is_too_large(&record) => {
                 self.reject_for(now, call, attempt, &id, "too large for a shard", HOPELESS_PAUSE);
                 return;
@@ -87,6 +112,44 @@
         self.waiters.entry(id).or_default().push((call, attempt));
     }
 
+    /// Keeps a job until the registrations have been read.
+    fn hold(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        attempt: AttemptId,
+        patience: Duration,
+        record: GraphRecord,
+        forced: bool,
+    ) {
+        let way = REFUSAL_WAY.min(patience / WAY_PART);
+        let until = now + READING_WAIT.min(patience.saturating_sub(way));
+        let since = now;
+        self.held.push(HeldSubmission { call, attempt, patience, record, forced, since, until });
+    }
+
+    /// Takes in the jobs that have waited for the registrations.
+    pub(super) fn take_held(&mut self, now: Instant) {
+        for held in std::mem::take(&mut self.held) {
+            let HeldSubmission { call, attempt, record, forced, .. } = held;
+            let patience = held.patience.saturating_sub(now.saturating_duration_since(held.since));
+            match forced {
+                true => self.submit_here(now, call, attempt, patience, record),
+                false => self.submit(now, call, attempt, patience, record),
+            }
+        }
+    }
+
+    /// Turns away jobs that have waited long for the registrations.
+    pub(super) fn release_overdue(&mut self, now: Instant) {
+        let overdue: Vec<HeldSubmission> =
+            self.held.extract_if(.., |held| held.until <= now).collect();
+        for held in overdue {
+            info!(job = &*held.record.spec.id; "job not taken: the registrations are not read yet");
+            self.actions.push(GraphAction::Answer(held.call, GraphAnswer::Unready));
+        }
+    }
+
     /// Rejects a request for good.
     pub(super) fn reject(
         &mut self,
@@ -174,6 +237,9 @@
 
     /// Ends leadership: who waits is told that the job was not taken where that is sure.
     pub fn resign(&mut self) {
+        for held in std::mem::take(&mut self.held) {
+            self.actions.push(GraphAction::Answer(held.call, GraphAnswer::Unready));
+        }
         let waiting = std::mem::take(&mut self.waiters);
         for (id, calls) in waiting {
             let sure =
--- a/src/graph/event.rs
+++ b/src/graph/event.rs
@@ -96,6 +96,8 @@
     Rejected(Duration),
     /// The job was not taken: the leader of this shard should have it.
     Elsewhere(ShardId),
+    /// The job was not taken: this leader cannot tell yet where it should run.
+    Unready,
     /// The job is cancelled, and that is stored.
     Cancelled,
     /// No such job, or it has ended.
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -18,6 +18,8 @@
     /// A worker of another shard.
     ListedElsewhere(ShardId, Box<WorkerListing>),
     Unlisted(WorkerId),
+    /// All registrations have been read once.
+    RegistrationsRead,
     /// A share of a job that another shard's leader has accepted.
     Share(Box<GraphRecord>),
     /// The owner of a job that is shared out has ended it.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -97,7 +97,8 @@
         let plan = self.shared.members.borrow().plan.clone().unwrap_or_default();
         let scope = ShardScope::new(plan, self.shard.clone());
         let mut controller = GraphController::new(now, unix_millis(), self.epoch, bounds, state)
-            .with_scope(scope.clone());
+            .with_scope(scope.clone())
+            .awaiting_registrations();
         let carrier = CallCarrier::new(
             self.shared.clone(),
             self.sender.clone(),
@@ -211,6 +212,7 @@
             LeaderInput::ShareEnded(job) => controller.cancel_share(now, unix, &job),
             LeaderInput::ShareFailed(job) => controller.fail_shared(now, unix, &job),
             LeaderInput::Unlisted(worker) => controller.worker_unlisted(&worker),
+            LeaderInput::RegistrationsRead => controller.registrations_read(now),
             LeaderInput::Polled(worker, result) => controller.polled(now, unix, &worker, result),
             LeaderInput::Started(worker, task, run, result) => {
                 controller.started(now, &worker, &task, run, result);
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -83,6 +83,7 @@
             GraphAnswer::Accepted => Self::Accepted,
             GraphAnswer::Rejected(retry) => Self::Rejected(retry),
             GraphAnswer::Elsewhere(shard) => Self::Elsewhere(shard),
+            GraphAnswer::Unready => Self::NotLeading,
             GraphAnswer::Cancelled => Self::Cancelled,
             GraphAnswer::Gone => Self::Gone,
         }
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -51,6 +51,7 @@
             let result = match self.read().await {
                 Ok(after) => {
                     store.answered(DUTY);
+                    self.leader.send(LeaderInput::RegistrationsRead).await;
                     self.follow(after).await
                 }
                 Err(error) => Err(error),
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -19,5 +19,6 @@
 mod storing;
 mod stuck;
 mod takeover;
+mod unread_registrations;
 mod waiting_checker;
 mod world;
--- /dev/null
+++ b/tests/graph/unread_registrations.rs
@@ -0,0 +1,137 @@
+//! Jobs that are handed to a leader which has not read yet which workers are registered.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{
+    CallId, GraphAction, GraphAnswer, GraphBounds, GraphController, LeaderState, ShardId,
+    ShardScope, StepSpec, WorkerId,
+};
+
+use crate::world::{World, runs_of, seconds, step};
+
+fn bounds() -> GraphBounds {
+    GraphBounds { longest_lease: seconds(6), remembered: seconds(120), blind: seconds(5) }
+}
+
+/// Three shards, and the one that [`take_over`] has a new leader for.
+fn sharded(seed: u64, workers: u32) -> (World, ShardId) {
+    let world = World::sharded(seed, workers, 3);
+    let shard = world.plan.shards()[0].clone();
+    (world, shard)
+}
+
+/// A new leader of a shard that knows no registration yet.
+fn take_over(world: &mut World, shard: &ShardId) {
+    let epoch = world.elect_in(shard);
+    let scope = ShardScope::new(world.plan.clone(), shard.clone());
+    let (state, bounds) = (LeaderState::default(), bounds());
+    let leader = GraphController::new(world.now, world.unix(), epoch, bounds, state);
+    let mut leader = leader.with_scope(scope).awaiting_registrations();
+    leader.set_config(world.config.clone());
+    leader.set_entries((0..5).map(|entry| format!("e{entry}").into()).collect());
+    leader.note_authority(world.now);
+    world.leaders.insert(epoch, leader);
+}
+
+/// The leader reads the registrations of its own shard, or, after these, of the others.
+fn read(world: &mut World, shard: &ShardId, own: bool) {
+    let (now, plan) = (world.now, world.plan.clone());
+    let listings = world.workers.values().map(|worker| worker.listing.clone());
+    let listings: Vec<_> = listings.collect();
+    let leader = world.leader_in(shard).unwrap();
+    for listing in listings {
+        let place = plan.shard_of(&listing.domain, &listing.rack);
+        match place == *shard {
+            true if own => leader.worker_listed(now, listing),
+            false if !own => leader.worker_listed_elsewhere(place, listing),
+            _ => {}
+        }
+    }
+    if !own {
+        leader.registrations_read(now);
+    }
+}
+
+fn answer(world: &mut World, call: CallId) -> Option<GraphAnswer> {
+    world.run(seconds(1));
+    world.answers.get(&call).cloned()
+}
+
+// A leader that had just taken over knew of no room at all: gangs were refused for a minute as too large for any shard.
+#[gtest]
+fn a_gang_is_not_hopeless_before_the_registrations_are_read() {
+    let (mut world, shard) = sharded(48, 9);
+    take_over(&mut world, &shard);
+    let gang = StepSpec { gang: true, ..step(3, 6, 500) };
+    let call = world.submit_in(&shard, "now", "a", vec![gang]);
+    read(&mut world, &shard, true);
+    read(&mut world, &shard, false);
+    expect_that!(answer(&mut world, call), some(eq(&GraphAnswer::Accepted)));
+}
+
+// Without the workers of the other shards a lasting job was accepted whole, and the tasks that its shard cannot hold
+// waited for good: how a job is shared out stands with its acceptance.
+#[gtest]
+fn a_wide_job_is_not_accepted_unshared_before_the_registrations_are_read() {
+    let (mut world, shard) = sharded(49, 90);
+    let workers: Vec<WorkerId> = world.workers.keys().cloned().collect();
+    world.allowed = Some(workers.into_iter().step_by(2).collect());
+    take_over(&mut world, &shard);
+    read(&mut world, &shard, true);
+    let wide = vec![StepSpec { lasting: true, max_per_worker: Some(1), ..step(40, 1, 600_000) }];
+    let call = world.submit_in(&shard, "asked", "a", wide);
+    read(&mut world, &shard, false);
+    expect_that!(answer(&mut world, call), some(eq(&GraphAnswer::Accepted)));
+    world.run(seconds(10));
+    expect_that!(runs_of(&world, "a"), eq(40));
+}
+
+// No worker of the shard has the label: accepted there, the job waited for good.
+#[gtest]
+fn a_job_for_workers_elsewhere_is_not_accepted_before_the_registrations_are_read() {
+    let (mut world, shard) = sharded(50, 12);
+    for worker in world.workers.values_mut().filter(|worker| &*worker.listing.domain == "d2") {
+        worker.listing.labels.push("k".into());
+    }
+    take_over(&mut world, &shard);
+    read(&mut world, &shard, true);
+    let labelled = vec![StepSpec { label: Some("k".into()), ..step(2, 1, 500) }];
+    let call = world.submit_in(&shard, "now", "a", labelled);
+    read(&mut world, &shard, false);
+    let elsewhere = GraphAnswer::Elsewhere(Arc::from("d2"));
+    expect_that!(answer(&mut world, call), some(eq(&elsewhere)));
+}
+
+// The store gives out the registrations late: the caller's entry goes on to another shard.
+#[gtest]
+fn a_job_does_not_wait_for_good_for_the_registrations() {
+    let (mut world, shard) = sharded(51, 9);
+    take_over(&mut world, &shard);
+    let call = world.submit_in(&shard, "now", "a", vec![step(2, 1, 500)]);
+    world.run(Duration::from_millis(300));
+    expect_that!(world.answers.get(&call), none());
+    world.run(Duration::from_millis(200));
+    expect_that!(world.answers.get(&call), some(eq(&GraphAnswer::Unready)));
+    read(&mut world, &shard, true);
+    read(&mut world, &shard, false);
+    world.run(seconds(1));
+    expect_that!(runs_of(&world, "a"), eq(0));
+    expect_that!(world.begun_runs, eq(0));
+}
+
+// A leader that ends tells those whose jobs it has kept to go to the next.
+#[gtest]
+fn a_job_that_waits_for_the_registrations_is_let_go_with_leadership() {
+    let (mut world, shard) = sharded(52, 9);
+    take_over(&mut world, &shard);
+    let call = world.submit_in(&shard, "now", "a", vec![step(2, 1, 500)]);
+    let leader = world.leader_in(&shard).unwrap();
+    leader.resign();
+    let answers = leader.take_actions().into_iter().filter_map(|action| match action {
+        GraphAction::Answer(to, answer) => Some((to, answer)),
+        _ => None,
+    });
+    expect_that!(answers.collect::<Vec<_>>(), eq(&vec![(call, GraphAnswer::Unready)]));
+}
