--- a/src/node.rs
+++ b/src/node.rs
@@ -43,4 +43,6 @@
 #[cfg(test)]
 mod access_tests;
 #[cfg(test)]
+mod takeover_tests;
+#[cfg(test)]
 mod tests;
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -79,7 +79,11 @@
 }
 
 /// What this entry offers as the next leader of a shard; nothing where it leads, leaves or is not registered.
-fn offer_here(shared: &NodeShared, shard: ShardId, epoch: LeaderEpoch) -> Option<SuccessorOffer> {
+pub(super) fn offer_here(
+    shared: &NodeShared,
+    shard: ShardId,
+    epoch: LeaderEpoch,
+) -> Option<SuccessorOffer> {
     if *shared.draining.borrow()
         || shared.config.borrow().is_none()
         || !shared.led_shards().is_empty()
--- /dev/null
+++ b/src/node/takeover_tests.rs
@@ -0,0 +1,49 @@
+//! Leadership that an entry is given or wins before it knows all that it has to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::graph::{ShardId, ShardPlan};
+use crate::node::election::ElectionDuty;
+use crate::node::peer_service::offer_here;
+use crate::node::records::LeaderTerm;
+use crate::node::tests::{divided, entry};
+
+/// A shard of a divided deployment.
+fn shard() -> ShardId {
+    ShardId::from("a")
+}
+
+/// The division that [`shard`] is of.
+fn plan() -> Option<Arc<ShardPlan>> {
+    divided(&[]).plan
+}
+
+// A leader that left named an entry that had started anew and had not read the division. It led its shard as if that
+// had all workers: jobs were stored without the index, and other entries told their callers that there were none.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_offers_to_lead_once_it_knows_the_division() {
+    let shared = entry();
+    shared.succession.set_lease(Some(3));
+    expect_that!(offer_here(&shared, shard(), 1), none());
+    shared.members.send_modify(|view| view.plan = plan());
+    expect_that!(offer_here(&shared, shard(), 1), some(anything()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_term_that_is_given_begins_once_the_division_is_known() {
+    let shared = Arc::new(entry());
+    let term = LeaderTerm { epoch: 2, epoch_revision: 9, predecessor: None };
+    shared.succession.give(shard(), term);
+    tokio::spawn(ElectionDuty::new(shared.clone()).run());
+    sleep(Duration::from_millis(500)).await;
+    expect_that!(shared.members.borrow().shard(&shard()).epoch, eq(0));
+    shared.members.send_modify(|view| view.plan = plan());
+    sleep(Duration::from_millis(500)).await;
+    expect_that!(shared.members.borrow().shard(&shard()).epoch, eq(2));
+}
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -57,7 +57,7 @@
 }
 
 /// An entry that knows its configuration and a leader, and has just heard the store.
-fn entry() -> NodeShared {
+pub(super) fn entry() -> NodeShared {
     let shared = NodeShared::new(settings());
     let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
     let config =
@@ -130,7 +130,7 @@
 }
 
 /// Two failure domains, `a` and `b`, that are a shard each, and some entries.
-fn divided(entries: &[(&str, &str, f64)]) -> MemberView {
+pub(super) fn divided(entries: &[(&str, &str, f64)]) -> MemberView {
     let workers = [("a".into(), 150), ("b".into(), 150)].into();
     let record = |domain: &str, processor| EntryRecord {
         address: "127.0.0.1:9".parse().unwrap(),
