An entry leads once it knows the division

Callers could see: 410 for jobs that were accepted, and jobs that never run. A leader that leaves prefers to name the entry that started last, which registers apart from reading the members: while a read of these was not answered, for up to 2.5 s, it was named, began, and took the unknown division for an undivided deployment: every worker belonged to another shard, and jobs were stored without the index by which other entries find them. Cause: `LeaderDuty::run` took a default for the division; nothing on the way to it asked whether it is known. Ruled out: elections, which stand for shards of a known division only. Change: an entry offers to lead once it knows the division; a term that is given waits for it, as the store names the entry already; a leader's duty without a division ends in place of leading.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -75,12 +75,14 @@
                 let pause = self.renew().await;
                 next_renewal = Instant::now() + pause;
             }
-            for (shard, term) in self.shared.succession.take_given() {
+            // Nobody leads before the division is known.
+            let divided = members.borrow().plan.is_some();
+            let given = divided.then(|| self.shared.succession.take_given()).unwrap_or_default();
+            for (shard, term) in given {
                 self.begin_given(&shard, term);
             }
             let view = members.borrow_and_update().clone();
             let mut wake = next_renewal;
-            // Nobody leads before the division is known.
             for shard in view.all_shards().unwrap_or_default() {
                 self.follow(&shard, &view).await;
                 wake = self.stand_in_turn(&shard, &view).await.map_or(wake, |turn| turn.min(wake));
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -93,8 +93,11 @@
                 return;
             }
         };
+        let plan = self.shared.members.borrow().plan.clone();
+        let Some(plan) = plan else {
+            return warn!(shard = &*self.shard; "leadership ends: the division is not known");
+        };
         let (now, bounds) = (Instant::now(), self.shared.settings.bounds);
-        let plan = self.shared.members.borrow().plan.clone().unwrap_or_default();
         let scope = ShardScope::new(plan, self.shard.clone());
         let mut controller = GraphController::new(now, unix_millis(), self.epoch, bounds, state)
             .with_scope(scope.clone())
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -78,7 +78,8 @@
     }
 }
 
-/// What this entry offers as the next leader of a shard; nothing where it leads, leaves or is not registered.
+/// What this entry offers as the next leader of a shard; nothing where it leads, leaves, is not registered or does not
+/// know the division.
 pub(super) fn offer_here(
     shared: &NodeShared,
     shard: ShardId,
@@ -86,6 +87,7 @@
 ) -> Option<SuccessorOffer> {
     if *shared.draining.borrow()
         || shared.config.borrow().is_none()
+        || shared.members.borrow().plan.is_none()
         || !shared.led_shards().is_empty()
     {
         return None;
