A leader that won unheard takes the one before to go on

What could be seen: a task twice. An entry that an unanswered call had elected, or that was named and never told that the leader before has ended, took that leader for ended: it waited for its own lease on workers only (`LEASE_LIFE`) in place of 5 s more, for which a leader that is cut off goes on starting tasks, and told the same to its own successor. Cause: `Standing::Won` named this entry itself, in start 0, as the leader before, and the entry's own registration has another start, which `has_ended` takes for a proof. The comment beside it said the contrary. Ruled out: an unreadable count of elections, which names an entry that does not exist and had a test. Change: both use `unknown_leader`. Such a takeover waits up to 5 s longer before it starts tasks of domains of which workers were not heard.

--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -11,7 +11,7 @@
 use crate::id::EntryId;
 use crate::node::input::LeaderInput;
 use crate::node::leader::LeaderDuty;
-use crate::node::records::LeaderTerm;
+use crate::node::records::{LeaderTerm, unknown_leader};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 use crate::ring::{RingSender, ring};
@@ -148,7 +148,7 @@
                 if leader.epoch == led.epoch && leader.epoch > self.last_epoch && registered =>
             {
                 // Who led before is not known any more: it is taken to go on for as long as it may.
-                let predecessor = Some((leader.entry.clone(), 0));
+                let predecessor = Some(unknown_leader());
                 let (epoch, epoch_revision) = (leader.epoch, led.epoch_revision);
                 Standing::Won(LeaderTerm { epoch, epoch_revision, predecessor })
             }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -7,12 +7,11 @@
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
-use crate::id::EntryId;
 use crate::node::keys::{
     ENTRY_PREFIX, KeyEvent, KeyItem, MEMBER_PREFIX, PLAN_KEY, StoreError, UnreadableKind,
     WatchOutcome, count_unreadable, shard_of_epoch, shard_of_leader,
 };
-use crate::node::records::{EntryRecord, EpochRecord};
+use crate::node::records::{EntryRecord, EpochRecord, unknown_leader};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 
@@ -126,7 +125,7 @@
 /// What an unreadable count of elections stands for: each election has raised the store's revision, so
 /// that the key's own is no lower than any epoch, and who was elected last may go on.
 fn unreadable_epoch(item: &KeyItem) -> EpochRecord {
-    EpochRecord { epoch: item.revision, holder: Some((EntryId::from(""), 0)), best: 0.0 }
+    EpochRecord { epoch: item.revision, holder: Some(unknown_leader()), best: 0.0 }
 }
 
 fn removed(view: &mut MemberView, key: &str) {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -19,6 +19,11 @@
     pub(crate) epoch: LeaderEpoch,
 }
 
+/// Stands for a leader that may go on and is not known: no entry has its name, so that none shows that it has ended.
+pub(crate) fn unknown_leader() -> (EntryId, u64) {
+    (EntryId::from(""), 0)
+}
+
 /// What an election gave, or the leader before.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
