An entry says that a job is gone that the store's index names: tests

Two tests of an entry of a divided deployment.

They have a store on the loopback that has one key, in place of the one without any.

--- a/src/node/access_tests.rs
+++ b/src/node/access_tests.rs
@@ -15,12 +15,14 @@
 use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
-use crate::node::tests::settings;
+use crate::node::tests::{divided, settings};
 use crate::platform::decode_job;
 use crate::ring::ring;
 
 /// A job's name.
 const JOB: &str = "0123456789abcdef";
+/// Key of the index that names its shard.
+const INDEX_KEY: &str = "i/0123456789abcdef";
 /// How long callers wait.
 const PATIENCE: Duration = Duration::from_millis(3_000);
 /// How long an entry that has heard the store once waits for more: then it takes itself for cut off.
@@ -55,18 +57,25 @@
     JobSubmission { attempt: 1, patience: PATIENCE, forced: false, record }
 }
 
-/// Serves a store that has no key.
-async fn empty_store() -> SocketAddr {
+/// Serves a store that has one key at most, with its value as it goes over the wire.
+async fn serve_store(found: Option<(&'static str, &'static str)>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
+    let answer = move |request: &str| match found {
+        Some((key, value)) if request.contains(key) => {
+            let item = format!(r#"{{"key": "{key}", "value": {value}, "revision": 1}}"#);
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{item}", item.len())
+        }
+        _ => "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_owned(),
+    };
     tokio::spawn(async move {
         loop {
             let (mut stream, _) = listener.accept().await.unwrap();
             tokio::spawn(async move {
                 let mut request = [0; 4_096];
-                while stream.read(&mut request).await.is_ok_and(|count| count > 0) {
-                    let answer = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
-                    stream.write_all(answer).await.unwrap();
+                while let Ok(count @ 1..) = stream.read(&mut request).await {
+                    let answer = answer(&String::from_utf8_lossy(&request[..count]));
+                    stream.write_all(answer.as_bytes()).await.unwrap();
                 }
             });
         }
@@ -74,6 +83,14 @@
     address
 }
 
+/// The way to leaders of an entry of a divided deployment whose store has such an index of [`JOB`].
+async fn indexed(value: &'static str) -> (Arc<NodeShared>, LeaderAccess) {
+    let store = serve_store(Some((INDEX_KEY, value))).await;
+    let shared = Arc::new(NodeShared::new(NodeSettings { store, ..settings() }));
+    shared.members.send_modify(|view| view.plan = divided(&[]).plan);
+    (shared.clone(), LeaderAccess::new(shared))
+}
+
 // The sum over no shard was told as the number of jobs that wait.
 #[gtest]
 #[tokio::test(start_paused = true)]
@@ -91,7 +108,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_job_is_not_gone_before_the_division_is_known() {
-    let access = access(NodeSettings { store: empty_store().await, ..settings() });
+    let access = access(NodeSettings { store: serve_store(None).await, ..settings() });
     expect_that!(access.stored_state(&GraphId::from(JOB)).await, none());
 }
 
@@ -133,3 +150,35 @@
     let (answer, ()) = tokio::join!(access.submit(submission(), PATIENCE), read);
     expect_that!(answer, ok(eq(&LeaderAnswer::Accepted)));
 }
+
+// An index without a readable name was taken for that of a shard without a name, which has no job.
+#[gtest]
+#[tokio::test]
+async fn a_job_whose_shard_is_unreadable_is_not_gone() {
+    for value in ["7", r#""~""#, r#""""#] {
+        let (_, access) = indexed(value).await;
+        expect_that!(access.stored_state(&GraphId::from(JOB)).await, none(), "{value}");
+    }
+}
+
+// A leader that has been succeeded does not know the jobs of the next, and one that could not read a job left it out.
+#[gtest]
+#[tokio::test]
+async fn a_job_that_its_leader_does_not_know_is_not_gone_while_the_index_names_it() {
+    let (shared, access) = indexed(r#""YQ==""#).await;
+    let (input, mut receiver) = ring("leader", 4);
+    shared.set_leading(&"a".into(), Some(input));
+    tokio::spawn(async move {
+        while let Some(input) = receiver.recv().await {
+            if let LeaderInput::Call(_, answer) = input {
+                answer.send(LeaderAnswer::Gone).unwrap();
+            }
+        }
+    });
+    let job = GraphId::from(JOB);
+    let answer = access.ask_owner(&job, &LeaderCall::State(job.clone()), PATIENCE).await;
+    expect_that!(answer, err(eq(&AccessFailure::NotTaken)));
+    // The leader tells the same of one that has ended, which cannot be cancelled.
+    let answer = access.ask_owner(&job, &LeaderCall::Cancel(job.clone()), PATIENCE).await;
+    expect_that!(answer, ok(eq(&LeaderAnswer::Gone)));
+}
