A job whose shard cannot be read from the index is not gone

Callers could see: 410 for an accepted job whose index key holds what is no text, while its leader cannot be asked. Cause: such a value comes as no bytes, which made the name of the shard of an undivided deployment; that has no such job. Ruled out: a record or progress that cannot be read, for which the entry says that it cannot tell. Change: an index without a name is unreadable.

--- a/src/node/access_tests.rs
+++ b/src/node/access_tests.rs
@@ -166,7 +166,7 @@
 #[tokio::test]
 async fn a_job_that_its_leader_does_not_know_is_not_gone_while_the_index_names_it() {
     let (shared, access) = indexed(r#""YQ==""#).await;
-    let (input, mut receiver) = ring("leader", 4);
+    let (input, receiver) = ring("leader", 4);
     shared.set_leading(&"a".into(), Some(input));
     tokio::spawn(async move {
         while let Some(input) = receiver.recv().await {
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -246,6 +246,8 @@
         let item = store.get(&index_key(id)).await?;
         let unreadable = || StoreError::Unknown(format!("the shard of job {id} is unreadable"));
         let name = |item: KeyItem| String::from_utf8(item.value.to_vec()).ok().map(ShardId::from);
+        // Only shards with a name are in the index; a value that cannot be read comes empty.
+        let name = |item| name(item).filter(|shard| !shard.is_empty());
         item.map(|item| name(item).ok_or_else(unreadable)).transpose()
     }
 
