A leader's word that there is no job does not stand against the index

Callers could see: 410 for an accepted job of a divided deployment that the leader of its shard did not know, as it had been succeeded by the one that accepted the job, or had left the job out at its takeover as unreadable. Cause: where the store's index named the shard that had just answered, its answer was told all the same. Ruled out: cancellations, for which a leader tells the same of a job that has ended. Change: a question for a state is not answered then, so that the state is read from the store, which says that it cannot be read where that is so.

--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -163,13 +163,19 @@
             Ok(LeaderAnswer::Gone) | Err(_) => {}
             answer => return answer,
         }
-        match self.indexed_shard(job).await {
-            IndexedShard::None => Ok(LeaderAnswer::Gone),
+        let answer = match self.indexed_shard(job).await {
+            IndexedShard::None => return Ok(LeaderAnswer::Gone),
+            IndexedShard::Unread => return Err(first.err().unwrap_or(AccessFailure::NotTaken)),
             IndexedShard::Known(shard) if shard == near && first.is_ok() => first,
             IndexedShard::Known(shard) => {
                 self.ask(&shard, call, patience.saturating_sub(begun.elapsed())).await
             }
-            IndexedShard::Unread => Err(first.err().unwrap_or(AccessFailure::NotTaken)),
+        };
+        match (call, answer) {
+            // The store has it: its leader could not read it or has been succeeded. One that is to be cancelled may
+            // have ended.
+            (LeaderCall::State(_), Ok(LeaderAnswer::Gone)) => Err(AccessFailure::NotTaken),
+            (_, answer) => answer,
         }
     }
 
