An entry forgets the division or does not read it, and says that it is ready: tests

`entry()` knows now that there is one shard, as an entry that is ready does; the tests of an entry that does not know it take that away.

--- a/src/node.rs
+++ b/src/node.rs
@@ -43,6 +43,8 @@
 #[cfg(test)]
 mod access_tests;
 #[cfg(test)]
+mod members_tests;
+#[cfg(test)]
 mod takeover_tests;
 #[cfg(test)]
 mod tests;
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -47,7 +47,7 @@
         }
     }
 
-    async fn read(&self) -> Result<u64, StoreError> {
+    pub(super) async fn read(&self) -> Result<u64, StoreError> {
         let page = self.shared.store.page(MEMBER_PREFIX, "").await?;
         self.shared.note_store(DUTY);
         let best = self.shared.members.borrow().best;
--- a/src/node/takeover_tests.rs
+++ b/src/node/takeover_tests.rs
@@ -11,6 +11,7 @@
 use crate::node::election::ElectionDuty;
 use crate::node::peer_service::offer_here;
 use crate::node::records::{EntryRecord, LeaderRecord, LeaderTerm};
+use crate::node::shared::NodeShared;
 use crate::node::tests::{divided, entry};
 use crate::node::view::{MemberView, ShardView};
 
@@ -24,12 +25,19 @@
     divided(&[]).plan
 }
 
+/// An entry that does not know the division.
+fn unread() -> Arc<NodeShared> {
+    let shared = entry();
+    shared.members.send_modify(|view| view.plan = None);
+    Arc::new(shared)
+}
+
 // A leader that left named an entry that had started anew and had not read the division. It led its shard as if that
 // had all workers: jobs were stored without the index, and other entries told their callers that there were none.
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn an_entry_offers_to_lead_once_it_knows_the_division() {
-    let shared = entry();
+    let shared = unread();
     shared.succession.set_lease(Some(3));
     expect_that!(offer_here(&shared, shard(), 1), none());
     shared.members.send_modify(|view| view.plan = plan());
@@ -39,7 +47,7 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_term_that_is_given_begins_once_the_division_is_known() {
-    let shared = Arc::new(entry());
+    let shared = unread();
     let term = LeaderTerm { epoch: 2, epoch_revision: 9, predecessor: None };
     shared.succession.give(shard(), term);
     tokio::spawn(ElectionDuty::new(shared.clone()).run());
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -56,7 +56,7 @@
     }
 }
 
-/// An entry that knows its configuration and a leader, and has just heard the store.
+/// An entry that knows its configuration, that there is one shard, and its leader, and has just heard the store.
 pub(super) fn entry() -> NodeShared {
     let shared = NodeShared::new(settings());
     let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
@@ -70,6 +70,7 @@
         epoch: 1,
     };
     shared.members.send_modify(|view| {
+        view.plan = Some(Arc::new(ShardPlan::whole()));
         view.shards.entry(whole()).or_default().leader = Some(leader);
     });
     shared.note_store("members");
