The members are read whole, and a division that was known stays known

Cause: only the first page of the members was taken, and the key of the division is their last; where the store had forgotten its history the members were read anew into an empty view, with no division where its value could not be read. Ruled out: the configuration, whose key is the first under the prefix that is read; a division that is removed while the entry follows the members, which was kept before. Change: all pages are read; the division, which is agreed once, goes over into the new view.

--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -48,15 +48,27 @@
     }
 
     pub(super) async fn read(&self) -> Result<u64, StoreError> {
-        let page = self.shared.store.page(MEMBER_PREFIX, "").await?;
-        self.shared.note_store(DUTY);
-        let best = self.shared.members.borrow().best;
-        let mut view = MemberView { known: true, best, ..MemberView::default() };
-        for item in page.items {
-            written(&mut view, &item);
+        // A division is agreed once.
+        let MemberView { plan, best, .. } = self.shared.members.borrow().clone();
+        let mut view = MemberView { known: true, plan, best, ..MemberView::default() };
+        let mut after = String::new();
+        let mut revision = None;
+        loop {
+            let page = self.shared.store.page(MEMBER_PREFIX, &after).await?;
+            self.shared.note_store(DUTY);
+            // Changes since the first page are seen again by the watch.
+            let first = *revision.get_or_insert(page.revision);
+            for item in &page.items {
+                written(&mut view, item);
+            }
+            match page.items.last() {
+                Some(last) if page.more => after = last.key.clone(),
+                _ => {
+                    self.publish(view);
+                    return Ok(first);
+                }
+            }
         }
-        self.publish(view);
-        Ok(page.revision)
     }
 
     async fn follow(&self, mut after: u64) -> Result<(), StoreError> {
