An entry that does not know the division is not ready

Callers could see: 503 from an entry to which the balancer went on sending them, and on whose connections they stayed. Cause: an entry took itself for ready by what it knows of leaders, which it asks by the division. Ruled out: an entry that starts, which reads leaders and the division together. Seen only where the division is unreadable.

--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -131,8 +131,15 @@
     pub(crate) fn ready(&self) -> bool {
         let current = heard(&self.store_answered, STORE_SILENCE);
         let reached = self.reaches_others();
-        let led = !self.led_shards().is_empty() || self.members.borrow().leaders().next().is_some();
-        current && reached && led && self.config.borrow().is_some() && !*self.draining.borrow()
+        let view = self.members.borrow();
+        let led = !self.led_shards().is_empty() || view.leaders().next().is_some();
+        let divided = view.plan.is_some();
+        current
+            && reached
+            && led
+            && divided
+            && self.config.borrow().is_some()
+            && !*self.draining.borrow()
     }
 }
 
