--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -76,10 +76,10 @@
                 next_renewal = Instant::now() + pause;
             }
             // Nobody leads before the division is known.
-            let divided = members.borrow().plan.is_some();
-            let given = divided.then(|| self.shared.succession.take_given()).unwrap_or_default();
-            for (shard, term) in given {
-                self.begin_given(&shard, term);
+            if members.borrow().plan.is_some() {
+                for (shard, term) in self.shared.succession.take_given() {
+                    self.begin_given(&shard, term);
+                }
             }
             let view = members.borrow_and_update().clone();
             let mut wake = next_renewal;
