--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -366,9 +366,10 @@
         PASS_REST.max(self.pass_gap)
     }
 
-    /// Where runs of an earlier leader may still go on unseen.
-    fn unsettled(&self, now: Instant) -> UnsettledDomains {
-        match now >= self.settled_at {
+    /// Where runs of an earlier leader may still go on unseen, or count: a task that is begun again has to be voided
+    /// before, or the end of its earlier run is acknowledged later.
+    fn unsettled(&self) -> UnsettledDomains {
+        match self.voided {
             true => UnsettledDomains::default(),
             false => self.unheard_domains(),
         }
@@ -393,7 +394,7 @@
         if self.config.is_none() {
             return;
         }
-        let unsettled = self.unsettled(now);
+        let unsettled = self.unsettled();
         let jobs = &self.jobs;
         self.keeper.prune(now, |task| {
             jobs.wants(task)
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -326,3 +326,10 @@
 fn seed_20000012_counts_a_job_whose_starts_were_never_carried_out() {
     run(CRASH_SEEDS + 12);
 }
+
+// A leader began a task again in the moment between its right to do so and its note of the first run that counts; the end
+// of the earlier run was acknowledged two leaders later.
+#[gtest]
+fn seed_12000050_notes_no_end_of_a_task_that_was_begun_again_without_a_floor() {
+    run(12_000_050);
+}
--- a/tests/graph/takeover.rs
+++ b/tests/graph/takeover.rs
@@ -328,3 +328,30 @@
     world.leader().unwrap().started(now, &worker, &task, run, Ok(clock));
     expect_that!(told(&mut world), eq(BEGUN));
 }
+
+// A pass between the moment from which nothing of the leader before can run and the next look at the workers began the
+// task again without a note of the first run that counts; the leader after that acknowledged the end of the first run.
+#[gtest]
+fn a_task_of_an_unheard_worker_is_not_begun_again_before_its_earlier_runs_are_voided() {
+    let mut world = claimed(94, 6);
+    world.submit("now", "a", vec![step(1, 1, 500)]);
+    world.run(Duration::from_millis(300));
+    let holder = world.workers.values().find(|worker| !worker.runs.is_empty());
+    let holder = holder.unwrap().id().clone();
+    world.workers.get_mut(&holder).unwrap().reached = false;
+    take_over(&mut world);
+    world.run(Duration::from_millis(11_700));
+    expect_that!(world.begun_runs, eq(1));
+    for number in 0..40 {
+        world.submit("now", &format!("job{number}"), vec![step(1, 1, 50)]);
+        world.run(Duration::from_millis(5));
+    }
+    world.run(seconds(1));
+    expect_that!(world.state("a"), some(eq(GraphState::Completed)));
+    let floors: Vec<TaskKey> = world.store.jobs["a"].1.floors.keys().copied().collect();
+    expect_that!(floors, eq(&vec![TASK]));
+    set_reached(&mut world, false);
+    world.workers.get_mut(&holder).unwrap().reached = true;
+    take_over(&mut world);
+    world.run(seconds(3));
+}
