A start that may crash its worker is sent once the store has it noted

Cause: the note and the start went out together, so that a start could be carried out without a trace. Change: a start that is noted as it is made (of a suspected task, or of one whose last run may have gone with a worker that nobody heard) is held until the group that has its note is stored, then sent, on probation from then. One whose doubt was cleared meanwhile is sent with the next group of its job. Other starts are sent at once as before.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -18,6 +18,7 @@
 mod lives;
 mod name;
 mod neighbours;
+mod noted_start;
 mod notice;
 mod placer;
 mod poll_rhythm;
