Red: a job is given up after one crash and two starts that never arrived

A job is shown as failed after one crash under its task, two are needed. Cause: job9.0.0.0 run 1 (w1-0) and run 2 (w2-0) were sent and not answered; both workers were replaced before, and note_crash(sure: false) counts each as proven, since CrashCount::proven is all runs of `crashes`. Run 3 (w4-0) began and crashed its worker: sure 1, all 3, so PROVEN_LIMIT (3) is reached by starts that no worker had. The task is one that crashes its workers, so here it was given up a crash early; nothing in the trace needs it to be one.

--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -333,3 +333,10 @@
 fn seed_12000050_notes_no_end_of_a_task_that_was_begun_again_without_a_floor() {
     run(12_000_050);
 }
+
+// Two starts that never arrived, at workers that went for other reasons, counted as crashes: after the first true one the
+// job was given up.
+#[gtest]
+fn seed_32000217_gives_up_no_task_for_starts_that_never_arrived() {
+    run(32_000_217);
+}
