A renewal from before a suspension does not count the time of the suspension

A leader whose machine was suspended while a renewal of its lease was under way took the lease for renewed as it woke: 410 for jobs of the next leader, a count without them, and leases of workers extended. Cause: the steady clock stands still while a machine is suspended. note_suspended takes the gap off what was renewed before, but a renewal that was sent before the gap and is taken in after it came with its old time. Change: such a renewal is put back by the gap as well. After: NotLeading, and all of node::leader passes. Two suspensions within one renewal are reckoned as the later one.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -120,6 +120,8 @@
     predecessor_ended: bool,
     /// Until when leases of workers may be extended and tasks started.
     authority: Instant,
+    /// When it was noticed last that the machine had been suspended, and for how long.
+    suspended: Option<(Instant, Duration)>,
     deposed: bool,
     next_sweep: Instant,
     pass_wanted: bool,
@@ -190,6 +192,7 @@
             voided: false,
             predecessor_ended: false,
             authority: now,
+            suspended: None,
             deposed: false,
             next_sweep: now,
             pass_wanted: true,
@@ -237,6 +240,10 @@
 
     /// This leader's lease was renewed by a call sent at `sent`.
     pub fn note_authority(&mut self, sent: Instant) {
+        let sent = match self.suspended {
+            Some((at, gap)) if sent <= at => sent.checked_sub(gap).unwrap_or(self.last_pass),
+            _ => sent,
+        };
         self.authority = self.authority.max(sent + self.bounds.blind);
     }
 
@@ -250,7 +257,8 @@
     }
 
     /// The machine was suspended for `gap` that the steady clock did not count.
-    pub fn note_suspended(&mut self, gap: Duration) {
+    pub fn note_suspended(&mut self, now: Instant, gap: Duration) {
+        self.suspended = Some((now, gap));
         warn!(gap_ms = gap.as_millis() as u64; "the machine was suspended");
         self.authority = self.authority.checked_sub(gap).unwrap_or(self.last_pass);
     }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -133,7 +133,7 @@
                 biased;
                 input = self.input.recv() => {
                     if let Some(gap) = clock.suspended() {
-                        controller.note_suspended(gap);
+                        controller.note_suspended(Instant::now(), gap);
                     }
                     let Some(input) = input else {
                         return;
@@ -156,7 +156,7 @@
                 }
                 () = sleep_until(due) => {
                     if let Some(gap) = clock.suspended() {
-                        controller.note_suspended(gap);
+                        controller.note_suspended(Instant::now(), gap);
                     }
                 }
             }
--- a/src/node/leader/tests.rs
+++ b/src/node/leader/tests.rs
@@ -127,12 +127,25 @@
     expect_that!(leader.state(UNKNOWN), some(eq(&LeaderAnswer::NotLeading)));
 }
 
+// The renewal was answered, the machine was suspended, and the answer is taken in afterwards.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_renewal_from_before_a_suspension_is_taken_for_a_new_one() {
+    let mut leader = TestLeader::new();
+    advance(Duration::from_millis(250)).await;
+    let sent = Instant::now();
+    leader.controller.note_suspended(Instant::now(), Duration::from_secs(10));
+    leader.take(LeaderInput::Renewed(sent));
+    expect_that!(leader.state(UNKNOWN), some(eq(&LeaderAnswer::NotLeading)));
+    expect_that!(leader.pending(), err(some(eq(&LeaderAnswer::NotLeading))));
+}
+
 // The steady clock stands still while a machine is suspended, the lease in the store does not.
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_leader_that_was_suspended_counts_too_few() {
     let mut leader = TestLeader::new();
-    leader.controller.note_suspended(Duration::from_millis(2_100));
+    leader.controller.note_suspended(Instant::now(), Duration::from_millis(2_100));
     expect_that!(leader.pending(), err(some(eq(&LeaderAnswer::NotLeading))));
     expect_that!(leader.state(UNKNOWN), some(eq(&LeaderAnswer::NotLeading)));
 }
