A count goes between entries as the number that it was

Change: LeaderAnswer::Pending is a number again. Who counted, under which epoch and with how old a lease, is in the leader's own line (waiting jobs counted); the asking entry's line has the numbers (waiting jobs told).

--- a/src/node.rs
+++ b/src/node.rs
@@ -21,7 +21,6 @@
 mod own_leader;
 mod peer_service;
 mod peers;
-mod pending_count;
 mod probe;
 mod process;
 mod reach;
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -206,16 +206,16 @@
         let asked = shards.iter().map(|shard| self.ask(shard, &call, left));
         let answers = futures_util::future::join_all(asked).await;
         let counts = shards.iter().zip(&answers).map(|(shard, answer)| match answer {
-            Ok(LeaderAnswer::Pending(count)) => format!("{shard}: {count}"),
+            Ok(LeaderAnswer::Pending(pending)) => format!("{shard}: {pending}"),
             answer => format!("{shard}: {answer:?}"),
         });
         let counts = counts.collect::<Vec<_>>().join(", ");
         let counted = answers.into_iter().map(|answer| match answer {
-            Ok(LeaderAnswer::Pending(count)) => Some(count.jobs),
+            Ok(LeaderAnswer::Pending(pending)) => Some(pending),
             _ => None,
         });
         let pending: Option<usize> = counted.sum();
-        info!(queue = &**queue, pending:?, shards = shards.len(), counts; "waiting jobs counted");
+        info!(queue = &**queue, pending:?, shards = shards.len(), counts; "waiting jobs told");
         pending
     }
 
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -23,7 +23,6 @@
 use crate::node::ledger::{JobLedger, LEDGER_DUTY};
 use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::notices::NoticeDuty;
-use crate::node::pending_count::PendingCount;
 use crate::node::records::LeaderTerm;
 use crate::node::registry::RegistryDuty;
 use crate::node::shared::NodeShared;
@@ -269,13 +268,11 @@
                 let _ = answer.send(LeaderAnswer::NotLeading);
             }
             LeaderCall::Pending(queue) => {
-                let count = PendingCount {
-                    jobs: controller.jobs().pending(&queue),
-                    entry: self.shared.settings.name.clone(),
-                    epoch: self.epoch,
-                    lease_age,
-                };
-                let _ = answer.send(LeaderAnswer::Pending(count));
+                let pending = controller.jobs().pending(&queue);
+                let (shard, epoch, lease_ms) =
+                    (&*self.shard, self.epoch, lease_age.as_millis() as u64);
+                info!(queue = &*queue, pending, shard, epoch, lease_ms; "waiting jobs counted");
+                let _ = answer.send(LeaderAnswer::Pending(pending));
             }
             LeaderCall::Submit(submission) => {
                 self.callers.insert(id, answer);
--- a/src/node/leader/tests.rs
+++ b/src/node/leader/tests.rs
@@ -96,7 +96,7 @@
     /// The number of jobs that wait, or whatever else is answered.
     fn pending(&mut self) -> std::result::Result<usize, Option<LeaderAnswer>> {
         match self.ask(LeaderCall::Pending(QueueId::from("now"))) {
-            Some(LeaderAnswer::Pending(count)) => Ok(count.jobs),
+            Some(LeaderAnswer::Pending(pending)) => Ok(pending),
             answer => Err(answer),
         }
     }
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -8,7 +8,6 @@
     AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId, ShardId, TicketText,
 };
 use crate::id::WorkerId;
-use crate::node::pending_count::PendingCount;
 use crate::node::records::LeaderRecord;
 
 /// A call for the leader.
@@ -67,8 +66,8 @@
     /// No such job, or it has ended.
     Gone,
     State(GraphState),
-    /// Jobs of a queue that wait.
-    Pending(PendingCount),
+    /// Number of jobs of a queue that wait.
+    Pending(usize),
     /// This entry leads.
     Leading,
     /// This entry does not lead: nothing was done.
