A term that stands under a lease that has ended is not led

An entry that offered its lease to a leader that leaves, or was elected under it, and whose lease then ended, led all the same under its next lease: 410 for jobs of a leader elected since, and leases of workers extended. And where the lease ended while the answer to an election was on its way, that answer put back a leader that the members had told the end of: with no renewals of its own the entry never stood again. Ruled out: comparing epochs, which are right in all three. Change: the revision of the registration tells which lease a key stands under: a term whose key is older is not begun. What the members have told of an election by the time it is answered stays.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -1,6 +1,8 @@
 //! The duty of staying registered, of becoming the leader of a shard where there is none, and of giving leadership on.
 
 pub(crate) mod handover;
+#[cfg(test)]
+mod lease_tests;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -40,6 +42,9 @@
     shared: Arc<NodeShared>,
     lease: Option<LeaseId>,
     renewed: Option<Instant>,
+    /// Revision of the change by which this entry registered under its lease. A leader's key that is older stood under
+    /// a lease that has ended.
+    registered: u64,
     /// This process in each shard.
     candidacies: BTreeMap<ShardId, Candidacy>,
     lateness: LatenessRule,
@@ -54,6 +59,7 @@
             shared,
             lease: None,
             renewed: None,
+            registered: 0,
             candidacies: BTreeMap::new(),
             lateness: LatenessRule::new(),
             peers: PeerClient::new(),
@@ -195,9 +201,10 @@
         let sets = vec![KeySet { key, value: encode(&record), lease: Some(lease) }];
         let change = KeyTransaction { sets, ..KeyTransaction::default() };
         match self.shared.store.transact(&change).await? {
-            TransactionOutcome::Done(_) => {
+            TransactionOutcome::Done(revision) => {
                 info!(lease; "registered in the store");
                 self.lease = Some(lease);
+                self.registered = revision;
                 Ok(true)
             }
             TransactionOutcome::Conflict(_) | TransactionOutcome::NoLease => Ok(false),
@@ -211,6 +218,7 @@
         match self.candidacy(shard).standing(view, registered) {
             Standing::Unchanged => {}
             Standing::Succeeded => self.candidacy(shard).end().await,
+            Standing::Won(term) if term.epoch_revision < self.registered => {}
             Standing::Won(term) => self.candidacy(shard).begin(term, renewed),
             Standing::BrokenOff => {
                 warn!(shard = &**shard; "the leader's duty has ended");
@@ -263,6 +271,10 @@
                 self.shared.note_store(DUTY);
                 self.shared.members.send_modify(|view| {
                     let led = view.shards.entry(shard.clone()).or_default();
+                    // The members may have told of the election, and of the end of its key, before it was answered.
+                    if led.epoch_revision >= revision {
+                        return;
+                    }
                     led.leader = Some(record);
                     led.epoch = epoch;
                     led.epoch_revision = revision;
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -128,7 +128,8 @@
         };
         let renewed = self.renewed;
         let later = self.shared.members.borrow().shard(shard).epoch > term.epoch;
-        if later || self.candidacy(shard).has_led(term.epoch) {
+        let lapsed = term.epoch_revision < self.registered;
+        if later || lapsed || self.candidacy(shard).has_led(term.epoch) {
             return;
         }
         self.shared.members.send_modify(|view| {
--- /dev/null
+++ b/src/node/election/lease_tests.rs
@@ -0,0 +1,227 @@
+//! Renewals of the entry's lease that say nothing of its leaders' keys.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::graph::{GraphId, QueueConfig, RequestLimits, ShardId, ShardPlan};
+use crate::node::election::ElectionDuty;
+use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::own_leader::ask_here;
+use crate::node::records::{LeaderRecord, LeaderTerm};
+use crate::node::settings::NodeSettings;
+use crate::node::shared::NodeShared;
+use crate::node::tests::settings;
+
+const UNKNOWN: &str = "00000000000000a3";
+/// Longest time for the leader to begin.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A store without jobs. The members are not read in these tests, as where a machine's reads are refused.
+#[derive(Default)]
+struct EmptyStore {
+    last_lease: AtomicU64,
+    /// The lease that stands.
+    lease: Mutex<Option<u64>>,
+    /// Whether changes are carried out and not answered.
+    loses_answers: AtomicBool,
+    lost: AtomicU64,
+    /// Whether changes are carried out and their answers kept until it is unset.
+    keeps_answers: AtomicBool,
+    changes: AtomicU64,
+}
+
+impl EmptyStore {
+    async fn start() -> (Arc<Self>, SocketAddr) {
+        let store = Arc::new(Self::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serving = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(stream));
+            }
+        });
+        (store, address)
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let mut request = vec![0; 1 << 16];
+        while let Ok(count @ 1..) = stream.read(&mut request).await {
+            let head = String::from_utf8_lossy(&request[..count]).into_owned();
+            let Some((status, body)) = self.answer(&head) else {
+                return;
+            };
+            while head.starts_with("POST /api/kv-txn ")
+                && self.keeps_answers.load(Ordering::Relaxed)
+            {
+                sleep(Duration::from_millis(1)).await;
+            }
+            let length = body.len();
+            let answer = format!("HTTP/1.1 {status} Any\r\ncontent-length: {length}\r\n\r\n{body}");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    }
+
+    fn answer(&self, head: &str) -> Option<(u16, String)> {
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        match path {
+            "/api/kv-lease" => {
+                let lease = self.last_lease.fetch_add(1, Ordering::Relaxed) + 1;
+                *self.lease.lock().unwrap() = Some(lease);
+                Some((200, format!("{{\"lease\":{lease},\"ttl_ms\":1000}}")))
+            }
+            "/api/kv-txn" if self.loses_answers.load(Ordering::Relaxed) => {
+                self.lost.fetch_add(1, Ordering::Relaxed);
+                None
+            }
+            "/api/kv-txn" => {
+                self.changes.fetch_add(1, Ordering::Relaxed);
+                Some((200, "{\"revision\":9}".to_owned()))
+            }
+            path if path.starts_with("/api/kv-range") => {
+                Some((200, "{\"items\":[],\"has_more\":false,\"as_of\":9}".to_owned()))
+            }
+            path if path.starts_with("/api/kv-keep/") => {
+                let stands = *self.lease.lock().unwrap();
+                let id = path.rsplit('/').next().and_then(|id| id.parse().ok());
+                let status = if id.is_some() && id == stands { 200 } else { 404 };
+                Some((status, "{\"ttl_ms\":1000}".to_owned()))
+            }
+            _ => Some((404, "{}".to_owned())),
+        }
+    }
+
+    /// The lease ends, and with it all keys under it.
+    fn end_lease(&self) {
+        *self.lease.lock().unwrap() = None;
+    }
+}
+
+fn whole() -> ShardId {
+    ShardId::from("")
+}
+
+/// An entry that has registered.
+async fn registered(store: SocketAddr) -> (Arc<NodeShared>, ElectionDuty) {
+    let shared = Arc::new(NodeShared::new(NodeSettings { store, ..settings() }));
+    shared.members.send_modify(|view| view.plan = Some(Arc::new(ShardPlan::whole())));
+    let mut duty = ElectionDuty::new(shared.clone());
+    duty.renew().await;
+    assert!(duty.lease.is_some(), "not registered");
+    (shared, duty)
+}
+
+/// The lease ends, and the entry registers anew.
+async fn register_anew(store: &EmptyStore, duty: &mut ElectionDuty) {
+    let before = duty.lease;
+    store.end_lease();
+    duty.renew().await;
+    assert!(duty.lease.is_none(), "the lease has not ended");
+    duty.renew().await;
+    assert!(duty.lease.is_some() && duty.lease != before, "not registered anew");
+}
+
+/// What the leader of this process answers of a job that it does not have, once it leads.
+async fn told_of_unknown(shared: &NodeShared) -> Option<LeaderAnswer> {
+    let leads = async {
+        while shared.leading(&whole()).is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(timeout(PATIENCE, leads).await.is_ok(), "it does not lead");
+    ask_here(shared, &whole(), LeaderCall::State(GraphId::from(UNKNOWN))).await
+}
+
+// It offered the lease under which the store names it; that ended, with the leader's key, before the word of the leader
+// that leaves arrived, so another may have been elected since.
+#[gtest]
+#[tokio::test]
+async fn a_term_that_was_given_under_a_lease_that_has_ended_is_led() {
+    let (store, address) = EmptyStore::start().await;
+    let (shared, mut duty) = registered(address).await;
+    let offered = shared.succession.name(whole(), 1);
+    assert_eq!(offered, duty.lease);
+    register_anew(&store, &mut duty).await;
+    duty.begin_given(&whole(), LeaderTerm { epoch: 2, epoch_revision: 5, predecessor: None });
+    expect_false!(duty.candidacy(&whole()).leads());
+}
+
+// The same where that word is lost: it takes up the term by the key that it has read before its lease ended.
+#[gtest]
+#[tokio::test]
+async fn a_term_that_was_won_under_a_lease_that_has_ended_is_led() {
+    let (store, address) = EmptyStore::start().await;
+    let (shared, mut duty) = registered(address).await;
+    let entry = shared.settings.name.clone();
+    let (address, start) = (shared.settings.peers, shared.start);
+    shared.members.send_modify(|view| {
+        let led = view.shards.entry(whole()).or_default();
+        led.leader = Some(LeaderRecord { entry, address, start, epoch: 2 });
+        (led.epoch, led.epoch_revision) = (2, 5);
+    });
+    register_anew(&store, &mut duty).await;
+    let view = shared.members.borrow().clone();
+    duty.follow(&whole(), &view).await;
+    expect_false!(duty.candidacy(&whole()).leads());
+}
+
+// The change that ends its term is carried out and its answer lost: the lease stands, the leader's key does not.
+#[gtest]
+#[tokio::test]
+async fn a_leader_whose_hand_over_was_not_answered_denies_later_jobs() {
+    let (store, address) = EmptyStore::start().await;
+    let (shared, mut duty) = registered(address).await;
+    let view = shared.members.borrow().clone();
+    duty.stand(&whole(), &view).await;
+    expect_that!(told_of_unknown(&shared).await, some(eq(&LeaderAnswer::Gone)));
+    store.loses_answers.store(true, Ordering::Relaxed);
+    assert!(!duty.hand_over().await);
+    assert_eq!(store.lost.load(Ordering::Relaxed), 1);
+    duty.renew().await;
+    expect_that!(told_of_unknown(&shared).await, some(eq(&LeaderAnswer::NotLeading)));
+}
+
+// The lease ends while the answer to the election is on its way, and the members tell so before it: the record that the
+// answer leaves among the members stands for good, so that the leader neither gets a renewal nor stands again.
+#[gtest]
+#[tokio::test]
+async fn a_leader_whose_lease_ended_before_its_election_was_answered_never_stands_again() {
+    let (store, address) = EmptyStore::start().await;
+    let (shared, mut duty) = registered(address).await;
+    shared.members.send_modify(|view| view.known = true);
+    let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
+    let config =
+        QueueConfig { version: 1, queues: Default::default(), pools: Default::default(), limits };
+    shared.config.send_replace(Some(Arc::new(config)));
+    let view = shared.members.borrow().clone();
+    assert!(duty.may_stand(&whole(), &view));
+    let before = store.changes.load(Ordering::Relaxed);
+    store.keeps_answers.store(true, Ordering::Relaxed);
+    let told = async {
+        while store.changes.load(Ordering::Relaxed) == before {
+            sleep(Duration::from_millis(1)).await;
+        }
+        store.end_lease();
+        // The election and the end of the leader's key, as the members are told of both.
+        shared.members.send_modify(|view| {
+            let led = view.shards.entry(whole()).or_default();
+            (led.leader, led.epoch, led.epoch_revision) = (None, 1, 9);
+        });
+        store.keeps_answers.store(false, Ordering::Relaxed);
+    };
+    let shard = whole();
+    tokio::join!(duty.stand(&shard, &view), told);
+    duty.renew().await;
+    duty.renew().await;
+    assert!(duty.lease.is_some(), "not registered anew");
+    let view = shared.members.borrow().clone();
+    duty.follow(&whole(), &view).await;
+    expect_true!(duty.may_stand(&whole(), &view));
+}
