--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -208,7 +208,7 @@
         self.epoch = epoch;
     }
 
-    /// Time since the call was sent that renewed this leader's lease last.
+    /// Time since the last successful renewal of this leader's lease was sent.
     pub fn lease_age(&self, now: Instant) -> Duration {
         (now + self.bounds.blind).saturating_duration_since(self.authority)
     }
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -30,8 +30,7 @@
     pub verdict: Option<GraphVerdict>,
     /// When it ended.
     pub ended: Option<UnixMillis>,
-    /// Whether a worker has said that it has begun a task. A start that was sent says nothing of that, nor does a run
-    /// that was given up; both leave other parts of the progress.
+    /// Whether a worker has reported a task as begun. A start that was sent, or a run that was given up, does not set it.
     pub begun: bool,
     /// Tasks that succeeded.
     pub done: BTreeMap<StepKey, BTreeSet<u32>>,
@@ -122,7 +121,7 @@
         self.failures.get(task).map_or(0, |runs| u32::try_from(runs.len()).unwrap_or(u32::MAX))
     }
 
-    /// Whether it shows that a task has begun: by what only a worker can have said.
+    /// Whether it has anything that only a worker that has begun a task can have reported.
     pub(crate) fn shows_begun(&self) -> bool {
         let sure = |runs: &BTreeMap<RunNumber, bool>| runs.values().any(|sure| *sure);
         self.begun
@@ -137,7 +136,7 @@
         *self == Self::default()
     }
 
-    /// Names of what it has, for the log.
+    /// Names of its parts that are not empty, for the log.
     pub(crate) fn recorded(&self) -> String {
         let parts = [
             (self.verdict.is_some(), "verdict"),
--- a/src/node/access.rs
+++ b/src/node/access.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    /// How the workers are divided, waited for like a leader while it is not known.
+    /// The division of the workers; while it is not known, waits for it as long as a call waits for a leader.
     async fn division(&self, patience: Duration) -> Result<Arc<ShardPlan>, AccessFailure> {
         let mut members = self.shared.members.subscribe();
         let known = members.wait_for(|view| view.plan.is_some());
@@ -321,7 +321,8 @@
         LeaderAnswer::NotLeading
     }
 
-    /// A job's state past a leader that cannot be reached, from the store; `None` where that cannot tell it.
+    /// A job's state past a leader that cannot be reached, from the store; `None` where the store cannot be read or
+    /// the division is not known.
     pub(crate) async fn stored_state(&self, id: &GraphId) -> Option<LeaderAnswer> {
         let plan = self.shared.members.borrow().plan.clone()?;
         let shard = match plan.is_divided() {
--- a/src/node/answer_basis.rs
+++ b/src/node/answer_basis.rs
@@ -9,9 +9,9 @@
 
 /// What an answer of a leader rests on.
 ///
-/// What a leader has is stored: it may be told from memory, also long after the lease was renewed. What it does not have, the
-/// leader after it may have accepted: that is told only while no later leader can have accepted anything that matters, reckoned
-/// from the sending of the call that renewed the lease last.
+/// What a leader tells of its jobs is stored, and may be told however long ago the lease was renewed. A job that it does not
+/// have may have been accepted by a later leader, so that an absence or a count is told only within a time of the last renewal,
+/// from when that was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AnswerBasis {
     /// It counts the jobs that it has.
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -32,7 +32,7 @@
 /// This process as the leader.
 struct Leadership {
     epoch: LeaderEpoch,
-    /// Whether the lease has ended that its key stood under.
+    /// Whether the lease that held the leader's key has ended.
     lapsed: bool,
     input: RingSender<LeaderInput>,
     task: JoinHandle<()>,
@@ -115,7 +115,7 @@
         self.predecessor.clone().filter(|_| !long && !view.has_ended(&self.predecessor))
     }
 
-    /// The lease in the store was renewed, or made, by a call sent then. A new lease does not bear out a leader that was
+    /// The lease in the store was renewed, or made, by a call sent then. A new lease says nothing of a leader that was
     /// elected under the one before: another may have been elected in between.
     pub(crate) fn note_renewal(&self, sent: Instant) {
         if let Some(leadership) = self.leadership.as_ref().filter(|own| !own.lapsed) {
--- a/src/node/state_desk.rs
+++ b/src/node/state_desk.rs
@@ -21,7 +21,7 @@
     Ending(GraphState),
     /// There is no such job.
     Gone,
-    /// There was none, and a later leader may have accepted it since.
+    /// It is not known here, and a later leader may have accepted it.
     Unsure,
 }
 
