Workers whose registrations have gone count on for 2.5 s where a job is judged

With registrations that expire together while the store is away, a divided deployment refused a gang for 60 s as too large for a shard, and took a wide lasting job unshared, so that tasks of it waited for good. Cause: where a job can run at all was judged by the workers that are registered at that moment, of this shard and of the others. Change: a worker whose registration has gone counts for RETURN_TIME after that where a job is judged, unless it has announced that it leaves or its service is named no more. An idle one that answers is not forgotten meanwhile, though its lease has run out; one that does not answer is, as before. worker_unlisted takes the time; its callers in tests pass it, and no assertion of theirs is changed. Open: a leader elected just after the store is back reads the lapsed list and knows no others. The store's list of workers in use has no service, labels or capacity, so it cannot stand in.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -336,6 +336,7 @@
         found.extend(self.lives.vanished(now, now >= self.settled_at));
         self.take_findings_at(now, unix, found);
         self.review_foreign(now);
+        self.neighbours.forget_lapsed(now);
         self.resend(now, extend);
     }
 
--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -45,14 +45,14 @@
     }
 
     /// A worker's registration has gone, or names no worker any more.
-    pub fn worker_unlisted(&mut self, id: &WorkerId) {
+    pub fn worker_unlisted(&mut self, now: Instant, id: &WorkerId) {
         self.foreign.remove(id);
-        self.neighbours.unlisted(id);
-        self.lives.unlisted(id);
+        self.neighbours.unlisted(now, id);
+        self.lives.unlisted(now, id);
     }
 
     fn set_aside(&mut self, listing: WorkerListing) {
-        self.lives.unlisted(&listing.id);
+        self.lives.set_aside(&listing.id);
         let (worker, service) = (listing.id.clone(), listing.service.clone());
         if self.foreign.insert(worker.clone(), listing).is_none() {
             metrics::counter!("kelplink_foreign_workers_total").increment(1);
--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -49,19 +49,20 @@
     }
 
     /// The shard that should take a job in place of this one.
-    pub(super) fn better_shard(&self, record: &GraphRecord) -> Option<ShardId> {
+    pub(super) fn better_shard(&self, now: Instant, record: &GraphRecord) -> Option<ShardId> {
         if !self.scope.plan.is_divided() {
             return None;
         }
-        self.neighbours.better_shard(&self.scope, &record.spec, &record.rule, self.own_listings())
+        let own = self.own_listings(now);
+        self.neighbours.better_shard(&self.scope, &record.spec, &record.rule, own)
     }
 
     /// How the tasks of a new job are shared out among shards, where it is too wide for this one.
-    pub(super) fn share_out(&self, job: &GraphJob) -> Option<TaskShare> {
+    pub(super) fn share_out(&self, now: Instant, job: &GraphJob) -> Option<TaskShare> {
         if !self.scope.plan.is_divided() {
             return None;
         }
-        let own = self.own_listings();
+        let own = self.own_listings(now);
         let weights = self.neighbours.weights(&self.scope, &job.spec, &job.rule, own)?;
         info!(job = &*job.spec.id, shards = weights.len(); "a job is shared out");
         metrics::counter!("kelplink_shared_jobs_total").increment(1);
@@ -74,13 +75,13 @@
     /// Load it answers: gangs of 33 and 75 tasks of 15 cores in shards of 220 workers, a third of which may run
     /// them, most of them with a lasting task of nine cores. Accepted, they waited for good; no other shard is
     /// larger, so they are rejected at once.
-    pub(super) fn is_too_large(&self, record: &GraphRecord) -> bool {
+    pub(super) fn is_too_large(&self, now: Instant, record: &GraphRecord) -> bool {
         let rule = &record.rule;
         let share = rule.advice.map_or(1.0, |_| self.advice.share(&rule.id));
         let part = rule.advice.map_or(1.0, |_| GANG_PART);
         let holds = |step: &StepSpec| {
             let most = step.max_per_worker.unwrap_or(u32::MAX);
-            let fitting = self.lives.iter().filter(|life| life.listed);
+            let fitting = self.lives.iter().filter(|life| life.counts(now));
             let fitting = fitting.filter(|life| runs_on(step, rule, &life.listing));
             let room = |life: &WorkerLife| {
                 room_for(&self.room_beside_lasting(life), &step.reservation()).min(most)
@@ -101,8 +102,9 @@
         lasting.fold(life.listing.capacity, |room, (_, run)| room.saturating_sub(&run.need))
     }
 
-    fn own_listings(&self) -> impl Iterator<Item = &WorkerListing> + Clone {
-        self.lives.iter().filter(|life| life.listed).map(|life| &life.listing)
+    /// Workers of this shard that count where a job is judged.
+    fn own_listings(&self, now: Instant) -> impl Iterator<Item = &WorkerListing> + Clone {
+        self.lives.iter().filter(move |life| life.counts(now)).map(|life| &life.listing)
     }
 
     /// Tells the other shards of a job what they have to know by now.
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -56,7 +56,7 @@
         record: GraphRecord,
     ) {
         let known = self.jobs.get(&record.spec.id).is_some();
-        match self.better_shard(&record).filter(|_| !known) {
+        match self.better_shard(now, &record).filter(|_| !known) {
             _ if !known && self.awaits_registrations() => {
                 self.hold(now, call, attempt, patience, record, false);
             }
@@ -93,7 +93,7 @@
                 self.hold(now, call, attempt, patience, record, true);
                 return;
             }
-            None if self.is_too_large(&record) => {
+            None if self.is_too_large(now, &record) => {
                 self.reject_for(now, call, attempt, &id, "too large for a shard", HOPELESS_PAUSE);
                 return;
             }
@@ -101,7 +101,7 @@
                 let mut job = GraphJob::new(record, now);
                 job.shard = self.scope.shard.clone();
                 job.home = choose_home(&self.lives, &job, now);
-                job.share = self.share_out(&job);
+                job.share = self.share_out(now, &job);
                 let way = REFUSAL_WAY.min(patience / WAY_PART);
                 job.give_up = now + STORE_WAIT.min(patience.saturating_sub(way));
                 self.jobs.insert(job);
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -35,6 +35,9 @@
 /// in the store: of the polls one in twenty may be lost.
 const DOUBTED_MISSES: u32 = 2;
 const DOUBTED_SILENCE: Duration = Duration::from_millis(100);
+/// How long a worker whose registration has gone counts on where a job is judged: registrations that expired while the
+/// store was away are back two seconds after it, and the watch tells of them later.
+pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_500);
 /// Shortest time from one poll to the next: ends that come close together share an answer.
 const POLL_GAP: Duration = Duration::from_millis(15);
 
@@ -98,7 +101,7 @@
         }
         match self.lives.get_mut(&listing.id) {
             Some(life) => {
-                life.listed = true;
+                (life.listed, life.expected_until) = (true, None);
                 life.leaves = match listing.leaving {
                     Some(left) => Some(life.leaves.unwrap_or(now + left)),
                     None => None,
@@ -122,10 +125,19 @@
         life.noted = true;
     }
 
-    /// A registration has gone. The worker may still run.
-    pub(crate) fn unlisted(&mut self, id: &WorkerId) {
+    /// A registration has gone. The worker may still run, and register again.
+    pub(crate) fn unlisted(&mut self, now: Instant, id: &WorkerId) {
+        if let Some(life) = self.lives.get_mut(id)
+            && std::mem::replace(&mut life.listed, false)
+        {
+            life.expected_until = life.leaves.is_none().then(|| now + RETURN_TIME);
+        }
+    }
+
+    /// A worker is not to be used any more, though it may be registered.
+    pub(crate) fn set_aside(&mut self, id: &WorkerId) {
         if let Some(life) = self.lives.get_mut(id) {
-            life.listed = false;
+            (life.listed, life.expected_until) = (false, None);
         }
     }
 
@@ -342,7 +354,8 @@
     pub(crate) fn vanished(&mut self, now: Instant, settled: bool) -> Vec<LifeFinding> {
         let gone = |life: &&WorkerLife| {
             let over = if life.claimed { life.lease_over(now) } else { settled };
-            !life.listed && life.runs.is_empty() && over
+            let expected = life.misses == 0 && life.counts(now);
+            !life.listed && !expected && life.runs.is_empty() && over
         };
         let gone: Vec<WorkerId> =
             self.lives.values().filter(gone).map(|l| l.id().clone()).collect();
--- a/src/graph/neighbours.rs
+++ b/src/graph/neighbours.rs
@@ -5,8 +5,11 @@
 
 use std::collections::BTreeMap;
 
+use tokio::time::Instant;
+
 use crate::graph::exchange::WorkerListing;
 use crate::graph::home::runs_on;
+use crate::graph::lives::RETURN_TIME;
 use crate::graph::queue::QueueRule;
 use crate::graph::shard::{ShardId, ShardScope};
 use crate::graph::spec::{GraphSpec, StepSpec};
@@ -22,17 +25,35 @@
 #[derive(Debug, Default)]
 pub(crate) struct NeighbourTable {
     workers: BTreeMap<WorkerId, (ShardId, WorkerListing)>,
+    /// Those that are gone and may come back, and until when they count.
+    lapsed: BTreeMap<WorkerId, (Instant, ShardId, WorkerListing)>,
 }
 
 impl NeighbourTable {
     /// A worker of another shard has registered or changed its registration.
     pub(crate) fn listed(&mut self, shard: ShardId, listing: WorkerListing) {
+        self.lapsed.remove(&listing.id);
         self.workers.insert(listing.id.clone(), (shard, listing));
     }
 
-    /// A registration has gone.
-    pub(crate) fn unlisted(&mut self, id: &WorkerId) {
-        self.workers.remove(id);
+    /// A registration has gone. Its worker counts on for a while, unless it leaves.
+    pub(crate) fn unlisted(&mut self, now: Instant, id: &WorkerId) {
+        if let Some((shard, listing)) = self.workers.remove(id)
+            && listing.leaving.is_none()
+        {
+            self.lapsed.insert(id.clone(), (now + RETURN_TIME, shard, listing));
+        }
+    }
+
+    /// Forgets workers whose registrations have not come back.
+    pub(crate) fn forget_lapsed(&mut self, now: Instant) {
+        self.lapsed.retain(|_, (until, ..)| now < *until);
+    }
+
+    /// Workers that count, and their shards.
+    fn counted(&self) -> impl Iterator<Item = (&ShardId, &WorkerListing)> {
+        let present = self.workers.values().map(|(shard, listing)| (shard, listing));
+        present.chain(self.lapsed.values().map(|(_, shard, listing)| (shard, listing)))
     }
 
     /// The shard that a job is better placed in than here: the one with most of its data, or else one with
@@ -69,7 +90,7 @@
             };
             let here = own.clone().any(|listing| listing.rack == *rack);
             let elsewhere = || {
-                let mut workers = self.workers.values();
+                let mut workers = self.counted();
                 workers.find(|(_, listing)| listing.rack == *rack).map(|(shard, _)| shard.clone())
             };
             let shard = if here { Some(scope.shard.clone()) } else { elsewhere() };
@@ -109,7 +130,7 @@
     }
 
     fn count(&self, shard: &ShardId, step: &StepSpec, rule: &QueueRule) -> usize {
-        let here = self.workers.values().filter(|(place, _)| place == shard);
+        let here = self.counted().filter(|(place, _)| *place == shard);
         here.filter(|(_, listing)| runs_on(step, rule, listing)).count()
     }
 }
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -118,6 +118,8 @@
     pub listing: WorkerListing,
     /// Whether it is registered now.
     pub listed: bool,
+    /// Until when it counts as one that registers again, where its registration has gone.
+    pub expected_until: Option<Instant>,
     /// When it will be gone at the earliest, where it is leaving.
     pub leaves: Option<Instant>,
     /// Whether it has answered under this leader's epoch.
@@ -235,6 +237,7 @@
             leaves: listing.leaving.map(|left| now + left),
             listing,
             listed: true,
+            expected_until: None,
             claimed: false,
             noted: false,
             clock: None,
@@ -366,6 +369,11 @@
         }
     }
 
+    /// Whether it counts where a job is judged: it is registered, or may be again soon.
+    pub fn counts(&self, now: Instant) -> bool {
+        self.listed || self.expected_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it has the label that a step wants.
     pub fn has_label(&self, step: &StepSpec) -> bool {
         step.label.as_ref().is_none_or(|label| self.listing.labels.contains(label))
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -213,7 +213,7 @@
             LeaderInput::Share(record) => controller.take_share(now, *record),
             LeaderInput::ShareEnded(job) => controller.cancel_share(now, unix, &job),
             LeaderInput::ShareFailed(job) => controller.fail_shared(now, unix, &job),
-            LeaderInput::Unlisted(worker) => controller.worker_unlisted(&worker),
+            LeaderInput::Unlisted(worker) => controller.worker_unlisted(now, &worker),
             LeaderInput::RegistrationsRead => controller.registrations_read(now),
             LeaderInput::Polled(worker, result) => controller.polled(now, unix, &worker, result),
             LeaderInput::Started(worker, task, run, result) => {
--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -225,7 +225,8 @@
     world.run(millis(200));
     cancel(&mut world, "a");
     let id: WorkerId = "w0-0".into();
-    world.leader().unwrap().worker_unlisted(&id);
+    let now = world.now;
+    world.leader().unwrap().worker_unlisted(now, &id);
     world.run(seconds(3));
     let (now, listing) = (world.now, world.workers[&id].listing.clone());
     world.leader().unwrap().worker_listed(now, listing);
@@ -250,7 +251,8 @@
     listing.leaving = Some(seconds(1));
     world.leader().unwrap().worker_listed(now, listing);
     world.run(seconds(2));
-    world.leader().unwrap().worker_unlisted(&id);
+    let now = world.now;
+    world.leader().unwrap().worker_unlisted(now, &id);
     world.run(millis(1_220));
     expect_that!(runs_of(&world, "a"), eq(1));
     world.fates.lost_stops = 0;
@@ -398,7 +400,8 @@
     listing.leaving = Some(millis(300));
     world.leader().unwrap().worker_listed(now, listing);
     world.run(seconds(1));
-    world.leader().unwrap().worker_unlisted(&id);
+    let now = world.now;
+    world.leader().unwrap().worker_unlisted(now, &id);
     only_worker(&mut world).reached = false;
     let (now, unix) = (world.now, world.unix());
     world.leader().unwrap().polled(now, unix, &id, Err(CallFailure::NotSent));
@@ -418,7 +421,8 @@
     listing.leaving = Some(millis(300));
     world.leader().unwrap().worker_listed(now, listing);
     world.run(seconds(1));
-    world.leader().unwrap().worker_unlisted(&id);
+    let now = world.now;
+    world.leader().unwrap().worker_unlisted(now, &id);
     only_worker(&mut world).up = false;
     let (now, unix) = (world.now, world.unix());
     world.leader().unwrap().polled(now, unix, &id, Err(CallFailure::NothingThere));
--- a/tests/graph/random_cancellation.rs
+++ b/tests/graph/random_cancellation.rs
@@ -76,9 +76,9 @@
 
     /// A worker's registration goes for a while.
     fn unregister(&mut self) {
-        let id = self.some_worker();
+        let (id, now) = (self.some_worker(), self.world.now);
         if let Some(leader) = self.world.leader() {
-            leader.worker_unlisted(&id);
+            leader.worker_unlisted(now, &id);
         }
         self.pass(6_000);
         let now = self.world.now;
--- a/tests/graph/registrations.rs
+++ b/tests/graph/registrations.rs
@@ -113,7 +113,8 @@
     world.run(seconds(1));
     world.submit("now", "a", vec![step(2, 8, 9_000)]);
     world.run(seconds(1));
-    world.leader().unwrap().worker_unlisted(&"w0-0".into());
+    let now = world.now;
+    world.leader().unwrap().worker_unlisted(now, &"w0-0".into());
     world.run(seconds(9));
     expect_that!(world.state("a"), some(eq(GraphState::Completed)));
     expect_that!(world.begun_runs, eq(2));
--- a/tests/graph/stuck.rs
+++ b/tests/graph/stuck.rs
@@ -184,7 +184,8 @@
     let mut world = World::new(62, 3);
     world.run(seconds(1));
     let id: WorkerId = "w0-0".into();
-    world.leader().unwrap().worker_unlisted(&id);
+    let now = world.now;
+    world.leader().unwrap().worker_unlisted(now, &id);
     world.run(seconds(10));
     expect_that!(world.leader().unwrap().lives().get(&id).is_some(), eq(false));
     expect_that!(world.store.workers.iter().any(|used| used.id == id), eq(false));
--- a/tests/graph/unread_registrations.rs
+++ b/tests/graph/unread_registrations.rs
@@ -54,6 +54,16 @@
     }
 }
 
+/// The registrations of all workers go, of its own shard and of the others.
+fn unlist_all(world: &mut World, shard: &ShardId) {
+    let (now, workers) = (world.now, world.workers.keys().cloned());
+    let workers: Vec<WorkerId> = workers.collect();
+    let leader = world.leader_in(shard).unwrap();
+    for worker in &workers {
+        leader.worker_unlisted(now, worker);
+    }
+}
+
 fn answer(world: &mut World, call: CallId) -> Option<GraphAnswer> {
     world.run(seconds(1));
     world.answers.get(&call).cloned()
@@ -135,3 +145,56 @@
     });
     expect_that!(answers.collect::<Vec<_>>(), eq(&vec![(call, GraphAnswer::Unready)]));
 }
+
+// Registrations expire while the store is away, and are back within two seconds after it: workers that were taken for
+// gone meanwhile had a gang refused for a minute and a wide job accepted unshared.
+#[gtest]
+fn workers_whose_registrations_lapse_together_still_count_where_a_job_is_judged() {
+    let (mut world, shard) = sharded(53, 90);
+    let workers: Vec<WorkerId> = world.workers.keys().cloned().collect();
+    world.allowed = Some(workers.iter().step_by(2).cloned().collect());
+    world.run(seconds(1));
+    unlist_all(&mut world, &shard);
+    let gang = StepSpec { gang: true, ..step(3, 6, 500) };
+    let gang = world.submit_in(&shard, "now", "g", vec![gang]);
+    let wide = StepSpec { lasting: true, max_per_worker: Some(1), ..step(40, 1, 600_000) };
+    let wide = world.submit_in(&shard, "asked", "a", vec![wide]);
+    read(&mut world, &shard, true);
+    read(&mut world, &shard, false);
+    expect_that!(answer(&mut world, gang), some(eq(&GraphAnswer::Accepted)));
+    expect_that!(answer(&mut world, wide), some(eq(&GraphAnswer::Accepted)));
+    world.run(seconds(8));
+    expect_that!(runs_of(&world, "a"), eq(40));
+}
+
+// A registration that stays away names a worker that is gone.
+#[gtest]
+fn workers_that_do_not_register_again_do_not_count_for_good() {
+    let (mut world, shard) = sharded(54, 9);
+    world.run(seconds(1));
+    for worker in world.workers.values_mut() {
+        worker.up = false;
+    }
+    unlist_all(&mut world, &shard);
+    world.run(seconds(3));
+    let gang = StepSpec { gang: true, ..step(3, 6, 500) };
+    let gang = world.submit_in(&shard, "now", "g", vec![gang]);
+    let refused = GraphAnswer::Rejected(seconds(60));
+    expect_that!(answer(&mut world, gang), some(eq(&refused)));
+}
+
+// The leases of idle workers run out while the store is away too, and such workers are forgotten once they are not
+// registered.
+#[gtest]
+fn workers_whose_leases_ran_out_with_their_registrations_still_count() {
+    let (mut world, shard) = sharded(55, 9);
+    world.run(seconds(1));
+    world.store.up = false;
+    world.run(seconds(14));
+    world.store.up = true;
+    unlist_all(&mut world, &shard);
+    world.run(seconds(1));
+    let gang = StepSpec { gang: true, ..step(3, 6, 500) };
+    let gang = world.submit_in(&shard, "now", "g", vec![gang]);
+    expect_that!(answer(&mut world, gang), some(eq(&GraphAnswer::Accepted)));
+}
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -781,7 +781,7 @@
             Message::Unlisted { worker } => {
                 if self.workers.contains_key(&worker) {
                     for leader in self.leaders.values_mut() {
-                        leader.worker_unlisted(&worker);
+                        leader.worker_unlisted(now, &worker);
                     }
                 }
             }
