The tests' small store stands in the adapter, which alone knows the platform's names

The store of the first moves to src/platform/empty_store.rs, built for tests only; the job of the second needs no such field.

--- a/src/node/access_tests.rs
+++ b/src/node/access_tests.rs
@@ -51,7 +51,7 @@
         target: Duration::from_secs(1),
         advice: None,
     };
-    let body = br#"{"steps": [{"count": 1, "millicpu": 1000, "estimated_ms": 100}]}"#;
+    let body = br#"{"steps": [{"count": 1}]}"#;
     let spec = decode_job(&rule.id, JOB, body, 0).unwrap();
     let record = GraphRecord { spec, rule, home: None, share: None };
     JobSubmission { attempt: 1, patience: PATIENCE, forced: false, record }
--- a/src/node/election/lease_tests.rs
+++ b/src/node/election/lease_tests.rs
@@ -1,13 +1,11 @@
 //! Renewals of the entry's lease that say nothing of its leaders' keys.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::graph::{GraphId, QueueConfig, RequestLimits, ShardId, ShardPlan};
@@ -18,92 +16,12 @@
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 use crate::node::tests::settings;
+use crate::platform::EmptyStore;
 
 const UNKNOWN: &str = "00000000000000a3";
 /// Longest time for the leader to begin.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A store without jobs. The members are not read in these tests, as where a machine's reads are refused.
-#[derive(Default)]
-struct EmptyStore {
-    last_lease: AtomicU64,
-    /// The lease that stands.
-    lease: Mutex<Option<u64>>,
-    /// Whether changes are carried out and not answered.
-    loses_answers: AtomicBool,
-    lost: AtomicU64,
-    /// Whether changes are carried out and their answers kept until it is unset.
-    keeps_answers: AtomicBool,
-    changes: AtomicU64,
-}
-
-impl EmptyStore {
-    async fn start() -> (Arc<Self>, SocketAddr) {
-        let store = Arc::new(Self::default());
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let serving = store.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serving.clone().serve(stream));
-            }
-        });
-        (store, address)
-    }
-
-    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
-        let mut request = vec![0; 1 << 16];
-        while let Ok(count @ 1..) = stream.read(&mut request).await {
-            let head = String::from_utf8_lossy(&request[..count]).into_owned();
-            let Some((status, body)) = self.answer(&head) else {
-                return;
-            };
-            while head.starts_with("POST /api/kv-txn ")
-                && self.keeps_answers.load(Ordering::Relaxed)
-            {
-                sleep(Duration::from_millis(1)).await;
-            }
-            let length = body.len();
-            let answer = format!("HTTP/1.1 {status} Any\r\ncontent-length: {length}\r\n\r\n{body}");
-            stream.write_all(answer.as_bytes()).await.unwrap();
-        }
-    }
-
-    fn answer(&self, head: &str) -> Option<(u16, String)> {
-        let path = head.split(' ').nth(1).unwrap_or_default();
-        match path {
-            "/api/kv-lease" => {
-                let lease = self.last_lease.fetch_add(1, Ordering::Relaxed) + 1;
-                *self.lease.lock().unwrap() = Some(lease);
-                Some((200, format!("{{\"lease\":{lease},\"ttl_ms\":1000}}")))
-            }
-            "/api/kv-txn" if self.loses_answers.load(Ordering::Relaxed) => {
-                self.lost.fetch_add(1, Ordering::Relaxed);
-                None
-            }
-            "/api/kv-txn" => {
-                self.changes.fetch_add(1, Ordering::Relaxed);
-                Some((200, "{\"revision\":9}".to_owned()))
-            }
-            path if path.starts_with("/api/kv-range") => {
-                Some((200, "{\"items\":[],\"has_more\":false,\"as_of\":9}".to_owned()))
-            }
-            path if path.starts_with("/api/kv-keep/") => {
-                let stands = *self.lease.lock().unwrap();
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok());
-                let status = if id.is_some() && id == stands { 200 } else { 404 };
-                Some((status, "{\"ttl_ms\":1000}".to_owned()))
-            }
-            _ => Some((404, "{}".to_owned())),
-        }
-    }
-
-    /// The lease ends, and with it all keys under it.
-    fn end_lease(&self) {
-        *self.lease.lock().unwrap() = None;
-    }
-}
-
 fn whole() -> ShardId {
     ShardId::from("")
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -23,5 +23,10 @@
 pub(crate) use store::{PAGE_TIME, PlatformStore};
 pub(crate) use workers::{CallTerms, WorkerClient};
 
+#[cfg(test)]
+mod empty_store;
 #[cfg(test)]
 mod tests;
+
+#[cfg(test)]
+pub(crate) use empty_store::EmptyStore;
--- /dev/null
+++ b/src/platform/empty_store.rs
@@ -0,0 +1,92 @@
+//! A stand-in of the platform's store for tests of what goes between an entry and it.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// A store without jobs or members that grants leases and takes changes.
+#[derive(Default)]
+pub(crate) struct EmptyStore {
+    last_lease: AtomicU64,
+    /// The lease that stands.
+    lease: Mutex<Option<u64>>,
+    /// Whether changes are carried out and not answered.
+    pub(crate) loses_answers: AtomicBool,
+    pub(crate) lost: AtomicU64,
+    /// Whether changes are carried out and their answers kept until it is unset.
+    pub(crate) keeps_answers: AtomicBool,
+    pub(crate) changes: AtomicU64,
+}
+
+impl EmptyStore {
+    /// Serves a store on the loopback.
+    pub(crate) async fn start() -> (Arc<Self>, SocketAddr) {
+        let store = Arc::new(Self::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serving = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(stream));
+            }
+        });
+        (store, address)
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let mut request = vec![0; 1 << 16];
+        while let Ok(count @ 1..) = stream.read(&mut request).await {
+            let head = String::from_utf8_lossy(&request[..count]).into_owned();
+            let Some((status, body)) = self.answer(&head) else {
+                return;
+            };
+            while head.starts_with("POST /api/kv-txn ")
+                && self.keeps_answers.load(Ordering::Relaxed)
+            {
+                sleep(Duration::from_millis(1)).await;
+            }
+            let length = body.len();
+            let answer = format!("HTTP/1.1 {status} Any\r\ncontent-length: {length}\r\n\r\n{body}");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    }
+
+    fn answer(&self, head: &str) -> Option<(u16, String)> {
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        match path {
+            "/api/kv-lease" => {
+                let lease = self.last_lease.fetch_add(1, Ordering::Relaxed) + 1;
+                *self.lease.lock().unwrap() = Some(lease);
+                Some((200, format!("{{\"lease\":{lease},\"ttl_ms\":1000}}")))
+            }
+            "/api/kv-txn" if self.loses_answers.load(Ordering::Relaxed) => {
+                self.lost.fetch_add(1, Ordering::Relaxed);
+                None
+            }
+            "/api/kv-txn" => {
+                self.changes.fetch_add(1, Ordering::Relaxed);
+                Some((200, "{\"revision\":9}".to_owned()))
+            }
+            path if path.starts_with("/api/kv-range") => {
+                Some((200, "{\"items\":[],\"has_more\":false,\"as_of\":9}".to_owned()))
+            }
+            path if path.starts_with("/api/kv-keep/") => {
+                let stands = *self.lease.lock().unwrap();
+                let id = path.rsplit('/').next().and_then(|id| id.parse().ok());
+                let status = if id.is_some() && id == stands { 200 } else { 404 };
+                Some((status, "{\"ttl_ms\":1000}".to_owned()))
+            }
+            _ => Some((404, "{}".to_owned())),
+        }
+    }
+
+    /// The lease ends, and with it all keys under it.
+    pub(crate) fn end_lease(&self) {
+        *self.lease.lock().unwrap() = None;
+    }
+}
