--- a/src/graph.rs
+++ b/src/graph.rs
@@ -18,7 +18,6 @@
 mod lives;
 mod name;
 mod neighbours;
-mod noted_start;
 mod notice;
 mod placer;
 mod poll_rhythm;
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -26,7 +26,6 @@
 use crate::graph::lives::{LifeTable, WORKER_LEASE};
 use crate::graph::name::{AttemptId, GraphId, LeaderEpoch, RunNumber, TaskName};
 use crate::graph::neighbours::NeighbourTable;
-use crate::graph::noted_start::NotedStart;
 use crate::graph::placer::{PassView, PlacementPass};
 use crate::graph::preemption::RoomKeeper;
 use crate::graph::progress::GraphProgress;
@@ -99,8 +98,6 @@
     window: SendWindow,
     commits: CommitQueue,
     waiters: BTreeMap<GraphId, Vec<(CallId, AttemptId)>>,
-    /// Starts that are sent once the store has them noted.
-    held_starts: BTreeMap<GraphId, Vec<NotedStart>>,
     /// Crashes of workers that are not taken in yet.
     crashes: Vec<WorkerCrash>,
     /// Requests that were rejected, and when.
@@ -181,7 +178,6 @@
             window: SendWindow::default(),
             commits: CommitQueue::default(),
             waiters: BTreeMap::new(),
-            held_starts: BTreeMap::new(),
             crashes: Vec::new(),
             rejected: BTreeMap::new(),
             foreign: BTreeMap::new(),
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -11,11 +11,9 @@
 use crate::graph::event::{CommandResult, GraphAction, StartOrder};
 use crate::graph::exchange::{CallFailure, WorkerRefusal};
 use crate::graph::lives::WORKER_LEASE;
-use crate::graph::name::{GraphId, RunNumber, TaskKey, TaskName};
-use crate::graph::noted_start::NotedStart;
+use crate::graph::name::{RunNumber, TaskKey, TaskName};
 use crate::graph::placer::PlannedStart;
 use crate::graph::preemption::PlannedPreemption;
-use crate::graph::progress::GraphProgress;
 use crate::graph::worker::{RunPhase, WorkerRun};
 use crate::id::WorkerId;
 
@@ -54,49 +52,18 @@
         let doubted = self.lost_unheard && job.inherited && !job.last_run.contains_key(&start.task);
         let noted = entry.suspected || doubted;
         let entry = WorkerRun { doubted, ..entry };
-        let worker = start.worker.clone();
-        if let Some(life) = self.lives.get_mut(&worker) {
+        if let Some(life) = self.lives.get_mut(&start.worker) {
             life.add_run(task.clone(), entry);
             if noted {
-                let trial = RunTrial { run, worker: worker.clone(), address: life.address() };
+                let worker = start.worker.clone();
+                let trial = RunTrial { run, worker, address: life.address() };
                 self.jobs.note_trial(&task, trial);
                 self.commits.change(task.job.clone(), now, true);
             }
         }
-        self.jobs.note_run(&task, worker.clone(), run);
+        self.jobs.note_run(&task, start.worker.clone(), run);
         metrics::counter!("kelplink_run_starts_total").increment(1);
-        match noted {
-            true => {
-                let held = self.held_starts.entry(task.job.clone()).or_default();
-                held.push(NotedStart { worker, task, run });
-            }
-            false => self.send_start(now, &worker, &task),
-        }
-    }
-
-    /// Sends held starts of a job that the store has noted. Sent before, a start would not be counted where its leader
-    /// is lost in the same moment.
-    pub(super) fn send_noted(&mut self, now: Instant, id: &GraphId, stored: &GraphProgress) {
-        for start in self.held_starts.remove(id).unwrap_or_default() {
-            let NotedStart { worker, task, run } = &start;
-            let job = self.jobs.get(id);
-            // One whose doubt has been cleared meanwhile has nothing to be noted.
-            let waits = job.is_some_and(|job| job.progress.has_trial(&task.key, *run))
-                && !stored.has_trial(&task.key, *run);
-            let life = self.lives.get_mut(worker);
-            let entry = life
-                .and_then(|life| life.runs.get_mut(task))
-                .filter(|entry| entry.run == *run && entry.phase == RunPhase::Sent { tries: 0 });
-            match entry {
-                Some(_) if waits => self.held_starts.entry(id.clone()).or_default().push(start),
-                Some(entry) => {
-                    entry.since = now;
-                    entry.probation = Some(now + PROBATION);
-                    self.send_start(now, worker, task);
-                }
-                None => {}
-            }
-        }
+        self.send_start(now, &start.worker, &task);
     }
 
     /// Sends the start of a run, again where it was sent before.
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -117,7 +117,6 @@
                 job.stored_domains.extend(progress.domains.iter().cloned());
                 job.stored_floors = progress.floors.clone();
             }
-            self.send_noted(now, &id, &progress);
             // Tasks may have waited for that.
             self.jobs.reopen(&id);
             let Some(verdict) = progress.verdict else {
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -71,12 +71,6 @@
         new
     }
 
-    /// Whether a run of a task may crash its worker, as far as is noted.
-    pub(crate) fn has_trial(&self, task: &TaskKey, run: RunNumber) -> bool {
-        let trials = self.trials.get(task).into_iter().flatten();
-        trials.map(|trial| trial.run).any(|noted| noted == run)
-    }
-
     /// A worker has crashed with a run of a task; `sure`: the run surely went on until then.
     pub fn note_crash(&mut self, task: TaskKey, run: RunNumber, sure: bool) {
         self.clear_trial(&task, run);
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -340,3 +340,14 @@
 fn seed_32000217_gives_up_no_task_for_starts_that_never_arrived() {
     run(32_000_217);
 }
+
+// Trials of starts that were held until the store had them noted: a member of a gang was started after its job had ended.
+#[gtest]
+fn seed_20700034_starts_no_member_of_a_gang_after_its_job_has_ended() {
+    run(20_700_034);
+}
+
+#[gtest]
+fn seed_33000018_starts_no_member_of_a_gang_after_its_job_has_ended() {
+    run(33_000_018);
+}
