--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -212,3 +212,9 @@
 fn shard_seed_7_counts_a_job_whose_starts_were_never_carried_out() {
     run(7);
 }
+
+// With starts held until the store had them noted, a job was given up after one crash and one failure.
+#[gtest]
+fn shard_seed_34000685_gives_up_no_task_after_one_crash() {
+    run(34_000_685);
+}
