--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -351,3 +351,8 @@
 fn seed_33000018_starts_no_member_of_a_gang_after_its_job_has_ended() {
     run(33_000_018);
 }
+
+#[gtest]
+fn seed_20700197_gives_up_no_task_for_starts_that_never_arrived() {
+    run(20_700_197);
+}
