Only runs that had begun speak for giving a task up

Cause: CrashCount::proven counted every run whose worker was replaced, begun or not. Seen in the log of: runs 1 and 2 of job9.0.0.0 lost with heard_ms=0 and never answered, run 3 answered and lost: sure=1 all=3, given up. Ruled out: the proof of the crash itself; all three workers were replaced. Change: two questions, two answers. Whether a task is given up rests on runs that their workers had reported as begun (GraphProgress::confirmed, stored, so that it outlives the leader); two of them at least, whatever else is doubtful. How fast it is started again follows from all doubts: from the third on the pause doubles, up to 8 s.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -122,7 +122,7 @@
     ) {
         if result.is_ok() {
             // The run may have been given up or told to stop since.
-            self.jobs.note_begun(task, BeginEvidence::Answered);
+            self.note_begun(now, task, run, BeginEvidence::Answered);
         }
         let Some(life) = self.lives.get_mut(worker) else {
             return;
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -11,7 +11,7 @@
 use crate::graph::exchange::{EndReport, RunReport};
 use crate::graph::jobs::{JobEffect, RunToStop};
 use crate::graph::life_finding::{LifeFinding, LostRun};
-use crate::graph::name::GraphId;
+use crate::graph::name::{GraphId, RunNumber, TaskName};
 use crate::graph::worker::{LifeEnd, RunPhase, WorkerRun};
 use crate::id::{UnixMillis, WorkerId};
 
@@ -37,7 +37,7 @@
                 LifeFinding::Ended(worker, end) => self.run_ended(now, unix, &worker, end),
                 LifeFinding::Unknown(worker, report) => self.run_found(now, &worker, report),
                 LifeFinding::Lost(worker, lost) => {
-                    let LostRun { task, run, saved, outlived } = lost;
+                    let LostRun { task, run, saved, outlived, .. } = lost;
                     let heard_ms = outlived.as_millis() as u64;
                     warn!(task:% = task, run, worker = &*worker, heard_ms; "run lost");
                     count_lost("lost");
@@ -45,15 +45,15 @@
                     self.apply(now, &task.job, effect);
                 }
                 LifeFinding::GivenUp(worker, lost, trial) => {
-                    let LostRun { task, run, saved, outlived } = lost;
-                    let heard_ms = outlived.as_millis() as u64;
-                    warn!(task:% = task, run, worker = &*worker, heard_ms; "run given up with its worker's lease");
+                    let heard_ms = lost.outlived.as_millis() as u64;
+                    let (task, run, begun) = (&lost.task, lost.run, lost.begun);
+                    warn!(task:% = task, run, worker = &*worker, heard_ms, begun; "run given up with its worker's lease");
                     count_lost("given up");
-                    let effect = self.jobs.given_up(now, unix, &task, run, &saved, trial);
+                    let effect = self.jobs.given_up(now, unix, &lost, trial);
                     self.apply(now, &task.job, effect);
                 }
-                LifeFinding::Confirmed(worker, task) => {
-                    self.jobs.note_begun(&task, BeginEvidence::Listed);
+                LifeFinding::Confirmed(worker, task, run) => {
+                    self.note_begun(now, &task, run, BeginEvidence::Listed);
                     info!(task:% = task, worker = &*worker; "an unanswered start has begun");
                 }
                 LifeFinding::Deposed(worker) => {
@@ -69,7 +69,9 @@
                 LifeFinding::Crashed(crash) => self.crashes.push(crash),
                 LifeFinding::Doubted(task, trial) => {
                     info!(task:% = task, run = trial.run, worker = &*trial.worker; "a worker is silent since a start");
+                    let run = trial.run;
                     self.jobs.note_trial(&task, trial);
+                    self.jobs.confirm_run(&task, run);
                     self.commits.change(task.job.clone(), now, true);
                 }
                 LifeFinding::Outlived(task, run) => {
@@ -139,7 +141,7 @@
         let known = WorkerRun::new(run, phase, now, origin);
         let entry = WorkerRun { percent, figure, saved, probation, suspected, ..known };
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
-        self.jobs.note_begun(&task, BeginEvidence::Listed);
+        self.note_begun(now, &task, run, BeginEvidence::Listed);
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
         if let Some(life) = self.lives.get_mut(worker) {
             life.add_run(task.clone(), entry);
@@ -155,6 +157,21 @@
         }
     }
 
+    /// A worker has reported a run as begun. The store keeps that of a run that is on trial: the next leader may be the one
+    /// that hears of a crash.
+    pub(super) fn note_begun(
+        &mut self,
+        now: Instant,
+        task: &TaskName,
+        run: RunNumber,
+        evidence: BeginEvidence,
+    ) {
+        self.jobs.note_begun(task, evidence);
+        if self.jobs.confirm_run(task, run) {
+            self.commits.change(task.job.clone(), now, true);
+        }
+    }
+
     pub(super) fn apply(&mut self, now: Instant, id: &GraphId, effect: JobEffect) {
         let JobEffect { changed, urgent, stops, .. } = effect;
         if changed {
--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -26,20 +26,37 @@
 pub(crate) const BLURRED_LIMIT: usize = 3;
 /// The same where other workers went at the same moment: racks that go three times in a row leave it short of this.
 pub(crate) const COMMON_LIMIT: usize = 4;
-/// The same without two such crashes, where all workers were replaced: a start that is not answered may not have arrived, and
-/// a run may have ended unheard before its worker went.
+/// The same without two such crashes, where all workers were replaced: a run may have ended unheard before its worker went.
 const PROVEN_LIMIT: usize = 3;
-/// The same where some are only silent.
+/// The same where some workers are only silent, or some runs may never have begun.
 const UNSURE_LIMIT: usize = 4;
+/// Runs that have to have begun before a task is given up, whatever else is doubtful: a start that is not answered may not
+/// have arrived.
+const BEGUN_RUNS: usize = 2;
+/// Crashes, and silences that may be crashes, from which the next start is spread.
+const SPREAD_FROM: usize = 2;
 /// Longest pause before a suspected task is started again. Several that start at one moment crash their workers at one
 /// moment, which then looks like a rack that goes: four of them were started in step six times.
 const SPREAD: Duration = Duration::from_millis(800);
+/// Added to the pause from one more on, and doubled with each further one: doubtful starts alone do not end a job, and may
+/// cost a worker each.
+const BACKOFF: Duration = Duration::from_secs(1);
+/// Longest such addition.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(8);
+/// Doublings after which the longest is reached.
+const MOST_DOUBLINGS: usize = 3;
 
-/// Pause before a suspected task is started again, which differs from task to task.
-pub(crate) fn pause_after(task: &TaskName, run: RunNumber) -> Duration {
+/// Pause before a task is started again under which `doubts` workers have crashed or may have; it differs from task to task.
+pub(crate) fn pause_after(task: &TaskName, run: RunNumber, doubts: usize) -> Option<Duration> {
+    let beyond = doubts.checked_sub(SPREAD_FROM)?;
     let mut hasher = DefaultHasher::new();
     (task, run).hash(&mut hasher);
-    SPREAD * u32::try_from(hasher.finish() % 1_000).unwrap_or(0) / 1_000
+    let spread = SPREAD * u32::try_from(hasher.finish() % 1_000).unwrap_or(0) / 1_000;
+    let backoff = match beyond {
+        0 => Duration::ZERO,
+        more => (BACKOFF * (1 << (more - 1).min(MOST_DOUBLINGS))).min(LONGEST_BACKOFF),
+    };
+    Some(spread + backoff)
 }
 
 /// A run that may have crashed its worker, as the store keeps it: the next leader may be the one that hears of it.
@@ -64,6 +81,8 @@
     /// Whether it surely ran, and may well have been the cause: its worker had said that it has it, was not told to
     /// stop it, its lease had not run out, and no task of another job was started there after it.
     pub(crate) sure: bool,
+    /// Whether its worker had said that it has it.
+    pub(crate) begun: bool,
 }
 
 /// What is known of the crashes under a task.
@@ -71,8 +90,10 @@
 pub(crate) struct CrashCount {
     /// Those under runs that surely went on.
     pub(crate) sure: usize,
-    /// Those of workers that were surely replaced.
+    /// Those of workers that were surely replaced, under runs that had begun.
     pub(crate) proven: usize,
+    /// Those under runs that had begun, and silences that may be such crashes.
+    pub(crate) begun: usize,
     /// All, and silences that may be crashes.
     pub(crate) all: usize,
 }
@@ -82,7 +103,7 @@
     pub(crate) fn is_too_many(&self, limit: usize) -> bool {
         (self.sure >= SURE_CRASHES && self.all >= limit)
             || self.proven >= PROVEN_LIMIT.max(limit)
-            || self.all >= UNSURE_LIMIT.max(limit + 1)
+            || (self.begun >= BEGUN_RUNS && self.all >= UNSURE_LIMIT.max(limit + 1))
     }
 }
 
--- a/src/graph/crash_table.rs
+++ b/src/graph/crash_table.rs
@@ -80,7 +80,7 @@
         self.silent.retain(|_, life| now.saturating_duration_since(life.since) < PROOF_TIME);
         let life = self.silent.entry(worker);
         let life = life.or_insert(SilentLife { address, since: now, moment, suspects: Vec::new() });
-        life.suspects.push(CrashSuspect { task, run, sure: false });
+        life.suspects.push(CrashSuspect { task, run, sure: false, begun: false });
     }
 
     /// A worker that was silent answers: it has not crashed.
@@ -169,6 +169,6 @@
                 && later.since >= run.since + LIKELIER_AFTER
         };
         let sure = run.begun && !stopping && !life.runs.iter().any(started_after);
-        Self { task: task.clone(), run: run.run, sure }
+        Self { task: task.clone(), run: run.run, sure, begun: run.begun }
     }
 }
--- a/src/graph/jobs.rs
+++ b/src/graph/jobs.rs
@@ -12,7 +12,8 @@
 use crate::graph::crash::{BLURRED_LIMIT, RunTrial};
 use crate::graph::exchange::{EndKind, EndReport};
 use crate::graph::job::{GraphJob, GraphState, LiveRun};
-use crate::graph::jobs::crashes::{give_up_crashing, spread_start};
+use crate::graph::jobs::crashes::{delay_start, give_up_crashing};
+use crate::graph::life_finding::LostRun;
 use crate::graph::name::{GraphId, RunNumber, StepKey, TaskKey, TaskName};
 use crate::graph::progress::GraphVerdict;
 use crate::id::{UnixMillis, WorkerId};
@@ -139,17 +140,20 @@
         &mut self,
         now: Instant,
         unix: UnixMillis,
-        task: &TaskName,
-        run: RunNumber,
-        saved: &str,
+        lost: &LostRun,
         trial: Option<RunTrial>,
     ) -> JobEffect {
+        let LostRun { task, run, saved, begun, .. } = lost;
+        let (run, begun) = (*run, *begun);
         let mut effect = self.lost(task, run, saved);
         if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.over()) {
             if let Some(trial) = trial {
                 job.progress.note_trial(task.key, trial);
+                if begun {
+                    job.progress.confirm_run(task.key, run);
+                }
                 effect.changed = true;
-                spread_start(job, task, run, now);
+                delay_start(job, task, run, now);
                 give_up_crashing(job, task, BLURRED_LIMIT, unix, &mut effect);
             }
             let lasting = job.step(task.key.step).is_some_and(|step| step.lasting);
--- a/src/graph/life_finding.rs
+++ b/src/graph/life_finding.rs
@@ -22,7 +22,7 @@
     /// A run that may have gone on or ended when its worker's lease was over; on probation, it may have crashed it.
     GivenUp(WorkerId, LostRun, Option<RunTrial>),
     /// A run that was sent is there.
-    Confirmed(WorkerId, TaskName),
+    Confirmed(WorkerId, TaskName, RunNumber),
     /// The worker obeys a later leader.
     Deposed(WorkerId),
     /// The worker answered for the first time under this leader.
@@ -31,7 +31,7 @@
     Over(WorkerId, LifeEnd),
     /// A worker has crashed.
     Crashed(WorkerCrash),
-    /// A worker is silent: a run on probation there may have crashed it.
+    /// A worker is silent: a run on probation that had begun there may have crashed it.
     Doubted(TaskName, RunTrial),
     /// The worker of a run has outlived its start.
     Outlived(TaskName, RunNumber),
@@ -48,12 +48,14 @@
     pub(crate) saved: String,
     /// How long after the run's start its worker was last heard; zero where it was not.
     pub(crate) outlived: Duration,
+    /// Whether its worker had said that it has it.
+    pub(crate) begun: bool,
 }
 
 impl LostRun {
     pub(crate) fn new(task: TaskName, run: WorkerRun, answered: Option<Instant>) -> Self {
         let outlived =
             answered.map_or(Duration::ZERO, |at| at.saturating_duration_since(run.since));
-        Self { task, run: run.run, saved: run.saved, outlived }
+        Self { task, run: run.run, saved: run.saved, outlived, begun: run.begun }
     }
 }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -414,7 +414,7 @@
                     run.phase = RunPhase::Running { confirmed: clock };
                 }
                 if !std::mem::replace(&mut run.begun, true) {
-                    found.push(LifeFinding::Confirmed(id.clone(), report.task.clone()));
+                    found.push(LifeFinding::Confirmed(id.clone(), report.task.clone(), report.run));
                 }
                 if report.percent != run.percent {
                     run.percent = report.percent;
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -41,6 +41,9 @@
     pub crashes: BTreeMap<TaskKey, BTreeMap<RunNumber, bool>>,
     /// Runs of suspected tasks, and runs that were given up with a silent worker, that may have crashed it.
     pub trials: BTreeMap<TaskKey, Vec<RunTrial>>,
+    /// Runs among those of `crashes` and `trials` that their workers had reported as begun. A start that was not answered
+    /// may never have arrived.
+    pub confirmed: BTreeMap<TaskKey, BTreeSet<RunNumber>>,
     /// Last checkpoint of tasks that were stopped.
     pub saved: BTreeMap<TaskKey, String>,
     /// First run that counts of tasks that were begun again while it was not known what had become of an
@@ -73,12 +76,37 @@
 
     /// A worker has crashed with a run of a task; `sure`: the run surely went on until then.
     pub fn note_crash(&mut self, task: TaskKey, run: RunNumber, sure: bool) {
-        self.clear_trial(&task, run);
+        self.remove_trial(&task, run);
         *self.crashes.entry(task).or_default().entry(run).or_default() |= sure;
     }
 
+    /// A worker has reported a run as begun. Tells whether that is new of a run under which a worker has crashed, or may
+    /// have.
+    pub fn confirm_run(&mut self, task: TaskKey, run: RunNumber) -> bool {
+        let crashed = self.crashes.get(&task).is_some_and(|runs| runs.contains_key(&run));
+        let mut trials = self.trials.get(&task).into_iter().flatten();
+        let kept = crashed || trials.any(|trial| trial.run == run);
+        kept && self.confirmed.entry(task).or_default().insert(run)
+    }
+
+    /// Whether a run under which a worker has crashed, or may have, had surely begun.
+    pub(crate) fn is_confirmed(&self, task: &TaskKey, run: RunNumber) -> bool {
+        self.confirmed.get(task).is_some_and(|runs| runs.contains(&run))
+    }
+
     /// What became of a run of a task is known. Tells whether it had been doubted.
     pub fn clear_trial(&mut self, task: &TaskKey, run: RunNumber) -> bool {
+        let cleared = self.remove_trial(task, run);
+        if cleared && let Some(confirmed) = self.confirmed.get_mut(task) {
+            confirmed.remove(&run);
+            if confirmed.is_empty() {
+                self.confirmed.remove(task);
+            }
+        }
+        cleared
+    }
+
+    fn remove_trial(&mut self, task: &TaskKey, run: RunNumber) -> bool {
         let Some(trials) = self.trials.get_mut(task) else {
             return false;
         };
@@ -93,6 +121,7 @@
 
     /// A worker has outlived a run of a task: earlier crashes were not its fault. Tells whether there were any.
     pub fn clear_crashes(&mut self, task: &TaskKey) -> bool {
+        self.confirmed.remove(task);
         let trial = self.trials.remove(task).is_some();
         self.crashes.remove(task).is_some() || trial
     }
@@ -122,6 +151,7 @@
             || !self.done.is_empty()
             || !self.failures.is_empty()
             || !self.saved.is_empty()
+            || !self.confirmed.is_empty()
             || self.crashes.values().any(sure)
     }
 
@@ -139,6 +169,7 @@
             (!self.failures.is_empty(), "failures"),
             (!self.crashes.is_empty(), "crashes"),
             (!self.trials.is_empty(), "trials"),
+            (!self.confirmed.is_empty(), "confirmed"),
             (!self.saved.is_empty(), "saved"),
             (!self.floors.is_empty(), "floors"),
             (!self.domains.is_empty(), "domains"),
@@ -168,6 +199,8 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     trials: Vec<(u32, u32, u32, Vec<RunTrial>)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
+    confirmed: Vec<(u32, u32, u32, BTreeSet<RunNumber>)>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     saved: Vec<(u32, u32, u32, String)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     floors: Vec<(u32, u32, u32, RunNumber)>,
@@ -193,6 +226,7 @@
             failures: stored.failures.into_iter().map(runs).collect(),
             crashes: stored.crashes.into_iter().map(crashes).collect(),
             trials: stored.trials.into_iter().map(trials).collect(),
+            confirmed: stored.confirmed.into_iter().map(runs).collect(),
             saved: stored.saved.into_iter().map(saved).collect(),
             floors: stored.floors.into_iter().map(floor).collect(),
             domains: stored.domains,
@@ -232,6 +266,7 @@
             failures: progress.failures.into_iter().map(of_task).collect(),
             crashes: progress.crashes.into_iter().map(crashes).collect(),
             trials: progress.trials.into_iter().map(trials).collect(),
+            confirmed: progress.confirmed.into_iter().map(of_task).collect(),
             saved: progress.saved.into_iter().map(saved).collect(),
             floors: progress.floors.into_iter().map(floor).collect(),
             domains: progress.domains,
