A start that was carried out late is on probation from when it is listed

Cause: probation ran from the first send. A start that was sent three times without an answer, and carried out by the last, was listed for the first time after its probation: "a worker has outlived the start of a suspected task", 150 ms before the worker went, and its earlier crashes were forgotten. Change: probation begins anew when the worker says for the first time that it has the run. Test: a_start_that_was_carried_out_late_is_not_outlived_when_it_is_first_listed; before: state Running and 3 crashes in place of Failed and 2.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -152,7 +152,7 @@
         let failure = match result {
             Ok(clock) => {
                 entry.phase = RunPhase::Running { confirmed: clock };
-                entry.begun = true;
+                entry.confirm(now);
                 return;
             }
             Err(failure) => failure,
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -413,7 +413,7 @@
                 if let RunPhase::Sent { .. } = run.phase {
                     run.phase = RunPhase::Running { confirmed: clock };
                 }
-                if !std::mem::replace(&mut run.begun, true) {
+                if run.confirm(now) {
                     found.push(LifeFinding::Confirmed(id.clone(), report.task.clone(), report.run));
                 }
                 if report.percent != run.percent {
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 
+use crate::graph::crash::PROBATION;
 use crate::graph::exchange::WorkerListing;
 use crate::graph::health::{HealthRank, WorkerHealth};
 use crate::graph::job::GraphJob;
@@ -220,6 +221,18 @@
         Some((estimate * self.percent.saturating_sub(percent) / 100, time))
     }
 
+    /// Its worker has said that it has it; tells whether for the first time. Sent more than once, it may have begun long after
+    /// its first send, and its worker has outlived nothing by then.
+    pub(crate) fn confirm(&mut self, now: Instant) -> bool {
+        if std::mem::replace(&mut self.begun, true) {
+            return false;
+        }
+        if let Some(probation) = &mut self.probation {
+            *probation = now + PROBATION;
+        }
+        true
+    }
+
     /// When it will end, from the share that is done where enough is, or else from its estimate.
     pub fn expected_end(&self, estimate: Duration) -> Instant {
         let worked = self.moved.saturating_duration_since(self.since);
--- a/tests/graph/crashes.rs
+++ b/tests/graph/crashes.rs
@@ -227,3 +227,24 @@
     expect_that!(world.state("bad"), some(eq(GraphState::Failed)));
     expect_that!(world.checker.crashes(&task), eq(2));
 }
+
+// Three sends of a start were not answered, and the run was listed for the first time more than a second after the first of
+// them: that was read as a worker that has outlived its start, and its earlier crashes were forgotten.
+#[gtest]
+fn a_start_that_was_carried_out_late_is_not_outlived_when_it_is_first_listed() {
+    let mut world = world(50, 8);
+    submit_crashing(&mut world, "now", "bad", vec![step(1, 1, 60_000)]);
+    let task = "bad.0.0.0".parse().unwrap();
+    while world.checker.crashes(&task) < 1 {
+        world.run(Duration::from_millis(5));
+    }
+    let late = Duration::from_millis(1_200);
+    world.fates.starts.extend([Some(late), None, None, None]);
+    world.crashers.insert(task.clone(), Duration::from_millis(900));
+    while world.checker.crashes(&task) < 2 {
+        world.run(Duration::from_millis(5));
+    }
+    world.run(seconds(5));
+    expect_that!(world.state("bad"), some(eq(GraphState::Failed)));
+    expect_that!(world.checker.crashes(&task), eq(2));
+}
