A run whose lease may have ended did not surely go on until its worker crashed

A leader found run 65537 on w0-0, which was then cut off; its lease, given by the leader before, ended 1.5 s later and the run with it, and only then was the worker replaced. The leader reckons with the longest lease that there may have been, which says when nothing can go on any more, and took it for the time until which the run surely went on. Change: a run surely went on only while the worker's lease, by the last end of it that the worker has answered to, cannot have ended; else it is a begun run like one beside other starts.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -153,6 +153,8 @@
             Ok(clock) => {
                 entry.phase = RunPhase::Running { confirmed: clock };
                 entry.confirm(now);
+                let until = entry.until.filter(|_| tries == 1);
+                life.grant_lease(until);
                 return;
             }
             Err(failure) => failure,
--- a/src/graph/crash_table.rs
+++ b/src/graph/crash_table.rs
@@ -97,7 +97,7 @@
     ) -> WorkerCrash {
         let on_probation = life.runs.iter().filter(|(_, run)| run.probation.is_some());
         let mut suspects: Vec<CrashSuspect> =
-            on_probation.map(|(task, run)| CrashSuspect::new(task, run, life)).collect();
+            on_probation.map(|(task, run)| CrashSuspect::new(now, task, run, life)).collect();
         suspects.extend(self.silent.remove(life.id()).into_iter().flat_map(|life| life.suspects));
         let (worker, address) = (life.id().clone(), life.address());
         let moment = life.silent_since;
@@ -161,14 +161,15 @@
 
 impl CrashSuspect {
     /// A run on probation of a worker that has crashed.
-    fn new(task: &TaskName, run: &WorkerRun, life: &WorkerLife) -> Self {
+    fn new(now: Instant, task: &TaskName, run: &WorkerRun, life: &WorkerLife) -> Self {
         let stopping = matches!(run.phase, RunPhase::Stopping { .. });
         let started_after = |(other, later): (&TaskName, &WorkerRun)| {
             other.job != task.job
                 && later.probation.is_some()
                 && later.since >= run.since + LIKELIER_AFTER
         };
-        let sure = run.begun && !stopping && !life.runs.iter().any(started_after);
+        let went_on = run.begun && !stopping && life.lease_holds(now);
+        let sure = went_on && !life.runs.iter().any(started_after);
         Self { task: task.clone(), run: run.run, sure, begun: run.begun }
     }
 }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -183,6 +183,7 @@
                 true => life.extend_lease(now, WORKER_LEASE),
                 false => None,
             };
+            life.offered = until;
             let heard = life.durable == life.seen && life.withheld.is_none();
             let current = life.claimed && heard && life.misses == 0;
             let wait = match current {
@@ -221,6 +222,8 @@
         life.polling = None;
         let lost_one = life.misses == 1;
         life.note_answer(now, reply.clock);
+        let offered = life.offered.take();
+        life.grant_lease(offered);
         if !life.claimed {
             life.claimed = true;
             life.inherit_lease(self.longest_lease);
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -133,6 +133,10 @@
     pub snapshot: Duration,
     /// Latest end of its lease that was sent, on its clock.
     pub lease: Option<Duration>,
+    /// End of its lease that was sent with the poll that is not answered.
+    pub(crate) offered: Option<Duration>,
+    /// Latest end of its lease that it has answered to.
+    pub(crate) granted: Option<Duration>,
     /// Number of the last end that was taken in.
     pub seen: u64,
     /// Number of the last end that the store has.
@@ -256,6 +260,8 @@
             clock: None,
             snapshot: Duration::ZERO,
             lease: None,
+            offered: None,
+            granted: None,
             seen: 0,
             durable: 0,
             last_lapse: 0,
@@ -320,6 +326,19 @@
         Some(end)
     }
 
+    /// It has answered a call that extended its lease.
+    pub(crate) fn grant_lease(&mut self, end: Option<Duration>) {
+        self.granted = self.granted.max(end);
+    }
+
+    /// Whether its lease surely has not ended, so that what it had begun went on for as long as it lived.
+    pub(crate) fn lease_holds(&self, now: Instant) -> bool {
+        match (self.granted, self.clock) {
+            (Some(end), Some((clock, at))) => clock + now.saturating_duration_since(at) < end,
+            _ => false,
+        }
+    }
+
     /// Reckons with the longest lease that an earlier leader may have given.
     pub fn inherit_lease(&mut self, longest: Duration) {
         if let Some((clock, _)) = self.clock {
--- a/tests/graph/crashes.rs
+++ b/tests/graph/crashes.rs
@@ -248,3 +248,32 @@
     expect_that!(world.state("bad"), some(eq(GraphState::Failed)));
     expect_that!(world.checker.crashes(&task), eq(2));
 }
+
+// A worker was cut off from a run until its lease was over, and only then replaced; the next leader, which reckons with the
+// longest lease that the one before may have given, took the run for one that had surely gone on until the crash.
+#[gtest]
+fn a_run_whose_lease_may_have_ended_did_not_surely_go_on_until_its_worker_crashed() {
+    let mut world = world(51, 2);
+    world.submit("now", "a", vec![step(4, 1, 60_000)]);
+    world.run(Duration::from_millis(300));
+    let held = world.leader().unwrap().live_tasks().next().map(|(_, worker)| worker.clone());
+    let held = held.unwrap();
+    let epoch = world.store.epoch;
+    world.leaders.remove(&epoch);
+    world.run(seconds(3));
+    world.elect();
+    while !world.leader().unwrap().lives().get(&held).unwrap().claimed {
+        world.run(Duration::from_millis(5));
+    }
+    world.workers.get_mut(&held).unwrap().reached = false;
+    world.run(Duration::from_millis(2_500));
+    expect_true!(world.workers[&held].runs.is_empty(), "its lease goes on");
+    let number = held[1..2].parse().unwrap();
+    world.add_worker(number, 1);
+    world.run(seconds(1));
+    let counted = world.store.jobs["a"].1.crashes.values().flat_map(|runs| runs.values());
+    expect_that!(
+        counted.copied().collect::<Vec<bool>>(),
+        all![not(is_empty()), not(contains(eq(&true)))]
+    );
+}
