A term whose end was sent and not answered is in doubt

Cause: an unanswered change was taken for one that was refused. The entry's lease goes on and is renewed, so that the leader counted as current while its key stood no more. Withholding renewals alone would end a leader whose hand-over was not taken. Change: the state has a name. In doubt a leader is not borne out by renewals, tells what it has and neither denies nor counts what it does not have; where the change names nobody, the next leader takes this one for ended, so it starts nothing and extends no lease either. The change is sent again on the same condition as soon as the store answers renewals: either that one is carried out, or the store tells that the first was, and the late one cannot be any more. The same elsewhere: a key whose removal was not answered stood for as long as its entry lived, and nobody was elected; it is removed again. Elections were right: one that was not answered is begun only by what the store shows. Tests: the entry's, unchanged; a_hand_over_that_was_not_answered_is_sent_again_until_the_term_has_ended; a_key_whose_removal_was_not_answered_stands_for_good (without the change no second removal is sent); a_leader_without_authority_starts_nothing_and_extends_no_lease.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -244,6 +244,11 @@
         self.authority = self.authority.max(sent + self.bounds.blind);
     }
 
+    /// Another may lead by now that takes this one for ended: nothing is started, and no worker's lease extended.
+    pub fn revoke_authority(&mut self, now: Instant) {
+        self.authority = self.authority.min(now);
+    }
+
     /// The leader before has surely ended: it extends no lease any more.
     pub fn note_predecessor_ended(&mut self, now: Instant) {
         if !self.predecessor_ended {
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -34,6 +34,8 @@
     epoch: LeaderEpoch,
     /// Whether the lease that held the leader's key has ended.
     lapsed: bool,
+    /// Whether a change that ends its term was sent and not answered: the lease may stand and the leader's key not.
+    in_doubt: bool,
     input: RingSender<LeaderInput>,
     task: JoinHandle<()>,
 }
@@ -48,6 +50,8 @@
     Won(LeaderTerm),
     /// Its duty has ended by itself.
     BrokenOff,
+    /// Its term is over here, and its key still stands.
+    Abandoned,
 }
 
 /// Whom an entry that could stand lets go first.
@@ -118,7 +122,8 @@
     /// The lease in the store was renewed, or made, by a call sent then. A new lease says nothing of a leader that was
     /// elected under the one before: another may have been elected in between.
     pub(crate) fn note_renewal(&self, sent: Instant) {
-        if let Some(leadership) = self.leadership.as_ref().filter(|own| !own.lapsed) {
+        let sure = |own: &&Leadership| !own.lapsed && !own.in_doubt;
+        if let Some(leadership) = self.leadership.as_ref().filter(sure) {
             let _ = leadership.input.offer(LeaderInput::Renewed(sent));
         }
     }
@@ -130,6 +135,21 @@
         }
     }
 
+    /// Whether it is not known if its term has ended.
+    pub(crate) fn in_doubt(&self) -> bool {
+        self.leadership.as_ref().is_some_and(|leadership| leadership.in_doubt)
+    }
+
+    /// A change that ends its term was not answered, and may still be carried out. `expected` tells whether the next leader
+    /// reckons with this one going on; it does where it was named and has not been told otherwise.
+    pub(crate) fn doubt(&mut self, expected: bool) {
+        if let Some(leadership) = &mut self.leadership {
+            warn!(shard = &*self.shard, epoch = leadership.epoch, expected; "the term is in doubt");
+            leadership.in_doubt = true;
+            let _ = leadership.input.offer(LeaderInput::InDoubt { expected });
+        }
+    }
+
     /// What the store says of this process; `registered` tells whether it has a lease there.
     pub(crate) fn standing(&self, view: &MemberView, registered: bool) -> Standing {
         let led = view.shard(&self.shard);
@@ -152,6 +172,11 @@
                 let (epoch, epoch_revision) = (leader.epoch, led.epoch_revision);
                 Standing::Won(LeaderTerm { epoch, epoch_revision, predecessor })
             }
+            (None, Some(leader))
+                if leader.epoch == led.epoch && leader.epoch <= self.last_epoch =>
+            {
+                Standing::Abandoned
+            }
             (Some(own), _) if own.task.is_finished() => Standing::BrokenOff,
             _ => Standing::Unchanged,
         }
@@ -205,6 +230,7 @@
         {
             leadership.epoch = epoch;
             leadership.lapsed = false;
+            leadership.in_doubt = false;
             let _ = leadership.input.offer(LeaderInput::Epoch(epoch, term.epoch_revision));
             let _ = leadership.input.offer(renewal);
             return;
@@ -216,7 +242,7 @@
         let shard = self.shard.clone();
         let duty = LeaderDuty::new(self.shared.clone(), shard, term, input.clone(), receiver);
         let task = tokio::spawn(duty.run());
-        self.leadership = Some(Leadership { epoch, lapsed: false, input, task });
+        self.leadership = Some(Leadership { epoch, lapsed: false, in_doubt: false, input, task });
     }
 
     /// Ends leadership, if there is one.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -78,8 +78,12 @@
                 return;
             }
             if next_renewal <= Instant::now() {
+                let begun = Instant::now();
                 let pause = self.renew().await;
                 next_renewal = Instant::now() + pause;
+                if self.renewed.is_some_and(|renewed| renewed >= begun) {
+                    self.settle_doubts().await;
+                }
             }
             // Nobody leads before the division is known.
             if members.borrow().plan.is_some() {
@@ -136,11 +140,16 @@
         self.lateness.forget();
         // Ended without the store knowing of it, the shard would be without a leader for as long as this entry lives.
         if self.hand_over().await {
-            self.rests_until = Some(Instant::now() + SLOW_REST);
-            self.shared.succession.set_lease(None);
+            self.rest();
         }
     }
 
+    /// Leaves leading to others for a while.
+    fn rest(&mut self) {
+        self.rests_until = Some(Instant::now() + SLOW_REST);
+        self.shared.succession.set_lease(None);
+    }
+
     /// Whether a machine with twice the processor leads nothing: with more to do than this one can, it goes first.
     fn is_weaker(&self) -> bool {
         self.shared.members.borrow().has_stronger(&self.shared.settings.name)
@@ -225,6 +234,9 @@
                 self.candidacy(shard).end().await;
                 self.release(shard, view).await;
             }
+            // Left standing after a try without an answer, the key would keep the shard without a leader for as long as
+            // this entry lives.
+            Standing::Abandoned => self.release(shard, view).await,
         }
     }
 
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -7,7 +7,7 @@
 use crate::id::EntryId;
 use crate::node::election::{DUTY, ElectionDuty, RETRY_PAUSE, encode};
 use crate::node::keys::{
-    KeyItem, KeySet, KeyTransaction, TransactionOutcome, epoch_key, leader_key,
+    KeyItem, KeySet, KeyTransaction, StoreError, TransactionOutcome, epoch_key, leader_key,
 };
 use crate::node::records::{EpochRecord, LeaderRecord, LeaderTerm};
 use crate::node::succession::SuccessorOffer;
@@ -32,6 +32,18 @@
         all
     }
 
+    /// Sends changes again that end a term and were not answered. On the same condition as before, either this one is carried
+    /// out or the store tells that the one before was, which cannot be any more afterwards.
+    pub(super) async fn settle_doubts(&mut self) {
+        let doubted = self.candidacies.iter().filter(|(_, own)| own.in_doubt());
+        let shards: Vec<ShardId> = doubted.map(|(shard, _)| shard.clone()).collect();
+        for shard in shards {
+            if self.pass_on(&shard).await {
+                self.rest();
+            }
+        }
+    }
+
     /// Names the next leader of a shard in the store, goes on until the store has that, and tells it: an election in its
     /// place leaves the shard without a leader for several calls to the store, or until a store that is down is back.
     async fn pass_on(&mut self, shard: &ShardId) -> bool {
@@ -81,6 +93,9 @@
             Ok(TransactionOutcome::NoLease) => false,
             Err(error) => {
                 warn!(error:% = error; "leadership was not handed over");
+                if let StoreError::Unknown(_) = error {
+                    self.candidacy(shard).doubt(offer.is_some());
+                }
                 false
             }
         }
--- a/src/node/election/lease_tests.rs
+++ b/src/node/election/lease_tests.rs
@@ -10,6 +10,7 @@
 
 use crate::graph::{GraphId, QueueConfig, RequestLimits, ShardId, ShardPlan};
 use crate::node::election::ElectionDuty;
+use crate::node::input::LeaderInput;
 use crate::node::message::{LeaderAnswer, LeaderCall};
 use crate::node::own_leader::ask_here;
 use crate::node::records::{LeaderRecord, LeaderTerm};
@@ -143,3 +144,50 @@
     duty.follow(&whole(), &view).await;
     expect_true!(duty.may_stand(&whole(), &view));
 }
+
+// The change is sent again on the same condition once the store answers, which settles the term either way.
+#[gtest]
+#[tokio::test]
+async fn a_hand_over_that_was_not_answered_is_sent_again_until_the_term_has_ended() {
+    let (store, address) = EmptyStore::start().await;
+    let (shared, mut duty) = registered(address).await;
+    let view = shared.members.borrow().clone();
+    duty.stand(&whole(), &view).await;
+    store.loses_answers.store(true, Ordering::Relaxed);
+    assert!(!duty.hand_over().await);
+    duty.settle_doubts().await;
+    expect_true!(duty.candidacy(&whole()).in_doubt());
+    store.loses_answers.store(false, Ordering::Relaxed);
+    duty.settle_doubts().await;
+    expect_false!(duty.candidacy(&whole()).leads());
+    expect_false!(duty.candidacy(&whole()).in_doubt());
+}
+
+// A leader's duty has ended by itself, and the change that removes its key is not answered: the key stands with the entry's
+// lease, and nobody stands for as long as the entry lives.
+#[gtest]
+#[tokio::test]
+async fn a_key_whose_removal_was_not_answered_stands_for_good() {
+    let (store, address) = EmptyStore::start().await;
+    let (shared, mut duty) = registered(address).await;
+    let view = shared.members.borrow().clone();
+    duty.stand(&whole(), &view).await;
+    told_of_unknown(&shared).await;
+    let leader = shared.leading(&whole()).unwrap();
+    leader.send(LeaderInput::Resign).await;
+    let ended = async {
+        while shared.leading(&whole()).is_some() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(timeout(PATIENCE, ended).await.is_ok(), "it leads on");
+    sleep(Duration::from_millis(20)).await;
+    store.loses_answers.store(true, Ordering::Relaxed);
+    let view = shared.members.borrow().clone();
+    duty.follow(&whole(), &view).await;
+    assert_eq!(store.lost.load(Ordering::Relaxed), 1);
+    store.loses_answers.store(false, Ordering::Relaxed);
+    let before = store.changes.load(Ordering::Relaxed);
+    duty.follow(&whole(), &view).await;
+    expect_that!(store.changes.load(Ordering::Relaxed), eq(before + 1));
+}
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -33,6 +33,11 @@
     Stored(GroupNumber, GroupOutcome),
     /// The lease in the store was renewed by a call sent then.
     Renewed(Instant),
+    /// A change that ends this leader's term was not answered; `expected` tells whether the next leader reckons with this one
+    /// going on.
+    InDoubt {
+        expected: bool,
+    },
     /// This leader goes on under a later epoch.
     Epoch(LeaderEpoch, u64),
     /// State for people to read.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -50,6 +50,8 @@
     callers: BTreeMap<CallId, oneshot::Sender<LeaderAnswer>>,
     states: StateDesk,
     last_call: CallId,
+    /// Whether it is not known if the term has ended: what this leader does not have may have been accepted by the next.
+    in_doubt: bool,
 }
 
 impl LeaderDuty {
@@ -75,6 +77,7 @@
             callers,
             states,
             last_call: 0,
+            in_doubt: false,
         }
     }
 
@@ -165,7 +168,8 @@
             for action in controller.take_actions() {
                 self.carry_out(&carrier, action);
             }
-            self.states.answer(begun, |job| state_news(controller, begun, job));
+            let surely = self.holds(AnswerBasis::Absence, controller, begun);
+            self.states.answer(begun, |job| state_news(controller, surely, job));
             if controller.deposed() {
                 warn!(epoch = self.epoch; "a worker has seen a later leader: leadership ends");
                 return;
@@ -232,8 +236,15 @@
             }
             LeaderInput::Stored(_, GroupOutcome::Deposed) => return true,
             LeaderInput::Renewed(sent) => controller.note_authority(sent),
+            LeaderInput::InDoubt { expected } => {
+                self.in_doubt = true;
+                if !expected {
+                    controller.revoke_authority(now);
+                }
+            }
             LeaderInput::Epoch(epoch, revision) => {
                 self.epoch = epoch;
+                self.in_doubt = false;
                 self.ledger.renew(epoch, revision);
                 carrier.set_epoch(epoch);
                 controller.renewed(epoch);
@@ -246,6 +257,11 @@
         false
     }
 
+    /// Whether an answer may be given on a basis.
+    fn holds(&self, basis: AnswerBasis, controller: &GraphController, now: Instant) -> bool {
+        !self.in_doubt && basis.holds(controller.lease_age(now))
+    }
+
     fn call(
         &mut self,
         controller: &mut GraphController,
@@ -258,13 +274,14 @@
         let lease_age = controller.lease_age(now);
         match call {
             LeaderCall::State(job) => {
-                let news = state_news(controller, now, &job);
+                let surely = self.holds(AnswerBasis::Absence, controller, now);
+                let news = state_news(controller, surely, &job);
                 self.states.ask(now, job, news, answer);
             }
             LeaderCall::Reach => {
                 let _ = answer.send(LeaderAnswer::Leading);
             }
-            LeaderCall::Pending(_) if !AnswerBasis::Count.holds(lease_age) => {
+            LeaderCall::Pending(_) if !self.holds(AnswerBasis::Count, controller, now) => {
                 let _ = answer.send(LeaderAnswer::NotLeading);
             }
             LeaderCall::Pending(queue) => {
@@ -284,7 +301,7 @@
             }
             LeaderCall::Cancel(job)
                 if own_job(controller, &job).is_none()
-                    && !AnswerBasis::Absence.holds(lease_age) =>
+                    && !self.holds(AnswerBasis::Absence, controller, now) =>
             {
                 let _ = answer.send(LeaderAnswer::NotLeading);
             }
@@ -347,12 +364,12 @@
     })
 }
 
-/// What may be told of a job.
-fn state_news(controller: &GraphController, now: Instant, id: &GraphId) -> StateNews {
+/// What may be told of a job; `surely` tells whether one that this leader does not have is surely gone.
+fn state_news(controller: &GraphController, surely: bool, id: &GraphId) -> StateNews {
     match own_job(controller, id).filter(|job| job.durable) {
         Some(job) if job.over() && job.shown.is_none() => StateNews::Ending(job.state()),
         Some(job) => StateNews::Final(job.state()),
-        None if AnswerBasis::Absence.holds(controller.lease_age(now)) => StateNews::Gone,
+        None if surely => StateNews::Gone,
         None => StateNews::Unsure,
     }
 }
--- a/tests/graph/takeover.rs
+++ b/tests/graph/takeover.rs
@@ -355,3 +355,23 @@
     take_over(&mut world);
     world.run(seconds(3));
 }
+
+// A change that ends the term was not answered, and the next leader may take this one for ended: the other task, for which
+// there is room within the time for which the leader may go on without the store, is not started.
+#[gtest]
+fn a_leader_without_authority_starts_nothing_and_extends_no_lease() {
+    let mut world = claimed(95, 1);
+    world.submit("now", "a", vec![step(1, 8, 500)]);
+    world.submit("now", "b", vec![step(1, 8, 500)]);
+    world.run(Duration::from_millis(300));
+    expect_that!(world.begun_runs, eq(1));
+    world.store.up = false;
+    let now = world.now;
+    world.leader().unwrap().revoke_authority(now);
+    world.run(Duration::from_millis(20));
+    let before = world.workers["w0-0"].lease;
+    world.run(seconds(3));
+    expect_that!(runs_of(&world, "a"), eq(0));
+    expect_that!(world.begun_runs, eq(1));
+    expect_that!(world.workers["w0-0"].lease, eq(before));
+}
