A run that may have ended unheard did not surely go on until its worker crashed

Cause: a run of some hundred milliseconds began on a worker that was cut off, ended there unheard, and the worker was replaced while its lease still stood. The run was taken for one that surely went on until then. Change: it surely went on only where it cannot have ended by itself either: until the time that its caller declares is over, or until nothing listens at the worker's address any more, which tells a process that has gone from one that is only silent.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -172,7 +172,9 @@
                 }
                 return;
             }
-            CallFailure::NotSent | CallFailure::NothingThere => {
+            CallFailure::NotSent => life.shunned_until = Some(now + SHUN_SILENT),
+            CallFailure::NothingThere => {
+                life.note_refused(now);
                 life.shunned_until = Some(now + SHUN_SILENT);
             }
             CallFailure::Refused(WorkerRefusal::Unwell) => {
--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -78,8 +78,8 @@
     pub(crate) task: TaskName,
     /// Number of the start.
     pub(crate) run: RunNumber,
-    /// Whether it surely ran, and may well have been the cause: its worker had said that it has it, was not told to
-    /// stop it, its lease had not run out, and no task of another job was started there after it.
+    /// Whether it surely ran, and may well have been the cause: its worker had said that it has it and was not told to
+    /// stop it, it cannot have ended unheard, and no task of another job was started there after it.
     pub(crate) sure: bool,
     /// Whether its worker had said that it has it.
     pub(crate) begun: bool,
--- a/src/graph/crash_table.rs
+++ b/src/graph/crash_table.rs
@@ -168,8 +168,8 @@
                 && later.probation.is_some()
                 && later.since >= run.since + LIKELIER_AFTER
         };
-        let went_on = run.begun && !stopping && life.lease_holds(now);
-        let sure = went_on && !life.runs.iter().any(started_after);
+        let went_on = life.surely_went_on(run, now);
+        let sure = went_on && !stopping && !life.runs.iter().any(started_after);
         Self { task: task.clone(), run: run.run, sure, begun: run.begun }
     }
 }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -297,6 +297,9 @@
         life.polling = None;
         life.note_silence(now);
         life.next_poll = now + miss_pause(life.misses);
+        if let CallFailure::NothingThere = failure {
+            life.note_refused(now);
+        }
         match failure {
             CallFailure::Refused(WorkerRefusal::OtherLife) => self.replaced(now, id),
             CallFailure::Refused(WorkerRefusal::Deposed) => {
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -72,7 +72,9 @@
     pub phase: RunPhase,
     /// When it was started or first seen.
     pub since: Instant,
-    /// Run time that its caller declares, where its progress tells the worker's speed.
+    /// Run time that its caller declares; `None` where it ends only when it is stopped.
+    pub(crate) length: Option<Duration>,
+    /// The same, where its progress tells the worker's speed.
     pub estimate: Option<Duration>,
     /// Share done in percent, and when it was measured for the worker's speed.
     pub measured: (u32, Instant),
@@ -155,6 +157,8 @@
     pub misses: u32,
     /// When the first of them was found to have none.
     pub silent_since: Option<Instant>,
+    /// Since when nothing listens at its address: its process has gone, where one that is only silent may be cut off.
+    pub(crate) refused_since: Option<Instant>,
     /// Not used for new work until then.
     pub shunned_until: Option<Instant>,
     /// What became of the work it was given.
@@ -182,6 +186,7 @@
             sized: step.is_some(),
             phase,
             since: now,
+            length: step.filter(|step| !step.lasting).map(|step| step.estimate),
             estimate: step.filter(|step| tells_speed(step)).map(|step| step.estimate),
             measured: (0, now),
             percent: 0,
@@ -271,6 +276,7 @@
             answered: None,
             misses: 0,
             silent_since: None,
+            refused_since: None,
             shunned_until: None,
             health: WorkerHealth::default(),
             runs: BTreeMap::new(),
@@ -299,6 +305,7 @@
         self.answered = Some(now);
         self.misses = 0;
         self.silent_since = None;
+        self.refused_since = None;
         let known = self.clock.is_none_or(|(known, _)| clock >= known);
         if known {
             self.clock = Some((clock, now));
@@ -331,12 +338,21 @@
         self.granted = self.granted.max(end);
     }
 
-    /// Whether its lease surely has not ended, so that what it had begun went on for as long as it lived.
-    pub(crate) fn lease_holds(&self, now: Instant) -> bool {
-        match (self.granted, self.clock) {
-            (Some(end), Some((clock, at))) => clock + now.saturating_duration_since(at) < end,
+    /// Nothing listens at its address.
+    pub(crate) fn note_refused(&mut self, now: Instant) {
+        self.refused_since.get_or_insert(now);
+    }
+
+    /// Whether a run that had begun surely went on until its process was gone, as was noticed by `now`: it cannot have ended
+    /// unheard before, by itself or with the worker's lease.
+    pub(crate) fn surely_went_on(&self, run: &WorkerRun, now: Instant) -> bool {
+        let gone = self.refused_since.unwrap_or(now);
+        let leased = match (self.granted, self.clock) {
+            (Some(end), Some((clock, at))) => clock + gone.saturating_duration_since(at) < end,
             _ => false,
-        }
+        };
+        let unfinished = run.length.is_none_or(|length| gone < run.since + length);
+        run.begun && leased && unfinished
     }
 
     /// Reckons with the longest lease that an earlier leader may have given.
--- a/tests/graph/crashes.rs
+++ b/tests/graph/crashes.rs
@@ -277,3 +277,26 @@
         all![not(is_empty()), not(contains(eq(&true)))]
     );
 }
+
+// A worker was cut off from a run, which ended unheard, and only then replaced: the run was taken for one under which the
+// worker had crashed.
+#[gtest]
+fn a_run_that_may_have_ended_unheard_did_not_surely_go_on_until_its_worker_crashed() {
+    let mut world = world(54, 2);
+    world.submit("now", "a", vec![step(4, 1, 300)]);
+    world.run(Duration::from_millis(200));
+    let held = world.leader().unwrap().live_tasks().next().map(|(_, worker)| worker.clone());
+    let held = held.unwrap();
+    world.workers.get_mut(&held).unwrap().reached = false;
+    world.run(seconds(1));
+    expect_true!(world.workers[&held].runs.is_empty(), "its runs go on");
+    let number = held[1..2].parse().unwrap();
+    world.add_worker(number, 1);
+    while world.leader().unwrap().lives().get(&held).is_some() {
+        world.run(Duration::from_millis(5));
+    }
+    world.run(Duration::from_millis(50));
+    let counted = world.store.jobs["a"].1.crashes.values().flat_map(|runs| runs.values());
+    let counted: Vec<bool> = counted.copied().collect();
+    expect_that!(counted, all![not(is_empty()), not(contains(eq(&true)))]);
+}
