A watch that is behind does not bring back an earlier leader

Cause: an entry may know of a later leader by another entry's word, or of its own election by its answer, before its watch has come to the changes before. Each of these then put the earlier leader, the earlier count of elections or no leader in place of what was known, and calls went there until the watch had caught up. Change: of two leaders the later epoch stands, of two counts the later revision; a key that goes is not that of a leader whose election the watch has not come to. An entry that has handed over without a successor knows at once that nobody leads. Tests: three in members_tests; two of them fail without the change, the third keeps a leader from standing for good.

--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -75,9 +75,12 @@
         match result {
             Ok(TransactionOutcome::Done(epoch_revision)) => {
                 self.candidacy(shard).end().await;
-                if let Some(offer) = offer {
-                    let term = LeaderTerm { epoch: epoch + 1, epoch_revision, predecessor };
-                    self.give(shard, &offer, &term).await;
+                match offer {
+                    Some(offer) => {
+                        let term = LeaderTerm { epoch: epoch + 1, epoch_revision, predecessor };
+                        self.give(shard, &offer, &term).await;
+                    }
+                    None => self.note_vacant(shard, epoch_revision),
                 }
                 true
             }
@@ -101,6 +104,14 @@
         }
     }
 
+    /// The store has that nobody leads a shard, which the watch tells later.
+    fn note_vacant(&self, shard: &ShardId, epoch_revision: u64) {
+        self.shared.members.send_modify(|view| {
+            let led = view.shards.entry(shard.clone()).or_default();
+            (led.leader, led.epoch_revision) = (None, epoch_revision);
+        });
+    }
+
     /// The best entry that can lead a shard next.
     async fn successor(
         &self,
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -118,13 +118,16 @@
     if key == PLAN_KEY {
         view.plan = decode(item).map(Arc::new).or(view.plan.take());
     } else if let Some(shard) = shard_of_leader(key) {
-        view.shards.entry(shard).or_default().leader = decode(item);
+        let record = decode(item);
+        view.shards.entry(shard).or_default().take_leader(record);
     } else if let Some(shard) = shard_of_epoch(key) {
         let record = decode(item).unwrap_or_else(|| unreadable_epoch(item));
         let led = view.shards.entry(shard).or_default();
-        led.epoch = record.epoch;
-        led.holder = record.holder;
-        led.epoch_revision = item.revision;
+        if item.revision >= led.epoch_revision {
+            led.epoch = record.epoch;
+            led.holder = record.holder;
+            led.epoch_revision = item.revision;
+        }
         view.best = view.best.max(record.best);
     } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX)
         && let Some(entry) = decode::<EntryRecord>(item)
@@ -140,12 +143,12 @@
     EpochRecord { epoch: item.revision, holder: Some(unknown_leader()), best: 0.0 }
 }
 
-fn removed(view: &mut MemberView, key: &str) {
+pub(super) fn removed(view: &mut MemberView, key: &str) {
     if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
         view.entries.remove(name);
     }
     if let Some(led) = shard_of_leader(key).and_then(|shard| view.shards.get_mut(&shard)) {
-        led.leader = None;
+        led.forget_leader();
     }
 }
 
--- a/src/node/members_tests.rs
+++ b/src/node/members_tests.rs
@@ -4,13 +4,19 @@
 use std::sync::Arc;
 
 use googletest::prelude::*;
+use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::node::members::MemberDuty;
+use crate::graph::{LeaderEpoch, ShardId};
+use crate::id::EntryId;
+use crate::node::keys::{KeyItem, epoch_key, leader_key};
+use crate::node::members::{MemberDuty, removed, written};
+use crate::node::records::{EpochRecord, LeaderRecord};
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 use crate::node::tests::{divided, entry, settings};
+use crate::node::view::MemberView;
 
 /// A page that an entry is on, and after which there is another.
 const FIRST_PAGE: &str = r#"{"items": [{"key": "m/entry/e1", "value": "", "revision": 1}], "has_more": true, "as_of": 7}"#;
@@ -77,3 +83,56 @@
     shared.members.send_modify(|view| view.plan = None);
     expect_false!(shared.ready());
 }
+
+/// A key of an undivided deployment's leader, or of its count of elections.
+fn item<T: Serialize>(key: String, value: &T, revision: u64) -> KeyItem {
+    KeyItem { key, value: serde_json::to_vec(value).unwrap().into(), revision }
+}
+
+fn leader_of(epoch: LeaderEpoch) -> LeaderRecord {
+    let address = "127.0.0.1:1".parse().unwrap();
+    LeaderRecord { entry: EntryId::from("e1"), address, start: epoch, epoch }
+}
+
+/// Members of whom another entry has told the leader of epoch 3, while the watch has come to epoch 1.
+fn told_of_third() -> MemberView {
+    let mut view = MemberView::default();
+    let led = view.shards.entry(ShardId::from("")).or_default();
+    (led.epoch, led.epoch_revision, led.leader) = (1, 5, Some(leader_of(3)));
+    view
+}
+
+// A watch that is behind what other entries have told brought back the leader before, and calls went to it.
+#[gtest]
+fn a_late_change_does_not_bring_back_an_earlier_leader() {
+    let whole = ShardId::from("");
+    let mut view = told_of_third();
+    written(&mut view, &item(leader_key(&whole), &leader_of(2), 8));
+    expect_that!(view.leader(&whole), some(eq(&leader_of(3))));
+    removed(&mut view, &leader_key(&whole));
+    expect_that!(view.leader(&whole), some(eq(&leader_of(3))));
+}
+
+#[gtest]
+fn a_leader_is_gone_once_the_watch_has_come_to_its_election_and_its_end() {
+    let whole = ShardId::from("");
+    let mut view = told_of_third();
+    let elected = EpochRecord { epoch: 3, ..EpochRecord::default() };
+    written(&mut view, &item(epoch_key(&whole), &elected, 9));
+    written(&mut view, &item(leader_key(&whole), &leader_of(3), 9));
+    removed(&mut view, &leader_key(&whole));
+    expect_that!(view.leader(&whole), none());
+}
+
+// An entry knows its own election by the answer to it, before the watch tells of the ones before.
+#[gtest]
+fn a_late_change_does_not_bring_back_an_earlier_count_of_elections() {
+    let whole = ShardId::from("");
+    let mut view = told_of_third();
+    let led = view.shards.entry(whole.clone()).or_default();
+    (led.epoch, led.epoch_revision) = (3, 9);
+    let before = EpochRecord { epoch: 2, ..EpochRecord::default() };
+    written(&mut view, &item(epoch_key(&whole), &before, 8));
+    expect_that!(view.shard(&whole).epoch, eq(3));
+    expect_that!(view.shard(&whole).epoch_revision, eq(9));
+}
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -23,6 +23,27 @@
     pub(crate) holder: Option<(EntryId, u64)>,
 }
 
+impl ShardView {
+    /// Takes in the leader as a change in the store names it. Entries may have told of a later one, which the watch has not
+    /// come to yet.
+    pub(crate) fn take_leader(&mut self, record: Option<LeaderRecord>) {
+        let stale = match (&record, &self.leader) {
+            (Some(record), Some(known)) => record.epoch < known.epoch,
+            _ => false,
+        };
+        if !stale {
+            self.leader = record;
+        }
+    }
+
+    /// The key of a leader has gone from the store: not that of one whose election the watch has not come to yet.
+    pub(crate) fn forget_leader(&mut self) {
+        if self.leader.as_ref().is_some_and(|leader| leader.epoch <= self.epoch) {
+            self.leader = None;
+        }
+    }
+}
+
 /// Who takes part.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct MemberView {
