A run after one that was heard is voided with the others

Cause: once nothing from before its time can run any more, a leader voids the runs of tasks that it has heard nothing of. Here it had heard that run 131073 had failed, and so took the task for known; run 131074, of the same earlier leader, had succeeded on a worker that was cut off. The leader began the task again without a first run that counts, and the one after it acknowledged the end of 131074. Ruled out: the announcement; the task was not suspected. Change: what is not done and does not run is not known, whatever was heard of earlier runs.

--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -238,8 +238,9 @@
             .collect()
     }
 
-    /// Tasks that may have been begun by an earlier leader and that this one has heard nothing of. Tasks whose
-    /// turn had not come in what is stored may have been begun as well: the last progress may be lost.
+    /// Tasks that may have been begun by an earlier leader without this one knowing what became of it. Tasks whose
+    /// turn had not come in what is stored may have been begun as well: the last progress may be lost. So may those of which
+    /// an earlier run has ended, again after it.
     pub(crate) fn unseen_tasks(&self) -> Vec<TaskKey> {
         let mut unseen = Vec::new();
         for occurrence in 0..self.spec.occurrences() {
@@ -248,9 +249,11 @@
             {
                 let key = StepKey { occurrence, step: u32::try_from(index).unwrap_or(u32::MAX) };
                 let tasks = (0..step.count).map(|index| TaskKey { step: key, index });
-                unseen.extend(tasks.filter(|task| {
-                    !self.progress.is_done(task) && !self.last_run.contains_key(task)
-                }));
+                unseen.extend(
+                    tasks.filter(|task| {
+                        !self.progress.is_done(task) && !self.live.contains_key(task)
+                    }),
+                );
             }
         }
         unseen
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -334,6 +334,13 @@
     run(12_000_050);
 }
 
+// The same where the leader had heard the end of a run before that one: it took the task for known, and did not void the run
+// that the worker it had not heard had ended.
+#[gtest]
+fn seed_7400752_notes_no_end_of_a_task_an_earlier_run_of_which_was_heard() {
+    run(7_400_752);
+}
+
 // Two starts that never arrived, at workers that went for other reasons, counted as crashes: after the first true one the
 // job was given up.
 #[gtest]
