The process tests wait for a port that was just found free

Cause, suspected by reading: ports are probed by binding and let go; a process that a parallel test starts in between has a copy of the probing socket until it runs its program. Nothing of the product is concerned. No check of the test changes.

--- a/tests/process.rs
+++ b/tests/process.rs
@@ -37,6 +37,19 @@
     body: Bytes,
 }
 
+/// Starts the stand-in. A process that another test starts at this moment holds the sockets of this one, and so the port that
+/// was just found free, until it runs its program.
+async fn start_stand_in(settings: &StandInSettings) -> StandInServer {
+    for _ in 0..50 {
+        match StandInServer::start(settings) {
+            Ok(server) => return server,
+            Err(error) => eprintln!("the stand-in does not start: {error:#}"),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    StandInServer::start(settings).unwrap()
+}
+
 impl Cluster {
     /// Entries of one failure domain, two workers and four upstreams.
     async fn start(name: &str, entries: usize) -> Self {
@@ -60,7 +73,7 @@
             let role = VmRole::Upstream { service: "ws/svc".into(), slots: 8 };
             machines.push(machine(format!("u{number}"), next(), role));
         }
-        let stand_in = StandInServer::start(&StandInSettings { store, vms, machines }).unwrap();
+        let stand_in = start_stand_in(&StandInSettings { store, vms, machines }).await;
         let ports: Vec<[SocketAddr; 3]> = (0..entries).map(|_| [next(), next(), next()]).collect();
         let mut children = Vec::new();
         for (number, [callers, operators, peers]) in ports.iter().enumerate() {
