The start of a worker's life is decoded and logged; lists and ends that are passed over are counted

Cause: the record of the incident cannot tell whether ends or lists of a restarted worker were dropped, and no line names a life. Ruled out: reading it from runs that count as lost, which have other causes as well. Change: born is decoded in registrations and lists (a whole number where it is there, else the entry or answer is unreadable); 'worker claimed' bears it; an end whose number skips others and a list that is older than one before are logged once and counted. No decision changes.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -487,6 +487,7 @@
 fn unregistered(used: &UsedWorker) -> WorkerListing {
     WorkerListing {
         id: used.id.clone(),
+        born: None,
         address: used.address,
         service: ServiceId::from(""),
         domain: used.domain.clone(),
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -62,7 +62,8 @@
                     self.deposed = true;
                 }
                 LifeFinding::Claimed(worker) => {
-                    info!(worker = &*worker, epoch = self.epoch; "worker claimed");
+                    let born = self.lives.get(&worker).and_then(|life| life.listing.born);
+                    info!(worker = &*worker, born, epoch = self.epoch; "worker claimed");
                     self.unheard.remove(&worker);
                     self.commits.note_workers(now, true);
                 }
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -7,17 +7,23 @@
 use serde::{Deserialize, Serialize};
 
 use crate::graph::name::{MachineId, RunNumber, TaskName};
-use crate::id::{DomainId, RackId, ServiceId, WorkerId};
+use crate::id::{DomainId, RackId, ServiceId, UnixMillis, WorkerId};
 use crate::resources::ResourceVector;
 
+/// When a life of a worker began, by its time of day. Only tells the lives of a worker apart; `None` where the worker does
+/// not say it.
+pub type LifeStart = Option<UnixMillis>;
+
 /// Allows a step on one worker.
 pub type TicketText = Arc<str>;
 
 /// A worker as it registers itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerListing {
-    /// Name of this life of the worker; another start has another.
+    /// Its name, which it may keep when it starts again.
     pub id: WorkerId,
+    /// Start of the life that registered, where it says so.
+    pub born: LifeStart,
     /// Where it answers.
     pub address: SocketAddr,
     /// Service that it belongs to.
@@ -40,7 +46,7 @@
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 #[derive(Deserialize, Serialize)]
 pub struct UsedWorker {
-    /// Name of this life of the worker.
+    /// Its name.
     pub id: WorkerId,
     /// Where it answers.
     pub address: SocketAddr,
@@ -103,6 +109,8 @@
 /// A worker's answer to a poll.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PollReply {
+    /// Start of the life that answers.
+    pub born: LifeStart,
     /// The worker's steady clock.
     pub clock: Duration,
     /// All that runs.
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use log::warn;
 use tokio::time::Instant;
 
 use crate::graph::crash::RunTrial;
@@ -239,6 +240,14 @@
         let Some(life) = self.lives.get_mut(id) else {
             return found;
         };
+        if let Some(first) = reply.ended.first().map(|end| end.number)
+            && life.seen > 0
+            && first > life.seen + 1
+        {
+            let (after, worker) = (life.seen, &**id);
+            warn!(worker, after, first; "ends of a worker are missing from its list");
+            metrics::counter!("kelplink_missing_ends_total").increment(first - after - 1);
+        }
         for end in reply.ended {
             if end.number > life.seen {
                 life.seen = end.number;
@@ -256,7 +265,14 @@
                 found.push(LifeFinding::Ended(id.clone(), end));
             }
         }
-        if reply.clock >= life.snapshot {
+        if reply.clock < life.snapshot {
+            let (newest, clock) = (life.snapshot.as_millis(), reply.clock.as_millis());
+            if !std::mem::replace(&mut life.overtaken, true) {
+                warn!(worker = &**id, newest_ms = newest as u64, clock_ms = clock as u64; "a list of runs is older than one before");
+            }
+            metrics::counter!("kelplink_overtaken_lists_total").increment(1);
+        } else {
+            life.overtaken = false;
             life.snapshot = reply.clock;
             let running = take_running(life, now, reply.running, reply.clock);
             found.extend(running);
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -133,6 +133,8 @@
     clock: Option<(Duration, Instant)>,
     /// Newest list of runs, by the worker's clock.
     pub snapshot: Duration,
+    /// Whether the last list was older than that.
+    pub(crate) overtaken: bool,
     /// Latest end of its lease that was sent, on its clock.
     pub lease: Option<Duration>,
     /// End of its lease that was sent with the poll that is not answered.
@@ -264,6 +266,7 @@
             noted: false,
             clock: None,
             snapshot: Duration::ZERO,
+            overtaken: false,
             lease: None,
             offered: None,
             granted: None,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod http;
 mod jobs;
+mod life_start;
 mod registrations;
 mod settings;
 mod store;
--- a/src/platform/registrations.rs
+++ b/src/platform/registrations.rs
@@ -7,9 +7,10 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::graph::{MachineId, WorkerListing};
+use crate::graph::{LifeStart, MachineId, WorkerListing};
 use crate::id::{DomainId, RackId, ServiceId, WorkerId};
 use crate::node::KeyItem;
+use crate::platform::life_start::decode_life_start;
 use crate::resources::ResourceVector;
 
 type Result<T> = std::result::Result<T, RegistrationError>;
@@ -71,6 +72,9 @@
     #[serde(rename = "sequence")]
     _sequence: f64,
     capacity: WireCapacity,
+    /// Start of this life of the worker.
+    #[serde(default, deserialize_with = "decode_life_start")]
+    born: LifeStart,
     /// Kind and rack.
     labels: Vec<Arc<str>>,
     #[serde(default)]
@@ -115,6 +119,7 @@
     let WireCapacity { millicpu, mem_mb, gpus } = wire.capacity;
     Ok(WorkerListing {
         id,
+        born: wire.born,
         address: wire.address,
         service: wire.service,
         domain: wire.zone,
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -10,11 +10,12 @@
 
 use crate::client::{ClientError, HttpClient};
 use crate::graph::{
-    CallFailure, CommandResult, EndKind, EndReport, LeaderEpoch, PollReply, PollResult, RunNumber,
-    RunReport, StartOrder, TaskName, WorkerRefusal,
+    CallFailure, CommandResult, EndKind, EndReport, LeaderEpoch, LifeStart, PollReply, PollResult,
+    RunNumber, RunReport, StartOrder, TaskName, WorkerRefusal,
 };
 use crate::id::WorkerId;
 use crate::platform::http::{JsonCall, read_json, send_json};
+use crate::platform::life_start::decode_life_start;
 
 const START_PATH: &str = "/api/run-start";
 const STOP_PATH: &str = "/api/run-stop";
@@ -90,6 +91,9 @@
 #[derive(Deserialize)]
 struct WirePollAnswer {
     clock_ms: u64,
+    /// Start of this life of the worker.
+    #[serde(default, deserialize_with = "decode_life_start")]
+    born: LifeStart,
     #[serde(default)]
     running: Vec<WireRunning>,
     #[serde(default)]
@@ -179,7 +183,8 @@
         let answer: WirePollAnswer = read_json(&response).map_err(failed)?;
         let ended = answer.finished.into_iter().filter_map(ended).collect();
         let running = answer.running.into_iter().filter_map(running).collect();
-        Ok(PollReply { clock: Duration::from_millis(answer.clock_ms), running, ended })
+        let clock = Duration::from_millis(answer.clock_ms);
+        Ok(PollReply { born: answer.born, clock, running, ended })
     }
 
     async fn command<B: Serialize>(
--- a/tests/graph/model.rs
+++ b/tests/graph/model.rs
@@ -180,6 +180,11 @@
             figure: 0,
         });
         let running = running.collect();
-        PollReply { clock: self.clock(now), running, ended: self.ends.clone() }
+        PollReply {
+            born: self.listing.born,
+            clock: self.clock(now),
+            running,
+            ended: self.ends.clone(),
+        }
     }
 }
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -383,6 +383,7 @@
         let id: WorkerId = format!("w{number}-{life}").into();
         let listing = WorkerListing {
             id: id.clone(),
+            born: Some(self.unix()),
             address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
             service: "svc".into(),
             domain: format!("d{}", number % self.domains).into(),
