Red: workers that restart under their ids, in cases and in all kinds of random runs

Ruled out: a takeover and the store; none of the failing cases has either. Change: the tests' world restarts workers under their ids: after a drawn time away, twice in a silence, within a hanging poll, beside all other faults; seeds from 100,000,000 on, so that all earlier seeds play as before. A late order goes with the life that took it; the crash checker counts lives.

--- a/tests/graph/checker.rs
+++ b/tests/graph/checker.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use kelplink::{GraphRecord, RunNumber, StepKey, TaskName, WorkerId};
+use kelplink::{GraphRecord, LifeStart, RunNumber, StepKey, TaskName, WorkerId};
+
+use crate::model::ModelWorker;
 
 /// Workers that may crash under a task before its starts are counted.
 const CRASHES: usize = 3;
@@ -14,8 +16,8 @@
 /// Keeps what was seen of each task.
 #[derive(Debug, Default)]
 pub(crate) struct CrashChecker {
-    /// Workers that crashed while a task ran on them.
-    crashed: BTreeMap<TaskName, BTreeSet<WorkerId>>,
+    /// Lives of workers that crashed while a task ran on them.
+    crashed: BTreeMap<TaskName, BTreeSet<(WorkerId, LifeStart)>>,
     /// Starts of tasks that crash their workers, by leaders in touch, after the last crash that is allowed.
     starts: BTreeMap<TaskName, u32>,
     /// Runs that workers listed as failed.
@@ -24,8 +26,9 @@
 
 impl CrashChecker {
     /// A worker has crashed with a task on it.
-    pub(crate) fn note_crash(&mut self, worker: &WorkerId, task: &TaskName) {
-        self.crashed.entry(task.clone()).or_default().insert(worker.clone());
+    pub(crate) fn note_crash(&mut self, worker: &ModelWorker, task: &TaskName) {
+        let life = (worker.id().clone(), worker.listing.born);
+        self.crashed.entry(task.clone()).or_default().insert(life);
     }
 
     /// A worker lists a run as failed.
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -14,6 +14,7 @@
 mod random_cancellation;
 mod random_shards;
 mod registrations;
+mod restarts;
 mod room;
 mod shards;
 mod storing;
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -32,6 +32,10 @@
 const UNHEARD_CRASHES: u64 = CRASH_SEEDS + 11;
 /// Such seeds that `cargo test` runs.
 const SHORT_CRASHES: std::ops::Range<u64> = CRASH_SEEDS..CRASH_SEEDS + 16;
+/// Seeds from here on are played like those that they lie above it, with workers that start again under their ids.
+const RESTART_SEEDS: u64 = 100_000_000;
+/// Such seeds that `cargo test` runs, of each kind.
+const SHORT_RESTARTS: u64 = 8;
 /// Time in which everything must have ended once all faults are over.
 const QUIET: Duration = Duration::from_secs(90);
 
@@ -50,13 +54,17 @@
 
 impl RandomRun {
     fn new(seed: u64) -> Self {
-        let crashes = seed >= CRASH_SEEDS;
+        let kind = seed % RESTART_SEEDS;
+        let crashes = kind >= CRASH_SEEDS;
         let domains = match crashes {
             true => 1 + u32::try_from(seed % 3).unwrap_or(0),
-            false if seed >= SPREAD_SEEDS => 3,
+            false if kind >= SPREAD_SEEDS => 3,
             false => 1,
         };
         let mut world = World::spread(seed, WORKERS, domains);
+        if seed >= RESTART_SEEDS {
+            world.keep_ids(seed);
+        }
         if crashes {
             world.refusing = seed.is_multiple_of(2);
             world.away = Duration::from_millis(1_000 + seed * 1_300 % 7_000);
@@ -193,7 +201,7 @@
         let number = self.pick(WORKERS);
         self.lives += 1;
         let life = self.lives;
-        self.world.add_worker(number, life);
+        self.world.replace_worker(number, life);
     }
 
     /// All faults end, and everything that was accepted comes to its end.
@@ -266,6 +274,16 @@
     println!("{} seeds of each kind, {runs} runs of tasks", seed - first);
 }
 
+#[gtest]
+fn random_runs_with_workers_that_restart_under_their_ids_keep_every_promise() {
+    for kind in [0, SPREAD_SEEDS, CRASH_SEEDS] {
+        let first = RESTART_SEEDS + kind;
+        (first..first + SHORT_RESTARTS).for_each(|seed| {
+            run(seed);
+        });
+    }
+}
+
 #[gtest]
 fn random_runs_with_tasks_that_crash_their_workers_keep_every_promise() {
     SHORT_CRASHES.filter(|seed| *seed != UNHEARD_CRASHES).for_each(|seed| {
--- a/tests/graph/random_cancellation.rs
+++ b/tests/graph/random_cancellation.rs
@@ -17,6 +17,8 @@
 const SHORT_SEEDS: u64 = 20;
 /// Workers.
 const WORKERS: u32 = 6;
+/// Seeds from here on have workers that start again under their ids.
+const RESTART_SEEDS: u64 = 100_000_000;
 /// Time in which a run of a job that is cancelled must be gone once all faults are over.
 const SETTLED: Duration = Duration::from_secs(3);
 
@@ -29,7 +31,11 @@
 
 impl CancelRun {
     fn new(seed: u64) -> Self {
-        Self { world: World::new(seed, WORKERS), jobs: Vec::new(), submitted: 0, lives: 0 }
+        let mut world = World::new(seed, WORKERS);
+        if seed >= RESTART_SEEDS {
+            world.keep_ids(seed);
+        }
+        Self { world, jobs: Vec::new(), submitted: 0, lives: 0 }
     }
 
     fn pick(&mut self, most: u32) -> u32 {
@@ -96,7 +102,7 @@
         let stale = old.map(|(_, worker)| worker.listing.clone());
         self.lives += 1;
         let life = self.lives;
-        self.world.add_worker(number, life);
+        self.world.replace_worker(number, life);
         if let (Some(stale), Some(leader)) = (stale, self.world.leader()) {
             leader.worker_listed(now, stale);
         }
@@ -171,3 +177,10 @@
     let longest = (first..first + count).map(run).max().unwrap_or_default();
     println!("{count} seeds; a run of an ended job went on for {longest:?} at most");
 }
+
+#[gtest]
+fn cancelled_jobs_are_stopped_at_workers_that_restart_under_their_ids() {
+    for seed in RESTART_SEEDS..RESTART_SEEDS + SHORT_SEEDS {
+        run(seed);
+    }
+}
--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -27,6 +27,10 @@
 const LONG_SEEDS: u64 = 1_000_000;
 /// Workers.
 const WORKERS: u32 = 12;
+/// Seeds from here on have workers that start again under their ids.
+const RESTART_SEEDS: u64 = 100_000_000;
+/// Such seeds that `cargo test` runs.
+const SHORT_RESTARTS: std::ops::Range<u64> = RESTART_SEEDS..RESTART_SEEDS + 8;
 /// Time in which everything must have ended once all faults are over.
 const QUIET: Duration = Duration::from_secs(90);
 
@@ -42,7 +46,10 @@
 impl ShardRun {
     fn new(seed: u64) -> Self {
         let domains = 2 + u32::try_from(seed % 4).unwrap_or(0);
-        let world = World::sharded(seed, WORKERS, domains);
+        let mut world = World::sharded(seed, WORKERS, domains);
+        if seed >= RESTART_SEEDS {
+            world.keep_ids(seed);
+        }
         let shards = world.plan.shards();
         let (calls, lasting, cancelled) = Default::default();
         Self { world, shards, calls, lasting, cancelled, lives: 0 }
@@ -114,7 +121,7 @@
                 let number = self.pick(WORKERS);
                 self.lives += 1;
                 let life = self.lives;
-                self.world.add_worker(number, life);
+                self.world.replace_worker(number, life);
             }
             9 => {
                 self.world.store.up = !self.world.store.up;
@@ -206,6 +213,13 @@
     println!("{} seeds, {runs} runs of tasks", seed - first);
 }
 
+#[gtest]
+fn random_runs_over_shards_whose_workers_restart_under_their_ids_keep_every_promise() {
+    SHORT_RESTARTS.for_each(|seed| {
+        run(seed);
+    });
+}
+
 // Starts that no worker carried out were noted as ones that may have crashed their worker, and after a takeover of the
 // shard the job was shown as running and left out of the count.
 #[gtest]
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -75,6 +75,8 @@
     Look {
         leader: LeaderEpoch,
         worker: WorkerId,
+        /// Life that took the poll.
+        born: LifeStart,
         acked: u64,
         until: Instant,
     },
@@ -137,10 +139,20 @@
     Unlisted {
         worker: WorkerId,
     },
-    /// A worker that has crashed is back.
+    /// A worker that has crashed is back under another id.
     Reborn {
         worker: WorkerId,
     },
+    /// A worker that has crashed is back under its id.
+    Restart {
+        worker: WorkerId,
+    },
+    /// An order that a worker has taken and carries out late: it goes with the life that took it.
+    Late {
+        worker: WorkerId,
+        born: LifeStart,
+        order: Box<Message>,
+    },
     /// A worker says what it has.
     Heartbeat {
         worker: WorkerId,
@@ -224,6 +236,10 @@
     /// Whether calls to a worker that is down are refused at once, in place of being left without an answer.
     pub(crate) refusing: bool,
     reborn: u32,
+    /// Whether every worker that crashes comes back under its id.
+    pub(crate) keeps_all_ids: bool,
+    /// Draws which workers come back under their ids, and when; without it all have another.
+    pub(crate) lives: Option<StdRng>,
     /// Since when the store is up and no message is lost, late or unanswered.
     calm_since: Instant,
     /// What was seen of crashes and failures.
@@ -359,6 +375,8 @@
             away: Duration::from_secs(3),
             refusing: false,
             reborn: 0,
+            keeps_all_ids: false,
+            lives: None,
             calm_since: now,
             checker: CrashChecker::default(),
             waiting: WaitingChecker::default(),
@@ -397,7 +415,7 @@
         let before =
             self.workers.values().filter(|worker| worker.listing.address == listing.address);
         for worker in before.filter(|worker| worker.up) {
-            worker.runs.keys().for_each(|task| self.checker.note_crash(worker.id(), task));
+            worker.runs.keys().for_each(|task| self.checker.note_crash(worker, task));
         }
         self.workers.retain(|_, worker| worker.listing.address != listing.address);
         self.workers.insert(id, ModelWorker::new(listing.clone(), self.now, rate));
@@ -716,7 +734,15 @@
         }
         if self.chance(self.faults.late) {
             let late = Duration::from_millis(self.rng.random_range(2_000..12_000));
-            self.post(late, message(false));
+            let order = message(false);
+            let (Message::Start { order: StartOrder { worker, .. }, .. }
+            | Message::Stop { worker, .. }) = &order
+            else {
+                panic!("{order:?} is no order");
+            };
+            let worker = worker.clone();
+            let born = self.workers.get(&worker).and_then(|worker| worker.listing.born);
+            self.post(late, Message::Late { worker, born, order: Box::new(order) });
             return false;
         }
         let answered = !self.chance(self.faults.unanswered);
@@ -730,8 +756,8 @@
             Message::Poll { epoch, worker, until, acked, wait } => {
                 self.polled(epoch, worker, until, acked, wait);
             }
-            Message::Look { leader, worker, acked, until } => {
-                self.look(leader, worker, acked, until)
+            Message::Look { leader, worker, born, acked, until } => {
+                self.look(leader, worker, born, acked, until)
             }
             Message::Start { epoch, order, sent, answered } => {
                 self.start(epoch, order, sent, answered);
@@ -787,6 +813,13 @@
                 }
             }
             Message::Reborn { worker } => self.reborn(&worker),
+            Message::Restart { worker } => self.restart(&worker),
+            Message::Late { worker, born, order } => {
+                let life = self.workers.get(&worker).map(|worker| worker.listing.born);
+                if life.is_none_or(|life| life == born) {
+                    self.deliver(*order);
+                }
+            }
             Message::Heartbeat { worker } => self.heartbeat(&worker),
             Message::Advised { leader, call } => {
                 // One worker in eight is not allowed, so that every step that a run submits can run.
@@ -863,13 +896,22 @@
                 self.noted.entry(end.task).or_default().push(end.kind);
             }
         }
-        self.look(epoch, id, acked, now + wait);
+        let born = self.workers[&id].listing.born;
+        self.look(epoch, id, born, acked, now + wait);
     }
 
-    fn look(&mut self, leader: LeaderEpoch, id: WorkerId, acked: u64, until: Instant) {
+    fn look(
+        &mut self,
+        leader: LeaderEpoch,
+        id: WorkerId,
+        born: LifeStart,
+        acked: u64,
+        until: Instant,
+    ) {
         let (now, way) = (self.now, self.way());
         let lost = self.chance(self.faults.unanswered);
-        let Some(worker) = self.reachable(&id) else {
+        let same_life = |worker: &&mut ModelWorker| worker.listing.born == born;
+        let Some(worker) = self.reachable(&id).filter(same_life) else {
             let (failure, after) = match self.failure_at(&id, Duration::from_millis(600)) {
                 // The call was under way when the worker went.
                 (CallFailure::NothingThere, after) => (CallFailure::NoAnswer, after),
@@ -880,7 +922,7 @@
         };
         worker.pass(now);
         if worker.ends.iter().all(|end| end.number <= acked) && now < until {
-            return self.post(STEP, Message::Look { leader, worker: id, acked, until });
+            return self.post(STEP, Message::Look { leader, worker: id, born, acked, until });
         }
         let result = match lost {
             true => Err(CallFailure::NoAnswer),
