What is known of a worker holds for one of its lives

Callers saw tasks run again after their end had been acknowledged (TWICE), and lasting tasks that did not run for as long as the worker before had been up (LOST). Cause: numbers of ends, the clock, the lease and the runs of a worker were kept by its id, which another life may have as well. Change: LifeId (worker, start). A list from another life begins a new one: all counts anew, a lease of the longest length that a call by the old clock can have given, tickets forgotten, evidence of crashes by life. Runs that the new life lists go on; those that an earlier list has shown are lost; others may still begin there and are stopped first. An answer to a start or stop counts for the life that it was meant for. A poll acknowledges and extends only within 300 ms of a list. A registration of a life that was not heard settles nothing until that life answers, and a life that has not registered gets no work (found by random runs: LIMIT where the room had shrunk).

--- a/src/graph/advice.rs
+++ b/src/graph/advice.rs
@@ -222,6 +222,14 @@
         }
     }
 
+    /// Forgets a worker: another life of it may be allowed other steps, and takes no ticket of the one before.
+    pub fn forget_worker(&mut self, worker: &WorkerId) {
+        for step in self.steps.values_mut() {
+            step.allowed.remove(worker);
+            step.denied.remove(worker);
+        }
+    }
+
     /// Forgets all steps of a job.
     pub fn forget(&mut self, job: &GraphId) {
         self.steps.retain(|(id, _), _| id != job);
--- a/src/graph/commit.rs
+++ b/src/graph/commit.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::graph::changes::ChangeQueue;
-use crate::graph::exchange::UsedWorker;
+use crate::graph::exchange::{LifeId, UsedWorker};
 use crate::graph::job::GraphRecord;
 use crate::graph::name::GraphId;
 use crate::graph::notice::{NoticeKind, NoticeQueue, ShardNotice};
@@ -58,8 +58,8 @@
 /// What a group makes true once it is stored.
 #[derive(Clone, Debug, Default)]
 pub struct GroupEffect {
-    /// Ends that may be acknowledged, a worker.
-    pub ends: BTreeMap<WorkerId, u64>,
+    /// Ends that may be acknowledged, by the life that lists them.
+    pub ends: BTreeMap<LifeId, u64>,
     /// Workers that the store now names.
     pub noted: BTreeSet<WorkerId>,
 }
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -141,7 +141,7 @@
             let age = Duration::from_millis(unix.saturating_sub(record.spec.accepted));
             jobs.insert(GraphJob::restored(record, progress, now, age));
         }
-        let mut lives = LifeTable::new(WORKER_LEASE.min(bounds.longest_lease));
+        let mut lives = LifeTable::new(bounds.longest_lease);
         for used in &state.workers {
             lives.used(now, used, unregistered(used));
         }
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -9,7 +9,7 @@
 use crate::graph::controller::GraphController;
 use crate::graph::crash::{PROBATION, RunTrial};
 use crate::graph::event::{CommandResult, GraphAction, StartOrder};
-use crate::graph::exchange::{CallFailure, WorkerRefusal};
+use crate::graph::exchange::{CallFailure, LifeId, WorkerRefusal};
 use crate::graph::lives::WORKER_LEASE;
 use crate::graph::name::{GraphId, RunNumber, TaskKey, TaskName};
 use crate::graph::placer::PlannedStart;
@@ -53,7 +53,8 @@
             life.add_run(task.clone(), entry);
             if announced {
                 let worker = start.worker.clone();
-                let trial = RunTrial { run, worker, address: life.address() };
+                let (address, born) = (life.address(), life.born);
+                let trial = RunTrial { run, worker, address, born };
                 self.jobs.note_trial(&task, trial);
                 self.commits.change(task.job.clone(), now, true);
             }
@@ -92,7 +93,7 @@
         let Some(until) = before.or_else(|| life.extend_lease(now, WORKER_LEASE)) else {
             return;
         };
-        let address = life.address();
+        let (address, born) = (life.address(), life.born);
         let Some(entry) = life.runs.get_mut(task) else {
             return;
         };
@@ -103,9 +104,11 @@
         };
         entry.phase = RunPhase::Sent { tries };
         entry.until = entry.until.max(Some(until));
+        entry.sends += 1;
         info!(task:% = task, run, worker = &**worker, tries, resumes = !saved.is_empty(); "start sent");
         self.actions.push(GraphAction::Start(StartOrder {
             worker: worker.clone(),
+            born,
             address,
             task: task.clone(),
             run,
@@ -116,11 +119,11 @@
         }));
     }
 
-    /// Takes in the answer to a start.
+    /// Takes in the answer to a start that was meant for a life of a worker.
     pub fn started(
         &mut self,
         now: Instant,
-        worker: &WorkerId,
+        id: &LifeId,
         task: &TaskName,
         run: RunNumber,
         result: CommandResult,
@@ -129,7 +132,8 @@
             // The run may have been given up or told to stop since.
             self.note_begun(now, task, run, BeginEvidence::Answered);
         }
-        let Some(life) = self.lives.get_mut(worker) else {
+        let worker = &id.worker;
+        let Some(life) = self.lives.get_mut(worker).filter(|life| life.born == id.born) else {
             return;
         };
         if let Ok(clock) = &result {
@@ -226,7 +230,6 @@
         let Some(life) = self.lives.get_mut(worker) else {
             return;
         };
-        let address = life.address();
         let Some(entry) = life.runs.get_mut(task).filter(|entry| entry.run == run) else {
             return;
         };
@@ -234,9 +237,18 @@
             return;
         }
         entry.phase = RunPhase::Stopping { answered: None, sent: now };
+        self.send_stop(worker, task, run);
+    }
+
+    /// Sends the stop of a run.
+    pub(super) fn send_stop(&mut self, worker: &WorkerId, task: &TaskName, run: RunNumber) {
+        let Some(life) = self.lives.get(worker) else {
+            return;
+        };
         info!(task:% = task, run, worker = &**worker; "stop sent");
+        let (address, born) = (life.address(), life.born);
         let (worker, task) = (worker.clone(), task.clone());
-        self.actions.push(GraphAction::Stop { worker, address, task, run });
+        self.actions.push(GraphAction::Stop { worker, born, address, task, run });
     }
 
     /// Stops runs of less urgent queues and keeps their room for a task.
@@ -254,16 +266,17 @@
         }
     }
 
-    /// Takes in the answer to a stop.
+    /// Takes in the answer to a stop that was meant for a life of a worker.
     pub fn stopped(
         &mut self,
         now: Instant,
-        worker: &WorkerId,
+        id: &LifeId,
         task: &TaskName,
         run: RunNumber,
         result: CommandResult,
     ) {
-        let Some(life) = self.lives.get_mut(worker) else {
+        let worker = &id.worker;
+        let Some(life) = self.lives.get_mut(worker).filter(|life| life.born == id.born) else {
             return;
         };
         match result {
@@ -300,7 +313,7 @@
             return;
         }
         for life in self.lives.iter_mut() {
-            let (id, address) = (life.id().clone(), life.address());
+            let (id, address, born) = (life.id().clone(), life.address(), life.born);
             for (task, entry) in &mut life.runs {
                 let RunPhase::Stopping { answered: None, sent } = &mut entry.phase else {
                     continue;
@@ -309,6 +322,7 @@
                     *sent = now;
                     self.actions.push(GraphAction::Stop {
                         worker: id.clone(),
+                        born,
                         address,
                         task: task.clone(),
                         run: entry.run,
--- a/src/graph/controller/findings.rs
+++ b/src/graph/controller/findings.rs
@@ -36,6 +36,9 @@
             match finding {
                 LifeFinding::Ended(worker, end) => self.run_ended(now, unix, &worker, end),
                 LifeFinding::Unknown(worker, report) => self.run_found(now, &worker, report),
+                LifeFinding::InDoubt(worker, task, run) => {
+                    self.send_stop(&worker, &task, run);
+                }
                 LifeFinding::Lost(worker, lost) => {
                     let LostRun { task, run, saved, outlived, .. } = lost;
                     let heard_ms = outlived.as_millis() as u64;
@@ -62,7 +65,7 @@
                     self.deposed = true;
                 }
                 LifeFinding::Claimed(worker) => {
-                    let born = self.lives.get(&worker).and_then(|life| life.listing.born);
+                    let born = self.lives.get(&worker).and_then(|life| life.born);
                     info!(worker = &*worker, born, epoch = self.epoch; "worker claimed");
                     self.unheard.remove(&worker);
                     self.commits.note_workers(now, true);
@@ -86,6 +89,7 @@
                     metrics::counter!("kelplink_worker_ends_total", "end" => format!("{end:?}"))
                         .increment(1);
                     self.lost_unheard |= self.unheard.remove(&worker) && end != LifeEnd::Left;
+                    self.advice.forget_worker(&worker);
                     self.commits.note_workers(now, false);
                 }
             }
@@ -141,7 +145,8 @@
         let probation = Some(now + PROBATION);
         let suspected = job.is_some_and(|job| job.is_suspected(task.key));
         let known = WorkerRun::new(run, phase, now, origin);
-        let entry = WorkerRun { percent, figure, saved, probation, suspected, ..known };
+        let listed = true;
+        let entry = WorkerRun { percent, figure, saved, probation, suspected, listed, ..known };
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
         self.note_begun(now, &task, run, BeginEvidence::Listed);
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -44,7 +44,7 @@
         let mut effect = GroupEffect::default();
         for life in self.lives.iter() {
             if ids.whole {
-                effect.ends.insert(life.id().clone(), life.seen);
+                effect.ends.insert(life.life_id(), life.seen);
             }
             if ids.workers && life.claimed {
                 effect.noted.insert(life.id().clone());
@@ -149,8 +149,8 @@
         for id in &group.removed {
             self.jobs.remove(id);
         }
-        for (worker, number) in effect.ends {
-            self.lives.stored(now, &worker, number);
+        for (life, number) in effect.ends {
+            self.lives.stored(now, &life, number);
         }
         for worker in effect.noted {
             if let Some(life) = self.lives.get_mut(&worker) {
--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::graph::exchange::LifeStart;
 use crate::graph::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
 
@@ -69,6 +70,9 @@
     pub worker: WorkerId,
     /// Where it answered.
     pub address: SocketAddr,
+    /// Start of its life that the run was sent to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: LifeStart,
 }
 
 /// A run on probation when its worker crashed.
--- a/src/graph/crash_table.rs
+++ b/src/graph/crash_table.rs
@@ -12,6 +12,7 @@
 use crate::graph::crash::{
     BLURRED_LIMIT, CLEAR_LIMIT, COMMON_LIMIT, CrashSuspect, RunTrial, WorkerCrash,
 };
+use crate::graph::exchange::LifeId;
 use crate::graph::name::TaskName;
 use crate::graph::worker::{RunPhase, WorkerLife, WorkerRun};
 use crate::id::WorkerId;
@@ -41,7 +42,7 @@
 /// Crashes of workers, and silences that may turn out to be crashes.
 #[derive(Debug, Default)]
 pub(crate) struct CrashTable {
-    silent: BTreeMap<WorkerId, SilentLife>,
+    silent: BTreeMap<LifeId, SilentLife>,
     /// The last crash of the machine at an address.
     crashed: BTreeMap<SocketAddr, MachineCrash>,
 }
@@ -76,16 +77,19 @@
         trial: RunTrial,
         moment: Option<Instant>,
     ) {
-        let RunTrial { run, worker, address } = trial;
+        let RunTrial { run, worker, address, born } = trial;
         self.silent.retain(|_, life| now.saturating_duration_since(life.since) < PROOF_TIME);
-        let life = self.silent.entry(worker);
+        let life = self.silent.entry(LifeId::new(worker, born));
         let life = life.or_insert(SilentLife { address, since: now, moment, suspects: Vec::new() });
         life.suspects.push(CrashSuspect { task, run, sure: false, begun: false });
     }
 
-    /// A worker that was silent answers: it has not crashed.
-    pub(crate) fn answered(&mut self, worker: &WorkerId) {
-        self.silent.remove(worker);
+    /// A life of a worker answers: where it was silent it has not crashed, and other lives that were have.
+    pub(crate) fn answered(&mut self, now: Instant, life: &LifeId) -> Vec<WorkerCrash> {
+        let over: Vec<(LifeId, SilentLife)> =
+            self.silent.extract_if(.., |silent, _| silent.is_other_life_of(life)).collect();
+        self.silent.retain(|silent, _| silent.worker != life.worker);
+        over.into_iter().map(|(silent, over)| self.prove(now, silent, over)).collect()
     }
 
     /// A life of a worker has crashed; other workers have been silent since the moments given.
@@ -98,7 +102,8 @@
         let on_probation = life.runs.iter().filter(|(_, run)| run.probation.is_some());
         let mut suspects: Vec<CrashSuspect> =
             on_probation.map(|(task, run)| CrashSuspect::new(now, task, run, life)).collect();
-        suspects.extend(self.silent.remove(life.id()).into_iter().flat_map(|life| life.suspects));
+        suspects
+            .extend(self.silent.remove(&life.life_id()).into_iter().flat_map(|life| life.suspects));
         let (worker, address) = (life.id().clone(), life.address());
         let moment = life.silent_since;
         self.weigh(now, ProvenCrash { worker, address, moment, suspects }, silent)
@@ -111,14 +116,16 @@
         address: SocketAddr,
         known: impl Fn(&WorkerId) -> bool,
     ) -> Vec<WorkerCrash> {
-        let gone = |worker: &WorkerId, life: &SilentLife| life.address == address && !known(worker);
-        let gone: Vec<(WorkerId, SilentLife)> =
-            self.silent.extract_if(.., |worker, life| gone(worker, life)).collect();
-        let proven = gone.into_iter().map(|(worker, life)| {
-            let SilentLife { moment, suspects, .. } = life;
-            ProvenCrash { worker, address, moment, suspects }
-        });
-        proven.map(|crash| self.weigh(now, crash, &[])).collect()
+        let gone = |id: &LifeId, life: &SilentLife| life.address == address && !known(&id.worker);
+        let gone: Vec<(LifeId, SilentLife)> =
+            self.silent.extract_if(.., |id, life| gone(id, life)).collect();
+        gone.into_iter().map(|(id, life)| self.prove(now, id, life)).collect()
+    }
+
+    /// A life that was silent has surely crashed.
+    fn prove(&mut self, now: Instant, id: LifeId, life: SilentLife) -> WorkerCrash {
+        let SilentLife { address, moment, suspects, .. } = life;
+        self.weigh(now, ProvenCrash { worker: id.worker, address, moment, suspects }, &[])
     }
 
     /// Whether the machine at an address has crashed lately.
--- a/src/graph/event.rs
+++ b/src/graph/event.rs
@@ -6,7 +6,7 @@
 
 use crate::graph::advice::AdviceCall;
 use crate::graph::commit::CommitGroup;
-use crate::graph::exchange::{CallFailure, PollReply, TicketText};
+use crate::graph::exchange::{CallFailure, LifeStart, PollReply, TicketText};
 use crate::graph::name::{RunNumber, TaskName};
 use crate::graph::shard::ShardId;
 use crate::id::{CallId, WorkerId};
@@ -38,6 +38,8 @@
     Stop {
         /// The worker.
         worker: WorkerId,
+        /// Start of its life that was heard last.
+        born: LifeStart,
         /// Where it answers.
         address: SocketAddr,
         /// The task.
@@ -71,6 +73,8 @@
 pub struct StartOrder {
     /// The worker.
     pub worker: WorkerId,
+    /// Start of its life that was heard last.
+    pub born: LifeStart,
     /// Where it answers.
     pub address: SocketAddr,
     /// The task.
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -14,6 +14,28 @@
 /// not say it.
 pub type LifeStart = Option<UnixMillis>;
 
+/// One life of a worker.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct LifeId {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Start of the life; `None` where it is not known.
+    pub born: LifeStart,
+}
+
+impl LifeId {
+    /// A life of a worker.
+    pub fn new(worker: WorkerId, born: LifeStart) -> Self {
+        Self { worker, born }
+    }
+
+    /// Whether both are surely different lives of the same worker.
+    pub fn is_other_life_of(&self, other: &Self) -> bool {
+        let told_apart = self.born.is_some() && other.born.is_some() && self.born != other.born;
+        told_apart && self.worker == other.worker
+    }
+}
+
 /// Allows a step on one worker.
 pub type TicketText = Arc<str>;
 
@@ -53,6 +75,9 @@
     /// Failure domain; empty where it is not known.
     #[serde(default = "unknown_domain")]
     pub domain: DomainId,
+    /// Start of the life that was heard last.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: LifeStart,
 }
 
 fn unknown_domain() -> DomainId {
@@ -119,6 +144,15 @@
     pub ended: Vec<EndReport>,
 }
 
+impl PollReply {
+    /// Whether a run of a task is on one of its lists.
+    pub(crate) fn lists(&self, task: &TaskName, run: RunNumber) -> bool {
+        let runs = |report: &RunReport| report.task == *task && report.run == run;
+        let ended = |end: &EndReport| end.task == *task && end.run == run;
+        self.running.iter().any(runs) || self.ended.iter().any(ended)
+    }
+}
+
 /// Why a worker refused a call; it has done nothing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WorkerRefusal {
--- a/src/graph/life_finding.rs
+++ b/src/graph/life_finding.rs
@@ -17,6 +17,8 @@
     Ended(WorkerId, EndReport),
     /// A run that this leader has not started.
     Unknown(WorkerId, RunReport),
+    /// A run that another life of the worker may still begin, though it does not list it.
+    InDoubt(WorkerId, TaskName, RunNumber),
     /// A run that the worker does not have any more, or never got.
     Lost(WorkerId, LostRun),
     /// A run that may have gone on or ended when its worker's lease was over; on probation, it may have crashed it.
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -1,5 +1,7 @@
 //! All workers of a leader: polls, leases, and what their answers say of runs.
 
+mod restart;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -10,7 +12,7 @@
 use crate::graph::crash_table::CrashTable;
 use crate::graph::event::GraphAction;
 use crate::graph::exchange::{
-    CallFailure, EndKind, PollReply, RunReport, UsedWorker, WorkerListing, WorkerRefusal,
+    CallFailure, EndKind, LifeId, PollReply, RunReport, UsedWorker, WorkerListing, WorkerRefusal,
 };
 use crate::graph::life_finding::{LifeFinding, LostRun};
 use crate::graph::name::TaskName;
@@ -24,7 +26,10 @@
 /// Pause before the next poll while ends wait for the store.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause before the next poll of a worker that lists an end for good: it answers each at once.
-const WITHHELD_PAUSE: Duration = Duration::from_millis(500);
+const WITHHELD_PAUSE: Duration = Duration::from_millis(250);
+/// How long after a list the life that gave it counts as the one that the next poll reaches. A worker does not start again,
+/// and a task does not begin and end there, within that time.
+const SAME_LIFE: Duration = Duration::from_millis(300);
 /// Pause after the second poll in a row without an answer, doubled with each up to the longest. After the
 /// first there is none: a single poll that was lost says nothing of the worker.
 const MISS_PAUSE: Duration = Duration::from_millis(100);
@@ -48,7 +53,7 @@
     lives: BTreeMap<WorkerId, WorkerLife>,
     crashes: CrashTable,
     rhythm: PollRhythm,
-    /// Longest lease that an earlier leader may have given.
+    /// Longest lease that a worker takes.
     longest_lease: Duration,
 }
 
@@ -103,11 +108,7 @@
         match self.lives.get_mut(&listing.id) {
             Some(life) => {
                 (life.listed, life.expected_until) = (true, None);
-                life.leaves = match listing.leaving {
-                    Some(left) => Some(life.leaves.unwrap_or(now + left)),
-                    None => None,
-                };
-                life.listing = listing;
+                life.take_listing(now, listing);
             }
             None => {
                 let life = WorkerLife::new(listing, now);
@@ -124,6 +125,7 @@
             life
         });
         life.noted = true;
+        life.born = used.born;
     }
 
     /// A registration has gone. The worker may still run, and register again.
@@ -150,14 +152,19 @@
         if life.leaves.is_some() {
             return self.over(id, LifeEnd::Left);
         }
-        let silent = self.lives.values().filter(|other| *other.id() != *id);
-        let silent: Vec<Instant> = silent.filter_map(|other| other.silent_since).collect();
+        let silent = self.silent_beside(id);
         let crash = self.crashes.crashed(now, life, &silent);
         let mut found = self.over(id, LifeEnd::Replaced);
         found.push(LifeFinding::Crashed(crash));
         found
     }
 
+    /// Since when other workers have been silent.
+    fn silent_beside(&self, id: &WorkerId) -> Vec<Instant> {
+        let others = self.lives.values().filter(|other| other.id() != id);
+        others.filter_map(|other| other.silent_since).collect()
+    }
+
     /// A life that has ended: all its runs are lost.
     fn over(&mut self, id: &WorkerId, end: LifeEnd) -> Vec<LifeFinding> {
         let Some(life) = self.lives.remove(id) else {
@@ -180,7 +187,9 @@
             life.polling = Some(now);
             // An idle worker that is not registered is left alone once its lease is over: it was polled for good.
             let used = life.listed || !life.runs.is_empty();
-            let until = match extend && used && life.misses == 0 {
+            // Another life forgets ends unread by the number of this one, and holds its runs longer by this one's clock.
+            let same_life = life.heard.is_some_and(|at| now - at <= SAME_LIFE);
+            let until = match extend && used && life.misses == 0 && same_life {
                 true => life.extend_lease(now, WORKER_LEASE),
                 false => None,
             };
@@ -196,7 +205,7 @@
                 worker: life.id().clone(),
                 address: life.address(),
                 until,
-                acked: life.acknowledgeable(),
+                acked: if life.misses == 0 && same_life { life.acknowledgeable() } else { 0 },
                 wait,
             });
         }
@@ -216,27 +225,7 @@
         id: &WorkerId,
         reply: PollReply,
     ) -> Vec<LifeFinding> {
-        let Some(life) = self.lives.get_mut(id) else {
-            return Vec::new();
-        };
-        let mut found = Vec::new();
-        life.polling = None;
-        let lost_one = life.misses == 1;
-        life.note_answer(now, reply.clock);
-        let offered = life.offered.take();
-        life.grant_lease(offered);
-        if !life.claimed {
-            life.claimed = true;
-            life.inherit_lease(self.longest_lease);
-            found.push(LifeFinding::Claimed(id.clone()));
-            let address = life.address();
-            let crashed = self.crashes.succeeded(now, address, |id| self.lives.contains_key(id));
-            found.extend(crashed.into_iter().map(LifeFinding::Crashed));
-        }
-        self.crashes.answered(id);
-        if lost_one {
-            self.rhythm.note_lost(now);
-        }
+        let mut found = self.heard(now, id, &reply);
         let Some(life) = self.lives.get_mut(id) else {
             return found;
         };
@@ -288,9 +277,51 @@
         found
     }
 
+    /// A worker answers a poll: which of its lives that is, its clock and its lease.
+    fn heard(&mut self, now: Instant, id: &WorkerId, reply: &PollReply) -> Vec<LifeFinding> {
+        let Some(life) = self.lives.get_mut(id) else {
+            return Vec::new();
+        };
+        if life.misses == 1 {
+            self.rhythm.note_lost(now);
+        }
+        let known_life = life.born == reply.born;
+        let mut found = match life.is_other_life(reply.born) {
+            true => self.restarted(now, id, reply),
+            false => Vec::new(),
+        };
+        let Some(life) = self.lives.get_mut(id) else {
+            return found;
+        };
+        life.born = reply.born.or(life.born);
+        let asked = life.polling.take();
+        life.settle_listing(now, asked);
+        life.heard = Some(now);
+        life.note_answer(now, reply.clock);
+        let offered = life.offered.take();
+        life.grant_lease(offered);
+        let claimed = std::mem::replace(&mut life.claimed, true);
+        // Its lease may have been extended by the clock of a life before.
+        if !known_life {
+            life.inherit_lease(self.longest_lease);
+        } else if !claimed {
+            life.inherit_lease(self.longest_lease.min(WORKER_LEASE));
+        }
+        let (life_id, address) = (life.life_id(), life.address());
+        let mut crashed = self.crashes.answered(now, &life_id);
+        if !claimed {
+            found.push(LifeFinding::Claimed(id.clone()));
+            let known = |id: &WorkerId| self.lives.contains_key(id);
+            crashed.extend(self.crashes.succeeded(now, address, known));
+        }
+        found.extend(crashed.into_iter().map(LifeFinding::Crashed));
+        found
+    }
+
     /// Ends up to a number are stored: the next poll says so.
-    pub(crate) fn stored(&mut self, now: Instant, id: &WorkerId, number: u64) {
-        if let Some(life) = self.lives.get_mut(id)
+    pub(crate) fn stored(&mut self, now: Instant, id: &LifeId, number: u64) {
+        if let Some(life) = self.lives.get_mut(&id.worker)
+            && life.born == id.born
             && life.durable < number
         {
             life.durable = number;
@@ -391,6 +422,7 @@
             id: life.id().clone(),
             address: life.address(),
             domain: life.listing.domain.clone(),
+            born: life.born,
         };
         claimed.map(used).collect()
     }
@@ -408,7 +440,8 @@
     /// A run on probation that goes on a worker that has not announced that it leaves.
     fn trial(&self, run: &WorkerRun) -> Option<RunTrial> {
         let tried = run.probation.is_some() && self.leaves.is_none();
-        tried.then(|| RunTrial { run: run.run, worker: self.id().clone(), address: self.address() })
+        let (worker, address, born) = (self.id().clone(), self.address(), self.born);
+        tried.then_some(RunTrial { run: run.run, worker, address, born })
     }
 
     /// Whether it has left as announced: unregistered, its time over, and nothing answers there.
@@ -432,6 +465,7 @@
         listed.insert(report.task.clone(), report.run);
         match life.runs.get_mut(&report.task).filter(|run| run.run == report.run) {
             Some(run) => {
+                run.listed = true;
                 if let RunPhase::Sent { .. } = run.phase {
                     run.phase = RunPhase::Running { confirmed: clock };
                 }
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::graph::crash::PROBATION;
-use crate::graph::exchange::WorkerListing;
+use crate::graph::exchange::{LifeId, LifeStart, WorkerListing};
 use crate::graph::health::{HealthRank, WorkerHealth};
 use crate::graph::job::GraphJob;
 use crate::graph::name::{ImageId, RunNumber, StepKey, TaskName};
@@ -31,6 +31,8 @@
 pub enum LifeEnd {
     /// Another life answers at its address, and it had not announced that it leaves: it has crashed.
     Replaced,
+    /// Another life answers under its id: it has crashed.
+    Restarted,
     /// It has left as announced.
     Left,
     /// It is not registered and its lease is over.
@@ -104,6 +106,10 @@
     pub failed_stops: u32,
     /// Until when, on the worker's clock, a start of it that was sent may still be carried out.
     pub until: Option<Duration>,
+    /// Number of sends of its start by this leader.
+    pub sends: u32,
+    /// Whether a list of its worker has shown it.
+    pub listed: bool,
     /// Whether its worker has said that it has it.
     pub begun: bool,
     /// When its worker has outlived its start for long enough; `None` once it has.
@@ -117,8 +123,13 @@
 /// A life of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerLife {
+    /// Start of the life that answers, once it was heard; until then of the one that the store names.
+    pub born: LifeStart,
     /// The worker as it registered; for one known only from the store, as much as is known.
     pub listing: WorkerListing,
+    /// A registration of another life than the one that was heard last, and when it came: only an answer tells whether that
+    /// life is later or earlier.
+    announced: Option<(Instant, WorkerListing)>,
     /// Whether it is registered now.
     pub listed: bool,
     /// Until when it counts as one that registers again, where its registration has gone.
@@ -155,6 +166,8 @@
     pub next_poll: Instant,
     /// When it answered last.
     pub answered: Option<Instant>,
+    /// When it answered a poll last: other answers do not tell which life gives them.
+    pub(crate) heard: Option<Instant>,
     /// Calls in a row without an answer.
     pub misses: u32,
     /// When the first of them was found to have none.
@@ -204,6 +217,8 @@
             throttle: 100,
             failed_stops: 0,
             until: None,
+            sends: 0,
+            listed: false,
             begun: !matches!(phase, RunPhase::Sent { .. }),
             probation: None,
             suspected: false,
@@ -244,6 +259,11 @@
         true
     }
 
+    /// Whether it was surely carried out by the life that has listed it, and by no later one.
+    pub(crate) fn is_of_one_life(&self) -> bool {
+        self.listed && self.sends <= 1
+    }
+
     /// When it will end, from the share that is done where enough is, or else from its estimate.
     pub fn expected_end(&self, estimate: Duration) -> Instant {
         let worked = self.moved.saturating_duration_since(self.since);
@@ -258,8 +278,10 @@
     /// A worker that has registered.
     pub fn new(listing: WorkerListing, now: Instant) -> Self {
         Self {
+            born: None,
             leaves: listing.leaving.map(|left| now + left),
             listing,
+            announced: None,
             listed: true,
             expected_until: None,
             claimed: false,
@@ -277,6 +299,7 @@
             polling: None,
             next_poll: now,
             answered: None,
+            heard: None,
             misses: 0,
             silent_since: None,
             refused_since: None,
@@ -288,11 +311,71 @@
         }
     }
 
+    /// Whether an answer or a registration comes from another life than the one that was heard last.
+    pub(crate) fn is_other_life(&self, born: LifeStart) -> bool {
+        self.born.is_some() && born.is_some() && self.born != born
+    }
+
+    /// Takes in a registration.
+    pub(crate) fn take_listing(&mut self, now: Instant, listing: WorkerListing) {
+        let other_life = self.is_other_life(listing.born);
+        if other_life {
+            self.next_poll = now;
+        }
+        let current = self.listing.born == self.born && self.listing.address == listing.address;
+        if other_life && current {
+            self.announced = Some((now, listing));
+            return;
+        }
+        self.announced = None;
+        self.leaves = match listing.leaving {
+            Some(left) => Some(self.leaves.unwrap_or(now + left)),
+            None => None,
+        };
+        self.listing = listing;
+    }
+
+    /// A poll that was sent at `asked` is answered: a registration that came before it is that of the life which answers, or
+    /// an old one.
+    pub(crate) fn settle_listing(&mut self, now: Instant, asked: Option<Instant>) {
+        match self.announced.take() {
+            Some((_, listing)) if listing.born == self.born => self.take_listing(now, listing),
+            Some((at, listing)) if asked.is_none_or(|asked| asked < at) => {
+                self.announced = Some((at, listing));
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the life that answers is the one that has registered: another may have less room and other labels.
+    fn is_registered(&self) -> bool {
+        self.listed && self.announced.is_none() && !self.is_other_life(self.listing.born)
+    }
+
+    /// The same worker in another life, of which nothing else is known yet.
+    pub(crate) fn next_life(&self, now: Instant, born: LifeStart) -> Self {
+        Self {
+            born,
+            announced: self.announced.clone(),
+            listed: self.listed,
+            expected_until: self.expected_until,
+            leaves: self.leaves,
+            claimed: self.claimed,
+            noted: self.noted,
+            ..Self::new(self.listing.clone(), now)
+        }
+    }
+
     /// Its name.
     pub fn id(&self) -> &WorkerId {
         &self.listing.id
     }
 
+    /// The life that was heard last.
+    pub fn life_id(&self) -> LifeId {
+        LifeId::new(self.id().clone(), self.born)
+    }
+
     /// Where it answers.
     pub fn address(&self) -> SocketAddr {
         self.listing.address
@@ -401,7 +484,7 @@
     /// cut off: it is looked at again at once, and a start that it does not get would hold its task for a
     /// whole lease.
     pub fn open(&self, now: Instant, silence: Duration) -> bool {
-        self.listed
+        self.is_registered()
             && self.leaves.is_none()
             && self.claimed
             && self.noted
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -10,7 +10,7 @@
 
 use crate::graph::{
     AdviceCall, AnswerTime, CallFailure, CommandResult, CommitGroup, GraphAction, LeaderEpoch,
-    StartOrder,
+    LifeId, StartOrder,
 };
 use crate::id::EntryId;
 use crate::node::input::LeaderInput;
@@ -91,15 +91,17 @@
                 tokio::spawn(async move {
                     let result = workers.start(terms, &order).await;
                     times.note(sent, &result);
-                    let StartOrder { worker, task, run, .. } = order;
-                    leader.send(LeaderInput::Started(worker, task, run, result)).await;
+                    let StartOrder { worker, born, task, run, .. } = order;
+                    let life = LifeId::new(worker, born);
+                    leader.send(LeaderInput::Started(life, task, run, result)).await;
                 });
             }
-            GraphAction::Stop { worker, address, task, run } => {
+            GraphAction::Stop { worker, born, address, task, run } => {
                 tokio::spawn(async move {
                     let result = workers.stop(terms, &worker, address, &task, run).await;
                     times.note(sent, &result);
-                    leader.send(LeaderInput::Stopped(worker, task, run, result)).await;
+                    let life = LifeId::new(worker, born);
+                    leader.send(LeaderInput::Stopped(life, task, run, result)).await;
                 });
             }
             GraphAction::Throttle { worker, address, task, run, percent } => {
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -4,8 +4,8 @@
 use tokio::time::Instant;
 
 use crate::graph::{
-    AdviceId, CommandResult, GraphId, GraphRecord, GroupNumber, LeaderEpoch, PollResult, RunNumber,
-    ShardId, TaskName, WorkerListing,
+    AdviceId, CommandResult, GraphId, GraphRecord, GroupNumber, LeaderEpoch, LifeId, PollResult,
+    RunNumber, ShardId, TaskName, WorkerListing,
 };
 use crate::id::WorkerId;
 use crate::node::message::{AllowedWorkers, LeaderAnswer, LeaderCall};
@@ -27,8 +27,8 @@
     /// A share of a job that was accepted here has failed.
     ShareFailed(GraphId),
     Polled(WorkerId, PollResult),
-    Started(WorkerId, TaskName, RunNumber, CommandResult),
-    Stopped(WorkerId, TaskName, RunNumber, CommandResult),
+    Started(LifeId, TaskName, RunNumber, CommandResult),
+    Stopped(LifeId, TaskName, RunNumber, CommandResult),
     Advised(AdviceId, Option<AllowedWorkers>),
     Stored(GroupNumber, GroupOutcome),
     /// The lease in the store was renewed by a call sent then.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -220,11 +220,11 @@
             LeaderInput::Unlisted(worker) => controller.worker_unlisted(now, &worker),
             LeaderInput::RegistrationsRead => controller.registrations_read(now),
             LeaderInput::Polled(worker, result) => controller.polled(now, unix, &worker, result),
-            LeaderInput::Started(worker, task, run, result) => {
-                controller.started(now, &worker, &task, run, result);
+            LeaderInput::Started(life, task, run, result) => {
+                controller.started(now, &life, &task, run, result);
             }
-            LeaderInput::Stopped(worker, task, run, result) => {
-                controller.stopped(now, &worker, &task, run, result);
+            LeaderInput::Stopped(life, task, run, result) => {
+                controller.stopped(now, &life, &task, run, result);
             }
             LeaderInput::Advised(id, allowed) => controller.advised(now, id, allowed),
             LeaderInput::Stored(number, GroupOutcome::Stored { taken }) => {
@@ -353,7 +353,7 @@
     };
     let worker = |life: &crate::graph::WorkerLife| {
         serde_json::json!({
-            "id": &**life.id(), "listed": life.listed, "claimed": life.claimed,
+            "id": &**life.id(), "born": life.born, "listed": life.listed, "claimed": life.claimed,
             "runs": life.runs.len(), "free": life.free(), "misses": life.misses,
         })
     };
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -49,6 +49,8 @@
         expect_that!(&*listing.rack, eq("r1-3"));
         expect_that!(listing.leaving, none());
     }
+    let listing = decode("servers/w1", with("born", json!(1_792_000_000_000_u64))).unwrap();
+    expect_that!(listing.born, some(eq(1_792_000_000_000)));
     let leaving = decode("servers/w1", with("state", json!("draining"))).unwrap();
     expect_that!(leaving.leaving, some(anything()));
     let late = json!({"state": "draining", "remaining_ms": -3.5, "cold_ms": -0.5});
@@ -88,6 +90,10 @@
         ("version", json!(1)),
         ("slots", json!("8")),
         ("remaining_ms", json!("soon")),
+        ("born", json!(null)),
+        ("born", json!("1792000000000")),
+        ("born", json!(1_792_000_000_000.5)),
+        ("born", json!(-1)),
         ("labels", json!("r1-3")),
         ("labels", json!([1])),
         ("capacity", json!({"millicpu": 8_000, "mem_mb": 16_000})),
--- a/tests/graph/model.rs
+++ b/tests/graph/model.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// The same machine in another life: its room stays, and so does the time that a change of it takes to be heard.
+    pub(crate) fn next_life(&self, listing: WorkerListing, now: Instant, rate: u32) -> Self {
+        let (rooms, reached) = (self.rooms.clone(), self.reached);
+        Self { rooms, reached, ..Self::new(listing, now, rate) }
+    }
+
     pub(crate) fn id(&self) -> &WorkerId {
         &self.listing.id
     }
--- a/tests/graph/restarts.rs
+++ b/tests/graph/restarts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphState, StepSpec, WorkerId};
+use kelplink::{GraphState, ResourceVector, StepSpec, WorkerId};
 
 use crate::world::{World, runs_of, seconds, step};
 
@@ -148,6 +148,25 @@
     expect_that!(world.state("b"), some(eq(GraphState::Completed)));
 }
 
+// The new life has less room than the one before, and had not registered yet when it was given work by what that one had.
+#[gtest]
+fn a_life_that_has_not_registered_is_given_no_work() {
+    let mut world = world(69, 1);
+    world.keep_ids(3);
+    restart(&mut world, "w0-0");
+    // The poll that hung at the life before is answered by nobody.
+    world.run(AWAY + Duration::from_millis(250));
+    world.resize(&"w0-0".into(), ResourceVector::new(1_000, 2_000, 0));
+    for number in 0..40 {
+        world.submit("now", &format!("a{number}"), vec![step(1, 2, 100)]);
+        world.run(Duration::from_millis(50));
+        expect_that!(world.begun_runs, eq(0));
+    }
+    world.submit("now", "b", vec![step(1, 1, 100)]);
+    world.run(seconds(2));
+    expect_that!(world.state("b"), some(eq(GraphState::Completed)));
+}
+
 // A registration of the life before is read again after the new one was heard.
 #[gtest]
 fn an_old_registration_brings_no_earlier_life_back() {
--- a/tests/graph/takeover.rs
+++ b/tests/graph/takeover.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphProgress, GraphState, RunTrial, StepKey, StepSpec, TaskKey, WorkerRefusal};
+use kelplink::{
+    GraphProgress, GraphState, LifeId, RunTrial, StepKey, StepSpec, TaskKey, WorkerId,
+    WorkerRefusal,
+};
 
 use crate::world::{World, runs_of, seconds, step};
 
@@ -57,7 +60,7 @@
 
 fn trial() -> RunTrial {
     let address = "10.0.0.1:80".parse().unwrap();
-    RunTrial { run: 1, worker: "w0-0".into(), address }
+    RunTrial { run: 1, worker: "w0-0".into(), address, born: None }
 }
 
 const WAITS: (Option<GraphState>, usize) = (Some(GraphState::Queued), 1);
@@ -323,9 +326,10 @@
     world.run(Duration::from_millis(1_750));
     expect_that!(runs_of(&world, "a"), eq(1));
     expect_that!(told(&mut world), eq(WAITS));
-    let (now, worker, task) = (world.now, "w0-0".into(), "a.0.0.0".parse().unwrap());
+    let (now, worker, task) = (world.now, WorkerId::from("w0-0"), "a.0.0.0".parse().unwrap());
     let (run, clock) = (world.workers[&worker].runs[&task].run, world.workers[&worker].clock(now));
-    world.leader().unwrap().started(now, &worker, &task, run, Ok(clock));
+    let life = LifeId::new(worker.clone(), world.workers[&worker].listing.born);
+    world.leader().unwrap().started(now, &life, &task, run, Ok(clock));
     expect_that!(told(&mut world), eq(BEGUN));
 }
 
--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -88,7 +88,7 @@
     },
     Stop {
         epoch: LeaderEpoch,
-        worker: WorkerId,
+        life: LifeId,
         task: TaskName,
         run: RunNumber,
         answered: bool,
@@ -114,14 +114,14 @@
     },
     Started {
         leader: LeaderEpoch,
-        worker: WorkerId,
+        life: LifeId,
         task: TaskName,
         run: RunNumber,
         result: CommandResult,
     },
     Stopped {
         leader: LeaderEpoch,
-        worker: WorkerId,
+        life: LifeId,
         task: TaskName,
         run: RunNumber,
         result: CommandResult,
@@ -658,7 +658,8 @@
                 self.post(way, Message::Poll { epoch, worker, until, acked, wait });
             }
             GraphAction::Start(order) => {
-                let (worker, task, run) = (order.worker.clone(), order.task.clone(), order.run);
+                let life = LifeId::new(order.worker.clone(), order.born);
+                let (task, run) = (order.task.clone(), order.run);
                 let sent = self.now;
                 let message = |answered| Message::Start { epoch, order, sent, answered };
                 let answered = match self.fates.starts.pop_front() {
@@ -667,14 +668,15 @@
                 };
                 if !answered {
                     let result = Err(CallFailure::NoAnswer);
-                    let lost = Message::Started { leader: epoch, worker, task, run, result };
+                    let lost = Message::Started { leader: epoch, life, task, run, result };
                     self.post(Duration::from_millis(450), lost);
                 }
             }
-            GraphAction::Stop { worker, task, run, .. } => {
-                let (to, name) = (worker.clone(), task.clone());
+            GraphAction::Stop { worker, born, task, run, .. } => {
+                let life = LifeId::new(worker, born);
+                let (to, name) = (life.clone(), task.clone());
                 let message =
-                    |answered| Message::Stop { epoch, worker: to, task: name, run, answered };
+                    |answered| Message::Stop { epoch, life: to, task: name, run, answered };
                 let lost = self.fates.lost_stops > 0;
                 self.fates.lost_stops = self.fates.lost_stops.saturating_sub(1);
                 let answered = match lost {
@@ -683,7 +685,7 @@
                 };
                 if !answered {
                     let result = Err(CallFailure::NoAnswer);
-                    let lost = Message::Stopped { leader: epoch, worker, task, run, result };
+                    let lost = Message::Stopped { leader: epoch, life, task, run, result };
                     self.post(Duration::from_millis(450), lost);
                 }
             }
@@ -736,7 +738,7 @@
             let late = Duration::from_millis(self.rng.random_range(2_000..12_000));
             let order = message(false);
             let (Message::Start { order: StartOrder { worker, .. }, .. }
-            | Message::Stop { worker, .. }) = &order
+            | Message::Stop { life: LifeId { worker, .. }, .. }) = &order
             else {
                 panic!("{order:?} is no order");
             };
@@ -762,8 +764,8 @@
             Message::Start { epoch, order, sent, answered } => {
                 self.start(epoch, order, sent, answered);
             }
-            Message::Stop { epoch, worker, task, run, answered } => {
-                self.stop(epoch, worker, task, run, answered);
+            Message::Stop { epoch, life, task, run, answered } => {
+                self.stop(epoch, life, task, run, answered);
             }
             Message::Commit { epoch, group } => self.commit(epoch, group),
             Message::Stored { leader, number, taken } => {
@@ -789,14 +791,14 @@
                     leader.polled(now, unix, &worker, result);
                 }
             }
-            Message::Started { leader, worker, task, run, result } => {
+            Message::Started { leader, life, task, run, result } => {
                 if let Some(leader) = self.leaders.get_mut(&leader) {
-                    leader.started(now, &worker, &task, run, result);
+                    leader.started(now, &life, &task, run, result);
                 }
             }
-            Message::Stopped { leader, worker, task, run, result } => {
+            Message::Stopped { leader, life, task, run, result } => {
                 if let Some(leader) = self.leaders.get_mut(&leader) {
-                    leader.stopped(now, &worker, &task, run, result);
+                    leader.stopped(now, &life, &task, run, result);
                 }
             }
             Message::Crash { worker, task } => {
@@ -935,6 +937,7 @@
     fn start(&mut self, epoch: LeaderEpoch, order: StartOrder, sent: Instant, answered: bool) {
         let now = self.now;
         let (id, task, run) = (order.worker.clone(), order.task.clone(), order.run);
+        let life = LifeId::new(id.clone(), order.born);
         let fails = self.poison.contains(&task.job) || self.chance(self.failing);
         let step = self
             .store
@@ -989,19 +992,19 @@
         if answered {
             let failed = result == Err(CallFailure::NoAnswer);
             let after = if failed { Duration::from_millis(450) } else { self.way() };
-            self.post(after, Message::Started { leader: epoch, worker: id, task, run, result });
+            self.post(after, Message::Started { leader: epoch, life, task, run, result });
         }
     }
 
     fn stop(
         &mut self,
         epoch: LeaderEpoch,
-        id: WorkerId,
+        life: LifeId,
         task: TaskName,
         run: RunNumber,
         answered: bool,
     ) {
-        let now = self.now;
+        let (now, id) = (self.now, life.worker.clone());
         let result = match self.reachable(&id) {
             None => Err(self.failure_at(&id, Duration::ZERO).0),
             Some(worker) => match worker.fenced(epoch) {
@@ -1019,7 +1022,7 @@
         if answered {
             let failed = result == Err(CallFailure::NoAnswer);
             let after = if failed { Duration::from_millis(450) } else { self.way() };
-            self.post(after, Message::Stopped { leader: epoch, worker: id, task, run, result });
+            self.post(after, Message::Stopped { leader: epoch, life, task, run, result });
         }
     }
 
--- a/tests/graph/world/trouble.rs
+++ b/tests/graph/world/trouble.rs
@@ -6,7 +6,6 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::model::ModelWorker;
 use crate::world::{Message, STEP, World, register};
 
 /// A worker says what it has this often at the latest.
@@ -86,9 +85,7 @@
             return;
         };
         let listing = WorkerListing { born, leaving: None, ..worker.listing.clone() };
-        let reached = worker.reached;
-        *worker = ModelWorker::new(listing, now, rate);
-        worker.reached = reached;
+        *worker = worker.next_life(listing, now, rate);
         let beat = match &mut self.lives {
             Some(rng) => HEARTBEAT.mul_f64(rng.random()),
             None => STEP,
--- a/tests/platform/jobs.rs
+++ b/tests/platform/jobs.rs
@@ -126,6 +126,22 @@
     expect_that!(broken(&cluster), is_empty());
 }
 
+// Ends of a worker that had started again under its id were not read and acknowledged all the same, and its lists were taken
+// for old ones.
+#[gtest]
+#[tokio::test]
+async fn a_worker_that_restarts_under_its_id_runs_each_task_once() {
+    let cluster = Cluster::start(13, 2, 1, &["now"]).await;
+    for (path, tasks) in [(FIRST, 6), (SECOND, 4)] {
+        let answer = cluster.call(0, Method::POST, path, &job(100, tasks)).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK), "{path}");
+        cluster.wait_state(0, path, "completed").await;
+        expect_that!(starts(&cluster, path), eq(&vec![1; 2 * tasks as usize]), "{path}");
+        cluster.platform.restart_worker(0).await;
+    }
+    expect_that!(broken(&cluster), is_empty());
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_killed_leader_costs_no_task() {
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -25,6 +25,8 @@
 /// How long after the start of a task that crashes it a worker goes, and how long it is away.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
 const AWAY: Duration = Duration::from_millis(700);
+/// How long after its start a worker registers.
+const HEARTBEAT: Duration = Duration::from_millis(300);
 /// Longest lease of a worker, in milliseconds.
 const HOLD_MAX_MS: u64 = 6_000;
 
@@ -71,6 +73,8 @@
     /// Whether it leaves calls unanswered.
     down: bool,
     begun: Instant,
+    /// Its start by the time of day, in milliseconds.
+    born: u64,
     fence: u64,
     until_ms: u64,
     runs: BTreeMap<String, WorkerRun>,
@@ -130,14 +134,16 @@
             |state: Arc<PlatformState>, request| async move { advise(&state, request).await };
         let (advisor, _) = listen((ip, 0).into(), state.clone(), advise).await;
         for number in 0..workers {
-            lock(&state.workers).push(WorkerState::new(format!("w{number}")));
+            let worker = WorkerState::new(format!("w{number}"));
+            let born = worker.born;
+            lock(&state.workers).push(worker);
             let call = move |state: Arc<PlatformState>, request| async move {
                 worker_call(&state, number, request).await
             };
             let (address, _) = listen((ip, 0).into(), state.clone(), call).await;
             let registration = json!({
                 "service": "svc", "address": address, "zone": domains[number % domains.len()],
-                "version": "v1", "slots": 8,
+                "version": "v1", "slots": 8, "born": born,
                 "state": "ready", "cold_ms": 0, "labels": ["k", "r1-0"], "sequence": 1,
                 "capacity": {"millicpu": 8_000, "mem_mb": 16_000, "gpus": 0},
             });
@@ -151,6 +157,11 @@
         lock(&self.state.silent).insert(worker.to_owned());
     }
 
+    /// Has a worker start again under its id; ends once it has registered.
+    pub(crate) async fn restart_worker(&self, number: usize) {
+        restart(self.state.clone(), number).await;
+    }
+
     /// Ends the store's connections and refuses new ones.
     pub(crate) async fn close_store(&mut self) {
         self.store_server.abort();
@@ -220,6 +231,11 @@
     }
 }
 
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    u64::try_from(since.as_millis()).unwrap()
+}
+
 async fn serve_store(
     address: SocketAddr,
     state: &Arc<PlatformState>,
@@ -513,6 +529,7 @@
             lives: 0,
             down: false,
             begun: Instant::now(),
+            born: unix_millis(),
             fence: 0,
             until_ms: 0,
             runs: BTreeMap::new(),
@@ -614,18 +631,36 @@
     lock(&state.workers)[number].down = true;
     sleep(AWAY).await;
     let old = format!("servers/{}", lock(&state.workers)[number].id);
-    let registration = state.value(&old).unwrap_or_default();
+    let mut registration = state.value(&old).unwrap_or_default();
     let id = {
         let mut workers = lock(&state.workers);
         let lives = workers[number].lives + 1;
         let id = format!("w{number}-{lives}");
         workers[number] = WorkerState { lives, ..WorkerState::new(id.clone()) };
+        registration["born"] = json!(workers[number].born);
         id
     };
     lock(&state.store).remove(&old);
     state.put(&format!("servers/{id}"), &registration);
 }
 
+/// A worker goes, and is back under its id, knowing nothing.
+async fn restart(state: Arc<PlatformState>, number: usize) {
+    lock(&state.workers)[number].down = true;
+    sleep(AWAY).await;
+    let (key, born) = {
+        let mut workers = lock(&state.workers);
+        let worker = WorkerState::new(workers[number].id.clone());
+        let place = (format!("servers/{}", worker.id), worker.born);
+        workers[number] = worker;
+        place
+    };
+    sleep(HEARTBEAT).await;
+    let mut registration = state.value(&key).unwrap_or_default();
+    registration["born"] = json!(born);
+    state.put(&key, &registration);
+}
+
 fn start(state: &PlatformState, number: usize, body: &Value) -> Option<Response<Full<Bytes>>> {
     let mut workers = lock(&state.workers);
     let task = body["task"].as_str().unwrap_or_default().to_owned();
@@ -663,11 +698,12 @@
     let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
     let acked = body["ack_cursor"].as_u64().unwrap_or(0);
     let end = Instant::now() + wait;
+    let born = lock(&state.workers)[number].born;
     loop {
         {
             let mut workers = lock(&state.workers);
             let worker = &mut workers[number];
-            if worker.down || worker.id != id {
+            if worker.down || worker.id != id || worker.born != born {
                 return None;
             }
             let until = body["until_ms"].as_u64().unwrap_or(0);
@@ -679,8 +715,7 @@
                     worker.runs.iter().map(|(task, run)| json!([task, run.run, "", 50, 0]));
                 let running: Vec<Value> = running.collect();
                 let clock = worker.clock_ms();
-                let lists =
-                    json!({"clock_ms": clock, "running": running, "finished": worker.ended});
+                let lists = json!({"born": worker.born, "clock_ms": clock, "running": running, "finished": worker.ended});
                 return answer(200, &lists);
             }
         }
