A suspected task waits for the worker whose return decides about it

Callers saw tasks that crash their workers started on after three crashes, each start at the cost of a worker with all that runs there. Ruled out: giving up after three begun runs on silent workers (cut workers look the same); storing each first start (a write a start). Change: where one more proof decides and a silent worker may bring it, the next start waits 5 s. No limit or count is changed.

--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -44,12 +44,15 @@
 const BACKOFF: Duration = Duration::from_secs(1);
 /// Longest such addition.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(8);
+/// Pause where the return of a silent worker would prove the crash that ends the job: a worker that has crashed is back some
+/// seconds after its lease has run out, and each start before that may cost another.
+const PROOF_PAUSE: Duration = Duration::from_secs(5);
 /// Doublings after which the longest is reached.
 const MOST_DOUBLINGS: usize = 3;
 
-/// Pause before a task is started again under which `doubts` workers have crashed or may have; it differs from task to task.
-pub(crate) fn pause_after(task: &TaskName, run: RunNumber, doubts: usize) -> Option<Duration> {
-    let beyond = doubts.checked_sub(SPREAD_FROM)?;
+/// Pause before a task is started again under which workers have crashed or may have; it differs from task to task.
+pub(crate) fn pause_after(task: &TaskName, run: RunNumber, count: &CrashCount) -> Option<Duration> {
+    let beyond = count.all.checked_sub(SPREAD_FROM)?;
     let mut hasher = DefaultHasher::new();
     (task, run).hash(&mut hasher);
     let spread = SPREAD * u32::try_from(hasher.finish() % 1_000).unwrap_or(0) / 1_000;
@@ -57,7 +60,8 @@
         0 => Duration::ZERO,
         more => (BACKOFF * (1 << (more - 1).min(MOST_DOUBLINGS))).min(LONGEST_BACKOFF),
     };
-    Some(spread + backoff)
+    let proof = if count.hinges_on_silence() { PROOF_PAUSE } else { Duration::ZERO };
+    Some(spread + backoff.max(proof))
 }
 
 /// A run that may have crashed its worker, as the store keeps it: the next leader may be the one that hears of it.
@@ -103,6 +107,11 @@
 }
 
 impl CrashCount {
+    /// Whether one more proof gives the task up, and a silent worker may bring it.
+    fn hinges_on_silence(&self) -> bool {
+        self.proven + 1 == PROVEN_LIMIT && self.begun >= PROVEN_LIMIT
+    }
+
     /// Whether the task is to be given up, by the limit that follows from what else explains the last crash.
     pub(crate) fn is_too_many(&self, limit: usize) -> bool {
         (self.sure >= SURE_CRASHES && self.all >= limit)
--- a/src/graph/jobs/crashes.rs
+++ b/src/graph/jobs/crashes.rs
@@ -155,9 +155,10 @@
 /// Keeps a task that has been suspected before from starting again in step with others, and for longer with each crash.
 /// After a first one it starts at once: most tasks only ran beside the cause.
 pub(super) fn delay_start(job: &mut GraphJob, task: &TaskName, run: RunNumber, now: Instant) {
-    let doubts = crash_count(job, task.key).all;
-    if let Some(pause) = pause_after(task, run, doubts)
-        && !job.live.contains_key(&task.key)
+    let count = crash_count(job, task.key);
+    let settled = job.live.get(&task.key).is_none_or(|live| live.run == run);
+    if let Some(pause) = pause_after(task, run, &count)
+        && settled
     {
         job.not_before.insert(task.key, now + pause);
     }
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -325,19 +325,27 @@
     run(CRASH_SEEDS + 221);
 }
 
-// Red: see KNOWN-RED.txt. The first crashes of a task left no trace, one under each of two leaders; under the third it crashed
-// three workers that were silent for longer than their leases, and went out again before the last of them was back.
+// The first crashes of a task left no trace, one under each of two leaders; under the third it crashed three workers that were
+// silent for longer than their leases, and went out again before the last of them was back.
 #[gtest]
 fn seed_23020113_starts_a_task_on_after_first_crashes_that_no_store_took() {
     run(23_020_113);
 }
 
-// Red: see KNOWN-RED.txt. The same; it fails on code before starts were announced as well.
+// The same; it failed on code before starts were announced as well.
 #[gtest]
 fn seed_23000577_starts_a_task_on_after_first_crashes_that_no_store_took() {
     run(23_000_577);
 }
 
+// The same with workers that restart under their ids: their return proves the crash, and the start went out before it.
+#[gtest]
+fn seeds_of_restarts_start_no_task_on_before_a_silent_worker_is_back() {
+    [124_000_326, 125_000_167, 126_000_186].into_iter().for_each(|seed| {
+        run(seed);
+    });
+}
+
 // An end was acknowledged although its task was begun again, in one of some thousand seeds, by which way is not traced.
 // Since suspected tasks start elsewhere and later, this seed does not come to it any more.
 #[gtest]
