A task that a later life has taken is not given up by the clock of the life before

Cause: a start carries the end of the lease by the clock of the life that was heard last. A later life, whose clock is far below, takes it for the longest lease; cut off then, it ran the task on for 6 s while the leader gave it up after 4.65 s. The case a_task_at_a_life_that_was_never_heard_runs_nowhere_else failed before: 'runs on [w0-0, w1-0]'. Change: an answer to a start whose clock lies behind what the life must have reached shows a later life: the worker gets no more work until a poll is answered, and the run is given up only after the longest lease.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -139,6 +139,12 @@
         if let Ok(clock) = &result {
             life.note_answer(now, *clock);
         }
+        let sent = life.runs.get(task).map(|entry| entry.since);
+        let least = sent.and_then(|sent| life.clock_at_least(sent));
+        let taken_later = result.as_ref().is_ok_and(|clock| least.is_some_and(|l| *clock < l));
+        if taken_later {
+            life.heard = None;
+        }
         let Some(entry) = life.runs.get_mut(task).filter(|entry| entry.run == run) else {
             return;
         };
@@ -156,6 +162,7 @@
         let failure = match result {
             Ok(clock) => {
                 entry.phase = RunPhase::Running { confirmed: clock };
+                entry.taken_later = taken_later.then_some(now);
                 entry.confirm(now);
                 let until = entry.until.filter(|_| tries == 1);
                 life.grant_lease(until);
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -383,12 +383,13 @@
 
     /// Runs of workers whose lease is surely over.
     pub(crate) fn lapsed(&mut self, now: Instant) -> Vec<LifeFinding> {
-        let mut found = Vec::new();
+        let (mut found, longest) = (Vec::new(), self.longest_lease);
         for life in self.lives.values_mut() {
             if life.runs.is_empty() || !life.lease_over(now) {
                 continue;
             }
-            let tasks: Vec<TaskName> = life.runs.keys().cloned().collect();
+            let over = life.runs.iter().filter(|(_, run)| life.is_surely_over(run, now, longest));
+            let tasks: Vec<TaskName> = over.map(|(task, _)| task.clone()).collect();
             for task in tasks {
                 if let Some(run) = life.remove_run(&task) {
                     let trial = life.trial(&run);
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -110,6 +110,8 @@
     pub sends: u32,
     /// Whether a list of its worker has shown it.
     pub listed: bool,
+    /// When its start was answered by a clock that shows a later life than the one that was heard last.
+    pub(crate) taken_later: Option<Instant>,
     /// Whether its worker has said that it has it.
     pub begun: bool,
     /// When its worker has outlived its start for long enough; `None` once it has.
@@ -219,6 +221,7 @@
             until: None,
             sends: 0,
             listed: false,
+            taken_later: None,
             begun: !matches!(phase, RunPhase::Sent { .. }),
             probation: None,
             suspected: false,
@@ -457,6 +460,13 @@
         }
     }
 
+    /// Whether a run whose start a later life has taken is surely over: that life holds it for the longest lease, whatever end the
+    /// start gave by the clock of the life before.
+    pub(crate) fn is_surely_over(&self, run: &WorkerRun, now: Instant, longest: Duration) -> bool {
+        let held = longest * 1_000 / (1_000 - SLOW_CLOCK_PERMILLE) + LAPSE_MARGIN;
+        run.taken_later.is_none_or(|answered| now.saturating_duration_since(answered) >= held)
+    }
+
     /// Number up to which ends may be acknowledged.
     pub fn acknowledgeable(&self) -> u64 {
         self.withheld.map_or(self.durable, |first| self.durable.min(first.saturating_sub(1)))
--- a/tests/graph/restarts.rs
+++ b/tests/graph/restarts.rs
@@ -116,6 +116,28 @@
     }
 }
 
+// A start reached a life that nothing had told of, which holds it for the longest lease by the clock of the life before; cut off
+// then, its task ran there when its lease was over by that clock, and elsewhere.
+#[gtest]
+fn a_task_at_a_life_that_was_never_heard_runs_nowhere_else() {
+    for seed in 0..8 {
+        let mut world = world(170 + seed, 2);
+        world.keep_ids(seed);
+        world.run(seconds(10));
+        let ids: Vec<WorkerId> = world.workers.keys().cloned().collect();
+        ids.iter().for_each(|id| world.crash_and_restart(id, Duration::from_millis(30)));
+        world.run(Duration::from_millis(35));
+        world.submit("now", "a", vec![step(1, 1, 8_000)]);
+        while runs_of(&world, "a") == 0 {
+            world.run(Duration::from_millis(5));
+        }
+        let place = places(&world, "a").remove(0);
+        world.workers.get_mut(&place).unwrap().reached = false;
+        world.run(seconds(20));
+        expect_that!(world.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
+
 // A worker that answers again under its id was taken for one that had been silent: tasks that crash their workers were
 // started for good.
 #[gtest]
