Answers that overtake each other show no later life

Callers would see work wait for up to a poll (0.5 to 1.2 s) at a worker that is well. Change: it is compared with what the clock must have reached when the start was sent.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -140,8 +140,8 @@
             life.note_answer(now, *clock);
         }
         let sent = life.runs.get(task).map(|entry| entry.since);
-        let least = sent.and_then(|sent| life.clock_at_least(sent));
-        let taken_later = result.as_ref().is_ok_and(|clock| least.is_some_and(|l| *clock < l));
+        let reached = sent.and_then(|sent| life.clock_reached_by(sent));
+        let taken_later = matches!((&result, reached), (Ok(clock), Some(least)) if *clock < least);
         if taken_later {
             life.heard = None;
         }
@@ -164,7 +164,7 @@
                 entry.phase = RunPhase::Running { confirmed: clock };
                 entry.taken_later = taken_later.then_some(now);
                 entry.confirm(now);
-                let until = entry.until.filter(|_| tries == 1);
+                let until = entry.until.filter(|_| tries == 1 && !taken_later);
                 life.grant_lease(until);
                 return;
             }
--- a/src/graph/lives.rs
+++ b/src/graph/lives.rs
@@ -187,9 +187,9 @@
             life.polling = Some(now);
             // An idle worker that is not registered is left alone once its lease is over: it was polled for good.
             let used = life.listed || !life.runs.is_empty();
-            // Another life forgets ends unread by the number of this one, and holds its runs longer by this one's clock.
+            // Another life would forget its first ends unread by the number of this one.
             let same_life = life.heard.is_some_and(|at| now - at <= SAME_LIFE);
-            let until = match extend && used && life.misses == 0 && same_life {
+            let until = match extend && used && life.misses == 0 {
                 true => life.extend_lease(now, WORKER_LEASE),
                 false => None,
             };
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -414,6 +414,17 @@
         Some(clock + passed * (1_000 - SLOW_CLOCK_PERMILLE) / 1_000)
     }
 
+    /// What its clock surely had reached at a moment that may lie before the answer that told it last.
+    pub(crate) fn clock_reached_by(&self, moment: Instant) -> Option<Duration> {
+        let (clock, at) = self.clock?;
+        let since = at.saturating_duration_since(moment);
+        if since.is_zero() {
+            self.clock_at_least(moment)
+        } else {
+            Some(clock.saturating_sub(since))
+        }
+    }
+
     /// End of a lease of the given length from now, on its clock, and remembers that it was sent.
     pub fn extend_lease(&mut self, now: Instant, length: Duration) -> Option<Duration> {
         let (clock, at) = self.clock?;
--- a/tests/graph/restarts.rs
+++ b/tests/graph/restarts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphState, ResourceVector, StepSpec, WorkerId};
+use kelplink::{GraphState, LifeId, ResourceVector, StepSpec, WorkerId};
 
 use crate::world::{World, runs_of, seconds, step};
 
@@ -20,6 +20,10 @@
     world.crash_and_restart(&worker.into(), AWAY);
 }
 
+fn life_of(world: &World, worker: &WorkerId) -> LifeId {
+    LifeId::new(worker.clone(), world.workers[worker].listing.born)
+}
+
 fn lasting(count: u32) -> StepSpec {
     StepSpec { lasting: true, ..step(count, 1, 600_000) }
 }
@@ -138,6 +142,27 @@
     }
 }
 
+// Answers that overtake each other by some milliseconds show no later life: the worker stays open while its poll hangs.
+#[gtest]
+fn answers_that_overtake_each_other_keep_a_worker_open() {
+    let mut world = world(71, 1);
+    world.run(Duration::from_millis(10_300));
+    let late = Some(Duration::from_millis(10));
+    world.fates.starts.extend([late, late]);
+    world.submit("now", "a", vec![step(2, 1, 5_000)]);
+    world.run(Duration::from_millis(50));
+    let (now, id) = (world.now, WorkerId::from("w0-0"));
+    let (clock, life) = (world.workers[&id].clock(now), life_of(&world, &id));
+    let leader = world.leader().unwrap();
+    for (task, behind) in [("a.0.0.1", 0), ("a.0.0.0", 3)] {
+        let answer = Ok(clock - Duration::from_millis(behind));
+        leader.started(now, &life, &task.parse().unwrap(), 1, answer);
+    }
+    world.submit("now", "b", vec![step(1, 1, 5_000)]);
+    world.run(Duration::from_millis(100));
+    expect_that!(runs_of(&world, "b"), eq(1));
+}
+
 // A worker that answers again under its id was taken for one that had been silent: tasks that crash their workers were
 // started for good.
 #[gtest]
