Red: a machine that crashes by itself twice has a lasting task given up

Cause, from its log: worker w9-0 restarts under its id and crashes again at once, each time within a second of a start of the same task; both crashes count (sure=2 all=3 limit=2), as nothing tells the machine from the task. Ruled out: a wrong life; the life that ended is told apart rightly. Not mended: product code stays as it was proved. The check stays as it is; listed with what is to be weighed (crashes at one address count once).

--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -232,3 +232,10 @@
 fn shard_seed_34000685_gives_up_no_task_after_one_crash() {
     run(34_000_685);
 }
+
+// Red: see KNOWN-RED.txt. The only worker in reach of a shard crashed twice by itself, each time within a second of a start of the
+// same lasting task, which was given up for it.
+#[gtest]
+fn shard_seed_117000005_gives_up_no_task_for_a_machine_that_crashes_by_itself() {
+    run(117_000_005);
+}
