The messages and the store of the tests' world have files of their own

Change: what is under way (messages, their faults and fates) goes to world/messages.rs, the store to world/store.rs; moved as it was, with the visibility that another file needs. No check, bound or draw changes.

--- a/tests/graph/world.rs
+++ b/tests/graph/world.rs
@@ -1,8 +1,10 @@
 //! Leaders, workers and a store that exchange messages which may be lost, late and out of order.
 
+mod messages;
+mod store;
 mod trouble;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +16,9 @@
 use crate::checker::CrashChecker;
 use crate::model::{ModelRun, ModelWorker};
 use crate::waiting_checker::WaitingChecker;
+use crate::world::messages::Message;
+pub(crate) use crate::world::messages::{MessageFaults, OrderFates};
+pub(crate) use crate::world::store::ModelStore;
 
 pub(crate) const LONGEST_LEASE: Duration = Duration::from_secs(6);
 const BOUNDS: GraphBounds = GraphBounds {
@@ -37,157 +42,6 @@
 /// How often a leader whose store answers is told so.
 const RENEWAL: u64 = 500;
 
-/// Faults of messages, in thousandths.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct MessageFaults {
-    /// Calls that do not arrive.
-    pub(crate) lost: u32,
-    /// Answers that do not arrive.
-    pub(crate) unanswered: u32,
-    /// Orders that are carried out seconds later and not answered.
-    pub(crate) late: u32,
-}
-
-impl MessageFaults {
-    fn none(&self) -> bool {
-        self.lost == 0 && self.unanswered == 0 && self.late == 0
-    }
-}
-
-/// What becomes of the next orders, whatever the faults of messages are.
-#[derive(Debug, Default)]
-pub(crate) struct OrderFates {
-    /// How late the next starts are carried out, unanswered; `None` for one that does not arrive.
-    pub(crate) starts: VecDeque<Option<Duration>>,
-    /// How many of the next stops do not arrive.
-    pub(crate) lost_stops: u32,
-}
-
-#[derive(Clone, Debug)]
-enum Message {
-    Poll {
-        epoch: LeaderEpoch,
-        worker: WorkerId,
-        until: Option<Duration>,
-        acked: u64,
-        wait: Duration,
-    },
-    Look {
-        leader: LeaderEpoch,
-        worker: WorkerId,
-        /// Life that took the poll.
-        born: LifeStart,
-        acked: u64,
-        until: Instant,
-    },
-    Start {
-        epoch: LeaderEpoch,
-        order: StartOrder,
-        sent: Instant,
-        answered: bool,
-    },
-    Stop {
-        epoch: LeaderEpoch,
-        life: LifeId,
-        task: TaskName,
-        run: RunNumber,
-        answered: bool,
-    },
-    Commit {
-        epoch: LeaderEpoch,
-        group: CommitGroup,
-    },
-    Stored {
-        leader: LeaderEpoch,
-        number: GroupNumber,
-        taken: Vec<GraphId>,
-    },
-    Notice {
-        leader: LeaderEpoch,
-        kind: NoticeKind,
-        job: GraphId,
-    },
-    Polled {
-        leader: LeaderEpoch,
-        worker: WorkerId,
-        result: PollResult,
-    },
-    Started {
-        leader: LeaderEpoch,
-        life: LifeId,
-        task: TaskName,
-        run: RunNumber,
-        result: CommandResult,
-    },
-    Stopped {
-        leader: LeaderEpoch,
-        life: LifeId,
-        task: TaskName,
-        run: RunNumber,
-        result: CommandResult,
-    },
-    Advised {
-        leader: LeaderEpoch,
-        call: AdviceCall,
-    },
-    /// A worker crashes under a task.
-    Crash {
-        worker: WorkerId,
-        task: TaskName,
-    },
-    /// The registration of a worker that is down has lapsed.
-    Unlisted {
-        worker: WorkerId,
-    },
-    /// A worker that has crashed is back under another id.
-    Reborn {
-        worker: WorkerId,
-    },
-    /// A worker that has crashed is back under its id.
-    Restart {
-        worker: WorkerId,
-    },
-    /// An order that a worker has taken and carries out late: it goes with the life that took it.
-    Late {
-        worker: WorkerId,
-        born: LifeStart,
-        order: Box<Message>,
-    },
-    /// A worker says what it has.
-    Heartbeat {
-        worker: WorkerId,
-    },
-}
-
-/// What the store has.
-#[derive(Debug, Default)]
-pub(crate) struct ModelStore {
-    pub(crate) epoch: LeaderEpoch,
-    pub(crate) up: bool,
-    /// Whether it says so while it is down.
-    pub(crate) refuses: bool,
-    /// How much longer than usual it takes for a group.
-    pub(crate) slowness: Duration,
-    pub(crate) jobs: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
-    pub(crate) workers: Vec<UsedWorker>,
-    /// What each shard has beside that, where there are several.
-    pub(crate) shards: BTreeMap<ShardId, ModelShard>,
-    /// Whether the list of these workers cannot be read.
-    pub(crate) spoilt: bool,
-    pub(crate) groups: u64,
-}
-
-/// What the store has of one shard.
-#[derive(Debug, Default)]
-pub(crate) struct ModelShard {
-    /// The leader that was elected last.
-    pub(crate) epoch: LeaderEpoch,
-    workers: Vec<UsedWorker>,
-    /// Jobs of other shards that are run here in part.
-    pub(crate) parts: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
-    notices: BTreeMap<(NoticeKind, GraphId), Option<GraphRecord>>,
-}
-
 pub(crate) struct World {
     pub(crate) rng: StdRng,
     pub(crate) now: Instant,
--- /dev/null
+++ b/tests/graph/world/messages.rs
@@ -0,0 +1,130 @@
+//! What is under way in the world, and what may become of it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use kelplink::*;
+use tokio::time::Instant;
+
+/// Faults of messages, in thousandths.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct MessageFaults {
+    /// Calls that do not arrive.
+    pub(crate) lost: u32,
+    /// Answers that do not arrive.
+    pub(crate) unanswered: u32,
+    /// Orders that are carried out seconds later and not answered.
+    pub(crate) late: u32,
+}
+
+impl MessageFaults {
+    pub(super) fn none(&self) -> bool {
+        self.lost == 0 && self.unanswered == 0 && self.late == 0
+    }
+}
+
+/// What becomes of the next orders, whatever the faults of messages are.
+#[derive(Debug, Default)]
+pub(crate) struct OrderFates {
+    /// How late the next starts are carried out, unanswered; `None` for one that does not arrive.
+    pub(crate) starts: VecDeque<Option<Duration>>,
+    /// How many of the next stops do not arrive.
+    pub(crate) lost_stops: u32,
+}
+
+/// What is under way between leaders, workers and the store.
+#[derive(Clone, Debug)]
+pub(super) enum Message {
+    Poll {
+        epoch: LeaderEpoch,
+        worker: WorkerId,
+        until: Option<Duration>,
+        acked: u64,
+        wait: Duration,
+    },
+    Look {
+        leader: LeaderEpoch,
+        worker: WorkerId,
+        /// Life that took the poll.
+        born: LifeStart,
+        acked: u64,
+        until: Instant,
+    },
+    Start {
+        epoch: LeaderEpoch,
+        order: StartOrder,
+        sent: Instant,
+        answered: bool,
+    },
+    Stop {
+        epoch: LeaderEpoch,
+        life: LifeId,
+        task: TaskName,
+        run: RunNumber,
+        answered: bool,
+    },
+    Commit {
+        epoch: LeaderEpoch,
+        group: CommitGroup,
+    },
+    Stored {
+        leader: LeaderEpoch,
+        number: GroupNumber,
+        taken: Vec<GraphId>,
+    },
+    Notice {
+        leader: LeaderEpoch,
+        kind: NoticeKind,
+        job: GraphId,
+    },
+    Polled {
+        leader: LeaderEpoch,
+        worker: WorkerId,
+        result: PollResult,
+    },
+    Started {
+        leader: LeaderEpoch,
+        life: LifeId,
+        task: TaskName,
+        run: RunNumber,
+        result: CommandResult,
+    },
+    Stopped {
+        leader: LeaderEpoch,
+        life: LifeId,
+        task: TaskName,
+        run: RunNumber,
+        result: CommandResult,
+    },
+    Advised {
+        leader: LeaderEpoch,
+        call: AdviceCall,
+    },
+    /// A worker crashes under a task.
+    Crash {
+        worker: WorkerId,
+        task: TaskName,
+    },
+    /// The registration of a worker that is down has lapsed.
+    Unlisted {
+        worker: WorkerId,
+    },
+    /// A worker that has crashed is back under another id.
+    Reborn {
+        worker: WorkerId,
+    },
+    /// A worker that has crashed is back under its id.
+    Restart {
+        worker: WorkerId,
+    },
+    /// An order that a worker has taken and carries out late: it goes with the life that took it.
+    Late {
+        worker: WorkerId,
+        born: LifeStart,
+        order: Box<Message>,
+    },
+    /// A worker says what it has.
+    Heartbeat {
+        worker: WorkerId,
+    },
+}
--- a/tests/graph/world/trouble.rs
+++ b/tests/graph/world/trouble.rs
@@ -6,7 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::world::{Message, STEP, World, register};
+use crate::world::messages::Message;
+use crate::world::{STEP, World, register};
 
 /// A worker says what it has this often at the latest.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
