Identify callers by the API keys of their workspaces

Change: workspaces with keys (kept as hashes only), weight and cap are part of the configuration; a request needs exactly one valid key unless its queue is public, and is refused with 401 before its body is read. An unknown path stays 404 before any key is looked at, so that a route's removal and a key's show as what they are. A job carries the workspace that submitted it, stored with it; other workspaces get 410 for its name, and 409 if they submit it. Ruled out: 403 for the jobs of others, as it tells that the name exists; the text of the decoder's error in the log, as it quotes the value that it stumbled over. Seen: tests/platform/identity.rs (keys absent, doubled, malformed, moved, taken away; no key in log, metrics or dump).

--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -57,7 +57,8 @@
         let record = |id: &GraphId| {
             let job = self.jobs.get(id)?;
             let (home, share) = (job.home.clone(), job.share.clone());
-            Some(GraphRecord { spec: (*job.spec).clone(), rule: (*job.rule).clone(), home, share })
+            let (spec, rule) = ((*job.spec).clone(), (*job.rule).clone());
+            Some(GraphRecord { spec, rule, workspace: job.workspace.clone(), home, share })
         };
         let notice = |(job, shard, kind): (GraphId, ShardId, NoticeKind)| {
             let record = match kind {
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -85,6 +85,10 @@
     ) {
         let id = record.spec.id.clone();
         match self.jobs.get(&id) {
+            Some(job) if !job.is_visible_to(record.workspace.as_ref()) => {
+                self.actions.push(GraphAction::Answer(call, GraphAnswer::NameTaken));
+                return;
+            }
             Some(job) if job.durable => {
                 self.actions.push(GraphAction::Answer(call, GraphAnswer::Accepted));
                 return;
--- a/src/graph/event.rs
+++ b/src/graph/event.rs
@@ -102,6 +102,8 @@
     Elsewhere(ShardId),
     /// The job was not accepted: it is still undetermined which shard should run it.
     Unready,
+    /// Another workspace has a job of this name; nothing was done.
+    NameTaken,
     /// The job is cancelled and the cancellation is stored.
     Cancelled,
     /// There is no such job, or it has ended.
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -13,7 +13,7 @@
 use crate::graph::shard::ShardId;
 use crate::graph::share::TaskShare;
 use crate::graph::spec::{GraphSpec, StepSpec};
-use crate::id::{DomainId, WorkerId};
+use crate::id::{DomainId, WorkerId, WorkspaceId};
 
 /// Record of a job in the store, written when the job is accepted.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,6 +23,9 @@
     pub spec: GraphSpec,
     /// Its queue at acceptance; used where the queue has been removed since.
     pub rule: QueueRule,
+    /// Workspace that submitted it; `None` where callers are not identified.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
     /// Failure domain that it runs in; `None` if it may run anywhere.
     #[serde(default)]
     pub home: Option<DomainId>,
@@ -64,6 +67,8 @@
     pub spec: Arc<GraphSpec>,
     /// Its queue.
     pub rule: Arc<QueueRule>,
+    /// Workspace that submitted it; `None` where callers are not identified.
+    pub workspace: Option<WorkspaceId>,
     /// Failure domain that it runs in; `None` if it may run anywhere.
     pub home: Option<DomainId>,
     /// How its tasks are divided among shards, where it is wider than a shard.
@@ -112,6 +117,7 @@
         Self {
             spec: Arc::new(record.spec),
             rule: Arc::new(record.rule),
+            workspace: record.workspace,
             home: record.home,
             share: record.share,
             shard: ShardId::from(""),
@@ -180,6 +186,12 @@
         }
     }
 
+    /// Whether callers that act for `workspace` may see and change it. A job without a workspace was submitted to a
+    /// queue whose callers were not identified.
+    pub fn is_visible_to(&self, workspace: Option<&WorkspaceId>) -> bool {
+        self.rule.public || self.workspace.is_none() || self.workspace.as_ref() == workspace
+    }
+
     /// Whether it has ended, in the store or in memory.
     pub fn is_over(&self) -> bool {
         self.progress.verdict.is_some()
--- a/src/graph/queue.rs
+++ b/src/graph/queue.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::graph::name::QueueId;
-use crate::id::{Revision, ServiceId};
+use crate::id::{Revision, ServiceId, WorkspaceId};
+use crate::workspace::{KeyDigest, WorkspaceRule};
 
 /// Expected times of a call for placement advice.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,10 +44,14 @@
     pub target: Duration,
     /// Expected times of placement advice, if the queue needs advice.
     pub advice: Option<AdviceRule>,
+    /// Whether callers need no API key.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A service: the pool of workers that tasks run on.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PoolRule {
     /// Whether its workers refuse tasks that exceed their capacity.
     pub enforces_capacity: bool,
@@ -56,6 +61,7 @@
 
 /// Limits of requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RequestLimits {
     /// Largest body in bytes.
     pub body_bytes: usize,
@@ -65,6 +71,7 @@
 
 /// A version of the configuration.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct QueueConfig {
     /// Its version.
     pub version: Revision,
@@ -74,6 +81,10 @@
     pub pools: BTreeMap<ServiceId, PoolRule>,
     /// Limits of requests.
     pub limits: RequestLimits,
+    /// All workspaces.
+    pub workspaces: BTreeMap<WorkspaceId, WorkspaceRule>,
+    /// The workspace of each valid API key.
+    pub keys: BTreeMap<KeyDigest, WorkspaceId>,
 }
 
 impl QueueConfig {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 mod store;
 mod token;
 mod worker;
+mod workspace;
 
 pub use command::run_command;
 pub use config::*;
@@ -80,3 +81,4 @@
 pub use store::{StoreOutcome, StoreRequest, StoredValue};
 pub use token::FencingToken;
 pub use worker::{TaskOutcome, TaskReport, TaskUsage, WorkerCommand, WorkerReply, WorkerRequest};
+pub use workspace::{KeyDigest, WorkspaceRule};
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,6 +2,7 @@
 
 mod action_executor;
 mod answer_condition;
+mod caller_identity;
 mod callers;
 mod candidacy;
 mod clock;
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -18,9 +18,11 @@
 use tokio::time::{Instant, timeout};
 
 use crate::graph::{GraphId, GraphRecord, QueueRule};
+use crate::id::WorkspaceId;
+use crate::node::caller_identity::identify_workspace;
 use crate::node::clock::unix_millis;
 use crate::node::leader_client::{LeaderCallError, LeaderClient};
-use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
+use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::shared::NodeShared;
 use crate::platform::{
     decode_caller_timeout, decode_job, encode_pending, encode_state, is_job_name,
@@ -157,18 +159,22 @@
         let Some(queue) = config.route(request.host(), path) else {
             return Err(ProblemDetails::new(StatusCode::NOT_FOUND, "no such queue", path));
         };
+        let requires_keys = self.shared.settings.requires_keys;
+        let workspace = identify_workspace(&config, queue, request.headers, requires_keys)?;
         let name = path.strip_prefix(&*queue.prefix).unwrap_or_default().trim_matches('/');
         match (request.method, name) {
             (&Method::GET, "") => self.pending(request, queue).await,
             (&Method::GET | &Method::DELETE, name) if !name.is_empty() && !is_job_name(name) => {
                 Err(gone("no job has such a name"))
             }
-            (&Method::GET, name) => self.state(request, name).await,
+            (&Method::GET, name) => self.state(request, name, workspace).await,
             (&Method::POST, name) if !name.is_empty() => {
                 let body = read_body(request, body, config.limits.body_bytes).await?;
-                self.submit(request, queue, name, &body).await
+                self.submit(request, queue, workspace, name, &body).await
+            }
+            (&Method::DELETE, name) if !name.is_empty() => {
+                self.cancel(request, name, workspace).await
             }
-            (&Method::DELETE, name) if !name.is_empty() => self.cancel(request, name).await,
             _ => Err(ProblemDetails::new(StatusCode::METHOD_NOT_ALLOWED, "not here", path)),
         }
     }
@@ -186,6 +192,7 @@
         &self,
         request: &CallerRequest<'_>,
         queue: &Arc<QueueRule>,
+        workspace: Option<WorkspaceId>,
         name: &str,
         body: &[u8],
     ) -> Result<Response<Body>> {
@@ -193,7 +200,8 @@
             let status = StatusCode::BAD_REQUEST;
             ProblemDetails::new(status, "no such job can be", errors.join("; ")).ran(RunState::No)
         })?;
-        let record = GraphRecord { spec, rule: (**queue).clone(), home: None, share: None };
+        let record =
+            GraphRecord { spec, rule: (**queue).clone(), workspace, home: None, share: None };
         let caller_timeout = request.time_left();
         let attempt = rand::random();
         let submission = JobSubmission { attempt, caller_timeout, forced: false, record };
@@ -201,6 +209,11 @@
             Ok(LeaderAnswer::Rejected(retry)) => {
                 Err(unavailable("the job could not be taken").retry_after(retry))
             }
+            Ok(LeaderAnswer::NameTaken) => {
+                let status = StatusCode::CONFLICT;
+                let detail = "there is another job of this name";
+                Err(ProblemDetails::new(status, "name taken", detail).ran(RunState::No))
+            }
             Ok(LeaderAnswer::NotLeading | LeaderAnswer::Elsewhere(_))
             | Err(LeaderCallError::NotTaken) => Err(unavailable("no leader can be reached")),
             Ok(_) => Ok(json_response(StatusCode::OK, &serde_json::json!({}))),
@@ -208,13 +221,18 @@
         }
     }
 
-    async fn state(&self, request: &CallerRequest<'_>, name: &str) -> Result<Response<Body>> {
-        let job = GraphId::from(name);
-        let call = LeaderCall::State(job.clone());
-        let answer = match self.leader_client.ask_owner(&job, &call, request.time_left() / 2).await
-        {
+    async fn state(
+        &self,
+        request: &CallerRequest<'_>,
+        name: &str,
+        workspace: Option<WorkspaceId>,
+    ) -> Result<Response<Body>> {
+        let access = JobAccess::new(GraphId::from(name), workspace);
+        let call = LeaderCall::State(access.clone());
+        let time_left = request.time_left() / 2;
+        let answer = match self.leader_client.ask_owner(access.job(), &call, time_left).await {
             Ok(answer @ (LeaderAnswer::State(_) | LeaderAnswer::Gone)) => Some(answer),
-            _ => self.leader_client.stored_state(&job).await,
+            _ => self.leader_client.stored_state(&access).await,
         };
         match answer {
             Some(LeaderAnswer::State(state)) => Ok(encode_state(state)),
@@ -223,9 +241,14 @@
         }
     }
 
-    async fn cancel(&self, request: &CallerRequest<'_>, name: &str) -> Result<Response<Body>> {
+    async fn cancel(
+        &self,
+        request: &CallerRequest<'_>,
+        name: &str,
+        workspace: Option<WorkspaceId>,
+    ) -> Result<Response<Body>> {
         let job = GraphId::from(name);
-        let call = LeaderCall::Cancel(job.clone());
+        let call = LeaderCall::Cancel(JobAccess::new(job.clone(), workspace));
         match self.leader_client.ask_owner(&job, &call, request.time_left()).await {
             Ok(LeaderAnswer::Cancelled) => {
                 Ok(json_response(StatusCode::OK, &serde_json::json!({})))
--- a/src/node/election/lease_tests.rs
+++ b/src/node/election/lease_tests.rs
@@ -8,10 +8,10 @@
 use googletest::prelude::*;
 use tokio::time::{sleep, timeout};
 
-use crate::graph::{GraphId, QueueConfig, RequestLimits, ShardId, ShardPlan};
+use crate::graph::{QueueConfig, RequestLimits, ShardId, ShardPlan};
 use crate::node::election::ElectionLoop;
 use crate::node::input::LeaderInput;
-use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::message::{JobAccess, LeaderAnswer, LeaderCall};
 use crate::node::own_leader::ask_own_leader;
 use crate::node::records::{LeaderRecord, LeaderTerm};
 use crate::node::settings::NodeSettings;
@@ -55,7 +55,8 @@
         }
     };
     assert!(timeout(START_TIMEOUT, leads).await.is_ok(), "the entry does not lead");
-    ask_own_leader(shared, &undivided(), LeaderCall::State(GraphId::from(UNKNOWN))).await
+    ask_own_leader(shared, &undivided(), LeaderCall::State(JobAccess::Anonymous(UNKNOWN.into())))
+        .await
 }
 
 // The entry offered its lease to a leader that stepped down. The lease, and with it the leader key, ended before the
@@ -122,8 +123,14 @@
     let (shared, mut election) = registered(address).await;
     shared.members.send_modify(|view| view.known = true);
     let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
-    let config =
-        QueueConfig { version: 1, queues: Default::default(), pools: Default::default(), limits };
+    let config = QueueConfig {
+        version: 1,
+        queues: Default::default(),
+        pools: Default::default(),
+        limits,
+        workspaces: Default::default(),
+        keys: Default::default(),
+    };
     shared.config.send_replace(Some(Arc::new(config)));
     let view = shared.members.borrow().clone();
     assert!(election.may_campaign(&undivided(), &view));
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -21,7 +21,7 @@
 use crate::node::clock::{BootClock, unix_millis};
 use crate::node::input::{GroupOutcome, LeaderInput};
 use crate::node::ledger::{JobLedger, LEDGER_LOG_NAME};
-use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
+use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::notices::NoticeLoop;
 use crate::node::records::LeaderTerm;
 use crate::node::registry::RegistryLoop;
@@ -285,10 +285,13 @@
         let id = self.last_call;
         let lease_age = controller.lease_age(now);
         match call {
-            LeaderCall::State(job) => {
+            LeaderCall::State(access) => {
                 let absence_certain = self.may_answer(AnswerCondition::Absence, controller, now);
-                let update = state_update(controller, absence_certain, &job);
-                self.state_queries.answer_or_wait(now, job, update, answer);
+                let update = match is_hidden(controller, &access) {
+                    true => StateUpdate::Gone,
+                    false => state_update(controller, absence_certain, access.job()),
+                };
+                self.state_queries.answer_or_wait(now, access.job().clone(), update, answer);
             }
             LeaderCall::Reach => {
                 let _ = answer.send(LeaderAnswer::Leading);
@@ -311,15 +314,18 @@
                     false => controller.submit(now, id, attempt, caller_timeout, record),
                 }
             }
-            LeaderCall::Cancel(job)
-                if owned_job(controller, &job).is_none()
+            LeaderCall::Cancel(access) if is_hidden(controller, &access) => {
+                let _ = answer.send(LeaderAnswer::Gone);
+            }
+            LeaderCall::Cancel(access)
+                if owned_job(controller, access.job()).is_none()
                     && !self.may_answer(AnswerCondition::Absence, controller, now) =>
             {
                 let _ = answer.send(LeaderAnswer::NotLeading);
             }
-            LeaderCall::Cancel(job) => {
+            LeaderCall::Cancel(access) => {
                 self.callers.insert(id, answer);
-                controller.cancel(now, unix_millis(), id, &job);
+                controller.cancel(now, unix_millis(), id, access.job());
             }
         }
     }
@@ -389,6 +395,11 @@
     }
 }
 
+/// Whether a caller must not learn that a job exists, as it belongs to another workspace.
+fn is_hidden(controller: &GraphController, access: &JobAccess) -> bool {
+    owned_job(controller, access.job()).is_some_and(|job| !job.is_visible_to(access.workspace()))
+}
+
 /// A job that this leader owns. Queries for a job of which only a part runs here are answered by its owner.
 fn owned_job<'c>(controller: &'c GraphController, id: &GraphId) -> Option<&'c GraphJob> {
     controller.jobs().get(id).filter(|job| !job.is_part())
--- a/src/node/leader/tests.rs
+++ b/src/node/leader/tests.rs
@@ -8,13 +8,13 @@
 use tokio::time::{Instant, advance};
 
 use crate::graph::{
-    GraphController, GraphId, GraphProgress, GraphRecord, GraphSpec, GraphState, GraphVerdict,
-    QueueId, QueueRule, RestoredState, ShardId, StepSpec,
+    GraphController, GraphProgress, GraphRecord, GraphSpec, GraphState, GraphVerdict, QueueId,
+    QueueRule, RestoredState, ShardId, StepSpec,
 };
 use crate::node::action_executor::ActionExecutor;
 use crate::node::input::LeaderInput;
 use crate::node::leader::LeaderLoop;
-use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::message::{JobAccess, LeaderAnswer, LeaderCall};
 use crate::node::records::LeaderTerm;
 use crate::node::shared::NodeShared;
 use crate::node::tests::settings;
@@ -35,6 +35,7 @@
         slack: 1.5,
         target: Duration::from_millis(250),
         advice: None,
+        public: false,
     };
     let spec = GraphSpec {
         id: id.into(),
@@ -44,7 +45,7 @@
         repeat: None,
         accepted: 0,
     };
-    GraphRecord { spec, rule, home: None, share: None }
+    GraphRecord { spec, rule, workspace: None, home: None, share: None }
 }
 
 /// A leader that has a waiting and a completed job, and whose lease has just been renewed.
@@ -87,11 +88,11 @@
     }
 
     fn state(&mut self, job: &str) -> Option<LeaderAnswer> {
-        self.ask(LeaderCall::State(GraphId::from(job)))
+        self.ask(LeaderCall::State(JobAccess::Anonymous(job.into())))
     }
 
     fn cancel(&mut self, job: &str) -> Option<LeaderAnswer> {
-        self.ask(LeaderCall::Cancel(GraphId::from(job)))
+        self.ask(LeaderCall::Cancel(JobAccess::Anonymous(job.into())))
     }
 
     /// The number of waiting jobs, or any other answer.
--- a/src/node/leader_client.rs
+++ b/src/node/leader_client.rs
@@ -9,7 +9,7 @@
 
 use crate::graph::{GraphId, GraphJob, GraphState, QueueId, ShardId, ShardPlan};
 use crate::node::ledger::JobLedger;
-use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
+use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::own_leader::ask_own_leader;
 use crate::node::peers::{PeerClient, PeerFailure};
 use crate::node::records::LeaderRecord;
@@ -333,7 +333,8 @@
 
     /// Reads a job's state from the store, for when the leader cannot be reached; `None` if the store cannot be read
     /// or the shard plan is not known.
-    pub(crate) async fn stored_state(&self, id: &GraphId) -> Option<LeaderAnswer> {
+    pub(crate) async fn stored_state(&self, access: &JobAccess) -> Option<LeaderAnswer> {
+        let id = access.job();
         let plan = self.shared.members.borrow().plan.clone()?;
         let shard = match plan.is_divided() {
             true => match self.indexed_shard(id).await {
@@ -349,7 +350,10 @@
         match read {
             Ok(Some((record, progress))) => {
                 let job = GraphJob::restored(record, progress, Instant::now(), Duration::ZERO);
-                Some(LeaderAnswer::State(GraphState::clone(&job.state())))
+                match job.is_visible_to(access.workspace()) {
+                    true => Some(LeaderAnswer::State(GraphState::clone(&job.state()))),
+                    false => Some(LeaderAnswer::Gone),
+                }
             }
             Ok(None) => Some(LeaderAnswer::Gone),
             Err(_) => None,
--- a/src/node/leader_client_tests.rs
+++ b/src/node/leader_client_tests.rs
@@ -12,7 +12,7 @@
 use crate::graph::{GraphId, GraphRecord, QueueRule, ShardPlan};
 use crate::node::input::LeaderInput;
 use crate::node::leader_client::{LeaderCallError, LeaderClient};
-use crate::node::message::{JobSubmission, LeaderAnswer, LeaderCall};
+use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 use crate::node::tests::{divided, settings};
@@ -50,10 +50,11 @@
         slack: 2.0,
         target: Duration::from_secs(1),
         advice: None,
+        public: false,
     };
     let body = br#"{"steps": [{"count": 1}]}"#;
     let spec = decode_job(&rule.id, JOB, body, 0).unwrap();
-    let record = GraphRecord { spec, rule, home: None, share: None };
+    let record = GraphRecord { spec, rule, workspace: None, home: None, share: None };
     JobSubmission { attempt: 1, caller_timeout: CALLER_TIMEOUT, forced: false, record }
 }
 
@@ -109,7 +110,7 @@
 #[tokio::test]
 async fn a_job_is_not_gone_before_the_shard_plan_is_known() {
     let client = client(NodeSettings { store: serve_store(None).await, ..settings() });
-    expect_that!(client.stored_state(&GraphId::from(JOB)).await, none());
+    expect_that!(client.stored_state(&JobAccess::Anonymous(JOB.into())).await, none());
 }
 
 #[gtest]
@@ -117,7 +118,10 @@
 async fn calls_before_the_shard_plan_is_known_are_not_taken() {
     let started = Instant::now();
     let job = GraphId::from(JOB);
-    for call in [LeaderCall::State(job.clone()), LeaderCall::Cancel(job.clone())] {
+    for call in [
+        LeaderCall::State(JobAccess::Anonymous(job.clone())),
+        LeaderCall::Cancel(JobAccess::Anonymous(job.clone())),
+    ] {
         let answer = client(settings()).ask_owner(&job, &call, CALLER_TIMEOUT).await;
         expect_that!(answer, err(eq(&LeaderCallError::NotTaken)));
     }
@@ -157,7 +161,11 @@
 async fn a_job_with_an_unreadable_index_is_not_gone() {
     for value in ["7", r#""~""#, r#""""#] {
         let (_, client) = client_with_index(value).await;
-        expect_that!(client.stored_state(&GraphId::from(JOB)).await, none(), "{value}");
+        expect_that!(
+            client.stored_state(&JobAccess::Anonymous(JOB.into())).await,
+            none(),
+            "{value}"
+        );
     }
 }
 
@@ -176,9 +184,13 @@
         }
     });
     let job = GraphId::from(JOB);
-    let answer = client.ask_owner(&job, &LeaderCall::State(job.clone()), CALLER_TIMEOUT).await;
+    let answer = client
+        .ask_owner(&job, &LeaderCall::State(JobAccess::Anonymous(job.clone())), CALLER_TIMEOUT)
+        .await;
     expect_that!(answer, err(eq(&LeaderCallError::NotTaken)));
     // The leader gives the same answer for a job that has ended, which cannot be cancelled.
-    let answer = client.ask_owner(&job, &LeaderCall::Cancel(job.clone()), CALLER_TIMEOUT).await;
+    let answer = client
+        .ask_owner(&job, &LeaderCall::Cancel(JobAccess::Anonymous(job.clone())), CALLER_TIMEOUT)
+        .await;
     expect_that!(answer, ok(eq(&LeaderAnswer::Gone)));
 }
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -7,7 +7,7 @@
 use crate::graph::{
     AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId, ShardId, TicketText,
 };
-use crate::id::WorkerId;
+use crate::id::{WorkerId, WorkspaceId};
 use crate::node::records::LeaderRecord;
 
 /// Method of a [`LeaderCall`].
@@ -30,13 +30,48 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum LeaderCall {
     Submit(Box<JobSubmission>),
-    Cancel(GraphId),
-    State(GraphId),
+    Cancel(JobAccess),
+    State(JobAccess),
     Pending(QueueId),
     /// Asks whether the entry leads; any entry answers.
     Reach,
 }
 
+/// A job that a caller asks about, and the workspace that the caller acts for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(untagged)]
+pub(crate) enum JobAccess {
+    /// The caller is not identified.
+    Anonymous(GraphId),
+    Workspace {
+        job: GraphId,
+        workspace: WorkspaceId,
+    },
+}
+
+impl JobAccess {
+    pub(crate) fn new(job: GraphId, workspace: Option<WorkspaceId>) -> Self {
+        match workspace {
+            None => Self::Anonymous(job),
+            Some(workspace) => Self::Workspace { job, workspace },
+        }
+    }
+
+    pub(crate) fn job(&self) -> &GraphId {
+        match self {
+            Self::Anonymous(job) | Self::Workspace { job, .. } => job,
+        }
+    }
+
+    pub(crate) fn workspace(&self) -> Option<&WorkspaceId> {
+        match self {
+            Self::Anonymous(_) => None,
+            Self::Workspace { workspace, .. } => Some(workspace),
+        }
+    }
+}
+
 /// A job that a caller submits.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
@@ -62,6 +97,8 @@
     Rejected(Duration),
     /// The job was not accepted: the leader of this shard should take it.
     Elsewhere(ShardId),
+    /// Another workspace has a job of this name; nothing was done.
+    NameTaken,
     /// The job is cancelled, and the cancellation is stored.
     Cancelled,
     /// The job does not exist or has ended.
@@ -84,6 +121,7 @@
             GraphAnswer::Rejected(retry) => Self::Rejected(retry),
             GraphAnswer::Elsewhere(shard) => Self::Elsewhere(shard),
             GraphAnswer::Unready => Self::NotLeading,
+            GraphAnswer::NameTaken => Self::NameTaken,
             GraphAnswer::Cancelled => Self::Cancelled,
             GraphAnswer::Gone => Self::Gone,
         }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -31,6 +31,8 @@
     pub processor: f64,
     /// Limit of open file descriptors.
     pub descriptors: usize,
+    /// Whether callers of queues that are not public need an API key.
+    pub requires_keys: bool,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
     /// Bounds of the scheduling decisions.
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -47,6 +47,7 @@
         advisor: None,
         processor: 0.25,
         descriptors: 1_000,
+        requires_keys: false,
         grace: Duration::from_secs(6),
         bounds: GraphBounds {
             max_lease: Duration::from_secs(6),
@@ -61,8 +62,14 @@
 pub(super) fn entry() -> NodeShared {
     let shared = NodeShared::new(settings());
     let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
-    let config =
-        QueueConfig { version: 1, queues: Default::default(), pools: Default::default(), limits };
+    let config = QueueConfig {
+        version: 1,
+        queues: Default::default(),
+        pools: Default::default(),
+        limits,
+        workspaces: Default::default(),
+        keys: Default::default(),
+    };
     shared.config.send_replace(Some(Arc::new(config)));
     let leader = LeaderRecord {
         entry: "entry-2".into(),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,6 +6,7 @@
 mod advisor;
 mod configuration;
 mod http;
+mod identity;
 mod instance_start;
 mod jobs;
 mod registrations;
@@ -15,6 +16,7 @@
 
 pub(crate) use advisor::AdvisorClient;
 pub(crate) use configuration::{CONFIG_KEY, CONFIG_PREFIX, decode_config};
+pub(crate) use identity::{KEY_SCHEME, decode_api_key};
 pub(crate) use jobs::{
     READY_PATH, decode_caller_timeout, decode_job, encode_pending, encode_state, is_job_name,
 };
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -4,16 +4,19 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde_json::error::Category;
+use thiserror::Error;
 
 use crate::graph::{AdviceRule, PoolRule, QueueConfig, QueueRule, RequestLimits};
-use crate::id::{Revision, ServiceId};
+use crate::id::{Revision, ServiceId, WorkspaceId};
+use crate::resources::ResourceVector;
+use crate::workspace::{KeyDigest, WorkspaceRule};
 
 /// Key of the current configuration.
 pub(crate) const CONFIG_KEY: &str = "op/config";
 /// Prefix that is watched for changes of the configuration.
 pub(crate) const CONFIG_PREFIX: &str = "op/";
 
-#[derive(Debug)]
 #[derive(Deserialize)]
 struct WireConfig {
     version: Revision,
@@ -23,6 +26,31 @@
     services: Vec<WireService>,
     #[serde(default)]
     limits: WireLimits,
+    /// Workspaces.
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Deserialize)]
+struct WireTenant {
+    name: WorkspaceId,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    /// Jobs a second that are owed to the workspace, and its share of full workers.
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    cap: WireCap,
+}
+
+/// What a workspace may have running; 0 stands for no limit.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct WireCap {
+    millicpu: u32,
+    mem_mb: u32,
+    gpus: u32,
 }
 
 #[derive(Debug)]
@@ -43,6 +71,8 @@
     target_latency_ms: f64,
     #[serde(rename = "advisor", default)]
     advice: Option<WireAdvice>,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Debug)]
@@ -81,12 +111,32 @@
     }
 }
 
+/// Why a configuration cannot be decoded. It gives the position only, as the text of the decoder may quote API keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Error)]
+#[error("invalid configuration ({category:?}) at line {line}, column {column}")]
+pub(crate) struct ConfigError {
+    category: Category,
+    line: usize,
+    column: usize,
+}
+
+impl From<serde_json::Error> for ConfigError {
+    fn from(error: serde_json::Error) -> Self {
+        Self { category: error.classify(), line: error.line(), column: error.column() }
+    }
+}
+
 /// Decodes a configuration.
 ///
 /// # Errors
 /// Returns an error if the bytes are not a valid configuration.
-pub(crate) fn decode_config(bytes: &[u8]) -> Result<QueueConfig, serde_json::Error> {
+pub(crate) fn decode_config(bytes: &[u8]) -> Result<QueueConfig, ConfigError> {
     let wire: WireConfig = serde_json::from_slice(bytes)?;
+    let keys = wire.tenants.iter().flat_map(|tenant| {
+        tenant.api_keys.iter().map(|key| (KeyDigest::of(key), tenant.name.clone()))
+    });
+    let keys = keys.collect();
     let pool_rule = |service: WireService| {
         let rule =
             PoolRule { enforces_capacity: service.enforces_capacity, standby: service.standby };
@@ -104,9 +154,22 @@
             body_bytes: wire.limits.max_body_bytes,
             head_time: millis(wire.limits.header_timeout_ms),
         },
+        workspaces: wire
+            .tenants
+            .into_iter()
+            .map(|tenant| (tenant.name.clone(), workspace_rule(tenant)))
+            .collect(),
+        keys,
     })
 }
 
+fn workspace_rule(tenant: WireTenant) -> WorkspaceRule {
+    let limit = |amount: u32| if amount == 0 { u32::MAX } else { amount };
+    let WireCap { millicpu, mem_mb, gpus } = tenant.cap;
+    let cap = ResourceVector::new(limit(millicpu), limit(mem_mb), limit(gpus));
+    WorkspaceRule { id: tenant.name, weight: tenant.weight, cap }
+}
+
 fn queue_rule(route: WireRoute) -> Arc<QueueRule> {
     let advice_rule = |wire: WireAdvice| AdviceRule {
         call: millis(wire.decide_ms),
@@ -123,6 +186,7 @@
         slack: route.slack_factor,
         target: millis(route.target_latency_ms),
         advice: route.advice.map(advice_rule),
+        public: route.public,
     })
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -21,6 +21,8 @@
 /// but only for workers that it cannot reach.
 const LEASE_EXTENSION_WINDOW: Duration = Duration::from_millis(5_000);
 
+/// Part of the protocol under which callers need API keys.
+const KEYS_CONTRACT: &str = "tenants";
 /// Port of the metrics. The deployment file contains the same number.
 const METRICS_PORT: u16 = 9_464;
 
@@ -41,6 +43,9 @@
     limits: WireLimits,
     #[serde(default)]
     bounds: WireBounds,
+    /// Parts of the protocol that are in force.
+    #[serde(default)]
+    contracts: Vec<String>,
     platform: WirePlatform,
 }
 
@@ -130,6 +135,7 @@
         advisor: wire.advisor,
         processor: wire.limits.cpu_share * wire.limits.cores,
         descriptors: wire.limits.max_fds,
+        requires_keys: wire.contracts.iter().any(|contract| contract == KEYS_CONTRACT),
         grace: seconds(wire.bounds.grace_s),
         bounds: GraphBounds {
             max_lease: Duration::from_millis(wire.bounds.hold_max_ms),
--- a/src/problem.rs
+++ b/src/problem.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
@@ -43,6 +43,7 @@
     detail: String,
     retry_after: Option<Duration>,
     ran: Option<RunState>,
+    challenge: Option<&'static str>,
     close_connection: bool,
 }
 
@@ -63,6 +64,7 @@
             detail: detail.into(),
             retry_after: None,
             ran: None,
+            challenge: None,
             close_connection: false,
         }
     }
@@ -79,6 +81,12 @@
         self
     }
 
+    /// Sets the authentication scheme that the client has to use.
+    pub(crate) fn challenge(mut self, scheme: &'static str) -> Self {
+        self.challenge = Some(scheme);
+        self
+    }
+
     /// Closes the connection after the response, because the bytes that follow may not be a request.
     pub(crate) fn close_after_response(mut self) -> Self {
         self.close_connection = true;
@@ -111,6 +119,9 @@
         if let Some(ran) = self.ran {
             headers.insert(RAN_HEADER, HeaderValue::from_static(ran.label()));
         }
+        if let Some(scheme) = self.challenge {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(scheme));
+        }
         if self.close_connection {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -121,6 +121,7 @@
             each: Duration::from_millis(1),
             valid: Duration::from_millis(2_500),
         }),
+        public: false,
     }
 }
 
@@ -198,7 +199,14 @@
         ];
         let queues = queues.into_iter().map(|rule| (rule.id.clone(), Arc::new(rule))).collect();
         let limits = RequestLimits { body_bytes: 1 << 18, head_time: Duration::from_secs(3) };
-        let config = QueueConfig { version: 1, queues, pools: BTreeMap::new(), limits };
+        let config = QueueConfig {
+            version: 1,
+            queues,
+            pools: BTreeMap::new(),
+            limits,
+            workspaces: BTreeMap::new(),
+            keys: BTreeMap::new(),
+        };
         let mut cluster = Self {
             rng: StdRng::seed_from_u64(seed),
             now,
@@ -430,6 +438,7 @@
                 accepted: self.unix(),
             },
             rule: (*self.config.queues[queue]).clone(),
+            workspace: None,
             home: None,
             share: None,
         }
--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::header::RETRY_AFTER;
+use hyper::header::{AUTHORIZATION, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -26,6 +26,10 @@
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) retry_after: Option<String>,
+    /// Authentication scheme that a refusal asks for.
+    pub(crate) challenge: Option<String>,
+    /// Whether the request has run, where the answer states it.
+    pub(crate) ran: Option<String>,
     pub(crate) body: Value,
 }
 
@@ -182,9 +186,16 @@
         let response = self.http.request(request).await.ok()?;
         let (status, headers) = (response.status(), response.headers().clone());
         let bytes = response.into_body().collect().await.ok()?.to_bytes();
-        let retry_after = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+        let header =
+            |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
         let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
-        Some(Answer { status, retry_after: retry_after.map(str::to_owned), body })
+        Some(Answer {
+            status,
+            retry_after: header(RETRY_AFTER.as_str()),
+            challenge: header(WWW_AUTHENTICATE.as_str()),
+            ran: header("kelplink-ran"),
+            body,
+        })
     }
 
     /// Sends a caller's request to an entry. Returns `None` if the connection broke.
@@ -199,14 +210,40 @@
             Value::Null => Bytes::new(),
             body => Bytes::from(serde_json::to_vec(body).unwrap()),
         };
-        let request = Request::builder()
+        self.call_as(entry, method, path, bytes, &[]).await
+    }
+
+    /// Sends a caller's request with these values of `Authorization`.
+    pub(crate) async fn call_as(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        authorization: &[&str],
+    ) -> Option<Answer> {
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.entries[entry].callers))
             .header("Host", "jobs.example")
-            .header("Deadline-Ms", "3000")
-            .body(Full::new(bytes))
-            .unwrap();
-        self.send(request).await
+            .header("Deadline-Ms", "3000");
+        for value in authorization {
+            request = request.header(AUTHORIZATION, *value);
+        }
+        self.send(request.body(Full::new(body)).unwrap()).await
+    }
+
+    /// Everything that an entry shows to operators: its log, its metrics and its state dump.
+    pub(crate) async fn shown(&self, number: usize) -> String {
+        let mut shown = fs::read_to_string(self.log_file(&self.entries[number].name)).unwrap();
+        for path in ["metrics", "dump"] {
+            let url = format!("http://{}/{path}", self.entries[number].metrics);
+            let response = self.http.get(url.parse().unwrap()).await.unwrap();
+            assert!(response.status().is_success(), "{path}");
+            let bytes = response.into_body().collect().await.unwrap().to_bytes();
+            shown.push_str(&String::from_utf8_lossy(&bytes));
+        }
+        shown
     }
 
     /// Waits until an entry reports a job in a state.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod deposed_leader;
+mod identity;
 mod inputs;
 mod jobs;
 mod logs;
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -200,6 +200,18 @@
 
     /// Writes a configuration with the given queues and largest body, in bytes.
     pub(crate) fn configure_bodies(&self, version: u64, queues: &[&str], body_bytes: usize) {
+        self.configure_workspaces(version, queues, body_bytes, &[]);
+    }
+
+    /// Writes a configuration with the given queues, largest body and API keys of workspaces. Queues whose names
+    /// begin with "open" are public.
+    pub(crate) fn configure_workspaces(
+        &self,
+        version: u64,
+        queues: &[&str],
+        body_bytes: usize,
+        workspaces: &[(&str, &[&str])],
+    ) {
         let route = |name: &&str| {
             json!({
                 "name": name, "hostname": "jobs.example", "prefix": format!("/{name}/"),
@@ -208,15 +220,28 @@
                 "advisor": name.starts_with("asked").then(|| {
                     json!({"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 2_500})
                 }),
+                "public": name.starts_with("open"),
+            })
+        };
+        let tenant = |(name, keys): &(&str, &[&str])| {
+            json!({
+                "name": name, "api_keys": keys, "priority": 1, "weight": 20,
+                "cap": {"millicpu": 500_000, "mem_mb": 0, "gpus": 0},
             })
         };
         let config = json!({
+            "tenants": workspaces.iter().map(tenant).collect::<Vec<_>>(),
             "version": version,
             "routes": queues.iter().map(route).collect::<Vec<_>>(),
             "services": [{"name": "svc", "admission_check": false}],
             "limits": {"max_body_bytes": body_bytes, "header_timeout_ms": 3_000},
         });
-        self.state.put("op/config", &config);
+        self.write_config(&config);
+    }
+
+    /// Writes a configuration as it is.
+    pub(crate) fn write_config(&self, config: &Value) {
+        self.state.put("op/config", config);
     }
 
     pub(crate) fn set_faults(&self, faults: StoreFaults) {
