Learn configurations from other entries while the store does not answer

Cause: an entry followed the configuration by its own watch of the store alone. Pulled was built: it costs nothing in calm and needs no list of who has what. A version and the entries' own addresses are all that is trusted; versions never go back. Seen: tests/platform/identity.rs, with one entry that the store refuses altogether and one that it refuses reads only.

--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod candidacy;
 mod clock;
+mod config_exchange;
 mod configuration;
 mod dependency;
 mod election;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -36,6 +36,7 @@
             let after = match self.read().await {
                 Ok(after) => after,
                 Err(error) => {
+                    self.shared.note_config_read(false);
                     self.shared.dependencies.store.failed(LOG_NAME, error);
                     sleep(RETRY_PAUSE).await;
                     continue;
@@ -48,6 +49,7 @@
     async fn read(&self) -> Result<u64, StoreError> {
         let page = self.shared.store.page(CONFIG_KEY, "").await?;
         self.shared.note_store_answer(LOG_NAME);
+        self.shared.note_config_read(true);
         for item in page.items {
             self.apply(&item);
         }
@@ -73,6 +75,7 @@
                     return;
                 }
                 Err(error) => {
+                    self.shared.note_config_read(false);
                     self.shared.dependencies.store.failed(LOG_NAME, error);
                     sleep(RETRY_PAUSE).await;
                     return;
@@ -94,12 +97,6 @@
                 return;
             }
         };
-        let before = self.shared.config.borrow().as_ref().map(|old| old.version);
-        if before.is_some_and(|before| before >= config.version) {
-            return;
-        }
-        let (version, queues) = (config.version, config.queues.len());
-        info!(version, before:? = before, queues, revision = item.revision; "configuration applied");
-        self.shared.config.send_replace(Some(Arc::new(config)));
+        self.shared.apply_config(config, "store");
     }
 }
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::graph::{
-    AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueId, ShardId, TicketText,
+    AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueConfig, QueueId, ShardId,
+    TicketText,
 };
 use crate::id::{WorkerId, WorkspaceId};
 use crate::node::records::LeaderRecord;
@@ -18,6 +19,8 @@
 pub(crate) const OFFER_METHOD: &str = "offer";
 /// Method by which a leader that has ended informs the successor named in the store.
 pub(crate) const GIVE_METHOD: &str = "give";
+/// Method that asks an entry for a configuration newer than the caller's.
+pub(crate) const CONFIG_METHOD: &str = "config";
 /// Largest size of a call or an answer, in bytes.
 pub(crate) const CALL_BYTES: u32 = 4 << 20;
 
@@ -86,6 +89,16 @@
     pub(crate) record: GraphRecord,
 }
 
+/// Answer about the configuration.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum ConfigAnswer {
+    /// The entry knows no newer one.
+    Current,
+    Newer(Box<QueueConfig>),
+}
+
 /// The leader's answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -10,11 +10,11 @@
 use log::info;
 
 use crate::graph::{GraphId, LeaderEpoch, ShardId, StepKey};
-use crate::id::WorkerId;
+use crate::id::{Revision, WorkerId};
 use crate::node::handover_inbox::SuccessorOffer;
 use crate::node::message::{
-    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, GIVE_METHOD, LeaderAnswer, LeaderCall,
-    OFFER_METHOD,
+    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, CONFIG_METHOD, ConfigAnswer,
+    GIVE_METHOD, LeaderAnswer, LeaderCall, OFFER_METHOD,
 };
 use crate::node::own_leader::ask_own_leader;
 use crate::node::records::LeaderTerm;
@@ -59,6 +59,10 @@
         let step = StepKey { occurrence, step };
         ask_own_advisor(&shared, job, step, workers, timeout).await
     })?;
+    module.register_async_method(CONFIG_METHOD, |params, shared, _| async move {
+        let (known,): (Option<Revision>,) = params.parse()?;
+        Ok::<_, ErrorObjectOwned>(newer_config(&shared, known))
+    })?;
     module.register_async_method(OFFER_METHOD, |params, shared, _| async move {
         let (shard, epoch): (ShardId, LeaderEpoch) = params.parse()?;
         Ok::<_, ErrorObjectOwned>(offer_succession(&shared, shard, epoch))
@@ -84,6 +88,16 @@
     }
 }
 
+/// The configuration of this entry, if it is newer than `known`.
+fn newer_config(shared: &NodeShared, known: Option<Revision>) -> ConfigAnswer {
+    match shared.config.borrow().as_deref() {
+        Some(config) if Some(config.version) > known => {
+            ConfigAnswer::Newer(Box::new(config.clone()))
+        }
+        _ => ConfigAnswer::Current,
+    }
+}
+
 /// The offer of this entry to lead a shard next; `None` if it leads, drains, is not registered, or does not know its
 /// configuration or the shard plan.
 pub(super) fn offer_succession(
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -15,11 +15,11 @@
 
 use crate::client::{ClientError, HttpClient, count_payload};
 use crate::graph::{GraphId, LeaderEpoch, ShardId, StepKey};
-use crate::id::WorkerId;
+use crate::id::{Revision, WorkerId};
 use crate::node::handover_inbox::SuccessorOffer;
 use crate::node::message::{
-    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, GIVE_METHOD, LeaderAnswer, LeaderCall,
-    OFFER_METHOD,
+    ADVISE_METHOD, ASK_METHOD, AllowedWorkers, CALL_BYTES, CONFIG_METHOD, ConfigAnswer,
+    GIVE_METHOD, LeaderAnswer, LeaderCall, OFFER_METHOD,
 };
 use crate::node::records::LeaderTerm;
 
@@ -103,6 +103,16 @@
         allowed.map_err(|failure| format!("{failure:?}"))
     }
 
+    /// Asks an entry for a configuration newer than `known`.
+    pub(crate) async fn newer_config(
+        &self,
+        address: SocketAddr,
+        known: Option<Revision>,
+        timeout: Duration,
+    ) -> Result<ConfigAnswer> {
+        self.request(address, CONFIG_METHOD, (known,), timeout).await
+    }
+
     /// Asks an entry whether it can lead a shard after the given epoch.
     pub(crate) async fn offer(
         &self,
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -19,6 +19,7 @@
 
 use crate::http::{ListenerLimits, PrepareState, bind, serve_http};
 use crate::node::callers::{CallerHandler, caller_routes};
+use crate::node::config_exchange::ConfigExchangeLoop;
 use crate::node::configuration::ConfigLoop;
 use crate::node::election::ElectionLoop;
 use crate::node::members::MembershipLoop;
@@ -95,6 +96,7 @@
             .listen(settings.callers, limits, caller_routes(), handler, callers_stopped)
             .context("callers")?;
         tokio::spawn(ConfigLoop::new(self.shared.clone()).run());
+        tokio::spawn(ConfigExchangeLoop::new(self.shared.clone()).run());
         tokio::spawn(MembershipLoop::new(self.shared.clone()).run());
         tokio::spawn(self.shared.dependencies.clone().run());
         tokio::spawn(ShardPlanLoop::new(self.shared.clone()).run());
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,14 +1,16 @@
 //! State shared by the loops of a process.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use log::info;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::graph::{QueueConfig, ShardId};
+use crate::id::Revision;
 use crate::node::dependency::NodeDependencies;
 use crate::node::handover_inbox::HandoverInbox;
 use crate::node::input::LeaderInput;
@@ -40,6 +42,8 @@
     /// Results of calls to the store, the leader and the advisor.
     pub(crate) dependencies: NodeDependencies,
     pub(crate) config: watch::Sender<Option<Arc<QueueConfig>>>,
+    /// Whether the store failed the last call for the configuration.
+    config_unread: AtomicBool,
     pub(crate) members: watch::Sender<MemberView>,
     pub(crate) draining: watch::Sender<bool>,
     /// Terms that leaders hand over to this entry when they step down.
@@ -61,6 +65,7 @@
             settings,
             dependencies: NodeDependencies::new(),
             config: watch::Sender::new(None),
+            config_unread: AtomicBool::new(false),
             members: watch::Sender::new(MemberView::default()),
             draining: watch::Sender::new(false),
             handover_inbox: HandoverInbox::default(),
@@ -71,6 +76,34 @@
         }
     }
 
+    /// Records whether the store answered a call for the configuration.
+    pub(crate) fn note_config_read(&self, answered: bool) {
+        self.config_unread.store(!answered, Ordering::Relaxed);
+    }
+
+    /// Whether the configuration may be out of date, as the store does not answer this entry.
+    pub(crate) fn may_miss_config(&self) -> bool {
+        self.config_unread.load(Ordering::Relaxed) || self.store_answer_overdue()
+    }
+
+    /// Version of the current configuration.
+    pub(crate) fn config_version(&self) -> Option<Revision> {
+        self.config.borrow().as_ref().map(|config| config.version)
+    }
+
+    /// Applies a configuration unless the current one has the same or a later version. `source` is what it was received
+    /// from.
+    pub(crate) fn apply_config(&self, config: QueueConfig, source: &'static str) {
+        let before = self.config_version();
+        if before.is_some_and(|before| before >= config.version) {
+            return;
+        }
+        let (version, queues) = (config.version, config.queues.len());
+        let workspaces = config.workspaces.len();
+        info!(version, before:? = before, queues, workspaces, source; "configuration applied");
+        self.config.send_replace(Some(Arc::new(config)));
+    }
+
     /// Sets or removes the input of this process's leader loop for a shard.
     pub(crate) fn set_leading(&self, shard: &ShardId, input: Option<RingSender<LeaderInput>>) {
         let mut leading = lock(&self.leading);
--- a/tests/platform/identity.rs
+++ b/tests/platform/identity.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::cluster::{Cluster, wait_for};
+use crate::standin::EndpointAccess;
 
 const QUEUES: [&str; 2] = ["closed", "open"];
 const BODY_BYTES: usize = 10_000;
@@ -35,8 +36,18 @@
 }
 
 async fn status(cluster: &Cluster, method: Method, path: &str, key: &str) -> StatusCode {
+    status_at(cluster, 0, method, path, key).await
+}
+
+async fn status_at(
+    cluster: &Cluster,
+    entry: usize,
+    method: Method,
+    path: &str,
+    key: &str,
+) -> StatusCode {
     let body = if method == Method::POST { job_body() } else { Bytes::new() };
-    cluster.call_as(0, method, path, body, &[&token(key)]).await.unwrap().status
+    cluster.call_as(entry, method, path, body, &[&token(key)]).await.unwrap().status
 }
 
 async fn wait_refused(cluster: &Cluster, key: &str) {
@@ -137,3 +148,40 @@
         expect_false!(shown.contains(digest.as_str()), "digest of {key}");
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn entries_that_the_store_refuses_learn_of_changed_keys_from_other_entries() {
+    let cluster = Cluster::start_with_own_endpoints(43, 3, 2, &QUEUES).await;
+    let leader = cluster.leading().await;
+    let [first, second] = [1, 2].map(|offset| (leader + offset) % 3);
+    let configure = |version, key: &str| {
+        let keys: &[&str] = &[key];
+        let workspaces = [("harbour", keys)];
+        cluster.platform.configure_workspaces(version, &QUEUES, BODY_BYTES, &workspaces);
+    };
+    let answers = async |entry, key, expected| {
+        let answers =
+            async || status_at(&cluster, entry, Method::GET, "/closed/", key).await == expected;
+        wait_for("the keys to be in force", answers).await;
+    };
+    configure(2, FIRST_KEY);
+    for entry in [leader, first, second] {
+        answers(entry, FIRST_KEY, StatusCode::OK).await;
+    }
+    cluster.platform.set_endpoint_access(first, EndpointAccess::Closed);
+    cluster.platform.set_endpoint_access(second, EndpointAccess::WriteOnly);
+    configure(3, SECOND_KEY);
+    for entry in [leader, first, second] {
+        answers(entry, FIRST_KEY, StatusCode::UNAUTHORIZED).await;
+        answers(entry, SECOND_KEY, StatusCode::OK).await;
+    }
+    // An earlier version that arrives late changes nothing.
+    configure(2, FIRST_KEY);
+    for entry in [first, second] {
+        cluster.platform.set_endpoint_access(entry, EndpointAccess::Open);
+        cluster.wait_ready(entry).await;
+        let status = status_at(&cluster, entry, Method::GET, "/closed/", FIRST_KEY).await;
+        expect_that!(status, eq(StatusCode::UNAUTHORIZED));
+    }
+}
