Keep what a workspace has running within its cap

Change: each run carries its workspace and its full demand; a pass starts no more than the cap leaves. Counted is all that has not certainly ended: sent, unanswered, running, being stopped, and best-effort tasks in full. After a takeover the tasks of inherited jobs in failure domains with workers that have not answered count as well, up to the capacity of these workers: their earlier leader may have started them, or may still do so. Work beyond the cap asks for no advice and stops no other run. What can never fit is rejected at once. A workspace that is dropped keeps its last cap while it has jobs. Ruled out: blocking a workspace altogether until all workers have answered (one worker that is cut off would hold its new work for six seconds). Seen: tests/graph/workspaces.rs and random runs with caps; the checker counts at each start what the workers hold, with no slack. The case of several shards fails still: each leader takes the whole cap.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -1,6 +1,7 @@
 //! Jobs that are graphs of steps: the decisions of a leader, without any I/O.
 
 mod advice;
+mod allowance;
 mod answer_time;
 mod begin_evidence;
 mod changes;
@@ -32,6 +33,7 @@
 mod worker_event;
 
 pub use advice::{AdviceCall, AdviceId, AdviceKey, AdviceRequest, AdviceTable, StepAdvice};
+pub use allowance::WorkspaceAmounts;
 pub use answer_time::AnswerTimeout;
 pub use commit::{CommitGroup, CommitQueue, GroupEffect, GroupNumber};
 pub use controller::{GraphBounds, GraphController, RestoredState};
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -6,6 +6,7 @@
 mod storing;
 mod submissions;
 mod worker_events;
+mod workspaces;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceId, AdviceTable};
+use crate::graph::allowance::WorkspaceAmounts;
 use crate::graph::commit::CommitQueue;
 use crate::graph::controller::submissions::DeferredSubmission;
 use crate::graph::crash::WorkerCrash;
@@ -32,7 +34,8 @@
 use crate::graph::remote_workers::RemoteWorkerTable;
 use crate::graph::send_window::SendWindow;
 use crate::graph::shard::ShardScope;
-use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId};
+use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId, WorkspaceId};
+use crate::workspace::WorkspaceRule;
 
 /// Run numbers of a task that one epoch may use. Later epochs use higher numbers.
 const RUN_NUMBERS_PER_EPOCH: RunNumber = 1 << 16;
@@ -91,6 +94,8 @@
     /// Jobs that wait for the registrations.
     deferred: Vec<DeferredSubmission>,
     config: Option<Arc<QueueConfig>>,
+    /// Workspaces with a cap.
+    workspaces: BTreeMap<WorkspaceId, WorkspaceRule>,
     jobs: JobTable,
     instances: InstanceTable,
     advice: AdviceTable,
@@ -174,6 +179,7 @@
             registrations_awaited: false,
             deferred: Vec::new(),
             config: None,
+            workspaces: BTreeMap::new(),
             jobs,
             instances,
             advice: AdviceTable::default(),
@@ -278,6 +284,7 @@
                 job.rule = rule.clone();
             }
         }
+        self.set_workspaces(&config);
         self.config = Some(config);
         // The next sweep registers workers of services that the configuration now names.
         self.next_review = self.last_pass;
@@ -426,6 +433,11 @@
             return;
         }
         let unsettled_domains = self.unsettled_domains();
+        let limits = self.workspace_limits();
+        let usage = match limits.is_empty() {
+            true => WorkspaceAmounts::new(),
+            false => self.workspace_usage(),
+        };
         let jobs = &self.jobs;
         self.reservations.prune(now, |task| {
             jobs.wants(task)
@@ -441,6 +453,8 @@
             reservations: &self.reservations,
             max_unanswered: self.send_window.limit(),
             lost_before_contact: self.lost_before_contact,
+            limits: &limits,
+            usage: &usage,
         };
         let plan = PlacementPass::new(view).run();
         for id in &plan.idle_jobs {
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -102,6 +102,11 @@
                 self.defer(now, call, attempt, caller_timeout, record, true);
                 return;
             }
+            None if self.exceeds_cap(&record) => {
+                let reason = "larger than the cap of its workspace";
+                self.reject_with_delay(now, call, attempt, &id, reason, UNPLACEABLE_RETRY_DELAY);
+                return;
+            }
             None if self.is_too_large(now, &record) => {
                 self.reject_with_delay(
                     now,
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -256,21 +256,23 @@
     /// tasks whose dependencies are not done in the stored progress, since the last progress may be lost, and
     /// tasks of which an earlier run has ended, since they may have been started again after it.
     pub(crate) fn unseen_tasks(&self) -> Vec<TaskKey> {
-        let mut unseen = Vec::new();
-        for occurrence in 0..self.spec.occurrences() {
-            for (index, step) in
-                self.spec.steps.iter().enumerate().filter(|(_, step)| !step.lasting)
-            {
-                let key = StepKey { occurrence, step: u32::try_from(index).unwrap_or(u32::MAX) };
-                let tasks = (0..step.count).map(|index| TaskKey { step: key, index });
-                unseen.extend(
-                    tasks.filter(|task| {
-                        !self.progress.is_done(task) && !self.live.contains_key(task)
-                    }),
-                );
-            }
-        }
-        unseen
+        let is_lasting = |task: &TaskKey| self.step(task.step).is_some_and(|step| step.lasting);
+        self.tasks_without_run().filter(|task| !is_lasting(task)).collect()
+    }
+
+    /// Tasks that have not succeeded and have no live run.
+    pub(crate) fn tasks_without_run(&self) -> impl Iterator<Item = TaskKey> {
+        let steps = self.spec.steps.iter().enumerate();
+        let keys = steps.flat_map(move |(index, step)| {
+            let number = u32::try_from(index).unwrap_or(u32::MAX);
+            (0..step.count).map(move |index| (number, index))
+        });
+        let keys = keys.collect::<Vec<_>>();
+        let tasks = (0..self.spec.occurrences()).flat_map(move |occurrence| {
+            let key = move |(step, index): (u32, u32)| TaskKey::new(occurrence, step, index);
+            keys.clone().into_iter().map(key)
+        });
+        tasks.filter(|task| !self.progress.is_done(task) && !self.live.contains_key(task))
     }
 
     /// Whether a worker has crashed, or may have crashed, under a run of a task.
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceRequest, AdviceTable};
+use crate::graph::allowance::{WorkspaceAllowances, WorkspaceAmounts};
 use crate::graph::health::HealthRank;
 use crate::graph::home::UnsettledDomains;
 use crate::graph::instances::{InstanceTable, SILENCE_LIMIT};
@@ -113,6 +114,10 @@
     pub max_unanswered: usize,
     /// Whether workers used by earlier leaders were lost before they answered this one.
     pub lost_before_contact: bool,
+    /// What workspaces may use; those without a limit are not listed.
+    pub limits: &'t WorkspaceAmounts,
+    /// What workspaces use, as far as they have a limit.
+    pub usage: &'t WorkspaceAmounts,
 }
 
 /// A single placement pass.
@@ -125,6 +130,7 @@
     /// Runs that this pass has chosen to stop.
     victims: BTreeSet<TaskName>,
     capacities: BTreeMap<WorkerId, WorkerCapacity<'t>>,
+    allowances: WorkspaceAllowances,
     plan: PassPlan,
     /// Requests of steps that can place nothing now. They come last: placed before the others, the
     /// requests of twelve such steps kept a small step from ever getting advice, although it had
@@ -154,6 +160,7 @@
             starts_left,
             victims: BTreeSet::new(),
             capacities,
+            allowances: WorkspaceAllowances::new(view.limits, view.usage),
             plan: PassPlan::default(),
             renewals: Vec::new(),
         }
@@ -174,7 +181,8 @@
         steps.sort_by(|a, b| {
             (a.order, &a.job.spec.id, a.key).cmp(&(b.order, &b.job.spec.id, b.key))
         });
-        for step in steps {
+        for mut step in steps {
+            self.limit_to_allowance(&mut step);
             self.place_step(&step);
         }
         self.plan.advice_requests.extend(self.renewals);
@@ -235,6 +243,18 @@
         ServingOrder { value_expired, priority: job.rule.priority, latest_start: latest, late }
     }
 
+    /// Leaves only as many waiting tasks as the workspace of a step may start, so that the rest of them requests no
+    /// advice and stops no other run.
+    fn limit_to_allowance(&self, step: &mut OpenStep<'t>) {
+        let (workspace, need) = (step.job.workspace.as_ref(), &step.step.need);
+        let startable = self.allowances.startable_tasks(workspace, need) as usize;
+        match step.step.gang {
+            true if startable < step.waiting.len() => step.waiting.clear(),
+            true => {}
+            false => step.waiting.truncate(startable),
+        }
+    }
+
     fn place_step(&mut self, step: &OpenStep<'t>) {
         if step.waiting.is_empty() {
             return;
--- a/src/graph/placer/gangs.rs
+++ b/src/graph/placer/gangs.rs
@@ -36,6 +36,9 @@
         match placed {
             Some(starts) => {
                 self.starts_left = self.starts_left.saturating_sub(starts.len());
+                let count = u32::try_from(starts.len()).unwrap_or(u32::MAX);
+                let total = step.step.need.times(count);
+                self.allowances.deduct(step.job.workspace.as_ref(), &total);
                 self.start_gang(step, starts);
                 0
             }
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placer/tasks.rs
@@ -50,6 +50,7 @@
                     }
                 }
                 self.starts_left -= 1;
+                self.allowances.deduct(step.job.workspace.as_ref(), &step.step.need);
                 let job = step.job.spec.id.clone();
                 match self.needs_announcement(step, *task) {
                     true => self.plan.announced.push((job, *task)),
--- a/src/graph/worker.rs
+++ b/src/graph/worker.rs
@@ -12,7 +12,7 @@
 use crate::graph::job::GraphJob;
 use crate::graph::name::{ImageId, RunNumber, StepKey, TaskName};
 use crate::graph::spec::StepSpec;
-use crate::id::{RackId, WorkerId};
+use crate::id::{RackId, WorkerId, WorkspaceId};
 use crate::resources::ResourceVector;
 
 /// Thousandths by which a worker's clock may run slow; the platform guarantees 2%.
@@ -68,6 +68,10 @@
     pub run: RunNumber,
     /// Resources that it reserves on the worker.
     pub need: ResourceVector,
+    /// Workspace of its job.
+    pub workspace: Option<WorkspaceId>,
+    /// Resources that count against the cap of its workspace.
+    pub demand: ResourceVector,
     /// Whether `need` is known; it is not for a run of a job that this leader does not know.
     pub demand_known: bool,
     /// Its phase.
@@ -207,6 +211,8 @@
         Self {
             run,
             need: step.map(StepSpec::reservation).unwrap_or_default(),
+            workspace: origin.and_then(|(job, _)| job.workspace.clone()),
+            demand: step.map(|step| step.need).unwrap_or_default(),
             demand_known: step.is_some(),
             phase,
             since: now,
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -23,3 +23,4 @@
 mod takeover;
 mod unread_registrations;
 mod waiting_checker;
+mod workspaces;
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -35,6 +35,12 @@
 const RESTART_SEEDS: u64 = 100_000_000;
 /// Number of such seeds of each kind that `cargo test` runs.
 const SHORT_RESTARTS: u64 = 8;
+/// Offset of seeds whose jobs belong to workspaces with caps; the rest of the seed selects its kind.
+const WORKSPACE_SEEDS: u64 = 200_000_000;
+/// Number of such seeds of each kind that `cargo test` runs.
+const SHORT_WORKSPACES: u64 = 8;
+/// Workspaces with their caps, in cores; all workers have 64.
+const CAPS: [(&str, u32); 3] = [("ws0", 6), ("ws1", 14), ("ws2", 30)];
 /// Time in which every job must have ended once all faults are over.
 const SETTLE_TIME: Duration = Duration::from_secs(90);
 
@@ -47,6 +53,8 @@
     crashing_jobs: BTreeSet<String>,
     /// Whether the run has such jobs, and workers whose capacity changes.
     has_crashes: bool,
+    /// Whether the jobs belong to workspaces with caps.
+    has_workspaces: bool,
     stale_leaders: u32,
     last_instance: u32,
 }
@@ -64,6 +72,10 @@
         if seed >= RESTART_SEEDS {
             cluster.keep_ids(seed);
         }
+        let has_workspaces = seed >= WORKSPACE_SEEDS;
+        if has_workspaces {
+            cluster.set_caps(&CAPS);
+        }
         if has_crashes {
             cluster.refuses_when_down = seed.is_multiple_of(2);
             cluster.crash_downtime = Duration::from_millis(1_000 + seed * 1_300 % 7_000);
@@ -72,6 +84,7 @@
             cluster,
             crashing_jobs: BTreeSet::new(),
             has_crashes,
+            has_workspaces,
             jobs: BTreeSet::new(),
             calls: Vec::new(),
             cancelled: BTreeSet::new(),
@@ -100,7 +113,10 @@
 
     fn submit(&mut self) {
         let queue = ["now", "asked", "later"][self.pick(3) as usize];
-        let id = format!("job{}", self.calls.len());
+        let id = match self.has_workspaces {
+            true => format!("ws{}@job{}", self.pick(3), self.calls.len()),
+            false => format!("job{}", self.calls.len()),
+        };
         let steps = self.steps();
         if self.pick(15) == 0 {
             self.cluster.failing_jobs.insert(id.as_str().into());
@@ -285,6 +301,16 @@
     }
 }
 
+#[gtest]
+fn random_runs_with_workspaces_exceed_no_cap() {
+    for kind in [0, DOMAIN_SEEDS, CRASH_SEEDS] {
+        let first = WORKSPACE_SEEDS + kind;
+        (first..first + SHORT_WORKSPACES).for_each(|seed| {
+            run(seed);
+        });
+    }
+}
+
 #[gtest]
 fn random_runs_with_tasks_that_crash_their_workers_keep_all_invariants() {
     SHORT_CRASHES.filter(|seed| *seed != UNDETECTED_CRASHES_SEED).for_each(|seed| {
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -421,6 +421,34 @@
         call
     }
 
+    /// Caps the cores of workspaces. A job whose id has an `@` belongs to the workspace named before it.
+    pub(crate) fn set_caps(&mut self, caps: &[(&str, u32)]) {
+        let mut config = (*self.config).clone();
+        config.version += 1;
+        let rule = |(workspace, cores): &(&str, u32)| {
+            let cap = ResourceVector::new(cores * 1_000, u32::MAX, u32::MAX);
+            let id = WorkspaceId::from(*workspace);
+            (id.clone(), WorkspaceRule { id, weight: 1.0, cap })
+        };
+        config.workspaces = caps.iter().map(rule).collect();
+        self.config = Arc::new(config);
+        for leader in self.leaders.values_mut() {
+            leader.set_config(self.config.clone());
+        }
+    }
+
+    /// What the tasks of a workspace use on workers that are up.
+    pub(crate) fn workspace_usage(&self, workspace: &str) -> ResourceVector {
+        let up = self.workers.values().filter(|worker| worker.up);
+        let runs = up.flat_map(|worker| &worker.runs);
+        let demands = runs.filter_map(|(task, _)| {
+            let (record, _) = self.store.jobs.get(&task.job)?;
+            let is_of_workspace = record.workspace.as_deref() == Some(workspace);
+            is_of_workspace.then(|| record.spec.steps[task.key.step.step as usize].need)
+        });
+        demands.fold(ResourceVector::default(), |sum, need| sum.saturating_add(&need))
+    }
+
     fn record(
         &self,
         queue: &str,
@@ -438,7 +466,7 @@
                 accepted: self.unix(),
             },
             rule: (*self.config.queues[queue]).clone(),
-            workspace: None,
+            workspace: id.split_once('@').map(|(workspace, _)| workspace.into()),
             home: None,
             share: None,
         }
@@ -1069,6 +1097,22 @@
         }
     }
 
+    /// Checks that a workspace uses no more than its cap after one of its tasks has started.
+    fn check_cap(&self, task: &TaskName) {
+        let (record, _) = &self.store.jobs[&task.job];
+        let rule = record.workspace.as_ref().and_then(|id| self.config.workspaces.get(id));
+        let Some(rule) = rule else {
+            return;
+        };
+        let usage = self.workspace_usage(&rule.id);
+        assert!(
+            usage.fits(&rule.cap),
+            "{} exceeds its cap {:?} with {usage:?} after {task} has started",
+            rule.id,
+            rule.cap
+        );
+    }
+
     /// Checks the conditions that must hold whenever a task starts.
     fn check_start(
         &mut self,
@@ -1087,6 +1131,8 @@
             used.fits(&worker.max_capacity(sent)),
             "{id} exceeds its capacity with {used:?} in use after {task} has started"
         );
+        self.check_cap(task);
+        let worker = &self.workers[id];
         if let Some(limit) = step.max_per_worker {
             let same_step =
                 |other: &&TaskName| other.job == task.job && other.key.step == task.key.step;
