Share the caps of workspaces among the shards

Change: the quota parts of the product's failure domains become a module of their own, src/quota.rs, which knows holders instead of domains and needs no controller around it; leaders of shards use the same one. Half of a cap is divided evenly as floors, the rest moves by compare-and-swap to where a pass had to leave tasks waiting; a write holds only while the leader's epoch is current. What a takeover has not seen counts as used, so a part is not given back while it may be in use. Deployments with one leader, or without caps, make no such call. Ruled out: an even, fixed division (a customer whose work is all in one shard would wait at a third of its cap while the rest is idle); a second implementation beside the existing one.

--- a/src/domain/controller.rs
+++ b/src/domain/controller.rs
@@ -12,13 +12,13 @@
 };
 use crate::domain::moves::MoveController;
 use crate::domain::peers::PeerTable;
-use crate::domain::quota::QuotaController;
 use crate::fleet::{FleetOutput, WorkerFleet};
 use crate::id::{Attempt, CallId, DomainId, EntryId, TaskId, UnixMillis, UpstreamId, WorkerId};
 use crate::leadership::{LeadershipAction, LeadershipController};
 use crate::ledger::{JournalController, JournalOutput, LedgerRecord};
 use crate::message::{CallRefusal, ClientAnswer, PeerMessage};
 use crate::placement::{TaskScheduler, WorkerSpec};
+use crate::quota::QuotaController;
 use crate::routing::{ShareTable, UpstreamSpec};
 use crate::token::FencingToken;
 use crate::worker::WorkerCommand;
@@ -113,7 +113,12 @@
             journal: JournalController::new(now, domain, boot, timing.commit_interval),
             fleet: WorkerFleet::new(timing),
             peers: PeerTable::new(now, &identity),
-            quota: QuotaController::new(now, &identity),
+            quota: QuotaController::new(
+                now,
+                identity.domain.clone(),
+                identity.domains(),
+                format!("{}-{}", identity.entry, identity.boot),
+            ),
             moves: MoveController::new(now, &identity),
             leader: None,
             warm_records: BTreeMap::new(),
--- a/src/graph.rs
+++ b/src/graph.rs
@@ -33,7 +33,6 @@
 mod worker_event;
 
 pub use advice::{AdviceCall, AdviceId, AdviceKey, AdviceRequest, AdviceTable, StepAdvice};
-pub use allowance::WorkspaceAmounts;
 pub use answer_time::AnswerTimeout;
 pub use commit::{CommitGroup, CommitQueue, GroupEffect, GroupNumber};
 pub use controller::{GraphBounds, GraphController, RestoredState};
--- a/src/graph/allowance.rs
+++ b/src/graph/allowance.rs
@@ -3,8 +3,6 @@
 //! The load pattern behind it is a customer that submits several times its usual: without a limit its
 //! backlog fills the workers and delays the jobs of all others.
 
-use std::collections::BTreeMap;
-
 use crate::graph::home::UnsettledDomains;
 use crate::graph::instances::InstanceTable;
 use crate::graph::job::GraphJob;
@@ -12,9 +10,7 @@
 use crate::graph::step_capacity::tasks_that_fit;
 use crate::id::WorkspaceId;
 use crate::resources::ResourceVector;
-
-/// An amount of resources for each workspace.
-pub type WorkspaceAmounts = BTreeMap<WorkspaceId, ResourceVector>;
+use crate::workspace::WorkspaceAmounts;
 
 /// What each limited workspace may still start. Workspaces without a limit are not listed.
 #[derive(Debug, Default)]
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -1,6 +1,7 @@
 //! The leader of the job graphs: applies events to its tables and emits actions.
 
 mod commands;
+mod quota;
 mod registrations;
 mod shares;
 mod storing;
@@ -16,7 +17,6 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceId, AdviceTable};
-use crate::graph::allowance::WorkspaceAmounts;
 use crate::graph::commit::CommitQueue;
 use crate::graph::controller::submissions::DeferredSubmission;
 use crate::graph::crash::WorkerCrash;
@@ -35,7 +35,8 @@
 use crate::graph::send_window::SendWindow;
 use crate::graph::shard::ShardScope;
 use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId, WorkspaceId};
-use crate::workspace::WorkspaceRule;
+use crate::quota::QuotaController;
+use crate::workspace::{WorkspaceAmounts, WorkspaceRule};
 
 /// Run numbers of a task that one epoch may use. Later epochs use higher numbers.
 const RUN_NUMBERS_PER_EPOCH: RunNumber = 1 << 16;
@@ -96,6 +97,12 @@
     config: Option<Arc<QueueConfig>>,
     /// Workspaces with a cap.
     workspaces: BTreeMap<WorkspaceId, WorkspaceRule>,
+    /// This shard's parts of the caps; `None` where there is only one shard.
+    quota: Option<QuotaController>,
+    /// What the workspaces used at the last pass.
+    last_usage: WorkspaceAmounts,
+    /// What the last pass did not start because of a cap.
+    capped_demand: WorkspaceAmounts,
     jobs: JobTable,
     instances: InstanceTable,
     advice: AdviceTable,
@@ -180,6 +187,9 @@
             deferred: Vec::new(),
             config: None,
             workspaces: BTreeMap::new(),
+            quota: None,
+            last_usage: WorkspaceAmounts::new(),
+            capped_demand: WorkspaceAmounts::new(),
             jobs,
             instances,
             advice: AdviceTable::default(),
@@ -344,6 +354,7 @@
         if due && extend {
             self.run_pass(now, unix);
         }
+        self.tick_quota(now);
         self.commit_next_group(now, unix);
     }
 
@@ -433,11 +444,8 @@
             return;
         }
         let unsettled_domains = self.unsettled_domains();
-        let limits = self.workspace_limits();
-        let usage = match limits.is_empty() {
-            true => WorkspaceAmounts::new(),
-            false => self.workspace_usage(),
-        };
+        let usage = self.workspace_usage();
+        let limits = self.workspace_limits(&usage);
         let jobs = &self.jobs;
         self.reservations.prune(now, |task| {
             jobs.wants(task)
@@ -457,6 +465,7 @@
             usage: &usage,
         };
         let plan = PlacementPass::new(view).run();
+        (self.last_usage, self.capped_demand) = (usage, plan.capped_demand);
         for id in &plan.idle_jobs {
             self.jobs.mark_unschedulable(id);
         }
--- /dev/null
+++ b/src/graph/controller/quota.rs
@@ -0,0 +1,77 @@
+//! Parts of the workspaces' caps that this leader's shard may use, where there are several shards.
+
+use tokio::time::Instant;
+
+use crate::graph::controller::GraphController;
+use crate::graph::event::GraphAction;
+use crate::graph::shard::ShardScope;
+use crate::id::{CallId, UnixMillis};
+use crate::quota::QuotaController;
+use crate::resources::ResourceVector;
+use crate::store::StoreOutcome;
+use crate::workspace::WorkspaceAmounts;
+
+/// A cap that limits nothing.
+const UNLIMITED: ResourceVector = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
+
+impl GraphController {
+    /// Shares caps with the other shards, if there are any.
+    pub(super) fn share_caps(&mut self, now: Instant, scope: &ShardScope) {
+        let writer_name = format!("{}-{}", scope.shard, self.epoch);
+        let quota =
+            || QuotaController::new(now, scope.shard.clone(), scope.plan.shards(), writer_name);
+        self.quota = scope.plan.is_divided().then(quota);
+    }
+
+    /// Caps over all shards.
+    fn quotas(&self) -> WorkspaceAmounts {
+        let limited = self.workspaces.values().filter(|rule| rule.cap != UNLIMITED);
+        limited.map(|rule| (rule.id.clone(), rule.cap)).collect()
+    }
+
+    /// What each workspace with a cap may use on the workers of this leader.
+    pub(super) fn workspace_limits(&mut self, used: &WorkspaceAmounts) -> WorkspaceAmounts {
+        let quotas = self.quotas();
+        let Some(quota) = &mut self.quota else {
+            return quotas;
+        };
+        let limit = |id| Some((Clone::clone(id), quota.limit(id, &quotas, used)?));
+        quotas.keys().filter_map(limit).collect()
+    }
+
+    /// Changes this shard's parts by what the last pass used and could not start.
+    pub(super) fn tick_quota(&mut self, now: Instant) {
+        if self.quota.is_none() || self.workspaces.is_empty() {
+            return;
+        }
+        let quotas = self.quotas();
+        let (demand, used) = (&self.capped_demand, &self.last_usage);
+        let Some(quota) = &mut self.quota else {
+            return;
+        };
+        if quota.demand_due(now) {
+            quota.note_demand(now, demand.clone(), used);
+        }
+        if let Some((id, request)) = quota.next_call(now, &quotas, used) {
+            self.actions.push(GraphAction::Quota(id, request));
+        }
+    }
+
+    /// Handles the outcome of a call about the parts.
+    pub fn handle_quota_outcome(
+        &mut self,
+        now: Instant,
+        unix: UnixMillis,
+        id: CallId,
+        outcome: StoreOutcome,
+    ) {
+        let (quotas, used) = (self.quotas(), self.workspace_usage());
+        let Some(quota) = &mut self.quota else {
+            return;
+        };
+        if let Some((id, request)) = quota.handle_outcome(now, unix, &quotas, &used, id, outcome) {
+            self.actions.push(GraphAction::Quota(id, request));
+        }
+        self.pass_wanted = true;
+    }
+}
--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -35,6 +35,7 @@
         for job in self.jobs.iter_mut() {
             job.shard = scope.shard.clone();
         }
+        self.share_caps(self.last_pass, &scope);
         self.scope = scope;
         let shared = self.jobs.iter().filter(|job| job.share.is_some());
         let shared: Vec<GraphId> = shared.map(|job| job.spec.id.clone()).collect();
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
-use crate::graph::allowance::{
-    WorkspaceAmounts, merge, unseen_usage_by_workspace, usage_by_workspace,
-};
+use crate::graph::allowance::{merge, unseen_usage_by_workspace, usage_by_workspace};
 use crate::graph::controller::GraphController;
 use crate::graph::job::GraphRecord;
 use crate::graph::queue::QueueConfig;
 use crate::graph::spec::StepSpec;
 use crate::resources::ResourceVector;
+use crate::workspace::WorkspaceAmounts;
 
 impl GraphController {
     /// Applies the workspaces of a configuration. One that it no longer has keeps its last rule while it has jobs.
@@ -21,13 +20,11 @@
         self.workspaces.extend(config.workspaces.clone());
     }
 
-    /// What each workspace with a cap may use on the workers of this leader.
-    pub(super) fn workspace_limits(&self) -> WorkspaceAmounts {
-        self.workspaces.values().map(|rule| (rule.id.clone(), rule.cap)).collect()
-    }
-
-    /// What each workspace uses or may use on the workers of this leader.
+    /// What each workspace uses or may use on the workers of this leader; empty where there are no workspaces.
     pub(super) fn workspace_usage(&self) -> WorkspaceAmounts {
+        if self.workspaces.is_empty() {
+            return WorkspaceAmounts::new();
+        }
         let mut usage = usage_by_workspace(&self.instances);
         if !self.unseen_invalidated && !self.uncontacted.is_empty() {
             let unseen = unseen_usage_by_workspace(
--- a/src/graph/event.rs
+++ b/src/graph/event.rs
@@ -10,6 +10,7 @@
 use crate::graph::name::{RunNumber, TaskName};
 use crate::graph::shard::ShardId;
 use crate::id::{CallId, WorkerId};
+use crate::store::StoreRequest;
 
 /// Result of a start, stop or throttle: the clock of the worker, or why there is no answer.
 pub type CommandResult = std::result::Result<Duration, CallFailure>;
@@ -64,6 +65,8 @@
     Advise(AdviceCall),
     /// Store a group of changes.
     Commit(CommitGroup),
+    /// Read or change the parts that the shards have of the caps.
+    Quota(CallId, StoreRequest),
     /// Answer a caller.
     Answer(CallId, GraphAnswer),
 }
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::graph::advice::{AdviceRequest, AdviceTable};
-use crate::graph::allowance::{WorkspaceAllowances, WorkspaceAmounts};
+use crate::graph::allowance::WorkspaceAllowances;
 use crate::graph::health::HealthRank;
 use crate::graph::home::UnsettledDomains;
 use crate::graph::instances::{InstanceTable, SILENCE_LIMIT};
@@ -29,6 +29,7 @@
 use crate::graph::step_capacity::StepCapacity;
 use crate::graph::worker::{RunPhase, WorkerInstance};
 use crate::id::{DomainId, UnixMillis, WorkerId};
+use crate::workspace::WorkspaceAmounts;
 
 /// Advice requests collected for each entry that could make a call: long calls leave some entries
 /// to the short ones behind them.
@@ -72,6 +73,8 @@
     pub widened: Vec<(GraphId, DomainId)>,
     /// Jobs without waiting tasks.
     pub idle_jobs: Vec<GraphId>,
+    /// Resources of the ready tasks that the limits of their workspaces keep waiting.
+    pub capped_demand: WorkspaceAmounts,
 }
 
 /// Order in which steps are served.
@@ -245,14 +248,20 @@
 
     /// Leaves only as many waiting tasks as the workspace of a step may start, so that the rest of them requests no
     /// advice and stops no other run.
-    fn limit_to_allowance(&self, step: &mut OpenStep<'t>) {
+    fn limit_to_allowance(&mut self, step: &mut OpenStep<'t>) {
         let (workspace, need) = (step.job.workspace.as_ref(), &step.step.need);
         let startable = self.allowances.startable_tasks(workspace, need) as usize;
+        let waiting = step.waiting.len();
         match step.step.gang {
-            true if startable < step.waiting.len() => step.waiting.clear(),
+            true if startable < waiting => step.waiting.clear(),
             true => {}
             false => step.waiting.truncate(startable),
         }
+        let capped = u32::try_from(waiting - step.waiting.len()).unwrap_or(u32::MAX);
+        if let Some(workspace) = workspace.filter(|_| capped > 0 && step.ready) {
+            let demand = self.plan.capped_demand.entry(workspace.clone()).or_default();
+            *demand = demand.saturating_add(&need.times(capped));
+        }
     }
 
     fn place_step(&mut self, step: &OpenStep<'t>) {
--- a/src/node/action_executor.rs
+++ b/src/node/action_executor.rs
@@ -114,6 +114,13 @@
             }
             GraphAction::Advise(call) => self.advise(call),
             GraphAction::Commit(group) => self.commit(group),
+            GraphAction::Quota(id, request) => {
+                let ledger = self.ledger.clone();
+                tokio::spawn(async move {
+                    let outcome = ledger.call_quota(&request).await;
+                    leader.send(LeaderInput::QuotaAnswered(id, outcome)).await;
+                });
+            }
             GraphAction::Answer(..) => {}
         }
     }
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -7,8 +7,9 @@
     AdviceId, CommandResult, GraphId, GraphRecord, GroupNumber, InstanceId, LeaderEpoch,
     PollResult, RunNumber, ShardId, TaskName, WorkerRegistration,
 };
-use crate::id::WorkerId;
+use crate::id::{CallId, WorkerId};
 use crate::node::message::{AllowedWorkers, LeaderAnswer, LeaderCall};
+use crate::store::StoreOutcome;
 
 /// An input of the leader's loop.
 pub(crate) enum LeaderInput {
@@ -31,6 +32,8 @@
     Stopped(InstanceId, TaskName, RunNumber, CommandResult),
     Advised(AdviceId, Option<AllowedWorkers>),
     Stored(GroupNumber, GroupOutcome),
+    /// Outcome of a call about the parts of caps.
+    QuotaAnswered(CallId, StoreOutcome),
     /// The lease in the store was renewed by a call sent at this time.
     Renewed(Instant),
     /// A change that ends this leader's term was not answered. `expected` is whether the next leader takes into account
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -242,6 +242,9 @@
                 controller.handle_group_refused(now, number)
             }
             LeaderInput::Stored(_, GroupOutcome::Deposed) => return true,
+            LeaderInput::QuotaAnswered(id, outcome) => {
+                controller.handle_quota_outcome(now, unix, id, outcome);
+            }
             LeaderInput::Renewed(sent) => controller.note_lease_renewal(sent),
             LeaderInput::InDoubt { expected } => {
                 self.in_doubt = true;
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::try_join4;
 use log::{error, info, warn};
 use serde::de::DeserializeOwned;
@@ -20,18 +21,21 @@
 use crate::node::dependency::DependencyLog;
 use crate::node::input::GroupOutcome;
 use crate::node::keys::{
-    KeyItem, KeyTransaction, StoreError, TransactionOutcome, UnreadableKind, count_unreadable,
-    epoch_key,
+    KeyItem, KeyTransaction, KeyWrite, StoreError, TransactionOutcome, UnreadableKind,
+    count_unreadable, epoch_key,
 };
 use crate::node::ledger::group_sender::GroupSender;
 use crate::node::ledger::shard_keys::{ShardKeys, index_key};
 use crate::node::shared::NodeShared;
 use crate::platform::PlatformStore;
+use crate::store::{StoreOutcome, StoreRequest, StoredValue};
 
 type Result<T> = std::result::Result<T, StoreError>;
 
 /// Name of ledger reads and writes in the log.
 pub(crate) const LEDGER_LOG_NAME: &str = "ledger";
+/// Name of calls about the parts of caps in the log.
+const QUOTA_LOG_NAME: &str = "quota";
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// A group that takes longer is logged as a warning, as callers wait for it.
@@ -194,6 +198,42 @@
         outcome
     }
 
+    /// Reads or writes the parts of caps, a write only while this leader's epoch is the current one.
+    pub(crate) async fn call_quota(&self, request: &StoreRequest) -> StoreOutcome {
+        let result = match request {
+            StoreRequest::Read { key } => self.read_quota(key).await,
+            StoreRequest::Swap { key, expected, value } => {
+                let epoch = (epoch_key(&self.keys.shard), self.head().epoch_revision);
+                let write =
+                    KeyWrite { key: key.clone(), value: Bytes::from(value.clone()), lease: None };
+                let change = KeyTransaction {
+                    conditions: vec![epoch, (key.clone(), *expected)],
+                    writes: vec![write],
+                    removes: Vec::new(),
+                };
+                self.store.transact(&change).await.map(|outcome| match outcome {
+                    TransactionOutcome::Done(revision) => StoreOutcome::Written(revision),
+                    TransactionOutcome::Conflict(_) | TransactionOutcome::NoLease => {
+                        StoreOutcome::Conflict
+                    }
+                })
+            }
+        };
+        self.dependency_log.tried(QUOTA_LOG_NAME, &result);
+        result.unwrap_or_else(|failure| match failure {
+            StoreError::NotDone(_) => StoreOutcome::Unavailable,
+            StoreError::Unknown(_) => StoreOutcome::Unknown,
+        })
+    }
+
+    async fn read_quota(&self, key: &str) -> Result<StoreOutcome> {
+        let Some(item) = self.store.get(key).await? else {
+            return Ok(StoreOutcome::Missing);
+        };
+        let value = String::from_utf8_lossy(&item.value).into_owned();
+        Ok(StoreOutcome::Found(StoredValue { version: item.revision, value }))
+    }
+
     /// Sends a group once.
     async fn send_once(&self, id: &str, change: &KeyTransaction) -> Result<TransactionOutcome> {
         let (store, key) = (&self.store, &self.keys.group());
--- /dev/null
+++ b/src/quota.rs
@@ -0,0 +1,478 @@
+//! Quotas of workspaces, enforced exactly across several leaders without a lock.
+//!
+//! One record in the store divides each quota into parts, one for each holder: the leader of a holder, or of a
+//! shard of workers. A holder uses no more than its part. It takes unassigned amounts and returns unused ones by
+//! compare-and-swap.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::id::{CallId, KeyVersion, UnixMillis, WorkspaceId};
+use crate::resources::ResourceVector;
+use crate::store::{StoreOutcome, StoreRequest};
+use crate::workspace::WorkspaceAmounts;
+
+/// Name of a holder of parts: a holder or a shard.
+pub(crate) type HolderId = Arc<str>;
+
+/// Store key of the quota record.
+const QUOTA_KEY: &str = "quota/parts";
+/// Minimum interval between two changes.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between reads while the parts do not satisfy all demands or exceed the quota.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which a request that is not renewed is void, in milliseconds.
+const REQUEST_VALIDITY_MS: UnixMillis = 10_000;
+/// Time for which an unused part is kept before it is returned.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// Unmet request of a holder for more of a quota than was available.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct QuotaRequest {
+    /// Time of the first request.
+    since: UnixMillis,
+    /// Time of the last renewal; a request that is not renewed is void.
+    renewed: UnixMillis,
+}
+
+/// Parts and unmet requests of all quotas.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct QuotaRecord {
+    parts: BTreeMap<WorkspaceId, BTreeMap<HolderId, ResourceVector>>,
+    #[serde(default)]
+    wants: BTreeMap<WorkspaceId, BTreeMap<HolderId, QuotaRequest>>,
+    write_id: String,
+}
+
+impl QuotaRecord {
+    fn part(&self, workspace: &WorkspaceId, holder: &HolderId) -> ResourceVector {
+        let parts = self.parts.get(workspace);
+        parts.and_then(|parts| parts.get(holder)).copied().unwrap_or_default()
+    }
+
+    /// Tells whether the parts add up to more than the quota, because the quota was lowered.
+    fn exceeded(&self, workspace: &WorkspaceId, quota: &ResourceVector) -> bool {
+        let parts = self.parts.get(workspace).into_iter().flat_map(BTreeMap::values);
+        let sum = parts.fold(ResourceVector::default(), |sum, part| sum.saturating_add(part));
+        !sum.fits(quota)
+    }
+
+    /// Tells whether another holder has an older unmet request than `own`.
+    fn has_older_request(&self, now: UnixMillis, workspace: &WorkspaceId, own: &HolderId) -> bool {
+        let Some(wants) = self.wants.get(workspace) else {
+            return false;
+        };
+        let key = |holder: &HolderId, request: &QuotaRequest| (request.since, holder.clone());
+        let own_key = wants.get(own).map_or((now, own.clone()), |request| key(own, request));
+        let is_valid =
+            |request: &QuotaRequest| now < request.renewed.saturating_add(REQUEST_VALIDITY_MS);
+        wants.iter().any(|(holder, request)| {
+            holder != own && is_valid(request) && key(holder, request) < own_key
+        })
+    }
+
+    /// Sets or clears the unmet request of `own`.
+    fn set_request(
+        &mut self,
+        now: UnixMillis,
+        workspace: &WorkspaceId,
+        own: &HolderId,
+        wants: bool,
+    ) {
+        let all = self.wants.entry(workspace.clone()).or_default();
+        match wants {
+            true => {
+                let since = all.get(own).map_or(now, |request| request.since);
+                all.insert(own.clone(), QuotaRequest { since, renewed: now });
+            }
+            false => {
+                all.remove(own);
+            }
+        }
+    }
+
+    /// Amount of a quota that `own` can take: what is in no part, less the floors of the failure
+    /// domains that have not written a part yet, as they may use their floor without a request.
+    fn available(
+        &self,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        own: &HolderId,
+        holders: &[HolderId],
+    ) -> ResourceVector {
+        let parts = self.parts.get(workspace);
+        let floor = floor(quota, holders.len());
+        let others = holders.iter().filter(|holder| *holder != own);
+        let unwritten = others.filter(|holder| !parts.is_some_and(|p| p.contains_key(*holder)));
+        let reserved =
+            unwritten.fold(ResourceVector::default(), |sum, _| sum.saturating_add(&floor));
+        let held = parts.into_iter().flat_map(BTreeMap::values);
+        let sum = held.fold(reserved, |sum, part| sum.saturating_add(part));
+        quota.saturating_sub(&sum)
+    }
+}
+
+/// The part of a quota that each holder may use without a request, even while it is cut off.
+/// All floors together are half of the quota.
+fn floor(quota: &ResourceVector, holders: usize) -> ResourceVector {
+    let parts = u32::try_from(2 * holders.max(1)).unwrap_or(u32::MAX);
+    ResourceVector::new(
+        quota.millicores / parts,
+        quota.memory_mib / parts,
+        quota.accelerators / parts,
+    )
+}
+
+#[derive(Debug)]
+enum QuotaCall {
+    Read,
+    Write(QuotaRecord),
+}
+
+/// Manages one holder's parts of all quotas.
+#[derive(Debug)]
+pub(crate) struct QuotaController {
+    holder: HolderId,
+    holders: Vec<HolderId>,
+    /// Parts that this holder may use, as last written by this leader.
+    parts: WorkspaceAmounts,
+    /// Whether this leader has written the record. Pending writes of earlier leaders then fail, as
+    /// the version of the record has changed.
+    fenced: bool,
+    demand: WorkspaceAmounts,
+    retry_delay: Duration,
+    /// Last demand together with the usage at that time, and when it was seen.
+    recent_demand: BTreeMap<WorkspaceId, (ResourceVector, Instant)>,
+    /// Workspaces for which another holder has an older unmet request.
+    yielding_workspaces: BTreeSet<WorkspaceId>,
+    pending: Option<(CallId, QuotaCall)>,
+    next_call: CallId,
+    next_change: Instant,
+    next_demand: Instant,
+    /// Time of the next read of the record even if nothing changed here.
+    next_recheck: Option<Instant>,
+    write_count: u64,
+    writer_name: String,
+}
+
+impl QuotaController {
+    /// Creates a controller for one of all `holders`. `writer_name` is unique to this process.
+    pub(crate) fn new(
+        now: Instant,
+        holder: HolderId,
+        holders: Vec<HolderId>,
+        writer_name: String,
+    ) -> Self {
+        Self {
+            holder,
+            holders,
+            parts: BTreeMap::new(),
+            fenced: false,
+            demand: BTreeMap::new(),
+            retry_delay: CHANGE_INTERVAL,
+            recent_demand: BTreeMap::new(),
+            yielding_workspaces: BTreeSet::new(),
+            pending: None,
+            next_call: 0,
+            next_change: now,
+            next_demand: now,
+            next_recheck: None,
+            write_count: 0,
+            writer_name,
+        }
+    }
+
+    /// Starts a term as leader. The parts are unknown until this leader has written the record.
+    pub(crate) fn start_term(&mut self, now: Instant) {
+        self.parts.clear();
+        self.fenced = false;
+        self.pending = None;
+        self.next_change = now;
+    }
+
+    /// Schedules a read of the record after a change of the configuration.
+    pub(crate) fn schedule_recheck(&mut self, now: Instant) {
+        self.next_change = self.next_change.min(now + CHANGE_INTERVAL);
+        self.next_recheck = Some(now);
+    }
+
+    /// Parts that this holder may use.
+    pub(crate) fn parts(&self) -> &WorkspaceAmounts {
+        &self.parts
+    }
+
+    /// Pause before the next attempt; doubles each time up to [`RECHECK_INTERVAL`].
+    fn next_retry_delay(&mut self) -> Duration {
+        let retry_delay = self.retry_delay;
+        self.retry_delay = (retry_delay * 2).min(RECHECK_INTERVAL);
+        retry_delay
+    }
+
+    fn call(&mut self, call: QuotaCall, version: KeyVersion) -> (CallId, StoreRequest) {
+        self.next_call += 1;
+        let key = QUOTA_KEY.to_owned();
+        let request = match &call {
+            QuotaCall::Read => StoreRequest::Read { key },
+            QuotaCall::Write(record) => StoreRequest::Swap {
+                key,
+                expected: version,
+                value: serde_json::to_string(record).unwrap_or_default(),
+            },
+        };
+        self.pending = Some((self.next_call, call));
+        (self.next_call, request)
+    }
+
+    /// The part that this holder should hold: its usage and demand, limited by what is available.
+    /// A part taken for a recent demand is kept for [`IDLE_TIME`], unless another holder has an older
+    /// unmet request: then only the usage and the floor are kept, so that two holders cannot wait for
+    /// each other's parts.
+    fn target_part(
+        &self,
+        now: Instant,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        used: ResourceVector,
+        held: ResourceVector,
+        available: ResourceVector,
+    ) -> ResourceVector {
+        let minimum = used.component_max(&floor(quota, self.holders.len()));
+        let demand = self.demand.get(workspace).copied().unwrap_or_default();
+        let requested = used.saturating_add(&demand).component_max(&minimum);
+        let recent_demand =
+            self.recent_demand.get(workspace).filter(|(_, at)| now < *at + IDLE_TIME);
+        let retained = recent_demand
+            .map_or(requested, |(recent_demand, _)| requested.component_max(recent_demand));
+        let grown = held.saturating_add(&requested.saturating_sub(&held).component_min(&available));
+        match self.yielding_workspaces.contains(workspace) {
+            true => held.component_min(&minimum).component_max(&used),
+            false => grown.component_min(&retained).component_max(&minimum.component_min(&grown)),
+        }
+    }
+
+    /// The usage limit for the scheduler: the part, lowered by a quarter while another holder waits,
+    /// so that tasks that end here are not replaced at once.
+    fn usage_limit(
+        &self,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        part: ResourceVector,
+    ) -> ResourceVector {
+        let minimum = floor(quota, self.holders.len());
+        let lowered =
+            part.saturating_sub(&part.quarter()).component_max(&minimum).component_min(&part);
+        match self.yielding_workspaces.contains(workspace) {
+            true => lowered,
+            false => part,
+        }
+    }
+
+    /// Tells whether the usage and demand of a workspace exceed its part.
+    fn exceeds_part(
+        &self,
+        workspace: &WorkspaceId,
+        used: &ResourceVector,
+        part: &ResourceVector,
+    ) -> bool {
+        let demand = self.demand.get(workspace).copied().unwrap_or_default();
+        demand != ResourceVector::default() && !used.saturating_add(&demand).fits(part)
+    }
+
+    /// Whether the demand is to be recorded again.
+    pub(crate) fn demand_due(&self, now: Instant) -> bool {
+        now >= self.next_demand
+    }
+
+    /// Records the demand of the workspaces.
+    pub(crate) fn note_demand(
+        &mut self,
+        now: Instant,
+        demand: WorkspaceAmounts,
+        used: &WorkspaceAmounts,
+    ) {
+        self.next_demand = now + CHANGE_INTERVAL;
+        for (workspace, amount) in &demand {
+            let used = used.get(workspace).copied().unwrap_or_default();
+            self.recent_demand.insert(workspace.clone(), (used.saturating_add(amount), now));
+        }
+        self.demand = demand;
+    }
+
+    /// What a workspace may use here: the part of this holder, or the current usage while the parts are unknown. `None`
+    /// without a quota.
+    pub(crate) fn limit(
+        &mut self,
+        workspace: &WorkspaceId,
+        quotas: &WorkspaceAmounts,
+        used: &WorkspaceAmounts,
+    ) -> Option<ResourceVector> {
+        let quota = quotas.get(workspace)?;
+        let part = self.parts.get(workspace).copied().unwrap_or_default();
+        if self.fenced {
+            return Some(self.usage_limit(workspace, quota, part));
+        }
+        let used = used.get(workspace).copied().unwrap_or_default();
+        let part = part.component_max(&used);
+        self.parts.insert(workspace.clone(), part);
+        Some(part)
+    }
+
+    /// Starts a change of the parts, if one is due.
+    pub(crate) fn next_call(
+        &mut self,
+        now: Instant,
+        quotas: &WorkspaceAmounts,
+        used: &WorkspaceAmounts,
+    ) -> Option<(CallId, StoreRequest)> {
+        let is_due =
+            self.pending.is_none() && now >= self.next_change && self.change_due(now, quotas, used);
+        is_due.then(|| {
+            self.next_change = now + self.next_retry_delay();
+            self.call(QuotaCall::Read, 0)
+        })
+    }
+
+    fn change_due(&self, now: Instant, quotas: &WorkspaceAmounts, used: &WorkspaceAmounts) -> bool {
+        let stale = self.parts.keys().any(|workspace| !quotas.contains_key(workspace));
+        let differs = quotas.iter().any(|(workspace, quota)| {
+            let held = self.parts.get(workspace).copied().unwrap_or_default();
+            let used = used.get(workspace).copied().unwrap_or_default();
+            let unlimited = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
+            self.target_part(now, workspace, quota, used, held, unlimited) != held
+        });
+        let recheck_due = self.next_recheck.is_some_and(|at| now >= at);
+        (!self.fenced && !quotas.is_empty()) || differs || stale || recheck_due
+    }
+
+    /// Handles the outcome of a call to the store, and returns the call that follows.
+    pub(crate) fn handle_outcome(
+        &mut self,
+        now: Instant,
+        unix: UnixMillis,
+        quotas: &WorkspaceAmounts,
+        used: &WorkspaceAmounts,
+        id: CallId,
+        outcome: StoreOutcome,
+    ) -> Option<(CallId, StoreRequest)> {
+        let call = match self.pending.take() {
+            Some((call, pending)) if call == id => pending,
+            other => {
+                self.pending = other;
+                return None;
+            }
+        };
+        match (call, outcome) {
+            (QuotaCall::Read, StoreOutcome::Found(stored)) => {
+                let record = serde_json::from_str(&stored.value).unwrap_or_default();
+                self.write_parts(now, unix, quotas, used, record, stored.version)
+            }
+            (QuotaCall::Read, StoreOutcome::Missing) => {
+                self.write_parts(now, unix, quotas, used, QuotaRecord::default(), 0)
+            }
+            (QuotaCall::Write(record), StoreOutcome::Written(_)) => {
+                let parts = self.own_parts(&record);
+                if parts != self.parts {
+                    self.retry_delay = CHANGE_INTERVAL;
+                }
+                self.parts = parts;
+                self.fenced = true;
+                None
+            }
+            _ => {
+                self.next_recheck = Some(now + RECHECK_INTERVAL);
+                None
+            }
+        }
+    }
+
+    /// Drops the pending call if it is this one, as its outcome concerns nobody.
+    pub(crate) fn drop_call(&mut self, id: CallId) {
+        self.pending.take_if(|(call, _)| *call == id);
+    }
+
+    fn own_parts(&self, record: &QuotaRecord) -> WorkspaceAmounts {
+        let parts = record.parts.keys();
+        parts.map(|workspace| (workspace.clone(), record.part(workspace, &self.holder))).collect()
+    }
+
+    /// Computes the parts of this holder from the record as read, and writes the record.
+    fn write_parts(
+        &mut self,
+        now: Instant,
+        unix: UnixMillis,
+        quotas: &WorkspaceAmounts,
+        used: &WorkspaceAmounts,
+        before: QuotaRecord,
+        version: KeyVersion,
+    ) -> Option<(CallId, StoreRequest)> {
+        let mut record = before.clone();
+        self.next_recheck = None;
+        for (workspace, quota) in quotas {
+            let used = used.get(workspace).copied().unwrap_or_default();
+            self.update_own_part(now, unix, &mut record, workspace, quota, used);
+        }
+        for (workspace, parts) in &mut record.parts {
+            if !quotas.contains_key(workspace) {
+                parts.remove(&self.holder);
+            }
+        }
+        record.parts.retain(|_, parts| !parts.is_empty());
+        record.wants.retain(|workspace, wants| quotas.contains_key(workspace) && !wants.is_empty());
+        let parts_unchanged = self.own_parts(&record) == self.parts;
+        if record == before && self.fenced && parts_unchanged {
+            return None;
+        }
+        self.write_count += 1;
+        record.write_id = format!("{}-{}", self.writer_name, self.write_count);
+        self.lower_parts(&record);
+        Some(self.call(QuotaCall::Write(record), version))
+    }
+
+    /// Limits each part to the smaller of the old and the new one while the outcome of a write is
+    /// unknown.
+    fn lower_parts(&mut self, record: &QuotaRecord) {
+        let written = self.own_parts(record);
+        for (workspace, part) in &mut self.parts {
+            let new = written.get(workspace).copied().unwrap_or_default();
+            *part = part.component_min(&new);
+        }
+    }
+
+    /// Computes the part of this holder in one quota and records its unmet request.
+    fn update_own_part(
+        &mut self,
+        now: Instant,
+        unix: UnixMillis,
+        record: &mut QuotaRecord,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        used: ResourceVector,
+    ) {
+        let holder = self.holder.clone();
+        let recorded = record.part(workspace, &holder);
+        let available = record.available(workspace, quota, &holder, &self.holders);
+        let available = available.saturating_sub(&used.saturating_sub(&recorded));
+        let held = recorded.component_max(&used);
+        let minimum = used.component_max(&floor(quota, self.holders.len()));
+        match record.has_older_request(unix, workspace, &holder) {
+            true => self.yielding_workspaces.insert(workspace.clone()),
+            false => self.yielding_workspaces.remove(workspace),
+        };
+        let part = match record.exceeded(workspace, quota) {
+            true => held.component_min(&minimum),
+            false => self.target_part(now, workspace, quota, used, held, available),
+        };
+        let wants = self.exceeds_part(workspace, &used, &part);
+        record.set_request(unix, workspace, &holder, wants);
+        if wants || !part.fits(&minimum) || self.yielding_workspaces.contains(workspace) {
+            self.next_recheck = Some(now + RECHECK_INTERVAL);
+        }
+        record.parts.entry(workspace.clone()).or_default().insert(holder, part);
+    }
+}
--- a/src/workspace.rs
+++ b/src/workspace.rs
@@ -1,5 +1,6 @@
 //! Workspaces as the configuration defines them: API keys, a weight and a cap.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Debug};
 
 use serde::de::Error;
@@ -8,6 +9,9 @@
 use crate::id::WorkspaceId;
 use crate::resources::ResourceVector;
 
+/// An amount of resources for each workspace.
+pub type WorkspaceAmounts = BTreeMap<WorkspaceId, ResourceVector>;
+
 /// Hash of an API key. Keys are secrets, so only their hashes are kept, and no output shows these.
 #[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
 pub struct KeyDigest([u8; 32]);
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -606,6 +606,11 @@
                 self.post(time, Message::Advised { leader: epoch, call });
             }
             GraphAction::Commit(group) => self.post(latency, Message::Commit { epoch, group }),
+            GraphAction::Quota(call, request) => {
+                let current = self.is_current(epoch);
+                let outcome = self.store.call_quota(&request, current);
+                self.post(latency, Message::Quota { leader: epoch, call, outcome });
+            }
             GraphAction::Answer(call, answer) => {
                 self.answers.insert(call, answer);
             }
@@ -681,6 +686,12 @@
                     leader.handle_group_partly_stored(now, number, &taken);
                 }
             }
+            Message::Quota { leader, call, outcome } => {
+                let unix = self.unix();
+                if let Some(leader) = self.leaders.get_mut(&leader) {
+                    leader.handle_quota_outcome(now, unix, call, outcome);
+                }
+            }
             Message::Notice { leader, kind, job } => {
                 let stored =
                     self.leader_shards.get(&leader).and_then(|shard| self.store.shards.get(shard));
--- a/tests/graph/sim_cluster/messages.rs
+++ b/tests/graph/sim_cluster/messages.rs
@@ -72,6 +72,11 @@
         number: GroupNumber,
         taken: Vec<GraphId>,
     },
+    Quota {
+        leader: LeaderEpoch,
+        call: CallId,
+        outcome: StoreOutcome,
+    },
     Notice {
         leader: LeaderEpoch,
         kind: NoticeKind,
--- a/tests/graph/sim_cluster/store.rs
+++ b/tests/graph/sim_cluster/store.rs
@@ -21,6 +21,29 @@
     /// Whether the list of workers in use cannot be read.
     pub(crate) workers_unreadable: bool,
     pub(crate) groups: u64,
+    /// The parts that the shards have of the caps, with their version.
+    pub(super) quota: Option<StoredValue>,
+}
+
+impl ModelStore {
+    /// Handles a call about the parts of caps from the leader of the current epoch, or from an earlier one.
+    pub(super) fn call_quota(&mut self, request: &StoreRequest, current: bool) -> StoreOutcome {
+        let version = self.quota.as_ref().map_or(0, |stored| stored.version);
+        match request {
+            _ if !self.up => StoreOutcome::Unavailable,
+            StoreRequest::Read { .. } => {
+                self.quota.clone().map_or(StoreOutcome::Missing, StoreOutcome::Found)
+            }
+            StoreRequest::Swap { expected, .. } if !current || *expected != version => {
+                StoreOutcome::Conflict
+            }
+            StoreRequest::Swap { value, .. } => {
+                let version = version + 1;
+                self.quota = Some(StoredValue { version, value: value.clone() });
+                StoreOutcome::Written(version)
+            }
+        }
+    }
 }
 
 /// Data of one shard.
