Serve jobs within the rate of their workspace first

In the order of latest starts all its jobs, and in its backlog also those that it is entitled to, became late together; it is owed what its weight allows. The marks follow from the times of acceptance, so a new leader comes to the same ones. Each of several leaders takes an even share of the rate. The log names a job's workspace, whether it exceeds the rate, and that it waits for a cap (once a job); metrics show what workspaces use, a hundred at most. Seen: jobs_within_the_rate_of_a_workspace_are_in_time_beside_its_excess.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -29,6 +29,7 @@
 mod share;
 mod spec;
 mod step_capacity;
+mod submission_rate;
 mod worker;
 mod worker_event;
 
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -34,6 +34,7 @@
 use crate::graph::remote_workers::RemoteWorkerTable;
 use crate::graph::send_window::SendWindow;
 use crate::graph::shard::ShardScope;
+use crate::graph::submission_rate::SubmissionRates;
 use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId, WorkspaceId};
 use crate::quota::QuotaController;
 use crate::workspace::{WorkspaceAmounts, WorkspaceRule};
@@ -97,12 +98,17 @@
     config: Option<Arc<QueueConfig>>,
     /// Workspaces with a cap.
     workspaces: BTreeMap<WorkspaceId, WorkspaceRule>,
+    rates: SubmissionRates,
     /// This shard's parts of the caps; `None` where there is only one shard.
     quota: Option<QuotaController>,
     /// What the workspaces used at the last pass.
     last_usage: WorkspaceAmounts,
     /// What the last pass did not start because of a cap.
     capped_demand: WorkspaceAmounts,
+    /// Open jobs that have waited for a cap.
+    capped_jobs: BTreeSet<GraphId>,
+    /// When the usage of the workspaces is reported again.
+    next_report: Instant,
     jobs: JobTable,
     instances: InstanceTable,
     advice: AdviceTable,
@@ -187,9 +193,12 @@
             deferred: Vec::new(),
             config: None,
             workspaces: BTreeMap::new(),
+            rates: SubmissionRates::default(),
             quota: None,
             last_usage: WorkspaceAmounts::new(),
             capped_demand: WorkspaceAmounts::new(),
+            capped_jobs: BTreeSet::new(),
+            next_report: now,
             jobs,
             instances,
             advice: AdviceTable::default(),
@@ -366,6 +375,7 @@
         events.extend(self.instances.remove_vanished(now, now >= self.inherited_leases_end));
         self.handle_worker_events_at(now, unix, events);
         self.review_unreferenced(now);
+        self.report_usage(now);
         self.remote_workers.forget_expired(now);
         self.resend(now, extend);
     }
@@ -465,6 +475,7 @@
             usage: &usage,
         };
         let plan = PlacementPass::new(view).run();
+        self.note_capped_jobs(plan.capped_jobs, &limits);
         (self.last_usage, self.capped_demand) = (usage, plan.capped_demand);
         for id in &plan.idle_jobs {
             self.jobs.mark_unschedulable(id);
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -112,8 +112,9 @@
             let id = &record.spec.id;
             if let Some(job) = self.jobs.get_mut(id) {
                 job.durable = true;
-                let queue = &*job.spec.queue;
-                info!(job = &**id, queue, steps = job.spec.steps.len(), group = number; "job accepted");
+                let (queue, workspace) = (&*job.spec.queue, job.workspace.as_deref());
+                let (steps, exceeds_rate) = (job.spec.steps.len(), job.exceeds_rate);
+                info!(job = &**id, queue, workspace, exceeds_rate, steps, group = number; "job accepted");
             }
             if self.jobs.get(id).is_some_and(|job| !job.is_over()) {
                 self.answer_waiters(id, GraphAnswer::Accepted);
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -120,6 +120,8 @@
             }
             None => {
                 let mut job = GraphJob::new(record, now);
+                job.exceeds_rate =
+                    self.rates.exceeds_rate(job.workspace.as_ref(), job.spec.accepted);
                 job.shard = self.scope.shard.clone();
                 job.home = choose_home(&self.instances, &job, now);
                 job.share = self.share_among_shards(now, &job);
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -1,15 +1,28 @@
 //! Caps of workspaces: what counts against them, and jobs that can never run under them.
 
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use tokio::time::Instant;
 
 use crate::graph::allowance::{merge, unseen_usage_by_workspace, usage_by_workspace};
 use crate::graph::controller::GraphController;
-use crate::graph::job::GraphRecord;
+use crate::graph::job::{GraphJob, GraphRecord};
+use crate::graph::name::GraphId;
 use crate::graph::queue::QueueConfig;
 use crate::graph::spec::StepSpec;
+use crate::graph::submission_rate::SubmissionRates;
 use crate::resources::ResourceVector;
 use crate::workspace::WorkspaceAmounts;
 
+/// Interval between reports of what the workspaces use.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of workspaces with metrics of their own, those that use most.
+const MAX_REPORTED_WORKSPACES: usize = 100;
+
 impl GraphController {
     /// Applies the workspaces of a configuration. One that it no longer has keeps its last rule while it has jobs.
     pub(super) fn set_workspaces(&mut self, config: &Arc<QueueConfig>) {
@@ -18,6 +31,21 @@
             jobs.iter().any(|job| !job.is_over() && job.workspace.as_ref() == Some(id))
         });
         self.workspaces.extend(config.workspaces.clone());
+        self.mark_excess_jobs();
+    }
+
+    /// Marks the jobs that exceed the rates of their workspaces. Rates that change apply to the jobs of before as well,
+    /// and a new leader comes to the same result as its predecessor.
+    fn mark_excess_jobs(&mut self) {
+        let shards = self.scope.plan.shards().len();
+        let mut jobs: Vec<&mut GraphJob> = self.jobs.iter_mut().collect();
+        jobs.sort_by(|a, b| (a.spec.accepted, &a.spec.id).cmp(&(b.spec.accepted, &b.spec.id)));
+        let first = jobs.first().map_or(0, |job| job.spec.accepted);
+        self.rates = SubmissionRates::default();
+        self.rates.set_rules(&self.workspaces, shards, first);
+        for job in jobs {
+            job.exceeds_rate = self.rates.exceeds_rate(job.workspace.as_ref(), job.spec.accepted);
+        }
     }
 
     /// What each workspace uses or may use on the workers of this leader; empty where there are no workspaces.
@@ -54,4 +82,39 @@
         };
         rule.is_some_and(|rule| record.spec.steps.iter().any(|step| is_too_large(step, &rule.cap)))
     }
+
+    /// Logs the jobs that wait for the limit of their workspace, each once.
+    pub(super) fn note_capped_jobs(
+        &mut self,
+        capped_jobs: BTreeSet<GraphId>,
+        limits: &WorkspaceAmounts,
+    ) {
+        let jobs = &self.jobs;
+        self.capped_jobs.retain(|id| jobs.get(id).is_some_and(|job| !job.is_over()));
+        for id in capped_jobs {
+            let workspace = jobs.get(&id).and_then(|job| job.workspace.as_ref());
+            let limit = workspace.and_then(|workspace| limits.get(workspace));
+            if let Some((workspace, limit)) = workspace.zip(limit)
+                && self.capped_jobs.insert(id.clone())
+            {
+                let (workspace, limit_millicores) = (&**workspace, limit.millicores);
+                info!(job = &*id, workspace, limit_millicores; "job waits for the limit of its workspace");
+            }
+        }
+    }
+
+    /// Sets the metrics of what the workspaces used at the last pass.
+    pub(super) fn report_usage(&mut self, now: Instant) {
+        if now < self.next_report || self.last_usage.is_empty() {
+            return;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        let mut usage: Vec<_> = self.last_usage.iter().collect();
+        usage.sort_by_key(|(_, used)| Reverse(used.millicores));
+        for (workspace, used) in usage.into_iter().take(MAX_REPORTED_WORKSPACES) {
+            let cores = f64::from(used.millicores) / 1_000.0;
+            metrics::gauge!("kelplink_workspace_cores", "workspace" => workspace.to_string())
+                .set(cores);
+        }
+    }
 }
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -98,6 +98,8 @@
     pub inherited: bool,
     /// When it was submitted.
     pub submitted_at: Instant,
+    /// Whether its workspace had submitted more than its rate.
+    pub exceeds_rate: bool,
     /// Tasks that run or may run.
     pub live: BTreeMap<TaskKey, LiveRun>,
     /// Highest run of each task so far.
@@ -132,6 +134,7 @@
             submit_deadline: now,
             inherited: false,
             submitted_at: now,
+            exceeds_rate: false,
             live: BTreeMap::new(),
             last_run: BTreeMap::new(),
             avoided_workers: BTreeMap::new(),
--- a/src/graph/placer.rs
+++ b/src/graph/placer.rs
@@ -3,7 +3,8 @@
 //! A pass works on a copy of the workers' capacity and changes nothing itself; the controller
 //! carries out its plan. Urgent queues are served first. Within a queue priority, steps are ordered
 //! by the latest start with which the job still keeps its value: all of it up to the job's
-//! objective, a part of it up to three times the objective, none later. Steps past that come last.
+//! objective, a part of it up to three times the objective, none later. Steps past that come last, and jobs beyond the
+//! rate of their workspace after all others of their priority.
 
 mod advice_requests;
 mod gangs;
@@ -75,6 +76,8 @@
     pub idle_jobs: Vec<GraphId>,
     /// Resources of the ready tasks that the limits of their workspaces keep waiting.
     pub capped_demand: WorkspaceAmounts,
+    /// Jobs with such tasks.
+    pub capped_jobs: BTreeSet<GraphId>,
 }
 
 /// Order in which steps are served.
@@ -82,6 +85,8 @@
 struct ServingOrder {
     value_expired: bool,
     priority: u32,
+    /// Jobs beyond the rate of their workspace come after all others of their priority.
+    exceeds_rate: bool,
     latest_start: Instant,
     late: bool,
 }
@@ -243,7 +248,13 @@
         let latest = (self.view.now + value_duration)
             .checked_sub(elapsed + critical_path)
             .unwrap_or(self.view.now);
-        ServingOrder { value_expired, priority: job.rule.priority, latest_start: latest, late }
+        ServingOrder {
+            value_expired,
+            priority: job.rule.priority,
+            exceeds_rate: job.exceeds_rate,
+            latest_start: latest,
+            late,
+        }
     }
 
     /// Leaves only as many waiting tasks as the workspace of a step may start, so that the rest of them requests no
@@ -261,6 +272,7 @@
         if let Some(workspace) = workspace.filter(|_| capped > 0 && step.ready) {
             let demand = self.plan.capped_demand.entry(workspace.clone()).or_default();
             *demand = demand.saturating_add(&need.times(capped));
+            self.plan.capped_jobs.insert(step.job.spec.id.clone());
         }
     }
 
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -423,14 +423,21 @@
 
     /// Caps the cores of workspaces. A job whose id has an `@` belongs to the workspace named before it.
     pub(crate) fn set_caps(&mut self, caps: &[(&str, u32)]) {
+        let unlimited_rate = 0.0;
+        let rules = caps.iter().map(|(workspace, cores)| (*workspace, *cores, unlimited_rate));
+        self.set_workspaces(&rules.collect::<Vec<_>>());
+    }
+
+    /// Sets workspaces with their caps, in cores, and their rates, in jobs a second.
+    pub(crate) fn set_workspaces(&mut self, rules: &[(&str, u32, f64)]) {
         let mut config = (*self.config).clone();
         config.version += 1;
-        let rule = |(workspace, cores): &(&str, u32)| {
+        let rule = |(workspace, cores, weight): &(&str, u32, f64)| {
             let cap = ResourceVector::new(cores * 1_000, u32::MAX, u32::MAX);
             let id = WorkspaceId::from(*workspace);
-            (id.clone(), WorkspaceRule { id, weight: 1.0, cap })
+            (id.clone(), WorkspaceRule { id, weight: *weight, cap })
         };
-        config.workspaces = caps.iter().map(rule).collect();
+        config.workspaces = rules.iter().map(rule).collect();
         self.config = Arc::new(config);
         for leader in self.leaders.values_mut() {
             leader.set_config(self.config.clone());
--- a/tests/graph/workspaces.rs
+++ b/tests/graph/workspaces.rs
@@ -137,3 +137,30 @@
         expect_that!(state, some(eq(GraphState::Completed)), "a@{number}");
     }
 }
+
+// In the order of their latest starts, all jobs of a workspace that submits five times what it is entitled to became
+// late together, also those that it is entitled to.
+#[gtest]
+fn jobs_within_the_rate_of_a_workspace_are_in_time_beside_its_excess() {
+    const OBJECTIVE: Duration = Duration::from_millis(1_150);
+    let mut cluster = SimCluster::new(76, 8);
+    cluster.set_workspaces(&[("flood", 8, 2.0)]);
+    cluster.run(seconds(1));
+    let mut open: Vec<(String, Duration)> = Vec::new();
+    let mut in_time = 0;
+    for tick in 0..120 {
+        if tick % 2 == 0 && tick < 80 {
+            let id = format!("flood@{tick}");
+            cluster.submit("now", &id, vec![step(4, 1, 600)]);
+            open.push((id, Duration::ZERO));
+        }
+        cluster.run(Duration::from_millis(50));
+        open.iter_mut().for_each(|(_, age)| *age += Duration::from_millis(50));
+        let ended =
+            |(id, _): &mut (String, Duration)| cluster.state(id) == Some(GraphState::Completed);
+        let ended: Vec<_> = open.extract_if(.., ended).collect();
+        in_time += ended.iter().filter(|(_, age)| *age <= OBJECTIVE).count();
+    }
+    // Two a second for four seconds, and what the bucket holds at first.
+    expect_that!(in_time, ge(8));
+}
