Divide caps among shards by what may be in use, and by little else

(1) A random run over shards with caps: a takeover counted all that might run unseen as used, wrote that as its part although the sum went over the cap, and started that much once the doubt was over: 14 cores in use of 12. Change: what an earlier leader may have running is at most its part, or its cap, less what was found of it on contact; a holder starts no more than the others' parts leave, and nothing after a cap was lowered until the parts are written anew; how parts are held is a policy: failure domains keep theirs as before, shards have an eighth of the floors, return unused parts after half a second and ask twice a second. Seen: random_runs_over_several_shards_with_workspaces_exceed_no_cap (red before), a_workspace_starts_new_work_while_some_workers_have_not_answered_a_new_leader; tests of the other product unchanged.

--- a/src/domain/controller.rs
+++ b/src/domain/controller.rs
@@ -12,6 +12,7 @@
 };
 use crate::domain::moves::MoveController;
 use crate::domain::peers::PeerTable;
+use crate::domain::quota::DOMAIN_POLICY;
 use crate::fleet::{FleetOutput, WorkerFleet};
 use crate::id::{Attempt, CallId, DomainId, EntryId, TaskId, UnixMillis, UpstreamId, WorkerId};
 use crate::leadership::{LeadershipAction, LeadershipController};
@@ -117,6 +118,7 @@
                 now,
                 identity.domain.clone(),
                 identity.domains(),
+                DOMAIN_POLICY,
                 format!("{}-{}", identity.entry, identity.boot),
             ),
             moves: MoveController::new(now, &identity),
--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -1,12 +1,23 @@
 //! Quotas of workspaces: applies this failure domain's parts to its scheduler.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 use crate::domain::controller::DomainController;
 use crate::domain::event::StoreOwner;
 use crate::id::{CallId, WorkspaceId};
+use crate::quota::{QuotaPolicy, QuotaUsage};
 use crate::store::StoreOutcome;
 
+/// A failure domain that is cut off can use half of its even share of a quota, and parts stay where they were needed last.
+pub(crate) const DOMAIN_POLICY: QuotaPolicy = QuotaPolicy {
+    floor_divisor: 2,
+    idle_time: Duration::from_secs(5),
+    recheck_interval: Duration::from_secs(2),
+    request_validity: Duration::from_secs(10),
+};
+
 impl DomainController {
     /// Sets the limits of the scheduler and starts a change of parts if one is due.
     pub(crate) fn tick_quota(&mut self, now: Instant) {
@@ -23,7 +34,9 @@
             return;
         };
         let quotas = &self.config.current().quotas;
-        if let Some((id, request)) = self.quota.next_call(now, quotas, leader.scheduler.used()) {
+        let used = leader.scheduler.used();
+        let usage = QuotaUsage { known: used, bound: used };
+        if let Some((id, request)) = self.quota.next_call(now, quotas, usage) {
             self.call_store(StoreOwner::Quota, id, request);
         }
     }
@@ -38,7 +51,9 @@
         let known: Vec<WorkspaceId> =
             leader.scheduler.used().keys().chain(quotas.keys()).cloned().collect();
         for workspace in known {
-            let limit = self.quota.limit(&workspace, quotas, leader.scheduler.used());
+            let used = leader.scheduler.used();
+            let usage = QuotaUsage { known: used, bound: used };
+            let limit = self.quota.limit(&workspace, quotas, usage);
             leader.scheduler.set_usage_limit(&workspace, limit);
         }
     }
@@ -50,7 +65,8 @@
         };
         let unix = self.clock.unix(now);
         let (quotas, used) = (&self.config.current().quotas, leader.scheduler.used());
-        let next = self.quota.handle_outcome(now, unix, quotas, used, id, outcome);
+        let usage = QuotaUsage { known: used, bound: used };
+        let next = self.quota.handle_outcome(now, unix, quotas, usage, id, outcome);
         self.apply_quota_parts();
         if let Some((id, request)) = next {
             self.call_store(StoreOwner::Quota, id, request);
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -101,6 +101,9 @@
     rates: SubmissionRates,
     /// This shard's parts of the caps; `None` where there is only one shard.
     quota: Option<QuotaController>,
+    /// Runs of earlier leaders that were found on workers, and what they used by workspace.
+    found_runs: BTreeSet<(TaskName, RunNumber)>,
+    found_usage: WorkspaceAmounts,
     /// What the workspaces used at the last pass.
     last_usage: WorkspaceAmounts,
     /// What the last pass did not start because of a cap.
@@ -195,6 +198,8 @@
             workspaces: BTreeMap::new(),
             rates: SubmissionRates::default(),
             quota: None,
+            found_runs: BTreeSet::new(),
+            found_usage: WorkspaceAmounts::new(),
             last_usage: WorkspaceAmounts::new(),
             capped_demand: WorkspaceAmounts::new(),
             capped_jobs: BTreeSet::new(),
@@ -387,6 +392,7 @@
             return;
         }
         self.unseen_invalidated = true;
+        self.found_runs.clear();
         let unsettled_domains = self.uncontacted_domains();
         let first = self.run_base() + 1;
         for job in self.jobs.invalidate_unseen_runs(first, |job| unsettled_domains.affects(job)) {
--- a/src/graph/controller/quota.rs
+++ b/src/graph/controller/quota.rs
@@ -1,16 +1,27 @@
 //! Parts of the workspaces' caps that this leader's shard may use, where there are several shards.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
+use crate::graph::allowance::usage_by_workspace;
 use crate::graph::controller::GraphController;
 use crate::graph::event::GraphAction;
 use crate::graph::shard::ShardScope;
 use crate::id::{CallId, UnixMillis};
-use crate::quota::QuotaController;
+use crate::quota::{QuotaController, QuotaPolicy, QuotaUsage};
 use crate::resources::ResourceVector;
 use crate::store::StoreOutcome;
 use crate::workspace::WorkspaceAmounts;
 
+/// One step of a job may need most of a cap in one shard, so little of a cap is tied to shards, and what a shard does
+/// not use goes to others within a second or two.
+const SHARD_POLICY: QuotaPolicy = QuotaPolicy {
+    floor_divisor: 16,
+    idle_time: Duration::from_millis(500),
+    recheck_interval: Duration::from_millis(500),
+    request_validity: Duration::from_secs(2),
+};
 /// A cap that limits nothing.
 const UNLIMITED: ResourceVector = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
 
@@ -18,8 +29,15 @@
     /// Shares caps with the other shards, if there are any.
     pub(super) fn share_caps(&mut self, now: Instant, scope: &ShardScope) {
         let writer_name = format!("{}-{}", scope.shard, self.epoch);
-        let quota =
-            || QuotaController::new(now, scope.shard.clone(), scope.plan.shards(), writer_name);
+        let quota = || {
+            QuotaController::new(
+                now,
+                scope.shard.clone(),
+                scope.plan.shards(),
+                SHARD_POLICY,
+                writer_name,
+            )
+        };
         self.quota = scope.plan.is_divided().then(quota);
     }
 
@@ -35,7 +53,9 @@
         let Some(quota) = &mut self.quota else {
             return quotas;
         };
-        let limit = |id| Some((Clone::clone(id), quota.limit(id, &quotas, used)?));
+        let known = usage_by_workspace(&self.instances);
+        let usage = QuotaUsage { known: &known, bound: used };
+        let limit = |id| Some((Clone::clone(id), quota.limit(id, &quotas, usage)?));
         quotas.keys().filter_map(limit).collect()
     }
 
@@ -45,14 +65,16 @@
             return;
         }
         let quotas = self.quotas();
-        let (demand, used) = (&self.capped_demand, &self.last_usage);
         let Some(quota) = &mut self.quota else {
             return;
         };
-        if quota.demand_due(now) {
-            quota.note_demand(now, demand.clone(), used);
+        if !quota.demand_due(now) {
+            return;
         }
-        if let Some((id, request)) = quota.next_call(now, &quotas, used) {
+        let known = usage_by_workspace(&self.instances);
+        let usage = QuotaUsage { known: &known, bound: &self.last_usage };
+        quota.note_demand(now, self.capped_demand.clone(), &known);
+        if let Some((id, request)) = quota.next_call(now, &quotas, usage) {
             self.actions.push(GraphAction::Quota(id, request));
         }
     }
@@ -65,11 +87,13 @@
         id: CallId,
         outcome: StoreOutcome,
     ) {
-        let (quotas, used) = (self.quotas(), self.workspace_usage());
+        let (quotas, bound) = (self.quotas(), self.workspace_usage());
+        let known = usage_by_workspace(&self.instances);
+        let usage = QuotaUsage { known: &known, bound: &bound };
         let Some(quota) = &mut self.quota else {
             return;
         };
-        if let Some((id, request)) = quota.handle_outcome(now, unix, &quotas, &used, id, outcome) {
+        if let Some((id, request)) = quota.handle_outcome(now, unix, &quotas, usage, id, outcome) {
             self.actions.push(GraphAction::Quota(id, request));
         }
         self.pass_wanted = true;
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -153,6 +153,7 @@
         let worker_run =
             WorkerRun { percent, reported_load, checkpoint, probation, suspected, listed, ..known };
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
+        self.note_found_usage(&task, &worker_run);
         self.note_begun(now, &task, run, BeginEvidence::Listed);
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
         if let Some(instance) = self.instances.get_mut(worker) {
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -11,10 +11,12 @@
 use crate::graph::allowance::{merge, unseen_usage_by_workspace, usage_by_workspace};
 use crate::graph::controller::GraphController;
 use crate::graph::job::{GraphJob, GraphRecord};
-use crate::graph::name::GraphId;
+use crate::graph::name::{GraphId, TaskName};
 use crate::graph::queue::QueueConfig;
 use crate::graph::spec::StepSpec;
 use crate::graph::submission_rate::SubmissionRates;
+use crate::graph::worker::WorkerRun;
+use crate::id::WorkspaceId;
 use crate::resources::ResourceVector;
 use crate::workspace::WorkspaceAmounts;
 
@@ -31,6 +33,9 @@
             jobs.iter().any(|job| !job.is_over() && job.workspace.as_ref() == Some(id))
         });
         self.workspaces.extend(config.workspaces.clone());
+        if let Some(quota) = &mut self.quota {
+            quota.schedule_recheck(self.last_pass);
+        }
         self.mark_excess_jobs();
     }
 
@@ -55,16 +60,41 @@
         }
         let mut usage = usage_by_workspace(&self.instances);
         if !self.unseen_invalidated && !self.uncontacted.is_empty() {
-            let unseen = unseen_usage_by_workspace(
+            let mut unseen = unseen_usage_by_workspace(
                 &self.jobs,
                 &self.uncontacted_domains(),
                 self.uncontacted_capacity(),
             );
+            for (workspace, amount) in &mut unseen {
+                *amount = amount.component_min(&self.inherited_limit(workspace));
+            }
             merge(&mut usage, &unseen);
         }
         usage
     }
 
+    /// Upper bound of what earlier leaders' runs that are not found yet may use: the earlier leaders were limited as well,
+    /// and the runs that were found on contact counted against their limit. So as these end, others may start in their
+    /// place; without this bound a workspace started nothing while one of many workers had not answered.
+    fn inherited_limit(&self, workspace: &WorkspaceId) -> ResourceVector {
+        let unlimited = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
+        let cap = self.workspaces.get(workspace).map_or(unlimited, |rule| rule.cap);
+        let part = self.quota.as_ref().and_then(|quota| quota.inherited_part(workspace));
+        let found = self.found_usage.get(workspace).copied().unwrap_or_default();
+        part.unwrap_or(cap).saturating_sub(&found)
+    }
+
+    /// Notes a run of an earlier leader that was found on a worker.
+    pub(super) fn note_found_usage(&mut self, task: &TaskName, run: &WorkerRun) {
+        if let Some(workspace) = &run.workspace
+            && run.run <= self.run_base()
+            && self.found_runs.insert((task.clone(), run.run))
+        {
+            let usage = self.found_usage.entry(workspace.clone()).or_default();
+            *usage = usage.saturating_add(&run.demand);
+        }
+    }
+
     /// Capacity of all workers that have not answered this leader and may have runs; `None` if one is unknown.
     fn uncontacted_capacity(&self) -> Option<ResourceVector> {
         self.uncontacted.iter().try_fold(ResourceVector::default(), |sum, id| {
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -23,12 +23,19 @@
 const QUOTA_KEY: &str = "quota/parts";
 /// Minimum interval between two changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval between reads while the parts do not satisfy all demands or exceed the quota.
-const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
-/// Time after which a request that is not renewed is void, in milliseconds.
-const REQUEST_VALIDITY_MS: UnixMillis = 10_000;
-/// Time for which an unused part is kept before it is returned.
-const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// How parts are held and asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QuotaPolicy {
+    /// The floors of all holders together are the quota divided by this.
+    pub(crate) floor_divisor: u32,
+    /// Time for which an unused part is kept before it is returned.
+    pub(crate) idle_time: Duration,
+    /// Interval between reads while the parts do not satisfy all demands or exceed the quota.
+    pub(crate) recheck_interval: Duration,
+    /// Time after which a request that is not renewed is void.
+    pub(crate) request_validity: Duration,
+}
 
 /// Unmet request of a holder for more of a quota than was available.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,14 +71,20 @@
     }
 
     /// Tells whether another holder has an older unmet request than `own`.
-    fn has_older_request(&self, now: UnixMillis, workspace: &WorkspaceId, own: &HolderId) -> bool {
+    fn has_older_request(
+        &self,
+        now: UnixMillis,
+        validity: Duration,
+        workspace: &WorkspaceId,
+        own: &HolderId,
+    ) -> bool {
         let Some(wants) = self.wants.get(workspace) else {
             return false;
         };
         let key = |holder: &HolderId, request: &QuotaRequest| (request.since, holder.clone());
         let own_key = wants.get(own).map_or((now, own.clone()), |request| key(own, request));
-        let is_valid =
-            |request: &QuotaRequest| now < request.renewed.saturating_add(REQUEST_VALIDITY_MS);
+        let validity = u64::try_from(validity.as_millis()).unwrap_or(u64::MAX);
+        let is_valid = |request: &QuotaRequest| now < request.renewed.saturating_add(validity);
         wants.iter().any(|(holder, request)| {
             holder != own && is_valid(request) && key(holder, request) < own_key
         })
@@ -104,29 +117,82 @@
         workspace: &WorkspaceId,
         quota: &ResourceVector,
         own: &HolderId,
-        holders: &[HolderId],
+        division: &QuotaDivision,
+    ) -> ResourceVector {
+        quota.saturating_sub(&self.assigned(workspace, quota, own, division))
+    }
+
+    /// Amount by which all parts and the floors of the holders without a part exceed a quota.
+    fn excess(
+        &self,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        own: &HolderId,
+        division: &QuotaDivision,
+    ) -> ResourceVector {
+        self.assigned(workspace, quota, own, division).saturating_sub(quota)
+    }
+
+    /// Sum of all parts and of the floors of the holders other than `own` without a part.
+    fn assigned(
+        &self,
+        workspace: &WorkspaceId,
+        quota: &ResourceVector,
+        own: &HolderId,
+        division: &QuotaDivision,
     ) -> ResourceVector {
         let parts = self.parts.get(workspace);
-        let floor = floor(quota, holders.len());
-        let others = holders.iter().filter(|holder| *holder != own);
+        let floor = division.floor(quota);
+        let others = division.holders.iter().filter(|holder| *holder != own);
         let unwritten = others.filter(|holder| !parts.is_some_and(|p| p.contains_key(*holder)));
         let reserved =
             unwritten.fold(ResourceVector::default(), |sum, _| sum.saturating_add(&floor));
         let held = parts.into_iter().flat_map(BTreeMap::values);
-        let sum = held.fold(reserved, |sum, part| sum.saturating_add(part));
-        quota.saturating_sub(&sum)
+        held.fold(reserved, |sum, part| sum.saturating_add(part))
+    }
+}
+
+/// Division of quotas among holders.
+#[derive(Clone, Debug)]
+struct QuotaDivision {
+    holders: Vec<HolderId>,
+    /// The floors of all holders together are the quota divided by this.
+    floor_divisor: u32,
+}
+
+impl QuotaDivision {
+    /// The part of a quota that each holder may use without a request, even while it is cut off.
+    fn floor(&self, quota: &ResourceVector) -> ResourceVector {
+        let holders = u32::try_from(self.holders.len().max(1)).unwrap_or(u32::MAX);
+        let divisor = self.floor_divisor.saturating_mul(holders);
+        ResourceVector::new(
+            quota.millicores / divisor,
+            quota.memory_mib / divisor,
+            quota.accelerators / divisor,
+        )
     }
 }
 
-/// The part of a quota that each holder may use without a request, even while it is cut off.
-/// All floors together are half of the quota.
-fn floor(quota: &ResourceVector, holders: usize) -> ResourceVector {
-    let parts = u32::try_from(2 * holders.max(1)).unwrap_or(u32::MAX);
-    ResourceVector::new(
-        quota.millicores / parts,
-        quota.memory_mib / parts,
-        quota.accelerators / parts,
-    )
+/// What workspaces use on one holder's workers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QuotaUsage<'u> {
+    /// Usage of known tasks.
+    pub(crate) known: &'u WorkspaceAmounts,
+    /// Upper bound that includes tasks of an earlier leader that may exist.
+    pub(crate) bound: &'u WorkspaceAmounts,
+}
+
+impl QuotaUsage<'_> {
+    fn known(&self, workspace: &WorkspaceId) -> ResourceVector {
+        self.known.get(workspace).copied().unwrap_or_default()
+    }
+
+    /// Upper bound for a holder whose earlier leader was limited to `held`. Without that limit, a bound above the
+    /// holder's part would enlarge the part beyond the quota.
+    fn within(&self, workspace: &WorkspaceId, held: &ResourceVector) -> ResourceVector {
+        let bound = self.bound.get(workspace).copied().unwrap_or_default();
+        bound.component_min(&held.component_max(&self.known(workspace)))
+    }
 }
 
 #[derive(Debug)]
@@ -139,9 +205,16 @@
 #[derive(Debug)]
 pub(crate) struct QuotaController {
     holder: HolderId,
-    holders: Vec<HolderId>,
+    division: QuotaDivision,
+    policy: QuotaPolicy,
     /// Parts that this holder may use, as last written by this leader.
     parts: WorkspaceAmounts,
+    /// Parts that an earlier leader of this holder may have used; `None` until this leader has read the record.
+    inherited_parts: Option<WorkspaceAmounts>,
+    /// What the other holders' parts left of each quota when this holder wrote the record last.
+    left_by_others: WorkspaceAmounts,
+    /// The quotas at that time.
+    written_quotas: WorkspaceAmounts,
     /// Whether this leader has written the record. Pending writes of earlier leaders then fail, as
     /// the version of the record has changed.
     fenced: bool,
@@ -167,12 +240,18 @@
         now: Instant,
         holder: HolderId,
         holders: Vec<HolderId>,
+        policy: QuotaPolicy,
         writer_name: String,
     ) -> Self {
+        let division = QuotaDivision { holders, floor_divisor: policy.floor_divisor };
         Self {
             holder,
-            holders,
+            division,
+            policy,
             parts: BTreeMap::new(),
+            inherited_parts: None,
+            left_by_others: BTreeMap::new(),
+            written_quotas: BTreeMap::new(),
             fenced: false,
             demand: BTreeMap::new(),
             retry_delay: CHANGE_INTERVAL,
@@ -191,6 +270,7 @@
     /// Starts a term as leader. The parts are unknown until this leader has written the record.
     pub(crate) fn start_term(&mut self, now: Instant) {
         self.parts.clear();
+        self.inherited_parts = None;
         self.fenced = false;
         self.pending = None;
         self.next_change = now;
@@ -207,10 +287,15 @@
         &self.parts
     }
 
-    /// Pause before the next attempt; doubles each time up to [`RECHECK_INTERVAL`].
+    /// Part that an earlier leader of this holder may have used; `None` while it is unknown.
+    pub(crate) fn inherited_part(&self, workspace: &WorkspaceId) -> Option<ResourceVector> {
+        self.inherited_parts.as_ref()?.get(workspace).copied()
+    }
+
+    /// Pause before the next attempt; doubles each time up to the recheck interval.
     fn next_retry_delay(&mut self) -> Duration {
         let retry_delay = self.retry_delay;
-        self.retry_delay = (retry_delay * 2).min(RECHECK_INTERVAL);
+        self.retry_delay = (retry_delay * 2).min(self.policy.recheck_interval);
         retry_delay
     }
 
@@ -230,7 +315,7 @@
     }
 
     /// The part that this holder should hold: its usage and demand, limited by what is available.
-    /// A part taken for a recent demand is kept for [`IDLE_TIME`], unless another holder has an older
+    /// A part taken for a recent demand is kept for the idle time, unless another holder has an older
     /// unmet request: then only the usage and the floor are kept, so that two holders cannot wait for
     /// each other's parts.
     fn target_part(
@@ -242,11 +327,11 @@
         held: ResourceVector,
         available: ResourceVector,
     ) -> ResourceVector {
-        let minimum = used.component_max(&floor(quota, self.holders.len()));
+        let minimum = used.component_max(&self.division.floor(quota));
         let demand = self.demand.get(workspace).copied().unwrap_or_default();
         let requested = used.saturating_add(&demand).component_max(&minimum);
         let recent_demand =
-            self.recent_demand.get(workspace).filter(|(_, at)| now < *at + IDLE_TIME);
+            self.recent_demand.get(workspace).filter(|(_, at)| now < *at + self.policy.idle_time);
         let retained = recent_demand
             .map_or(requested, |(recent_demand, _)| requested.component_max(recent_demand));
         let grown = held.saturating_add(&requested.saturating_sub(&held).component_min(&available));
@@ -264,7 +349,7 @@
         quota: &ResourceVector,
         part: ResourceVector,
     ) -> ResourceVector {
-        let minimum = floor(quota, self.holders.len());
+        let minimum = self.division.floor(quota);
         let lowered =
             part.saturating_sub(&part.quarter()).component_max(&minimum).component_min(&part);
         match self.yielding_workspaces.contains(workspace) {
@@ -310,39 +395,51 @@
         &mut self,
         workspace: &WorkspaceId,
         quotas: &WorkspaceAmounts,
-        used: &WorkspaceAmounts,
+        usage: QuotaUsage<'_>,
     ) -> Option<ResourceVector> {
         let quota = quotas.get(workspace)?;
         let part = self.parts.get(workspace).copied().unwrap_or_default();
         if self.fenced {
-            return Some(self.usage_limit(workspace, quota, part));
+            let limit = self.usage_limit(workspace, quota, part);
+            return Some(limit.component_min(&self.left_of(workspace, quota)));
         }
-        let used = used.get(workspace).copied().unwrap_or_default();
-        let part = part.component_max(&used);
+        let part = part.component_max(&usage.known(workspace));
         self.parts.insert(workspace.clone(), part);
         Some(part)
     }
 
+    /// What the parts of the other holders leave of a quota. Nothing after the quota was lowered, until the parts have
+    /// been written again: together they may exceed it.
+    fn left_of(&self, workspace: &WorkspaceId, quota: &ResourceVector) -> ResourceVector {
+        let was_lowered =
+            self.written_quotas.get(workspace).is_some_and(|written| !written.fits(quota));
+        match self.left_by_others.get(workspace) {
+            Some(left) if !was_lowered => *left,
+            _ => ResourceVector::default(),
+        }
+    }
+
     /// Starts a change of the parts, if one is due.
     pub(crate) fn next_call(
         &mut self,
         now: Instant,
         quotas: &WorkspaceAmounts,
-        used: &WorkspaceAmounts,
+        usage: QuotaUsage<'_>,
     ) -> Option<(CallId, StoreRequest)> {
-        let is_due =
-            self.pending.is_none() && now >= self.next_change && self.change_due(now, quotas, used);
+        let is_due = self.pending.is_none()
+            && now >= self.next_change
+            && self.change_due(now, quotas, usage);
         is_due.then(|| {
             self.next_change = now + self.next_retry_delay();
             self.call(QuotaCall::Read, 0)
         })
     }
 
-    fn change_due(&self, now: Instant, quotas: &WorkspaceAmounts, used: &WorkspaceAmounts) -> bool {
+    fn change_due(&self, now: Instant, quotas: &WorkspaceAmounts, usage: QuotaUsage<'_>) -> bool {
         let stale = self.parts.keys().any(|workspace| !quotas.contains_key(workspace));
         let differs = quotas.iter().any(|(workspace, quota)| {
             let held = self.parts.get(workspace).copied().unwrap_or_default();
-            let used = used.get(workspace).copied().unwrap_or_default();
+            let used = usage.within(workspace, &held);
             let unlimited = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
             self.target_part(now, workspace, quota, used, held, unlimited) != held
         });
@@ -356,7 +453,7 @@
         now: Instant,
         unix: UnixMillis,
         quotas: &WorkspaceAmounts,
-        used: &WorkspaceAmounts,
+        usage: QuotaUsage<'_>,
         id: CallId,
         outcome: StoreOutcome,
     ) -> Option<(CallId, StoreRequest)> {
@@ -370,10 +467,10 @@
         match (call, outcome) {
             (QuotaCall::Read, StoreOutcome::Found(stored)) => {
                 let record = serde_json::from_str(&stored.value).unwrap_or_default();
-                self.write_parts(now, unix, quotas, used, record, stored.version)
+                self.write_parts(now, unix, quotas, usage, record, stored.version)
             }
             (QuotaCall::Read, StoreOutcome::Missing) => {
-                self.write_parts(now, unix, quotas, used, QuotaRecord::default(), 0)
+                self.write_parts(now, unix, quotas, usage, QuotaRecord::default(), 0)
             }
             (QuotaCall::Write(record), StoreOutcome::Written(_)) => {
                 let parts = self.own_parts(&record);
@@ -381,16 +478,32 @@
                     self.retry_delay = CHANGE_INTERVAL;
                 }
                 self.parts = parts;
+                self.left_by_others = self.left_by_others_in(&record, quotas);
+                self.written_quotas = quotas.clone();
                 self.fenced = true;
                 None
             }
             _ => {
-                self.next_recheck = Some(now + RECHECK_INTERVAL);
+                self.next_recheck = Some(now + self.policy.recheck_interval);
                 None
             }
         }
     }
 
+    fn left_by_others_in(
+        &self,
+        record: &QuotaRecord,
+        quotas: &WorkspaceAmounts,
+    ) -> WorkspaceAmounts {
+        let left = |(workspace, quota): (&WorkspaceId, &ResourceVector)| {
+            let own = record.part(workspace, &self.holder);
+            let available = record.available(workspace, quota, &self.holder, &self.division);
+            let exceeding = record.excess(workspace, quota, &self.holder, &self.division);
+            (workspace.clone(), own.saturating_add(&available).saturating_sub(&exceeding))
+        };
+        quotas.iter().map(left).collect()
+    }
+
     /// Drops the pending call if it is this one, as its outcome concerns nobody.
     pub(crate) fn drop_call(&mut self, id: CallId) {
         self.pending.take_if(|(call, _)| *call == id);
@@ -407,15 +520,21 @@
         now: Instant,
         unix: UnixMillis,
         quotas: &WorkspaceAmounts,
-        used: &WorkspaceAmounts,
+        usage: QuotaUsage<'_>,
         before: QuotaRecord,
         version: KeyVersion,
     ) -> Option<(CallId, StoreRequest)> {
         let mut record = before.clone();
+        let inherited = |(workspace, quota): (&WorkspaceId, &ResourceVector)| {
+            let recorded = record.part(workspace, &self.holder);
+            (workspace.clone(), recorded.component_max(&self.division.floor(quota)))
+        };
+        if self.inherited_parts.is_none() {
+            self.inherited_parts = Some(quotas.iter().map(inherited).collect());
+        }
         self.next_recheck = None;
         for (workspace, quota) in quotas {
-            let used = used.get(workspace).copied().unwrap_or_default();
-            self.update_own_part(now, unix, &mut record, workspace, quota, used);
+            self.update_own_part(now, unix, &mut record, workspace, quota, usage);
         }
         for (workspace, parts) in &mut record.parts {
             if !quotas.contains_key(workspace) {
@@ -452,15 +571,16 @@
         record: &mut QuotaRecord,
         workspace: &WorkspaceId,
         quota: &ResourceVector,
-        used: ResourceVector,
+        usage: QuotaUsage<'_>,
     ) {
         let holder = self.holder.clone();
         let recorded = record.part(workspace, &holder);
-        let available = record.available(workspace, quota, &holder, &self.holders);
+        let used = usage.within(workspace, &recorded);
+        let available = record.available(workspace, quota, &holder, &self.division);
         let available = available.saturating_sub(&used.saturating_sub(&recorded));
         let held = recorded.component_max(&used);
-        let minimum = used.component_max(&floor(quota, self.holders.len()));
-        match record.has_older_request(unix, workspace, &holder) {
+        let minimum = used.component_max(&self.division.floor(quota));
+        match record.has_older_request(unix, self.policy.request_validity, workspace, &holder) {
             true => self.yielding_workspaces.insert(workspace.clone()),
             false => self.yielding_workspaces.remove(workspace),
         };
@@ -471,7 +591,7 @@
         let wants = self.exceeds_part(workspace, &used, &part);
         record.set_request(unix, workspace, &holder, wants);
         if wants || !part.fits(&minimum) || self.yielding_workspaces.contains(workspace) {
-            self.next_recheck = Some(now + RECHECK_INTERVAL);
+            self.next_recheck = Some(now + self.policy.recheck_interval);
         }
         record.parts.entry(workspace.clone()).or_default().insert(holder, part);
     }
--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -33,6 +33,12 @@
 const RESTART_SEEDS: u64 = 100_000_000;
 /// Seeds of this kind that `cargo test` runs.
 const SHORT_RESTARTS: std::ops::Range<u64> = RESTART_SEEDS..RESTART_SEEDS + 8;
+/// Seeds from here on have jobs of workspaces with caps.
+const WORKSPACE_SEEDS: u64 = 200_000_000;
+/// Seeds of this kind that `cargo test` runs.
+const SHORT_WORKSPACES: std::ops::Range<u64> = WORKSPACE_SEEDS..WORKSPACE_SEEDS + 8;
+/// Workspaces with their caps, in cores; all workers have 96.
+const CAPS: [(&str, u32); 3] = [("ws0", 12), ("ws1", 24), ("ws2", 48)];
 /// Time in which every job must have ended, or run all its lasting tasks, once all faults are over.
 const SETTLE_TIME: Duration = Duration::from_secs(90);
 
@@ -42,6 +48,8 @@
     calls: Vec<(u64, String)>,
     lasting: BTreeMap<String, u32>,
     cancelled: BTreeSet<String>,
+    /// Whether jobs that end belong to workspaces with caps.
+    has_workspaces: bool,
     last_instance: u32,
 }
 
@@ -52,9 +60,13 @@
         if seed >= RESTART_SEEDS {
             cluster.keep_ids(seed);
         }
+        let has_workspaces = seed >= WORKSPACE_SEEDS;
+        if has_workspaces {
+            cluster.set_caps(&CAPS);
+        }
         let shards = cluster.plan.shards();
         let (calls, lasting, cancelled) = Default::default();
-        Self { cluster, shards, calls, lasting, cancelled, last_instance: 0 }
+        Self { cluster, shards, calls, lasting, cancelled, has_workspaces, last_instance: 0 }
     }
 
     fn pick(&mut self, bound: u32) -> u32 {
@@ -69,7 +81,7 @@
 
     fn submit(&mut self) {
         let (home, other) = (self.pick_shard(), self.pick_shard());
-        let id = format!("job{}", self.calls.len());
+        let mut id = format!("job{}", self.calls.len());
         let steps = match self.pick(4) {
             0 => {
                 // Few enough tasks that the workers can run them beside other jobs.
@@ -78,6 +90,9 @@
                 vec![StepSpec { lasting: true, ..step(count, 1, 600_000) }]
             }
             _ => {
+                if self.has_workspaces {
+                    id = format!("ws{}@{id}", self.pick(3));
+                }
                 let (tasks, millis) = (self.pick(4) + 1, u64::from(self.pick(2_000) + 50));
                 let second = StepSpec { after: vec![0], ..step(tasks, 1, millis) };
                 vec![step(self.pick(3) + 1, 2, millis), second]
@@ -222,6 +237,13 @@
     });
 }
 
+#[gtest]
+fn random_runs_over_several_shards_with_workspaces_exceed_no_cap() {
+    SHORT_WORKSPACES.for_each(|seed| {
+        run(seed);
+    });
+}
+
 // Starts that no worker carried out were stored as suspect runs, and after a takeover of the shard
 // the job was reported as running and missing from the count of pending jobs.
 #[gtest]
--- a/tests/graph/workspaces.rs
+++ b/tests/graph/workspaces.rs
@@ -114,6 +114,28 @@
     }
 }
 
+// All waiting tasks of a workspace counted as runs that workers without contact might have, so that the workspace
+// started nothing for ten seconds after a takeover beside workers that were cut off.
+#[gtest]
+fn a_workspace_starts_new_work_while_some_workers_have_not_answered_a_new_leader() {
+    let mut cluster = SimCluster::with_domains(77, 6, 3);
+    cluster.set_caps(&[("a", 16)]);
+    cluster.run(seconds(1));
+    cluster.submit("now", "a@long", vec![step(16, 1, 1_500)]);
+    cluster.run(Duration::from_millis(100));
+    cluster.submit("later", "a@backlog", vec![step(40, 1, 1_500)]);
+    cluster.run(Duration::from_millis(400));
+    let cut: Vec<WorkerId> = cluster.workers.keys().take(3).cloned().collect();
+    for id in &cut {
+        cluster.workers.get_mut(id).unwrap().connected = false;
+    }
+    cluster.elect();
+    cluster.run(Duration::from_millis(100));
+    cluster.submit("now", "a@new", vec![step(2, 1, 400)]);
+    cluster.run(seconds(4));
+    expect_that!(cluster.state("a@new"), some(eq(GraphState::Completed)));
+}
+
 // Each shard may use a part of a cap without asking, and more of it while the other shards do not
 // need it.
 #[gtest]
