Ask for larger parts of caps at once, and return unused ones lazily

Change: a holder that needs more asks within 20 ms; one that only returns what it does not use waits half a second, so that usage that falls does not write with each end. Failure domains keep their 200 ms.

--- a/src/domain/quota.rs
+++ b/src/domain/quota.rs
@@ -12,6 +12,8 @@
 
 /// A failure domain that is cut off can use half of its even share of a quota, and parts stay where they were needed last.
 pub(crate) const DOMAIN_POLICY: QuotaPolicy = QuotaPolicy {
+    change_interval: Duration::from_millis(200),
+    return_interval: Duration::ZERO,
     floor_divisor: 2,
     idle_time: Duration::from_secs(5),
     recheck_interval: Duration::from_secs(2),
--- a/src/graph/controller/quota.rs
+++ b/src/graph/controller/quota.rs
@@ -15,8 +15,10 @@
 use crate::workspace::WorkspaceAmounts;
 
 /// One step of a job may need most of a cap in one shard, so little of a cap is tied to shards, and what a shard does
-/// not use goes to others within a second or two.
+/// not use goes to others within a second or two. Urgent tasks wait for a change, so growth is asked for at once.
 const SHARD_POLICY: QuotaPolicy = QuotaPolicy {
+    change_interval: Duration::from_millis(20),
+    return_interval: Duration::from_millis(500),
     floor_divisor: 16,
     idle_time: Duration::from_millis(500),
     recheck_interval: Duration::from_millis(500),
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -21,12 +21,14 @@
 
 /// Store key of the quota record.
 const QUOTA_KEY: &str = "quota/parts";
-/// Minimum interval between two changes.
-const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How parts are held and asked for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QuotaPolicy {
+    /// Minimum interval between two changes.
+    pub(crate) change_interval: Duration,
+    /// Minimum interval between changes that only return unused parts.
+    pub(crate) return_interval: Duration,
     /// The floors of all holders together are the quota divided by this.
     pub(crate) floor_divisor: u32,
     /// Time for which an unused part is kept before it is returned.
@@ -227,6 +229,8 @@
     pending: Option<(CallId, QuotaCall)>,
     next_call: CallId,
     next_change: Instant,
+    /// When unused parts may be returned.
+    next_return: Instant,
     next_demand: Instant,
     /// Time of the next read of the record even if nothing changed here.
     next_recheck: Option<Instant>,
@@ -254,12 +258,13 @@
             written_quotas: BTreeMap::new(),
             fenced: false,
             demand: BTreeMap::new(),
-            retry_delay: CHANGE_INTERVAL,
+            retry_delay: policy.change_interval,
             recent_demand: BTreeMap::new(),
             yielding_workspaces: BTreeSet::new(),
             pending: None,
             next_call: 0,
             next_change: now,
+            next_return: now,
             next_demand: now,
             next_recheck: None,
             write_count: 0,
@@ -278,7 +283,7 @@
 
     /// Schedules a read of the record after a change of the configuration.
     pub(crate) fn schedule_recheck(&mut self, now: Instant) {
-        self.next_change = self.next_change.min(now + CHANGE_INTERVAL);
+        self.next_change = self.next_change.min(now + self.policy.change_interval);
         self.next_recheck = Some(now);
     }
 
@@ -381,7 +386,7 @@
         demand: WorkspaceAmounts,
         used: &WorkspaceAmounts,
     ) {
-        self.next_demand = now + CHANGE_INTERVAL;
+        self.next_demand = now + self.policy.change_interval;
         for (workspace, amount) in &demand {
             let used = used.get(workspace).copied().unwrap_or_default();
             self.recent_demand.insert(workspace.clone(), (used.saturating_add(amount), now));
@@ -426,27 +431,47 @@
         quotas: &WorkspaceAmounts,
         usage: QuotaUsage<'_>,
     ) -> Option<(CallId, StoreRequest)> {
-        let is_due = self.pending.is_none()
-            && now >= self.next_change
-            && self.change_due(now, quotas, usage);
+        let due = match self.needs_more(now, quotas, usage) {
+            true => self.next_change,
+            false => self.next_change.max(self.next_return),
+        };
+        let is_due = self.pending.is_none() && now >= due && self.change_due(now, quotas, usage);
         is_due.then(|| {
             self.next_change = now + self.next_retry_delay();
+            self.next_return = now + self.policy.return_interval;
             self.call(QuotaCall::Read, 0)
         })
     }
 
+    /// Whether a part is smaller than what its workspace uses and asks for.
+    fn needs_more(&self, now: Instant, quotas: &WorkspaceAmounts, usage: QuotaUsage<'_>) -> bool {
+        let mut targets = self.unlimited_targets(now, quotas, usage);
+        targets.any(|(held, target)| !target.fits(&held))
+    }
+
     fn change_due(&self, now: Instant, quotas: &WorkspaceAmounts, usage: QuotaUsage<'_>) -> bool {
         let stale = self.parts.keys().any(|workspace| !quotas.contains_key(workspace));
-        let differs = quotas.iter().any(|(workspace, quota)| {
-            let held = self.parts.get(workspace).copied().unwrap_or_default();
-            let used = usage.within(workspace, &held);
-            let unlimited = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
-            self.target_part(now, workspace, quota, used, held, unlimited) != held
-        });
+        let mut targets = self.unlimited_targets(now, quotas, usage);
+        let differs = targets.any(|(held, target)| target != held);
         let recheck_due = self.next_recheck.is_some_and(|at| now >= at);
         (!self.fenced && !quotas.is_empty()) || differs || stale || recheck_due
     }
 
+    /// The parts that this holder has, each with the one that it should have if enough were available.
+    fn unlimited_targets<'q>(
+        &'q self,
+        now: Instant,
+        quotas: &'q WorkspaceAmounts,
+        usage: QuotaUsage<'q>,
+    ) -> impl Iterator<Item = (ResourceVector, ResourceVector)> + 'q {
+        let unlimited = ResourceVector::new(u32::MAX, u32::MAX, u32::MAX);
+        quotas.iter().map(move |(workspace, quota)| {
+            let held = self.parts.get(workspace).copied().unwrap_or_default();
+            let used = usage.within(workspace, &held);
+            (held, self.target_part(now, workspace, quota, used, held, unlimited))
+        })
+    }
+
     /// Handles the outcome of a call to the store, and returns the call that follows.
     pub(crate) fn handle_outcome(
         &mut self,
@@ -475,7 +500,7 @@
             (QuotaCall::Write(record), StoreOutcome::Written(_)) => {
                 let parts = self.own_parts(&record);
                 if parts != self.parts {
-                    self.retry_delay = CHANGE_INTERVAL;
+                    self.retry_delay = self.policy.change_interval;
                 }
                 self.parts = parts;
                 self.left_by_others = self.left_by_others_in(&record, quotas);
