--- a/src/quota.rs
+++ b/src/quota.rs
@@ -1,7 +1,7 @@
 //! Quotas of workspaces, enforced exactly across several leaders without a lock.
 //!
-//! One record in the store divides each quota into parts, one for each holder: the leader of a holder, or of a
-//! shard of workers. A holder uses no more than its part. It takes unassigned amounts and returns unused ones by
+//! One record in the store divides each quota into parts, one for each holder: the leader of a failure domain,
+//! or of a shard of workers. A holder uses no more than its part. It takes unassigned amounts and returns unused ones by
 //! compare-and-swap.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,7 +16,7 @@
 use crate::store::{StoreOutcome, StoreRequest};
 use crate::workspace::WorkspaceAmounts;
 
-/// Name of a holder of parts: a holder or a shard.
+/// Name of a holder of parts: a failure domain or a shard.
 pub(crate) type HolderId = Arc<str>;
 
 /// Store key of the quota record.
@@ -112,8 +112,8 @@
         }
     }
 
-    /// Amount of a quota that `own` can take: what is in no part, less the floors of the failure
-    /// domains that have not written a part yet, as they may use their floor without a request.
+    /// Amount of a quota that `own` can take: what is in no part, less the floors of the holders that have
+    /// not written a part yet, as they may use their floor without a request.
     fn available(
         &self,
         workspace: &WorkspaceId,
