--- a/src/graph/allowance.rs
+++ b/src/graph/allowance.rs
@@ -8,7 +8,7 @@
 use crate::graph::job::GraphJob;
 use crate::graph::jobs::JobTable;
 use crate::graph::step_capacity::tasks_that_fit;
-use crate::id::WorkspaceId;
+use crate::id::{UnixMillis, WorkspaceId};
 use crate::resources::ResourceVector;
 use crate::workspace::WorkspaceAmounts;
 
@@ -59,16 +59,20 @@
 }
 
 /// Upper bound of what runs of an earlier leader use that this leader has not seen: tasks of inherited jobs in
-/// domains with uncontacted workers, and no more than fits on these workers. `hidden_capacity` is `None` while that is
-/// unknown.
+/// domains with uncontacted workers, and no more than fits on these workers. Jobs that ended since `ended_since` count
+/// as well, since the stop of their runs may not have arrived. `hidden_capacity` is `None` while that is unknown.
 pub(crate) fn unseen_usage_by_workspace(
     jobs: &JobTable,
     unsettled_domains: &UnsettledDomains,
     hidden_capacity: Option<ResourceVector>,
+    ended_since: UnixMillis,
 ) -> WorkspaceAmounts {
     let mut reserved = WorkspaceAmounts::new();
     let mut best_effort = WorkspaceAmounts::new();
-    let may_run_unseen = |job: &&GraphJob| !job.is_over() && unsettled_domains.affects(job);
+    let may_run_unseen = |job: &&GraphJob| {
+        let ended_before = job.progress.ended.is_some_and(|ended| ended < ended_since);
+        !ended_before && unsettled_domains.affects(job)
+    };
     for job in jobs.iter().filter(may_run_unseen) {
         let Some(workspace) = &job.workspace else {
             continue;
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -101,6 +101,8 @@
     rates: SubmissionRates,
     /// This shard's parts of the caps; `None` where there is only one shard.
     quota: Option<QuotaController>,
+    /// Runs of jobs that ended before this time have certainly ended.
+    inherited_ends_since: UnixMillis,
     /// Runs of earlier leaders that were found on workers, and what they used by workspace.
     found_runs: BTreeSet<(TaskName, RunNumber)>,
     found_usage: WorkspaceAmounts,
@@ -198,6 +200,9 @@
             workspaces: BTreeMap::new(),
             rates: SubmissionRates::default(),
             quota: None,
+            inherited_ends_since: unix.saturating_sub(
+                (bounds.lease_extension_window + INHERITED_LEASE_TIME).as_millis() as u64,
+            ),
             found_runs: BTreeSet::new(),
             found_usage: WorkspaceAmounts::new(),
             last_usage: WorkspaceAmounts::new(),
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -64,6 +64,7 @@
                 &self.jobs,
                 &self.uncontacted_domains(),
                 self.uncontacted_capacity(),
+                self.inherited_ends_since,
             );
             for (workspace, amount) in &mut unseen {
                 *amount = amount.component_min(&self.inherited_limit(workspace));
--- a/tests/graph/workspaces.rs
+++ b/tests/graph/workspaces.rs
@@ -186,3 +186,29 @@
     // Two a second for four seconds, and what the bucket holds at first.
     expect_that!(in_time, ge(8));
 }
+
+// A job was cancelled right after a takeover, while a worker with one of its runs had not answered yet: as the job had
+// ended, the run no longer counted.
+#[gtest]
+fn unseen_runs_of_a_job_that_is_cancelled_after_a_takeover_count_against_the_cap() {
+    let mut cluster = SimCluster::with_domains(78, 6, 3);
+    cluster.set_caps(&[("a", 16)]);
+    cluster.run(seconds(1));
+    cluster.submit("now", "a@long", vec![step(16, 1, 4_000)]);
+    cluster.run(Duration::from_millis(500));
+    expect_that!(cores_in_use(&cluster, "a"), eq(16));
+    let cut: Vec<WorkerId> = cluster.workers.keys().take(3).cloned().collect();
+    for id in &cut {
+        cluster.workers.get_mut(id).unwrap().connected = false;
+    }
+    cluster.elect();
+    cluster.run(Duration::from_millis(200));
+    cluster.cancel("a@long");
+    for number in 0..6 {
+        cluster.submit("now", &format!("a@new{number}"), vec![step(4, 1, 400)]);
+    }
+    for _ in 0..40 {
+        cluster.run(Duration::from_millis(100));
+        expect_that!(cores_in_use(&cluster, "a"), le(16));
+    }
+}
