Tell a workspace whose job has a name that another shard has

Cause: the leader that stores a job whose name the index of all shards already has took any such job for an earlier send of the same caller and answered "accepted". A workspace that used the name of another workspace's job was told that the job was its own. Change: the ledger reads the record behind the name before the group is sent again, and the leader answers by its workspace: accepted to the holder, name taken to others, nothing where the record cannot be read, so that the caller asks again. While a job of another workspace waits to be stored under the name, a submission is answered "undetermined" in place of a refusal that may be false.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -35,7 +35,7 @@
 
 pub use advice::{AdviceCall, AdviceId, AdviceKey, AdviceRequest, AdviceTable, StepAdvice};
 pub use answer_time::AnswerTimeout;
-pub use commit::{CommitGroup, CommitQueue, GroupEffect, GroupNumber};
+pub use commit::{CommitGroup, CommitQueue, GroupEffect, GroupNumber, NameHolder, TakenName};
 pub use controller::{GraphBounds, GraphController, RestoredState};
 pub use crash::SuspectRun;
 pub use event::{CommandResult, GraphAction, GraphAnswer, PollResult, StartCommand};
--- a/src/graph/commit.rs
+++ b/src/graph/commit.rs
@@ -6,13 +6,14 @@
 use tokio::time::Instant;
 
 use crate::graph::changes::ChangeQueue;
+use crate::graph::event::GraphAnswer;
 use crate::graph::exchange::{InstanceId, UsedWorker};
 use crate::graph::job::GraphRecord;
 use crate::graph::name::GraphId;
 use crate::graph::notice::{NoticeKind, NoticeQueue, ShardNotice};
 use crate::graph::progress::GraphProgress;
 use crate::graph::shard::ShardId;
-use crate::id::WorkerId;
+use crate::id::{WorkerId, WorkspaceId};
 
 /// Number of a commit group.
 pub type GroupNumber = u64;
@@ -57,6 +58,47 @@
     pub workers: Option<Vec<UsedWorker>>,
 }
 
+/// A job of a group that was not stored, as the leader of another shard had accepted one of its name before.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TakenName {
+    /// Name of both jobs.
+    pub job: GraphId,
+    /// Who submitted the accepted job.
+    pub holder: NameHolder,
+}
+
+/// Who submitted the job that was accepted first under a name.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NameHolder {
+    /// A caller that was not identified, or one whose job every caller may see.
+    Anyone,
+    /// A caller that acted for this workspace.
+    Workspace(WorkspaceId),
+    /// The job could not be read.
+    Unknown,
+}
+
+impl NameHolder {
+    /// The holder of the name of a stored job.
+    pub fn of(record: &GraphRecord) -> Self {
+        match &record.workspace {
+            Some(workspace) if !record.rule.public => Self::Workspace(workspace.clone()),
+            _ => Self::Anyone,
+        }
+    }
+
+    /// The answer to a caller that acts for `workspace` and submits a job of the same name; `None` if it is not known
+    /// whether the accepted job is the caller's own.
+    pub(crate) fn answer(&self, workspace: Option<&WorkspaceId>) -> Option<GraphAnswer> {
+        match self {
+            Self::Anyone => Some(GraphAnswer::Accepted),
+            Self::Workspace(holder) if workspace == Some(holder) => Some(GraphAnswer::Accepted),
+            Self::Workspace(_) => Some(GraphAnswer::NameTaken),
+            Self::Unknown => None,
+        }
+    }
+}
+
 /// Effects of a group once it is stored.
 #[derive(Clone, Debug, Default)]
 pub struct GroupEffect {
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -3,7 +3,7 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::graph::commit::{CommitGroup, GroupEffect, GroupIds, GroupNumber};
+use crate::graph::commit::{CommitGroup, GroupEffect, GroupIds, GroupNumber, TakenName};
 use crate::graph::controller::GraphController;
 use crate::graph::event::{GraphAction, GraphAnswer};
 use crate::graph::job::{GraphJob, GraphRecord};
@@ -87,28 +87,41 @@
         self.handle_group_partly_stored(now, number, &[]);
     }
 
+    /// Removes a job whose name another shard has, and answers its callers. Without an answer they ask again, as
+    /// after any call whose outcome is not known.
+    fn remove_taken(&mut self, number: GroupNumber, name: &TakenName) {
+        let id = &name.job;
+        let workspace = self.jobs.get(id).and_then(|job| job.workspace.clone());
+        let answer = name.holder.answer(workspace.as_ref());
+        info!(job = &**id, group = number, answer:?; "job was already accepted in another shard");
+        self.jobs.remove(id);
+        self.advice.forget(id);
+        match answer {
+            Some(answer) => self.answer_waiters(id, answer),
+            None => {
+                self.waiters.remove(id);
+            }
+        }
+    }
+
     /// Handles the confirmation of a group of which the store left out jobs that the leader of
     /// another shard had accepted before.
     pub fn handle_group_partly_stored(
         &mut self,
         now: Instant,
         number: GroupNumber,
-        accepted_elsewhere: &[GraphId],
+        taken: &[TakenName],
     ) {
         let Some((group, effect)) = self.commits.take_stored(number) else {
             warn!(number; "stored group was not in flight");
             return;
         };
         self.pass_wanted = true;
-        for id in accepted_elsewhere {
-            info!(job = &**id, group = number; "job was already accepted in another shard");
-            self.jobs.remove(id);
-            self.advice.forget(id);
-            self.answer_waiters(id, GraphAnswer::Accepted);
+        for name in taken {
+            self.remove_taken(number, name);
         }
-        for record in
-            group.added.iter().filter(|record| !accepted_elsewhere.contains(&record.spec.id))
-        {
+        let is_taken = |record: &&GraphRecord| taken.iter().any(|name| name.job == record.spec.id);
+        for record in group.added.iter().filter(|record| !is_taken(record)) {
             let id = &record.spec.id;
             if let Some(job) = self.jobs.get_mut(id) {
                 job.durable = true;
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -85,6 +85,11 @@
     ) {
         let id = record.spec.id.clone();
         match self.jobs.get(&id) {
+            // Another shard may have a job of this name that belongs to the caller.
+            Some(job) if !job.is_visible_to(record.workspace.as_ref()) && !job.durable => {
+                self.actions.push(GraphAction::Answer(call, GraphAnswer::Unready));
+                return;
+            }
             Some(job) if !job.is_visible_to(record.workspace.as_ref()) => {
                 self.actions.push(GraphAction::Answer(call, GraphAnswer::NameTaken));
                 return;
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -5,7 +5,7 @@
 
 use crate::graph::{
     AdviceId, CommandResult, GraphId, GraphRecord, GroupNumber, InstanceId, LeaderEpoch,
-    PollResult, RunNumber, ShardId, TaskName, WorkerRegistration,
+    PollResult, RunNumber, ShardId, TakenName, TaskName, WorkerRegistration,
 };
 use crate::id::{CallId, WorkerId};
 use crate::node::message::{AllowedWorkers, LeaderAnswer, LeaderCall};
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum GroupOutcome {
     /// The group is stored, except for jobs that another shard has.
-    Stored { taken: Vec<GraphId> },
+    Stored { taken: Vec<TakenName> },
     /// The store refused every try: the group is certainly not stored.
     Refused,
     /// Another leader was elected: the group is not stored and never will be.
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -16,7 +16,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::graph::{
-    CommitGroup, GraphId, GraphProgress, GraphRecord, LeaderEpoch, RestoredState, ShardId,
+    CommitGroup, GraphId, GraphProgress, GraphRecord, LeaderEpoch, NameHolder, RestoredState,
+    ShardId, TakenName,
 };
 use crate::node::dependency::DependencyLog;
 use crate::node::input::GroupOutcome;
@@ -38,6 +39,8 @@
 const QUOTA_LOG_NAME: &str = "quota";
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Number of tries to read the job that has a name. The group waits meanwhile, and a caller without an answer asks again.
+const HOLDER_READ_TRIES: usize = 3;
 /// A group that takes longer is logged as a warning, as callers wait for it.
 const SLOW_GROUP: Duration = Duration::from_millis(500);
 
@@ -176,7 +179,10 @@
                                 !jobs.iter().any(|job| self.keys.is_of_job(write, job))
                             });
                             added.retain(|job| !jobs.contains(job));
-                            taken.extend(jobs);
+                            for job in jobs {
+                                let holder = self.read_holder(&job).await;
+                                taken.push(TakenName { job, holder });
+                            }
                         }
                     }
                 }
@@ -198,6 +204,29 @@
         outcome
     }
 
+    /// Reads from the store who submitted the job that another shard has under a name.
+    async fn read_holder(&self, job: &GraphId) -> NameHolder {
+        for _ in 0..HOLDER_READ_TRIES {
+            let read = self.read_indexed(job).await;
+            self.dependency_log.tried(LEDGER_LOG_NAME, &read);
+            match read {
+                Ok(Some(record)) => return NameHolder::of(&record),
+                Ok(None) => return NameHolder::Unknown,
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+        NameHolder::Unknown
+    }
+
+    /// Reads the record of a job that is in the index.
+    async fn read_indexed(&self, job: &GraphId) -> Result<Option<GraphRecord>> {
+        let Some(shard) = Self::shard_of(&self.store, job).await? else {
+            return Ok(None);
+        };
+        let stored = Self::job(&self.store, &shard, job).await?;
+        Ok(stored.map(|(record, _)| record))
+    }
+
     /// Reads or writes the parts of caps, a write only while this leader's epoch is the current one.
     pub(crate) async fn call_quota(&self, request: &StoreRequest) -> StoreOutcome {
         let result = match request {
--- a/tests/graph/shards.rs
+++ b/tests/graph/shards.rs
@@ -6,8 +6,8 @@
 
 use googletest::prelude::*;
 use kelplink::{
-    DomainId, EntryId, GraphAnswer, GraphState, NoticeKind, RackId, ShardId, ShardPlan, StepSpec,
-    TaskShare, WorkerId,
+    CallId, DomainId, EntryId, GraphAnswer, GraphState, NoticeKind, RackId, ShardId, ShardPlan,
+    StepSpec, TaskShare, WorkerId,
 };
 
 use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
@@ -145,6 +145,33 @@
     expect_that!(count_runs(&cluster, "a"), eq(0));
 }
 
+// A workspace that submitted a job under the name of another workspace's job in another shard was told that the job
+// was accepted.
+#[gtest]
+fn a_name_that_another_workspace_uses_in_another_shard_is_refused() {
+    let mut cluster = SimCluster::sharded(46, 90, 3);
+    let [first, second] = [0, 1].map(|index| shards(&cluster)[index].clone());
+    cluster.run(seconds(1));
+    cluster.submit_for(&first, "now", "shared", Some("a"));
+    cluster.submit_for(&first, "now", "anonymous", None);
+    cluster.run(seconds(1));
+    let mut answer = |id, workspace, others: &[&str]| {
+        let call = cluster.submit_for(&second, "now", id, Some(workspace));
+        let others: Vec<CallId> = others
+            .iter()
+            .map(|other| cluster.submit_for(&second, "now", id, Some(other)))
+            .collect();
+        cluster.run(seconds(1));
+        let answers = [call].into_iter().chain(others);
+        answers.filter_map(|call| cluster.answers.get(&call).cloned()).collect::<Vec<_>>()
+    };
+    expect_that!(answer("anonymous", "b", &[]), eq(&[GraphAnswer::Accepted]));
+    expect_that!(answer("shared", "a", &[]), eq(&[GraphAnswer::Accepted]));
+    // Until the store has decided whose name it is, its holder is not refused.
+    let answers = answer("shared", "b", &["a"]);
+    expect_that!(answers, eq(&[GraphAnswer::NameTaken, GraphAnswer::Unready]));
+}
+
 // The notices from a leader to the others are stored, so a share survives the loss of either
 // leader.
 #[gtest]
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -374,6 +374,24 @@
         call
     }
 
+    /// Submits a job of one task on behalf of a workspace.
+    pub(crate) fn submit_for(
+        &mut self,
+        shard: &ShardId,
+        queue: &str,
+        id: &str,
+        workspace: Option<&str>,
+    ) -> CallId {
+        let record = self.record(queue, id, vec![step(1, 1, 100)], None);
+        let record = GraphRecord { workspace: workspace.map(Into::into), ..record };
+        self.last_call += 1;
+        let (now, call, caller_timeout) = (self.now, self.last_call, self.caller_timeout);
+        if let Some(leader) = self.leader_in(shard) {
+            leader.submit(now, call, call, caller_timeout, record);
+        }
+        call
+    }
+
     pub(crate) fn cancel_in(&mut self, shard: &ShardId, id: &str) -> CallId {
         self.last_call += 1;
         let (now, unix, call) = (self.now, self.unix(), self.last_call);
@@ -994,7 +1012,10 @@
                 continue;
             }
             if self.job_shards.contains_key(&id) {
-                taken.push(id);
+                let stored = self.store.jobs.get(&id);
+                let holder =
+                    stored.map_or(NameHolder::Unknown, |(record, _)| NameHolder::of(record));
+                taken.push(TakenName { job: id, holder });
                 continue;
             }
             self.job_shards.insert(id.clone(), shard.clone());
--- a/tests/graph/sim_cluster/messages.rs
+++ b/tests/graph/sim_cluster/messages.rs
@@ -70,7 +70,7 @@
     Stored {
         leader: LeaderEpoch,
         number: GroupNumber,
-        taken: Vec<GraphId>,
+        taken: Vec<TakenName>,
     },
     Quota {
         leader: LeaderEpoch,
