Count store calls by kind and outcome, and simulate large fleets

Purpose: what an event costs all entries of a deployment could only be seen in the users' simulation, as one sum of all calls. Change: all loops call the store through EntryStore, which counts kelplink_store_calls_total by kind (read, watch, write, renewal) and outcome (answered, refused, unanswered), twelve series. Removals in watches carry their revision, which the simulated store needs as well. Ruled out: processes over loopback (1,200 are more than a machine bears), and a store over HTTP in memory (twenty times slower, nothing more is seen).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,7 +72,10 @@
 pub use leadership::*;
 pub use ledger::*;
 pub use message::*;
-pub use node::{NodeProcess, NodeSettings};
+pub use node::{
+    NodeProcess, NodeSettings, SimulatedFleet, SimulatedStore, StoreAccess, StoreCallCount,
+    StoreCallKind,
+};
 pub use placement::*;
 pub use platform::{SETTINGS_VARIABLE, parse_platform_settings};
 pub use resources::ResourceVector;
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod dependency;
 mod election;
+mod entry_store;
 mod handover_inbox;
 mod input;
 mod keys;
@@ -31,15 +32,20 @@
 mod settings;
 mod shard_plan;
 mod shared;
+mod simulated_store;
+mod simulation;
 mod state_queries;
 mod view;
 
+pub use entry_store::StoreCallKind;
 pub(crate) use keys::{
     KeyEvent, KeyItem, KeyPage, KeyTransaction, KeyWrite, LeaseId, StoreError, TransactionOutcome,
     UnreadableKind, WatchOutcome, count_unreadable,
 };
 pub use process::NodeProcess;
 pub use settings::NodeSettings;
+pub use simulated_store::{SimulatedStore, StoreAccess, StoreCallCount};
+pub use simulation::SimulatedFleet;
 
 #[cfg(test)]
 mod leader_client_tests;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -65,7 +65,7 @@
                     for event in events {
                         match event {
                             KeyEvent::Written(item) => self.apply(&item),
-                            KeyEvent::Removed(_) => {}
+                            KeyEvent::Removed { .. } => {}
                         }
                     }
                     after = after.max(revision);
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -9,7 +9,8 @@
 pub(crate) const MEMBER_PREFIX: &str = "m/";
 /// Key of the leader, written under its lease; each shard has its own.
 const LEADER_KEY: &str = "m/leader";
-/// Key of the epoch record, which counts elections. Everything that a leader writes is conditional on its revision.
+/// Key of the epoch record, which counts elections. Everything that a leader writes is conditional on its revision. A
+/// leader key is always written together with the epoch key of its shard.
 const EPOCH_KEY: &str = "m/epoch";
 /// Key of the shard plan, which divides the workers among leaders.
 pub(crate) const PLAN_KEY: &str = "m/shards";
@@ -79,7 +80,11 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum KeyEvent {
     Written(KeyItem),
-    Removed(String),
+    Removed {
+        key: String,
+        /// Revision of the removal.
+        revision: u64,
+    },
 }
 
 /// Result of a watch call.
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -20,6 +20,7 @@
     ShardId, TakenName,
 };
 use crate::node::dependency::DependencyLog;
+use crate::node::entry_store::EntryStore;
 use crate::node::input::GroupOutcome;
 use crate::node::keys::{
     KeyItem, KeyTransaction, KeyWrite, StoreError, TransactionOutcome, UnreadableKind,
@@ -28,7 +29,6 @@
 use crate::node::ledger::group_sender::GroupSender;
 use crate::node::ledger::shard_keys::{ShardKeys, index_key};
 use crate::node::shared::NodeShared;
-use crate::platform::PlatformStore;
 use crate::store::{StoreOutcome, StoreRequest, StoredValue};
 
 type Result<T> = std::result::Result<T, StoreError>;
@@ -69,7 +69,7 @@
 #[derive(Clone)]
 pub(crate) struct JobLedger {
     keys: ShardKeys,
-    store: PlatformStore,
+    store: EntryStore,
     dependency_log: DependencyLog,
     head: Arc<Mutex<LedgerHead>>,
 }
@@ -312,7 +312,7 @@
     }
 
     /// Reads from the index which shard has a job; only deployments with several shards have an index.
-    pub(crate) async fn shard_of(store: &PlatformStore, id: &str) -> Result<Option<ShardId>> {
+    pub(crate) async fn shard_of(store: &EntryStore, id: &str) -> Result<Option<ShardId>> {
         let item = store.get(&index_key(id)).await?;
         let unreadable = || StoreError::Unknown(format!("the shard of job {id} is unreadable"));
         let name = |item: KeyItem| String::from_utf8(item.value.to_vec()).ok().map(ShardId::from);
@@ -323,7 +323,7 @@
 
     /// Reads one job of a shard directly from the store, without its leader.
     pub(crate) async fn job(
-        store: &PlatformStore,
+        store: &EntryStore,
         shard: &ShardId,
         id: &str,
     ) -> Result<Option<(GraphRecord, GraphProgress)>> {
--- a/src/node/ledger/group_sender.rs
+++ b/src/node/ledger/group_sender.rs
@@ -9,9 +9,9 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::{Instant, sleep_until};
 
+use crate::node::entry_store::EntryStore;
 use crate::node::keys::{KeyItem, KeyTransaction, StoreError, TransactionOutcome};
 use crate::node::ledger::Result;
-use crate::platform::PlatformStore;
 
 /// Time after a send before the group key is read to see whether it took effect. Answers take 4 ms; only a store forty
 /// times slower needs this long.
@@ -35,7 +35,7 @@
     fn read(&self, key: &str) -> impl Future<Output = Result<Option<KeyItem>>> + Send;
 }
 
-impl GroupStore for PlatformStore {
+impl GroupStore for EntryStore {
     async fn change(&self, change: &KeyTransaction) -> Result<TransactionOutcome> {
         self.transact(change).await
     }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -84,7 +84,7 @@
                     for event in events {
                         match event {
                             KeyEvent::Written(item) => apply_write(&mut view, &item),
-                            KeyEvent::Removed(key) => apply_removal(&mut view, &key),
+                            KeyEvent::Removed { key, .. } => apply_removal(&mut view, &key),
                         }
                     }
                     self.publish(view);
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -95,13 +95,7 @@
         let callers = self
             .listen(settings.callers, limits, caller_routes(), handler, callers_stopped)
             .context("callers")?;
-        tokio::spawn(ConfigLoop::new(self.shared.clone()).run());
-        tokio::spawn(ConfigExchangeLoop::new(self.shared.clone()).run());
-        tokio::spawn(MembershipLoop::new(self.shared.clone()).run());
-        tokio::spawn(self.shared.dependencies.clone().run());
-        tokio::spawn(ShardPlanLoop::new(self.shared.clone()).run());
-        tokio::spawn(ReachabilityLoop::new(self.shared.clone()).run());
-        let election = tokio::spawn(ElectionLoop::new(self.shared.clone()).run());
+        let EntryLoops { election, .. } = EntryLoops::spawn(&self.shared);
         wait_for_stop().await?;
         self.drain(stop_callers, callers, election).await;
         let _ = stop_probe.send(true);
@@ -150,6 +144,32 @@
     }
 }
 
+/// The running loops of an entry that do not serve connections.
+pub(crate) struct EntryLoops {
+    pub(crate) election: JoinHandle<()>,
+    others: Vec<JoinHandle<()>>,
+}
+
+impl EntryLoops {
+    pub(crate) fn spawn(shared: &Arc<NodeShared>) -> Self {
+        let others = vec![
+            tokio::spawn(ConfigLoop::new(shared.clone()).run()),
+            tokio::spawn(ConfigExchangeLoop::new(shared.clone()).run()),
+            tokio::spawn(MembershipLoop::new(shared.clone()).run()),
+            tokio::spawn(shared.dependencies.clone().run()),
+            tokio::spawn(ShardPlanLoop::new(shared.clone()).run()),
+            tokio::spawn(ReachabilityLoop::new(shared.clone()).run()),
+        ];
+        Self { election: tokio::spawn(ElectionLoop::new(shared.clone()).run()), others }
+    }
+
+    /// Ends all loops at once.
+    pub(crate) fn abort(&self) {
+        self.election.abort();
+        self.others.iter().for_each(JoinHandle::abort);
+    }
+}
+
 /// Waits for a stop signal. SIGHUP, sent for a changed settings file, has no effect: no setting can change while the process
 /// runs.
 async fn wait_for_stop() -> Result<()> {
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -97,7 +97,7 @@
                             KeyEvent::Written(item) => {
                                 self.handle_written(&item).await;
                             }
-                            KeyEvent::Removed(key) => {
+                            KeyEvent::Removed { key, .. } => {
                                 self.unreadable.remove(&key);
                                 if let Some(worker) = worker_of_key(&key) {
                                     self.handle_removed(worker).await;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -12,6 +12,7 @@
 use crate::graph::{QueueConfig, ShardId};
 use crate::id::Revision;
 use crate::node::dependency::NodeDependencies;
+use crate::node::entry_store::EntryStore;
 use crate::node::handover_inbox::HandoverInbox;
 use crate::node::input::LeaderInput;
 use crate::node::settings::NodeSettings;
@@ -37,7 +38,7 @@
     pub(crate) settings: NodeSettings,
     /// Random id of this start of the entry's process.
     pub(crate) start: u64,
-    pub(crate) store: PlatformStore,
+    pub(crate) store: EntryStore,
     pub(crate) advisor: Option<AdvisorClient>,
     /// Results of calls to the store, the leader and the advisor.
     pub(crate) dependencies: NodeDependencies,
@@ -58,9 +59,15 @@
 
 impl NodeShared {
     pub(crate) fn new(settings: NodeSettings) -> Self {
+        let store = EntryStore::Platform(Box::new(PlatformStore::new(settings.store)));
+        Self::with_store(settings, store)
+    }
+
+    /// Like [`Self::new`], with a store other than that of the settings.
+    pub(crate) fn with_store(settings: NodeSettings, store: EntryStore) -> Self {
         Self {
             start: rand::random::<u32>().into(),
-            store: PlatformStore::new(settings.store),
+            store,
             advisor: settings.advisor.map(AdvisorClient::new),
             settings,
             dependencies: NodeDependencies::new(),
--- /dev/null
+++ b/src/node/simulated_store.rs
@@ -0,0 +1,366 @@
+//! A store in memory for simulations of many entries, on the clock of the runtime. It counts the calls of all entries.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::node::entry_store::StoreCallKind;
+use crate::node::keys::{
+    KeyEvent, KeyItem, KeyPage, KeyTransaction, LeaseId, StoreError, TransactionOutcome,
+    WatchOutcome,
+};
+
+type Result<T> = std::result::Result<T, StoreError>;
+
+/// Time that a call takes.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Number of items of a page.
+const PAGE_ITEMS: usize = 500;
+/// Interval between checks for leases that have ended.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after which a client gives up a call that is not answered.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How the store treats the calls of an entry.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreAccess {
+    /// It answers them.
+    #[default]
+    Open,
+    /// It refuses them at once; nothing is done.
+    Refused,
+    /// It leaves them unanswered; nothing is done.
+    Silent,
+}
+
+/// Number of calls by kind, and of events that watches have returned.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StoreCallCount {
+    /// All calls.
+    pub calls: BTreeMap<StoreCallKind, u64>,
+    /// Calls that were refused or left unanswered, which are counted in `calls` too.
+    pub failed: u64,
+    /// Events that watches have returned.
+    pub events: u64,
+}
+
+impl StoreCallCount {
+    /// Number of calls of a kind.
+    pub fn of(&self, kind: StoreCallKind) -> u64 {
+        self.calls.get(&kind).copied().unwrap_or(0)
+    }
+
+    /// Number of calls of all kinds.
+    pub fn total(&self) -> u64 {
+        self.calls.values().sum()
+    }
+}
+
+/// A lease with its keys.
+#[derive(Debug)]
+struct StoreLease {
+    ttl: Duration,
+    ends: Instant,
+    keys: BTreeSet<String>,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    revision: u64,
+    /// Last revision whose changes are no longer known.
+    compacted: u64,
+    items: BTreeMap<String, KeyItem>,
+    events: BTreeMap<u64, Vec<KeyEvent>>,
+    leases: BTreeMap<LeaseId, StoreLease>,
+    last_lease: LeaseId,
+    /// Entries whose calls are not answered.
+    restricted: BTreeMap<usize, StoreAccess>,
+    /// Entries that have been killed: none of their calls ends.
+    killed: BTreeSet<usize>,
+    count: StoreCallCount,
+}
+
+impl StoreState {
+    fn write(&mut self, key: &str, value: Bytes, lease: Option<LeaseId>) {
+        for lease in self.leases.values_mut() {
+            lease.keys.remove(key);
+        }
+        if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.keys.insert(key.to_owned());
+        }
+        let item = KeyItem { key: key.to_owned(), value, revision: self.revision };
+        self.items.insert(key.to_owned(), item.clone());
+        self.events.entry(self.revision).or_default().push(KeyEvent::Written(item));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let (key, revision) = (key.to_owned(), self.revision);
+            self.events.entry(revision).or_default().push(KeyEvent::Removed { key, revision });
+        }
+    }
+
+    /// Ends a lease; each has a revision of its own.
+    fn end_lease(&mut self, id: LeaseId) {
+        let Some(lease) = self.leases.remove(&id) else {
+            return;
+        };
+        self.revision += 1;
+        for key in lease.keys {
+            self.remove(&key);
+        }
+    }
+
+    fn expire_leases(&mut self) -> bool {
+        let now = Instant::now();
+        let ended = self.leases.iter().filter(|(_, lease)| lease.ends <= now);
+        let ended: Vec<LeaseId> = ended.map(|(id, _)| *id).collect();
+        ended.iter().for_each(|id| self.end_lease(*id));
+        !ended.is_empty()
+    }
+
+    fn transact(&mut self, change: &KeyTransaction) -> TransactionOutcome {
+        let revision_of = |key: &String| self.items.get(key).map_or(0, |item| item.revision);
+        if change.conditions.iter().any(|(key, revision)| revision_of(key) != *revision) {
+            let keys = change.conditions.iter();
+            let items = keys.filter_map(|(key, _)| self.items.get(key).cloned());
+            return TransactionOutcome::Conflict(items.collect());
+        }
+        let mut leases = change.writes.iter().filter_map(|write| write.lease);
+        if !leases.all(|lease| self.leases.contains_key(&lease)) {
+            return TransactionOutcome::NoLease;
+        }
+        self.revision += 1;
+        for write in &change.writes {
+            self.write(&write.key, write.value.clone(), write.lease);
+        }
+        for key in &change.removes {
+            self.remove(key);
+        }
+        TransactionOutcome::Done(self.revision)
+    }
+
+    /// Events after a revision, or `None` if they are no longer all known.
+    fn events_after(&self, prefix: &str, after: u64) -> Option<Vec<KeyEvent>> {
+        let has_prefix = |event: &&KeyEvent| match event {
+            KeyEvent::Written(item) => item.key.starts_with(prefix),
+            KeyEvent::Removed { key, .. } => key.starts_with(prefix),
+        };
+        let events = self.events.range(after + 1..).flat_map(|(_, events)| events);
+        (after >= self.compacted).then(|| events.filter(has_prefix).cloned().collect())
+    }
+}
+
+/// The state of the store.
+#[derive(Debug)]
+pub struct SimulatedStore {
+    state: Mutex<StoreState>,
+    /// Revision of the last change.
+    changed: watch::Sender<u64>,
+}
+
+impl SimulatedStore {
+    /// Creates an empty store and ends its leases in time, for as long as it is used.
+    pub fn start() -> Arc<Self> {
+        let state = Mutex::default();
+        let store = Arc::new(Self { state, changed: watch::Sender::new(0) });
+        let expiring = Arc::downgrade(&store);
+        tokio::spawn(async move {
+            while let Some(store) = expiring.upgrade() {
+                store.change(StoreState::expire_leases);
+                drop(store);
+                sleep(EXPIRY_INTERVAL).await;
+            }
+        });
+        store
+    }
+
+    /// Number of calls so far.
+    pub fn call_count(&self) -> StoreCallCount {
+        self.lock().count.clone()
+    }
+
+    /// Sets how the calls of an entry are treated, by the number of its client.
+    pub fn set_access(&self, client: usize, access: StoreAccess) {
+        self.lock().restricted.insert(client, access);
+        // Waiting watches check their access.
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Writes a key without a lease.
+    pub fn put(&self, key: &str, value: impl Into<Bytes>) {
+        self.change(|state| {
+            state.revision += 1;
+            state.write(key, value.into(), None);
+            true
+        });
+    }
+
+    /// Drops the history: each watch ends, and its client has to read again.
+    pub fn compact(&self) {
+        self.change(|state| {
+            state.revision += 1;
+            state.compacted = state.revision;
+            state.events.clear();
+            true
+        });
+    }
+
+    /// Ends all calls of a client, now and later, as those of a killed process.
+    pub(crate) fn kill(&self, client: usize) {
+        self.lock().killed.insert(client);
+    }
+
+    /// A client for an entry.
+    pub(crate) fn client(self: &Arc<Self>, number: usize) -> SimulatedClient {
+        SimulatedClient { store: self.clone(), number }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the state; `change` returns whether watches have to look at it.
+    fn change(&self, change: impl FnOnce(&mut StoreState) -> bool) {
+        let revision = {
+            let mut state = self.lock();
+            change(&mut state).then_some(state.revision)
+        };
+        if let Some(revision) = revision {
+            self.changed.send_replace(revision);
+        }
+    }
+}
+
+/// Client of one entry.
+#[derive(Clone, Debug)]
+pub(crate) struct SimulatedClient {
+    store: Arc<SimulatedStore>,
+    number: usize,
+}
+
+impl SimulatedClient {
+    pub(crate) async fn get(&self, key: &str) -> Result<Option<KeyItem>> {
+        self.call(StoreCallKind::Read, |state| state.items.get(key).cloned()).await
+    }
+
+    pub(crate) async fn page(&self, prefix: &str, after: &str) -> Result<KeyPage> {
+        self.call(StoreCallKind::Read, |state| {
+            let mut found = state
+                .items
+                .values()
+                .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after);
+            let items: Vec<KeyItem> = found.by_ref().take(PAGE_ITEMS).cloned().collect();
+            KeyPage { items, more: found.next().is_some(), revision: state.revision }
+        })
+        .await
+    }
+
+    pub(crate) async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchOutcome> {
+        let mut changed = self.store.changed.subscribe();
+        self.call(StoreCallKind::Watch, |_| ()).await?;
+        let deadline = Instant::now() + wait;
+        loop {
+            let (found, revision) = {
+                let state = self.store.lock();
+                self.check_access(&state)?;
+                (state.events_after(prefix, after), state.revision)
+            };
+            match found {
+                None => return Ok(WatchOutcome::HistoryGone),
+                Some(events) if !events.is_empty() || Instant::now() >= deadline => {
+                    self.store.lock().count.events += events.len() as u64;
+                    return Ok(WatchOutcome::Events { events, revision });
+                }
+                Some(_) => {
+                    let remaining = deadline.saturating_duration_since(Instant::now());
+                    let _ = timeout(remaining, changed.changed()).await;
+                }
+            }
+        }
+    }
+
+    pub(crate) async fn transact(&self, change: &KeyTransaction) -> Result<TransactionOutcome> {
+        let outcome = self.call(StoreCallKind::Write, |state| state.transact(change)).await?;
+        if let TransactionOutcome::Done(revision) = outcome {
+            self.store.changed.send_replace(revision);
+        }
+        Ok(outcome)
+    }
+
+    pub(crate) async fn create_lease(&self, ttl: Duration) -> Result<LeaseId> {
+        self.call(StoreCallKind::Write, |state| {
+            state.last_lease += 1;
+            let lease = StoreLease { ttl, ends: Instant::now() + ttl, keys: BTreeSet::new() };
+            state.leases.insert(state.last_lease, lease);
+            state.last_lease
+        })
+        .await
+    }
+
+    pub(crate) async fn renew_lease(&self, lease: LeaseId) -> Result<bool> {
+        self.call(StoreCallKind::Renewal, |state| match state.leases.get_mut(&lease) {
+            Some(lease) => {
+                lease.ends = Instant::now() + lease.ttl;
+                true
+            }
+            None => false,
+        })
+        .await
+    }
+
+    pub(crate) async fn end_lease(&self, lease: LeaseId) -> Result<()> {
+        self.call(StoreCallKind::Write, |state| state.end_lease(lease)).await?;
+        self.store.changed.send_modify(|_| {});
+        Ok(())
+    }
+
+    /// Carries out a call, unless the store does not answer this client.
+    async fn call<T>(
+        &self,
+        kind: StoreCallKind,
+        answer: impl FnOnce(&mut StoreState) -> T,
+    ) -> Result<T> {
+        sleep(ANSWER_TIME).await;
+        let access = {
+            let mut state = self.store.lock();
+            if state.killed.contains(&self.number) {
+                None
+            } else {
+                *state.count.calls.entry(kind).or_default() += 1;
+                match self.check_access(&state) {
+                    Ok(()) => return Ok(answer(&mut state)),
+                    Err(error) => {
+                        state.count.failed += 1;
+                        Some(error)
+                    }
+                }
+            }
+        };
+        match access {
+            None => std::future::pending().await,
+            Some(StoreError::Unknown(reason)) => {
+                sleep(CALL_TIMEOUT).await;
+                Err(StoreError::Unknown(reason))
+            }
+            Some(refusal) => Err(refusal),
+        }
+    }
+
+    fn check_access(&self, state: &StoreState) -> Result<()> {
+        match state.restricted.get(&self.number).copied().unwrap_or_default() {
+            StoreAccess::Open => Ok(()),
+            StoreAccess::Refused => Err(StoreError::NotDone("refused".to_owned())),
+            StoreAccess::Silent => Err(StoreError::Unknown("no answer".to_owned())),
+        }
+    }
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -179,11 +179,6 @@
     }
 
     /// Reads a page of the keys that begin with a prefix and sort after a key.
-    pub(crate) async fn page(&self, prefix: &str, after: &str) -> Result<KeyPage> {
-        self.page_within(prefix, after, PAGE_TIMEOUT).await
-    }
-
-    /// Does the same as [`Self::page`], with another timeout.
     pub(crate) async fn page_within(
         &self,
         prefix: &str,
@@ -382,7 +377,7 @@
 
 fn key_event(wire: WireItem) -> KeyEvent {
     match wire.deleted {
-        true => KeyEvent::Removed(wire.key),
+        true => KeyEvent::Removed { key: wire.key, revision: wire.revision },
         false => KeyEvent::Written(key_item(wire)),
     }
 }
