Let the loops of an entry wait for the store with one probe

Cause: while the store refuses an entry, each of its loops tried again every 100 to 150 ms, so a third of 584 entries that is refused for 9 s sends about 27 calls a second each. Watches ended after 2 s, so that a connection that had died unnoticed was replaced: two calls every 2 s for each entry at rest. Change: the lease renewals alone go on (backoff to 0.5 s with jitter, a leader without backoff); all other loops back off to 2 s and continue as soon as a renewal is answered again. A watch from before that is sent again then, so it may wait 10 s. Ruled out: longer retry intervals alone (an entry would be back later); a shared circuit breaker that stops calls (a loop that only its own calls fail for would never try). Tests: tries in 9 s of outage (at most 10, before 90), continuation at the renewal's answer, a lost call that is sent again, spread of delays.

--- a/src/node.rs
+++ b/src/node.rs
@@ -2,6 +2,8 @@
 
 mod action_executor;
 mod answer_condition;
+mod availability;
+mod backoff;
 mod caller_identity;
 mod callers;
 mod candidacy;
@@ -47,6 +49,8 @@
 pub use simulated_store::{SimulatedStore, StoreAccess, StoreCallCount};
 pub use simulation::SimulatedFleet;
 
+#[cfg(test)]
+mod availability_tests;
 #[cfg(test)]
 mod leader_client_tests;
 #[cfg(test)]
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -3,21 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{error, info};
-use tokio::time::sleep;
-
+use crate::node::availability::{StoreRetry, WATCH_WAIT};
 use crate::node::keys::{
     KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
 };
 use crate::node::shared::NodeShared;
 use crate::platform::{CONFIG_KEY, CONFIG_PREFIX, decode_config};
+use log::{error, info};
 
 /// Name of this loop in the log.
 const LOG_NAME: &str = "configuration";
-/// Maximum wait of a watch call: a dead connection is noticed after this time and the slack of the watch, within the
-/// three seconds that count as a disruption.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a failed call.
+/// Delay before the first retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows the configuration in the store.
@@ -32,17 +28,20 @@
 
     /// Runs for the lifetime of the process.
     pub(crate) async fn run(self) {
+        let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
         loop {
-            let after = match self.read().await {
-                Ok(after) => after,
-                Err(error) => {
-                    self.shared.note_config_read(false);
-                    self.shared.dependencies.store.failed(LOG_NAME, error);
-                    sleep(RETRY_PAUSE).await;
-                    continue;
-                }
+            let Some(read) = retry.until_return(self.read()).await else {
+                continue;
             };
-            self.follow(after).await;
+            let result = match read {
+                Ok(after) => self.follow(after, &mut retry).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = result {
+                self.shared.note_config_read(false);
+                self.shared.dependencies.store.failed(LOG_NAME, error);
+                retry.pause().await;
+            }
         }
     }
 
@@ -56,12 +55,17 @@
         Ok(page.revision)
     }
 
-    /// Watches until the store has compacted the history or a call fails.
-    async fn follow(&self, mut after: u64) {
+    /// Watches until the store has compacted the history.
+    async fn follow(&self, mut after: u64, retry: &mut StoreRetry) -> Result<(), StoreError> {
         loop {
-            match self.shared.store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await {
-                Ok(WatchOutcome::Events { events, revision }) => {
+            let watch = self.shared.store.watch(CONFIG_PREFIX, after, WATCH_WAIT);
+            let Some(outcome) = retry.until_return(watch).await else {
+                continue;
+            };
+            match outcome? {
+                WatchOutcome::Events { events, revision } => {
                     self.shared.note_store_answer(LOG_NAME);
+                    retry.note_answer();
                     for event in events {
                         match event {
                             KeyEvent::Written(item) => self.apply(&item),
@@ -70,15 +74,9 @@
                     }
                     after = after.max(revision);
                 }
-                Ok(WatchOutcome::HistoryGone) => {
+                WatchOutcome::HistoryGone => {
                     info!("the store has compacted its history: reading the configuration again");
-                    return;
-                }
-                Err(error) => {
-                    self.shared.note_config_read(false);
-                    self.shared.dependencies.store.failed(LOG_NAME, error);
-                    sleep(RETRY_PAUSE).await;
-                    return;
+                    return Ok(());
                 }
             }
         }
--- a/src/node/dependency/monitor.rs
+++ b/src/node/dependency/monitor.rs
@@ -7,8 +7,8 @@
 
 /// Minimum time between log lines, except before the line that the dependency is back.
 const MIN_LINE_GAP: Duration = Duration::from_millis(1_000);
-/// How long a failure counts for a loop that retries forever: one without another failure for this long has ended. The
-/// least frequent calls are watches of an unresponsive store, one in 2.8 s.
+/// How long a failure counts for a loop that retries forever: one without another failure for this long has ended. Lease
+/// renewals, which go on while the store does not answer, come every 1.5 s at the least.
 const STEADY_RETENTION: Duration = Duration::from_millis(3_500);
 /// How long a failure counts for a loop that calls on demand: one without another failure for this long has nothing
 /// left to call for. Groups that the store leaves unanswered are sent every 0.86 s.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -15,6 +15,7 @@
 
 use crate::graph::ShardId;
 use crate::node::answer_condition::LEASE_TTL;
+use crate::node::backoff::RetryBackoff;
 use crate::node::candidacy::{Candidacy, CandidacyState};
 use crate::node::keys::{
     ENTRY_PREFIX, KeyTransaction, KeyWrite, LeaseId, StoreError, TransactionOutcome, epoch_key,
@@ -32,6 +33,9 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause, before jitter, after renewals that failed one after the other. An entry serves again this much after
+/// the store's return.
+const MAX_RENEWAL_PAUSE: Duration = Duration::from_millis(500);
 /// Minimum time as leader before a machine can count as too slow: the takeover itself is a heavy load.
 const MIN_TERM: Duration = Duration::from_secs(4);
 /// How long an entry on a machine that was too slow does not campaign.
@@ -42,6 +46,7 @@
     shared: Arc<NodeShared>,
     lease: Option<LeaseId>,
     renewed: Option<Instant>,
+    renewal_backoff: RetryBackoff,
     /// Revision of the transaction that registered this entry under its current lease. A leader key with a lower
     /// revision was written under a lease that has ended.
     registered: u64,
@@ -59,6 +64,7 @@
             shared,
             lease: None,
             renewed: None,
+            renewal_backoff: RetryBackoff::new(RETRY_PAUSE, MAX_RENEWAL_PAUSE),
             registered: 0,
             candidacies: BTreeMap::new(),
             lateness: LatenessMonitor::new(),
@@ -171,6 +177,7 @@
         };
         match result {
             Ok(true) => {
+                self.note_renewal_answer();
                 self.shared.note_store_answer(LOG_NAME);
                 self.renewed = Some(sent);
                 self.offer_lease();
@@ -178,6 +185,7 @@
                 RENEWAL_INTERVAL.saturating_sub(sent.elapsed())
             }
             Ok(false) => {
+                self.note_renewal_answer();
                 self.shared.dependencies.store.answered(LOG_NAME);
                 warn!("the lease in the store has ended");
                 self.note_lease_expiry();
@@ -185,11 +193,26 @@
             }
             Err(error) => {
                 self.shared.dependencies.store.failed(LOG_NAME, error);
-                RETRY_PAUSE
+                self.shared.store_availability.note_failure();
+                self.renewal_pause()
             }
         }
     }
 
+    fn note_renewal_answer(&mut self) {
+        self.renewal_backoff.reset();
+        self.shared.store_availability.note_answer();
+    }
+
+    /// Returns the pause after a failed renewal. A leader retries without backoff: its shard accepts no jobs meanwhile,
+    /// and leaders are few.
+    fn renewal_pause(&mut self) -> Duration {
+        match self.candidacies.values().any(Candidacy::leads) {
+            true => RETRY_PAUSE,
+            false => self.renewal_backoff.next_delay(),
+        }
+    }
+
     /// Records that the lease has ended, and with it the keys of this entry and of the shards it leads.
     fn note_lease_expiry(&mut self) {
         self.lease = None;
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use log::error;
-use tokio::time::sleep;
 
 use crate::graph::{GraphId, GraphRecord, NoticeKind, ShardId};
 use crate::node::input::LeaderInput;
@@ -21,7 +20,7 @@
 /// Maximum wait of a watch call: a dead connection is noticed after this time and the slack of the watch, within the
 /// three seconds that count as a disruption.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a failed call.
+/// Delay before the first retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Key of a notice to a shard.
@@ -56,18 +55,20 @@
 
     /// Runs until its task is aborted at the end of the leader's term.
     pub(crate) async fn run(self) {
+        let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
         loop {
             let store = self.shared.dependencies.store.clone();
             let result = match self.read_all().await {
                 Ok(after) => {
                     store.answered(LOG_NAME);
+                    retry.note_answer();
                     self.follow(after).await
                 }
                 Err(error) => Err(error),
             };
             if let Err(error) = result {
                 store.failed(LOG_NAME, error);
-                sleep(RETRY_PAUSE).await;
+                retry.pause().await;
             }
         }
     }
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use log::warn;
-use tokio::time::sleep;
 
 use crate::graph::ShardScope;
 use crate::id::WorkerId;
@@ -22,7 +21,7 @@
 /// Maximum wait of a watch call: a dead connection is noticed after this time and the slack of the watch, within the
 /// three seconds that count as a disruption.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a failed call.
+/// Delay before the first retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Follows registrations in the store.
@@ -46,11 +45,13 @@
 
     /// Runs until the leader loop ends.
     pub(crate) async fn run(mut self) {
+        let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
         loop {
             let store = self.shared.dependencies.store.clone();
             let result = match self.read().await {
                 Ok(after) => {
                     store.answered(LOG_NAME);
+                    retry.note_answer();
                     self.leader.send(LeaderInput::RegistrationsRead).await;
                     self.follow(after).await
                 }
@@ -58,7 +59,7 @@
             };
             if let Err(error) = result {
                 store.failed(LOG_NAME, error);
-                sleep(RETRY_PAUSE).await;
+                retry.pause().await;
             }
         }
     }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -11,6 +11,7 @@
 
 use crate::graph::{QueueConfig, ShardId};
 use crate::id::Revision;
+use crate::node::availability::StoreAvailability;
 use crate::node::dependency::NodeDependencies;
 use crate::node::entry_store::EntryStore;
 use crate::node::handover_inbox::HandoverInbox;
@@ -39,6 +40,7 @@
     /// Random id of this start of the entry's process.
     pub(crate) start: u64,
     pub(crate) store: EntryStore,
+    pub(crate) store_availability: StoreAvailability,
     pub(crate) advisor: Option<AdvisorClient>,
     /// Results of calls to the store, the leader and the advisor.
     pub(crate) dependencies: NodeDependencies,
@@ -68,6 +70,7 @@
         Self {
             start: rand::random::<u32>().into(),
             store,
+            store_availability: StoreAvailability::default(),
             advisor: settings.advisor.map(AdvisorClient::new),
             settings,
             dependencies: NodeDependencies::new(),
