Ask a few entries whether an entry is cut off, not all

Cause: while the store is late, each leader called all entries of other failure domains (470 of 584) four times a second, and each other entry all leaders of other domains: some 4,700 calls each 250 ms if all miss the store, and a connection each. Change: a check calls three, and the next check three others. A second without the store, after which an entry takes itself for cut off, reaches twelve. The entry asked for a newer configuration is found without a list of all addresses. Also: simulated entries start 1.7 ms apart, so that their renewals, and the ends of their leases, are spread as on machines. Ruled out: asking one (a call takes up to 250 ms where it has ended); a longer interval (a domain that is cut off would know it later). Test: calls of four checks at 12, 600 and 1,200 entries (12 each, all different; before: all entries, four times).

--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -113,7 +113,7 @@
         Err(error) => return eprintln!("{}: {error}", event.name),
     };
     runtime.block_on(async {
-        let mut fleet = SimulatedFleet::start(entries, DOMAINS, SHARDS);
+        let mut fleet = SimulatedFleet::start(entries, DOMAINS, SHARDS).await;
         sleep(START_TIME).await;
         let before = fleet.store().call_count();
         let (started, started_real) = (time::Instant::now(), Instant::now());
--- a/src/node/config_exchange.rs
+++ b/src/node/config_exchange.rs
@@ -49,9 +49,10 @@
     fn next_peer(&self, turn: usize) -> Option<SocketAddr> {
         let view = self.shared.members.borrow();
         let own = &self.shared.settings.name;
-        let others = view.entries.iter().filter(|(name, _)| *name != own);
-        let addresses: Vec<SocketAddr> = others.map(|(_, record)| record.address).collect();
-        (!addresses.is_empty()).then(|| addresses[turn % addresses.len()])
+        let mut others = view.entries.iter().filter(|(name, _)| *name != own);
+        let count = view.entries.len() - usize::from(view.entries.contains_key(own));
+        let index = turn.checked_rem(count)?;
+        others.nth(index).map(|(_, record)| record.address)
     }
 
     async fn ask(&self, address: SocketAddr) {
--- a/src/node/reachability.rs
+++ b/src/node/reachability.rs
@@ -1,9 +1,13 @@
 //! Loop that checks, while the store does not answer, whether this entry is cut off from the others.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use log::{info, warn};
 use tokio::time::sleep;
 
@@ -13,12 +17,14 @@
 use crate::node::peers::PeerClient;
 use crate::node::records::LeaderRecord;
 use crate::node::shared::NodeShared;
-use crate::node::view::MemberView;
 
 /// Name of this loop in the log.
 const LOG_NAME: &str = "reach";
 /// Interval between checks of the store's last answer.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of entries called in one check. Each check calls others, so that a second without the store reaches twelve
+/// of them: an entry that none of twelve answers is taken for cut off, also where half of all entries have ended.
+const ENTRIES_CALLED: usize = 3;
 /// Maximum time for an answer: the latency between entries is 2 ms, and a slow machine takes tens of milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -27,11 +33,14 @@
     shared: Arc<NodeShared>,
     peers: PeerClient,
     reached: bool,
+    /// Position among the entries from which the next check calls.
+    turn: usize,
 }
 
 impl ReachabilityLoop {
     pub(crate) fn new(shared: Arc<NodeShared>) -> Self {
-        Self { shared, peers: PeerClient::new(), reached: true }
+        let turn = rand::random::<u16>().into();
+        Self { shared, peers: PeerClient::new(), reached: true, turn }
     }
 
     /// Runs for the lifetime of the process.
@@ -54,35 +63,36 @@
     }
 
     /// Whether a leader answers. Leaders of other failure domains are called if there are any, or else all leaders.
-    async fn reaches_leader(&self) -> bool {
-        let view = self.shared.members.borrow().clone();
-        let leaders = view.leaders_outside(&self.shared.settings.domain);
-        if leaders.is_empty() {
+    async fn reaches_leader(&mut self) -> bool {
+        let calls: Vec<(ShardId, LeaderRecord)> = {
+            let view = self.shared.members.borrow();
+            let leaders = view.leaders_outside(&self.shared.settings.domain);
+            let leaders = in_turn(&leaders, &mut self.turn);
+            leaders.map(|leader| (view.shard_led_by(leader), leader.clone())).collect()
+        };
+        if calls.is_empty() {
             note_no_leader(&self.shared, LOG_NAME);
             return false;
         }
-        let calls = leaders.iter().map(|leader| self.is_leading(&view, leader));
-        futures_util::future::join_all(calls).await.contains(&true)
+        let calls = calls.iter().map(|(shard, leader)| self.is_leading(shard, leader));
+        join_all(calls).await.contains(&true)
     }
 
-    async fn is_leading(&self, view: &MemberView, leader: &LeaderRecord) -> bool {
-        let shard = view.shard_led_by(leader);
+    async fn is_leading(&self, shard: &ShardId, leader: &LeaderRecord) -> bool {
         let call = LeaderCall::Reach;
-        let answer = self.peers.ask(leader.address, &shard, &call, ANSWER_TIMEOUT).await;
+        let answer = self.peers.ask(leader.address, shard, &call, ANSWER_TIMEOUT).await;
         note_leader_call(&self.shared, LOG_NAME, leader, ANSWER_TIMEOUT, &answer);
         answer == Ok(LeaderAnswer::Leading)
     }
 
     /// Whether an entry of another failure domain answers. Also true if no such entry is registered, as nothing can be
     /// concluded then.
-    async fn reaches_another_domain(&self) -> bool {
-        let own = &self.shared.settings.domain;
-        let members = self.shared.members.borrow().clone();
-        let others = members.entries.values().filter(|entry| entry.domain != *own);
-        let addresses: Vec<SocketAddr> = others.map(|entry| entry.address).collect();
-        let calls = addresses.iter().map(|address| self.ask(*address));
-        addresses.is_empty()
-            || futures_util::future::join_all(calls).await.iter().any(Option::is_some)
+    async fn reaches_another_domain(&mut self) -> bool {
+        let addresses =
+            self.shared.members.borrow().addresses_outside(&self.shared.settings.domain);
+        let calls = in_turn(&addresses, &mut self.turn).map(|address| self.ask(*address));
+        let calls: Vec<_> = calls.collect();
+        addresses.is_empty() || join_all(calls).await.iter().any(Option::is_some)
     }
 
     async fn ask(&self, address: SocketAddr) -> Option<LeaderAnswer> {
@@ -99,3 +109,10 @@
         self.reached = reached;
     }
 }
+
+/// Returns the next entries in turn, and advances the turn past them.
+fn in_turn<'e, T>(entries: &'e [T], turn: &mut usize) -> impl Iterator<Item = &'e T> + use<'e, T> {
+    let first = turn.checked_rem(entries.len()).unwrap_or(0);
+    *turn = first + ENTRIES_CALLED;
+    entries.iter().cycle().skip(first).take(ENTRIES_CALLED.min(entries.len()))
+}
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::sleep;
+
 use crate::graph::{GraphBounds, ShardPlan};
 use crate::id::{DomainId, Revision};
 use crate::node::entry_store::EntryStore;
@@ -19,6 +21,8 @@
 const STRONG_PROCESSOR: f64 = 1.0;
 /// Processor of all other machines, in cores.
 const WEAK_PROCESSOR: f64 = 0.12;
+/// Time between the starts of two entries: their renewals are spread, and so are the ends of their leases.
+const START_INTERVAL: Duration = Duration::from_micros(1_700);
 /// Interval between entries on strong machines.
 const STRONG_INTERVAL: usize = 10;
 
@@ -43,7 +47,7 @@
 
 impl SimulatedFleet {
     /// Starts entries, which are distributed over failure domains of `shards` shards each, with a first configuration.
-    pub fn start(entries: usize, domains: usize, shards: u32) -> Self {
+    pub async fn start(entries: usize, domains: usize, shards: u32) -> Self {
         let store = SimulatedStore::start();
         let domains: Vec<DomainId> =
             (0..domains).map(|number| DomainId::from(format!("d{number}"))).collect();
@@ -53,7 +57,10 @@
         let mut fleet =
             Self { store, plan, domains, entries: BTreeMap::new(), clients: 0, settings };
         fleet.configure(1);
-        (0..entries).for_each(|number| fleet.start_entry(number));
+        for number in 0..entries {
+            fleet.start_entry(number);
+            sleep(START_INTERVAL).await;
+        }
         fleet
     }
 
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -201,6 +201,12 @@
         }
     }
 
+    /// Addresses of the entries outside a failure domain.
+    pub(crate) fn addresses_outside(&self, domain: &DomainId) -> Vec<SocketAddr> {
+        let others = self.entries.values().filter(|entry| entry.domain != *domain);
+        others.map(|entry| entry.address).collect()
+    }
+
     /// Leaders outside a failure domain, or all leaders if there are none outside.
     pub(crate) fn leaders_outside(&self, domain: &DomainId) -> Vec<LeaderRecord> {
         let in_other_domain = |leader: &&LeaderRecord| {
