Follow leaders at once and the list of entries in batches

Cause: one watch followed entries, leaders and the shard plan, and was sent again at once, so each start and end of an entry ended the watch of all others: entries x changes calls. Each batch also cloned the whole view. Change: leaders have a watch of their own. Entries and epochs are followed with a pause after each batch, 0.4 ms for each registered entry (0.23 s at 584), so that all entries together make 2,500 calls a second at most, however many they are. A failed watch goes on from its revision in place of reading all members again. Events change the view in place. As leader and epoch keys are written together, a leader record tells the epoch too; changes of a leader key apply in the order of their revisions, so that a late removal no longer removes the leader elected since. A refused campaign takes over the epoch record that refused it. Ruled out: a fixed pause (too long for the rank delays of a small domain, too short at twice the size); keys by failure domain (entries of the last build would not see the others). Tests first: the cost of entries that end together at 50 and 200 entries, tries and return of refused entries, a configuration's calls, a compaction, half of the entries killed, the order of late events.

--- a/src/node.rs
+++ b/src/node.rs
@@ -56,6 +56,8 @@
 #[cfg(test)]
 mod members_tests;
 #[cfg(test)]
+mod scale_tests;
+#[cfg(test)]
 mod takeover_tests;
 #[cfg(test)]
 mod tests;
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -22,6 +22,7 @@
     leader_key,
 };
 use crate::node::lateness::LatenessMonitor;
+use crate::node::members::apply_write;
 use crate::node::peers::PeerClient;
 use crate::node::records::{EntryRecord, EpochRecord, LeaderRecord, LeaderTerm};
 use crate::node::shared::NodeShared;
@@ -321,15 +322,19 @@
                         return;
                     }
                     shard_view.leader = Some(record);
-                    shard_view.epoch = epoch;
-                    shard_view.epoch_revision = revision;
-                    shard_view.holder = epoch_record.holder;
+                    shard_view.leader_revision = revision;
+                    shard_view.apply_epoch(epoch, epoch_record.holder, revision);
                 });
                 let renewed = self.renewed;
                 let term = LeaderTerm { epoch, epoch_revision: revision, predecessor };
                 self.candidacy(shard).begin(term, renewed);
             }
-            Ok(TransactionOutcome::Conflict(_)) => sleep(RETRY_PAUSE).await,
+            Ok(TransactionOutcome::Conflict(items)) => {
+                self.shared.members.send_modify(|view| {
+                    items.iter().for_each(|item| apply_write(view, item));
+                });
+                sleep(RETRY_PAUSE).await;
+            }
             Ok(TransactionOutcome::NoLease) => self.note_lease_expiry(),
             Err(_) => sleep(RETRY_PAUSE).await,
         }
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -113,7 +113,8 @@
     fn note_vacant(&self, shard: &ShardId, epoch_revision: u64) {
         self.shared.members.send_modify(|view| {
             let shard_view = view.shards.entry(shard.clone()).or_default();
-            (shard_view.leader, shard_view.epoch_revision) = (None, epoch_revision);
+            (shard_view.leader, shard_view.leader_revision) = (None, epoch_revision);
+            shard_view.epoch_revision = epoch_revision;
         });
     }
 
@@ -166,6 +167,7 @@
         self.shared.members.send_modify(|view| {
             let shard_view = view.shards.entry(shard.clone()).or_default();
             shard_view.leader = Some(record);
+            shard_view.leader_revision = shard_view.leader_revision.max(term.epoch_revision);
             shard_view.epoch = term.epoch;
             shard_view.epoch_revision = term.epoch_revision;
             shard_view.holder = Some((name, start));
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -7,8 +7,10 @@
 
 /// Prefix of all keys that entries watch.
 pub(crate) const MEMBER_PREFIX: &str = "m/";
+/// Prefix of the keys of entries and of epoch records.
+pub(crate) const ROSTER_PREFIX: &str = "m/e";
 /// Key of the leader, written under its lease; each shard has its own.
-const LEADER_KEY: &str = "m/leader";
+pub(crate) const LEADER_KEY: &str = "m/leader";
 /// Key of the epoch record, which counts elections. Everything that a leader writes is conditional on its revision. A
 /// leader key is always written together with the epoch key of its shard.
 const EPOCH_KEY: &str = "m/epoch";
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -1,4 +1,8 @@
 //! Loop that keeps the view of the registered entries, leaders and shard plan current.
+//!
+//! Every entry needs the leaders at once, and they change rarely. The list of entries changes with each start and end of
+//! an entry, and all entries follow it, so it is followed in batches: otherwise the calls to the store would grow with
+//! the square of the number of entries.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,21 +11,26 @@
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
+use crate::node::availability::{StoreRetry, WATCH_WAIT};
 use crate::node::keys::{
-    ENTRY_PREFIX, KeyEvent, KeyItem, MEMBER_PREFIX, PLAN_KEY, StoreError, UnreadableKind,
-    WatchOutcome, count_unreadable, shard_of_epoch, shard_of_leader,
+    ENTRY_PREFIX, KeyEvent, KeyItem, LEADER_KEY, MEMBER_PREFIX, PLAN_KEY, ROSTER_PREFIX,
+    StoreError, UnreadableKind, WatchOutcome, count_unreadable, shard_of_epoch, shard_of_leader,
 };
 use crate::node::records::{EntryRecord, EpochRecord, unknown_leader};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 
-/// Name of this loop in the log.
+/// Name in the log of following the entries.
 const LOG_NAME: &str = "members";
-/// Maximum wait of a watch call: a dead connection is noticed after this time and the slack of the watch, within the
-/// three seconds that count as a disruption.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a failed call.
+/// Name in the log of following the leaders.
+const LEADER_LOG_NAME: &str = "leaders";
+/// Delay before the first retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a batch of changes, for each registered entry: all entries together then make 2,500 calls a second at
+/// most, however many they are.
+const BATCH_PAUSE_PER_ENTRY: Duration = Duration::from_micros(400);
+/// Longest pause after a batch of changes.
+const MAX_BATCH_PAUSE: Duration = Duration::from_secs(1);
 
 /// Follows the member keys in the store.
 pub(crate) struct MembershipLoop {
@@ -35,14 +44,24 @@
 
     /// Runs for the lifetime of the process.
     pub(crate) async fn run(self) {
+        let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
         loop {
-            let result = match self.read().await {
-                Ok(after) => self.follow(after).await,
-                Err(error) => Err(error),
+            let Some(read) = retry.until_return(self.read()).await else {
+                continue;
             };
-            if let Err(error) = result {
-                self.shared.dependencies.store.failed(LOG_NAME, error);
-                sleep(RETRY_PAUSE).await;
+            match read {
+                Ok(after) => {
+                    retry.note_answer();
+                    tokio::select! {
+                        () = self.follow_leaders(after) => {}
+                        () = self.follow_roster(after) => {}
+                    }
+                    info!("the store has compacted its history: reading the members again");
+                }
+                Err(error) => {
+                    self.shared.dependencies.store.failed(LOG_NAME, error);
+                    retry.pause().await;
+                }
             }
         }
     }
@@ -64,52 +83,123 @@
             match page.items.last() {
                 Some(last) if page.more => after = last.key.clone(),
                 _ => {
-                    self.publish(view);
+                    self.publish(view, first);
                     return Ok(first);
                 }
             }
         }
     }
 
-    async fn follow(&self, mut after: u64) -> Result<(), StoreError> {
+    /// Publishes the view that was read from revision `read_from` on. Changes of leaders that were known by then and are
+    /// newer stay.
+    fn publish(&self, mut view: MemberView, read_from: u64) {
+        self.shared.members.send_if_modified(|old| {
+            let newer = old.shards.iter().filter(|(_, known)| known.leader_revision > read_from);
+            for (shard, known) in newer {
+                let read = view.shards.entry(shard.clone()).or_default();
+                if known.leader_revision > read.leader_revision {
+                    *read = known.clone();
+                }
+            }
+            log_leader_changes(old, &view);
+            let is_changed = *old != view;
+            *old = view;
+            is_changed
+        });
+    }
+
+    /// Follows the leaders until the store has compacted its history.
+    async fn follow_leaders(&self, mut after: u64) {
+        let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
+        while let Some((events, revision)) =
+            self.next_changes(LEADER_LOG_NAME, LEADER_KEY, after, &mut retry).await
+        {
+            after = revision;
+            self.apply(events);
+        }
+    }
+
+    /// Follows the entries and epochs in batches, until the store has compacted its history. The shard plan is followed
+    /// as well until it is known.
+    async fn follow_roster(&self, mut after: u64) {
+        let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
         loop {
-            match self.shared.store.watch(MEMBER_PREFIX, after, WATCH_WAIT).await? {
-                WatchOutcome::Events { events, revision } => {
-                    self.shared.note_store_answer(LOG_NAME);
-                    after = after.max(revision);
-                    if events.is_empty() {
-                        continue;
-                    }
-                    let mut view = self.shared.members.borrow().clone();
-                    for event in events {
-                        match event {
-                            KeyEvent::Written(item) => apply_write(&mut view, &item),
-                            KeyEvent::Removed { key, .. } => apply_removal(&mut view, &key),
-                        }
-                    }
-                    self.publish(view);
+            let prefix = match self.shared.members.borrow().plan {
+                Some(_) => ROSTER_PREFIX,
+                None => MEMBER_PREFIX,
+            };
+            let Some((events, revision)) =
+                self.next_changes(LOG_NAME, prefix, after, &mut retry).await
+            else {
+                return;
+            };
+            after = revision;
+            if !events.is_empty() {
+                self.apply(events);
+                sleep(self.batch_pause()).await;
+            }
+        }
+    }
+
+    fn batch_pause(&self) -> Duration {
+        let entries = u32::try_from(self.shared.members.borrow().entries.len()).unwrap_or(u32::MAX);
+        BATCH_PAUSE_PER_ENTRY.saturating_mul(entries).min(MAX_BATCH_PAUSE)
+    }
+
+    /// Waits for changes after a revision, or until a watch ends without any. Returns them with the revision to continue
+    /// from, or `None` if the store has compacted its history. A failed call is repeated from the same revision.
+    async fn next_changes(
+        &self,
+        log_name: &str,
+        prefix: &str,
+        after: u64,
+        retry: &mut StoreRetry,
+    ) -> Option<(Vec<KeyEvent>, u64)> {
+        loop {
+            let watch = self.shared.store.watch(prefix, after, WATCH_WAIT);
+            let Some(outcome) = retry.until_return(watch).await else {
+                continue;
+            };
+            match outcome {
+                Ok(WatchOutcome::Events { events, revision }) => {
+                    self.shared.note_store_answer(log_name);
+                    retry.note_answer();
+                    return Some((events, after.max(revision)));
                 }
-                WatchOutcome::HistoryGone => {
-                    info!("the store has compacted its history: reading the members again");
-                    return Ok(());
+                Ok(WatchOutcome::HistoryGone) => return None,
+                Err(error) => {
+                    self.shared.dependencies.store.failed(log_name, error);
+                    retry.pause().await;
                 }
             }
         }
     }
 
-    fn publish(&self, view: MemberView) {
-        let changed = |old: &mut MemberView| {
-            for (shard, shard_view) in &view.shards {
-                if old.leader(shard) != shard_view.leader.as_ref() {
-                    let leader = shard_view.leader.as_ref().map(|leader| &*leader.entry);
-                    info!(leader:? = leader, shard = &**shard, epoch = shard_view.epoch; "leader changed");
+    fn apply(&self, events: Vec<KeyEvent>) {
+        if events.is_empty() {
+            return;
+        }
+        let count = events.len() as u64;
+        metrics::counter!("kelplink_member_events_total").increment(count);
+        self.shared.members.send_modify(|view| {
+            let before = MemberView { shards: view.shards.clone(), ..MemberView::default() };
+            for event in events {
+                match event {
+                    KeyEvent::Written(item) => apply_write(view, &item),
+                    KeyEvent::Removed { key, revision } => apply_removal(view, &key, revision),
                 }
             }
-            let changed = *old != view;
-            *old = view;
-            changed
-        };
-        self.shared.members.send_if_modified(changed);
+            log_leader_changes(&before, view);
+        });
+    }
+}
+
+fn log_leader_changes(before: &MemberView, after: &MemberView) {
+    for (shard, shard_view) in &after.shards {
+        if before.leader(shard) != shard_view.leader.as_ref() {
+            let leader = shard_view.leader.as_ref().map(|leader| &*leader.entry);
+            info!(leader:? = leader, shard = &**shard, epoch = shard_view.epoch; "leader changed");
+        }
     }
 }
 
@@ -119,15 +209,11 @@
         view.plan = decode(item).map(Arc::new).or(view.plan.take());
     } else if let Some(shard) = shard_of_leader(key) {
         let record = decode(item);
-        view.shards.entry(shard).or_default().apply_leader(record);
+        view.shards.entry(shard).or_default().apply_leader(record, item.revision);
     } else if let Some(shard) = shard_of_epoch(key) {
         let record = decode(item).unwrap_or_else(|| unreadable_epoch(item));
         let shard_view = view.shards.entry(shard).or_default();
-        if item.revision >= shard_view.epoch_revision {
-            shard_view.epoch = record.epoch;
-            shard_view.holder = record.holder;
-            shard_view.epoch_revision = item.revision;
-        }
+        shard_view.apply_epoch(record.epoch, record.holder, item.revision);
         view.best = view.best.max(record.best);
     } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX)
         && let Some(entry) = decode::<EntryRecord>(item)
@@ -143,12 +229,12 @@
     EpochRecord { epoch: item.revision, holder: Some(unknown_leader()), best: 0.0 }
 }
 
-pub(super) fn apply_removal(view: &mut MemberView, key: &str) {
+pub(super) fn apply_removal(view: &mut MemberView, key: &str, revision: u64) {
     if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
         view.entries.remove(name);
     }
     if let Some(shard_view) = shard_of_leader(key).and_then(|shard| view.shards.get_mut(&shard)) {
-        shard_view.forget_leader();
+        shard_view.forget_leader(revision);
     }
 }
 
--- a/src/node/members_tests.rs
+++ b/src/node/members_tests.rs
@@ -111,7 +111,7 @@
     let mut view = view_with_third_leader();
     apply_write(&mut view, &item(leader_key(&undivided), &leader_of(2), 8));
     expect_that!(view.leader(&undivided), some(eq(&leader_of(3))));
-    apply_removal(&mut view, &leader_key(&undivided));
+    apply_removal(&mut view, &leader_key(&undivided), 9);
     expect_that!(view.leader(&undivided), some(eq(&leader_of(3))));
 }
 
@@ -122,7 +122,7 @@
     let elected = EpochRecord { epoch: 3, ..EpochRecord::default() };
     apply_write(&mut view, &item(epoch_key(&undivided), &elected, 9));
     apply_write(&mut view, &item(leader_key(&undivided), &leader_of(3), 9));
-    apply_removal(&mut view, &leader_key(&undivided));
+    apply_removal(&mut view, &leader_key(&undivided), 10);
     expect_that!(view.leader(&undivided), none());
 }
 
@@ -138,3 +138,32 @@
     expect_that!(view.shard(&undivided).epoch, eq(3));
     expect_that!(view.shard(&undivided).epoch_revision, eq(9));
 }
+
+// The removal of the previous leader's key may be delivered after the answer to the next election.
+#[gtest]
+fn a_late_removal_does_not_remove_the_leader_elected_since() {
+    let undivided = ShardId::from("");
+    let mut view = MemberView::default();
+    apply_write(&mut view, &item(leader_key(&undivided), &leader_of(4), 20));
+    apply_removal(&mut view, &leader_key(&undivided), 18);
+    expect_that!(view.leader(&undivided), some(eq(&leader_of(4))));
+    apply_write(&mut view, &item(leader_key(&undivided), &leader_of(4), 20));
+    apply_removal(&mut view, &leader_key(&undivided), 21);
+    apply_write(&mut view, &item(leader_key(&undivided), &leader_of(4), 20));
+    expect_that!(view.leader(&undivided), none());
+}
+
+// The entries and epochs are followed in batches, so the epoch of a leader may arrive after the leader.
+#[gtest]
+fn a_leader_record_tells_the_epoch_and_its_revision() {
+    let undivided = ShardId::from("");
+    let mut view = MemberView::default();
+    apply_write(&mut view, &item(leader_key(&undivided), &leader_of(4), 20));
+    let shard_view = view.shard(&undivided);
+    expect_that!((shard_view.epoch, shard_view.epoch_revision), eq((4, 20)));
+    expect_that!(shard_view.holder, some(eq(&(EntryId::from("e1"), 4))));
+    let vacated = EpochRecord { epoch: 4, holder: None, best: 0.0 };
+    apply_write(&mut view, &item(epoch_key(&undivided), &vacated, 22));
+    expect_that!(view.shard(&undivided).epoch_revision, eq(22));
+    expect_that!(view.shard(&undivided).holder, none());
+}
--- /dev/null
+++ b/src/node/scale_tests.rs
@@ -0,0 +1,137 @@
+//! Calls to the store, counted over all entries of a simulated fleet.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::node::entry_store::StoreCallKind;
+use crate::node::simulated_store::{StoreAccess, StoreCallCount};
+use crate::node::simulation::SimulatedFleet;
+
+const DOMAINS: usize = 5;
+/// Time after the start in which all entries register and the leaders are elected.
+const START_TIME: Duration = Duration::from_secs(5);
+
+async fn fleet(entries: usize) -> SimulatedFleet {
+    let fleet = SimulatedFleet::start(entries, DOMAINS, 1).await;
+    sleep(START_TIME).await;
+    assert_eq!(fleet.led(), entries, "not all entries know the leaders");
+    assert_eq!(fleet.informed(), entries, "not all entries know all others");
+    fleet
+}
+
+/// Runs the fleet for some time and returns the calls for each entry.
+async fn calls_for_each(fleet: &SimulatedFleet, time: Duration) -> f64 {
+    let before = fleet.store().call_count();
+    sleep(time).await;
+    let after = fleet.store().call_count();
+    (after.total() - before.total()) as f64 / fleet.running() as f64
+}
+
+/// Sets how the store treats a third of the entries, none of which leads.
+fn refuse_third(fleet: &SimulatedFleet, entries: usize, access: StoreAccess) {
+    let numbers = (entries - entries / 3)..entries;
+    assert!(!numbers.clone().any(|number| fleet.leads(number)));
+    for client in numbers.filter_map(|number| fleet.client(number)) {
+        fleet.store().set_access(client, access);
+    }
+}
+
+// Each end of an entry woke the watches of all others at once, one after the other: half of 600 entries that ended
+// together cost 300 calls for each of the others.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn entries_that_end_together_cost_each_other_entry_the_same_in_a_fleet_of_any_size() {
+    let mut costs = Vec::new();
+    for entries in [50, 200] {
+        let mut fleet = fleet(entries).await;
+        let idle = calls_for_each(&fleet, Duration::from_secs(5)).await;
+        for number in (0..entries / 2).filter(|number| number % 2 == 0) {
+            fleet.kill_entry(number);
+            sleep(Duration::from_millis(7)).await;
+        }
+        let cost = calls_for_each(&fleet, Duration::from_secs(5)).await;
+        expect_that!(fleet.informed(), eq(fleet.running()));
+        costs.push(cost - idle);
+    }
+    expect_that!(costs[1], le(2.0 * costs[0].max(5.0)), "{costs:?}");
+}
+
+// All loops of an entry that the store refuses tried again ten times a second each.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_the_store_refuses_tries_few_times() {
+    let entries = 30;
+    for access in [StoreAccess::Refused, StoreAccess::Silent] {
+        let fleet = fleet(entries).await;
+        refuse_third(&fleet, entries, access);
+        let before = fleet.store().call_count();
+        sleep(Duration::from_secs(9)).await;
+        let failed = fleet.store().call_count().failed - before.failed;
+        // Renewals twice a second, and each of the other three loops once in two seconds.
+        let limit = entries as u64 / 3 * 9 * 5;
+        expect_that!(failed, le(limit), "{access:?}");
+        expect_that!(failed, ge(entries as u64 / 3 * 9 / 2), "{access:?}");
+    }
+}
+
+// The loops wait up to two seconds between their tries, and a watch ten seconds for a change.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_continues_as_soon_as_the_store_answers_again() {
+    let entries = 30;
+    for access in [StoreAccess::Refused, StoreAccess::Silent] {
+        let fleet = fleet(entries).await;
+        refuse_third(&fleet, entries, access);
+        sleep(Duration::from_millis(8_300)).await;
+        fleet.configure(2);
+        refuse_third(&fleet, entries, StoreAccess::Open);
+        // A renewal that is not answered takes 0.8 s, and the longest pause after it is 0.6 s.
+        sleep(Duration::from_millis(1_600)).await;
+        expect_that!(fleet.configured(2), eq(entries), "{access:?}");
+        sleep(Duration::from_millis(500)).await;
+        expect_that!(fleet.informed(), eq(entries), "{access:?}");
+    }
+}
+
+// A configuration reaches all entries with the watch that waits for it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_configuration_costs_each_entry_one_call() {
+    let entries = 60;
+    let fleet = fleet(entries).await;
+    let watches = |count: StoreCallCount| count.of(StoreCallKind::Watch);
+    let before = watches(fleet.store().call_count());
+    fleet.configure(2);
+    sleep(Duration::from_millis(50)).await;
+    expect_that!(fleet.configured(2), eq(entries));
+    let cost = watches(fleet.store().call_count()) - before;
+    expect_that!(cost, all![ge(entries as u64), le(2 * entries as u64)]);
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn entries_read_the_members_again_after_a_compaction() {
+    let mut fleet = fleet(40).await;
+    fleet.store().compact();
+    fleet.kill_entry(7);
+    sleep(Duration::from_secs(3)).await;
+    expect_that!(fleet.informed(), eq(39));
+    expect_that!(fleet.led(), eq(39));
+}
+
+// The killed entries include leaders.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn each_shard_has_a_leader_again_after_half_of_the_entries_were_killed() {
+    let mut fleet = fleet(100).await;
+    for number in 0..50 {
+        fleet.kill_entry(number);
+    }
+    sleep(Duration::from_secs(4)).await;
+    expect_that!(fleet.led(), eq(50));
+    (0..50).for_each(|number| fleet.start_entry(number));
+    sleep(Duration::from_secs(3)).await;
+    expect_that!(fleet.informed(), eq(100));
+}
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct ShardView {
     pub(crate) leader: Option<LeaderRecord>,
+    /// Revision of the last known change of the leader key; 0 before the first.
+    pub(crate) leader_revision: u64,
     /// Revision of the epoch key; 0 before the first election.
     pub(crate) epoch_revision: u64,
     pub(crate) epoch: LeaderEpoch,
@@ -24,21 +26,45 @@
 }
 
 impl ShardView {
-    /// Applies a leader record from the store, unless another entry has already reported a later leader, which the
-    /// watch has not reached yet.
-    pub(crate) fn apply_leader(&mut self, record: Option<LeaderRecord>) {
-        let stale = match (&record, &self.leader) {
+    /// Applies a leader record that the store has since `revision`; `None` if it is unreadable. A leader that another
+    /// entry has reported, and whose election the watch has not reached yet, stays.
+    pub(crate) fn apply_leader(&mut self, record: Option<LeaderRecord>, revision: u64) {
+        if revision <= self.leader_revision {
+            return;
+        }
+        self.leader_revision = revision;
+        if let Some(record) = &record {
+            let holder = Some((record.entry.clone(), record.start));
+            self.apply_epoch(record.epoch, holder, revision);
+        }
+        let is_stale = match (&record, &self.leader) {
             (Some(record), Some(known)) => record.epoch < known.epoch,
             _ => false,
         };
-        if !stale {
+        if !is_stale {
             self.leader = record;
         }
     }
 
-    /// Removes the leader after its key was removed from the store. A leader whose election the watch has not reached
-    /// yet stays, as the removed key was that of an earlier leader.
-    pub(crate) fn forget_leader(&mut self) {
+    /// Applies the epoch and the holder that the store has since `revision`.
+    pub(crate) fn apply_epoch(
+        &mut self,
+        epoch: LeaderEpoch,
+        holder: Option<(EntryId, u64)>,
+        revision: u64,
+    ) {
+        if revision >= self.epoch_revision {
+            (self.epoch, self.holder, self.epoch_revision) = (epoch, holder, revision);
+        }
+    }
+
+    /// Applies the removal of the leader key from the store. A leader whose election the watch has not reached yet stays,
+    /// as the removed key was that of an earlier leader.
+    pub(crate) fn forget_leader(&mut self, revision: u64) {
+        if revision <= self.leader_revision {
+            return;
+        }
+        self.leader_revision = revision;
         if self.leader.as_ref().is_some_and(|leader| leader.epoch <= self.epoch) {
             self.leader = None;
         }
