Spread the campaigns of late ranks over time

Cause: all entries ranked after the twentieth campaigned at the same moment. A failure domain of 110 entries that finds no leader among the first twenty sent 90 transactions together, of which one succeeds. Change: later ranks are spread evenly over 1.2 s, whatever their number. Ruled out: the same delay for each rank (30 s at 500 entries, if the first ones may not campaign); a random delay (two entries may still draw the same). Test first: entries of one campaign time at 100, 600 and 1,200 entries, at most one (before: 80, 580, 1,180).

--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -18,8 +18,11 @@
 
 /// Delay between consecutive ranks: each entry campaigns this much later than the one ranked before it.
 const RANK_PAUSE: Duration = Duration::from_millis(60);
-/// Number of ranks with a delay of their own; all later entries campaign at the same time.
+/// Number of ranks with this delay between them.
 const RANKED_ENTRIES: u32 = 20;
+/// Time over which all later ranks are spread, however many there are: entries that campaign together each send a
+/// transaction, of which one succeeds.
+const LATE_RANK_SPREAD: Duration = Duration::from_millis(1_200);
 /// Delay of the other failure domains while no entry of the shard's own domain is registered. The domain is then cut
 /// off, for 5 to 7 s on users' deployments, and its leader resumes with its state in memory once it is reachable again.
 const CUT_OFF_PAUSE: Duration = Duration::from_millis(7_000);
@@ -220,7 +223,7 @@
             return Duration::ZERO;
         }
         let rank = view.rank(&self.shard, &self.shared.settings.name);
-        let campaign_time = RANK_PAUSE * (rank.before.min(RANKED_ENTRIES) + 1);
+        let campaign_time = rank_pause(rank.before, view.entries.len());
         match awaited {
             AwaitedEntry::OfDomain if rank.in_other_domain => CUT_OFF_PAUSE + campaign_time,
             AwaitedEntry::Strong => STRONG_MACHINE_PAUSE + campaign_time,
@@ -266,3 +269,12 @@
         }
     }
 }
+
+/// Returns the delay of an entry with `before` entries ranked before it, of `entries` in all.
+pub(super) fn rank_pause(before: u32, entries: usize) -> Duration {
+    let ranked = RANK_PAUSE * (before.min(RANKED_ENTRIES) + 1);
+    let late_rank = before.saturating_sub(RANKED_ENTRIES);
+    let late_entries = u32::try_from(entries).unwrap_or(u32::MAX).saturating_sub(RANKED_ENTRIES);
+    let spread = f64::from(late_rank.min(late_entries)) / f64::from(late_entries.max(1));
+    ranked + LATE_RANK_SPREAD.mul_f64(spread)
+}
--- a/src/node/scale_tests.rs
+++ b/src/node/scale_tests.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use tokio::time::sleep;
 
+use crate::node::candidacy::rank_pause;
 use crate::node::entry_store::StoreCallKind;
 use crate::node::simulated_store::{StoreAccess, StoreCallCount};
 use crate::node::simulation::SimulatedFleet;
@@ -135,3 +136,18 @@
     sleep(Duration::from_secs(3)).await;
     expect_that!(fleet.informed(), eq(100));
 }
+
+// All entries of a rank above 20 campaigned at the same moment: a failure domain of 110 entries without a leader sent 90
+// transactions together.
+#[gtest]
+fn entries_of_late_ranks_do_not_campaign_together() {
+    for entries in [100, 600, 1_200] {
+        let pauses: Vec<Duration> =
+            (0..entries).map(|before| rank_pause(before, entries as usize)).collect();
+        let longest_together =
+            pauses.iter().map(|pause| pauses.iter().filter(|other| *other == pause).count()).max();
+        expect_that!(longest_together, some(eq(1)), "{entries}");
+        expect_that!(pauses.is_sorted(), eq(true));
+        expect_that!(pauses.last(), some(le(&Duration::from_millis(2_500))));
+    }
+}
