Show operators what an entry knows of the others, and its configuration

Purpose: on hundreds of entries an operator could not see from metrics which entries the store refuses, which shard has no leader and how far a configuration has come.

--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -104,6 +104,7 @@
             log_leader_changes(old, &view);
             let is_changed = *old != view;
             *old = view;
+            update_metrics(old);
             is_changed
         });
     }
@@ -190,10 +191,18 @@
                 }
             }
             log_leader_changes(&before, view);
+            update_metrics(view);
         });
     }
 }
 
+fn update_metrics(view: &MemberView) {
+    let shards = view.all_shards().unwrap_or_default();
+    let leaderless = shards.iter().filter(|shard| view.leader(shard).is_none()).count();
+    metrics::gauge!("kelplink_leaderless_shards").set(leaderless as f64);
+    metrics::gauge!("kelplink_known_entries").set(view.entries.len() as f64);
+}
+
 fn log_leader_changes(before: &MemberView, after: &MemberView) {
     for (shard, shard_view) in &after.shards {
         if before.leader(shard) != shard_view.leader.as_ref() {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -111,6 +111,7 @@
         let (version, queues) = (config.version, config.queues.len());
         let workspaces = config.workspaces.len();
         info!(version, before:? = before, queues, workspaces, source; "configuration applied");
+        metrics::gauge!("kelplink_config_version").set(config.version as f64);
         self.config.send_replace(Some(Arc::new(config)));
     }
 
