Give each platform test a number of its own

Cause: three tests of API keys had the numbers 40 to 42, which the tests of registrations have too. The number makes the loopback addresses and the folder of a test's entries, so two tests that ran at the same time shared them. Change: the tests of API keys are 44 to 46. Ruled out: a leftover folder (there was none).

--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -1,9 +1,11 @@
 //! Starts entry processes, each on its own loopback address, and calls them.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -21,6 +23,9 @@
 /// Longest wait for any condition. No check depends on how long a wait took.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
+/// Numbers of the tests of this process.
+static TEST_NUMBERS: Mutex<BTreeSet<u8>> = Mutex::new(BTreeSet::new());
+
 /// An HTTP answer of an entry.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -98,8 +103,11 @@
     ) -> Self {
         let platform = Platform::start(address(test, 1), workers, domains).await;
         platform.configure(1, queues);
-        let folder = std::env::temp_dir().join(format!("kelplink-{}-{test}", std::process::id()));
-        // Fails if two tests have the same number: they would share addresses and logs.
+        // Tests with the same number would share addresses and logs.
+        assert!(TEST_NUMBERS.lock().unwrap().insert(test), "two tests have the number {test}");
+        // A process of an earlier run may have had the same id and left its folder.
+        let (process, unique) = (std::process::id(), rand::random::<u64>());
+        let folder = std::env::temp_dir().join(format!("kelplink-{process}-{test}-{unique:x}"));
         fs::create_dir(&folder).unwrap();
         let http = Client::builder(TokioExecutor::new()).build_http();
         let mut cluster = Self { platform, entries: Vec::new(), folder, http };
--- a/tests/platform/identity.rs
+++ b/tests/platform/identity.rs
@@ -59,7 +59,7 @@
 #[gtest]
 #[tokio::test]
 async fn requests_without_one_valid_key_are_refused_before_anything_is_done() {
-    let cluster = cluster(40).await;
+    let cluster = cluster(44).await;
     let (valid, lower) = (token(FIRST_KEY), format!("Basic {FIRST_KEY}"));
     let (padded, cut) = (format!("{valid}x"), valid[..valid.len() - 1].to_owned());
     let (unknown, listed) = (token(UNKNOWN_KEY), format!("{valid}, {valid}"));
@@ -101,7 +101,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_job_is_visible_to_all_keys_of_its_workspace_and_to_no_other() {
-    let cluster = cluster(41).await;
+    let cluster = cluster(45).await;
     expect_that!(status(&cluster, Method::POST, JOB, FIRST_KEY).await, eq(StatusCode::OK));
     expect_that!(status(&cluster, Method::POST, JOB, SECOND_KEY).await, eq(StatusCode::OK));
     expect_that!(status(&cluster, Method::POST, JOB, OTHER_KEY).await, eq(StatusCode::CONFLICT));
@@ -127,7 +127,7 @@
 #[gtest]
 #[tokio::test]
 async fn keys_that_are_taken_away_are_refused_and_appear_in_no_output() {
-    let cluster = cluster(42).await;
+    let cluster = cluster(46).await;
     expect_that!(status(&cluster, Method::POST, JOB, FIRST_KEY).await, eq(StatusCode::OK));
     cluster.platform.configure_workspaces(3, &QUEUES, BODY_BYTES, &[("meadow", &[OTHER_KEY])]);
     wait_refused(&cluster, FIRST_KEY).await;
