Give each duty of src/graph a folder of its own

Cause: more than forty files stood side by side; parts that come next need a place each. Moves and paths only: workload (jobs), workers, placement, admission, storing, sharding.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -1,58 +1,39 @@
 //! Jobs that are graphs of steps: the decisions of a leader, without any I/O.
 
-mod advice;
-mod allowance;
-mod answer_time;
-mod begin_evidence;
-mod changes;
-mod commit;
+mod admission;
 mod controller;
-mod crash;
-mod crash_table;
 mod event;
 mod exchange;
-mod health;
-mod home;
-mod instances;
-mod job;
-mod jobs;
-mod name;
-mod notice;
-mod placer;
-mod poll_pacer;
-mod preemption;
-mod progress;
-mod queue;
-mod remote_workers;
-mod send_window;
-mod shard;
-mod share;
-mod spec;
-mod step_capacity;
-mod submission_rate;
-mod worker;
-mod worker_event;
+mod placement;
+mod sharding;
+mod storing;
+mod workers;
+mod workload;
 
-pub use advice::{AdviceCall, AdviceId, AdviceKey, AdviceRequest, AdviceTable, StepAdvice};
-pub use answer_time::AnswerTimeout;
-pub use commit::{CommitGroup, CommitQueue, GroupEffect, GroupNumber, NameHolder, TakenName};
 pub use controller::{GraphBounds, GraphController, RestoredState};
-pub use crash::SuspectRun;
 pub use event::{CommandResult, GraphAction, GraphAnswer, PollResult, StartCommand};
 pub use exchange::*;
-pub use health::{HealthRank, WorkerHealth};
-pub use home::UnsettledDomains;
-pub use instances::InstanceTable;
-pub use job::{GraphJob, GraphRecord, GraphState, LiveRun};
-pub use jobs::JobTable;
-pub use name::*;
-pub use notice::{NoticeKind, ShardNotice};
-pub use placer::{PassPlan, PassView, PlacementPass, PlannedStart};
-pub use preemption::{CapacityReservation, PlannedPreemption, ReservationTable};
-pub use progress::{GraphProgress, GraphVerdict};
-pub use queue::{AdviceRule, PoolRule, QueueConfig, QueueRule, RequestLimits};
-pub use send_window::SendWindow;
-pub use shard::{ShardId, ShardPlan, ShardScope};
-pub use share::{ShareRange, TaskShare};
-pub use spec::{GraphSpec, RepeatRule, StepSpec};
-pub use worker::{InstanceEnd, RunPhase, WorkerInstance, WorkerRun};
+pub use placement::advice::{
+    AdviceCall, AdviceId, AdviceKey, AdviceRequest, AdviceTable, StepAdvice,
+};
+pub use placement::home::UnsettledDomains;
+pub use placement::placer::{PassPlan, PassView, PlacementPass, PlannedStart};
+pub use placement::preemption::{CapacityReservation, PlannedPreemption, ReservationTable};
+pub use sharding::notice::{NoticeKind, ShardNotice};
+pub use sharding::shard::{ShardId, ShardPlan, ShardScope};
+pub use sharding::share::{ShareRange, TaskShare};
+pub use storing::commit::{
+    CommitGroup, CommitQueue, GroupEffect, GroupNumber, NameHolder, TakenName,
+};
+pub use workers::answer_time::AnswerTimeout;
+pub use workers::health::{HealthRank, WorkerHealth};
+pub use workers::instances::InstanceTable;
+pub use workers::send_window::SendWindow;
+pub use workers::worker::{InstanceEnd, RunPhase, WorkerInstance, WorkerRun};
+pub use workload::crash::SuspectRun;
+pub use workload::job::{GraphJob, GraphRecord, GraphState, LiveRun};
+pub use workload::jobs::JobTable;
+pub use workload::name::*;
+pub use workload::progress::{GraphProgress, GraphVerdict};
+pub use workload::queue::{AdviceRule, PoolRule, QueueConfig, QueueRule, RequestLimits};
+pub use workload::spec::{GraphSpec, RepeatRule, StepSpec};
--- a/src/graph/allowance.rs
+++ b/src/graph/admission/allowance.rs
@@ -3,11 +3,11 @@
 //! The load pattern behind it is a customer that submits several times its usual: without a limit its
 //! backlog fills the workers and delays the jobs of all others.
 
-use crate::graph::home::UnsettledDomains;
-use crate::graph::instances::InstanceTable;
-use crate::graph::job::GraphJob;
-use crate::graph::jobs::JobTable;
-use crate::graph::step_capacity::tasks_that_fit;
+use crate::graph::placement::home::UnsettledDomains;
+use crate::graph::placement::step_capacity::tasks_that_fit;
+use crate::graph::workers::instances::InstanceTable;
+use crate::graph::workload::job::GraphJob;
+use crate::graph::workload::jobs::JobTable;
 use crate::id::{UnixMillis, WorkspaceId};
 use crate::resources::ResourceVector;
 use crate::workspace::WorkspaceAmounts;
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -16,25 +16,25 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::graph::advice::{AdviceId, AdviceTable};
-use crate::graph::commit::CommitQueue;
+use crate::graph::admission::submission_rate::SubmissionRates;
 use crate::graph::controller::submissions::DeferredSubmission;
-use crate::graph::crash::WorkerCrash;
 use crate::graph::event::{GraphAction, PollResult};
 use crate::graph::exchange::{TicketText, UsedWorker, WorkerRegistration};
-use crate::graph::home::UnsettledDomains;
-use crate::graph::instances::{InstanceTable, WORKER_LEASE};
-use crate::graph::job::{GraphJob, GraphRecord};
-use crate::graph::jobs::JobTable;
-use crate::graph::name::{AttemptId, GraphId, LeaderEpoch, RunNumber, TaskName};
-use crate::graph::placer::{PassView, PlacementPass};
-use crate::graph::preemption::ReservationTable;
-use crate::graph::progress::GraphProgress;
-use crate::graph::queue::QueueConfig;
-use crate::graph::remote_workers::RemoteWorkerTable;
-use crate::graph::send_window::SendWindow;
-use crate::graph::shard::ShardScope;
-use crate::graph::submission_rate::SubmissionRates;
+use crate::graph::placement::advice::{AdviceId, AdviceTable};
+use crate::graph::placement::home::UnsettledDomains;
+use crate::graph::placement::placer::{PassView, PlacementPass};
+use crate::graph::placement::preemption::ReservationTable;
+use crate::graph::sharding::remote_workers::RemoteWorkerTable;
+use crate::graph::sharding::shard::ShardScope;
+use crate::graph::storing::commit::CommitQueue;
+use crate::graph::workers::instances::{InstanceTable, WORKER_LEASE};
+use crate::graph::workers::send_window::SendWindow;
+use crate::graph::workload::crash::WorkerCrash;
+use crate::graph::workload::job::{GraphJob, GraphRecord};
+use crate::graph::workload::jobs::JobTable;
+use crate::graph::workload::name::{AttemptId, GraphId, LeaderEpoch, RunNumber, TaskName};
+use crate::graph::workload::progress::GraphProgress;
+use crate::graph::workload::queue::QueueConfig;
 use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId, WorkspaceId};
 use crate::quota::QuotaController;
 use crate::workspace::{WorkspaceAmounts, WorkspaceRule};
@@ -501,7 +501,7 @@
         }
         for gang in &plan.gangs {
             let base = self.run_base();
-            let next = |start: &crate::graph::placer::PlannedStart| {
+            let next = |start: &crate::graph::placement::placer::PlannedStart| {
                 self.jobs.get(&start.job).map_or(base + 1, |job| job.next_run(&start.task, base))
             };
             let run = gang.iter().map(next).max();
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -5,16 +5,16 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::graph::begin_evidence::BeginEvidence;
 use crate::graph::controller::GraphController;
-use crate::graph::crash::{PROBATION, SuspectRun};
 use crate::graph::event::{CommandResult, GraphAction, StartCommand};
 use crate::graph::exchange::{CallFailure, InstanceId, WorkerRefusal};
-use crate::graph::instances::WORKER_LEASE;
-use crate::graph::name::{GraphId, RunNumber, TaskKey, TaskName};
-use crate::graph::placer::PlannedStart;
-use crate::graph::preemption::PlannedPreemption;
-use crate::graph::worker::{RunPhase, WorkerRun};
+use crate::graph::placement::placer::PlannedStart;
+use crate::graph::placement::preemption::PlannedPreemption;
+use crate::graph::workers::instances::WORKER_LEASE;
+use crate::graph::workers::worker::{RunPhase, WorkerRun};
+use crate::graph::workload::begin_evidence::BeginEvidence;
+use crate::graph::workload::crash::{PROBATION, SuspectRun};
+use crate::graph::workload::name::{GraphId, RunNumber, TaskKey, TaskName};
 use crate::id::WorkerId;
 
 /// Sends of a start before the run is stopped instead: a worker that answers none of them is not
--- a/src/graph/controller/quota.rs
+++ b/src/graph/controller/quota.rs
@@ -4,10 +4,10 @@
 
 use tokio::time::Instant;
 
-use crate::graph::allowance::usage_by_workspace;
+use crate::graph::admission::allowance::usage_by_workspace;
 use crate::graph::controller::GraphController;
 use crate::graph::event::GraphAction;
-use crate::graph::shard::ShardScope;
+use crate::graph::sharding::shard::ShardScope;
 use crate::id::{CallId, UnixMillis};
 use crate::quota::{QuotaController, QuotaPolicy, QuotaUsage};
 use crate::resources::ResourceVector;
--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -7,16 +7,16 @@
 
 use crate::graph::controller::GraphController;
 use crate::graph::exchange::WorkerRegistration;
-use crate::graph::home::can_run_on;
-use crate::graph::job::{GraphJob, GraphRecord};
-use crate::graph::name::{GraphId, TaskName};
-use crate::graph::notice::NoticeKind;
-use crate::graph::progress::GraphVerdict;
-use crate::graph::shard::{ShardId, ShardScope};
-use crate::graph::share::TaskShare;
-use crate::graph::spec::StepSpec;
-use crate::graph::step_capacity::tasks_that_fit;
-use crate::graph::worker::WorkerInstance;
+use crate::graph::placement::home::can_run_on;
+use crate::graph::placement::step_capacity::tasks_that_fit;
+use crate::graph::sharding::notice::NoticeKind;
+use crate::graph::sharding::shard::{ShardId, ShardScope};
+use crate::graph::sharding::share::TaskShare;
+use crate::graph::workers::worker::WorkerInstance;
+use crate::graph::workload::job::{GraphJob, GraphRecord};
+use crate::graph::workload::name::{GraphId, TaskName};
+use crate::graph::workload::progress::GraphVerdict;
+use crate::graph::workload::spec::StepSpec;
 use crate::id::UnixMillis;
 use crate::resources::ResourceVector;
 
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -3,14 +3,14 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::graph::commit::{CommitGroup, GroupEffect, GroupIds, GroupNumber, TakenName};
 use crate::graph::controller::GraphController;
 use crate::graph::event::{GraphAction, GraphAnswer};
-use crate::graph::job::{GraphJob, GraphRecord};
-use crate::graph::name::GraphId;
-use crate::graph::notice::{NoticeKind, ShardNotice};
-use crate::graph::progress::GraphVerdict;
-use crate::graph::shard::ShardId;
+use crate::graph::sharding::notice::{NoticeKind, ShardNotice};
+use crate::graph::sharding::shard::ShardId;
+use crate::graph::storing::commit::{CommitGroup, GroupEffect, GroupIds, GroupNumber, TakenName};
+use crate::graph::workload::job::{GraphJob, GraphRecord};
+use crate::graph::workload::name::GraphId;
+use crate::graph::workload::progress::GraphVerdict;
 use crate::id::UnixMillis;
 
 impl GraphController {
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -5,12 +5,12 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::graph::commit::GroupNumber;
 use crate::graph::controller::GraphController;
 use crate::graph::event::{GraphAction, GraphAnswer};
-use crate::graph::home::choose_home;
-use crate::graph::job::{GraphJob, GraphRecord, GraphState};
-use crate::graph::name::{AttemptId, GraphId};
+use crate::graph::placement::home::choose_home;
+use crate::graph::storing::commit::GroupNumber;
+use crate::graph::workload::job::{GraphJob, GraphRecord, GraphState};
+use crate::graph::workload::name::{AttemptId, GraphId};
 use crate::id::{CallId, UnixMillis};
 
 /// Delay after which a caller whose job could not be accepted should retry. Callers wait three
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -5,14 +5,14 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::graph::begin_evidence::BeginEvidence;
 use crate::graph::controller::GraphController;
-use crate::graph::crash::PROBATION;
 use crate::graph::exchange::{EndReport, RunReport};
-use crate::graph::jobs::{JobEffect, RunToStop};
-use crate::graph::name::{GraphId, RunNumber, TaskName};
-use crate::graph::worker::{InstanceEnd, RunPhase, WorkerRun};
-use crate::graph::worker_event::{LostRun, WorkerEvent};
+use crate::graph::workers::worker::{InstanceEnd, RunPhase, WorkerRun};
+use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
+use crate::graph::workload::begin_evidence::BeginEvidence;
+use crate::graph::workload::crash::PROBATION;
+use crate::graph::workload::jobs::{JobEffect, RunToStop};
+use crate::graph::workload::name::{GraphId, RunNumber, TaskName};
 use crate::id::{UnixMillis, WorkerId};
 
 /// Counts a run whose end was not reported by its worker.
--- a/src/graph/event.rs
+++ b/src/graph/event.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::graph::advice::AdviceCall;
-use crate::graph::commit::CommitGroup;
 use crate::graph::exchange::{CallFailure, InstanceStart, PollReply, TicketText};
-use crate::graph::name::{RunNumber, TaskName};
-use crate::graph::shard::ShardId;
+use crate::graph::placement::advice::AdviceCall;
+use crate::graph::sharding::shard::ShardId;
+use crate::graph::storing::commit::CommitGroup;
+use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::{CallId, WorkerId};
 use crate::store::StoreRequest;
 
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::graph::name::{MachineId, RunNumber, TaskName};
+use crate::graph::workload::name::{MachineId, RunNumber, TaskName};
 use crate::id::{DomainId, RackId, ServiceId, UnixMillis, WorkerId};
 use crate::resources::ResourceVector;
 
--- /dev/null
+++ b/src/graph/placement.rs
@@ -0,0 +1,7 @@
+//! Where and when tasks run: placement passes, advice, home domains and preemption.
+
+pub(super) mod advice;
+pub(super) mod home;
+pub(super) mod placer;
+pub(super) mod preemption;
+pub(super) mod step_capacity;
--- a/src/graph/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -10,8 +10,8 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::TicketText;
-use crate::graph::name::{GraphId, QueueId, StepKey};
-use crate::graph::queue::AdviceRule;
+use crate::graph::workload::name::{GraphId, QueueId, StepKey};
+use crate::graph::workload::queue::AdviceRule;
 use crate::id::{EntryId, WorkerId};
 
 /// Number of a call for advice.
--- a/src/graph/home.rs
+++ b/src/graph/placement/home.rs
@@ -13,11 +13,11 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::WorkerRegistration;
-use crate::graph::instances::{InstanceTable, SILENCE_LIMIT};
-use crate::graph::job::GraphJob;
-use crate::graph::queue::QueueRule;
-use crate::graph::spec::StepSpec;
-use crate::graph::step_capacity::tasks_that_fit;
+use crate::graph::placement::step_capacity::tasks_that_fit;
+use crate::graph::workers::instances::{InstanceTable, SILENCE_LIMIT};
+use crate::graph::workload::job::GraphJob;
+use crate::graph::workload::queue::QueueRule;
+use crate::graph::workload::spec::StepSpec;
 use crate::id::DomainId;
 
 /// Longest objective of a job with a home. A job with a longer one can wait until a domain that was
--- a/src/graph/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -16,19 +16,19 @@
 
 use tokio::time::Instant;
 
-use crate::graph::advice::{AdviceRequest, AdviceTable};
-use crate::graph::allowance::WorkspaceAllowances;
-use crate::graph::health::HealthRank;
-use crate::graph::home::UnsettledDomains;
-use crate::graph::instances::{InstanceTable, SILENCE_LIMIT};
-use crate::graph::job::GraphJob;
-use crate::graph::jobs::JobTable;
-use crate::graph::name::{GraphId, StepKey, TaskKey, TaskName};
-use crate::graph::placer::worker_capacity::WorkerCapacity;
-use crate::graph::preemption::{PlannedPreemption, ReservationTable};
-use crate::graph::spec::StepSpec;
-use crate::graph::step_capacity::StepCapacity;
-use crate::graph::worker::{RunPhase, WorkerInstance};
+use crate::graph::admission::allowance::WorkspaceAllowances;
+use crate::graph::placement::advice::{AdviceRequest, AdviceTable};
+use crate::graph::placement::home::UnsettledDomains;
+use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
+use crate::graph::placement::preemption::{PlannedPreemption, ReservationTable};
+use crate::graph::placement::step_capacity::StepCapacity;
+use crate::graph::workers::health::HealthRank;
+use crate::graph::workers::instances::{InstanceTable, SILENCE_LIMIT};
+use crate::graph::workers::worker::{RunPhase, WorkerInstance};
+use crate::graph::workload::job::GraphJob;
+use crate::graph::workload::jobs::JobTable;
+use crate::graph::workload::name::{GraphId, StepKey, TaskKey, TaskName};
+use crate::graph::workload::spec::StepSpec;
 use crate::id::{DomainId, UnixMillis, WorkerId};
 use crate::workspace::WorkspaceAmounts;
 
--- a/src/graph/placer/advice_requests.rs
+++ b/src/graph/placement/placer/advice_requests.rs
@@ -3,12 +3,12 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use crate::graph::advice::{AdviceRequest, MAX_WORKERS_PER_CALL};
-use crate::graph::job::GraphJob;
-use crate::graph::name::{StepKey, TaskKey};
-use crate::graph::placer::worker_capacity::WorkerCapacity;
-use crate::graph::placer::{OpenStep, PlacementPass};
-use crate::graph::queue::AdviceRule;
+use crate::graph::placement::advice::{AdviceRequest, MAX_WORKERS_PER_CALL};
+use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
+use crate::graph::placement::placer::{OpenStep, PlacementPass};
+use crate::graph::workload::job::GraphJob;
+use crate::graph::workload::name::{StepKey, TaskKey};
+use crate::graph::workload::queue::AdviceRule;
 use crate::id::WorkerId;
 
 /// How long before the expected start of a step its advice is requested, in addition to the time of
--- a/src/graph/placer/gangs.rs
+++ b/src/graph/placement/placer/gangs.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::graph::placer::worker_capacity::WorkerCapacity;
-use crate::graph::placer::{OpenStep, PlacementPass, PlannedStart};
-use crate::graph::step_capacity::tasks_that_fit;
+use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
+use crate::graph::placement::placer::{OpenStep, PlacementPass, PlannedStart};
+use crate::graph::placement::step_capacity::tasks_that_fit;
 use crate::id::{RackId, WorkerId};
 
 impl<'t> PlacementPass<'t> {
--- a/src/graph/placer/tasks.rs
+++ b/src/graph/placement/placer/tasks.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::graph::health::HealthRank;
-use crate::graph::name::TaskKey;
-use crate::graph::placer::worker_capacity::WorkerCapacity;
-use crate::graph::placer::{OpenStep, PlacementPass, PlannedStart};
-use crate::graph::preemption::{PlannedPreemption, choose_victims};
-use crate::graph::spec::StepSpec;
+use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
+use crate::graph::placement::placer::{OpenStep, PlacementPass, PlannedStart};
+use crate::graph::placement::preemption::{PlannedPreemption, choose_victims};
+use crate::graph::workers::health::HealthRank;
+use crate::graph::workload::name::TaskKey;
+use crate::graph::workload::spec::StepSpec;
 use crate::id::WorkerId;
 
 /// How long before the latest start runs are preempted: a stop takes 400 ms at most, and within 100
--- a/src/graph/placer/worker_capacity.rs
+++ b/src/graph/placement/placer/worker_capacity.rs
@@ -4,9 +4,9 @@
 
 use tokio::time::Instant;
 
-use crate::graph::health::HealthRank;
-use crate::graph::name::GraphId;
-use crate::graph::worker::WorkerInstance;
+use crate::graph::workers::health::HealthRank;
+use crate::graph::workers::worker::WorkerInstance;
+use crate::graph::workload::name::GraphId;
 use crate::resources::ResourceVector;
 
 /// Remaining capacity of a worker during a pass.
--- a/src/graph/preemption.rs
+++ b/src/graph/placement/preemption.rs
@@ -9,8 +9,8 @@
 
 use tokio::time::Instant;
 
-use crate::graph::name::{GraphId, StepKey, TaskKey, TaskName};
-use crate::graph::worker::{RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workers::worker::{RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workload::name::{GraphId, StepKey, TaskKey, TaskName};
 use crate::id::WorkerId;
 use crate::resources::ResourceVector;
 
--- a/src/graph/step_capacity.rs
+++ b/src/graph/placement/step_capacity.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::graph::spec::StepSpec;
+use crate::graph::workload::spec::StepSpec;
 use crate::id::WorkerId;
 use crate::resources::ResourceVector;
 
--- a/src/graph/notice.rs
+++ b/src/graph/sharding/notice.rs
@@ -6,9 +6,9 @@
 
 use std::collections::BTreeSet;
 
-use crate::graph::job::GraphRecord;
-use crate::graph::name::GraphId;
-use crate::graph::shard::ShardId;
+use crate::graph::sharding::shard::ShardId;
+use crate::graph::workload::job::GraphRecord;
+use crate::graph::workload::name::GraphId;
 
 /// Kinds of notices.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/src/graph/remote_workers.rs
+++ b/src/graph/sharding/remote_workers.rs
@@ -8,11 +8,11 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::WorkerRegistration;
-use crate::graph::home::can_run_on;
-use crate::graph::instances::REREGISTRATION_TIME;
-use crate::graph::queue::QueueRule;
-use crate::graph::shard::{ShardId, ShardScope};
-use crate::graph::spec::{GraphSpec, StepSpec};
+use crate::graph::placement::home::can_run_on;
+use crate::graph::sharding::shard::{ShardId, ShardScope};
+use crate::graph::workers::instances::REREGISTRATION_TIME;
+use crate::graph::workload::queue::QueueRule;
+use crate::graph::workload::spec::{GraphSpec, StepSpec};
 use crate::id::WorkerId;
 
 /// Number of workers for each task of a lasting step below which its tasks are divided among shards: advice
--- a/src/graph/shard.rs
+++ b/src/graph/sharding/shard.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::graph::name::GraphId;
+use crate::graph::workload::name::GraphId;
 use crate::id::{DomainId, EntryId, RackId};
 
 /// Name of a shard, a part of the workers with its own leader; empty where there is only one leader.
--- a/src/graph/share.rs
+++ b/src/graph/sharding/share.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::graph::shard::ShardId;
+use crate::graph::sharding::shard::ShardId;
 
 /// Shares are given in ten-thousandths of a step's tasks, so that they apply to steps with any number of
 /// tasks.
--- /dev/null
+++ b/src/graph/storing.rs
@@ -0,0 +1,3 @@
+//! Groups of changes for the store.
+
+pub(super) mod commit;
--- a/src/graph/commit.rs
+++ b/src/graph/storing/commit.rs
@@ -5,14 +5,14 @@
 
 use tokio::time::Instant;
 
-use crate::graph::changes::ChangeQueue;
 use crate::graph::event::GraphAnswer;
 use crate::graph::exchange::{InstanceId, UsedWorker};
-use crate::graph::job::GraphRecord;
-use crate::graph::name::GraphId;
-use crate::graph::notice::{NoticeKind, NoticeQueue, ShardNotice};
-use crate::graph::progress::GraphProgress;
-use crate::graph::shard::ShardId;
+use crate::graph::sharding::notice::{NoticeKind, NoticeQueue, ShardNotice};
+use crate::graph::sharding::shard::ShardId;
+use crate::graph::workload::changes::ChangeQueue;
+use crate::graph::workload::job::GraphRecord;
+use crate::graph::workload::name::GraphId;
+use crate::graph::workload::progress::GraphProgress;
 use crate::id::{WorkerId, WorkspaceId};
 
 /// Number of a commit group.
--- /dev/null
+++ b/src/graph/workers.rs
@@ -0,0 +1,9 @@
+//! Workers as the leader knows them: instances, runs, health, polls and starts in flight.
+
+pub(super) mod answer_time;
+pub(super) mod health;
+pub(super) mod instances;
+pub(super) mod poll_pacer;
+pub(super) mod send_window;
+pub(super) mod worker;
+pub(super) mod worker_event;
--- a/src/graph/health.rs
+++ b/src/graph/workers/health.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::Instant;
 
-use crate::graph::name::GraphId;
+use crate::graph::workload::name::GraphId;
 
 /// Number of different jobs with failed runs, without a success in between, from which a worker is faulty.
 /// One in twenty runs fails through its own fault, so a healthy worker is suspected wrongly once in 400 ends.
--- a/src/graph/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -8,17 +8,17 @@
 use log::warn;
 use tokio::time::Instant;
 
-use crate::graph::crash::SuspectRun;
-use crate::graph::crash_table::CrashTable;
 use crate::graph::event::GraphAction;
 use crate::graph::exchange::{
     CallFailure, EndKind, InstanceId, PollReply, RunReport, UsedWorker, WorkerRefusal,
     WorkerRegistration,
 };
-use crate::graph::name::TaskName;
-use crate::graph::poll_pacer::{IDLE_WAIT, PollPacer};
-use crate::graph::worker::{InstanceEnd, RunPhase, WorkerInstance, WorkerRun};
-use crate::graph::worker_event::{LostRun, WorkerEvent};
+use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
+use crate::graph::workers::worker::{InstanceEnd, RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
+use crate::graph::workload::crash::SuspectRun;
+use crate::graph::workload::crash_table::CrashTable;
+use crate::graph::workload::name::TaskName;
 use crate::id::WorkerId;
 
 /// Lease of a worker, during which its tasks keep running without another call. The tasks of a worker that
--- a/src/graph/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -5,10 +5,10 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::PollReply;
-use crate::graph::instances::InstanceTable;
-use crate::graph::name::TaskName;
-use crate::graph::worker::{InstanceEnd, RunPhase, WorkerRun};
-use crate::graph::worker_event::{LostRun, WorkerEvent};
+use crate::graph::workers::instances::InstanceTable;
+use crate::graph::workers::worker::{InstanceEnd, RunPhase, WorkerRun};
+use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
+use crate::graph::workload::name::TaskName;
 use crate::id::WorkerId;
 
 type RunTable = BTreeMap<TaskName, WorkerRun>;
--- a/src/graph/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -6,12 +6,12 @@
 
 use tokio::time::Instant;
 
-use crate::graph::crash::PROBATION;
 use crate::graph::exchange::{InstanceId, InstanceStart, WorkerRegistration};
-use crate::graph::health::{HealthRank, WorkerHealth};
-use crate::graph::job::GraphJob;
-use crate::graph::name::{GraphId, ImageId, RunNumber, StepKey, TaskName};
-use crate::graph::spec::StepSpec;
+use crate::graph::workers::health::{HealthRank, WorkerHealth};
+use crate::graph::workload::crash::PROBATION;
+use crate::graph::workload::job::GraphJob;
+use crate::graph::workload::name::{GraphId, ImageId, RunNumber, StepKey, TaskName};
+use crate::graph::workload::spec::StepSpec;
 use crate::id::{RackId, WorkerId, WorkspaceId};
 use crate::resources::ResourceVector;
 
--- a/src/graph/worker_event.rs
+++ b/src/graph/workers/worker_event.rs
@@ -4,10 +4,10 @@
 
 use tokio::time::Instant;
 
-use crate::graph::crash::{SuspectRun, WorkerCrash};
 use crate::graph::exchange::{EndReport, RunReport};
-use crate::graph::name::{RunNumber, TaskName};
-use crate::graph::worker::{InstanceEnd, WorkerRun};
+use crate::graph::workers::worker::{InstanceEnd, WorkerRun};
+use crate::graph::workload::crash::{SuspectRun, WorkerCrash};
+use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
 
 /// An event that follows from an answer or from its absence.
--- a/src/graph/changes.rs
+++ b/src/graph/workload/changes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::graph::name::GraphId;
+use crate::graph::workload::name::GraphId;
 
 /// Position of a waiting change: changes that a caller waits for first, then the oldest.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/src/graph/crash.rs
+++ b/src/graph/workload/crash.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::graph::exchange::InstanceStart;
-use crate::graph::name::{RunNumber, TaskName};
+use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
 
 /// Time that a worker has to survive a start before the run counts as harmless. Tasks that crash their
--- a/src/graph/crash_table.rs
+++ b/src/graph/workload/crash_table.rs
@@ -10,13 +10,13 @@
 
 use tokio::time::Instant;
 
-use crate::graph::crash::{
+use crate::graph::exchange::InstanceId;
+use crate::graph::workers::worker::{RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workload::crash::{
     CORRELATED_CRASH_LIMIT, CrashSuspect, LONE_CAUSE_CRASH_LIMIT, MULTI_CAUSE_CRASH_LIMIT,
     SuspectRun, WorkerCrash,
 };
-use crate::graph::exchange::InstanceId;
-use crate::graph::name::TaskName;
-use crate::graph::worker::{RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workload::name::TaskName;
 use crate::id::WorkerId;
 
 /// Workers that fall silent within this time have a common cause: a rack, a switch or a network partition.
--- a/src/graph/job.rs
+++ b/src/graph/workload/job.rs
@@ -7,12 +7,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::graph::name::{RunNumber, StepKey, TaskKey, TaskName};
-use crate::graph::progress::{GraphProgress, GraphVerdict};
-use crate::graph::queue::QueueRule;
-use crate::graph::shard::ShardId;
-use crate::graph::share::TaskShare;
-use crate::graph::spec::{GraphSpec, StepSpec};
+use crate::graph::sharding::shard::ShardId;
+use crate::graph::sharding::share::TaskShare;
+use crate::graph::workload::name::{RunNumber, StepKey, TaskKey, TaskName};
+use crate::graph::workload::progress::{GraphProgress, GraphVerdict};
+use crate::graph::workload::queue::QueueRule;
+use crate::graph::workload::spec::{GraphSpec, StepSpec};
 use crate::id::{DomainId, WorkerId, WorkspaceId};
 
 /// Record of a job in the store, written when the job is accepted.
--- a/src/graph/jobs.rs
+++ b/src/graph/workload/jobs.rs
@@ -8,14 +8,14 @@
 use log::info;
 use tokio::time::Instant;
 
-use crate::graph::begin_evidence::BeginEvidence;
-use crate::graph::crash::{MULTI_CAUSE_CRASH_LIMIT, SuspectRun};
 use crate::graph::exchange::{EndKind, EndReport};
-use crate::graph::job::{GraphJob, GraphState, LiveRun};
-use crate::graph::jobs::crashes::{delay_start, fail_crashing_job};
-use crate::graph::name::{GraphId, RunNumber, StepKey, TaskKey, TaskName};
-use crate::graph::progress::GraphVerdict;
-use crate::graph::worker_event::LostRun;
+use crate::graph::workers::worker_event::LostRun;
+use crate::graph::workload::begin_evidence::BeginEvidence;
+use crate::graph::workload::crash::{MULTI_CAUSE_CRASH_LIMIT, SuspectRun};
+use crate::graph::workload::job::{GraphJob, GraphState, LiveRun};
+use crate::graph::workload::jobs::crashes::{delay_start, fail_crashing_job};
+use crate::graph::workload::name::{GraphId, RunNumber, StepKey, TaskKey, TaskName};
+use crate::graph::workload::progress::GraphVerdict;
 use crate::id::{UnixMillis, WorkerId};
 
 /// Pause before a lasting task that ended is started again, so that a task which fails at once does not cause
--- a/src/graph/jobs/crashes.rs
+++ b/src/graph/workload/jobs/crashes.rs
@@ -5,14 +5,14 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::graph::crash::{
+use crate::graph::workload::crash::{
     CORRELATED_CRASH_LIMIT, CrashCount, CrashSuspect, MULTI_CAUSE_CRASH_LIMIT, SuspectRun,
     restart_delay,
 };
-use crate::graph::job::GraphJob;
-use crate::graph::jobs::{JobEffect, JobTable, end_job, live_runs};
-use crate::graph::name::{RunNumber, TaskKey, TaskName};
-use crate::graph::progress::GraphVerdict;
+use crate::graph::workload::job::GraphJob;
+use crate::graph::workload::jobs::{JobEffect, JobTable, end_job, live_runs};
+use crate::graph::workload::name::{RunNumber, TaskKey, TaskName};
+use crate::graph::workload::progress::GraphVerdict;
 use crate::id::UnixMillis;
 
 impl JobTable {
--- a/src/graph/progress.rs
+++ b/src/graph/workload/progress.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::graph::crash::SuspectRun;
-use crate::graph::name::{RunNumber, StepKey, TaskKey};
+use crate::graph::workload::crash::SuspectRun;
+use crate::graph::workload::name::{RunNumber, StepKey, TaskKey};
 use crate::id::{DomainId, UnixMillis};
 
 /// How a job ended.
--- a/src/graph/queue.rs
+++ b/src/graph/workload/queue.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::graph::name::QueueId;
+use crate::graph::workload::name::QueueId;
 use crate::id::{Revision, ServiceId, WorkspaceId};
 use crate::workspace::{KeyDigest, WorkspaceRule};
 
--- a/src/graph/spec.rs
+++ b/src/graph/workload/spec.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::graph::name::{GraphId, ImageId, QueueId, StepIndex};
+use crate::graph::workload::name::{GraphId, ImageId, QueueId, StepIndex};
 use crate::id::{RackId, UnixMillis};
 use crate::resources::ResourceVector;
 
