--- a/src/graph.rs
+++ b/src/graph.rs
@@ -28,8 +28,10 @@
 pub use workers::answer_time::AnswerTimeout;
 pub use workers::health::{HealthRank, WorkerHealth};
 pub use workers::instances::InstanceTable;
+pub use workers::run::{RunPhase, WorkerRun};
+pub use workers::run_costs::RunCosts;
 pub use workers::send_window::SendWindow;
-pub use workers::worker::{InstanceEnd, RunPhase, WorkerInstance, WorkerRun};
+pub use workers::worker::{InstanceEnd, WorkerInstance};
 pub use workload::crash::SuspectRun;
 pub use workload::job::{GraphJob, GraphRecord, GraphState, LiveRun};
 pub use workload::jobs::JobTable;
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -28,6 +28,7 @@
 use crate::graph::sharding::shard::ShardScope;
 use crate::graph::storing::commit::CommitQueue;
 use crate::graph::workers::instances::{InstanceTable, WORKER_LEASE};
+use crate::graph::workers::run_costs::RunCosts;
 use crate::graph::workers::send_window::SendWindow;
 use crate::graph::workload::crash::WorkerCrash;
 use crate::graph::workload::job::{GraphJob, GraphRecord};
@@ -70,6 +71,8 @@
     pub retention: Duration,
     /// How long a leader extends worker leases after the last renewal of its own lease.
     pub lease_extension_window: Duration,
+    /// What stopped and displaced runs cost.
+    pub run_costs: RunCosts,
 }
 
 /// State that a new leader restores from the store.
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -11,7 +11,7 @@
 use crate::graph::placement::placer::PlannedStart;
 use crate::graph::placement::preemption::PlannedPreemption;
 use crate::graph::workers::instances::WORKER_LEASE;
-use crate::graph::workers::worker::{RunPhase, WorkerRun};
+use crate::graph::workers::run::{RunPhase, WorkerRun};
 use crate::graph::workload::begin_evidence::BeginEvidence;
 use crate::graph::workload::crash::{PROBATION, SuspectRun};
 use crate::graph::workload::name::{GraphId, RunNumber, TaskKey, TaskName};
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -7,7 +7,8 @@
 
 use crate::graph::controller::GraphController;
 use crate::graph::exchange::{EndReport, RunReport};
-use crate::graph::workers::worker::{InstanceEnd, RunPhase, WorkerRun};
+use crate::graph::workers::run::{RunPhase, WorkerRun};
+use crate::graph::workers::worker::InstanceEnd;
 use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
 use crate::graph::workload::begin_evidence::BeginEvidence;
 use crate::graph::workload::crash::PROBATION;
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -11,7 +11,7 @@
 use crate::graph::admission::allowance::{merge, unseen_usage_by_workspace, usage_by_workspace};
 use crate::graph::admission::submission_rate::SubmissionRates;
 use crate::graph::controller::GraphController;
-use crate::graph::workers::worker::WorkerRun;
+use crate::graph::workers::run::WorkerRun;
 use crate::graph::workload::job::{GraphJob, GraphRecord};
 use crate::graph::workload::name::{GraphId, TaskName};
 use crate::graph::workload::queue::QueueConfig;
--- a/src/graph/placement/preemption.rs
+++ b/src/graph/placement/preemption.rs
@@ -9,7 +9,8 @@
 
 use tokio::time::Instant;
 
-use crate::graph::workers::worker::{RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workers::run::{RunPhase, WorkerRun};
+use crate::graph::workers::worker::WorkerInstance;
 use crate::graph::workload::name::{GraphId, StepKey, TaskKey, TaskName};
 use crate::id::WorkerId;
 use crate::resources::ResourceVector;
--- a/src/graph/workers.rs
+++ b/src/graph/workers.rs
@@ -4,6 +4,8 @@
 pub(super) mod health;
 pub(super) mod instances;
 pub(super) mod poll_pacer;
+pub(super) mod run;
+pub(super) mod run_costs;
 pub(super) mod send_window;
 pub(super) mod worker;
 pub(super) mod worker_event;
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -14,7 +14,8 @@
     WorkerRegistration,
 };
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
-use crate::graph::workers::worker::{InstanceEnd, RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workers::run::{RunPhase, WorkerRun};
+use crate::graph::workers::worker::{InstanceEnd, WorkerInstance};
 use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
 use crate::graph::workload::crash::SuspectRun;
 use crate::graph::workload::crash_table::CrashTable;
--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -6,7 +6,8 @@
 
 use crate::graph::exchange::PollReply;
 use crate::graph::workers::instances::InstanceTable;
-use crate::graph::workers::worker::{InstanceEnd, RunPhase, WorkerRun};
+use crate::graph::workers::run::{RunPhase, WorkerRun};
+use crate::graph::workers::worker::InstanceEnd;
 use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
 use crate::graph::workload::name::TaskName;
 use crate::id::WorkerId;
--- a/src/graph/workers/worker_event.rs
+++ b/src/graph/workers/worker_event.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::{EndReport, RunReport};
-use crate::graph::workers::worker::{InstanceEnd, WorkerRun};
+use crate::graph::workers::run::WorkerRun;
+use crate::graph::workers::worker::InstanceEnd;
 use crate::graph::workload::crash::{SuspectRun, WorkerCrash};
 use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
--- a/src/graph/workload/crash_table.rs
+++ b/src/graph/workload/crash_table.rs
@@ -11,7 +11,8 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::InstanceId;
-use crate::graph::workers::worker::{RunPhase, WorkerInstance, WorkerRun};
+use crate::graph::workers::run::{RunPhase, WorkerRun};
+use crate::graph::workers::worker::WorkerInstance;
 use crate::graph::workload::crash::{
     CORRELATED_CRASH_LIMIT, CrashSuspect, LONE_CAUSE_CRASH_LIMIT, MULTI_CAUSE_CRASH_LIMIT,
     SuspectRun, WorkerCrash,
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -29,6 +29,8 @@
     pub advisor: Option<SocketAddr>,
     /// Processor share of this process, in cores.
     pub processor: f64,
+    /// Bandwidth of this machine's own link, in Mbit/s.
+    pub link_mbps: f64,
     /// Limit of open file descriptors.
     pub descriptors: usize,
     /// Whether callers of queues that are not public need an API key.
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::sleep;
 
-use crate::graph::{GraphBounds, ShardPlan};
+use crate::graph::{GraphBounds, RunCosts, ShardPlan};
 use crate::id::{DomainId, Revision};
 use crate::node::entry_store::EntryStore;
 use crate::node::keys::PLAN_KEY;
@@ -157,6 +157,7 @@
         store: address,
         advisor: None,
         processor: WEAK_PROCESSOR,
+        link_mbps: 1_000.0,
         descriptors: 4_096,
         requires_keys: false,
         grace: Duration::from_secs(6),
@@ -164,6 +165,7 @@
             max_lease: Duration::from_secs(6),
             retention: Duration::from_secs(120),
             lease_extension_window: Duration::from_secs(5),
+            run_costs: RunCosts::default(),
         },
     }
 }
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, advance};
 
 use crate::graph::{
-    GraphBounds, GraphId, GraphState, QueueConfig, RequestLimits, ShardId, ShardPlan,
+    GraphBounds, GraphId, GraphState, QueueConfig, RequestLimits, RunCosts, ShardId, ShardPlan,
 };
 use crate::node::KeyItem;
 use crate::node::candidacy::{Candidacy, CandidacyState};
@@ -46,6 +46,7 @@
         store: address,
         advisor: None,
         processor: 0.25,
+        link_mbps: 1_000.0,
         descriptors: 1_000,
         requires_keys: false,
         grace: Duration::from_secs(6),
@@ -53,6 +54,7 @@
             max_lease: Duration::from_secs(6),
             retention: Duration::from_secs(120),
             lease_extension_window: Duration::from_secs(5),
+            run_costs: RunCosts::default(),
         },
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::diagnostic::{DiagnosticList, InputDiagnostic};
-use crate::graph::GraphBounds;
+use crate::graph::{GraphBounds, RunCosts};
 use crate::node::NodeSettings;
 
 /// Environment variable with the path of the settings file.
@@ -63,11 +63,12 @@
     cpu_share: f64,
     cores: f64,
     max_fds: usize,
+    link_mbps: f64,
 }
 
 impl Default for WireLimits {
     fn default() -> Self {
-        Self { cpu_share: 1.0, cores: 1.0, max_fds: 4_096 }
+        Self { cpu_share: 1.0, cores: 1.0, max_fds: 4_096, link_mbps: 1_000.0 }
     }
 }
 
@@ -78,11 +79,25 @@
     hold_max_ms: u64,
     status_s: f64,
     grace_s: f64,
+    /// Work between two checkpoints.
+    save_s: f64,
+    /// Time to resume from a checkpoint.
+    restore_ms: u64,
+    /// Run time on another rack than that of the data, relative to the run time there.
+    cross_rack_factor: f64,
 }
 
 impl Default for WireBounds {
     fn default() -> Self {
-        Self { hold_max_ms: DEFAULT_LONGEST_LEASE_MS, status_s: DEFAULT_RETENTION_S, grace_s: 6.0 }
+        let costs = RunCosts::default();
+        Self {
+            hold_max_ms: DEFAULT_LONGEST_LEASE_MS,
+            status_s: DEFAULT_RETENTION_S,
+            grace_s: 6.0,
+            save_s: costs.checkpoint_interval.as_secs_f64(),
+            restore_ms: costs.restore_time.as_millis() as u64,
+            cross_rack_factor: costs.remote_rack_factor,
+        }
     }
 }
 
@@ -120,6 +135,12 @@
     if wire.limits.cpu_share <= 0.0 || wire.limits.cores <= 0.0 {
         report("cpu_share", "`cpu_share` and `cores`: expected more than 0");
     }
+    if wire.limits.link_mbps <= 0.0 {
+        report("link_mbps", "`link_mbps`: expected more than 0");
+    }
+    if wire.bounds.cross_rack_factor < 1.0 {
+        report("cross_rack_factor", "`cross_rack_factor`: expected 1 or more");
+    }
     if !diagnostics.is_empty() {
         return Err(DiagnosticList(diagnostics));
     }
@@ -134,6 +155,7 @@
         store: wire.platform.address,
         advisor: wire.advisor,
         processor: wire.limits.cpu_share * wire.limits.cores,
+        link_mbps: wire.limits.link_mbps,
         descriptors: wire.limits.max_fds,
         requires_keys: wire.contracts.iter().any(|contract| contract == KEYS_CONTRACT),
         grace: seconds(wire.bounds.grace_s),
@@ -141,6 +163,11 @@
             max_lease: Duration::from_millis(wire.bounds.hold_max_ms),
             retention: seconds(wire.bounds.status_s),
             lease_extension_window: LEASE_EXTENSION_WINDOW,
+            run_costs: RunCosts {
+                checkpoint_interval: seconds(wire.bounds.save_s),
+                restore_time: Duration::from_millis(wire.bounds.restore_ms),
+                remote_rack_factor: wire.bounds.cross_rack_factor,
+            },
         },
     })
 }
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -26,6 +26,11 @@
     max_lease: LONGEST_LEASE,
     retention: Duration::from_secs(120),
     lease_extension_window: Duration::from_secs(7),
+    run_costs: RunCosts {
+        checkpoint_interval: Duration::from_millis(500),
+        restore_time: Duration::from_millis(100),
+        remote_rack_factor: 3.0,
+    },
 };
 /// How long after its wait time a poll without an answer counts as lost.
 const POLL_SLACK: Duration = Duration::from_millis(250);
--- a/tests/graph/unread_registrations.rs
+++ b/tests/graph/unread_registrations.rs
@@ -5,8 +5,8 @@
 
 use googletest::prelude::*;
 use kelplink::{
-    CallId, GraphAction, GraphAnswer, GraphBounds, GraphController, RestoredState, ShardId,
-    ShardScope, StepSpec, WorkerId,
+    CallId, GraphAction, GraphAnswer, GraphBounds, GraphController, RestoredState, RunCosts,
+    ShardId, ShardScope, StepSpec, WorkerId,
 };
 
 use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
@@ -16,6 +16,7 @@
         max_lease: seconds(6),
         retention: seconds(120),
         lease_extension_window: seconds(5),
+        run_costs: RunCosts::default(),
     }
 }
 
