Rank entries by processor and link

Cause: a planned stop of the leader handed leadership to an entry of 0.3 cores and 10 Mbit/s although entries of 0.5 cores and 200 Mbit/s were registered, and nothing was served for 14 s. Entries above half of the best processor ranked alike, and the last to register came first. Change: entries register their link. One is strong if processor and link are both at least half of the best registered ones; candidates and successors rank strong ones first. Where links differ, successors of a domain are then ordered by processor; where all are equal, by registration as before. The epoch record keeps the best link beside the best processor, so that a wide link that is absent is waited for as a strong processor is. A record without a link counts as having the best one. Where the best processor and the best link are those of different machines, no entry is strong; none is waited for once both are registered.

--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,7 @@
 mod leader;
 mod leader_client;
 mod ledger;
+mod machine;
 mod members;
 mod message;
 mod notices;
@@ -54,6 +55,8 @@
 #[cfg(test)]
 mod leader_client_tests;
 #[cfg(test)]
+mod machine_tests;
+#[cfg(test)]
 mod members_tests;
 #[cfg(test)]
 mod scale_tests;
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -163,8 +163,8 @@
         self.shared.handover_inbox.set_lease(None);
     }
 
-    /// Whether some machine with more than twice the processor leads no shard: it should lead when the load exceeds
-    /// what this machine can handle.
+    /// Whether some machine with more than twice the processor or link leads no shard: it should lead when the load
+    /// exceeds what this machine can handle.
     fn is_weaker(&self) -> bool {
         self.shared.members.borrow().has_stronger(&self.shared.settings.name)
     }
@@ -235,6 +235,7 @@
             domain: settings.domain.clone(),
             start: self.shared.start,
             processor: settings.processor,
+            link_mbps: Some(settings.link_mbps),
             revision: 0,
         };
         let key = format!("{ENTRY_PREFIX}{}", settings.name);
@@ -298,7 +299,7 @@
         let holder = Some((settings.name.clone(), self.shared.start));
         // Only registered machines count: a strong machine that was absent from this election is not waited for in the
         // next one.
-        let epoch_record = EpochRecord { epoch, holder, best: view.best_registered() };
+        let epoch_record = EpochRecord::new(epoch, holder, view.best_registered());
         let predecessor = shard_view.holder.clone();
         let change = KeyTransaction {
             // The leader key is always written together with the epoch key, so this condition covers both.
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -10,6 +10,7 @@
 use crate::node::keys::{
     KeyItem, KeyTransaction, KeyWrite, StoreError, TransactionOutcome, epoch_key, leader_key,
 };
+use crate::node::machine::MachineCapacity;
 use crate::node::records::{EpochRecord, LeaderRecord, LeaderTerm};
 use crate::node::view::{MemberView, ShardView};
 
@@ -229,21 +230,21 @@
     epoch: LeaderEpoch,
     offer: Option<&SuccessorOffer>,
     running_predecessor: Option<(EntryId, u64)>,
-    best: f64,
+    best: MachineCapacity,
 ) -> Option<KeyTransaction> {
     if shard_view.epoch != epoch {
         return None;
     }
     let conditions = vec![(epoch_key(shard), shard_view.epoch_revision)];
     let Some(offer) = offer else {
-        let record = EpochRecord { epoch: shard_view.epoch, holder: running_predecessor, best };
+        let record = EpochRecord::new(shard_view.epoch, running_predecessor, best);
         let writes = vec![KeyWrite { key: epoch_key(shard), value: encode(&record), lease: None }];
         return Some(KeyTransaction { conditions, writes, removes: vec![leader_key(shard)] });
     };
     let epoch = epoch + 1;
     let holder = Some((offer.entry.clone(), offer.start));
     let leader = encode(&leader_record(offer, epoch));
-    let record = EpochRecord { epoch, holder, best };
+    let record = EpochRecord::new(epoch, holder, best);
     let writes = vec![
         KeyWrite { key: leader_key(shard), value: leader, lease: Some(offer.lease) },
         KeyWrite { key: epoch_key(shard), value: encode(&record), lease: None },
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -16,6 +16,7 @@
     ENTRY_PREFIX, KeyEvent, KeyItem, LEADER_KEY, MEMBER_PREFIX, PLAN_KEY, ROSTER_PREFIX,
     StoreError, UnreadableKind, WatchOutcome, count_unreadable, shard_of_epoch, shard_of_leader,
 };
+use crate::node::machine::MachineCapacity;
 use crate::node::records::{EntryRecord, EpochRecord, unknown_leader};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
@@ -222,12 +223,13 @@
     } else if let Some(shard) = shard_of_epoch(key) {
         let record = decode(item).unwrap_or_else(|| unreadable_epoch(item));
         let shard_view = view.shards.entry(shard).or_default();
+        let best = record.best_capacity();
         shard_view.apply_epoch(record.epoch, record.holder, item.revision);
-        view.best = view.best.max(record.best);
+        view.best = view.best.best_of(best);
     } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX)
         && let Some(entry) = decode::<EntryRecord>(item)
     {
-        view.best = view.best.max(entry.processor);
+        view.best = view.best.best_of(entry.capacity(view.best));
         view.entries.insert(name.into(), EntryRecord { revision: item.revision, ..entry });
     }
 }
@@ -235,7 +237,7 @@
 /// Stands in for an unreadable epoch record. Each election raises the store's revision, so the key's revision is at
 /// least as high as its epoch; the leader elected last is unknown and may still run.
 fn unreadable_epoch(item: &KeyItem) -> EpochRecord {
-    EpochRecord { epoch: item.revision, holder: Some(unknown_leader()), best: 0.0 }
+    EpochRecord::new(item.revision, Some(unknown_leader()), MachineCapacity::default())
 }
 
 pub(super) fn apply_removal(view: &mut MemberView, key: &str, revision: u64) {
--- a/src/node/members_tests.rs
+++ b/src/node/members_tests.rs
@@ -162,7 +162,7 @@
     let shard_view = view.shard(&undivided);
     expect_that!((shard_view.epoch, shard_view.epoch_revision), eq((4, 20)));
     expect_that!(shard_view.holder, some(eq(&(EntryId::from("e1"), 4))));
-    let vacated = EpochRecord { epoch: 4, holder: None, best: 0.0 };
+    let vacated = EpochRecord { epoch: 4, ..EpochRecord::default() };
     apply_write(&mut view, &item(epoch_key(&undivided), &vacated, 22));
     expect_that!(view.shard(&undivided).epoch_revision, eq(22));
     expect_that!(view.shard(&undivided).holder, none());
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -6,6 +6,7 @@
 
 use crate::graph::LeaderEpoch;
 use crate::id::{DomainId, EntryId};
+use crate::node::machine::MachineCapacity;
 
 /// Leader of a shard, as stored.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -41,9 +42,27 @@
     pub(crate) epoch: LeaderEpoch,
     /// Entry and start of the elected leader; `None` once it has stepped down.
     pub(crate) holder: Option<(EntryId, u64)>,
-    /// Processor of the best machine known at the election.
+    /// Best processor known at the election.
     #[serde(default)]
     pub(crate) best: f64,
+    /// Best link known at the election, in Mbit/s; records of earlier builds lack it.
+    #[serde(default)]
+    pub(crate) best_link_mbps: f64,
+}
+
+impl EpochRecord {
+    pub(crate) fn new(
+        epoch: LeaderEpoch,
+        holder: Option<(EntryId, u64)>,
+        best: MachineCapacity,
+    ) -> Self {
+        Self { epoch, holder, best: best.processor, best_link_mbps: best.link_mbps }
+    }
+
+    /// Best processor and best link known at the election.
+    pub(crate) fn best_capacity(&self) -> MachineCapacity {
+        MachineCapacity { processor: self.best, link_mbps: self.best_link_mbps }
+    }
 }
 
 /// A registered entry, as stored.
@@ -57,7 +76,19 @@
     pub(crate) start: u64,
     /// Share of a processor core.
     pub(crate) processor: f64,
+    /// Bandwidth of the machine's link in Mbit/s. Records of earlier builds lack it; their machines count as having the
+    /// best link.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) link_mbps: Option<f64>,
     /// Revision of the entry's key, which orders entries by the time of registration.
     #[serde(skip)]
     pub(crate) revision: u64,
 }
+
+impl EntryRecord {
+    /// Processor and link of the entry's machine; an unknown link is that of `best`.
+    pub(crate) fn capacity(&self, best: MachineCapacity) -> MachineCapacity {
+        let link_mbps = self.link_mbps.unwrap_or(best.link_mbps);
+        MachineCapacity { processor: self.processor, link_mbps }
+    }
+}
--- a/src/node/takeover_tests.rs
+++ b/src/node/takeover_tests.rs
@@ -78,6 +78,7 @@
         domain: settings.domain.clone(),
         start: shared.start,
         processor: settings.processor,
+        link_mbps: Some(settings.link_mbps),
         revision: 0,
     };
     let shard_view = ShardView { leader: Some(own), epoch: 5, ..ShardView::default() };
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -18,6 +18,7 @@
 use crate::node::handover_inbox::SuccessorOffer;
 use crate::node::keys::{ENTRY_PREFIX, epoch_key, leader_key};
 use crate::node::lateness::LatenessMonitor;
+use crate::node::machine::MachineCapacity;
 use crate::node::members::apply_write;
 use crate::node::message::{LeaderAnswer, LeaderCall};
 use crate::node::own_leader::ask_own_leader;
@@ -123,6 +124,7 @@
         domain: "b".into(),
         start,
         processor: 0.25,
+        link_mbps: None,
         revision: 0,
     };
     shared.members.send_modify(|view| {
@@ -148,6 +150,7 @@
         domain: domain.into(),
         start: 7,
         processor,
+        link_mbps: None,
         revision: 0,
     };
     let entry = |(name, domain, processor): &(&str, &str, f64)| {
@@ -209,7 +212,7 @@
     let name = "entry-1";
     let mut view = divided(&[(name, "a", 0.12)]);
     let mut candidacy = Candidacy::new(Arc::new(entry()), "a".into());
-    view.best = 0.5;
+    view.best.processor = 0.5;
     expect_that!(candidacy.campaign_time(&view), gt(Instant::now() + Duration::from_secs(1)));
     advance(Duration::from_secs(1)).await;
     // Once the strong machine is registered, the weak one waits only for its rank.
@@ -223,7 +226,7 @@
 async fn a_weak_machine_waits_for_a_limited_time() {
     let mut view = divided(&[("entry-1", "a", 0.12)]);
     let mut candidacy = Candidacy::new(Arc::new(entry()), "a".into());
-    view.best = 0.5;
+    view.best.processor = 0.5;
     candidacy.campaign_time(&view);
     advance(Duration::from_secs(2)).await;
     expect_that!(candidacy.campaign_time(&view), le(Instant::now()));
@@ -236,10 +239,10 @@
 #[gtest]
 fn the_best_machine_is_read_from_the_last_election() {
     let mut view = MemberView::default();
-    let record = EpochRecord { epoch: 4, holder: None, best: 0.5 };
+    let record = EpochRecord { epoch: 4, holder: None, best: 0.5, best_link_mbps: 200.0 };
     let value = Bytes::from(serde_json::to_vec(&record).unwrap());
     apply_write(&mut view, &KeyItem { key: epoch_key(&only_shard()), value, revision: 9 });
-    expect_that!(view.best, eq(0.5));
+    expect_that!(view.best, eq(MachineCapacity { processor: 0.5, link_mbps: 200.0 }));
 }
 
 // While a failure domain was cut off, the entries of the others waited for it. When it was reconnected, the wait
@@ -438,6 +441,7 @@
         domain: "a".into(),
         start: 7,
         processor,
+        link_mbps: None,
         revision,
     };
     let entries = [
@@ -507,7 +511,8 @@
         start: 7,
         lease: 3,
     };
-    let change = |epoch| succession_change(&only_shard(), &led, epoch, Some(&offer), None, 0.25);
+    let best = MachineCapacity { processor: 0.25, link_mbps: 200.0 };
+    let change = |epoch| succession_change(&only_shard(), &led, epoch, Some(&offer), None, best);
     expect_that!(change(1).is_none(), eq(true));
     let own = change(2).unwrap();
     expect_that!(own.conditions, eq(&vec![(epoch_key(&only_shard()), 40)]));
@@ -516,6 +521,6 @@
         eq(&vec![Some(3), None])
     );
     // Without a named successor, the leader's key is removed and an election follows.
-    let left = succession_change(&only_shard(), &led, 2, None, None, 0.25).unwrap();
+    let left = succession_change(&only_shard(), &led, 2, None, None, best).unwrap();
     expect_that!(left.removes, eq(&vec![leader_key(&only_shard())]));
 }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -7,11 +7,9 @@
 
 use crate::graph::{LeaderEpoch, ShardId, ShardPlan};
 use crate::id::{DomainId, EntryId};
+use crate::node::machine::MachineCapacity;
 use crate::node::records::{EntryRecord, LeaderRecord};
 
-/// Fraction of the best machine's processor below which a machine is weak: it leads only if no better one can.
-const STRONG_SHARE: f64 = 0.5;
-
 /// Leader and epoch of a shard.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct ShardView {
@@ -80,8 +78,8 @@
     pub(crate) entries: BTreeMap<EntryId, EntryRecord>,
     /// Whether the members have been read from the store.
     pub(crate) known: bool,
-    /// Processor of the best machine seen so far, registered or not.
-    pub(crate) best: f64,
+    /// Best processor and best link seen so far, registered or not.
+    pub(crate) best: MachineCapacity,
 }
 
 /// Rank of an entry among the candidates for a shard.
@@ -145,9 +143,8 @@
         let is_away =
             |record: &EntryRecord| location.is_some_and(|(domain, _)| *domain != record.domain);
         let order = |(name, record): (&EntryId, &EntryRecord)| {
-            let weak = record.processor < best * STRONG_SHARE;
-            let shortfall = (best - record.processor) * 1_000.0;
-            (self.leads_other(shard, name), weak, is_away(record), shortfall as u64)
+            let weak = !record.capacity(best).is_strong(best);
+            (self.leads_other(shard, name), weak, is_away(record), shortfall(record, best))
         };
         let Some(own) = self.entries.get_key_value(entry).map(order) else {
             return CandidateRank { before: u32::MAX, in_other_domain: false };
@@ -163,15 +160,19 @@
     }
 
     /// Returns the addresses of entries that could succeed `leaving` as leader of a shard, best first: those that lead
-    /// no other shard, strong machines, entries of the shard's failure domain, then the latest to register, as a
-    /// rolling restart has already reached those.
+    /// no other shard, strong machines, entries of the shard's failure domain, those with the larger processor, then the
+    /// latest to register, as a rolling restart has already reached those. Where all links are equal, the processor only
+    /// decides which machines are strong.
     pub(crate) fn successors(&self, shard: &ShardId, leaving: &EntryId) -> Vec<SocketAddr> {
         let location = self.plan.as_ref().and_then(|plan| plan.domain_and_index(shard));
         let best = self.best_registered();
+        let links_differ = self.links_differ();
         let order = |(name, record): &(&EntryId, &EntryRecord)| {
-            let weak = record.processor < best * STRONG_SHARE;
+            let weak = !record.capacity(best).is_strong(best);
             let in_other_domain = location.is_some_and(|(domain, _)| *domain != record.domain);
-            (self.leads_other(shard, name), weak, in_other_domain, Reverse(record.revision))
+            let shortfall = if links_differ { shortfall(record, best) } else { 0 };
+            let leads_other = self.leads_other(shard, name);
+            (leads_other, weak, in_other_domain, shortfall, Reverse(record.revision))
         };
         let others = self.entries.iter().filter(|(name, _)| *name != leaving);
         let mut others: Vec<(&EntryId, &EntryRecord)> = others.collect();
@@ -187,12 +188,15 @@
         })
     }
 
-    /// Whether some entry that leads no shard has more than twice the processor of `entry`.
+    /// Whether some entry that leads no shard has more than twice the processor or the link of `entry`, and not less
+    /// than half of the other.
     pub(crate) fn has_stronger(&self, entry: &EntryId) -> bool {
-        let own = self.entries.get(entry).map_or(0.0, |record| record.processor);
+        let best = self.best_registered();
+        let capacity = |record: &EntryRecord| record.capacity(best);
+        let own = self.entries.get(entry).map_or_else(MachineCapacity::default, capacity);
         let leads = |name: &EntryId| self.leaders().any(|leader| leader.entry == *name);
         let mut others = self.entries.iter();
-        others.any(|(name, record)| record.processor * STRONG_SHARE > own && !leads(name))
+        others.any(|(name, record)| capacity(record).exceeds(own) && !leads(name))
     }
 
     /// Whether an entry leads a shard other than this one.
@@ -202,16 +206,27 @@
         })
     }
 
-    /// Whether no strong machine is registered, measured by the best one seen so far. False if `entry` is not
-    /// registered.
+    /// Whether the registered machines fall short of the best processor or the best link seen so far, so that a strong
+    /// machine is absent. False if `entry` is not registered. Where the best processor and the best link belong to
+    /// different machines none may be strong; when both are registered no better one is waited for.
     pub(crate) fn lacks_strong_machine(&self, entry: &EntryId) -> bool {
-        let is_strong = |record: &EntryRecord| record.processor >= self.best * STRONG_SHARE;
-        self.entries.contains_key(entry) && !self.entries.values().any(is_strong)
+        let capacities = self.entries.values().map(|record| record.capacity(self.best));
+        let registered = capacities.fold(MachineCapacity::default(), MachineCapacity::best_of);
+        self.entries.contains_key(entry) && !registered.is_strong(self.best)
+    }
+
+    /// Best processor and best link of the registered machines.
+    pub(crate) fn best_registered(&self) -> MachineCapacity {
+        let best_of =
+            |best: MachineCapacity, record| best.best_of(EntryRecord::capacity(record, best));
+        self.entries.values().fold(MachineCapacity::default(), best_of)
     }
 
-    /// Processor of the best registered machine.
-    pub(crate) fn best_registered(&self) -> f64 {
-        self.entries.values().map(|record| record.processor).fold(0.0, f64::max)
+    /// Whether the registered links are not all the same. An unknown link is the same as any other.
+    fn links_differ(&self) -> bool {
+        let mut known_links = self.entries.values().filter_map(|record| record.link_mbps);
+        let first = known_links.next();
+        known_links.any(|link| Some(link) != first)
     }
 
     /// Entries that call the advisor on behalf of a shard's leader.
@@ -245,3 +260,8 @@
         }
     }
 }
+
+/// How far the processor of an entry falls short of the best one, in thousandths of a core.
+fn shortfall(record: &EntryRecord, best: MachineCapacity) -> u64 {
+    ((best.processor - record.processor) * 1_000.0) as u64
+}
