Shrink the stored records of ended jobs

Cause: a new leader reads every job of the last 120 s whole before it serves anyone, and most of them are over. Change: once the verdict of a job is stored and none of its runs can continue, its record is written again without steps, payload and schedule. The progress of a completed job is compact from its verdict on, so that its compaction takes one key; of failed and cancelled jobs it takes two. Compactions use the keys and bytes that a group of other changes leaves, only if no other change waits for the next group. Jobs of several shards keep their records. Floors are kept, so that a later leader still does not acknowledge ends of superseded runs. The simulated store checks each compaction.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -25,6 +25,7 @@
 pub use storing::commit::{
     CommitGroup, CommitQueue, GroupEffect, GroupNumber, NameHolder, TakenName,
 };
+pub use storing::compaction::CompactedJob;
 pub use workers::answer_time::AnswerTimeout;
 pub use workers::health::{HealthRank, WorkerHealth};
 pub use workers::instances::InstanceTable;
--- a/src/graph/admission/allowance.rs
+++ b/src/graph/admission/allowance.rs
@@ -8,6 +8,7 @@
 use crate::graph::workers::instances::InstanceTable;
 use crate::graph::workload::job::GraphJob;
 use crate::graph::workload::jobs::JobTable;
+use crate::graph::workload::progress::GraphVerdict;
 use crate::id::{UnixMillis, WorkspaceId};
 use crate::resources::ResourceVector;
 use crate::workspace::WorkspaceAmounts;
@@ -71,7 +72,9 @@
     let mut best_effort = WorkspaceAmounts::new();
     let may_run_unseen = |job: &&GraphJob| {
         let ended_before = job.progress.ended.is_some_and(|ended| ended < ended_since);
-        !ended_before && unsettled_domains.affects(job)
+        // All tasks of a completed job have succeeded.
+        let completed = job.progress.verdict == Some(GraphVerdict::Completed);
+        !ended_before && !completed && unsettled_domains.affects(job)
     };
     for job in jobs.iter().filter(may_run_unseen) {
         let Some(workspace) = &job.workspace else {
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -181,6 +181,10 @@
             }
         }
         jobs.delay_suspected(now);
+        let mut commits = CommitQueue::default();
+        for job in jobs.iter().filter(|job| job.is_over() && !job.is_compact()) {
+            commits.compact(job.spec.id.clone());
+        }
         info!(epoch, jobs = jobs.iter().count(), workers = state.workers.len(); "leadership begins");
         for job in jobs.iter().filter(|job| !job.is_over() && !job.progress.is_blank()) {
             let (id, recorded) = (&*job.spec.id, job.progress.recorded());
@@ -217,7 +221,7 @@
             advice: AdviceTable::default(),
             reservations: ReservationTable::default(),
             send_window: SendWindow::default(),
-            commits: CommitQueue::default(),
+            commits,
             waiters: BTreeMap::new(),
             crashes: Vec::new(),
             rejected: BTreeMap::new(),
@@ -388,6 +392,7 @@
         events.extend(self.instances.remove_vanished(now, now >= self.inherited_leases_end));
         self.handle_worker_events_at(now, unix, events);
         self.review_unreferenced(now);
+        self.review_compactions(now);
         self.report_usage(now);
         self.remote_workers.forget_expired(now);
         self.resend(now, extend);
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -1,5 +1,7 @@
 //! Writes changes to the store in groups and applies the effects of stored groups.
 
+use std::collections::BTreeSet;
+
 use log::{info, warn};
 use tokio::time::Instant;
 
@@ -8,6 +10,7 @@
 use crate::graph::sharding::notice::{NoticeKind, ShardNotice};
 use crate::graph::sharding::shard::ShardId;
 use crate::graph::storing::commit::{CommitGroup, GroupEffect, GroupIds, GroupNumber, TakenName};
+use crate::graph::storing::compaction::CompactedJob;
 use crate::graph::workload::job::{GraphJob, GraphRecord};
 use crate::graph::workload::name::GraphId;
 use crate::graph::workload::progress::GraphVerdict;
@@ -23,23 +26,43 @@
         for id in self.jobs.ended_before(old) {
             self.commits.remove(id, now);
         }
+        // Without this distinction a group that only lets ends be acknowledged would become a call to the store.
+        let is_for_compactions = !self.commits.has_changes();
         let ids = self.commits.take(now);
-        let effect = self.group_effect(&ids);
-        let group = self.build_group(ids);
-        let empty = group.added.is_empty()
-            && group.progress.is_empty()
-            && group.removed.is_empty()
-            && group.notices.is_empty()
-            && group.settled.is_empty()
-            && group.workers.is_none();
+        let (effect, spare_keys) = (self.group_effect(&ids), ids.spare_keys);
+        let mut group = self.build_group(ids);
+        if is_for_compactions || group.has_changes() {
+            self.fill_with_compactions(&mut group, spare_keys);
+        }
         let number = group.number;
         self.commits.note_sent(group.clone(), effect, now);
-        match empty {
+        match group.is_empty() {
             true => self.handle_group_stored(now, number),
             false => self.actions.push(GraphAction::Commit(group)),
         }
     }
 
+    /// Adds compactions of ended jobs to a group that may write `keys` more.
+    fn fill_with_compactions(&mut self, group: &mut CommitGroup, keys: usize) {
+        let changed: BTreeSet<GraphId> = group.progress.iter().map(|(id, _)| id.clone()).collect();
+        let (jobs, knows_all_runs) = (&self.jobs, self.knows_all_runs());
+        self.commits.fill(group, keys, |id| {
+            let job = jobs.settled(id, knows_all_runs).filter(|_| !changed.contains(id));
+            job.map(CompactedJob::new)
+        });
+    }
+
+    /// Whether all runs that earlier leaders have started were found or have ended.
+    fn knows_all_runs(&self) -> bool {
+        self.unseen_invalidated || self.uncontacted.is_empty()
+    }
+
+    /// Finds the ended jobs that can be compacted.
+    pub(super) fn review_compactions(&mut self, now: Instant) {
+        let (jobs, knows_all_runs) = (&self.jobs, self.knows_all_runs());
+        self.commits.review_compactions(now, |id| jobs.settled(id, knows_all_runs).is_some());
+    }
+
     fn group_effect(&self, ids: &GroupIds) -> GroupEffect {
         let mut effect = GroupEffect::default();
         for instance in self.instances.iter() {
@@ -79,6 +102,7 @@
             notices: ids.notices.into_iter().filter_map(notice).collect(),
             settled: ids.settled,
             workers: ids.workers_changed.then(|| self.instances.in_use()),
+            compacted: Vec::new(),
         }
     }
 
@@ -112,7 +136,7 @@
         number: GroupNumber,
         taken: &[TakenName],
     ) {
-        let Some((group, effect)) = self.commits.take_stored(number) else {
+        let Some((group, effect)) = self.commits.take_stored(number, now) else {
             warn!(number; "stored group was not in flight");
             return;
         };
@@ -162,7 +186,7 @@
                     }
                     self.send_notices(&id);
                 }
-                None => {}
+                None => self.commits.compact(id.clone()),
             }
             let answer = match verdict {
                 GraphVerdict::Cancelled => GraphAnswer::Cancelled,
@@ -173,6 +197,7 @@
         for id in &group.removed {
             self.jobs.remove(id);
         }
+        metrics::counter!("kelplink_compacted_jobs_total").increment(group.compacted.len() as u64);
         for (instance, number) in effect.ends {
             self.instances.ends_stored(now, &instance, number);
         }
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -78,9 +78,10 @@
                 WorkerEvent::CrashSuspected(task, suspect_run) => {
                     info!(task:% = task, run = suspect_run.run, worker = &*suspect_run.worker; "worker has not answered since a start");
                     let run = suspect_run.run;
-                    self.jobs.note_suspect_run(&task, suspect_run);
-                    self.jobs.confirm_run(&task, run);
-                    self.commits.change(task.job.clone(), now, true);
+                    if self.jobs.note_suspect_run(&task, suspect_run) {
+                        self.jobs.confirm_run(&task, run);
+                        self.commits.change(task.job.clone(), now, true);
+                    }
                 }
                 WorkerEvent::Survived(task, run) => {
                     info!(task:% = task, run; "worker survived the start of a suspected task");
--- a/src/graph/storing.rs
+++ b/src/graph/storing.rs
@@ -1,3 +1,4 @@
 //! Groups of changes for the store.
 
 pub(super) mod commit;
+pub(super) mod compaction;
--- a/src/graph/storing/commit.rs
+++ b/src/graph/storing/commit.rs
@@ -9,6 +9,7 @@
 use crate::graph::exchange::{InstanceId, UsedWorker};
 use crate::graph::sharding::notice::{NoticeKind, NoticeQueue, ShardNotice};
 use crate::graph::sharding::shard::ShardId;
+use crate::graph::storing::compaction::{CompactedJob, CompactionQueue, CompactionRoom};
 use crate::graph::workload::changes::ChangeQueue;
 use crate::graph::workload::job::GraphRecord;
 use crate::graph::workload::name::GraphId;
@@ -56,6 +57,25 @@
     pub settled: Vec<(GraphId, NoticeKind)>,
     /// All workers that may have runs, if the set has changed.
     pub workers: Option<Vec<UsedWorker>>,
+    /// Ended jobs whose stored record shrinks.
+    pub compacted: Vec<CompactedJob>,
+}
+
+impl CommitGroup {
+    /// Whether there is nothing to store.
+    pub fn is_empty(&self) -> bool {
+        self.compacted.is_empty() && !self.has_changes()
+    }
+
+    /// Whether it stores anything that someone waits for.
+    pub(crate) fn has_changes(&self) -> bool {
+        !(self.added.is_empty()
+            && self.progress.is_empty()
+            && self.removed.is_empty()
+            && self.notices.is_empty()
+            && self.settled.is_empty()
+            && self.workers.is_none())
+    }
 }
 
 /// A job of a group that was not stored, as the leader of another shard had accepted one of its name before.
@@ -122,6 +142,11 @@
     gathering_since: Option<Instant>,
     last_number: GroupNumber,
     last_sent: Option<Instant>,
+    /// When the store last got a group that was not empty.
+    last_written: Option<Instant>,
+    /// How long the store took for that group.
+    last_group_time: Duration,
+    compactions: CompactionQueue,
     in_flight: Option<(CommitGroup, GroupEffect)>,
     /// Time since which the store has refused every group.
     refused_since: Option<Instant>,
@@ -159,10 +184,39 @@
 
     /// Adds a job to remove.
     pub fn remove(&mut self, job: GraphId, now: Instant) {
+        self.compactions.remove(&job);
         self.removed.insert(job);
         self.schedule(now, false);
     }
 
+    /// Adds an ended job whose verdict is stored, to be compacted once it has no runs left.
+    pub(crate) fn compact(&mut self, job: GraphId) {
+        if !self.removed.contains(&job) {
+            self.compactions.add(job);
+        }
+    }
+
+    /// Finds the jobs that can be compacted.
+    pub(crate) fn review_compactions(
+        &mut self,
+        now: Instant,
+        is_settled: impl Fn(&GraphId) -> bool,
+    ) {
+        self.compactions.review(now, is_settled);
+    }
+
+    /// Fills a group that may write `keys` more with compactions. `compacted` returns the compact form of a job, or
+    /// `None` for one that has to wait.
+    pub(crate) fn fill(
+        &mut self,
+        group: &mut CommitGroup,
+        keys: usize,
+        compacted: impl Fn(&GraphId) -> Option<CompactedJob>,
+    ) {
+        let room = CompactionRoom::new(group, keys);
+        group.compacted = self.compactions.take(room, compacted);
+    }
+
     /// Records that the set of workers that may have runs has changed.
     pub fn note_workers(&mut self, now: Instant, urgent: bool) {
         self.workers_changed = true;
@@ -217,9 +271,14 @@
         for (job, kind) in &group.settled {
             self.notices.mark_settled(job.clone(), *kind);
         }
+        for job in &group.compacted {
+            self.compact(job.record.spec.id.clone());
+        }
         self.workers_changed |= group.workers.is_some();
-        self.gathering_since.get_or_insert(now);
-        self.last_sent = Some(now);
+        if group.has_changes() {
+            self.gathering_since.get_or_insert(now);
+        }
+        (self.last_sent, self.last_written) = (Some(now), Some(now));
         self.refused_since.get_or_insert(now);
         Some(group)
     }
@@ -231,8 +290,13 @@
 
     /// When the next group is due; `None` if there is nothing to store or a group is in flight.
     pub fn due(&self) -> Option<Instant> {
-        if !self.has_changes() || self.in_flight.is_some() {
-            return None;
+        match () {
+            () if self.in_flight.is_some() => return None,
+            () if !self.has_changes() => {
+                let refused = self.refused_since.is_some();
+                return self.compactions.due(self.last_written, self.last_group_time, refused);
+            }
+            () => {}
         }
         let interval =
             if self.refused_since.is_some() { REFUSED_GROUP_INTERVAL } else { MIN_GROUP_INTERVAL };
@@ -251,10 +315,16 @@
 
     /// Whether a group should be made now.
     pub fn is_due(&self, now: Instant) -> bool {
-        self.has_changes() && self.in_flight.is_none() && self.due().is_none_or(|due| due <= now)
+        let due = self.due();
+        self.in_flight.is_none()
+            && match self.has_changes() {
+                true => due.is_none_or(|due| due <= now),
+                false => due.is_some_and(|due| due <= now),
+            }
     }
 
-    fn has_changes(&self) -> bool {
+    /// Whether there are changes that someone waits for.
+    pub(crate) fn has_changes(&self) -> bool {
         !self.added.is_empty() || !self.notices.is_empty() || self.gathering_since.is_some()
     }
 
@@ -279,7 +349,9 @@
         self.urgent = has_rest && self.urgent;
         self.gathering_since = has_rest.then_some(now);
         self.last_number += 1;
+        let spare_keys = if has_rest { 0 } else { keys_left };
         GroupIds {
+            spare_keys,
             number: self.last_number,
             added,
             changed,
@@ -293,13 +365,24 @@
     /// Records that a group was sent.
     pub fn note_sent(&mut self, group: CommitGroup, effect: GroupEffect, now: Instant) {
         self.last_sent = Some(now);
+        if !group.is_empty() {
+            self.last_written = Some(now);
+        }
         self.in_flight = Some((group, effect));
     }
 
     /// Removes and returns the group in flight once it is stored.
-    pub fn take_stored(&mut self, number: GroupNumber) -> Option<(CommitGroup, GroupEffect)> {
+    pub fn take_stored(
+        &mut self,
+        number: GroupNumber,
+        now: Instant,
+    ) -> Option<(CommitGroup, GroupEffect)> {
         self.refused_since = None;
-        self.in_flight.take_if(|(group, _)| group.number == number)
+        let stored = self.in_flight.take_if(|(group, _)| group.number == number)?;
+        if let Some(written) = self.last_written.filter(|_| !stored.0.is_empty()) {
+            self.last_group_time = now.saturating_duration_since(written);
+        }
+        Some(stored)
     }
 }
 
@@ -313,6 +396,8 @@
     pub(crate) settled: Vec<(GraphId, NoticeKind)>,
     pub(crate) removed: Vec<GraphId>,
     pub(crate) workers_changed: bool,
+    /// Keys that are left for compactions; none while other changes wait for the next group.
+    pub(crate) spare_keys: usize,
 }
 
 fn take_within(from: &mut BTreeSet<GraphId>, keys_left: &mut usize, keys: usize) -> Vec<GraphId> {
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -34,6 +34,13 @@
     pub share: Option<TaskShare>,
 }
 
+impl GraphRecord {
+    /// Whether it is that of an ended job, reduced to what is still told about the job.
+    pub fn is_compacted(&self) -> bool {
+        self.spec.steps.is_empty()
+    }
+}
+
 /// Worker on which a task runs or may run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LiveRun {
@@ -200,7 +207,40 @@
         self.progress.verdict.is_some()
     }
 
-    /// Returns a step.
+    /// Whether its stored record need not shrink once it has ended. A job of several shards keeps its record, which
+    /// says where its shares run.
+    pub(crate) fn is_compact(&self) -> bool {
+        self.spec.steps.is_empty() || self.share.is_some()
+    }
+
+    /// The record that is stored once the job has ended: what is told to callers, and what a restored job needs. The
+    /// other fields of the rule stay because entries of an earlier build require them.
+    pub(crate) fn compact_record(&self) -> GraphRecord {
+        let GraphSpec { id, queue, accepted, .. } = &*self.spec;
+        let spec = GraphSpec {
+            id: id.clone(),
+            queue: queue.clone(),
+            payload: "".into(),
+            steps: Vec::new(),
+            repeat: None,
+            accepted: *accepted,
+        };
+        let rule = QueueRule {
+            id: "".into(),
+            host: "".into(),
+            prefix: "".into(),
+            service: "".into(),
+            priority: self.rule.priority,
+            max_attempts: self.rule.max_attempts,
+            slack: 0.0,
+            target: Duration::ZERO,
+            advice: None,
+            public: self.rule.public,
+        };
+        GraphRecord { spec, rule, workspace: self.workspace.clone(), home: None, share: None }
+    }
+
+    /// Returns a step; `None` for every step of an ended job whose record was compacted.
     pub fn step(&self, key: StepKey) -> Option<&StepSpec> {
         self.spec.steps.get(key.step as usize)
     }
--- a/src/graph/workload/jobs.rs
+++ b/src/graph/workload/jobs.rs
@@ -215,6 +215,8 @@
             job.live.remove(&task.key);
         }
         let Some(step) = job.step(task.key.step).cloned() else {
+            // Only tasks that do not last have floors, also where the step is not known any more.
+            effect.superseded = kind == EndKind::Done && !job.progress.counts(&task.key, run);
             return effect;
         };
         let is_outdated = started_again || !job.progress.counts(&task.key, run);
@@ -305,6 +307,17 @@
         self.jobs.values().filter(is_pending).count()
     }
 
+    /// Returns a job whose verdict is stored and none of whose runs can continue anywhere. `knows_all_runs` is whether
+    /// all runs that earlier leaders have started were found or have ended.
+    ///
+    /// Of other ended jobs a takeover needs the steps: a run that is found takes what its step reserves, and one that
+    /// may be left counts against the cap of its workspace.
+    pub(crate) fn settled(&self, id: &GraphId, knows_all_runs: bool) -> Option<&GraphJob> {
+        let job = self.jobs.get(id)?;
+        let has_no_runs = job.live.is_empty() && (knows_all_runs || !job.inherited);
+        (job.stored_verdict.is_some() && has_no_runs).then_some(job)
+    }
+
     /// Jobs that ended before a moment and have no live run.
     pub(crate) fn ended_before(&self, moment: UnixMillis) -> Vec<GraphId> {
         let old = |job: &&GraphJob| {
@@ -328,6 +341,11 @@
     job.progress.ended = Some(unix);
     job.progress.saved.clear();
     job.progress.announced.clear();
+    // What a completed job has done is known without a list, so its stored progress is compact from the verdict on and
+    // its compaction takes one key. For other jobs the list shows a takeover which runs may be left.
+    if verdict == GraphVerdict::Completed {
+        job.progress = job.progress.compacted();
+    }
 }
 
 fn note_done(job: &mut GraphJob, task: TaskKey, gang: bool, count: u32) {
--- a/src/graph/workload/jobs/crashes.rs
+++ b/src/graph/workload/jobs/crashes.rs
@@ -92,14 +92,17 @@
         }
     }
 
-    /// Notes the start of a suspected task.
-    pub(crate) fn note_suspect_run(&mut self, task: &TaskName, suspect_run: SuspectRun) {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
+    /// Notes the start of a suspected task. Returns whether its job has not ended.
+    pub(crate) fn note_suspect_run(&mut self, task: &TaskName, suspect_run: SuspectRun) -> bool {
+        let job = self.jobs.get_mut(&task.job).filter(|job| !job.is_over());
+        let is_open = job.is_some();
+        if let Some(job) = job {
             if let Some(run) = job.withdrawn.remove(&task.key) {
                 job.progress.clear_suspect_run(&task.key, run);
             }
             job.progress.note_suspect_run(task.key, suspect_run);
         }
+        is_open
     }
 
     /// Handles a start that was certainly not carried out.
--- a/src/graph/workload/progress.rs
+++ b/src/graph/workload/progress.rs
@@ -163,6 +163,18 @@
             || self.crashes.values().any(has_certain)
     }
 
+    /// What is kept of the progress of an ended job that has no runs left. Its floors are kept: the end of a run
+    /// below them must not be acknowledged, whenever its worker reports it.
+    pub(crate) fn compacted(&self) -> Self {
+        Self {
+            verdict: self.verdict,
+            ended: self.ended,
+            begun: self.shows_begun(),
+            floors: self.floors.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Whether there is nothing to store.
     pub(crate) fn is_blank(&self) -> bool {
         *self == Self::default()
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -88,7 +88,10 @@
         let mut page_timeout = PAGE_TIMEOUT;
         let state = loop {
             match self.ledger.load(page_timeout).await {
-                Ok(state) => break state,
+                Ok(state) => {
+                    self.ledger.report_load(&state);
+                    break state;
+                }
                 Err(_) => sleep(RETRY_PAUSE).await,
             }
             page_timeout = (page_timeout * 2).min(MAX_PAGE_TIMEOUT);
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -6,6 +6,7 @@
 mod tests;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -72,6 +73,8 @@
     store: EntryStore,
     dependency_log: DependencyLog,
     head: Arc<Mutex<LedgerHead>>,
+    /// Size of the job records and progress read so far.
+    read_bytes: Arc<AtomicU64>,
 }
 
 impl JobLedger {
@@ -83,7 +86,8 @@
     ) -> Self {
         let head = LedgerHead { epoch, epoch_revision, group_revision: 0 };
         let (store, dependency_log) = (shared.store.clone(), shared.dependencies.store.clone());
-        Self { keys: ShardKeys { shard }, store, dependency_log, head: Arc::new(Mutex::new(head)) }
+        let (head, read_bytes) = (Arc::new(Mutex::new(head)), Arc::default());
+        Self { keys: ShardKeys { shard }, store, dependency_log, head, read_bytes }
     }
 
     /// Continues under a later epoch of the same leader.
@@ -138,6 +142,7 @@
             let page = self.store.page_within(prefix, &after, page_timeout).await?;
             for item in &page.items {
                 let id = item.key.strip_prefix(prefix).unwrap_or(&item.key);
+                self.read_bytes.fetch_add(item.value.len() as u64, Ordering::Relaxed);
                 found.insert(id.to_owned(), decode(item));
             }
             match page.items.last() {
@@ -147,6 +152,15 @@
         }
     }
 
+    /// Reports what was read for a takeover, including reads that were repeated.
+    pub(crate) fn report_load(&self, state: &RestoredState) {
+        let bytes = self.read_bytes.load(Ordering::Relaxed);
+        let compacted = state.jobs.iter().filter(|(record, _)| record.is_compacted()).count();
+        info!(bytes, jobs = state.jobs.len(), compacted; "jobs read for a takeover");
+        metrics::gauge!("kelplink_takeover_bytes").set(bytes as f64);
+        metrics::gauge!("kelplink_takeover_jobs").set(state.jobs.len() as f64);
+    }
+
     /// Stores a group, retrying until it is stored, another entry leads, or the store has refused it.
     ///
     /// The group is sent unchanged until it is answered: if an unanswered send took effect, or still does, the next one
@@ -337,10 +351,17 @@
             Some(progress) => decode(&progress).ok_or_else(unreadable)?,
             None => GraphProgress::default(),
         };
-        Ok(Some((record, progress)))
+        let stored = Some((record, progress));
+        // A compacted record without progress is that of a job which was removed between the two reads.
+        Ok(stored.filter(has_evidence))
     }
 }
 
+/// Whether a job has steps or a verdict; without both nothing is known about it.
+fn has_evidence((record, progress): &(GraphRecord, GraphProgress)) -> bool {
+    !record.is_compacted() || progress.verdict.is_some()
+}
+
 /// Joins job records with their progress. A job with an unreadable record or progress is left out: treated as not
 /// started, it would run its tasks again.
 fn join(
@@ -350,7 +371,7 @@
     let mut complete = Vec::with_capacity(records.len());
     for (id, record) in records {
         let progress = progress.remove(&id).unwrap_or_else(|| Some(GraphProgress::default()));
-        match record.zip(progress) {
+        match record.zip(progress).filter(has_evidence) {
             Some(job) => complete.push(job),
             None => error!(job = id; "skipping a job with an unreadable key"),
         }
--- a/src/node/ledger/shard_keys.rs
+++ b/src/node/ledger/shard_keys.rs
@@ -4,7 +4,7 @@
 use log::error;
 use serde::Serialize;
 
-use crate::graph::{CommitGroup, GraphId, GraphRecord, NoticeKind, ShardId};
+use crate::graph::{CommitGroup, CompactedJob, GraphId, GraphRecord, NoticeKind, ShardId};
 use crate::node::keys::{KeyWrite, epoch_key, sharded};
 use crate::node::ledger::LedgerHead;
 use crate::node::notices::notice_key;
@@ -99,6 +99,13 @@
         for (job, progress) in &group.progress {
             writes.push(key_write(self.progress(job), encode(progress)));
         }
+        for CompactedJob { record, progress } in &group.compacted {
+            let job = &record.spec.id;
+            writes.push(key_write(self.record(job), encode(record)));
+            if let Some(progress) = progress {
+                writes.push(key_write(self.progress(job), encode(progress)));
+            }
+        }
         for notice in &group.notices {
             let value = notice.record.as_ref().map(encode).unwrap_or_default();
             writes.push(key_write(notice_key(&notice.shard, notice.kind, &notice.job), value));
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -64,6 +64,8 @@
     pub(crate) leaders: BTreeMap<LeaderEpoch, GraphController>,
     /// Shard of each leader.
     leader_shards: BTreeMap<LeaderEpoch, ShardId>,
+    /// Each job as it was accepted, also after its compaction.
+    accepted: BTreeMap<GraphId, GraphRecord>,
     /// Shard in which each job was accepted.
     job_shards: BTreeMap<GraphId, ShardId>,
     pub(crate) workers: BTreeMap<WorkerId, ModelWorker>,
@@ -225,6 +227,7 @@
             plan: Arc::new(plan),
             leaders: BTreeMap::new(),
             leader_shards: BTreeMap::new(),
+            accepted: BTreeMap::new(),
             job_shards: BTreeMap::new(),
             workers: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -472,7 +475,7 @@
         let up = self.workers.values().filter(|worker| worker.up);
         let runs = up.flat_map(|worker| &worker.runs);
         let demands = runs.filter_map(|(task, _)| {
-            let (record, _) = self.store.jobs.get(&task.job)?;
+            let record = self.accepted.get(&task.job)?;
             let is_of_workspace = record.workspace.as_deref() == Some(workspace);
             is_of_workspace.then(|| record.spec.steps[task.key.step.step as usize].need)
         });
@@ -837,8 +840,8 @@
             // A lease that expires while nothing runs leaves no record on the worker, so only
             // an end before a recorded expiry may belong to a task that was started again.
             let started_again = self.latest_runs.get(&end.task).is_some_and(|run| *run > end.run);
-            let step = self.store.jobs.get(&end.task.job);
-            let step = step.map(|(record, _)| &record.spec.steps[end.task.key.step.step as usize]);
+            let step = self.accepted.get(&end.task.job);
+            let step = step.map(|record| &record.spec.steps[end.task.key.step.step as usize]);
             let counts = end.kind == EndKind::Done && step.is_some_and(|step| !step.lasting);
             assert!(
                 !counts || end.number < last_lease_expiry || !started_again || !self.strict_acks,
@@ -897,10 +900,9 @@
         let fails =
             self.failing_jobs.contains(&task.job) || self.draw_chance(self.failure_permille);
         let step = self
-            .store
-            .jobs
+            .accepted
             .get(&task.job)
-            .map(|(record, _)| record.spec.steps[task.key.step.step as usize].clone());
+            .map(|record| record.spec.steps[task.key.step.step as usize].clone());
         let step =
             step.unwrap_or_else(|| panic!("{task} is started but its job was never accepted"));
         let result = match self.reachable(&id) {
@@ -1024,6 +1026,7 @@
                 continue;
             }
             self.job_shards.insert(id.clone(), shard.clone());
+            self.accepted.insert(id.clone(), record.clone());
             self.store.jobs.insert(id, (record, GraphProgress::default()));
         }
         for notice in group.notices {
@@ -1049,7 +1052,7 @@
                 self.verdict_times.entry(id.clone()).or_insert(self.now);
             }
             if progress.verdict == Some(GraphVerdict::Failed)
-                && let Some((record, _)) = self.store.jobs.get(&id)
+                && let Some(record) = self.accepted.get(&id)
             {
                 self.crash_checker.check_failed(record);
             }
@@ -1063,6 +1066,9 @@
                 }
             }
         }
+        for compacted in group.compacted {
+            self.store.compact(compacted);
+        }
         for id in group.removed {
             let stored = self.store.shards.entry(shard.clone()).or_default();
             if stored.parts.remove(&id).is_none() {
@@ -1143,7 +1149,7 @@
 
     /// Checks that a workspace uses no more than its cap after one of its tasks has started.
     fn check_cap(&self, task: &TaskName) {
-        let (record, _) = &self.store.jobs[&task.job];
+        let record = &self.accepted[&task.job];
         let rule = record.workspace.as_ref().and_then(|id| self.config.workspaces.get(id));
         let Some(rule) = rule else {
             return;
@@ -1196,7 +1202,7 @@
             "{task} is started again after its end was acknowledged"
         );
         let failed = acknowledged.iter().filter(|kind| **kind == EndKind::Failed).count();
-        let (record, progress) = &self.store.jobs[&task.job];
+        let (record, (_, progress)) = (&self.accepted[&task.job], &self.store.jobs[&task.job]);
         assert!(
             step.lasting || failed < record.rule.max_attempts as usize,
             "{task} has failed {failed} times"
--- a/tests/graph/sim_cluster/store.rs
+++ b/tests/graph/sim_cluster/store.rs
@@ -21,11 +21,34 @@
     /// Whether the list of workers in use cannot be read.
     pub(crate) workers_unreadable: bool,
     pub(crate) groups: u64,
+    /// Number of compactions.
+    pub(crate) compacted: u64,
     /// The parts that the shards have of the caps, with their version.
     pub(super) quota: Option<StoredValue>,
 }
 
 impl ModelStore {
+    /// Applies the compaction of an ended job.
+    ///
+    /// It must neither take anything from a job without a stored verdict, nor change what callers are told, nor bring
+    /// back a job that was removed.
+    pub(super) fn compact(&mut self, compacted: CompactedJob) {
+        let CompactedJob { record, progress } = compacted;
+        let id = record.spec.id.clone();
+        let stored = self.jobs.get_mut(&id).unwrap_or_else(|| panic!("{id} is not stored"));
+        assert!(stored.1.verdict.is_some(), "{id} is compacted before its verdict is stored");
+        assert!(stored.0.share.is_none(), "{id} is compacted but runs in several shards");
+        let told = |(record, progress): &(GraphRecord, GraphProgress)| {
+            let spec = (record.spec.queue.clone(), record.spec.accepted);
+            let holder = (record.workspace.clone(), record.rule.public);
+            (spec, holder, progress.verdict, progress.ended, progress.floors.clone())
+        };
+        let compacted = (record, progress.unwrap_or_else(|| stored.1.clone()));
+        assert_eq!(told(&compacted), told(stored), "{id} loses what callers are told about it");
+        *stored = compacted;
+        self.compacted += 1;
+    }
+
     /// Handles a call about the parts of caps from the leader of the current epoch, or from an earlier one.
     pub(super) fn call_quota(&mut self, request: &StoreRequest, current: bool) -> StoreOutcome {
         let version = self.quota.as_ref().map_or(0, |stored| stored.version);
--- a/tests/graph/sim_cluster/worker_faults.rs
+++ b/tests/graph/sim_cluster/worker_faults.rs
@@ -117,8 +117,8 @@
     /// Ends the other members of a gang that has lost a member.
     fn end_gang(&mut self, lost_task: &TaskName, run: RunNumber) {
         let step = lost_task.key.step;
-        let record = self.store.jobs.get(&lost_task.job);
-        let spec = record.and_then(|(record, _)| record.spec.steps.get(step.step as usize));
+        let record = self.accepted.get(&lost_task.job);
+        let spec = record.and_then(|record| record.spec.steps.get(step.step as usize));
         if !spec.is_some_and(|spec| spec.gang) {
             return;
         }
