--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -87,6 +87,7 @@
         let Some(state) = self.read_ledger().await else {
             return info!(shard = &*self.shard, epoch = self.epoch; "leadership ended before the ledger was read");
         };
+        self.ledger.report_load(&state);
         let plan = self.shared.members.borrow().plan.clone();
         let Some(plan) = plan else {
             return warn!(shard = &*self.shard; "leadership ends: the shard plan is not known");
