Pass leadership to a strong entry that registers after a weak one was elected

Cause: after a loss of all power an entry of 0.3 cores and 10 Mbit/s was elected 15 to 100 ms before the strong entries registered. It kept leadership, and nothing was served for 15 s and more. Change: a weak leader passes its shard to a strong entry that leads none and has registered since the leader campaigned, with the transaction of a planned stop. While the leader still reads the ledger this costs nothing, as it resigns at once. A leader that serves hands over as at a planned stop: the shard has no leader while the successor reads. Bounds: only from a weak to a strong entry; for 1.5 s after an election only to one that is strong beside the best machine seen so far; not within 5 s after a transfer or a handover; only to entries that registered after the term began, so that a machine that stepped down as too slow does not get leadership back; not while the term is in doubt or renewals are unanswered. If the successor's lease has ended, the leader leads on. Simulated entries answer calls of handovers within the process.

--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,7 @@
 mod settings;
 mod shard_plan;
 mod shared;
+mod simulated_peers;
 mod simulated_store;
 mod simulation;
 mod state_queries;
@@ -53,6 +54,8 @@
 #[cfg(test)]
 mod availability_tests;
 #[cfg(test)]
+mod job_fixtures;
+#[cfg(test)]
 mod leader_client_tests;
 #[cfg(test)]
 mod machine_tests;
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -29,7 +29,7 @@
 /// Delay of weak machines while a strong one that was seen before is not registered. Entries that all restart, or whose
 /// registrations have expired, register within a second of each other, and a weak machine needs many seconds to read
 /// the jobs.
-const STRONG_MACHINE_PAUSE: Duration = Duration::from_millis(1_500);
+pub(crate) const STRONG_MACHINE_PAUSE: Duration = Duration::from_millis(1_500);
 /// Capacity of the input ring of the leader loop.
 const LEADER_RING_SIZE: usize = 8_192;
 
@@ -81,6 +81,10 @@
     led_since: Option<Instant>,
     /// Leader of the previous term: entry and start.
     predecessor: Option<(EntryId, u64)>,
+    /// Revision of the latest registration that this entry knew when it campaigned for the current term or received it.
+    latest_registration: u64,
+    /// Time before which this process passes the shard to no stronger entry.
+    transfer_from: Option<Instant>,
 }
 
 impl Candidacy {
@@ -93,6 +97,8 @@
             last_epoch: 0,
             led_since: None,
             predecessor: None,
+            latest_registration: 0,
+            transfer_from: None,
         }
     }
 
@@ -115,6 +121,34 @@
         self.leadership.as_ref().map(|leadership| leadership.epoch)
     }
 
+    /// Records which registrations this entry knows as it campaigns for a term or receives one. Leadership passes only to
+    /// entries that register later: a strong one that was known could have campaigned first, or had stepped down as too
+    /// slow.
+    pub(crate) fn note_registrations(&mut self, view: &MemberView) {
+        if !self.leads() {
+            let revisions = view.entries.values().map(|record| record.revision);
+            self.latest_registration = revisions.max().unwrap_or(0);
+        }
+    }
+
+    /// Revision of the latest registration that was known before the term.
+    pub(crate) fn latest_registration(&self) -> u64 {
+        self.latest_registration
+    }
+
+    /// The epoch this process leads under, if the term may be passed to a stronger entry now.
+    pub(crate) fn transferable_epoch(&self, now: Instant) -> Option<LeaderEpoch> {
+        let is_due = self.transfer_from.is_none_or(|from| from <= now);
+        let is_certain = |own: &&Leadership| !own.lease_ended && !own.in_doubt;
+        let leadership = self.leadership.as_ref().filter(is_certain).filter(|_| is_due);
+        leadership.map(|leadership| leadership.epoch)
+    }
+
+    /// Keeps the shard from being passed to a stronger entry for some time.
+    pub(crate) fn delay_transfer(&mut self, delay: Duration) {
+        self.transfer_from = Some(Instant::now() + delay);
+    }
+
     /// The leader of the previous term, if it may still be running. `None` if its process has ended, or if this process
     /// has led for longer than that leader could continue.
     pub(crate) fn running_predecessor(&self, view: &MemberView) -> Option<(EntryId, u64)> {
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -3,6 +3,9 @@
 pub(crate) mod handover;
 #[cfg(test)]
 mod lease_tests;
+mod transfer;
+#[cfg(test)]
+mod transfer_tests;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,6 +20,7 @@
 use crate::node::answer_condition::LEASE_TTL;
 use crate::node::backoff::RetryBackoff;
 use crate::node::candidacy::{Candidacy, CandidacyState};
+use crate::node::election::handover::TransferCause;
 use crate::node::keys::{
     ENTRY_PREFIX, KeyTransaction, KeyWrite, LeaseId, StoreError, TransactionOutcome, epoch_key,
     leader_key,
@@ -61,6 +65,7 @@
 
 impl ElectionLoop {
     pub(crate) fn new(shared: Arc<NodeShared>) -> Self {
+        let peers = PeerClient::within(shared.network.clone());
         Self {
             shared,
             lease: None,
@@ -69,7 +74,7 @@
             registered: 0,
             candidacies: BTreeMap::new(),
             lateness: LatenessMonitor::new(),
-            peers: PeerClient::new(),
+            peers,
             paused_until: None,
         }
     }
@@ -102,6 +107,7 @@
             let mut wake = next_renewal;
             for shard in view.all_shards().unwrap_or_default() {
                 self.reconcile(&shard, &view).await;
+                self.pass_to_stronger(&shard, &view).await;
                 wake = self
                     .campaign_in_turn(&shard, &view)
                     .await
@@ -152,7 +158,7 @@
         self.lateness.reset();
         // The term ends only once the store records it: otherwise the leader key would stay, and the shard would have
         // no leader for as long as this entry is registered.
-        if self.hand_over().await {
+        if self.hand_over(TransferCause::SlowMachine).await {
             self.pause_campaigns();
         }
     }
@@ -310,6 +316,7 @@
             ],
             removes: Vec::new(),
         };
+        self.candidacy(shard).note_registrations(view);
         let result = self.shared.store.transact(&change).await;
         self.shared.dependencies.store.tried(LOG_NAME, &result);
         match result {
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -1,5 +1,7 @@
 //! Handover of leadership to another entry when this one steps down, and the start of terms handed over to this entry.
 
+use std::net::SocketAddr;
+
 use log::{info, warn};
 use tokio::time::{Instant, sleep};
 
@@ -22,14 +24,38 @@
 /// not answer.
 const LEAVE_SHARE: f64 = 0.65;
 
+/// Why a leader passes its shard to another entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TransferCause {
+    /// The process stops.
+    PlannedStop,
+    /// The machine is too slow to lead.
+    SlowMachine,
+    /// A stronger entry has registered.
+    StrongerEntry,
+    /// An earlier transfer was not answered.
+    TermInDoubt,
+}
+
+impl TransferCause {
+    fn label(self) -> &'static str {
+        match self {
+            Self::PlannedStop => "planned stop",
+            Self::SlowMachine => "slow machine",
+            Self::StrongerEntry => "stronger entry",
+            Self::TermInDoubt => "term in doubt",
+        }
+    }
+}
+
 impl ElectionLoop {
     /// Hands over every shard that this process leads. Returns whether the store has recorded all handovers.
-    pub(super) async fn hand_over(&mut self) -> bool {
+    pub(super) async fn hand_over(&mut self, cause: TransferCause) -> bool {
         let leading = self.candidacies.iter().filter(|(_, candidacy)| candidacy.leads());
         let shards: Vec<ShardId> = leading.map(|(shard, _)| shard.clone()).collect();
         let mut all_done = true;
         for shard in shards {
-            all_done &= self.transfer_leadership(&shard).await;
+            all_done &= self.transfer_leadership(&shard, cause).await;
         }
         all_done
     }
@@ -40,7 +66,7 @@
         let in_doubt = self.candidacies.iter().filter(|(_, candidacy)| candidacy.in_doubt());
         let shards: Vec<ShardId> = in_doubt.map(|(shard, _)| shard.clone()).collect();
         for shard in shards {
-            if self.transfer_leadership(&shard).await {
+            if self.transfer_leadership(&shard, TransferCause::TermInDoubt).await {
                 self.pause_campaigns();
             }
         }
@@ -49,17 +75,33 @@
     /// Records the next leader of a shard in the store, keeps leading until the store has confirmed it, and then
     /// notifies the successor. An election instead would leave the shard without a leader for several calls to the
     /// store, or until a store that is down has recovered.
-    async fn transfer_leadership(&mut self, shard: &ShardId) -> bool {
+    async fn transfer_leadership(&mut self, shard: &ShardId, cause: TransferCause) -> bool {
         let view = self.shared.members.borrow().clone();
-        let shard_view = view.shard(shard);
         let Some(epoch) = self.candidacy(shard).epoch() else {
             return true;
         };
-        let predecessor = self.candidacy(shard).running_predecessor(&view);
-        let offer = match shard_view.epoch == epoch {
-            true => self.successor(shard, epoch, &view).await,
+        let offer = match view.shard(shard).epoch == epoch {
+            true => {
+                let candidates = view.successors(shard, &self.shared.settings.name);
+                self.first_offer(shard, epoch, candidates, &view).await
+            }
             false => None,
         };
+        self.record_successor(shard, epoch, &view, offer, cause).await
+    }
+
+    /// Ends this process's term under `epoch` in the store, with the entry of an offer as the next leader, or without
+    /// one. Returns whether the term has ended.
+    pub(super) async fn record_successor(
+        &mut self,
+        shard: &ShardId,
+        epoch: LeaderEpoch,
+        view: &MemberView,
+        offer: Option<SuccessorOffer>,
+        cause: TransferCause,
+    ) -> bool {
+        let shard_view = view.shard(shard);
+        let predecessor = self.candidacy(shard).running_predecessor(view);
         let change = |offer: Option<&SuccessorOffer>| {
             succession_change(shard, &shard_view, epoch, offer, predecessor.clone(), view.best)
         };
@@ -71,8 +113,11 @@
         };
         let mut offer = offer;
         let mut result = self.shared.store.transact(&with_successor).await;
-        if matches!(result, Ok(TransactionOutcome::NoLease)) {
-            // The successor's lease has ended meanwhile: an election chooses the leader.
+        if matches!(result, Ok(TransactionOutcome::NoLease))
+            && cause != TransferCause::StrongerEntry
+        {
+            // The successor's lease has ended meanwhile: an election chooses the leader. A leader that need not step
+            // down leads on.
             offer = None;
             result = self.shared.store.transact(&without_successor).await;
         }
@@ -80,6 +125,9 @@
         match result {
             Ok(TransactionOutcome::Done(epoch_revision)) => {
                 self.candidacy(shard).end().await;
+                let is_named = if offer.is_some() { "yes" } else { "no" };
+                metrics::counter!("kelplink_leadership_transfers_total", "cause" => cause.label(), "successor" => is_named)
+                    .increment(1);
                 match offer {
                     Some(offer) => {
                         let term = LeaderTerm { epoch: epoch + 1, epoch_revision, predecessor };
@@ -93,7 +141,7 @@
             Ok(TransactionOutcome::Conflict(items)) => {
                 self.candidacy(shard).end().await;
                 if let Some((offer, term)) =
-                    recorded_successor(shard, epoch, &items, &view, predecessor)
+                    recorded_successor(shard, epoch, &items, view, predecessor)
                 {
                     self.notify_successor(shard, &offer, &term).await;
                 }
@@ -119,17 +167,24 @@
         });
     }
 
-    /// Returns the offer of the best entry that can lead a shard next.
-    async fn successor(
+    /// Returns the offer of the first of some entries that can lead a shard next.
+    pub(super) async fn first_offer(
         &self,
         shard: &ShardId,
         epoch: LeaderEpoch,
+        candidates: Vec<SocketAddr>,
         view: &MemberView,
     ) -> Option<SuccessorOffer> {
-        let candidates = view.successors(shard, &self.shared.settings.name);
         for address in candidates.into_iter().take(MAX_CANDIDATES) {
             if let Ok(Some(offer)) = self.peers.offer(address, shard, epoch).await {
-                info!(shard = &**shard, successor = &*offer.entry; "successor chosen");
+                let record = view.entries.get(&offer.entry);
+                let is_strong = view.is_strong(&offer.entry);
+                info!(
+                    shard = &**shard, successor = &*offer.entry, is_strong,
+                    processor:? = record.map(|record| record.processor),
+                    link_mbps:? = record.and_then(|record| record.link_mbps);
+                    "successor chosen"
+                );
                 return Some(offer);
             }
         }
@@ -165,6 +220,9 @@
         if superseded || lease_ended || self.candidacy(shard).has_led(term.epoch) {
             return;
         }
+        let view = self.shared.members.borrow().clone();
+        self.candidacy(shard).note_registrations(&view);
+        self.note_delivered_term(shard);
         self.shared.members.send_modify(|view| {
             let shard_view = view.shards.entry(shard.clone()).or_default();
             shard_view.leader = Some(record);
@@ -181,7 +239,7 @@
     pub(super) async fn leave(&mut self) {
         self.shared.handover_inbox.set_lease(None);
         let until = Instant::now() + self.shared.settings.grace.mul_f64(LEAVE_SHARE);
-        while !self.hand_over().await && Instant::now() < until {
+        while !self.hand_over(TransferCause::PlannedStop).await && Instant::now() < until {
             let pause = self.renew().await;
             self.shared.handover_inbox.set_lease(None);
             sleep(pause.min(RETRY_PAUSE)).await;
--- a/src/node/election/lease_tests.rs
+++ b/src/node/election/lease_tests.rs
@@ -10,6 +10,7 @@
 
 use crate::graph::{QueueConfig, RequestLimits, ShardId, ShardPlan};
 use crate::node::election::ElectionLoop;
+use crate::node::election::handover::TransferCause;
 use crate::node::input::LeaderInput;
 use crate::node::message::{JobAccess, LeaderAnswer, LeaderCall};
 use crate::node::own_leader::ask_own_leader;
@@ -107,7 +108,7 @@
     election.campaign(&undivided(), &view).await;
     expect_that!(answer_for_unknown_job(&shared).await, some(eq(&LeaderAnswer::Gone)));
     store.loses_answers.store(true, Ordering::Relaxed);
-    assert!(!election.hand_over().await);
+    assert!(!election.hand_over(TransferCause::PlannedStop).await);
     assert_eq!(store.lost_transactions.load(Ordering::Relaxed), 1);
     election.renew().await;
     expect_that!(answer_for_unknown_job(&shared).await, some(eq(&LeaderAnswer::NotLeading)));
@@ -167,7 +168,7 @@
     let view = shared.members.borrow().clone();
     election.campaign(&undivided(), &view).await;
     store.loses_answers.store(true, Ordering::Relaxed);
-    assert!(!election.hand_over().await);
+    assert!(!election.hand_over(TransferCause::PlannedStop).await);
     election.resolve_in_doubt().await;
     expect_true!(election.candidacy(&undivided()).in_doubt());
     store.loses_answers.store(false, Ordering::Relaxed);
--- a/src/node/ledger/read_tests.rs
+++ b/src/node/ledger/read_tests.rs
@@ -7,9 +7,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::graph::{GraphRecord, GraphSpec, QueueRule, ShardId, StepSpec};
+use crate::graph::ShardId;
 use crate::node::entry_store::{EntryStore, StoreCallKind};
 use crate::node::input::LeaderInput;
+use crate::node::job_fixtures::{JOBS, job_bytes, put_jobs};
 use crate::node::leader::LeaderLoop;
 use crate::node::ledger::JobLedger;
 use crate::node::records::LeaderTerm;
@@ -20,48 +21,14 @@
 
 /// Number of the client of the store.
 const CLIENT: usize = 1;
-const JOBS: usize = 1_600;
-const PAYLOAD_BYTES: usize = 4_000;
-
 fn only_shard() -> ShardId {
     ShardId::from("")
 }
 
-fn record(id: &str) -> GraphRecord {
-    let rule = QueueRule {
-        id: "now".into(),
-        host: "".into(),
-        prefix: "/now/".into(),
-        service: "svc".into(),
-        priority: 0,
-        max_attempts: 2,
-        slack: 1.5,
-        target: Duration::from_millis(250),
-        advice: None,
-        public: false,
-    };
-    let spec = GraphSpec {
-        id: id.into(),
-        queue: rule.id.clone(),
-        payload: "x".repeat(PAYLOAD_BYTES).into(),
-        steps: vec![StepSpec { count: 1, ..StepSpec::default() }],
-        repeat: None,
-        accepted: 0,
-    };
-    GraphRecord { spec, rule, workspace: None, home: None, share: None }
-}
-
-fn value_of(id: &str) -> Vec<u8> {
-    serde_json::to_vec(&record(id)).unwrap()
-}
-
 /// A store with many jobs, and an entry that reads it over a link of `mbps`.
 fn shared_with_jobs(mbps: f64) -> (Arc<SimulatedStore>, Arc<NodeShared>) {
     let store = SimulatedStore::start();
-    for number in 0..JOBS {
-        let id = format!("{number:016x}");
-        store.put(&format!("j/{id}"), value_of(&id));
-    }
+    put_jobs(&store);
     store.set_link(CLIENT, mbps);
     let client = EntryStore::Simulated(store.client(CLIENT));
     (store, Arc::new(NodeShared::with_store(settings(), client)))
@@ -75,7 +42,7 @@
 
 /// Calls that read the ledger once: the pages of records, and one each for progress, workers and the last group.
 fn fewest_reads() -> u64 {
-    let jobs_of_page = PAGE_BYTES / value_of(&"0".repeat(16)).len();
+    let jobs_of_page = PAGE_BYTES / job_bytes();
     (JOBS.div_ceil(jobs_of_page) + 3) as u64
 }
 
--- a/src/node/machine_tests.rs
+++ b/src/node/machine_tests.rs
@@ -17,10 +17,10 @@
 use crate::node::view::MemberView;
 
 /// An entry with its domain, processor, link and revision of registration.
-type EntryRow = (&'static str, &'static str, f64, Option<f64>, u64);
+pub(super) type EntryRow = (&'static str, &'static str, f64, Option<f64>, u64);
 
 /// Entries of a deployment with the failure domains `a` and `b`, each a shard. The address of entry `eN` has the port N.
-fn view_of(rows: &[EntryRow]) -> MemberView {
+pub(super) fn view_of(rows: &[EntryRow]) -> MemberView {
     let mut view = divided(&[]);
     for (name, domain, processor, link_mbps, revision) in rows {
         let port = name.trim_start_matches(|part: char| !part.is_ascii_digit());
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -22,6 +22,7 @@
     GIVE_METHOD, LeaderAnswer, LeaderCall, OFFER_METHOD,
 };
 use crate::node::records::LeaderTerm;
+use crate::node::simulated_peers::SimulatedPeers;
 
 type Result<T> = std::result::Result<T, PeerFailure>;
 
@@ -64,9 +65,20 @@
     result: Option<T>,
 }
 
+/// How entries reach each other for handovers.
+#[derive(Clone, Default)]
+pub(crate) enum PeerNetwork {
+    /// At their listeners.
+    #[default]
+    Listeners,
+    /// Within a simulation.
+    Simulated(SimulatedPeers),
+}
+
 /// Calls other entries.
 #[derive(Clone)]
 pub(crate) struct PeerClient {
+    network: PeerNetwork,
     client: HttpClient,
     /// Entries that left their last call unanswered, each with the time of the next try.
     unresponsive: Arc<Mutex<BTreeMap<SocketAddr, Instant>>>,
@@ -74,8 +86,13 @@
 
 impl PeerClient {
     pub(crate) fn new() -> Self {
+        Self::within(PeerNetwork::Listeners)
+    }
+
+    /// Creates a client whose handovers go through a network.
+    pub(crate) fn within(network: PeerNetwork) -> Self {
         let client = HttpClient::with_connect_timeout(CONNECT_TIMEOUT);
-        Self { client, unresponsive: Arc::default() }
+        Self { network, client, unresponsive: Arc::default() }
     }
 
     /// Sends a call to the leader of a shard at an address.
@@ -120,7 +137,12 @@
         shard: &ShardId,
         epoch: LeaderEpoch,
     ) -> Result<Option<SuccessorOffer>> {
-        self.request(address, OFFER_METHOD, (shard, epoch), HANDOVER_TIMEOUT).await
+        match &self.network {
+            PeerNetwork::Simulated(peers) => peers.offer(address, shard, epoch).await,
+            PeerNetwork::Listeners => {
+                self.request(address, OFFER_METHOD, (shard, epoch), HANDOVER_TIMEOUT).await
+            }
+        }
     }
 
     /// Notifies an entry that it now leads a shard and that the previous leader has ended.
@@ -130,7 +152,12 @@
         shard: &ShardId,
         term: &LeaderTerm,
     ) -> Result<bool> {
-        self.request(address, GIVE_METHOD, (shard, term), HANDOVER_TIMEOUT).await
+        match &self.network {
+            PeerNetwork::Simulated(peers) => peers.hand_over(address, shard, term).await,
+            PeerNetwork::Listeners => {
+                self.request(address, GIVE_METHOD, (shard, term), HANDOVER_TIMEOUT).await
+            }
+        }
     }
 
     async fn request<P: Serialize, T: DeserializeOwned>(
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -16,7 +16,9 @@
 use crate::node::entry_store::EntryStore;
 use crate::node::handover_inbox::HandoverInbox;
 use crate::node::input::LeaderInput;
+use crate::node::peers::PeerNetwork;
 use crate::node::settings::NodeSettings;
+use crate::node::simulated_peers::SimulatedPeers;
 use crate::node::view::MemberView;
 use crate::platform::{AdvisorClient, PlatformStore};
 use crate::ring::RingSender;
@@ -40,6 +42,7 @@
     /// Random id of this start of the entry's process.
     pub(crate) start: u64,
     pub(crate) store: EntryStore,
+    pub(crate) network: PeerNetwork,
     pub(crate) store_availability: StoreAvailability,
     pub(crate) advisor: Option<AdvisorClient>,
     /// Results of calls to the store, the leader and the advisor.
@@ -70,6 +73,7 @@
         Self {
             start: rand::random::<u32>().into(),
             store,
+            network: PeerNetwork::Listeners,
             store_availability: StoreAvailability::default(),
             advisor: settings.advisor.map(AdvisorClient::new),
             settings,
@@ -86,6 +90,15 @@
         }
     }
 
+    /// Like [`Self::with_store`], with other entries that are called within a simulation.
+    pub(crate) fn simulated(
+        settings: NodeSettings,
+        store: EntryStore,
+        peers: SimulatedPeers,
+    ) -> Self {
+        Self { network: PeerNetwork::Simulated(peers), ..Self::with_store(settings, store) }
+    }
+
     /// Records whether the store answered a call for the configuration.
     pub(crate) fn note_config_read(&self, answered: bool) {
         self.config_unread.store(!answered, Ordering::Relaxed);
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -7,13 +7,14 @@
 
 use tokio::time::sleep;
 
-use crate::graph::{GraphBounds, RunCosts, ShardPlan};
+use crate::graph::{GraphBounds, LeaderEpoch, RunCosts, ShardId, ShardPlan};
 use crate::id::{DomainId, Revision};
 use crate::node::entry_store::EntryStore;
 use crate::node::keys::PLAN_KEY;
 use crate::node::process::EntryLoops;
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
+use crate::node::simulated_peers::SimulatedPeers;
 use crate::node::simulated_store::SimulatedStore;
 use crate::platform::CONFIG_KEY;
 
@@ -40,6 +41,7 @@
     plan: ShardPlan,
     domains: Vec<DomainId>,
     entries: BTreeMap<usize, SimulatedEntry>,
+    peers: SimulatedPeers,
     /// Number of clients so far: a restarted entry has a client of its own.
     clients: usize,
     settings: NodeSettings,
@@ -48,15 +50,9 @@
 impl SimulatedFleet {
     /// Starts entries, which are distributed over failure domains of `shards` shards each, with a first configuration.
     pub async fn start(entries: usize, domains: usize, shards: u32) -> Self {
-        let store = SimulatedStore::start();
-        let domains: Vec<DomainId> =
-            (0..domains).map(|number| DomainId::from(format!("d{number}"))).collect();
+        let domains = domain_ids(domains);
         let plan = ShardPlan::by_domain(domains.iter().map(|id| (id.clone(), shards)).collect());
-        store.put(PLAN_KEY, serde_json::to_vec(&plan).unwrap_or_default());
-        let settings = settings(&domains);
-        let mut fleet =
-            Self { store, plan, domains, entries: BTreeMap::new(), clients: 0, settings };
-        fleet.configure(1);
+        let mut fleet = Self::new(domains, plan);
         for number in 0..entries {
             fleet.start_entry(number);
             sleep(START_INTERVAL).await;
@@ -64,6 +60,21 @@
         fleet
     }
 
+    /// Creates a deployment with one shard and without entries.
+    pub fn undivided(domains: usize) -> Self {
+        Self::new(domain_ids(domains), ShardPlan::undivided())
+    }
+
+    fn new(domains: Vec<DomainId>, plan: ShardPlan) -> Self {
+        let store = SimulatedStore::start();
+        store.put(PLAN_KEY, serde_json::to_vec(&plan).unwrap_or_default());
+        let settings = settings(&domains);
+        let (entries, peers) = (BTreeMap::new(), SimulatedPeers::default());
+        let fleet = Self { store, plan, domains, entries, peers, clients: 0, settings };
+        fleet.configure(1);
+        fleet
+    }
+
     /// The store of all entries.
     pub fn store(&self) -> &SimulatedStore {
         &self.store
@@ -71,18 +82,33 @@
 
     /// Starts an entry, under a new client of the store.
     pub fn start_entry(&mut self, number: usize) {
-        let domain = self.domains[number % self.domains.len()].clone();
         let is_strong = (number / self.domains.len()).is_multiple_of(STRONG_INTERVAL);
+        let processor = if is_strong { STRONG_PROCESSOR } else { WEAK_PROCESSOR };
+        self.start_machine(number, processor, self.settings.link_mbps);
+    }
+
+    /// Starts an entry on a machine with this processor, in cores, and with a link to the store of this bandwidth.
+    pub fn start_on(&mut self, number: usize, processor: f64, link_mbps: f64) {
+        self.store.set_link(self.clients + 1, link_mbps);
+        self.start_machine(number, processor, link_mbps);
+    }
+
+    fn start_machine(&mut self, number: usize, processor: f64, link_mbps: f64) {
+        // Nothing listens on the discard port.
+        let address = Ipv4Addr::from(Ipv4Addr::new(127, 1, 0, 0).to_bits() + number as u32);
         let settings = NodeSettings {
             name: format!("entry-{number:04}").into(),
-            domain,
-            processor: if is_strong { STRONG_PROCESSOR } else { WEAK_PROCESSOR },
+            domain: self.domains[number % self.domains.len()].clone(),
+            peers: SocketAddr::from((address, 9)),
+            processor,
+            link_mbps,
             ..self.settings.clone()
         };
         self.clients += 1;
         let client = self.clients;
         let store = EntryStore::Simulated(self.store.client(client));
-        let shared = Arc::new(NodeShared::with_store(settings, store));
+        let shared = Arc::new(NodeShared::simulated(settings, store, self.peers.clone()));
+        self.peers.add(&shared);
         let loops = EntryLoops::spawn(&shared);
         self.entries.insert(number, SimulatedEntry { shared, loops, client });
     }
@@ -91,10 +117,30 @@
     pub fn kill_entry(&mut self, number: usize) {
         if let Some(entry) = self.entries.remove(&number) {
             self.store.kill(entry.client);
+            self.peers.remove(entry.shared.settings.peers);
             entry.loops.abort();
         }
     }
 
+    /// Begins the planned stop of an entry.
+    pub fn stop_entry(&self, number: usize) {
+        if let Some(entry) = self.entries.get(&number) {
+            entry.shared.draining.send_replace(true);
+        }
+    }
+
+    /// Epoch of the last election or handover of the only shard that an entry knows, with the number of the entry that
+    /// leads it.
+    pub fn term(&self, number: usize) -> Option<(LeaderEpoch, Option<usize>)> {
+        let view = self.entries.get(&number)?.shared.members.borrow();
+        let leader = view.leaders().next();
+        let is_leader = |entry: &SimulatedEntry| {
+            leader.is_some_and(|leader| leader.entry == entry.shared.settings.name)
+        };
+        let number = self.entries.iter().find(|(_, entry)| is_leader(entry));
+        Some((view.shard(&ShardId::from("")).epoch, number.map(|(number, _)| *number)))
+    }
+
     /// Number of an entry's client of the store.
     pub fn client(&self, number: usize) -> Option<usize> {
         self.entries.get(&number).map(|entry| entry.client)
@@ -143,6 +189,10 @@
     }
 }
 
+fn domain_ids(domains: usize) -> Vec<DomainId> {
+    (0..domains).map(|number| DomainId::from(format!("d{number}"))).collect()
+}
+
 fn settings(domains: &[DomainId]) -> NodeSettings {
     // Nothing listens on the discard port.
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -164,6 +164,37 @@
     /// latest to register, as a rolling restart has already reached those. Where all links are equal, the processor only
     /// decides which machines are strong.
     pub(crate) fn successors(&self, shard: &ShardId, leaving: &EntryId) -> Vec<SocketAddr> {
+        let others = self.ordered_successors(shard, leaving).into_iter();
+        others.map(|(_, record)| record.address).collect()
+    }
+
+    /// Returns the addresses of strong entries to which a weak leader of a shard passes leadership, best first: those
+    /// that lead no shard and have registered after `revision`. Empty if the leader is strong. Weak and strong are
+    /// measured by `best`.
+    pub(crate) fn stronger_successors(
+        &self,
+        shard: &ShardId,
+        leader: &EntryId,
+        revision: u64,
+        best: MachineCapacity,
+    ) -> Vec<SocketAddr> {
+        let is_strong = |record: &EntryRecord| record.capacity(best).is_strong(best);
+        if self.entries.get(leader).is_none_or(is_strong) {
+            return Vec::new();
+        }
+        let leads = |name: &EntryId| self.leaders().any(|leader| leader.entry == *name);
+        let is_stronger = |(name, record): &(&EntryId, &EntryRecord)| {
+            record.revision > revision && is_strong(record) && !leads(name)
+        };
+        let others = self.ordered_successors(shard, leader).into_iter();
+        others.filter(is_stronger).map(|(_, record)| record.address).collect()
+    }
+
+    fn ordered_successors(
+        &self,
+        shard: &ShardId,
+        leaving: &EntryId,
+    ) -> Vec<(&EntryId, &EntryRecord)> {
         let location = self.plan.as_ref().and_then(|plan| plan.domain_and_index(shard));
         let best = self.best_registered();
         let links_differ = self.links_differ();
@@ -177,7 +208,14 @@
         let others = self.entries.iter().filter(|(name, _)| *name != leaving);
         let mut others: Vec<(&EntryId, &EntryRecord)> = others.collect();
         others.sort_by_key(order);
-        others.into_iter().map(|(_, record)| record.address).collect()
+        others
+    }
+
+    /// Whether an entry is registered and its machine is strong beside the other registered ones.
+    pub(crate) fn is_strong(&self, entry: &EntryId) -> bool {
+        let best = self.best_registered();
+        let record = self.entries.get(entry);
+        record.is_some_and(|record| record.capacity(best).is_strong(best))
     }
 
     /// Whether no entry of a shard's failure domain is registered.
