Test the compaction of ended jobs and report what a takeover reads

Cause: the size of what a new leader reads was not shown anywhere, and no test looked at jobs without steps.

--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod combined_faults;
 mod commit_order;
+mod compaction;
 mod crash_checker;
 mod crashes;
 mod lasting;
--- a/tests/platform/jobs.rs
+++ b/tests/platform/jobs.rs
@@ -158,6 +158,40 @@
     expect_that!(violations(&cluster), is_empty());
 }
 
+// A takeover reads all jobs of the last two minutes, most of which are over. What is left of them in the store has to be
+// enough for a query that reads the store while there is no leader, and for the next leader.
+#[gtest]
+#[tokio::test]
+async fn a_compacted_job_is_answered_from_the_store_and_by_a_later_leader() {
+    let mut cluster = Cluster::start(58, 3, 3, &["now"]).await;
+    let leader = cluster.leading().await;
+    let other = (leader + 1) % 3;
+    let answer = cluster.call(other, Method::POST, FIRST, &job(50, 4)).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    cluster.wait_state(other, FIRST, "completed").await;
+    let id = FIRST.rsplit('/').next().unwrap();
+    let record = || cluster.platform.state.value(&format!("j/{id}")).unwrap();
+    wait_for("the compaction", async || record()["spec"]["steps"] == json!([])).await;
+    let compacted = cluster.metric(leader, "kelplink_compacted_jobs_total").await;
+    expect_that!(compacted, some(eq(1.0)));
+    cluster.kill(leader);
+    let answer = cluster.call(other, Method::GET, FIRST, &Value::Null).await.unwrap();
+    expect_that!(answer.body["state"], eq(&json!("completed")));
+    let next = cluster.leading().await;
+    cluster.wait_ready(next).await;
+    let read = async || cluster.metric(next, "kelplink_takeover_bytes").await.is_some();
+    wait_for("the next leader to read the jobs", read).await;
+    expect_that!(cluster.metric(next, "kelplink_takeover_jobs").await, some(eq(1.0)));
+    expect_that!(cluster.metric(next, "kelplink_takeover_bytes").await, some(le(500.0)));
+    let again = cluster.call(other, Method::POST, FIRST, &job(50, 4)).await.unwrap();
+    expect_that!(again.status, eq(StatusCode::OK));
+    let answer = cluster.call(other, Method::DELETE, FIRST, &Value::Null).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::GONE));
+    cluster.wait_state(other, FIRST, "completed").await;
+    expect_that!(starts(&cluster, FIRST), eq(&vec![1; 8]));
+    expect_that!(violations(&cluster), is_empty());
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_planned_stop_hands_leadership_over() {
