Log and count why an entry leads

Cause: the log did not tell why a weak entry was elected or which machine a leader's successor has, so the causes of the two gaps in service had to be worked out from the order of registrations. Change: "election won" has the entry's rank, processor and link beside the best registered and the best seen; "other entries may campaign first" tells what an entry waits for. A test of a divided deployment covers a planned stop with a narrow successor of the domain beside a wide one elsewhere.

--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::warn;
+use log::{info, warn};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -238,6 +238,9 @@
     pub(crate) fn campaign_time(&mut self, view: &MemberView) -> Instant {
         let awaited = self.awaited(view);
         let before = self.waiting.filter(|(_, before)| *before == awaited);
+        if before.is_none() && awaited != AwaitedEntry::Ranked && !self.leads() {
+            info!(shard = &*self.shard, awaited:?; "other entries may campaign first");
+        }
         let (since, _) = *self.waiting.insert(before.unwrap_or((Instant::now(), awaited)));
         since + self.pause(view, awaited)
     }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::graph::ShardId;
+use crate::graph::{LeaderEpoch, ShardId};
 use crate::node::answer_condition::LEASE_TTL;
 use crate::node::backoff::RetryBackoff;
 use crate::node::candidacy::{Candidacy, CandidacyState};
@@ -29,6 +29,7 @@
 use crate::node::members::apply_write;
 use crate::node::peers::PeerClient;
 use crate::node::records::{EntryRecord, EpochRecord, LeaderRecord, LeaderTerm};
+use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 
@@ -333,6 +334,7 @@
                     shard_view.leader_revision = revision;
                     shard_view.apply_epoch(epoch, epoch_record.holder, revision);
                 });
+                note_election_won(shard, epoch, &self.shared.settings, view);
                 let renewed = self.renewed;
                 let term = LeaderTerm { epoch, epoch_revision: revision, predecessor };
                 self.candidacy(shard).begin(term, renewed);
@@ -367,6 +369,28 @@
     }
 }
 
+/// Logs and counts an election that this entry has won, with what its rank depends on.
+fn note_election_won(
+    shard: &ShardId,
+    epoch: LeaderEpoch,
+    settings: &NodeSettings,
+    view: &MemberView,
+) {
+    let name = &settings.name;
+    let (is_strong, rank) = (view.is_strong(name), view.rank(shard, name));
+    let registered = view.best_registered();
+    info!(
+        shard = &**shard, epoch, is_strong, rank = rank.before,
+        in_other_domain = rank.in_other_domain, entries = view.entries.len(),
+        processor = settings.processor, link_mbps = settings.link_mbps,
+        best_processor = registered.processor, best_link_mbps = registered.link_mbps,
+        best_seen_processor = view.best.processor, best_seen_link_mbps = view.best.link_mbps;
+        "election won"
+    );
+    let machine = if is_strong { "strong" } else { "weak" };
+    metrics::counter!("kelplink_elections_won_total", "machine" => machine).increment(1);
+}
+
 fn encode<T: Serialize>(value: &T) -> Bytes {
     serde_json::to_vec(value).map(Bytes::from).unwrap_or_default()
 }
--- a/src/node/election/transfer_tests.rs
+++ b/src/node/election/transfer_tests.rs
@@ -134,6 +134,23 @@
     expect_that!(fleet.term(2), some(eq((2, Some(1)))));
 }
 
+// The same where the narrow entry is in the failure domain of the shard and the wide one is not.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_shard_goes_to_a_wide_link_elsewhere_before_a_narrow_one_of_its_domain() {
+    let mut fleet = SimulatedFleet::start(0, 2, 1).await;
+    start_on(&mut fleet, 0, STRONG);
+    start_on(&mut fleet, 1, STRONG);
+    run_until(&fleet, |fleet| fleet.leads(0) && fleet.leads(1), |_| true).await;
+    start_on(&mut fleet, 3, STRONG);
+    sleep(Duration::from_millis(500)).await;
+    start_on(&mut fleet, 2, NARROW);
+    sleep(Duration::from_secs(1)).await;
+    fleet.stop_entry(0);
+    run_until(&fleet, |fleet| fleet.leads(3), |fleet| !fleet.leads(2)).await;
+    expect_that!(fleet.led(), eq(fleet.running()));
+}
+
 /// The ports of the entries to which entry `e1` passes shard `a` on if it knew the registrations up to `revision`.
 fn stronger_successors(view: &MemberView, revision: u64) -> Vec<u16> {
     let addresses = view.stronger_successors(&"a".into(), &"e1".into(), revision, view.best);
