Keep the serving order of steps from pass to pass

Cause: each pass built the task lists of all waiting steps, sorted them and evaluated each against 350 workers, so a backlog that could not start took most of the leader's time, and the interval between passes grew with it.

Change: an index of the steps with waiting tasks is updated only for jobs that changed, became late or lost their value. A pass merges it by workspace in serving order and ends once no step left can start, stop a run or request advice. Before that, a step is evaluated only if some worker has space for it, a run may be stopped for it, capacity is reserved for it or a call for advice can be due. The rest of a workspace at its cap is left out. Steps whose job is past three times its objective request no advice until a worker has space for them; they still run as soon as there is capacity.

The wait for a workspace's limit is logged for a job once a pass looks at it, which may be later than before. The demand that caps hold back is complete only where shards exchange parts of caps; there all capped steps are still looked at.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -3,6 +3,8 @@
 //! `cargo bench --bench decisions` prints all results. Only ratios between figures of the same run
 //! are meaningful.
 
+mod backlog;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
@@ -22,6 +24,20 @@
 const START_UNIX_MS: u64 = 1_800_000_000_000;
 
 fn main() {
+    println!("one pass of a leader with 350 workers while jobs wait");
+    for (name, age, free) in [
+        ("full workers, jobs in time", Duration::ZERO, 0),
+        ("full workers, jobs without value", Duration::from_secs(600), 0),
+        ("half a task free on each worker, jobs in time", Duration::ZERO, 2_000),
+    ] {
+        println!("  {name}");
+        for jobs in [100, 1_000, 10_000] {
+            backlog::measure(jobs, age, free);
+        }
+    }
+    if std::env::args().any(|argument| argument == "backlog") {
+        return;
+    }
     println!("one placement decision (pass with one new task among busy workers)");
     for workers in [50, 104, 620, 6_200] {
         placement(workers);
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -24,6 +24,7 @@
 use crate::graph::placement::home::UnsettledDomains;
 use crate::graph::placement::placer::{PassView, PlacementPass};
 use crate::graph::placement::preemption::ReservationTable;
+use crate::graph::placement::serving_index::ServingIndex;
 use crate::graph::sharding::remote_workers::RemoteWorkerTable;
 use crate::graph::sharding::shard::ShardScope;
 use crate::graph::storing::commit::CommitQueue;
@@ -118,6 +119,10 @@
     /// When the usage of the workspaces is reported again.
     next_report: Instant,
     jobs: JobTable,
+    /// Steps with waiting tasks, for the passes.
+    serving: ServingIndex,
+    /// Number of steps that all passes have looked at.
+    steps_examined: u64,
     instances: InstanceTable,
     advice: AdviceTable,
     reservations: ReservationTable,
@@ -213,6 +218,8 @@
             capped_jobs: BTreeSet::new(),
             next_report: now,
             jobs,
+            serving: ServingIndex::default(),
+            steps_examined: 0,
             instances,
             advice: AdviceTable::default(),
             reservations: ReservationTable::default(),
@@ -265,6 +272,11 @@
         &self.jobs
     }
 
+    /// Number of steps that the passes of this leader have looked at.
+    pub fn steps_examined(&self) -> u64 {
+        self.steps_examined
+    }
+
     /// All workers.
     pub fn instances(&self) -> &InstanceTable {
         &self.instances
@@ -475,6 +487,10 @@
         let unsettled_domains = self.unsettled_domains();
         let usage = self.workspace_usage();
         let limits = self.workspace_limits(&usage);
+        let changed = self.jobs.take_changed();
+        for idle in self.serving.update(now, &self.jobs, changed) {
+            self.jobs.mark_unschedulable(&idle);
+        }
         let jobs = &self.jobs;
         self.reservations.prune(now, |task| {
             jobs.wants(task)
@@ -485,6 +501,7 @@
             unix,
             unsettled_domains: &unsettled_domains,
             jobs: &self.jobs,
+            serving: &self.serving,
             instances: &self.instances,
             advice: &self.advice,
             reservations: &self.reservations,
@@ -492,13 +509,12 @@
             lost_before_contact: self.lost_before_contact,
             limits: &limits,
             usage: &usage,
+            reports_capped_demand: self.quota.is_some() && !limits.is_empty(),
         };
         let plan = PlacementPass::new(view).run();
         self.note_capped_jobs(plan.capped_jobs, &limits);
         (self.last_usage, self.capped_demand) = (usage, plan.capped_demand);
-        for id in &plan.idle_jobs {
-            self.jobs.mark_unschedulable(id);
-        }
+        self.steps_examined += plan.steps_examined as u64;
         for start in &plan.starts {
             self.start_task(now, start, None);
         }
--- a/src/graph/placement.rs
+++ b/src/graph/placement.rs
@@ -2,6 +2,8 @@
 
 pub(super) mod advice;
 pub(super) mod home;
+pub(super) mod need_bound;
 pub(super) mod placer;
 pub(super) mod preemption;
+pub(super) mod serving_index;
 pub(super) mod step_capacity;
--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -18,7 +18,7 @@
 pub type AdviceId = u64;
 
 /// Calls that take longer than this are long; calls of urgent queues need a tenth of it.
-const LONG_CALL: Duration = Duration::from_millis(120);
+pub(crate) const LONG_CALL: Duration = Duration::from_millis(120);
 /// Entries that long calls leave free: one entry makes 35 urgent calls a second.
 const RESERVED_ENTRIES: usize = 2;
 /// Time before its expiry from which a ticket is not used any more: a start may take this long to
@@ -57,6 +57,16 @@
         self.allowed.iter().filter(usable).map(|(worker, _)| worker)
     }
 
+    /// Whether a ticket is not usable any more after `moment`.
+    pub(crate) fn has_ticket_ending_by(&self, moment: Instant) -> bool {
+        self.allowed.values().any(|(_, end)| moment + TICKET_MARGIN >= *end)
+    }
+
+    /// Whether there has been no answer.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.allowed.is_empty() && self.denied.is_empty()
+    }
+
     /// Whether the advisor has answered for a worker.
     fn has_answer_for(&self, worker: &WorkerId) -> bool {
         self.allowed.contains_key(worker) || self.denied.contains(worker)
@@ -82,6 +92,14 @@
     pub workers: Vec<WorkerId>,
 }
 
+impl AdviceRequest {
+    /// Expected time of the call.
+    pub(crate) fn time(&self) -> Duration {
+        let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
+        self.rule.call + self.rule.each * workers
+    }
+}
+
 /// A call for advice.
 #[derive(Clone, Debug)]
 pub struct AdviceCall {
@@ -144,11 +162,10 @@
         let busy: BTreeSet<&EntryId> = self.calls.values().map(|open| &open.call.entry).collect();
         let idle = self.entries.iter().filter(|entry| !busy.contains(entry));
         let mut idle: Vec<EntryId> = idle.cloned().collect();
-        let reserved = RESERVED_ENTRIES.min(self.entries.len().saturating_sub(1));
+        let reserved = self.reserved_entries();
         let mut calls_made = Vec::new();
         for request in advice_requests {
-            let workers = u32::try_from(request.workers.len()).unwrap_or(u32::MAX);
-            let time = request.rule.call + request.rule.each * workers;
+            let time = request.time();
             let reserved_here = if time > LONG_CALL { reserved } else { 0 };
             if idle.len() <= reserved_here {
                 continue;
@@ -249,6 +266,11 @@
         self.entries.len().saturating_sub(self.calls.len())
     }
 
+    /// Number of entries that long calls leave free.
+    pub(crate) fn reserved_entries(&self) -> usize {
+        RESERVED_ENTRIES.min(self.entries.len().saturating_sub(1))
+    }
+
     /// Number of open calls.
     pub fn waiting(&self) -> usize {
         self.calls.len()
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -20,7 +20,8 @@
 use crate::graph::placement::advice::{AdviceRequest, AdviceTable};
 use crate::graph::placement::home::UnsettledDomains;
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
-use crate::graph::placement::preemption::{PlannedPreemption, ReservationTable};
+use crate::graph::placement::preemption::{PlannedPreemption, ReservationTable, may_stop};
+use crate::graph::placement::serving_index::{ServingIndex, ServingKey, ServingQueue};
 use crate::graph::placement::step_capacity::StepCapacity;
 use crate::graph::workers::health::HealthRank;
 use crate::graph::workers::instances::{InstanceTable, SILENCE_LIMIT};
@@ -31,13 +32,14 @@
 use crate::graph::workload::name::{GraphId, StepKey, TaskKey, TaskName};
 use crate::graph::workload::spec::StepSpec;
 use crate::id::{DomainId, UnixMillis, WorkerId};
+use crate::resources::ResourceVector;
 use crate::workspace::WorkspaceAmounts;
 
 /// Advice requests collected for each entry that could make a call: long calls leave some entries
 /// to the short ones behind them.
 const REQUESTS_PER_CALL: usize = 3;
 /// Multiple of its objective after which the result of a job is worthless.
-const VALUE_EXPIRY_FACTOR: u32 = 3;
+pub(crate) const VALUE_EXPIRY_FACTOR: u32 = 3;
 /// Open steps of one job that a pass considers: four occurrences of the largest graph. Later steps
 /// wait for these. With 15,000 steps due at once a pass took 450 ms without this limit and 50 ms
 /// with it (250 workers, debug build).
@@ -73,9 +75,10 @@
     pub advice_requests: Vec<AdviceRequest>,
     /// Jobs that should use an additional failure domain.
     pub widened: Vec<(GraphId, DomainId)>,
-    /// Jobs without waiting tasks.
-    pub idle_jobs: Vec<GraphId>,
-    /// Resources of the ready tasks that the limits of their workspaces keep waiting.
+    /// Number of steps that the pass looked at.
+    pub steps_examined: usize,
+    /// Resources of the ready tasks that the limits of their workspaces keep waiting; of the steps that the pass looked
+    /// at, unless the view requires all of them.
     pub capped_demand: WorkspaceAmounts,
     /// Jobs with such tasks.
     pub capped_jobs: BTreeSet<GraphId>,
@@ -83,13 +86,38 @@
 
 /// Order in which steps are served.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct ServingOrder {
-    value_expired: bool,
-    priority: u32,
+pub(crate) struct ServingOrder {
+    pub(crate) value_expired: bool,
+    pub(crate) priority: u32,
     /// Jobs beyond the rate of their workspace come after all others of their priority.
-    exceeds_rate: bool,
-    latest_start: Instant,
-    late: bool,
+    pub(crate) exceeds_rate: bool,
+    pub(crate) latest_start: Instant,
+    pub(crate) late: bool,
+}
+
+impl ServingOrder {
+    /// The order of a step `elapsed` after its job was submitted or due. It changes only with the job, or when the
+    /// step becomes late or loses its value.
+    pub(crate) fn of_step(
+        job: &GraphJob,
+        key: StepKey,
+        step: &StepSpec,
+        now: Instant,
+        elapsed: Duration,
+    ) -> Self {
+        let critical_path = job.critical_paths.get(key.step as usize).copied().unwrap_or_default();
+        let objective = job.objective();
+        let late = !step.lasting && elapsed + critical_path > objective;
+        let value_expired =
+            !step.lasting && elapsed + critical_path > objective * VALUE_EXPIRY_FACTOR;
+        // Late jobs are not served after all jobs in time: a backlog would wait until load falls
+        // and lose the value that it still has.
+        let value_duration = if late { objective * VALUE_EXPIRY_FACTOR } else { objective };
+        let latest_start =
+            (now + value_duration).checked_sub(elapsed + critical_path).unwrap_or(now);
+        let (priority, exceeds_rate) = (job.rule.priority, job.exceeds_rate);
+        Self { value_expired, priority, exceeds_rate, latest_start, late }
+    }
 }
 
 /// A step with tasks to start now or soon.
@@ -102,6 +130,12 @@
     ready: bool,
 }
 
+impl OpenStep<'_> {
+    fn serving_key(&self) -> ServingKey {
+        ServingKey { order: self.order, job: self.job.spec.id.clone(), step: self.key }
+    }
+}
+
 /// Input of a pass.
 #[derive(Clone, Copy)]
 pub struct PassView<'t> {
@@ -113,6 +147,8 @@
     pub unsettled_domains: &'t UnsettledDomains,
     /// All jobs.
     pub jobs: &'t JobTable,
+    /// Steps with waiting tasks in serving order.
+    pub(crate) serving: &'t ServingIndex,
     /// All workers.
     pub instances: &'t InstanceTable,
     /// All placement advice.
@@ -127,6 +163,8 @@
     pub limits: &'t WorkspaceAmounts,
     /// What workspaces use, as far as they have a limit.
     pub usage: &'t WorkspaceAmounts,
+    /// Whether `PassPlan::capped_demand` has to be complete.
+    pub reports_capped_demand: bool,
 }
 
 /// A single placement pass.
@@ -139,6 +177,16 @@
     /// Runs that this pass has chosen to stop.
     victims: BTreeSet<TaskName>,
     capacities: BTreeMap<WorkerId, WorkerCapacity<'t>>,
+    /// Needs that fit on no worker for the rest of the pass, as capacity only decreases in it.
+    too_large: Vec<ResourceVector>,
+    /// Lowest priority of the runs that may be stopped.
+    preemptible_priority: Option<u32>,
+    /// Jobs with reserved capacity.
+    reserved_jobs: BTreeSet<&'t GraphId>,
+    /// Calls that renewals could make if no other advice were requested.
+    renewals_left: usize,
+    /// Entries that long calls leave free.
+    reserved_entries: usize,
     allowances: WorkspaceAllowances,
     plan: PassPlan,
     /// Requests of steps that can place nothing now. They come last: placed before the others, the
@@ -163,12 +211,18 @@
         exclude_faulty(&mut capacities);
         let requests_left = view.advice.idle_entries() * REQUESTS_PER_CALL;
         let starts_left = view.max_unanswered.saturating_sub(unanswered_starts(&capacities));
+        let preemptible_priority = preemptible_priority(&capacities);
         Self {
             view,
             requests_left,
             starts_left,
             victims: BTreeSet::new(),
             capacities,
+            too_large: Vec::new(),
+            preemptible_priority,
+            reserved_jobs: view.reservations.jobs().collect(),
+            renewals_left: view.advice.idle_entries(),
+            reserved_entries: view.advice.reserved_entries(),
             allowances: WorkspaceAllowances::new(view.limits, view.usage),
             plan: PassPlan::default(),
             renewals: Vec::new(),
@@ -177,27 +231,141 @@
 
     /// Makes the plan.
     pub fn run(mut self) -> PassPlan {
-        let mut steps = Vec::new();
-        for job in
-            self.view.jobs.schedulable().filter(|job| !self.view.unsettled_domains.affects(job))
-        {
-            let count_before = steps.len();
-            self.collect_open_steps(job, &mut steps);
-            if steps.len() == count_before && job.spec.repeat.is_none() {
-                self.plan.idle_jobs.push(job.spec.id.clone());
+        let mut repeating = self.repeating_steps().into_iter().peekable();
+        let mut queue = self.view.serving.queue();
+        loop {
+            let listed = queue.peek();
+            let other = repeating.peek().map(OpenStep::serving_key);
+            let takes_listed = match (listed, &other) {
+                (None, None) => break,
+                (Some(listed), Some(other)) => listed < other,
+                (listed, None) => listed.is_some(),
+                (None, Some(_)) => false,
+            };
+            if !takes_listed {
+                if let Some(mut step) = repeating.next() {
+                    self.plan.steps_examined += 1;
+                    self.limit_to_allowance(&mut step);
+                    self.place_step(&step);
+                }
+                continue;
+            }
+            let Some(key) = listed else { break };
+            if repeating.peek().is_none() && self.is_settled(key, &queue) {
+                break;
+            }
+            self.plan.steps_examined += 1;
+            self.examine(key);
+            // A group is left out only after its first step, so that the wait of that job is noted.
+            let dropped = !self.view.reports_capped_demand
+                && queue.drop_if(|workspace, need| {
+                    self.allowances.startable_tasks(workspace, need) == 0
+                });
+            if !dropped {
+                queue.pop();
             }
-        }
-        steps.sort_by(|a, b| {
-            (a.order, &a.job.spec.id, a.key).cmp(&(b.order, &b.job.spec.id, b.key))
-        });
-        for mut step in steps {
-            self.limit_to_allowance(&mut step);
-            self.place_step(&step);
         }
         self.plan.advice_requests.extend(self.renewals);
         self.plan
     }
 
+    /// Open steps of the jobs that the index does not list step by step, in serving order.
+    fn repeating_steps(&self) -> Vec<OpenStep<'t>> {
+        let mut steps = Vec::new();
+        let jobs = self.view.serving.repeating().filter_map(|id| self.view.jobs.get(id));
+        for job in jobs.filter(|job| !job.is_over() && !self.view.unsettled_domains.affects(job)) {
+            self.collect_open_steps(job, &mut steps);
+        }
+        steps.sort_by_cached_key(OpenStep::serving_key);
+        steps
+    }
+
+    /// Whether neither the next step nor any after it can have an effect on the plan.
+    fn is_settled(&mut self, next: &ServingKey, queue: &ServingQueue<'_>) -> bool {
+        let order = &next.order;
+        let no_advice = order.value_expired
+            || !self.view.serving.needs_advice()
+            || self.plan.advice_requests.len() >= self.requests_left;
+        // Steps after this one have no more urgent priority, except those without value, which stop no runs.
+        let no_start = self.starts_left == 0
+            || (self.reserved_jobs.is_empty()
+                && !self.may_preempt_runs(order)
+                && !self.has_space_for_any(queue));
+        no_advice && no_start && !self.view.reports_capped_demand
+    }
+
+    /// Whether some worker has space for the smallest need of the steps left.
+    fn has_space_for_any(&mut self, queue: &ServingQueue<'_>) -> bool {
+        match queue.smallest_need() {
+            Some(need) => self.has_space(need),
+            None => false,
+        }
+    }
+
+    /// Whether some worker has space for a task.
+    fn has_space(&mut self, need: ResourceVector) -> bool {
+        if self.too_large.iter().any(|too_large| too_large.fits(&need)) {
+            return false;
+        }
+        let fits = self.capacities.values().any(|capacity| need.fits(&capacity.free));
+        if !fits {
+            self.too_large.retain(|too_large| !need.fits(too_large));
+            self.too_large.push(need);
+        }
+        fits
+    }
+
+    /// Whether there are runs that steps of an order may stop.
+    fn may_preempt_runs(&self, order: &ServingOrder) -> bool {
+        !order.value_expired
+            && self.preemptible_priority.is_some_and(|priority| priority > order.priority)
+    }
+
+    /// Serves a listed step if that can have an effect.
+    fn examine(&mut self, key: &ServingKey) {
+        let Some(job) = self.view.jobs.get(&key.job) else {
+            return;
+        };
+        let Some(step) = job.step(key.step) else {
+            return;
+        };
+        if self.view.unsettled_domains.affects(job) || job.step_done(key.step) {
+            return;
+        }
+        let ready = job.durable && job.dependencies_done(key.step);
+        let waiting = Vec::new();
+        let mut step = OpenStep { order: key.order, job, key: key.step, step, waiting, ready };
+        if !self.can_have_effect(&step) {
+            return;
+        }
+        step.waiting = self.waiting_tasks(job, key.step, ready);
+        self.limit_to_allowance(&mut step);
+        self.place_step(&step);
+    }
+
+    /// Whether a step may place a task, stop a run, use another failure domain or request advice now.
+    fn can_have_effect(&mut self, step: &OpenStep<'t>) -> bool {
+        let has_space = self.has_space(step.step.reservation());
+        let preempts = self.may_preempt_runs(&step.order) && self.would_lose_value(step);
+        let has_reservation = self.reserved_jobs.contains(&step.job.spec.id);
+        let can_start =
+            step.ready && self.starts_left > 0 && (has_space || preempts || has_reservation);
+        let is_capped = self.view.reports_capped_demand
+            && step.job.workspace.as_ref().is_some_and(|id| self.view.limits.contains_key(id));
+        can_start || is_capped || self.may_need_advice(step, has_space || preempts)
+    }
+
+    fn waiting_tasks(&self, job: &GraphJob, key: StepKey, ready: bool) -> Vec<TaskKey> {
+        let mut waiting = job.waiting(key);
+        if ready {
+            let may_start = |task: &TaskKey| {
+                job.not_before.get(task).is_none_or(|start| *start <= self.view.now)
+            };
+            waiting.retain(may_start);
+        }
+        waiting
+    }
+
     fn collect_open_steps(&self, job: &'t GraphJob, steps: &mut Vec<OpenStep<'t>>) {
         let limit = steps.len() + MAX_OPEN_STEPS;
         for occurrence in 0..job.spec.occurrences() {
@@ -205,59 +373,23 @@
             if due.is_some_and(|due| due > self.view.unix) || steps.len() >= limit {
                 break;
             }
+            let elapsed = match due {
+                Some(due) => Duration::from_millis(self.view.unix.saturating_sub(due)),
+                None => self.view.now.saturating_duration_since(job.submitted_at),
+            };
             for (index, step) in job.spec.steps.iter().enumerate() {
                 let key = StepKey { occurrence, step: u32::try_from(index).unwrap_or(u32::MAX) };
-                if job.step_done(key) {
-                    continue;
-                }
-                let mut waiting = job.waiting(key);
-                if waiting.is_empty() {
+                if job.step_done(key) || job.waiting(key).is_empty() {
                     continue;
                 }
                 let ready = job.durable && job.dependencies_done(key);
-                if ready {
-                    let may_start = |task: &TaskKey| {
-                        job.not_before.get(task).is_none_or(|start| *start <= self.view.now)
-                    };
-                    waiting.retain(may_start);
-                }
-                let order = self.order(job, key, step, due);
+                let waiting = self.waiting_tasks(job, key, ready);
+                let order = ServingOrder::of_step(job, key, step, self.view.now, elapsed);
                 steps.push(OpenStep { order, job, key, step, waiting, ready });
             }
         }
     }
 
-    fn order(
-        &self,
-        job: &GraphJob,
-        key: StepKey,
-        step: &StepSpec,
-        due: Option<UnixMillis>,
-    ) -> ServingOrder {
-        let elapsed = match due {
-            Some(due) => Duration::from_millis(self.view.unix.saturating_sub(due)),
-            None => self.view.now.saturating_duration_since(job.submitted_at),
-        };
-        let critical_path = job.critical_paths.get(key.step as usize).copied().unwrap_or_default();
-        let objective = job.objective();
-        let late = !step.lasting && elapsed + critical_path > objective;
-        let value_expired =
-            !step.lasting && elapsed + critical_path > objective * VALUE_EXPIRY_FACTOR;
-        // Late jobs are not served after all jobs in time: a backlog would wait until load falls
-        // and lose the value that it still has.
-        let value_duration = if late { objective * VALUE_EXPIRY_FACTOR } else { objective };
-        let latest = (self.view.now + value_duration)
-            .checked_sub(elapsed + critical_path)
-            .unwrap_or(self.view.now);
-        ServingOrder {
-            value_expired,
-            priority: job.rule.priority,
-            exceeds_rate: job.exceeds_rate,
-            latest_start: latest,
-            late,
-        }
-    }
-
     /// Leaves only as many waiting tasks as the workspace of a step may start, so that the rest of them requests no
     /// advice and stops no other run.
     fn limit_to_allowance(&mut self, step: &mut OpenStep<'t>) {
@@ -400,6 +532,12 @@
     }
 }
 
+/// Lowest priority, with the highest number, of the runs that may be stopped for others.
+fn preemptible_priority(capacities: &BTreeMap<WorkerId, WorkerCapacity<'_>>) -> Option<u32> {
+    let runs = capacities.values().flat_map(|capacity| capacity.instance.runs.values());
+    runs.filter(|run| may_stop(run)).map(|run| run.priority).max()
+}
+
 /// Number of starts without an answer. Starts at excluded workers do not count: many workers may
 /// have been cut off at once, and that must not stop all work.
 fn unanswered_starts(capacities: &BTreeMap<WorkerId, WorkerCapacity<'_>>) -> usize {
--- a/src/graph/placement/placer/advice_requests.rs
+++ b/src/graph/placement/placer/advice_requests.rs
@@ -3,7 +3,9 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use crate::graph::placement::advice::{AdviceRequest, MAX_WORKERS_PER_CALL};
+use tokio::time::Instant;
+
+use crate::graph::placement::advice::{AdviceRequest, LONG_CALL, MAX_WORKERS_PER_CALL, StepAdvice};
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
 use crate::graph::placement::placer::{OpenStep, PlacementPass};
 use crate::graph::workload::job::GraphJob;
@@ -62,6 +64,41 @@
         running + job.progress.done_count(key) >= step.count
     }
 
+    /// Whether a call for a step can be due, before its waiting tasks are known. Without `has_capacity`, no worker has
+    /// capacity for the step or could be given some, and only tickets are renewed.
+    pub(super) fn may_need_advice(&self, step: &OpenStep<'t>, has_capacity: bool) -> bool {
+        let Some(rule) = step.job.rule.advice else {
+            return false;
+        };
+        let enough = self.plan.advice_requests.len() >= self.requests_left;
+        // A step whose result is worthless is given capacity only when nothing else wants it.
+        let is_hopeless = step.order.value_expired && !has_capacity;
+        if enough || is_hopeless || (step.ready && self.starts_left == 0) {
+            return false;
+        }
+        let key = (step.job.spec.id.clone(), step.key);
+        let has_reason = match self.view.advice.step(&key).filter(|advice| !advice.is_empty()) {
+            Some(advice) if !has_capacity => {
+                self.may_renew(&rule) && advice.has_ticket_ending_by(self.renewal_end(&rule))
+            }
+            _ => true,
+        };
+        has_reason
+            && self.view.advice.may_request(&key, self.view.now)
+            && (step.ready || self.starts_soon(step))
+    }
+
+    /// Whether a call that only renews tickets could be made if no other advice were requested.
+    fn may_renew(&self, rule: &AdviceRule) -> bool {
+        let reserved = if rule.call > LONG_CALL { self.reserved_entries } else { 0 };
+        self.renewals_left > reserved
+    }
+
+    /// Tickets that end before this moment are renewed.
+    fn renewal_end(&self, rule: &AdviceRule) -> Instant {
+        self.view.now + rule.call + rule.each * RENEWED_WORKERS
+    }
+
     /// Requests advice: first on as many workers as one call allows, then again to renew the
     /// tickets of the allowed workers and to ask about others that have capacity.
     ///
@@ -85,7 +122,13 @@
         let request = AdviceRequest { key, queue, rule, workers };
         match useful {
             true => self.plan.advice_requests.push(request),
-            false => self.renewals.push(request),
+            false => {
+                let reserved = if request.time() > LONG_CALL { self.reserved_entries } else { 0 };
+                if self.renewals_left > reserved {
+                    self.renewals_left -= 1;
+                }
+                self.renewals.push(request);
+            }
         }
     }
 
@@ -159,7 +202,7 @@
                 && step_capacity.remaining(capacity.instance.id()) > 0
                 && !advice.is_some_and(|advice| advice.denied.contains(capacity.instance.id()))
         });
-        let renewal = self.view.now + rule.call + rule.each * RENEWED_WORKERS;
+        let renewal = self.renewal_end(rule);
         let mut candidates = AdviceCandidates::default();
         for capacity in fitting {
             let fitting_tasks = step_capacity.fitting_tasks(capacity.instance.id(), &capacity.free);
@@ -194,7 +237,7 @@
 
     fn has_no_advice(&self, step: &OpenStep<'t>) -> bool {
         let advice = self.view.advice.step(&(step.job.spec.id.clone(), step.key));
-        advice.is_none_or(|advice| advice.allowed.is_empty() && advice.denied.is_empty())
+        advice.is_none_or(StepAdvice::is_empty)
     }
 }
 
--- a/src/graph/placement/preemption.rs
+++ b/src/graph/placement/preemption.rs
@@ -75,6 +75,11 @@
         self.reservations.get(task)
     }
 
+    /// Jobs with a reservation.
+    pub(crate) fn jobs(&self) -> impl Iterator<Item = &GraphId> {
+        self.reservations.keys().map(|task| &task.job)
+    }
+
     /// Total capacity reserved on a worker.
     pub fn reserved_on(&self, worker: &WorkerId) -> ResourceVector {
         let here = self.reservations.values().filter(|reservation| reservation.worker == *worker);
@@ -132,7 +137,7 @@
 
 /// Whether a run may be preempted: its worker has confirmed it, and it is neither a member of a gang, whose
 /// other members would end with it, nor a lasting task, whose unavailability is limited.
-fn may_stop(run: &WorkerRun) -> bool {
+pub(crate) fn may_stop(run: &WorkerRun) -> bool {
     matches!(run.phase, RunPhase::Running { .. }) && run.preemptible
 }
 
--- a/src/graph/workload/jobs.rs
+++ b/src/graph/workload/jobs.rs
@@ -46,6 +46,8 @@
     jobs: BTreeMap<GraphId, GraphJob>,
     /// Jobs that may have a task to start.
     schedulable_ids: BTreeSet<GraphId>,
+    /// Jobs that may have changed since the last call of `take_changed`.
+    changed: BTreeSet<GraphId>,
 }
 
 impl JobTable {
@@ -56,7 +58,9 @@
 
     /// Returns a job for modification.
     pub(crate) fn get_mut(&mut self, id: &GraphId) -> Option<&mut GraphJob> {
-        self.jobs.get_mut(id)
+        let job = self.jobs.get_mut(id)?;
+        self.changed.insert(id.clone());
+        Some(job)
     }
 
     /// All jobs.
@@ -66,9 +70,20 @@
 
     /// All jobs, for modification.
     pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut GraphJob> {
+        self.changed.extend(self.jobs.keys().cloned());
         self.jobs.values_mut()
     }
 
+    /// Returns the jobs that may have changed since the last call.
+    pub(crate) fn take_changed(&mut self) -> BTreeSet<GraphId> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Whether a job may have a task to start.
+    pub(crate) fn is_schedulable(&self, id: &GraphId) -> bool {
+        self.schedulable_ids.contains(id) && self.jobs.get(id).is_some_and(|job| !job.is_over())
+    }
+
     /// Jobs that may have a task to start.
     pub(crate) fn schedulable(&self) -> impl Iterator<Item = &GraphJob> {
         self.schedulable_ids.iter().filter_map(|id| self.jobs.get(id)).filter(|job| !job.is_over())
@@ -77,6 +92,7 @@
     /// Adds a job.
     pub(crate) fn insert(&mut self, job: GraphJob) {
         let id = job.spec.id.clone();
+        self.changed.insert(id.clone());
         if !job.is_over() {
             self.schedulable_ids.insert(id.clone());
         }
@@ -86,6 +102,7 @@
     /// Removes a job.
     pub(crate) fn remove(&mut self, id: &GraphId) {
         self.schedulable_ids.remove(id);
+        self.changed.insert(id.clone());
         self.jobs.remove(id);
     }
 
@@ -98,19 +115,20 @@
     pub(crate) fn mark_schedulable(&mut self, id: &GraphId) {
         if self.jobs.get(id).is_some_and(|job| !job.is_over()) {
             self.schedulable_ids.insert(id.clone());
+            self.changed.insert(id.clone());
         }
     }
 
     /// Notes that a worker has begun a run of a job; only then does the job leave the queued state.
     pub(crate) fn note_begun(&mut self, task: &TaskName, evidence: BeginEvidence) {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
+        if let Some(job) = self.get_mut(&task.job) {
             mark_begun(job, task, evidence);
         }
     }
 
     /// Notes a run that was sent to a worker or found on one.
     pub(crate) fn note_run(&mut self, task: &TaskName, worker: WorkerId, run: RunNumber) {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
+        if let Some(job) = self.get_mut(&task.job) {
             let last = job.last_run.entry(task.key).or_default();
             *last = (*last).max(run);
             job.live.insert(task.key, LiveRun { worker, run });
@@ -125,7 +143,7 @@
         checkpoint: &str,
     ) -> JobEffect {
         let mut effect = JobEffect::default();
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(job) = self.get_mut(&task.job) else {
             return effect;
         };
         if job.live.get(&task.key).is_some_and(|live| live.run == run) {
@@ -151,7 +169,7 @@
         let LostRun { task, run, checkpoint, begun, .. } = lost;
         let (run, begun) = (*run, *begun);
         let mut effect = self.run_lost(task, run, checkpoint);
-        if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.is_over()) {
+        if let Some(job) = self.get_mut(&task.job).filter(|job| !job.is_over()) {
             if let Some(suspect_run) = suspect_run {
                 job.progress.note_suspect_run(task.key, suspect_run);
                 if begun {
@@ -190,6 +208,7 @@
                 changed.push(job.spec.id.clone());
             }
         }
+        self.changed.extend(changed.iter().cloned());
         changed
     }
 
@@ -204,6 +223,7 @@
         let EndReport { task, run, kind, checkpoint, .. } = end;
         let (run, kind) = (*run, *kind);
         let mut effect = JobEffect::default();
+        self.changed.insert(task.job.clone());
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return effect;
         };
@@ -280,7 +300,7 @@
 
     fn end(&mut self, id: &GraphId, verdict: GraphVerdict, unix: UnixMillis) -> JobEffect {
         let mut effect = JobEffect::default();
-        if let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_over()) {
+        if let Some(job) = self.get_mut(id).filter(|job| !job.is_over()) {
             effect.stops = live_runs(job);
             effect.changed = true;
             effect.urgent = true;
--- a/src/graph/workload/jobs/crashes.rs
+++ b/src/graph/workload/jobs/crashes.rs
@@ -27,7 +27,7 @@
     ) -> JobEffect {
         let CrashSuspect { task, run, sure, .. } = suspect;
         let mut effect = JobEffect::default();
-        let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.is_over()) else {
+        let Some(job) = self.get_mut(&task.job).filter(|job| !job.is_over()) else {
             return effect;
         };
         if job.progress.is_done(&task.key) {
@@ -54,7 +54,7 @@
     /// A start that an earlier leader announced may have been sent to a worker that was lost before it
     /// answered this leader; a worker that answered would have reported the run.
     pub(crate) fn announce(&mut self, task: &TaskName, base: RunNumber, lost_before_contact: bool) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(job) = self.get_mut(&task.job) else {
             return;
         };
         if job.inherited_starts.remove(&task.key)
@@ -74,7 +74,7 @@
 
     /// Consumes the announcement of a task's start, and returns whether there was one.
     pub(crate) fn consume_announcement(&mut self, task: &TaskName) -> bool {
-        let job = self.jobs.get_mut(&task.job);
+        let job = self.get_mut(&task.job);
         job.is_some_and(|job| job.progress.announced.remove(&task.key).is_some())
     }
 
@@ -94,7 +94,7 @@
 
     /// Notes the start of a suspected task.
     pub(crate) fn note_suspect_run(&mut self, task: &TaskName, suspect_run: SuspectRun) {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
+        if let Some(job) = self.get_mut(&task.job) {
             if let Some(run) = job.withdrawn.remove(&task.key) {
                 job.progress.clear_suspect_run(&task.key, run);
             }
@@ -104,7 +104,7 @@
 
     /// Handles a start that was certainly not carried out.
     pub(crate) fn withdraw(&mut self, task: &TaskName, run: RunNumber) -> JobEffect {
-        if let Some(job) = self.jobs.get_mut(&task.job) {
+        if let Some(job) = self.get_mut(&task.job) {
             job.withdrawn.insert(task.key, run);
         }
         self.run_lost(task, run, "")
@@ -113,21 +113,21 @@
     /// Clears a suspect run that is gone from its worker, or whose worker has been replaced. If the worker
     /// crashed, the crash is recorded in place of the suspect run.
     pub(crate) fn clear_suspect_run(&mut self, task: &TaskName, run: RunNumber) -> bool {
-        let job = self.jobs.get_mut(&task.job).filter(|job| !job.is_over());
+        let job = self.get_mut(&task.job).filter(|job| !job.is_over());
         job.is_some_and(|job| job.progress.clear_suspect_run(&task.key, run))
     }
 
     /// Notes that a worker has reported a run as begun. Returns whether that is new for a run under which the
     /// worker has crashed or may crash.
     pub(crate) fn confirm_run(&mut self, task: &TaskName, run: RunNumber) -> bool {
-        let job = self.jobs.get_mut(&task.job);
+        let job = self.get_mut(&task.job);
         job.is_some_and(|job| !job.is_over() && job.progress.confirm_run(task.key, run))
     }
 
     /// Handles a start that the worker has survived: earlier crashes were not caused by the task.
     pub(crate) fn start_survived(&mut self, task: &TaskName) -> JobEffect {
         let mut effect = JobEffect::default();
-        if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.is_over()) {
+        if let Some(job) = self.get_mut(&task.job).filter(|job| !job.is_over()) {
             effect.changed = job.progress.clear_crashes(&task.key);
         }
         effect
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about job graphs under failures: leaders, workers and a store in
 //! simulated time.
 mod advice;
+mod backlog;
 mod cancellation;
 mod capacity_changes;
 mod cases;
