Learn the speed of workers relative to each other

Cause: a worker's speed was judged by declared run times and capped at 1.0, and used for the health rank only. Where declared times are off by 0.9 and one job in thirty takes seven times as long, that marks good workers as slow, and fast workers are not told from slow ones.

Change: runs of one step on different workers are compared, as they have the same true length; where a step runs on one worker only, its declared time is compared with those of its image or queue, at a twentieth of the weight. The speed belongs to an instance, follows the last six runs and is forgotten after 60 s without one. The health rank uses the pace of the step on other workers where it is known. Workers form up to three classes (k-means over the logarithms of speeds); classes within 15%, or within two standard errors of a learned speed, are one. The spread of the classes is a gauge, and changes of class are logged, five at most twice a second.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -169,7 +169,7 @@
             let age = Duration::from_millis(unix.saturating_sub(record.spec.accepted));
             jobs.insert(GraphJob::restored(record, progress, now, age));
         }
-        let mut instances = InstanceTable::new(bounds.max_lease);
+        let mut instances = InstanceTable::new(bounds.max_lease, bounds.run_costs);
         for used in &state.workers {
             instances.restore_used(now, used, placeholder_registration(used));
         }
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -55,15 +55,15 @@
         };
         let announced = self.jobs.consume_announcement(&task);
         let worker_run = WorkerRun { suspicion_stored: announced, ..worker_run };
-        if let Some(instance) = self.instances.get_mut(&start.worker) {
-            instance.add_run(task.clone(), worker_run);
-            if announced {
-                let worker = start.worker.clone();
-                let (address, instance_start) = (instance.address(), instance.instance_start);
-                let suspect_run = SuspectRun { run, worker, address, instance_start };
-                self.jobs.note_suspect_run(&task, suspect_run);
-                self.commits.change(task.job.clone(), now, true);
-            }
+        self.instances.add_run(&start.worker, task.clone(), worker_run);
+        if let Some(instance) = self.instances.get(&start.worker)
+            && announced
+        {
+            let worker = start.worker.clone();
+            let (address, instance_start) = (instance.address(), instance.instance_start);
+            let suspect_run = SuspectRun { run, worker, address, instance_start };
+            self.jobs.note_suspect_run(&task, suspect_run);
+            self.commits.change(task.job.clone(), now, true);
         }
         self.jobs.note_run(&task, start.worker.clone(), run);
         metrics::counter!("kelplink_run_starts_total").increment(1);
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -150,16 +150,22 @@
         let probation = Some(now + PROBATION);
         let suspected = job.is_some_and(|job| job.is_suspected(task.key));
         let known = WorkerRun::new(run, phase, now, origin);
-        let listed = true;
-        let worker_run =
-            WorkerRun { percent, reported_load, checkpoint, probation, suspected, listed, ..known };
+        let (listed, pace_start) = (true, Some((percent, now)));
+        let worker_run = WorkerRun {
+            percent,
+            reported_load,
+            checkpoint,
+            probation,
+            suspected,
+            listed,
+            pace_start,
+            ..known
+        };
         info!(task:% = task, run, worker = &**worker, wanted; "run found on a worker");
         self.note_found_usage(&task, &worker_run);
         self.note_begun(now, &task, run, BeginEvidence::Listed);
         let older = self.jobs.get(&task.job).and_then(|job| job.live.get(&task.key).cloned());
-        if let Some(instance) = self.instances.get_mut(worker) {
-            instance.add_run(task.clone(), worker_run);
-        }
+        self.instances.add_run(worker, task.clone(), worker_run);
         match wanted {
             true => {
                 self.jobs.note_run(&task, worker.clone(), run);
--- a/src/graph/workers.rs
+++ b/src/graph/workers.rs
@@ -7,5 +7,6 @@
 pub(super) mod run;
 pub(super) mod run_costs;
 pub(super) mod send_window;
+pub(super) mod speed;
 pub(super) mod worker;
 pub(super) mod worker_event;
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use log::warn;
+use log::{info, warn};
 use tokio::time::Instant;
 
 use crate::graph::event::GraphAction;
@@ -15,6 +15,8 @@
 };
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
 use crate::graph::workers::run::{RunPhase, WorkerRun};
+use crate::graph::workers::run_costs::RunCosts;
+use crate::graph::workers::speed::SpeedTable;
 use crate::graph::workers::worker::{InstanceEnd, WorkerInstance};
 use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
 use crate::graph::workload::crash::SuspectRun;
@@ -53,6 +55,9 @@
 /// Shortest time from one poll to the next, so that ends close together share an answer.
 const POLL_GAP: Duration = Duration::from_millis(15);
 
+/// Changes of classes of speed that a review logs one by one; it takes place twice a second.
+const MAX_LOGGED_CLASS_CHANGES: usize = 5;
+
 /// All workers.
 #[derive(Debug, Default)]
 pub struct InstanceTable {
@@ -61,12 +66,14 @@
     pacer: PollPacer,
     /// Longest lease that a worker accepts.
     max_lease: Duration,
+    run_costs: RunCosts,
+    speeds: SpeedTable,
 }
 
 impl InstanceTable {
     /// Creates an empty table.
-    pub fn new(max_lease: Duration) -> Self {
-        Self { max_lease, ..Self::default() }
+    pub fn new(max_lease: Duration, run_costs: RunCosts) -> Self {
+        Self { max_lease, run_costs, ..Self::default() }
     }
 
     /// Returns a worker.
@@ -79,6 +86,25 @@
         self.instances.get_mut(id)
     }
 
+    /// Adds a run to a worker. It takes longer where its data is on another rack.
+    pub(crate) fn add_run(&mut self, worker: &WorkerId, task: TaskName, run: WorkerRun) {
+        if let Some(instance) = self.instances.get_mut(worker) {
+            let is_remote = run.affinity.as_ref().is_some_and(|rack| rack != instance.rack());
+            let distance_factor = if is_remote { self.run_costs.remote_rack_factor } else { 1.0 };
+            instance.add_run(task, WorkerRun { distance_factor, ..run });
+        }
+    }
+
+    /// Speed of a worker relative to the mean of all workers; `None` where it is not known.
+    pub fn relative_speed(&self, now: Instant, worker: &WorkerId) -> Option<f64> {
+        self.speeds.relative_speed(now, &self.get(worker)?.speed)
+    }
+
+    /// Speeds of the classes that the workers form, slowest first; at most one where they are alike.
+    pub fn class_speeds(&self) -> Vec<f64> {
+        self.speeds.class_speeds()
+    }
+
     /// All workers.
     pub fn iter(&self) -> impl Iterator<Item = &WorkerInstance> + Clone {
         self.instances.values()
@@ -269,8 +295,13 @@
                 if end.kind == EndKind::Lapsed {
                     instance.last_lease_expiry = end.number;
                 }
-                if instance.runs.get(&end.task).is_some_and(|run| run.run == end.run) {
-                    instance.remove_run(&end.task);
+                if instance.runs.get(&end.task).is_some_and(|run| run.run == end.run)
+                    && let Some(mut run) = instance.remove_run(&end.task)
+                    && end.kind == EndKind::Done
+                    && run.is_of_one_instance()
+                {
+                    let worker = (id, &mut instance.speed);
+                    self.speeds.note_progress(now, worker, &end.task, &mut run, 100);
                 }
                 match end.kind {
                     EndKind::Done => instance.health.note_success(),
@@ -289,7 +320,8 @@
         } else {
             instance.list_outdated = false;
             instance.newest_list_clock = reply.clock;
-            let running = apply_running_list(instance, now, reply.running, reply.clock);
+            let running =
+                apply_running_list(instance, &mut self.speeds, now, reply.running, reply.clock);
             events.extend(running);
         }
         if instance.withheld_end.is_some_and(|number| number < instance.last_lease_expiry) {
@@ -300,9 +332,31 @@
             true => now + POLL_GAP,
             false => now + STORE_PAUSE,
         };
+        self.review_speeds(now);
         events
     }
 
+    /// Assigns the workers to classes of speed, where that is due.
+    fn review_speeds(&mut self, now: Instant) {
+        if !self.speeds.needs_review(now) {
+            return;
+        }
+        let workers = self.instances.iter_mut().map(|(id, instance)| (id, &mut instance.speed));
+        let changes = self.speeds.review(now, workers);
+        let speeds = self.speeds.class_speeds();
+        if let (Some(slowest), Some(fastest)) = (speeds.first(), speeds.last()) {
+            metrics::gauge!("kelplink_worker_speed_spread").set(fastest / slowest);
+        }
+        for change in changes.iter().take(MAX_LOGGED_CLASS_CHANGES) {
+            let (worker, from, to, speed) =
+                (&*change.worker, change.from, change.to, change.relative_speed);
+            info!(worker, from, to, speed; "class of speed of a worker has changed");
+        }
+        if let Some(unlogged) = changes.len().checked_sub(MAX_LOGGED_CLASS_CHANGES + 1) {
+            info!(workers = unlogged + 1; "further workers have changed their class of speed");
+        }
+    }
+
     /// Updates instance, clock and lease of a worker from its answer to a poll.
     fn note_poll_answer(
         &mut self,
@@ -501,6 +555,7 @@
 /// Applies a worker's list of running tasks to its known runs.
 fn apply_running_list(
     instance: &mut WorkerInstance,
+    speeds: &mut SpeedTable,
     now: Instant,
     running: Vec<RunReport>,
     clock: Duration,
@@ -508,6 +563,7 @@
     let id = instance.id().clone();
     let mut events = Vec::new();
     let (mut work, mut time) = (Duration::ZERO, Duration::ZERO);
+    let (mut compared_work, mut compared_time) = (Duration::ZERO, Duration::ZERO);
     let mut listed = BTreeMap::new();
     for report in running {
         listed.insert(report.task.clone(), report.run);
@@ -531,7 +587,7 @@
                 if run.probation.is_some_and(|end| end <= now) {
                     run.probation = None;
                     if run.suspected || run.suspicion_stored {
-                        events.push(WorkerEvent::Survived(report.task, report.run));
+                        events.push(WorkerEvent::Survived(report.task.clone(), report.run));
                     }
                 }
                 run.reported_load = report.reported_load;
@@ -539,11 +595,25 @@
                 let (done, took) = run.measure(now).unwrap_or_default();
                 work += done;
                 time += took;
+                let worker = (&id, &mut instance.speed);
+                speeds.note_progress(now, worker, &report.task, run, report.percent);
+                if !took.is_zero()
+                    && let Some(estimate) = run.estimate
+                    && let Some(run_time) = speeds.run_time_elsewhere(&id, &report.task)
+                {
+                    let share = done.as_secs_f64() / estimate.as_secs_f64();
+                    compared_work += run_time.mul_f64(share * run.distance_factor);
+                    compared_time += took;
+                }
             }
             None => events.push(WorkerEvent::Unknown(id.clone(), report)),
         }
     }
-    instance.health.note_work(now, work, time);
+    // Runs of a step that also runs elsewhere show the speed even where their declared time is wrong.
+    match compared_time.is_zero() {
+        true => instance.health.note_work(now, work, time),
+        false => instance.health.note_work(now, compared_work, compared_time),
+    }
     let is_gone = |(task, run): &(&TaskName, &WorkerRun)| {
         let since = match run.phase {
             // A worker refuses a start once the time that it is valid for has passed on its clock. Without
--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -61,7 +61,7 @@
             RunPhase::Running { .. } => RunPhase::Running { confirmed: reply.clock },
             RunPhase::Stopping { .. } => RunPhase::Stopping { answered: None, sent: now },
         };
-        Self { phase, until: None, taken_by_newer_instance: None, ..self }
+        Self { phase, until: None, taken_by_newer_instance: None, pace_start: None, ..self }
     }
 
     /// A run that another instance does not list and may still begin; only an answered stop settles that.
--- a/src/graph/workers/run.rs
+++ b/src/graph/workers/run.rs
@@ -8,7 +8,8 @@
 use crate::graph::workload::job::GraphJob;
 use crate::graph::workload::name::{ImageId, RunNumber};
 use crate::graph::workload::spec::StepSpec;
-use crate::id::WorkspaceId;
+use crate::graph::workload::work_kind::WorkKind;
+use crate::id::{RackId, WorkspaceId};
 use crate::resources::ResourceVector;
 
 /// Progress, in percent, from which the speed of a run can be estimated.
@@ -17,6 +18,11 @@
 /// Shortest time over which progress is measured, as it is reported in whole percent.
 const MIN_MEASURE_TIME: Duration = Duration::from_millis(250);
 
+/// Shortest time and smallest progress over which the pace of a run is measured: shorter ones are dominated by the
+/// delay of polls and by whole percents.
+const MIN_PACE_TIME: Duration = Duration::from_millis(500);
+const MIN_PACE_PERCENT: u32 = 5;
+
 /// Phase of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
@@ -62,6 +68,15 @@
     pub estimate: Option<Duration>,
     /// Progress in percent at the last measurement of the worker's speed, and the time of that measurement.
     pub last_measurement: (u32, Instant),
+    /// Progress in percent from which its pace is measured next, and the time of it. `None` before the first report
+    /// of a run that may have resumed from a checkpoint.
+    pub(crate) pace_start: Option<(u32, Instant)>,
+    /// Kind of its work; `None` for a run of a job that this leader does not know.
+    pub(crate) kind: Option<WorkKind>,
+    /// Rack of its data.
+    pub(crate) affinity: Option<RackId>,
+    /// How many times as long it takes because its worker is on another rack than its data.
+    pub(crate) distance_factor: f64,
     /// Last reported progress in percent.
     pub percent: u32,
     /// When the progress last changed.
@@ -127,6 +142,10 @@
             declared_run_time: step.filter(|step| !step.lasting).map(|step| step.estimate),
             estimate: step.filter(|step| indicates_speed(step)).map(|step| step.estimate),
             last_measurement: (0, now),
+            pace_start: step.filter(|step| !step.checkpoints).map(|_| (0, now)),
+            kind: origin.map(|(job, step)| WorkKind::of(job, step)),
+            affinity: step.and_then(|step| step.affinity.clone()),
+            distance_factor: 1.0,
             percent: 0,
             progressed_at: now,
             reported_load: step
@@ -173,6 +192,27 @@
         Some((estimate * self.percent.saturating_sub(percent) / 100, time))
     }
 
+    /// Measures the pace since the last measurement of it: the share of the work done, and the time that it took.
+    pub(crate) fn measure_pace(&mut self, now: Instant, percent: u32) -> Option<(f64, Duration)> {
+        // The distance factor is nominal, so a run away from its data shows no speed.
+        self.estimate.filter(|_| self.distance_factor <= 1.0)?;
+        let Some((start, at)) = self.pace_start else {
+            self.pace_start = Some((percent, now));
+            return None;
+        };
+        let time = now.saturating_duration_since(at);
+        let done = percent.saturating_sub(start);
+        let is_measurable = match percent {
+            100.. => done > 0 && !time.is_zero(),
+            _ => done >= MIN_PACE_PERCENT && time >= MIN_PACE_TIME,
+        };
+        if !is_measurable || self.throttle != 100 {
+            return None;
+        }
+        self.pace_start = Some((percent, now));
+        Some((f64::from(done) / 100.0, time))
+    }
+
     /// Notes that the worker has reported the run as begun, and returns whether this is the first report.
     /// Probation restarts now: a start that was sent more than once may have begun long after its first send,
     /// so the worker has not yet survived it.
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -9,6 +9,7 @@
 use crate::graph::exchange::{InstanceId, InstanceStart, WorkerRegistration};
 use crate::graph::workers::health::{HealthRank, WorkerHealth};
 use crate::graph::workers::run::WorkerRun;
+use crate::graph::workers::speed::WorkerSpeed;
 use crate::graph::workload::name::{GraphId, StepKey, TaskName};
 use crate::graph::workload::spec::StepSpec;
 use crate::id::{RackId, WorkerId};
@@ -97,6 +98,8 @@
     pub excluded_until: Option<Instant>,
     /// Health of the worker, from the outcomes of its runs.
     pub health: WorkerHealth,
+    /// Its speed relative to other workers.
+    pub(crate) speed: WorkerSpeed,
     /// All runs that hold resources.
     pub runs: BTreeMap<TaskName, WorkerRun>,
     /// Whether the demand of any run is unknown.
@@ -136,6 +139,7 @@
             refused_since: None,
             excluded_until: None,
             health: WorkerHealth::default(),
+            speed: WorkerSpeed::default(),
             runs: BTreeMap::new(),
             has_unknown_demand: false,
             used: ResourceVector::default(),
--- a/src/graph/workload.rs
+++ b/src/graph/workload.rs
@@ -10,3 +10,4 @@
 pub(super) mod progress;
 pub(super) mod queue;
 pub(super) mod spec;
+pub(super) mod work_kind;
--- a/tests/graph/cancellation.rs
+++ b/tests/graph/cancellation.rs
@@ -51,6 +51,7 @@
         need: step(1, 1, 0).reservation(),
         started_at: cluster.now,
         declared_run_time: seconds(600),
+        length_percent: 100,
         fails: false,
         stop_time: None,
     };
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -19,6 +19,7 @@
 mod restarts;
 mod shards;
 mod sim_cluster;
+mod speeds;
 mod starvation;
 mod takeover;
 mod unread_registrations;
--- a/tests/graph/model_worker.rs
+++ b/tests/graph/model_worker.rs
@@ -21,6 +21,8 @@
     pub(crate) need: ResourceVector,
     pub(crate) started_at: Instant,
     pub(crate) declared_run_time: Duration,
+    /// True run time at speed 1, in percent of the declared one.
+    pub(crate) length_percent: u32,
     pub(crate) fails: bool,
     /// When a stop takes effect.
     pub(crate) stop_time: Option<Instant>,
@@ -39,6 +41,8 @@
     pub(crate) clock_rate: u32,
     /// Factor by which tasks take longer than declared.
     pub(crate) slowdown: u32,
+    /// Speed in percent, by which the run time of every task is divided.
+    pub(crate) speed_percent: u32,
     /// Whether every run that the worker starts fails.
     pub(crate) fails_runs: bool,
     /// Reason with which the worker refuses every start.
@@ -64,6 +68,7 @@
             connected: true,
             clock_rate,
             slowdown: 1,
+            speed_percent: 100,
             fails_runs: false,
             start_refusal: None,
             started: now,
@@ -129,7 +134,7 @@
         let tasks: Vec<TaskName> = self.runs.keys().cloned().collect();
         for task in tasks {
             let run = &self.runs[&task];
-            let done = now >= run.started_at + run.declared_run_time * self.slowdown;
+            let done = now >= run.started_at + self.run_time(run);
             let kind = match () {
                 () if expired => EndKind::Lapsed,
                 () if run.stop_time.is_some_and(|time| time <= now) => EndKind::Stopped,
@@ -178,11 +183,16 @@
         self.runs.keys().chain(self.closed_runs.keys()).any(|task| &*task.job == job)
     }
 
+    fn run_time(&self, run: &ModelRun) -> Duration {
+        let length = run.declared_run_time * run.length_percent / 100;
+        length * self.slowdown * 100 / self.speed_percent
+    }
+
     /// Progress of a run, in percent.
     fn percent(&self, run: &ModelRun, now: Instant) -> u32 {
-        let declared_run_time = (run.declared_run_time * self.slowdown).as_millis().max(1);
+        let run_time = self.run_time(run).as_millis().max(1);
         let passed = now.saturating_duration_since(run.started_at).as_millis();
-        u32::try_from(passed * 100 / declared_run_time).unwrap_or(100).min(100)
+        u32::try_from(passed * 100 / run_time).unwrap_or(100).min(100)
     }
 
     pub(crate) fn report(&mut self, now: Instant, acked: u64) -> PollReply {
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -89,6 +89,10 @@
     pub(crate) failure_permille: u32,
     /// Jobs whose runs all fail.
     pub(crate) failing_jobs: BTreeSet<GraphId>,
+    /// How many times as long leaders elected from now on take a task away from its data to run.
+    pub(crate) remote_rack_factor: f64,
+    /// True run time of the tasks of a job at speed 1, in percent of the declared one; 100 where a job is not named.
+    pub(crate) length_percents: BTreeMap<GraphId, u32>,
     /// Tasks that crash each worker that starts them, with the delay after the start.
     pub(crate) crashing_tasks: BTreeMap<TaskName, Duration>,
     /// How long a crashed worker stays down.
@@ -241,6 +245,8 @@
             caller_timeout: Duration::from_secs(3),
             failure_permille: 0,
             failing_jobs: BTreeSet::new(),
+            remote_rack_factor: BOUNDS.run_costs.remote_rack_factor,
+            length_percents: BTreeMap::new(),
             crashing_tasks: BTreeMap::new(),
             crash_downtime: Duration::from_secs(3),
             refuses_when_down: false,
@@ -330,8 +336,11 @@
             unknown_workers: self.store.workers_unreadable,
         };
         let scope = ShardScope::new(self.plan.clone(), shard.clone());
+        let run_costs =
+            RunCosts { remote_rack_factor: self.remote_rack_factor, ..BOUNDS.run_costs };
+        let bounds = GraphBounds { run_costs, ..BOUNDS };
         let mut leader =
-            GraphController::new(self.now, self.unix(), epoch, BOUNDS, state).with_scope(scope);
+            GraphController::new(self.now, self.unix(), epoch, bounds, state).with_scope(scope);
         leader.set_config(self.config.clone());
         leader.set_entries((0..5).map(|entry| EntryId::from(format!("e{entry}"))).collect());
         leader.note_lease_renewal(self.now);
@@ -903,6 +912,7 @@
             .map(|(record, _)| record.spec.steps[task.key.step.step as usize].clone());
         let step =
             step.unwrap_or_else(|| panic!("{task} is started but its job was never accepted"));
+        let length_percent = self.length_percents.get(&task.job).copied().unwrap_or(100);
         let result = match self.reachable(&id) {
             None => Err(self.failure_at(&id, Duration::ZERO).0),
             Some(worker) => {
@@ -932,6 +942,7 @@
                                 need: step.reservation(),
                                 started_at: now,
                                 declared_run_time: step.estimate,
+                                length_percent,
                                 fails: fails || worker.fails_runs,
                                 stop_time: None,
                             };
