Choose workers by speed where they differ

Cause: speed played no part in placement, so urgent tasks ran on slow workers while lasting ones held fast ones.

The speed ranks before the tightest fit. With one class of speed, the order is the previous one.

--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -8,6 +8,7 @@
 
 mod advice_requests;
 mod gangs;
+mod speed_order;
 mod tasks;
 mod worker_capacity;
 
@@ -19,6 +20,7 @@
 use crate::graph::admission::allowance::WorkspaceAllowances;
 use crate::graph::placement::advice::{AdviceRequest, AdviceTable};
 use crate::graph::placement::home::UnsettledDomains;
+use crate::graph::placement::placer::speed_order::{SpeedOrder, SpeedPreference};
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
 use crate::graph::placement::preemption::{PlannedPreemption, ReservationTable};
 use crate::graph::placement::step_capacity::StepCapacity;
@@ -102,6 +104,19 @@
     ready: bool,
 }
 
+impl OpenStep<'_> {
+    /// Whether no open step of its job has a longer way to the end of the graph: steps within 15% count as equal.
+    fn is_critical(&self) -> bool {
+        let path = |index: usize| self.job.critical_paths.get(index).copied().unwrap_or_default();
+        let is_open = |index: &usize| {
+            let number = u32::try_from(*index).unwrap_or(u32::MAX);
+            !self.job.step_done(StepKey { step: number, ..self.key })
+        };
+        let longest = (0..self.job.spec.steps.len()).filter(is_open).map(path).max();
+        path(self.key.step as usize) * 115 >= longest.unwrap_or_default() * 100
+    }
+}
+
 /// Input of a pass.
 #[derive(Clone, Copy)]
 pub struct PassView<'t> {
@@ -139,6 +154,7 @@
     /// Runs that this pass has chosen to stop.
     victims: BTreeSet<TaskName>,
     capacities: BTreeMap<WorkerId, WorkerCapacity<'t>>,
+    speed_order: SpeedOrder,
     allowances: WorkspaceAllowances,
     plan: PassPlan,
     /// Requests of steps that can place nothing now. They come last: placed before the others, the
@@ -161,6 +177,14 @@
         let mut capacities: BTreeMap<WorkerId, WorkerCapacity<'t>> =
             instances.map(capacity).collect();
         exclude_faulty(&mut capacities);
+        let remote_rack_factor = view.instances.run_costs().remote_rack_factor;
+        let mut speed_order = SpeedOrder::new(view.instances.class_speeds(), remote_rack_factor);
+        for capacity in capacities.values() {
+            if speed_order.is_fastest(capacity.speed_class) {
+                let total = capacity.instance.registration.capacity.millicores;
+                speed_order.add_fast_worker(total, capacity.free.millicores);
+            }
+        }
         let requests_left = view.advice.idle_entries() * REQUESTS_PER_CALL;
         let starts_left = view.max_unanswered.saturating_sub(unanswered_starts(&capacities));
         Self {
@@ -169,6 +193,7 @@
             starts_left,
             victims: BTreeSet::new(),
             capacities,
+            speed_order,
             allowances: WorkspaceAllowances::new(view.limits, view.usage),
             plan: PassPlan::default(),
             renewals: Vec::new(),
@@ -303,6 +328,27 @@
         step.job.needs_announcement(task, self.view.lost_before_contact)
     }
 
+    /// Which workers are best for a step where they differ in speed. Urgent work on the critical path prefers fast
+    /// ones; work that gains nothing from speed prefers slow ones. Long work uses fast workers too, as they would
+    /// otherwise stand idle, but leaves some of them to urgent work as long as slow ones keep it in time.
+    fn speed_preference(&self, step: &OpenStep<'t>) -> SpeedPreference {
+        let (spec, order) = (step.step, &step.order);
+        match () {
+            () if !self.speed_order.is_uneven() => SpeedPreference::Any,
+            () if spec.lasting || spec.best_effort || order.value_expired => SpeedPreference::Slow,
+            () if order.priority == 0 && step.is_critical() => SpeedPreference::Fast,
+            () if order.priority == 0 => SpeedPreference::Any,
+            () => SpeedPreference::Spare { has_slack: self.has_slack(step) },
+        }
+    }
+
+    /// Whether the job of a step keeps its value if the step runs on the slowest workers.
+    fn has_slack(&self, step: &OpenStep<'t>) -> bool {
+        let delay = (self.speed_order.slowest_run_time_factor() - 1.0).max(0.0);
+        let latest_start = step.order.latest_start;
+        !step.order.late && latest_start > self.view.now + step.step.estimate.mul_f64(delay)
+    }
+
     /// Workers that the step may use at this time.
     fn candidates(&self, step: &OpenStep<'t>) -> Vec<WorkerId> {
         let rule = &step.job.rule;
--- a/src/graph/placement/placer/gangs.rs
+++ b/src/graph/placement/placer/gangs.rs
@@ -87,14 +87,18 @@
         worker_set: &[WorkerId],
     ) -> Option<Vec<PlannedStart>> {
         let mut task_counts = self.task_counts(step, worker_set.iter());
+        let preference = self.speed_preference(step);
+        let fast_free = self.speed_order.fast_free;
         let mut starts = Vec::new();
         let previous: Vec<(WorkerId, WorkerCapacity<'t>)> = worker_set
             .iter()
             .filter_map(|id| self.capacities.get(id).map(|capacity| (id.clone(), capacity.clone())))
             .collect();
         for task in &step.waiting {
-            let Some(worker) = self.choose_worker(step, *task, worker_set, &task_counts) else {
+            let worker = self.choose_worker(step, *task, worker_set, &task_counts, preference);
+            let Some(worker) = worker else {
                 self.capacities.extend(previous);
+                self.speed_order.fast_free = fast_free;
                 return None;
             };
             *task_counts.entry(worker.clone()).or_default() += 1;
--- a/src/graph/placement/placer/tasks.rs
+++ b/src/graph/placement/placer/tasks.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::graph::placement::placer::speed_order::SpeedPreference;
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
 use crate::graph::placement::placer::{OpenStep, PlacementPass, PlannedStart};
 use crate::graph::placement::preemption::{PlannedPreemption, choose_victims};
@@ -27,6 +28,7 @@
     /// Places as many tasks as fit and returns the number of those that do not.
     pub(super) fn place_tasks(&mut self, step: &OpenStep<'t>, candidates: &[WorkerId]) -> usize {
         let mut task_counts = self.task_counts(step, candidates.iter());
+        let preference = self.speed_preference(step);
         let mut missing = 0;
         let mut is_widening = None;
         // All tasks of a step have the same needs: if one finds no worker or no victims, neither
@@ -39,8 +41,10 @@
             }
             let reserved = self.reserved_worker(step, *task, candidates, &task_counts);
             let is_reserved = reserved.is_some();
-            let choose_free =
-                || placeable.then(|| self.choose_worker(step, *task, candidates, &task_counts));
+            let choose_free = || {
+                placeable
+                    .then(|| self.choose_worker(step, *task, candidates, &task_counts, preference))
+            };
             if let Some(worker) = reserved.or_else(|| choose_free().flatten()) {
                 match is_reserved {
                     true => self.allocate_reserved(&worker, step, *task),
@@ -169,14 +173,16 @@
     }
 
     /// The best worker for a task: near its data, not one where it failed, away from tasks that it
-    /// would slow down, then the tightest fit, so that large blocks of capacity stay free. A task
-    /// under which a worker has crashed goes where another crash loses the least.
+    /// would slow down, of the preferred speed, then the tightest fit, so that large blocks of
+    /// capacity stay free. A task under which a worker has crashed goes where another crash loses
+    /// the least.
     pub(super) fn choose_worker(
         &self,
         step: &OpenStep<'t>,
         task: TaskKey,
         among: &[WorkerId],
         task_counts: &BTreeMap<WorkerId, u32>,
+        preference: SpeedPreference,
     ) -> Option<WorkerId> {
         let spec = step.step;
         let need = spec.reservation();
@@ -184,6 +190,7 @@
         let avoided = step.job.avoided_workers.get(&task);
         let job = &step.job.spec.id;
         let suspected = step.job.is_suspected(task);
+        let preference = self.speed_order.current_preference(preference);
         let fits = |id: &&WorkerId| {
             let count = task_counts.get(*id).copied().unwrap_or(0);
             count < limit
@@ -209,15 +216,25 @@
             // An unhealthy worker where the task failed ranks behind remote ones: a job failed
             // permanently on the only bad worker of its rack while seven other workers were empty.
             let failed_when_unhealthy = failed && capacity.health != HealthRank::Sound;
+            // A fast worker away from the data may end the task before a slow one near it.
+            let distance_rank = match spec.affinity {
+                Some(_) => {
+                    let is_sound = capacity.health == HealthRank::Sound;
+                    let class = capacity.speed_class;
+                    self.speed_order.distance_rank(preference, class, is_sound, is_remote)
+                }
+                None => 0,
+            };
             // Distance ranks before a clear cause of crashes: on a remote rack a task takes three
             // times as long.
             (
                 failed_when_unhealthy,
-                is_remote,
+                distance_rank,
                 capacity.crash_ambiguity(job, suspected),
                 failed,
                 capacity.health,
                 disturbs,
+                self.speed_order.speed_rank(preference, capacity.speed_class),
                 remaining,
             )
         };
@@ -244,6 +261,10 @@
         let spec = step.step;
         if let Some(capacity) = self.capacities.get_mut(worker) {
             capacity.note_start(&step.job.spec.id, step.job.is_suspected(task));
+            if self.speed_order.is_fastest(capacity.speed_class) {
+                let need = u64::from(spec.reservation().millicores);
+                self.speed_order.fast_free = self.speed_order.fast_free.saturating_sub(need);
+            }
             capacity.free = capacity.free.saturating_sub(&spec.reservation());
             capacity.free_with_reserved =
                 capacity.free_with_reserved.saturating_sub(&spec.reservation());
--- a/src/graph/placement/placer/worker_capacity.rs
+++ b/src/graph/placement/placer/worker_capacity.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::graph::workers::health::HealthRank;
+use crate::graph::workers::speed::SpeedClass;
 use crate::graph::workers::worker::WorkerInstance;
 use crate::graph::workload::name::GraphId;
 use crate::resources::ResourceVector;
@@ -14,6 +15,7 @@
 pub(super) struct WorkerCapacity<'t> {
     pub(super) instance: &'t WorkerInstance,
     pub(super) health: HealthRank,
+    pub(super) speed_class: SpeedClass,
     /// Free and not reserved.
     pub(super) free: ResourceVector,
     /// Free, including what is reserved.
@@ -45,6 +47,7 @@
         Self {
             instance,
             health: instance.rank(now),
+            speed_class: instance.speed.class,
             free,
             free_with_reserved: instance.free(),
             best_effort_demand,
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -86,6 +86,11 @@
         self.instances.get_mut(id)
     }
 
+    /// What it costs to stop or displace runs.
+    pub(crate) fn run_costs(&self) -> &RunCosts {
+        &self.run_costs
+    }
+
     /// Adds a run to a worker. It takes longer where its data is on another rack.
     pub(crate) fn add_run(&mut self, worker: &WorkerId, task: TaskName, run: WorkerRun) {
         if let Some(instance) = self.instances.get_mut(worker) {
