--- a/tests/graph/compaction.rs
+++ b/tests/graph/compaction.rs
@@ -333,6 +333,7 @@
     take_over(&mut cluster);
     let worker = cluster.workers.get_mut(&id).unwrap();
     let run = ModelRun {
+        length_percent: 100,
         run: 1,
         need: ResourceVector::new(1_000, 1_000, 0),
         started_at: now,
