Reject jobs that are forecast to end without value

Cause: of 267 quick jobs that one workspace sent beyond its rate within six seconds, all were accepted and 29 ended in time.

Change: the leader forecasts the end of a submitted job from the work that is served before it, from the processors that its class and all more urgent ones hold, less what arrives in these, and from its own longest chain. The sums are kept with each change of a job. A class that is forecast beyond twice the objective is rejected in part until its forecasts are back within the objective; a job that is forecast in time is always accepted. Nothing is rejected in the first two seconds of service, while the last pass left capacity for the job, where ready work of the class found capacity within the last half second, or without weights in the configuration. Work within a rate is rejected only when no excess is ahead of it. The retry delay follows the order of the rejected callers and ends before they give up.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -10,6 +10,7 @@
 mod workers;
 mod workload;
 
+pub use admission::work_class::WorkClass;
 pub use controller::{GraphBounds, GraphController, RestoredState};
 pub use event::{CommandResult, GraphAction, GraphAnswer, PollResult, StartCommand};
 pub use exchange::*;
--- a/src/graph/admission/submission_rate.rs
+++ b/src/graph/admission/submission_rate.rs
@@ -70,6 +70,13 @@
         self.buckets = limited.map(bucket).collect();
     }
 
+    /// Takes back the count of a job within the rate that was not accepted.
+    pub(crate) fn give_back(&mut self, workspace: Option<&WorkspaceId>) {
+        if let Some(bucket) = workspace.and_then(|workspace| self.buckets.get_mut(workspace)) {
+            bucket.tokens += 1.0;
+        }
+    }
+
     /// Counts a job of a workspace and returns whether it exceeds the workspace's rate.
     pub(crate) fn exceeds_rate(
         &mut self,
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -1,6 +1,7 @@
 //! The leader of the job graphs: applies events to its tables and emits actions.
 
 mod commands;
+mod forecasts;
 mod quota;
 mod registrations;
 mod shares;
@@ -16,6 +17,7 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
+use crate::graph::admission::forecast::AdmissionForecast;
 use crate::graph::admission::submission_rate::SubmissionRates;
 use crate::graph::controller::submissions::DeferredSubmission;
 use crate::graph::event::{GraphAction, PollResult};
@@ -38,6 +40,7 @@
 use crate::graph::workload::queue::QueueConfig;
 use crate::id::{CallId, DomainId, EntryId, RackId, ServiceId, UnixMillis, WorkerId, WorkspaceId};
 use crate::quota::QuotaController;
+use crate::resources::ResourceVector;
 use crate::workspace::{WorkspaceAmounts, WorkspaceRule};
 
 /// Run numbers of a task that one epoch may use. Later epochs use higher numbers.
@@ -102,6 +105,10 @@
     /// Workspaces with a cap.
     workspaces: BTreeMap<WorkspaceId, WorkspaceRule>,
     rates: SubmissionRates,
+    /// Forecasts for submitted jobs; `None` where no workspace has a weight.
+    forecast: Option<AdmissionForecast>,
+    /// Capacity that the last pass left although tasks waited.
+    spare: BTreeMap<WorkerId, ResourceVector>,
     /// This shard's parts of the caps; `None` where there is only one shard.
     quota: Option<QuotaController>,
     /// Runs of jobs that ended before this time have certainly ended.
@@ -202,6 +209,8 @@
             config: None,
             workspaces: BTreeMap::new(),
             rates: SubmissionRates::default(),
+            forecast: None,
+            spare: BTreeMap::new(),
             quota: None,
             inherited_ends_since: unix.saturating_sub(
                 (bounds.lease_extension_window + INHERITED_LEASE_TIME).as_millis() as u64,
@@ -317,6 +326,7 @@
             }
         }
         self.set_workspaces(&config);
+        self.reset_forecast();
         self.config = Some(config);
         // The next sweep registers workers of services that the configuration now names.
         self.next_review = self.last_pass;
@@ -492,8 +502,10 @@
             lost_before_contact: self.lost_before_contact,
             limits: &limits,
             usage: &usage,
+            reports_spare: self.forecast.is_some(),
         };
-        let plan = PlacementPass::new(view).run();
+        let mut plan = PlacementPass::new(view).run();
+        self.note_pass_findings(now, &mut plan, &limits);
         self.note_capped_jobs(plan.capped_jobs, &limits);
         (self.last_usage, self.capped_demand) = (usage, plan.capped_demand);
         for id in &plan.idle_jobs {
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -66,6 +66,7 @@
             }
         }
         self.jobs.note_run(&task, start.worker.clone(), run);
+        self.note_work(now, &task.job, Some(now));
         metrics::counter!("kelplink_run_starts_total").increment(1);
         self.send_start(now, &start.worker, &task);
     }
--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -157,6 +157,7 @@
                 job.shard = self.scope.shard.clone();
                 job.submit_deadline = now + NO_DEADLINE;
                 self.jobs.insert(job);
+                self.note_accepted(now, &id, None);
                 self.commits.add(id);
                 self.pass_wanted = true;
             }
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -95,6 +95,7 @@
         let answer = name.holder.answer(workspace.as_ref());
         info!(job = &**id, group = number, answer:?; "job was already accepted in another shard");
         self.jobs.remove(id);
+        self.forget_work(id);
         self.advice.forget(id);
         match answer {
             Some(answer) => self.answer_waiters(id, answer),
@@ -172,6 +173,7 @@
         }
         for id in &group.removed {
             self.jobs.remove(id);
+            self.forget_work(id);
         }
         for (instance, number) in effect.ends {
             self.instances.ends_stored(now, &instance, number);
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -5,6 +5,7 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
+use crate::graph::admission::forecast::{Candidate, ForecastVerdict};
 use crate::graph::controller::GraphController;
 use crate::graph::event::{GraphAction, GraphAnswer};
 use crate::graph::placement::home::choose_home;
@@ -30,6 +31,9 @@
 /// stored within 10 ms.
 const TRANSIT_DIVISOR: u32 = 3;
 
+/// Reason for which a job is rejected by its forecast, as a label of the metrics.
+const FORECAST_REASON: &str = "forecast to end too late";
+
 /// How long a job waits for the registrations to be read: an entry waits at most a second for the
 /// answer of one shard.
 const REGISTRATIONS_WAIT: Duration = Duration::from_millis(400);
@@ -124,9 +128,22 @@
                 return;
             }
             None => {
-                let mut job = GraphJob::new(record, now);
+                let mut job = GraphJob::new(record.clone(), now);
                 job.exceeds_rate =
                     self.rates.exceeds_rate(job.workspace.as_ref(), job.spec.accepted);
+                let candidate = Candidate { job: &job, attempt, caller_timeout };
+                let forecast = match self.forecast_verdict(now, &candidate) {
+                    ForecastVerdict::Accepted(forecast) => forecast,
+                    ForecastVerdict::Rejected(rejection) => {
+                        if !job.exceeds_rate {
+                            self.rates.give_back(job.workspace.as_ref());
+                        }
+                        self.log_forecast_rejection(&record, &rejection);
+                        let delay = rejection.retry_delay;
+                        self.answer_rejection(now, call, attempt, FORECAST_REASON, delay);
+                        return;
+                    }
+                };
                 job.shard = self.scope.shard.clone();
                 job.home = choose_home(&self.instances, &job, now);
                 job.share = self.share_among_shards(now, &job);
@@ -134,6 +151,7 @@
                 job.submit_deadline =
                     now + MAX_STORE_WAIT.min(caller_timeout.saturating_sub(transit_time));
                 self.jobs.insert(job);
+                self.note_accepted(now, &id, forecast);
                 self.commits.add(id.clone());
                 self.pass_wanted = true;
             }
@@ -213,6 +231,18 @@
     ) {
         let retry_ms = retry_delay.as_millis() as u64;
         warn!(job = &**id, reason, retry_ms; "job rejected");
+        self.answer_rejection(now, call, attempt, reason, retry_delay);
+    }
+
+    /// Counts and answers a rejection that has been logged.
+    fn answer_rejection(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        attempt: AttemptId,
+        reason: &'static str,
+        retry_delay: Duration,
+    ) {
         metrics::counter!("kelplink_rejected_jobs_total", "reason" => reason).increment(1);
         self.rejected.insert(attempt, now);
         self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(retry_delay)));
@@ -231,6 +261,7 @@
     /// Rejects a job that is certainly not stored.
     pub(super) fn reject_job(&mut self, now: Instant, id: &GraphId) {
         self.jobs.remove(id);
+        self.forget_work(id);
         self.advice.forget(id);
         for (call, attempt) in self.waiters.remove(id).unwrap_or_default() {
             self.reject(now, call, attempt, id, "the store takes nothing");
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -163,6 +163,7 @@
         match wanted {
             true => {
                 self.jobs.note_run(&task, worker.clone(), run);
+                self.note_work(now, &task.job, None);
                 if let Some(older) = older {
                     self.stop_runs(now, vec![(older.worker, task, older.run)]);
                 }
@@ -191,6 +192,7 @@
         if changed {
             self.commits.change(id.clone(), now, urgent);
         }
+        self.note_work(now, id, None);
         self.stop_runs(now, stops);
         self.pass_wanted = true;
     }
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::graph::admission::allowance::WorkspaceAllowances;
+use crate::graph::admission::work_class::WorkClass;
 use crate::graph::placement::advice::{AdviceRequest, AdviceTable};
 use crate::graph::placement::home::UnsettledDomains;
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
@@ -26,18 +27,17 @@
 use crate::graph::workers::instances::{InstanceTable, SILENCE_LIMIT};
 use crate::graph::workers::run::RunPhase;
 use crate::graph::workers::worker::WorkerInstance;
-use crate::graph::workload::job::GraphJob;
+use crate::graph::workload::job::{GraphJob, VALUE_EXPIRY_FACTOR};
 use crate::graph::workload::jobs::JobTable;
 use crate::graph::workload::name::{GraphId, StepKey, TaskKey, TaskName};
 use crate::graph::workload::spec::StepSpec;
 use crate::id::{DomainId, UnixMillis, WorkerId};
+use crate::resources::ResourceVector;
 use crate::workspace::WorkspaceAmounts;
 
 /// Advice requests collected for each entry that could make a call: long calls leave some entries
 /// to the short ones behind them.
 const REQUESTS_PER_CALL: usize = 3;
-/// Multiple of its objective after which the result of a job is worthless.
-const VALUE_EXPIRY_FACTOR: u32 = 3;
 /// Open steps of one job that a pass considers: four occurrences of the largest graph. Later steps
 /// wait for these. With 15,000 steps due at once a pass took 450 ms without this limit and 50 ms
 /// with it (250 workers, debug build).
@@ -79,6 +79,10 @@
     pub capped_demand: WorkspaceAmounts,
     /// Jobs with such tasks.
     pub capped_jobs: BTreeSet<GraphId>,
+    /// Number of ready tasks of each class that found no capacity, without those of worthless jobs.
+    pub unplaced: BTreeMap<WorkClass, usize>,
+    /// Capacity that is left on the workers, where the view asks for it and `unplaced` is not empty.
+    pub spare: BTreeMap<WorkerId, ResourceVector>,
 }
 
 /// Order in which steps are served.
@@ -127,6 +131,8 @@
     pub limits: &'t WorkspaceAmounts,
     /// What workspaces use, as far as they have a limit.
     pub usage: &'t WorkspaceAmounts,
+    /// Whether the plan lists the capacity that is left.
+    pub reports_spare: bool,
 }
 
 /// A single placement pass.
@@ -194,6 +200,11 @@
             self.limit_to_allowance(&mut step);
             self.place_step(&step);
         }
+        if self.view.reports_spare && !self.plan.unplaced.is_empty() {
+            let spare =
+                |(id, capacity): (&WorkerId, &WorkerCapacity<'t>)| (id.clone(), capacity.free);
+            self.plan.spare = self.capacities.iter().map(spare).collect();
+        }
         self.plan.advice_requests.extend(self.renewals);
         self.plan
     }
@@ -282,11 +293,13 @@
             return;
         }
         let candidates = self.candidates(step);
+        let planned_before = self.planned();
         let missing = match step.ready {
             true if step.step.gang => self.place_gang(step, &candidates),
             true => self.place_tasks(step, &candidates),
             false => step.waiting.len(),
         };
+        self.note_unplaced(step, planned_before);
         if missing > 0
             && step.ready
             && let Some(domain) = self.overflow_domain(step, missing)
@@ -298,6 +311,22 @@
         }
     }
 
+    /// Numbers of tasks and of gangs that the plan starts or announces.
+    fn planned(&self) -> (usize, usize) {
+        (self.plan.starts.len() + self.plan.announced.len(), self.plan.gangs.len())
+    }
+
+    /// Counts the ready tasks of a step that were not placed, for whatever reason: a leader that may not send more
+    /// starts serves no faster than one without capacity.
+    fn note_unplaced(&mut self, step: &OpenStep<'t>, before: (usize, usize)) {
+        let (tasks, gangs) = self.planned();
+        let placed = if gangs > before.1 { step.waiting.len() } else { tasks - before.0 };
+        let unplaced = step.waiting.len().saturating_sub(placed);
+        if step.ready && unplaced > 0 && !step.order.value_expired && !step.step.lasting {
+            *self.plan.unplaced.entry(WorkClass::of(step.job)).or_default() += unplaced;
+        }
+    }
+
     /// Whether the start of a task must be stored before it is sent.
     fn needs_announcement(&self, step: &OpenStep<'t>, task: TaskKey) -> bool {
         step.job.needs_announcement(task, self.view.lost_before_contact)
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -15,6 +15,9 @@
 use crate::graph::workload::spec::{GraphSpec, StepSpec};
 use crate::id::{DomainId, WorkerId, WorkspaceId};
 
+/// Multiple of its objective after which the result of a job is worthless.
+pub(crate) const VALUE_EXPIRY_FACTOR: u32 = 3;
+
 /// Record of a job in the store, written when the job is accepted.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about job graphs under failures: leaders, workers and a store in
 //! simulated time.
+mod admission;
 mod advice;
 mod cancellation;
 mod capacity_changes;
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -444,6 +444,23 @@
         call
     }
 
+    /// Submits a job with the number of an earlier request.
+    pub(crate) fn submit_again(
+        &mut self,
+        queue: &str,
+        id: &str,
+        steps: Vec<StepSpec>,
+        attempt: u64,
+    ) -> CallId {
+        let record = self.record(queue, id, steps, None);
+        self.last_call += 1;
+        let (now, call, caller_timeout) = (self.now, self.last_call, self.caller_timeout);
+        if let Some(leader) = self.leader() {
+            leader.submit(now, call, attempt, caller_timeout, record);
+        }
+        call
+    }
+
     /// Caps the cores of workspaces. A job whose id has an `@` belongs to the workspace named before it.
     pub(crate) fn set_caps(&mut self, caps: &[(&str, u32)]) {
         let unlimited_rate = 0.0;
