--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -119,6 +119,7 @@
         let answer = name.holder.answer(workspace.as_ref());
         info!(job = &**id, group = number, answer:?; "job was already accepted in another shard");
         self.jobs.remove(id);
+        self.forget_work(id);
         self.advice.forget(id);
         match answer {
             Some(answer) => self.answer_waiters(id, answer),
@@ -196,6 +197,7 @@
         }
         for id in &group.removed {
             self.jobs.remove(id);
+            self.forget_work(id);
         }
         metrics::counter!("kelplink_compacted_jobs_total").increment(group.compacted.len() as u64);
         for (instance, number) in effect.ends {
