Let entries reject an excess by their leader's last verdict

Cause: each rejected job of an excess costs the leader a call, and the excess arrives at all entries at once.

Change: with a rejection for load the leader tells the entry for how long, at most a second and not beyond the next job within the rate, it rejects which class (priority, workspace, side of the rate, objective) and in which epoch. The entry rejects further jobs of the class without a call, where the caller states its whole waiting time, so that no earlier try of it can have been accepted, and where the leader's epoch is the last known and its last call was answered. Callers get 429. Entries of earlier builds get the plain rejection: a submission says whether its entry understands the new answer. A leader also rejects a request that an entry received before another request for the same job was rejected, as its caller has been told that the job never runs. Rates are kept when the configuration changes.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -10,6 +10,8 @@
 mod workers;
 mod workload;
 
+pub(crate) use admission::forecast::spread_delay;
+pub use admission::verdict::{ClassVerdict, LoadRejection};
 pub use admission::work_class::WorkClass;
 pub use controller::{GraphBounds, GraphController, RestoredState};
 pub use event::{CommandResult, GraphAction, GraphAnswer, PollResult, StartCommand};
--- a/src/graph/admission.rs
+++ b/src/graph/admission.rs
@@ -4,5 +4,6 @@
 pub(super) mod forecast;
 pub(super) mod service_rate;
 pub(super) mod submission_rate;
+pub(super) mod verdict;
 pub(super) mod work_class;
 pub(super) mod work_ledger;
--- a/src/graph/admission/forecast.rs
+++ b/src/graph/admission/forecast.rs
@@ -41,6 +41,8 @@
 /// Part by which the delays of callers are spread in both directions, so that they do not return together; where the
 /// caller's own limit ends the delay, twice the part before it.
 const JITTER: f64 = 0.25;
+/// Longest time for which entries may reject by a verdict without asking again.
+const MAX_VERDICT_TIME: Duration = Duration::from_secs(1);
 /// Longest forecast: longer ones say no more.
 const MAX_FORECAST: Duration = Duration::from_secs(24 * 3_600);
 
@@ -80,6 +82,13 @@
     pub(crate) age: Duration,
 }
 
+impl EndForecast {
+    /// How long more of the class would be rejected: until the backlog has fallen by what the job is late.
+    pub(crate) fn verdict_time(&self) -> Duration {
+        self.time.saturating_sub(self.full_value).min(MAX_VERDICT_TIME)
+    }
+}
+
 /// Rejection of a job.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ForecastRejection {
@@ -323,7 +332,11 @@
 /// Delay until a caller should try again, spread by the number of its request. It ends before the caller gives up:
 /// forecasts may be wrong, and its last try is worth making. HTTP knows whole seconds only, so that a delay of a second
 /// or more is one of the two whole seconds about it, the nearer one more often.
-fn spread_delay(delay: Duration, attempt: AttemptId, caller_timeout: Duration) -> Duration {
+pub(crate) fn spread_delay(
+    delay: Duration,
+    attempt: AttemptId,
+    caller_timeout: Duration,
+) -> Duration {
     // Numbers may be random or consecutive; the multiplier distributes both evenly.
     let hash = attempt.wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let fraction = |bits: u64| (bits & u64::from(u32::MAX)) as f64 / f64::from(u32::MAX);
--- a/src/graph/admission/submission_rate.rs
+++ b/src/graph/admission/submission_rate.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Time until a workspace may submit another job within its rate.
+    pub(crate) fn time_to_next(&self, workspace: Option<&WorkspaceId>) -> Duration {
+        let bucket = workspace.and_then(|workspace| self.buckets.get(workspace));
+        let missing = bucket.map_or(0.0, |bucket| (1.0 - bucket.tokens).max(0.0) / bucket.rate);
+        Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX)
+    }
+
     /// Counts a job of a workspace and returns whether it exceeds the workspace's rate.
     pub(crate) fn exceeds_rate(
         &mut self,
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -135,6 +135,8 @@
     crashes: Vec<WorkerCrash>,
     /// Time of rejection of each rejected request.
     rejected: BTreeMap<AttemptId, Instant>,
+    /// Jobs that were rejected for load, with the time at which the request was received by its entry.
+    rejected_jobs: BTreeMap<GraphId, (UnixMillis, Instant)>,
     /// Registrations of workers whose service neither the configuration nor a job refers to.
     unreferenced: BTreeMap<WorkerId, WorkerRegistration>,
     /// When these registrations are checked again.
@@ -234,6 +236,7 @@
             waiters: BTreeMap::new(),
             crashes: Vec::new(),
             rejected: BTreeMap::new(),
+            rejected_jobs: BTreeMap::new(),
             unreferenced: BTreeMap::new(),
             next_review: now,
             uncontacted,
@@ -330,7 +333,7 @@
             }
         }
         self.set_workspaces(&config);
-        self.reset_forecast();
+        self.set_forecast();
         self.config = Some(config);
         // The next sweep registers workers of services that the configuration now names.
         self.next_review = self.last_pass;
@@ -384,6 +387,8 @@
         self.reject_overdue(now);
         self.refuse_overdue(now);
         self.rejected.retain(|_, at| now.saturating_duration_since(*at) < REJECTION_RETENTION);
+        self.rejected_jobs
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < REJECTION_RETENTION);
         let elapsed = now.saturating_duration_since(self.last_pass);
         let due = (self.pass_wanted && elapsed >= self.pass_interval)
             || elapsed >= self.periodic_pass_interval();
--- a/src/graph/controller/forecasts.rs
+++ b/src/graph/controller/forecasts.rs
@@ -8,6 +8,7 @@
 use crate::graph::admission::forecast::{
     AdmissionForecast, Candidate, EndForecast, ForecastRejection, ForecastVerdict, PassFindings,
 };
+use crate::graph::admission::verdict::{ClassVerdict, LoadRejection};
 use crate::graph::controller::GraphController;
 use crate::graph::placement::home::can_run_on;
 use crate::graph::placement::placer::PassPlan;
@@ -20,12 +21,13 @@
 use crate::workspace::WorkspaceAmounts;
 
 impl GraphController {
-    /// Starts forecasts anew for a configuration with weights, and ends them for one without. The classes of all jobs
-    /// may have changed.
-    pub(super) fn reset_forecast(&mut self) {
+    /// Begins forecasts for a configuration with weights, and ends them for one without. The classes of all jobs may have
+    /// changed; measured rates are kept.
+    pub(super) fn set_forecast(&mut self) {
         let now = self.last_pass;
         let has_weights = self.workspaces.values().any(|rule| rule.weight > 0.0);
-        self.forecast = has_weights.then(|| AdmissionForecast::new(now));
+        let known = self.forecast.take();
+        self.forecast = has_weights.then(|| known.unwrap_or_else(|| AdmissionForecast::new(now)));
         if let Some(forecast) = &mut self.forecast {
             for job in self.jobs.iter().filter(|job| !job.is_over()) {
                 forecast.note_job(now, job, None);
@@ -110,6 +112,32 @@
             && job.spec.steps.iter().filter(|step| step.after.is_empty()).all(fits)
     }
 
+    /// The answer to a rejected job, with the verdict on its class. A job within its rate does not count towards it.
+    pub(super) fn load_rejection(
+        &mut self,
+        job: &GraphJob,
+        rejection: &ForecastRejection,
+    ) -> LoadRejection {
+        let workspace = job.workspace.clone();
+        let class_time = rejection.forecast.verdict_time();
+        let valid_for = match job.exceeds_rate {
+            true => class_time.min(self.rates.time_to_next(workspace.as_ref())),
+            false => {
+                self.rates.give_back(workspace.as_ref());
+                class_time
+            }
+        };
+        let verdict = ClassVerdict {
+            priority: job.rule.priority,
+            workspace,
+            exceeds_rate: job.exceeds_rate,
+            objective: job.objective(),
+            valid_for,
+            epoch: self.epoch,
+        };
+        LoadRejection { retry_delay: rejection.retry_delay, verdict }
+    }
+
     /// Logs a rejection with the inputs of its forecast.
     pub(super) fn log_forecast_rejection(
         &self,
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -107,6 +107,11 @@
                 self.reject(now, call, attempt, &id, "this attempt was rejected before");
                 return;
             }
+            // Its caller has been told since, by the answer to a later request, that the job never runs.
+            None if self.was_rejected_since(&record) => {
+                self.reject(now, call, attempt, &id, "a later request was rejected before");
+                return;
+            }
             None if self.awaits_registrations() => {
                 self.defer(now, call, attempt, caller_timeout, record, true);
                 return;
@@ -135,12 +140,10 @@
                 let forecast = match self.forecast_verdict(now, &candidate) {
                     ForecastVerdict::Accepted(forecast) => forecast,
                     ForecastVerdict::Rejected(rejection) => {
-                        if !job.exceeds_rate {
-                            self.rates.give_back(job.workspace.as_ref());
-                        }
                         self.log_forecast_rejection(&record, &rejection);
-                        let delay = rejection.retry_delay;
-                        self.answer_rejection(now, call, attempt, FORECAST_REASON, delay);
+                        self.rejected_jobs.insert(id, (record.spec.accepted, now));
+                        let answer = GraphAnswer::Overloaded(self.load_rejection(&job, &rejection));
+                        self.answer_rejection(now, call, attempt, FORECAST_REASON, answer);
                         return;
                     }
                 };
@@ -159,6 +162,12 @@
         self.waiters.entry(id).or_default().push((call, attempt));
     }
 
+    /// Whether a request for the same job that was received later has been rejected for load.
+    fn was_rejected_since(&self, record: &GraphRecord) -> bool {
+        let rejected = self.rejected_jobs.get(&record.spec.id);
+        rejected.is_some_and(|(received, _)| record.spec.accepted < *received)
+    }
+
     /// Defers a submission until the registrations have been read.
     fn defer(
         &mut self,
@@ -231,7 +240,8 @@
     ) {
         let retry_ms = retry_delay.as_millis() as u64;
         warn!(job = &**id, reason, retry_ms; "job rejected");
-        self.answer_rejection(now, call, attempt, reason, retry_delay);
+        let answer = GraphAnswer::Rejected(retry_delay);
+        self.answer_rejection(now, call, attempt, reason, answer);
     }
 
     /// Counts and answers a rejection that has been logged.
@@ -241,11 +251,11 @@
         call: CallId,
         attempt: AttemptId,
         reason: &'static str,
-        retry_delay: Duration,
+        answer: GraphAnswer,
     ) {
         metrics::counter!("kelplink_rejected_jobs_total", "reason" => reason).increment(1);
         self.rejected.insert(attempt, now);
-        self.actions.push(GraphAction::Answer(call, GraphAnswer::Rejected(retry_delay)));
+        self.actions.push(GraphAction::Answer(call, answer));
     }
 
     /// Rejects jobs that have waited too long for a store that refuses writes, if they are
--- a/src/graph/event.rs
+++ b/src/graph/event.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::graph::admission::verdict::LoadRejection;
 use crate::graph::exchange::{CallFailure, InstanceStart, PollReply, TicketText};
 use crate::graph::placement::advice::AdviceCall;
 use crate::graph::sharding::shard::ShardId;
@@ -101,6 +102,8 @@
     Accepted,
     /// The job is rejected and never runs; the caller may retry after the given time.
     Rejected(Duration),
+    /// The job is rejected because of load and never runs.
+    Overloaded(LoadRejection),
     /// The job was not accepted; the leader of this shard should run it.
     Elsewhere(ShardId),
     /// The job was not accepted: it is still undetermined which shard should run it.
--- a/src/node.rs
+++ b/src/node.rs
@@ -39,6 +39,7 @@
 mod simulated_store;
 mod simulation;
 mod state_queries;
+mod verdict_cache;
 mod view;
 
 pub use entry_store::StoreCallKind;
@@ -67,3 +68,5 @@
 mod takeover_tests;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod verdict_cache_tests;
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -113,6 +113,12 @@
         total.saturating_sub(margin).saturating_sub(self.started.elapsed())
     }
 
+    /// Whether the caller has certainly not tried before: it states its whole waiting time.
+    fn is_first_try(&self) -> bool {
+        let stated = decode_caller_timeout(self.headers).ok().flatten();
+        stated.is_some_and(|stated| stated >= DEFAULT_CALLER_TIMEOUT)
+    }
+
     fn host(&self) -> &str {
         let host_header = self.headers.get(HOST).and_then(|host| host.to_str().ok());
         host_header.or(self.uri.host()).unwrap_or_default()
@@ -204,8 +210,21 @@
             GraphRecord { spec, rule: (**queue).clone(), workspace, home: None, share: None };
         let caller_timeout = request.time_left();
         let attempt = rand::random();
-        let submission = JobSubmission { attempt, caller_timeout, forced: false, record };
-        match self.leader_client.submit(submission, caller_timeout).await {
+        let submission = JobSubmission {
+            attempt,
+            caller_timeout,
+            forced: false,
+            accepts_verdicts: true,
+            record,
+        };
+        let is_first_try = request.is_first_try();
+        match self.leader_client.submit(submission, caller_timeout, is_first_try).await {
+            Ok(LeaderAnswer::Overloaded(rejection)) => {
+                let status = StatusCode::TOO_MANY_REQUESTS;
+                let detail = "there is more work than can be done in time";
+                let problem = ProblemDetails::new(status, "not taken", detail).ran(RunState::No);
+                Err(problem.retry_after(rejection.retry_delay))
+            }
             Ok(LeaderAnswer::Rejected(retry)) => {
                 Err(unavailable("the job could not be taken").retry_after(retry))
             }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -338,7 +338,7 @@
             }
             LeaderCall::Submit(submission) => {
                 self.callers.insert(id, answer);
-                let JobSubmission { attempt, caller_timeout, forced, record } = *submission;
+                let JobSubmission { attempt, caller_timeout, forced, record, .. } = *submission;
                 match forced {
                     true => controller.submit_here(now, id, attempt, caller_timeout, record),
                     false => controller.submit(now, id, attempt, caller_timeout, record),
--- a/src/node/leader_client.rs
+++ b/src/node/leader_client.rs
@@ -14,6 +14,7 @@
 use crate::node::peers::{PeerClient, PeerFailure};
 use crate::node::records::LeaderRecord;
 use crate::node::shared::NodeShared;
+use crate::node::verdict_cache::VerdictCache;
 
 /// Name in the log of calls to the leader.
 const CALL_LOG_NAME: &str = "calls";
@@ -59,21 +60,26 @@
 pub(crate) struct LeaderClient {
     shared: Arc<NodeShared>,
     peers: PeerClient,
+    verdicts: VerdictCache,
 }
 
 impl LeaderClient {
     pub(crate) fn new(shared: Arc<NodeShared>) -> Self {
-        Self { shared, peers: PeerClient::new() }
+        Self { shared, peers: PeerClient::new(), verdicts: VerdictCache::default() }
     }
 
     /// Submits a job to the nearest shard that takes it.
     ///
     /// While other shards can take the job, a shard without a leader, or whose leader does not answer, is tried
     /// only once. The job cannot be accepted twice: the store refuses the second submission.
+    ///
+    /// A first try may be rejected by a verdict that the leader has given on its class a moment ago. Any later try goes
+    /// to the leader, as an earlier one without an answer may have been accepted.
     pub(crate) async fn submit(
         &self,
         submission: JobSubmission,
         caller_timeout: Duration,
+        is_first_try: bool,
     ) -> Result<LeaderAnswer, LeaderCallError> {
         let started = Instant::now();
         let job = submission.record.spec.id.clone();
@@ -85,11 +91,20 @@
         while let Some(shard) = shards.pop_front() {
             let remaining = caller_timeout.saturating_sub(started.elapsed());
             let last = shards.is_empty();
+            let by_verdict = || self.reject_by_verdict(&shard, &call);
+            let by_verdict = is_first_try.then(by_verdict).flatten();
+            let (is_cached, asked) = (by_verdict.is_some(), Instant::now());
             let answer = match last {
+                _ if is_cached => by_verdict.ok_or(LeaderCallError::NotTaken),
                 true => self.ask(&shard, &call, remaining).await,
                 false if remaining < MIN_TRY_TIMEOUT => break,
                 false => self.ask_once(&shard, &call, remaining.min(TRY_TIMEOUT)).await,
             };
+            if let Ok(LeaderAnswer::Overloaded(rejection)) = &answer
+                && !is_cached
+            {
+                self.verdicts.keep(asked, &shard, rejection);
+            }
             match answer {
                 Ok(LeaderAnswer::Elsewhere(preferred)) => {
                     shards.retain(|other| *other != preferred);
@@ -98,12 +113,20 @@
                     set_forced(&mut call);
                 }
                 // An earlier try may still be accepted, so the job is not reported as rejected.
-                Ok(LeaderAnswer::Rejected(_)) if failure == LeaderCallError::Unknown => break,
+                Ok(LeaderAnswer::Rejected(_) | LeaderAnswer::Overloaded(_))
+                    if failure == LeaderCallError::Unknown =>
+                {
+                    break;
+                }
+                // Another shard may have capacity.
+                Ok(LeaderAnswer::Overloaded(overload)) if !last => {
+                    rejection = Some(LeaderAnswer::Overloaded(overload));
+                }
                 // The store answers this entry, so it may be unavailable only to that leader's machine.
                 Ok(LeaderAnswer::Rejected(retry))
                     if !last && !self.shared.store_answer_overdue() =>
                 {
-                    rejection = Some(retry);
+                    rejection = Some(LeaderAnswer::Rejected(retry));
                 }
                 Ok(answer) => return Ok(answer),
                 Err(LeaderCallError::Unknown) => failure = LeaderCallError::Unknown,
@@ -111,11 +134,25 @@
             }
         }
         match (failure, rejection) {
-            (LeaderCallError::NotTaken, Some(retry)) => Ok(LeaderAnswer::Rejected(retry)),
+            (LeaderCallError::NotTaken, Some(rejection)) => Ok(rejection),
             _ => Err(failure),
         }
     }
 
+    /// The rejection of a submission by the last verdict of a shard's present leader, where that is another entry that
+    /// can be reached.
+    fn reject_by_verdict(&self, shard: &ShardId, call: &LeaderCall) -> Option<LeaderAnswer> {
+        let LeaderCall::Submit(submission) = call else {
+            return None;
+        };
+        if self.shared.leading(shard).is_some() || !self.shared.reaches_others() {
+            return None;
+        }
+        let epoch = self.shared.members.borrow().leader(shard)?.epoch;
+        let rejection = self.verdicts.reject(Instant::now(), shard, epoch, submission)?;
+        Some(LeaderAnswer::Overloaded(rejection))
+    }
+
     /// The shard plan; while it is not known, waits for it as long as a call waits for a leader.
     async fn shard_plan(
         &self,
@@ -294,6 +331,10 @@
                 let answer = self.peers.ask(leader.address, shard, call, try_timeout).await;
                 let answer = answer.map(|answer| self.record_leader(shard, answer));
                 note_leader_call(&self.shared, CALL_LOG_NAME, &leader, try_timeout, &answer);
+                // Without the leader nobody knows whether its verdicts still hold.
+                if !matches!(answer, Ok(ref answer) if *answer != LeaderAnswer::NotLeading) {
+                    self.verdicts.forget(shard);
+                }
                 let leads = answer.as_ref().is_ok_and(|answer| *answer != LeaderAnswer::NotLeading);
                 if leads && self.is_in_other_domain(&leader) {
                     self.shared.note_peer_answer();
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::graph::{
-    AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, QueueConfig, QueueId, ShardId,
-    TicketText,
+    AttemptId, GraphAnswer, GraphId, GraphRecord, GraphState, LoadRejection, QueueConfig, QueueId,
+    ShardId, TicketText,
 };
 use crate::id::{WorkerId, WorkspaceId};
 use crate::node::records::LeaderRecord;
@@ -40,6 +40,13 @@
     Reach,
 }
 
+impl LeaderCall {
+    /// Whether the calling entry understands a verdict in the answer.
+    pub(crate) fn accepts_verdicts(&self) -> bool {
+        matches!(self, Self::Submit(submission) if submission.accepts_verdicts)
+    }
+}
+
 /// A job that a caller asks about, and the workspace that the caller acts for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -86,6 +93,9 @@
     pub(crate) caller_timeout: Duration,
     /// Whether this leader has to accept the job even if another shard suits it better.
     pub(crate) forced: bool,
+    /// Whether the entry understands [`LeaderAnswer::Overloaded`]; entries of earlier builds do not.
+    #[serde(default)]
+    pub(crate) accepts_verdicts: bool,
     pub(crate) record: GraphRecord,
 }
 
@@ -108,6 +118,8 @@
     Accepted,
     /// The job will never run; the caller may retry after this time.
     Rejected(Duration),
+    /// The job will never run, because of load. Sent only to entries that understand it.
+    Overloaded(LoadRejection),
     /// The job was not accepted: the leader of this shard should take it.
     Elsewhere(ShardId),
     /// Another workspace has a job of this name; nothing was done.
@@ -127,11 +139,22 @@
     LedBy(LeaderRecord),
 }
 
+impl LeaderAnswer {
+    /// The answer as entries of earlier builds understand it.
+    pub(crate) fn without_verdict(self) -> Self {
+        match self {
+            Self::Overloaded(rejection) => Self::Rejected(rejection.retry_delay),
+            answer => answer,
+        }
+    }
+}
+
 impl From<GraphAnswer> for LeaderAnswer {
     fn from(answer: GraphAnswer) -> Self {
         match answer {
             GraphAnswer::Accepted => Self::Accepted,
             GraphAnswer::Rejected(retry) => Self::Rejected(retry),
+            GraphAnswer::Overloaded(rejection) => Self::Overloaded(rejection),
             GraphAnswer::Elsewhere(shard) => Self::Elsewhere(shard),
             GraphAnswer::Unready => Self::NotLeading,
             GraphAnswer::NameTaken => Self::NameTaken,
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -43,9 +43,11 @@
     let mut module = RpcModule::new(shared);
     module.register_async_method(ASK_METHOD, |params, shared, _| async move {
         let (shard, call): (ShardId, LeaderCall) = params.parse()?;
+        let accepts_verdicts = call.accepts_verdicts();
         let answer = ask_own_leader(&shared, &shard, call)
             .await
-            .map(|answer| name_leader(&shared, &shard, answer));
+            .map(|answer| name_leader(&shared, &shard, answer))
+            .map(|answer| if accepts_verdicts { answer } else { answer.without_verdict() });
         answer.ok_or_else(|| ErrorObjectOwned::owned(ENDED_CODE, "leadership ended", None::<()>))
     })?;
     module.register_async_method(ADVISE_METHOD, |params, shared, _| async move {
