Judge a class by its backlog, not by what a caller has waited

Cause: a caller that has waited for two seconds has less time left for its job. Its forecast began the partial rejection of the whole class and kept it up, and entries got a verdict on the class from it. Likewise the excess of a workspace at its cap began the rejection of the class for all workspaces.

Change: the class is judged by the objective, the job by what it can still keep; where a cap is the limit, only the class of that workspace is rejected. A rejection that is due to the caller's own waiting is no verdict on others. Tests of the sums of open work.

--- a/src/graph/admission/forecast.rs
+++ b/src/graph/admission/forecast.rs
@@ -22,8 +22,8 @@
 /// How long ready tasks of a class have to have found no capacity before the class counts as saturated. Preemption
 /// takes up to half a second, so that a burst which it can serve has capacity by then.
 const SATURATION_TIME: Duration = Duration::from_millis(500);
-/// Multiple of the objective from which on a class is rejected in part: what is accepted with a later end takes the
-/// capacity of jobs that could still be in time.
+/// Multiple of the objective from which on a class is rejected as far as it would be late: what is accepted with a later
+/// end takes the capacity of jobs that could still be in time.
 const MARGIN_FACTOR: u32 = 2;
 /// Age of the last pass from which its findings say nothing about the present.
 const MAX_PASS_AGE: Duration = Duration::from_secs(1);
@@ -74,8 +74,8 @@
     pub(crate) full_value: Duration,
     /// Time from now after which it has no value.
     pub(crate) any_value: Duration,
-    /// Time from now after which its class is rejected in part.
-    pub(crate) margin_start: Duration,
+    /// Objective of the job, by which its class is judged: what this caller has waited says nothing about the class.
+    pub(crate) objective: Duration,
     /// How long its class, or the cap of its workspace, has been saturated.
     pub(crate) saturated: Duration,
     /// Age of the pass that found it saturated.
@@ -83,9 +83,9 @@
 }
 
 impl EndForecast {
-    /// How long more of the class would be rejected: until the backlog has fallen by what the job is late.
-    pub(crate) fn verdict_time(&self) -> Duration {
-        self.time.saturating_sub(self.full_value).min(MAX_VERDICT_TIME)
+    /// Time until the backlog has fallen by what a job that is submitted now for the first time would be late.
+    fn excess_time(&self) -> Duration {
+        self.time.saturating_sub(self.objective)
     }
 }
 
@@ -96,6 +96,8 @@
     pub(crate) forecast: EndForecast,
     /// When the caller should try again.
     pub(crate) retry_delay: Duration,
+    /// How long other jobs of the class are rejected as well.
+    pub(crate) verdict_time: Duration,
 }
 
 /// Verdict on a submitted job.
@@ -118,14 +120,8 @@
     pub(crate) capped: BTreeSet<WorkspaceId>,
 }
 
-/// Margin of a class between full value and none.
-#[derive(Clone, Copy, Debug)]
-struct RejectionMargin {
-    /// When a forecast was last later than full value.
-    last_late: Instant,
-    /// Until when capacity is promised to callers that were asked to try again.
-    promised: Instant,
-}
+/// What is rejected in part: a class, or that of one workspace where its cap limits it.
+type MarginKey = (WorkClass, Option<WorkspaceId>);
 
 /// Forecasts for the jobs of one leader.
 #[derive(Clone, Debug)]
@@ -140,8 +136,10 @@
     saturated: BTreeMap<WorkClass, Instant>,
     /// Since when the cap of each workspace has kept ready tasks waiting.
     capped: BTreeMap<WorkspaceId, Instant>,
-    /// Classes of which work is being rejected.
-    margins: BTreeMap<WorkClass, RejectionMargin>,
+    /// Classes of which all is rejected that would be late, with the time at which their forecast was last late.
+    margins: BTreeMap<MarginKey, Instant>,
+    /// Until when capacity is promised to callers that were asked to try again.
+    promises: BTreeMap<MarginKey, Instant>,
 }
 
 impl AdmissionForecast {
@@ -155,6 +153,7 @@
             saturated: BTreeMap::new(),
             capped: BTreeMap::new(),
             margins: BTreeMap::new(),
+            promises: BTreeMap::new(),
         }
     }
 
@@ -217,19 +216,25 @@
             return ForecastVerdict::Accepted(None);
         };
         let class = forecast.class;
-        let is_late = forecast.time > forecast.full_value;
-        if is_late && let Some(margin) = self.margins.get_mut(&class) {
-            margin.last_late = now;
+        let key = (class, candidate.job.workspace.clone().filter(|_| forecast.is_capped));
+        // The class is judged by the objective, and the job by what it can still keep of its value.
+        if forecast.time > forecast.objective * MARGIN_FACTOR {
+            self.margins.insert(key.clone(), now);
+        }
+        if forecast.time > forecast.objective
+            && let Some(last_late) = self.margins.get_mut(&key)
+        {
+            *last_late = now;
         }
-        self.margins
-            .retain(|_, margin| now.saturating_duration_since(margin.last_late) < MARGIN_TIME);
-        let is_too_late = forecast.time > forecast.margin_start.min(forecast.any_value);
-        let is_rejected = is_too_late || (is_late && self.margins.contains_key(&class));
+        self.margins.retain(|_, last_late| now.saturating_duration_since(*last_late) < MARGIN_TIME);
+        let in_margin = self.margins.contains_key(&key);
+        let is_rejected = forecast.time > forecast.any_value
+            || (in_margin && forecast.time > forecast.full_value);
         // Work within the rates is rejected last.
         let spares = !class.exceeds_rate && self.ledger.has_excess_before(class);
         let is_free = || !forecast.is_capped && has_capacity();
         match is_rejected && !spares && !is_free() {
-            true => ForecastVerdict::Rejected(self.reject(now, candidate, forecast)),
+            true => ForecastVerdict::Rejected(self.reject(now, candidate, forecast, key)),
             false => ForecastVerdict::Accepted(Some(forecast)),
         }
     }
@@ -247,7 +252,7 @@
         let waited = CALLER_WAIT.saturating_sub(candidate.caller_timeout);
         let full_value = job.objective().saturating_sub(waited);
         let any_value = (job.objective() * VALUE_EXPIRY_FACTOR).saturating_sub(waited);
-        let margin_start = (job.objective() * MARGIN_FACTOR).saturating_sub(waited);
+        let objective = job.objective();
         let path = job.critical_paths.iter().max().copied().unwrap_or_default();
         let chain = path.as_secs_f64() / self.rates.speed(class);
         let forecast = |is_capped: bool, saturated: Duration, rate: f64| {
@@ -271,7 +276,7 @@
                 time,
                 full_value,
                 any_value,
-                margin_start,
+                objective,
                 saturated,
                 age,
             }
@@ -313,19 +318,24 @@
         now: Instant,
         candidate: &Candidate<'_>,
         forecast: EndForecast,
+        key: MarginKey,
     ) -> ForecastRejection {
-        let margin = RejectionMargin { last_late: now, promised: now };
-        let margin = self.margins.entry(forecast.class).or_insert(margin);
-        margin.last_late = now;
         // The job would be accepted once the backlog has fallen by what it is late; callers that were asked to return
         // before come first.
-        let late = forecast.time.saturating_sub(forecast.full_value).min(MAX_RETRY_DELAY);
+        let late = forecast.excess_time().min(MAX_RETRY_DELAY);
         let work = core_seconds(candidate.job) / forecast.rate;
         let work = Duration::from_secs_f64(work.min(MAX_RETRY_DELAY.as_secs_f64()));
-        margin.promised = (margin.promised.max(now + late) + work).min(now + MAX_RETRY_DELAY);
-        let delay = margin.promised.saturating_duration_since(now);
+        let verdict_time = match self.margins.contains_key(&key) {
+            true => late.min(MAX_VERDICT_TIME),
+            // Only this job is too late, as its caller has waited.
+            false => Duration::ZERO,
+        };
+        self.promises.retain(|_, promise| *promise > now);
+        let promise = self.promises.entry(key).or_insert(now);
+        *promise = ((*promise).max(now + late) + work).min(now + MAX_RETRY_DELAY);
+        let delay = promise.saturating_duration_since(now);
         let retry_delay = spread_delay(delay, candidate.attempt, candidate.caller_timeout);
-        ForecastRejection { forecast, retry_delay }
+        ForecastRejection { forecast, retry_delay, verdict_time }
     }
 }
 
--- a/src/graph/admission/work_ledger.rs
+++ b/src/graph/admission/work_ledger.rs
@@ -3,6 +3,9 @@
 //! The load pattern behind it is a backlog of thousands of jobs while forty more are submitted each second: sums are
 //! kept with each change of a job, so that no submission walks over the jobs.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/src/graph/controller/forecasts.rs
+++ b/src/graph/controller/forecasts.rs
@@ -119,7 +119,7 @@
         rejection: &ForecastRejection,
     ) -> LoadRejection {
         let workspace = job.workspace.clone();
-        let class_time = rejection.forecast.verdict_time();
+        let class_time = rejection.verdict_time;
         let valid_for = match job.exceeds_rate {
             true => class_time.min(self.rates.time_to_next(workspace.as_ref())),
             false => {
@@ -144,7 +144,7 @@
         record: &GraphRecord,
         rejection: &ForecastRejection,
     ) {
-        let ForecastRejection { forecast, retry_delay } = rejection;
+        let ForecastRejection { forecast, retry_delay, .. } = rejection;
         let (job, workspace) = (&*record.spec.id, record.workspace.as_deref());
         let EndForecast { class, is_capped, ahead, rate, .. } = *forecast;
         let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
