--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -2,6 +2,7 @@
 //! simulated time.
 mod admission;
 mod advice;
+mod backlog;
 mod cancellation;
 mod capacity_changes;
 mod cases;
