--- a/src/graph/admission/work_ledger.rs
+++ b/src/graph/admission/work_ledger.rs
@@ -15,6 +15,7 @@
 use crate::graph::admission::work_class::WorkClass;
 use crate::graph::workload::job::{GraphJob, VALUE_EXPIRY_FACTOR};
 use crate::graph::workload::name::{GraphId, StepKey, TaskKey};
+use crate::graph::workload::progress::GraphVerdict;
 use crate::graph::workload::spec::StepSpec;
 use crate::id::WorkspaceId;
 
@@ -193,7 +194,10 @@
             before.as_ref().map_or((None, 0), |before| (Some(before.class), before.held));
         if let Some(before) = &before {
             for (task, start) in &before.starts {
-                let step = job.step(task.step).filter(|_| job.progress.is_done(task));
+                // The progress of a completed job no longer lists its tasks.
+                let has_succeeded = job.progress.verdict == Some(GraphVerdict::Completed)
+                    || job.progress.is_done(task);
+                let step = job.step(task.step).filter(|_| has_succeeded);
                 if let Some((start, step)) = start.zip(step)
                     && !job.live.contains_key(task)
                 {
--- a/src/graph/controller/forecasts.rs
+++ b/src/graph/controller/forecasts.rs
@@ -25,7 +25,9 @@
     /// changed; measured rates are kept.
     pub(super) fn set_forecast(&mut self) {
         let now = self.last_pass;
-        let has_weights = self.workspaces.values().any(|rule| rule.weight > 0.0);
+        // Another shard may have accepted an earlier try of the same job, so that only a leader of everything can reject.
+        let has_weights =
+            !self.scope.plan.is_divided() && self.workspaces.values().any(|rule| rule.weight > 0.0);
         let known = self.forecast.take();
         self.forecast = has_weights.then(|| known.unwrap_or_else(|| AdmissionForecast::new(now)));
         if let Some(forecast) = &mut self.forecast {
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -280,12 +280,14 @@
             }
             let Some(key) = listed else { break };
             if repeating.peek().is_none() && self.is_settled(key, &queue) {
+                self.note_skipped(key);
                 break;
             }
             self.plan.steps_examined += 1;
-            self.examine(key);
-            // A group is left out only after its first step, so that the wait of that job is noted.
-            let dropped = !self.view.reports_capped_demand
+            let noted = self.examine(key);
+            // A group is left out only after a step whose wait for the cap was noted.
+            let dropped = noted
+                && !self.view.reports_capped_demand
                 && queue.drop_if(|workspace, need| {
                     self.allowances.startable_tasks(workspace, need) == 0
                 });
@@ -354,26 +356,43 @@
             && self.preemptible_priority.is_some_and(|priority| priority > order.priority)
     }
 
-    /// Serves a listed step if that can have an effect.
-    fn examine(&mut self, key: &ServingKey) {
+    /// Notes that the class of a step, and so each class after it, found no capacity in this pass.
+    fn note_skipped(&mut self, key: &ServingKey) {
+        if let Some(job) = self.view.jobs.get(&key.job).filter(|_| !key.order.value_expired) {
+            self.plan.unplaced.entry(WorkClass::of(job)).or_insert(1);
+        }
+    }
+
+    /// Serves a listed step if that can have an effect. Returns whether its demand beyond a cap was noted.
+    fn examine(&mut self, key: &ServingKey) -> bool {
         let Some(job) = self.view.jobs.get(&key.job) else {
-            return;
+            return false;
         };
         let Some(step) = job.step(key.step) else {
-            return;
+            return false;
         };
         if self.view.unsettled_domains.affects(job) || job.step_done(key.step) {
-            return;
+            return false;
         }
         let ready = job.durable && job.dependencies_done(key.step);
         let waiting = Vec::new();
         let mut step = OpenStep { order: key.order, job, key: key.step, step, waiting, ready };
-        if !self.can_have_effect(&step) {
-            return;
+        let has_effect = self.can_have_effect(&step);
+        // The forecasts of a workspace with a cap need its demand also while the workers are full.
+        let is_limited = job.workspace.as_ref().is_some_and(|id| self.view.limits.contains_key(id));
+        if !has_effect && ready && !step.step.lasting {
+            self.note_skipped(key);
+        }
+        let notes_demand = ready && is_limited && self.view.reports_spare;
+        if !has_effect && !notes_demand {
+            return false;
         }
         step.waiting = self.waiting_tasks(job, key.step, ready);
         self.limit_to_allowance(&mut step);
-        self.place_step(&step);
+        if has_effect {
+            self.place_step(&step);
+        }
+        ready
     }
 
     /// Whether a step may place a task, stop a run, use another failure domain or request advice now.
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -1,5 +1,6 @@
 //! This process as leader of one shard, or as candidate for it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -136,6 +137,13 @@
         self.latest_registration
     }
 
+    /// Address of the process that led the previous term, if it is still registered.
+    pub(crate) fn predecessor_address(&self, view: &MemberView) -> Option<SocketAddr> {
+        let (entry, start) = self.predecessor.as_ref()?;
+        let record = view.entries.get(entry).filter(|record| record.start == *start)?;
+        Some(record.address)
+    }
+
     /// The epoch this process leads under, if the term may be passed to a stronger entry now.
     pub(crate) fn transferable_epoch(&self, now: Instant) -> Option<LeaderEpoch> {
         let is_due = self.transfer_from.is_none_or(|from| from <= now);
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -101,7 +101,7 @@
             // No term begins before the shard plan is known.
             if members.borrow().plan.is_some() {
                 for (shard, term) in self.shared.handover_inbox.take_terms() {
-                    self.begin_delivered_term(&shard, term);
+                    self.begin_delivered_term(&shard, term).await;
                 }
             }
             let view = members.borrow_and_update().clone();
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -206,7 +206,7 @@
     }
 
     /// Begins a term that the previous leader handed over to this entry.
-    pub(super) fn begin_delivered_term(&mut self, shard: &ShardId, term: LeaderTerm) {
+    pub(super) async fn begin_delivered_term(&mut self, shard: &ShardId, term: LeaderTerm) {
         let (name, start) = (self.shared.settings.name.clone(), self.shared.start);
         let record = LeaderRecord {
             entry: name.clone(),
@@ -221,6 +221,10 @@
             return;
         }
         let view = self.shared.members.borrow().clone();
+        // A term that this process lost, and has not noticed yet, must not go on beside the new one.
+        if self.candidacy(shard).epoch().is_some_and(|epoch| epoch + 1 != term.epoch) {
+            self.candidacy(shard).end().await;
+        }
         self.candidacy(shard).note_registrations(&view);
         self.note_delivered_term(shard);
         self.shared.members.send_modify(|view| {
--- a/src/node/election/lease_tests.rs
+++ b/src/node/election/lease_tests.rs
@@ -70,10 +70,12 @@
     let offered = shared.handover_inbox.expect_term(undivided(), 1);
     assert_eq!(offered, election.lease);
     register_again(&store, &mut election).await;
-    election.begin_delivered_term(
-        &undivided(),
-        LeaderTerm { epoch: 2, epoch_revision: 5, predecessor: None },
-    );
+    election
+        .begin_delivered_term(
+            &undivided(),
+            LeaderTerm { epoch: 2, epoch_revision: 5, predecessor: None },
+        )
+        .await;
     expect_false!(election.candidacy(&undivided()).leads());
 }
 
--- a/src/node/election/transfer.rs
+++ b/src/node/election/transfer.rs
@@ -30,6 +30,7 @@
     pub(super) async fn pass_to_stronger(&mut self, shard: &ShardId, view: &MemberView) {
         let name = self.shared.settings.name.clone();
         let store_answers = self.renewed.is_some_and(|sent| sent.elapsed() < MAX_RENEWAL_AGE);
+        let is_reading = self.shared.leading(shard).is_none();
         let candidacy = self.candidacy(shard);
         let transferable = candidacy.transferable_epoch(Instant::now());
         let Some(epoch) = transferable.filter(|epoch| *epoch == view.shard(shard).epoch) else {
@@ -41,8 +42,15 @@
             true => view.best_registered(),
             false => view.best,
         };
-        let candidates =
-            view.stronger_successors(shard, &name, candidacy.latest_registration(), best);
+        // While the ledger is read, a strong entry that was registered but not ready to campaign is as good as a new one.
+        let registered_after = match is_reading {
+            true => 0,
+            false => candidacy.latest_registration(),
+        };
+        let mut candidates = view.stronger_successors(shard, &name, registered_after, best);
+        // The process that led before lost its lease or stepped down: turns between the two would cost a takeover each.
+        let predecessor = candidacy.predecessor_address(view);
+        candidates.retain(|address| Some(*address) != predecessor);
         if candidates.is_empty() || !store_answers {
             return;
         }
@@ -50,7 +58,6 @@
         let Some(offer) = self.first_offer(shard, epoch, candidates, view).await else {
             return;
         };
-        let is_reading = self.shared.leading(shard).is_none();
         let settings = &self.shared.settings;
         info!(
             shard = &**shard, epoch, successor = &*offer.entry, is_reading,
