--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -460,7 +460,7 @@
 
     /// Which workers are best for a step where they differ in speed. Urgent work on the critical path prefers fast
     /// ones; work that gains nothing from speed prefers slow ones. Long work uses fast workers too, as they would
-    /// otherwise stand idle, but leaves some of them to urgent work as long as slow ones keep it in time.
+    /// otherwise be unused, but leaves some of them to urgent work as long as slow ones keep it in time.
     fn speed_preference(&self, step: &OpenStep<'t>) -> SpeedPreference {
         let (spec, order) = (step.step, &step.order);
         match () {
--- a/src/graph/placement/placer/advice_requests.rs
+++ b/src/graph/placement/placer/advice_requests.rs
@@ -71,7 +71,7 @@
             return false;
         };
         let enough = self.plan.advice_requests.len() >= self.requests_left;
-        // A step whose result is worthless is given capacity only when nothing else wants it.
+        // A step whose result is worthless gets only capacity that no other step can use.
         let is_hopeless = step.order.value_expired && !has_capacity;
         if enough || is_hopeless || (step.ready && self.starts_left == 0) {
             return false;
--- a/src/graph/storing/compaction.rs
+++ b/src/graph/storing/compaction.rs
@@ -77,12 +77,12 @@
 }
 
 impl CompactionRoom {
-    /// Creates the room that a group leaves which may write `keys` more.
+    /// Returns what a group that may write `keys` more has left.
     pub(crate) fn new(group: &CommitGroup, keys: usize) -> Self {
         Self { keys, bytes: COMPACTION_GROUP_BYTES.saturating_sub(size_estimate(group)) }
     }
 
-    /// Deducts a job and returns whether there was room for it.
+    /// Deducts a job and returns whether it fits.
     pub(crate) fn take(&mut self, job: &CompactedJob) -> bool {
         let rest =
             self.keys.checked_sub(job.keys()).zip(self.bytes.checked_sub(job.size_estimate()));
--- a/src/node/election/transfer.rs
+++ b/src/node/election/transfer.rs
@@ -48,7 +48,7 @@
             false => candidacy.latest_registration(),
         };
         let mut candidates = view.stronger_successors(shard, &name, registered_after, best);
-        // The process that led before lost its lease or stepped down: turns between the two would cost a takeover each.
+        // The previous leader lost its lease or stepped down. Alternating with it would cost a takeover each time.
         let predecessor = candidacy.predecessor_address(view);
         candidates.retain(|address| Some(*address) != predecessor);
         if candidates.is_empty() || !store_answers {
