Log when a leader learns that a worker leaves, and how old its registrations are

Cause for this change: the report (starts on workers that had announced that they leave) cannot be told apart by logs: neither the moment at which a leader learned of the announcement nor the age of its picture was written anywhere. Now: 'worker is leaving' (time_left_ms, confirmed_ms, runs), 'registrations_ms' in 'start sent', 'registrations read' (took_ms, pages), the gauge kelplink_registrations_age_seconds and the histogram kelplink_registration_queue_seconds, which is the time from the store's answer to its handling: together they tell a late answer of the store from a queue in the process and from a start that was sent all the same. No decision changes.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -97,6 +97,8 @@
     remote_workers: RemoteWorkerTable,
     /// Whether the registrations of workers have not all been read yet.
     registrations_awaited: bool,
+    /// Time until which all changes of registrations are known.
+    registrations_confirmed: Option<Instant>,
     /// Jobs that wait for the registrations.
     deferred: Vec<DeferredSubmission>,
     config: Option<Arc<QueueConfig>>,
@@ -207,6 +209,7 @@
             scope: ShardScope::default(),
             remote_workers: RemoteWorkerTable::default(),
             registrations_awaited: false,
+            registrations_confirmed: None,
             deferred: Vec::new(),
             config: None,
             workspaces: BTreeMap::new(),
@@ -405,7 +408,7 @@
         self.handle_worker_events_at(now, unix, events);
         self.review_unreferenced(now);
         self.review_compactions(now);
-        self.report_usage(now);
+        self.report_gauges(now);
         self.remote_workers.forget_expired(now);
         self.resend(now, extend);
     }
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::graph::controller::GraphController;
+use crate::graph::controller::registrations::age_text;
 use crate::graph::event::{CommandResult, GraphAction, StartCommand};
 use crate::graph::exchange::{CallFailure, InstanceId, WorkerRefusal};
 use crate::graph::placement::placer::PlannedStart;
@@ -90,6 +91,7 @@
         let checkpoint_task = if gang { TaskKey { index: 0, ..task.key } } else { task.key };
         let checkpoint = job.progress.saved.get(&checkpoint_task).cloned().unwrap_or_default();
         let payload = job.spec.payload.clone();
+        let registrations_age = self.registrations_age(now);
         let Some(instance) = self.instances.get_mut(worker) else {
             return;
         };
@@ -101,6 +103,7 @@
             return;
         };
         let (address, instance_start) = (instance.address(), instance.instance_start);
+        let registrations_ms = age_text(registrations_age);
         let Some(worker_run) = instance.runs.get_mut(task) else {
             return;
         };
@@ -112,7 +115,7 @@
         worker_run.phase = RunPhase::Sent { tries };
         worker_run.until = worker_run.until.max(Some(until));
         worker_run.sends += 1;
-        info!(task:% = task, run, worker = &**worker, tries, resumes = !checkpoint.is_empty(); "start sent");
+        info!(task:% = task, run, worker = &**worker, tries, registrations_ms, resumes = !checkpoint.is_empty(); "start sent");
         self.actions.push(GraphAction::Start(StartCommand {
             worker: worker.clone(),
             instance_start,
--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -27,6 +27,16 @@
         self.submit_deferred(now);
     }
 
+    /// Records that all changes of registrations until `at` are known.
+    pub fn note_registrations_confirmed(&mut self, at: Instant) {
+        self.registrations_confirmed = self.registrations_confirmed.max(Some(at));
+    }
+
+    /// Time since which changes of registrations may not be known; `None` before the first reading.
+    pub(super) fn registrations_age(&self, now: Instant) -> Option<Duration> {
+        self.registrations_confirmed.map(|confirmed| now.saturating_duration_since(confirmed))
+    }
+
     /// Whether it is still undetermined which shard can run a job.
     pub(super) fn awaits_registrations(&self) -> bool {
         self.registrations_awaited && self.scope.plan.is_divided()
@@ -41,10 +51,28 @@
             return self.stop_using(registration);
         }
         self.unreferenced.remove(&registration.id);
+        self.log_leaving(now, &registration);
         self.instances.register(now, registration);
         self.pass_wanted = true;
     }
 
+    /// Logs the first registration that says that a worker is leaving. The registrations were confirmed without it
+    /// `confirmed_ms` ago, so the worker announced it within that time.
+    fn log_leaving(&self, now: Instant, registration: &WorkerRegistration) {
+        let instance = self.instances.get(&registration.id);
+        let Some(time_left) = registration.leaving else {
+            return;
+        };
+        if instance.is_some_and(|instance| instance.leaves_at.is_some()) {
+            return;
+        }
+        metrics::counter!("kelplink_leaving_workers_total").increment(1);
+        let runs = instance.map_or(0, |instance| instance.runs.len());
+        let (worker, time_left_ms) = (&*registration.id, time_left.as_millis() as u64);
+        let confirmed_ms = age_text(self.registrations_age(now));
+        info!(worker, time_left_ms, confirmed_ms, runs; "worker is leaving");
+    }
+
     /// Handles a registration that was removed or no longer describes a worker.
     pub fn worker_unregistered(&mut self, now: Instant, id: &WorkerId) {
         self.unreferenced.remove(id);
@@ -87,3 +115,8 @@
             || self.jobs.schedulable().any(|job| job.rule.service == *service)
     }
 }
+
+/// An age in milliseconds for the log.
+pub(super) fn age_text(age: Option<Duration>) -> String {
+    age.map_or("none".to_owned(), |age| age.as_millis().to_string())
+}
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -134,12 +134,15 @@
         }
     }
 
-    /// Sets the metrics of what the workspaces used at the last pass.
-    pub(super) fn report_usage(&mut self, now: Instant) {
-        if now < self.next_report || self.last_usage.is_empty() {
+    /// Sets the gauges of what the workspaces used at the last pass, and of the age of the registrations.
+    pub(super) fn report_gauges(&mut self, now: Instant) {
+        if now < self.next_report {
             return;
         }
         self.next_report = now + REPORT_INTERVAL;
+        if let Some(age) = self.registrations_age(now) {
+            metrics::gauge!("kelplink_registrations_age_seconds").set(age.as_secs_f64());
+        }
         let mut usage: Vec<_> = self.last_usage.iter().collect();
         usage.sort_by_key(|(_, used)| Reverse(used.millicores));
         for (workspace, used) in usage.into_iter().take(MAX_REPORTED_WORKSPACES) {
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -21,6 +21,8 @@
     Unregistered(WorkerId),
     /// All registrations have been read once.
     RegistrationsRead,
+    /// All changes of registrations until this time have been passed on.
+    RegistrationsConfirmed(Instant),
     /// A share of a job that another shard's leader has accepted.
     Share(Box<GraphRecord>),
     /// The leader that owns a shared job has ended it.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -251,6 +251,10 @@
             LeaderInput::ShareFailed(job) => controller.fail_shared(now, unix, &job),
             LeaderInput::Unregistered(worker) => controller.worker_unregistered(now, &worker),
             LeaderInput::RegistrationsRead => controller.note_registrations_read(now),
+            LeaderInput::RegistrationsConfirmed(at) => {
+                metrics::histogram!("kelplink_registration_queue_seconds").record(now - at);
+                controller.note_registrations_confirmed(at);
+            }
             LeaderInput::Polled(worker, result) => {
                 controller.handle_poll_result(now, unix, &worker, result)
             }
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -10,9 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::warn;
-
-use tokio::time::sleep;
+use log::{info, warn};
+use tokio::time::{Instant, sleep};
 
 use crate::graph::ShardScope;
 use crate::id::WorkerId;
@@ -66,6 +65,7 @@
                     store.answered(LOG_NAME);
                     retry.note_answer();
                     self.leader.send(LeaderInput::RegistrationsRead).await;
+                    self.confirm(Instant::now()).await;
                     self.follow(after).await
                 }
                 Err(error) => Err(error),
@@ -78,11 +78,13 @@
     }
 
     async fn read(&mut self) -> Result<u64, StoreError> {
+        let (started, mut pages) = (Instant::now(), 0);
         let mut registered = BTreeSet::new();
         let mut after = String::new();
         let mut revision = None;
         loop {
             let page = self.shared.store.page(REGISTRATION_PREFIX, &after).await?;
+            pages += 1;
             // The watch starts at the first page's revision, so it repeats changes made while later pages are read.
             let first = *revision.get_or_insert(page.revision);
             for item in &page.items {
@@ -92,9 +94,13 @@
                 Some(last) if page.more => after = last.key.clone(),
                 _ => {
                     let gone: Vec<WorkerId> = self.known.difference(&registered).cloned().collect();
+                    let removed = gone.len();
                     for worker in gone {
                         self.handle_removed(worker).await;
                     }
+                    let (shard, took_ms) =
+                        (&*self.scope.shard, started.elapsed().as_millis() as u64);
+                    info!(shard, workers = registered.len(), removed, pages, took_ms; "registrations read");
                     return Ok(first);
                 }
             }
@@ -105,6 +111,7 @@
         loop {
             match self.shared.store.watch(REGISTRATION_PREFIX, after, WATCH_WAIT).await? {
                 WatchOutcome::Events { events, revision } => {
+                    let answered = Instant::now();
                     after = after.max(revision);
                     let is_empty = events.is_empty();
                     for event in events {
@@ -120,6 +127,7 @@
                             }
                         }
                     }
+                    self.confirm(answered).await;
                     if !is_empty {
                         sleep(self.batch_pause()).await;
                     }
@@ -129,6 +137,11 @@
         }
     }
 
+    /// Tells the leader that it has all changes until `at`.
+    async fn confirm(&self, at: Instant) {
+        self.leader.send(LeaderInput::RegistrationsConfirmed(at)).await;
+    }
+
     fn batch_pause(&self) -> Duration {
         let shards = u32::try_from(self.scope.plan.shards().len()).unwrap_or(u32::MAX);
         BATCH_PAUSE_PER_SHARD.saturating_mul(shards).min(MAX_BATCH_PAUSE)
