Do not send a start again to a worker that is leaving

Callers saw (users' report): tasks started on workers that had announced that they leave. What the worker had announced since the first send was not looked at. Ruled out for this cause: another start path. First starts, gangs and preemption choose among workers that accept work (accepts_work). A start that may not be sent again is stopped, and its task starts elsewhere.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -194,7 +194,8 @@
             CallFailure::NoAnswer => {
                 instance.note_silence(now);
                 instance.excluded_until = Some(now + UNANSWERED_EXCLUSION);
-                match tries < MAX_START_TRIES && self.jobs.wants(task) {
+                let may_retry = tries < MAX_START_TRIES && instance.is_available();
+                match may_retry && self.jobs.wants(task) {
                     true => self.send_start(now, worker, task),
                     false => self.stop(now, worker, task, run),
                 }
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -375,12 +375,16 @@
         self.used.saturating_sub(&self.registration.capacity)
     }
 
+    /// Whether runs may start on it as far as its registration says: it is registered and not leaving.
+    pub(crate) fn is_available(&self) -> bool {
+        self.is_registered() && self.leaves_at.is_none()
+    }
+
     /// Whether it may get new work, leaving its free capacity aside. A worker that left its last call
     /// unanswered may be cut off: it is polled again at once, and a start that does not reach it would block
     /// its task until the lease expires.
     pub fn accepts_work(&self, now: Instant, max_silence: Duration) -> bool {
-        self.is_registered()
-            && self.leaves_at.is_none()
+        self.is_available()
             && self.claimed
             && self.in_store
             && !self.has_unknown_demand
