Continue a read of the registrations after a call without an answer

Change: the loop is in one of two phases, reading and following; a failed call is made again, in both. A watch goes on from its revision: the store says itself when it no longer has the history. Registrations count as confirmed from the first page's answer, not from the end of the read.

--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -23,6 +23,8 @@
 use crate::platform::{REGISTRATION_PREFIX, RegistrationError, decode_registration, worker_of_key};
 use crate::ring::RingSender;
 
+type Result<T> = std::result::Result<T, StoreError>;
+
 /// Name of this loop in the log.
 const LOG_NAME: &str = "registrations";
 /// Maximum wait of a watch call: a dead connection is noticed after this time and the slack of the watch, within the
@@ -36,6 +38,39 @@
 /// Delay before the first retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// A read of all registrations. It continues with the next page after a call that was not answered.
+#[derive(Debug)]
+struct RegistryRead {
+    started: Instant,
+    /// Revision of the first page and when it was answered. The watch starts at this revision, so it repeats changes
+    /// made while later pages are read.
+    first: Option<(u64, Instant)>,
+    last_key: String,
+    pages: u32,
+    registered: BTreeSet<WorkerId>,
+}
+
+impl RegistryRead {
+    fn new() -> Self {
+        let (last_key, registered) = (String::new(), BTreeSet::new());
+        Self { started: Instant::now(), first: None, last_key, pages: 0, registered }
+    }
+}
+
+/// What the next call to the store is for.
+#[derive(Debug)]
+enum RegistryPhase {
+    Reading(RegistryRead),
+    /// Watch for changes after a revision.
+    Following(u64),
+}
+
+impl RegistryPhase {
+    fn reading() -> Self {
+        Self::Reading(RegistryRead::new())
+    }
+}
+
 /// Follows registrations in the store.
 pub(crate) struct RegistryLoop {
     shared: Arc<NodeShared>,
@@ -58,81 +93,88 @@
     /// Runs until the leader loop ends.
     pub(crate) async fn run(mut self) {
         let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
+        let store = self.shared.dependencies.store.clone();
+        let mut phase = RegistryPhase::reading();
         loop {
-            let store = self.shared.dependencies.store.clone();
-            let result = match self.read().await {
-                Ok(after) => {
+            let result = match &mut phase {
+                RegistryPhase::Reading(read) => self.read_page(read).await,
+                RegistryPhase::Following(revision) => self.follow(revision).await,
+            };
+            match result {
+                Ok(next) => {
                     store.answered(LOG_NAME);
                     retry.note_answer();
-                    self.leader.send(LeaderInput::RegistrationsRead).await;
-                    self.confirm(Instant::now()).await;
-                    self.follow(after).await
+                    phase = next.unwrap_or(phase);
+                }
+                Err(error) => {
+                    store.failed(LOG_NAME, error);
+                    retry.pause().await;
                 }
-                Err(error) => Err(error),
-            };
-            if let Err(error) = result {
-                store.failed(LOG_NAME, error);
-                retry.pause().await;
             }
         }
     }
 
-    async fn read(&mut self) -> Result<u64, StoreError> {
-        let (started, mut pages) = (Instant::now(), 0);
-        let mut registered = BTreeSet::new();
-        let mut after = String::new();
-        let mut revision = None;
-        loop {
-            let page = self.shared.store.page(REGISTRATION_PREFIX, &after).await?;
-            pages += 1;
-            // The watch starts at the first page's revision, so it repeats changes made while later pages are read.
-            let first = *revision.get_or_insert(page.revision);
-            for item in &page.items {
-                registered.extend(self.handle_written(item).await);
+    /// Reads the next page; returns the next phase after the last one.
+    async fn read_page(&mut self, read: &mut RegistryRead) -> Result<Option<RegistryPhase>> {
+        let page = self.shared.store.page(REGISTRATION_PREFIX, &read.last_key).await?;
+        let (revision, answered) = *read.first.get_or_insert((page.revision, Instant::now()));
+        read.pages += 1;
+        for item in &page.items {
+            read.registered.extend(self.handle_written(item).await);
+        }
+        match page.items.last() {
+            Some(last) if page.more => {
+                read.last_key = last.key.clone();
+                Ok(None)
             }
-            match page.items.last() {
-                Some(last) if page.more => after = last.key.clone(),
-                _ => {
-                    let gone: Vec<WorkerId> = self.known.difference(&registered).cloned().collect();
-                    let removed = gone.len();
-                    for worker in gone {
-                        self.handle_removed(worker).await;
-                    }
-                    let (shard, took_ms) =
-                        (&*self.scope.shard, started.elapsed().as_millis() as u64);
-                    info!(shard, workers = registered.len(), removed, pages, took_ms; "registrations read");
-                    return Ok(first);
-                }
+            _ => {
+                self.finish_read(read).await;
+                self.confirm(answered).await;
+                Ok(Some(RegistryPhase::Following(revision)))
             }
         }
     }
 
-    async fn follow(&mut self, mut after: u64) -> Result<(), StoreError> {
-        loop {
-            match self.shared.store.watch(REGISTRATION_PREFIX, after, WATCH_WAIT).await? {
-                WatchOutcome::Events { events, revision } => {
-                    let answered = Instant::now();
-                    after = after.max(revision);
-                    let is_empty = events.is_empty();
-                    for event in events {
-                        match event {
-                            KeyEvent::Written(item) => {
-                                self.handle_written(&item).await;
-                            }
-                            KeyEvent::Removed { key, .. } => {
-                                self.unreadable.remove(&key);
-                                if let Some(worker) = worker_of_key(&key) {
-                                    self.handle_removed(worker).await;
-                                }
-                            }
-                        }
-                    }
-                    self.confirm(answered).await;
-                    if !is_empty {
-                        sleep(self.batch_pause()).await;
-                    }
+    async fn finish_read(&mut self, read: &RegistryRead) {
+        let gone: Vec<WorkerId> = self.known.difference(&read.registered).cloned().collect();
+        let (workers, removed, pages) = (read.registered.len(), gone.len(), read.pages);
+        let (shard, took_ms) = (&*self.scope.shard, read.started.elapsed().as_millis() as u64);
+        info!(shard, workers, removed, pages, took_ms; "registrations read");
+        for worker in gone {
+            self.handle_removed(worker).await;
+        }
+        self.leader.send(LeaderInput::RegistrationsRead).await;
+    }
+
+    /// Passes on the changes after a revision, which it advances; returns the next phase if they are no longer known.
+    async fn follow(&mut self, revision: &mut u64) -> Result<Option<RegistryPhase>> {
+        let outcome = self.shared.store.watch(REGISTRATION_PREFIX, *revision, WATCH_WAIT).await?;
+        let WatchOutcome::Events { events, revision: latest } = outcome else {
+            return Ok(Some(RegistryPhase::reading()));
+        };
+        let answered = Instant::now();
+        let is_empty = events.is_empty();
+        for event in events {
+            self.handle_event(event).await;
+        }
+        *revision = latest.max(*revision);
+        self.confirm(answered).await;
+        if !is_empty {
+            sleep(self.batch_pause()).await;
+        }
+        Ok(None)
+    }
+
+    async fn handle_event(&mut self, event: KeyEvent) {
+        match event {
+            KeyEvent::Written(item) => {
+                self.handle_written(&item).await;
+            }
+            KeyEvent::Removed { key, .. } => {
+                self.unreadable.remove(&key);
+                if let Some(worker) = worker_of_key(&key) {
+                    self.handle_removed(worker).await;
                 }
-                WatchOutcome::HistoryGone => return Ok(()),
             }
         }
     }
@@ -147,6 +189,7 @@
         BATCH_PAUSE_PER_SHARD.saturating_mul(shards).min(MAX_BATCH_PAUSE)
     }
 
+    /// Passes on a registration; returns its worker if it is readable.
     async fn handle_written(&mut self, item: &KeyItem) -> Option<WorkerId> {
         match decode_registration(item) {
             Ok(registration) => {
