Ignore changes of registrations from before their page was read

A worker whose page already said that it leaves was reported as not leaving, then as leaving again; each is an input of its own, and a pass may run between them (64 inputs a pass). Class: an order decided on an older picture than the leader has. Evidence: an_event_from_before_its_page_was_read_is_not_passed_on told the leader [leaving, not leaving, leaving] before. Ruled out: waiting for the end of the read; the leader needs the first pages' workers at once after a takeover. Change: the revision of each known registration is kept, older changes are dropped, and of several changes of a key in one answer only the last is passed on.

--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -89,6 +89,16 @@
     },
 }
 
+impl KeyEvent {
+    /// The key that has changed.
+    pub(crate) fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+}
+
 /// Result of a watch call.
 #[derive(Clone, Debug)]
 pub(crate) enum WatchOutcome {
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -6,7 +6,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -76,7 +76,8 @@
     shared: Arc<NodeShared>,
     scope: ShardScope,
     leader: RingSender<LeaderInput>,
-    known: BTreeSet<WorkerId>,
+    /// Registered workers with the revisions of their registrations.
+    known: BTreeMap<WorkerId, u64>,
     /// Keys with an unreadable registration; each is logged once, when it becomes unreadable.
     unreadable: BTreeSet<String>,
 }
@@ -87,7 +88,7 @@
         scope: ShardScope,
         leader: RingSender<LeaderInput>,
     ) -> Self {
-        Self { shared, scope, leader, known: BTreeSet::new(), unreadable: BTreeSet::new() }
+        Self { shared, scope, leader, known: BTreeMap::new(), unreadable: BTreeSet::new() }
     }
 
     /// Runs until the leader loop ends.
@@ -136,7 +137,9 @@
     }
 
     async fn finish_read(&mut self, read: &RegistryRead) {
-        let gone: Vec<WorkerId> = self.known.difference(&read.registered).cloned().collect();
+        let known = self.known.keys();
+        let gone = known.filter(|worker| !read.registered.contains(*worker)).cloned();
+        let gone: Vec<WorkerId> = gone.collect();
         let (workers, removed, pages) = (read.registered.len(), gone.len(), read.pages);
         let (shard, took_ms) = (&*self.scope.shard, read.started.elapsed().as_millis() as u64);
         info!(shard, workers, removed, pages, took_ms; "registrations read");
@@ -154,7 +157,7 @@
         };
         let answered = Instant::now();
         let is_empty = events.is_empty();
-        for event in events {
+        for event in latest_events(events) {
             self.handle_event(event).await;
         }
         *revision = latest.max(*revision);
@@ -170,15 +173,23 @@
             KeyEvent::Written(item) => {
                 self.handle_written(&item).await;
             }
-            KeyEvent::Removed { key, .. } => {
+            KeyEvent::Removed { key, revision } if !self.is_outdated(&key, revision) => {
                 self.unreadable.remove(&key);
                 if let Some(worker) = worker_of_key(&key) {
                     self.handle_removed(worker).await;
                 }
             }
+            KeyEvent::Removed { .. } => {}
         }
     }
 
+    /// Whether a later registration than that of this revision is known. The watch repeats changes that were made
+    /// before a page was read: taken for the latest, one made a worker that leaves one that takes work.
+    fn is_outdated(&self, key: &str, revision: u64) -> bool {
+        let known = worker_of_key(key).and_then(|worker| self.known.get(&worker).copied());
+        known.is_some_and(|known| revision < known)
+    }
+
     /// Tells the leader that it has all changes until `at`.
     async fn confirm(&self, at: Instant) {
         self.leader.send(LeaderInput::RegistrationsConfirmed(at)).await;
@@ -191,11 +202,14 @@
 
     /// Passes on a registration; returns its worker if it is readable.
     async fn handle_written(&mut self, item: &KeyItem) -> Option<WorkerId> {
+        if self.is_outdated(&item.key, item.revision) {
+            return worker_of_key(&item.key);
+        }
         match decode_registration(item) {
             Ok(registration) => {
                 let id = registration.id.clone();
                 self.unreadable.remove(&item.key);
-                self.known.insert(id.clone());
+                self.known.insert(id.clone(), item.revision);
                 let shard = self.scope.plan.shard_of(&registration.domain, &registration.rack);
                 let input = match shard == self.scope.shard {
                     true => LeaderInput::Registered(Box::new(registration)),
@@ -218,7 +232,7 @@
             count_unreadable(UnreadableKind::Registration);
             warn!(key, error:% = error; "unreadable worker registration");
         }
-        if let Some(worker) = worker_of_key(key).filter(|worker| self.known.contains(worker)) {
+        if let Some(worker) = worker_of_key(key).filter(|worker| self.known.contains_key(worker)) {
             self.handle_removed(worker).await;
         }
     }
@@ -228,3 +242,12 @@
         self.leader.send(LeaderInput::Unregistered(worker)).await;
     }
 }
+
+/// The last event of each key, in order: what an earlier one says is no longer true.
+fn latest_events(events: Vec<KeyEvent>) -> Vec<KeyEvent> {
+    let mut seen = BTreeSet::new();
+    let mut latest: Vec<KeyEvent> =
+        events.into_iter().rev().filter(|event| seen.insert(event.key().to_owned())).collect();
+    latest.reverse();
+    latest
+}
