Start work only by registrations that the store still confirms

A leader whose watch of the registrations is dead, or whose read of them takes long, went on starting work by what it knew, for as long as the store renewed its lease over another connection; nothing bounded that. A dead watch was noticed after 2.7 s, a notice of two seconds is over by then. Change: RegistrationClock. Work starts, for the first time or again, only on a worker whose registration is confirmed (by an answered watch, or by the read of its page) no longer than two thirds of the notice before the leader's last lease renewal. While the store answers nothing at all both stand still, and work goes on. The notice (drain_ms) is read from the settings; a watch waits a quarter of it, so an idle leader makes 2 calls a second with a notice of two seconds instead of 0.5. Ruled out: a fixed age (an outage of the store would stop all starts); all workers at once (during a read of 12 pages those that were just read are known best). Tests: three in tests/graph/leaving.rs (a dead watch: the second job waits until the next confirmation; a read page; an outage).

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -97,8 +97,6 @@
     remote_workers: RemoteWorkerTable,
     /// Whether the registrations of workers have not all been read yet.
     registrations_awaited: bool,
-    /// Time until which all changes of registrations are known.
-    registrations_confirmed: Option<Instant>,
     /// Jobs that wait for the registrations.
     deferred: Vec<DeferredSubmission>,
     config: Option<Arc<QueueConfig>>,
@@ -209,7 +207,6 @@
             scope: ShardScope::default(),
             remote_workers: RemoteWorkerTable::default(),
             registrations_awaited: false,
-            registrations_confirmed: None,
             deferred: Vec::new(),
             config: None,
             workspaces: BTreeMap::new(),
@@ -301,6 +298,7 @@
             _ => sent,
         };
         self.authority_end = self.authority_end.max(sent + self.bounds.lease_extension_window);
+        self.instances.registration_clock.note_lease_renewal(sent);
     }
 
     /// Stops all starts and extensions of worker leases, because another leader may have been
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -91,7 +91,7 @@
         let checkpoint_task = if gang { TaskKey { index: 0, ..task.key } } else { task.key };
         let checkpoint = job.progress.saved.get(&checkpoint_task).cloned().unwrap_or_default();
         let payload = job.spec.payload.clone();
-        let registrations_age = self.registrations_age(now);
+        let registrations_age = self.instances.registration_clock.age(now);
         let Some(instance) = self.instances.get_mut(worker) else {
             return;
         };
@@ -194,7 +194,7 @@
             CallFailure::NoAnswer => {
                 instance.note_silence(now);
                 instance.excluded_until = Some(now + UNANSWERED_EXCLUSION);
-                let may_retry = tries < MAX_START_TRIES && instance.is_available();
+                let may_retry = tries < MAX_START_TRIES && self.instances.may_retry_start(worker);
                 match may_retry && self.jobs.wants(task) {
                     true => self.send_start(now, worker, task),
                     false => self.stop(now, worker, task, run),
--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -21,6 +21,12 @@
         self
     }
 
+    /// Starts work only by registrations that are older than the leader's lease by `max_lag` at most.
+    pub fn with_registration_lag(mut self, max_lag: Duration) -> Self {
+        self.instances.registration_clock.set_max_lag(max_lag);
+        self
+    }
+
     /// Records that all registrations have been read.
     pub fn note_registrations_read(&mut self, now: Instant) {
         self.registrations_awaited = false;
@@ -29,12 +35,7 @@
 
     /// Records that all changes of registrations until `at` are known.
     pub fn note_registrations_confirmed(&mut self, at: Instant) {
-        self.registrations_confirmed = self.registrations_confirmed.max(Some(at));
-    }
-
-    /// Time since which changes of registrations may not be known; `None` before the first reading.
-    pub(super) fn registrations_age(&self, now: Instant) -> Option<Duration> {
-        self.registrations_confirmed.map(|confirmed| now.saturating_duration_since(confirmed))
+        self.instances.registration_clock.confirm(at);
     }
 
     /// Whether it is still undetermined which shard can run a job.
@@ -69,7 +70,7 @@
         metrics::counter!("kelplink_leaving_workers_total").increment(1);
         let runs = instance.map_or(0, |instance| instance.runs.len());
         let (worker, time_left_ms) = (&*registration.id, time_left.as_millis() as u64);
-        let confirmed_ms = age_text(self.registrations_age(now));
+        let confirmed_ms = age_text(self.instances.registration_clock.age(now));
         info!(worker, time_left_ms, confirmed_ms, runs; "worker is leaving");
     }
 
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -140,7 +140,7 @@
             return;
         }
         self.next_report = now + REPORT_INTERVAL;
-        if let Some(age) = self.registrations_age(now) {
+        if let Some(age) = self.instances.registration_clock.age(now) {
             metrics::gauge!("kelplink_registrations_age_seconds").set(age.as_secs_f64());
         }
         let mut usage: Vec<_> = self.last_usage.iter().collect();
--- a/src/graph/placement/home.rs
+++ b/src/graph/placement/home.rs
@@ -14,7 +14,7 @@
 
 use crate::graph::exchange::WorkerRegistration;
 use crate::graph::placement::step_capacity::tasks_that_fit;
-use crate::graph::workers::instances::{InstanceTable, SILENCE_LIMIT};
+use crate::graph::workers::instances::InstanceTable;
 use crate::graph::workload::job::GraphJob;
 use crate::graph::workload::queue::QueueRule;
 use crate::graph::workload::spec::StepSpec;
@@ -39,7 +39,7 @@
     let limit = widest.max_per_worker.unwrap_or(u32::MAX);
     let mut tasks_by_domain: BTreeMap<&DomainId, u32> = BTreeMap::new();
     let service = &job.rule.service;
-    for instance in instances.iter().filter(|instance| instance.accepts_work(now, SILENCE_LIMIT)) {
+    for instance in instances.accepting_work(now) {
         if instance.registration.service == *service && instance.has_label(widest) {
             *tasks_by_domain.entry(&instance.registration.domain).or_default() +=
                 tasks_that_fit(&instance.free(), &widest.reservation()).min(limit);
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -26,7 +26,7 @@
 use crate::graph::placement::serving_index::{ServingIndex, ServingKey, ServingQueue};
 use crate::graph::placement::step_capacity::StepCapacity;
 use crate::graph::workers::health::HealthRank;
-use crate::graph::workers::instances::{InstanceTable, SILENCE_LIMIT};
+use crate::graph::workers::instances::InstanceTable;
 use crate::graph::workers::run::RunPhase;
 use crate::graph::workers::worker::WorkerInstance;
 use crate::graph::workload::job::GraphJob;
@@ -212,8 +212,7 @@
 impl<'t> PlacementPass<'t> {
     /// Creates a pass.
     pub fn new(view: PassView<'t>) -> Self {
-        let instances =
-            view.instances.iter().filter(|instance| instance.accepts_work(view.now, SILENCE_LIMIT));
+        let instances = view.instances.accepting_work(view.now);
         let capacity = |instance: &'t WorkerInstance| {
             let free =
                 instance.free().saturating_sub(&view.reservations.reserved_on(instance.id()));
--- a/src/graph/workers.rs
+++ b/src/graph/workers.rs
@@ -4,6 +4,7 @@
 pub(super) mod health;
 pub(super) mod instances;
 pub(super) mod poll_pacer;
+pub(super) mod registration_clock;
 pub(super) mod run;
 pub(super) mod run_costs;
 pub(super) mod send_window;
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -14,6 +14,7 @@
     WorkerRegistration,
 };
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
+use crate::graph::workers::registration_clock::RegistrationClock;
 use crate::graph::workers::run::{RunPhase, WorkerRun};
 use crate::graph::workers::run_costs::RunCosts;
 use crate::graph::workers::speed::SpeedTable;
@@ -68,6 +69,7 @@
     max_lease: Duration,
     run_costs: RunCosts,
     speeds: SpeedTable,
+    pub(crate) registration_clock: RegistrationClock,
 }
 
 impl InstanceTable {
@@ -115,6 +117,23 @@
         self.instances.values()
     }
 
+    /// Workers that may get new work, leaving their free capacity aside.
+    pub(crate) fn accepting_work(&self, now: Instant) -> impl Iterator<Item = &WorkerInstance> {
+        let clock = &self.registration_clock;
+        self.iter().filter(move |instance| {
+            clock.is_current(instance.registration_read)
+                && instance.accepts_work(now, SILENCE_LIMIT)
+        })
+    }
+
+    /// Whether a start may be sent to a worker again.
+    pub(crate) fn may_retry_start(&self, id: &WorkerId) -> bool {
+        self.get(id).is_some_and(|instance| {
+            instance.is_available()
+                && self.registration_clock.is_current(instance.registration_read)
+        })
+    }
+
     /// All workers, for modification.
     pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut WorkerInstance> {
         self.instances.values_mut()
@@ -150,6 +169,7 @@
         match self.instances.get_mut(&registration.id) {
             Some(instance) => {
                 (instance.registered, instance.reregistration_deadline) = (true, None);
+                instance.registration_read = now;
                 instance.update_registration(now, registration);
             }
             None => {
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -41,6 +41,8 @@
     pub instance_start: InstanceStart,
     /// Registration of the worker; for a worker known only from the store, filled in as far as known.
     pub registration: WorkerRegistration,
+    /// When the registration was last read.
+    pub(crate) registration_read: Instant,
     /// A registration of another instance than the last one that answered, and when it came. Only an answer
     /// shows which of the two instances is the newer.
     pending_registration: Option<(Instant, WorkerRegistration)>,
@@ -114,6 +116,7 @@
             instance_start: None,
             leaves_at: registration.leaving.map(|time_left| now + time_left),
             registration,
+            registration_read: now,
             pending_registration: None,
             registered: true,
             reregistration_deadline: None,
@@ -203,6 +206,7 @@
     pub(crate) fn next_instance(&self, now: Instant, instance_start: InstanceStart) -> Self {
         Self {
             instance_start,
+            registration_read: self.registration_read,
             pending_registration: self.pending_registration.clone(),
             registered: self.registered,
             reregistration_deadline: self.reregistration_deadline,
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -106,6 +106,7 @@
         let scope = ShardScope::new(plan, self.shard.clone());
         let mut controller = GraphController::new(now, unix_millis(), self.epoch, bounds, state)
             .with_scope(scope.clone())
+            .with_registration_lag(self.shared.settings.leave_notice / 3 * 2)
             .awaiting_registrations();
         let executor = ActionExecutor::new(
             self.shared.clone(),
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -27,9 +27,11 @@
 
 /// Name of this loop in the log.
 const LOG_NAME: &str = "registrations";
-/// Maximum wait of a watch call: a dead connection is noticed after this time and the slack of the watch, within the
-/// three seconds that count as a disruption.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Number of watch calls within the notice of a leaving worker where nothing changes: a dead connection is noticed after
+/// the wait and the slack of one.
+const WATCHES_PER_NOTICE: u32 = 4;
+/// Longest wait of a watch call.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a batch of changes, for each shard: all leaders together make 40 calls a second at most, however many
 /// workers and leaders there are.
 const BATCH_PAUSE_PER_SHARD: Duration = Duration::from_millis(25);
@@ -151,7 +153,8 @@
 
     /// Passes on the changes after a revision, which it advances; returns the next phase if they are no longer known.
     async fn follow(&mut self, revision: &mut u64) -> Result<Option<RegistryPhase>> {
-        let outcome = self.shared.store.watch(REGISTRATION_PREFIX, *revision, WATCH_WAIT).await?;
+        let wait = (self.shared.settings.leave_notice / WATCHES_PER_NOTICE).min(MAX_WATCH_WAIT);
+        let outcome = self.shared.store.watch(REGISTRATION_PREFIX, *revision, wait).await?;
         let WatchOutcome::Events { events, revision: latest } = outcome else {
             return Ok(Some(RegistryPhase::reading()));
         };
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -37,6 +37,8 @@
     pub requires_keys: bool,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
+    /// Time from a worker's announcement that it leaves until it must get no more work.
+    pub leave_notice: Duration,
     /// Bounds of the scheduling decisions.
     pub bounds: GraphBounds,
 }
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -211,6 +211,7 @@
         descriptors: 4_096,
         requires_keys: false,
         grace: Duration::from_secs(6),
+        leave_notice: Duration::from_secs(2),
         bounds: GraphBounds {
             max_lease: Duration::from_secs(6),
             retention: Duration::from_secs(120),
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -51,6 +51,7 @@
         descriptors: 1_000,
         requires_keys: false,
         grace: Duration::from_secs(6),
+        leave_notice: Duration::from_secs(2),
         bounds: GraphBounds {
             max_lease: Duration::from_secs(6),
             retention: Duration::from_secs(120),
--- a/tests/graph/leaving.rs
+++ b/tests/graph/leaving.rs
@@ -3,13 +3,79 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::WorkerId;
+use kelplink::{GraphState, StepSpec, WorkerId};
 
 use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
 
 /// Time after which a start without an answer is sent again or given up, and a stop is answered.
 const RETRY_TIME: Duration = Duration::from_millis(700);
 
+/// How much older than its lease a leader's registrations may be in these tests.
+const MAX_LAG: Duration = Duration::from_millis(1_300);
+
+/// A cluster whose leader has just confirmed the registrations, and follows them.
+fn following_cluster(seed: u64) -> SimCluster {
+    let mut cluster = SimCluster::new(seed, 2);
+    let epoch = cluster.store.epoch;
+    cluster.leaders.remove(&epoch);
+    cluster.registration_lag = Some(MAX_LAG);
+    cluster.elect();
+    cluster.run(Duration::from_millis(500));
+    confirm(&mut cluster);
+    cluster
+}
+
+fn confirm(cluster: &mut SimCluster) {
+    let now = cluster.now;
+    cluster.leader().unwrap().note_registrations_confirmed(now);
+}
+
+// A leader whose watch of the registrations was dead went on starting work by what it knew, for as
+// long as the store renewed its lease.
+#[gtest]
+fn no_work_starts_by_registrations_that_the_store_no_longer_confirms() {
+    let mut cluster = following_cluster(73);
+    cluster.submit("now", "a", vec![step(1, 1, 60_000)]);
+    cluster.run(seconds(1));
+    expect_that!(count_runs(&cluster, "a"), eq(1));
+    cluster.run(seconds(1));
+    cluster.submit("now", "b", vec![step(1, 1, 60_000)]);
+    cluster.run(seconds(1));
+    expect_that!(cluster.state("b"), some(eq(GraphState::Queued)));
+    confirm(&mut cluster);
+    cluster.run(Duration::from_millis(200));
+    expect_that!(count_runs(&cluster, "b"), eq(1));
+}
+
+// A worker whose registration has just been read takes work, also while others are still to be read:
+// a read of the whole fleet takes longer than the lag.
+#[gtest]
+fn work_starts_on_a_worker_whose_registration_has_just_been_read() {
+    let mut cluster = following_cluster(74);
+    cluster.run(seconds(2));
+    cluster.submit("now", "a", vec![step(2, 1, 60_000)]);
+    cluster.run(Duration::from_millis(200));
+    expect_that!(count_runs(&cluster, "a"), eq(0));
+    let now = cluster.now;
+    let registration = cluster.workers["w0-0"].registration.clone();
+    cluster.leader().unwrap().worker_registered(now, registration);
+    cluster.run(Duration::from_millis(200));
+    expect_that!(cluster.workers["w0-0"].runs.len(), eq(2));
+}
+
+// While the store answers nothing at all, work goes on by what is known.
+#[gtest]
+fn work_starts_while_the_store_does_not_answer() {
+    let mut cluster = following_cluster(75);
+    let second = StepSpec { after: vec![0], ..step(1, 1, 60_000) };
+    cluster.submit("now", "a", vec![step(1, 1, 2_500), second]);
+    cluster.run(Duration::from_millis(300));
+    confirm(&mut cluster);
+    cluster.store.up = false;
+    cluster.run(seconds(4));
+    expect_that!(cluster.started_runs, eq(2));
+}
+
 // A start that was not answered was sent again, up to four times, although its worker had announced
 // in the meantime that it leaves.
 #[gtest]
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -85,6 +85,8 @@
     verdict_times: BTreeMap<GraphId, Instant>,
     /// Workers that advice allows for every step; `None` lets it depend on the workers' numbers.
     pub(crate) allowed: Option<BTreeSet<WorkerId>>,
+    /// How much older than their lease the registrations may be by which leaders elected from now on start work.
+    pub(crate) registration_lag: Option<Duration>,
     /// How long callers wait.
     pub(crate) caller_timeout: Duration,
     /// Share of runs that fail, in thousandths.
@@ -245,6 +247,7 @@
             done_tasks: BTreeSet::new(),
             verdict_times: BTreeMap::new(),
             allowed: None,
+            registration_lag: None,
             caller_timeout: Duration::from_secs(3),
             failure_permille: 0,
             failing_jobs: BTreeSet::new(),
@@ -344,6 +347,9 @@
         let bounds = GraphBounds { run_costs, ..BOUNDS };
         let mut leader =
             GraphController::new(self.now, self.unix(), epoch, bounds, state).with_scope(scope);
+        if let Some(lag) = self.registration_lag {
+            leader = leader.with_registration_lag(lag);
+        }
         leader.set_config(self.config.clone());
         leader.set_entries((0..5).map(|entry| EntryId::from(format!("e{entry}"))).collect());
         leader.note_lease_renewal(self.now);
