Drop a reservation on a worker that is leaving

Evidence: a_task_does_not_wait_for_capacity_of_a_worker_that_is_leaving failed before: 0.7 s after the announcement the task did not run. Change: a reservation ends with the availability of its worker (the predicate of starts). Seen: tests/graph leaving, starvation and preemption: 20 passed.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -31,6 +31,7 @@
 use crate::graph::workers::instances::{InstanceTable, WORKER_LEASE};
 use crate::graph::workers::run_costs::RunCosts;
 use crate::graph::workers::send_window::SendWindow;
+use crate::graph::workers::worker::WorkerInstance;
 use crate::graph::workload::crash::WorkerCrash;
 use crate::graph::workload::job::{GraphJob, GraphRecord};
 use crate::graph::workload::jobs::JobTable;
@@ -497,9 +498,10 @@
         for idle in self.serving.update(now, &self.jobs, changed) {
             self.jobs.mark_unschedulable(&idle);
         }
-        let jobs = &self.jobs;
-        self.reservations.prune(now, |task| {
+        let (jobs, instances) = (&self.jobs, &self.instances);
+        self.reservations.prune(now, |task, worker| {
             jobs.wants(task)
+                && instances.get(worker).is_some_and(WorkerInstance::is_available)
                 && jobs.get(&task.job).is_some_and(|job| !job.live.contains_key(&task.key))
         });
         let view = PassView {
--- a/src/graph/placement/preemption.rs
+++ b/src/graph/placement/preemption.rs
@@ -96,9 +96,11 @@
         u32::try_from(self.reservations.iter().filter(same).count()).unwrap_or(u32::MAX)
     }
 
-    /// Removes reservations that have expired or whose task is not wanted any more.
-    pub fn prune(&mut self, now: Instant, wanted: impl Fn(&TaskName) -> bool) {
-        self.reservations.retain(|task, reservation| reservation.expires_at > now && wanted(task));
+    /// Removes reservations that have expired, or that are of no use to their task on their worker.
+    pub fn prune(&mut self, now: Instant, is_useful: impl Fn(&TaskName, &WorkerId) -> bool) {
+        self.reservations.retain(|task, reservation| {
+            reservation.expires_at > now && is_useful(task, &reservation.worker)
+        });
     }
 }
 
--- a/tests/graph/leaving.rs
+++ b/tests/graph/leaving.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use kelplink::{GraphState, StepSpec, WorkerId};
 
+use crate::model_worker::ModelWorker;
 use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
 
 /// Time after which a start without an answer is sent again or given up, and a stop is answered.
@@ -76,6 +77,27 @@
     expect_that!(cluster.started_runs, eq(2));
 }
 
+// Capacity was reserved on a worker that then announced that it leaves: the urgent task waited for it
+// until the reservation expired.
+#[gtest]
+fn a_task_does_not_wait_for_capacity_of_a_worker_that_is_leaving() {
+    let mut cluster = SimCluster::new(76, 2);
+    cluster.run(seconds(1));
+    cluster.submit("later", "a", vec![step(2, 8, 60_000)]);
+    cluster.run(seconds(1));
+    cluster.submit("now", "b", vec![step(1, 8, 60_000)]);
+    let is_stopping =
+        |worker: &&ModelWorker| worker.runs.values().any(|run| run.stop_time.is_some());
+    let mut stopping = None;
+    while stopping.is_none() {
+        cluster.run(Duration::from_millis(5));
+        stopping = cluster.workers.values().find(is_stopping).map(|worker| worker.id().clone());
+    }
+    cluster.announce_leaving(&stopping.unwrap(), seconds(5));
+    cluster.run(Duration::from_millis(700));
+    expect_that!(count_runs(&cluster, "b"), eq(1));
+}
+
 // A start that was not answered was sent again, up to four times, although its worker had announced
 // in the meantime that it leaves.
 #[gtest]
