Do not send a start that waited for its record to a worker that is leaving

Evidence: scenario leaving_worker_store_down, run before the change: four tasks on a-w0, which is listed as leaving ('a-w0 4'); now 'a-w1 4'. Change: such a start is withdrawn with its record, as those of a lost term are, and the task is placed anew.

--- a/src/domain/controller.rs
+++ b/src/domain/controller.rs
@@ -399,7 +399,7 @@
                     self.drop_moved_jobs();
                     self.activate(now);
                 }
-                JournalOutput::Committed(ticket) => self.run_committed_waiters(ticket),
+                JournalOutput::Committed(ticket) => self.run_committed_waiters(now, ticket),
                 JournalOutput::Fenced => {
                     warn!("another leader has written to the ledger: stepping down");
                     let actions = self.leadership.step_down(now);
@@ -416,26 +416,32 @@
         }
     }
 
-    fn run_committed_waiters(&mut self, ticket: u64) {
+    fn run_committed_waiters(&mut self, now: Instant, ticket: u64) {
         let Some(leader) = &mut self.leader else {
             return;
         };
         let later = leader.waiters.split_off(&(ticket + 1));
         let ready = std::mem::replace(&mut leader.waiters, later);
         for waiter in ready.into_values().flatten() {
-            self.run_waiter(waiter);
+            self.run_waiter(now, waiter);
         }
     }
 
-    fn run_waiter(&mut self, waiter: CommitWaiter) {
+    fn run_waiter(&mut self, now: Instant, waiter: CommitWaiter) {
         match waiter {
             CommitWaiter::Start { worker, task, attempt, command } => {
                 let wanted = self.leader.as_ref().is_some_and(|leader| {
                     let live = leader.scheduler.live().get(&task);
                     live.is_some_and(|live| live.attempt() == attempt && live.label() == "starting")
                 });
-                if wanted {
-                    self.fleet.command(&worker, command);
+                match wanted {
+                    // The store may have taken the record long after the worker was chosen.
+                    true if self.leaving_workers.contains(&worker) => {
+                        self.withdraw_unsent_start(now, &worker, &task);
+                        self.run_placement(now);
+                    }
+                    true => self.fleet.command(&worker, command),
+                    false => {}
                 }
             }
             CommitWaiter::Forget { worker, task, attempt } => {
--- a/src/domain/jobs.rs
+++ b/src/domain/jobs.rs
@@ -324,15 +324,22 @@
             }
         }
         for (worker, task) in starts {
-            let outcome = TaskOutcome::Refused("withdrawn before it was sent".to_owned());
-            let usage = TaskUsage::default();
-            leader.scheduler.task_ended(now, &worker, &task, &outcome, &usage);
-            self.journal.change_job(&job_name(&task.0), |record| {
-                record.started.remove(&task.1);
-            });
+            self.withdraw_unsent_start(now, &worker, &task);
         }
     }
 
+    /// Withdraws a start that was recorded and not sent, and removes its record.
+    pub(crate) fn withdraw_unsent_start(&mut self, now: Instant, worker: &WorkerId, task: &TaskId) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let outcome = TaskOutcome::Refused("withdrawn before it was sent".to_owned());
+        leader.scheduler.task_ended(now, worker, task, &outcome, &TaskUsage::default());
+        self.journal.change_job(&job_name(&task.0), |record| {
+            record.started.remove(&task.1);
+        });
+    }
+
     /// Withdraws a start that waits until its record is durable; tells whether there was one.
     fn withdraw_waiting_start(&mut self, wanted: &TaskId) -> bool {
         let Some(leader) = &mut self.leader else {
