Read registrations over narrow links

An answer of the watch that is too large for its timeout is the other half: it is read page by page after two tries. Evidence: registrations_are_read_over_a_link_that_takes_longer_than_the_timeout_of_a_page failed before (0.4 Mbit/s, a page takes 3.6 s: nothing read in 30 s), and passes. Change: PageTimeout, the rule of the ledger's reads, serves both.

--- a/src/node.rs
+++ b/src/node.rs
@@ -25,6 +25,7 @@
 mod message;
 mod notices;
 mod own_leader;
+mod page_timeout;
 mod peer_service;
 mod peers;
 mod probe;
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -31,8 +31,8 @@
 };
 use crate::node::ledger::group_sender::GroupSender;
 use crate::node::ledger::shard_keys::{ShardKeys, index_key};
+use crate::node::page_timeout::PageTimeout;
 use crate::node::shared::NodeShared;
-use crate::platform::PAGE_TIMEOUT;
 use crate::store::{StoreOutcome, StoreRequest, StoredValue};
 
 type Result<T> = std::result::Result<T, StoreError>;
@@ -45,9 +45,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before a part of the ledger is asked for again.
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest timeout for a page of jobs, reached with the third try: a megabyte takes four seconds over a
-/// link of 2 Mbit/s, and with a shorter timeout a leader on such a link never finished loading.
-const MAX_PAGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Number of tries to read the job that has a name. The group waits meanwhile, and a caller without an answer asks again.
 const HOLDER_READ_TRIES: usize = 3;
 /// A group that takes longer is logged as a warning, as callers wait for it.
@@ -167,18 +164,15 @@
     /// Mbit/s had not read 1,615 jobs after 17 s.
     async fn read_all<T: DeserializeOwned>(&self, prefix: &str) -> RangeRead<T> {
         let mut range = RangeRead { values: BTreeMap::new(), pages: 0, repeats: 0 };
-        let mut page_timeout = PAGE_TIMEOUT;
+        let mut page_timeout = PageTimeout::new();
         let mut after = String::new();
         loop {
-            let read = self.store.page_within(prefix, &after, page_timeout).await;
+            let read = self.store.page_within(prefix, &after, page_timeout.current()).await;
             self.dependency_log.tried(LEDGER_LOG_NAME, &read);
             let page = match read {
                 Ok(page) => page,
                 Err(failure) => {
-                    let doubled = (page_timeout * 2).min(MAX_PAGE_TIMEOUT);
-                    // A refusal does not tell that the link is slow.
-                    let is_unanswered = matches!(failure, StoreError::Unknown(_));
-                    page_timeout = if is_unanswered { doubled } else { page_timeout };
+                    page_timeout.note_failure(&failure);
                     range.repeats += 1;
                     metrics::counter!("kelplink_ledger_page_repeats_total").increment(1);
                     sleep(READ_RETRY_PAUSE).await;
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -19,6 +19,7 @@
 use crate::node::keys::{
     KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
 };
+use crate::node::page_timeout::PageTimeout;
 use crate::node::shared::NodeShared;
 use crate::platform::{REGISTRATION_PREFIX, RegistrationError, decode_registration, worker_of_key};
 use crate::ring::RingSender;
@@ -30,6 +31,8 @@
 /// Number of watch calls within the notice of a leaving worker where nothing changes: a dead connection is noticed after
 /// the wait and the slack of one.
 const WATCHES_PER_NOTICE: u32 = 4;
+/// Watches in a row without an answer after which the registrations are read anew.
+const MAX_UNANSWERED_WATCHES: u32 = 2;
 /// Longest wait of a watch call.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a batch of changes, for each shard: all leaders together make 40 calls a second at most, however many
@@ -48,14 +51,21 @@
     /// made while later pages are read.
     first: Option<(u64, Instant)>,
     last_key: String,
+    page_timeout: PageTimeout,
     pages: u32,
     registered: BTreeSet<WorkerId>,
 }
 
 impl RegistryRead {
     fn new() -> Self {
-        let (last_key, registered) = (String::new(), BTreeSet::new());
-        Self { started: Instant::now(), first: None, last_key, pages: 0, registered }
+        Self {
+            started: Instant::now(),
+            first: None,
+            last_key: String::new(),
+            page_timeout: PageTimeout::new(),
+            pages: 0,
+            registered: BTreeSet::new(),
+        }
     }
 }
 
@@ -63,14 +73,42 @@
 #[derive(Debug)]
 enum RegistryPhase {
     Reading(RegistryRead),
-    /// Watch for changes after a revision.
-    Following(u64),
+    /// Watch for changes.
+    Following(RegistryWatch),
+}
+
+/// A watch of changes after a revision.
+#[derive(Debug)]
+struct RegistryWatch {
+    revision: u64,
+    /// Number of calls in a row without an answer.
+    unanswered: u32,
 }
 
 impl RegistryPhase {
     fn reading() -> Self {
         Self::Reading(RegistryRead::new())
     }
+
+    fn following(revision: u64) -> Self {
+        Self::Following(RegistryWatch { revision, unanswered: 0 })
+    }
+
+    /// The phase after a call that has failed. An answer to a watch may be too large for the link, where many workers
+    /// have changed: a read brings them page by page.
+    fn after_failure(self, failure: &StoreError) -> Self {
+        match (self, failure) {
+            (Self::Reading(mut read), _) => {
+                read.page_timeout.note_failure(failure);
+                Self::Reading(read)
+            }
+            (Self::Following(watch), StoreError::Unknown(_)) => match watch.unanswered + 1 {
+                MAX_UNANSWERED_WATCHES => Self::reading(),
+                unanswered => Self::Following(RegistryWatch { unanswered, ..watch }),
+            },
+            (following, StoreError::NotDone(_)) => following,
+        }
+    }
 }
 
 /// Follows registrations in the store.
@@ -101,7 +139,7 @@
         loop {
             let result = match &mut phase {
                 RegistryPhase::Reading(read) => self.read_page(read).await,
-                RegistryPhase::Following(revision) => self.follow(revision).await,
+                RegistryPhase::Following(watch) => self.follow(watch).await,
             };
             match result {
                 Ok(next) => {
@@ -110,6 +148,7 @@
                     phase = next.unwrap_or(phase);
                 }
                 Err(error) => {
+                    phase = phase.after_failure(&error);
                     store.failed(LOG_NAME, error);
                     retry.pause().await;
                 }
@@ -119,7 +158,9 @@
 
     /// Reads the next page; returns the next phase after the last one.
     async fn read_page(&mut self, read: &mut RegistryRead) -> Result<Option<RegistryPhase>> {
-        let page = self.shared.store.page(REGISTRATION_PREFIX, &read.last_key).await?;
+        let timeout = read.page_timeout.current();
+        let page =
+            self.shared.store.page_within(REGISTRATION_PREFIX, &read.last_key, timeout).await?;
         let (revision, answered) = *read.first.get_or_insert((page.revision, Instant::now()));
         read.pages += 1;
         for item in &page.items {
@@ -133,7 +174,7 @@
             _ => {
                 self.finish_read(read).await;
                 self.confirm(answered).await;
-                Ok(Some(RegistryPhase::Following(revision)))
+                Ok(Some(RegistryPhase::following(revision)))
             }
         }
     }
@@ -151,11 +192,11 @@
         self.leader.send(LeaderInput::RegistrationsRead).await;
     }
 
-    /// Passes on the changes after a revision, which it advances; returns the next phase if they are no longer known.
-    async fn follow(&mut self, revision: &mut u64) -> Result<Option<RegistryPhase>> {
+    /// Passes on the changes that a watch reports; returns the next phase if they are no longer known.
+    async fn follow(&mut self, watch: &mut RegistryWatch) -> Result<Option<RegistryPhase>> {
         let wait = (self.shared.settings.leave_notice / WATCHES_PER_NOTICE).min(MAX_WATCH_WAIT);
-        let outcome = self.shared.store.watch(REGISTRATION_PREFIX, *revision, wait).await?;
-        let WatchOutcome::Events { events, revision: latest } = outcome else {
+        let outcome = self.shared.store.watch(REGISTRATION_PREFIX, watch.revision, wait).await?;
+        let WatchOutcome::Events { events, revision } = outcome else {
             return Ok(Some(RegistryPhase::reading()));
         };
         let answered = Instant::now();
@@ -163,7 +204,7 @@
         for event in latest_events(events) {
             self.handle_event(event).await;
         }
-        *revision = latest.max(*revision);
+        *watch = RegistryWatch { revision: revision.max(watch.revision), unanswered: 0 };
         self.confirm(answered).await;
         if !is_empty {
             sleep(self.batch_pause()).await;
--- a/src/node/registry/tests.rs
+++ b/src/node/registry/tests.rs
@@ -145,3 +145,17 @@
     expect_that!(count.of(StoreCallKind::Read) - count.failed, eq(3));
     expect_that!(leaving_states(&inputs, &LAST_WORKER.into()), elements_are![eq(&false)]);
 }
+
+// A page that passes the link of a weak entry in more than the timeout of a call was asked for again and again: the entry
+// led without ever knowing its workers.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn registrations_are_read_over_a_link_that_takes_longer_than_the_timeout_of_a_page() {
+    let store = fleet_store();
+    store.set_link(CLIENT, 0.4);
+    let (registry, inputs) = follow(&store);
+    sleep(Duration::from_secs(30)).await;
+    registry.abort();
+    let mut inputs = std::iter::from_fn(|| inputs.try_recv());
+    expect_true!(inputs.any(|input| matches!(input, LeaderInput::RegistrationsRead)));
+}
