--- a/src/node/registry/tests.rs
+++ b/src/node/registry/tests.rs
@@ -15,7 +15,7 @@
 use crate::node::shared::NodeShared;
 use crate::node::simulated_store::{SimulatedStore, StoreAccess};
 use crate::node::tests::settings;
-use crate::platform::REGISTRATION_PREFIX;
+use crate::platform::{REGISTRATION_PREFIX, registration_fixture};
 use crate::ring::{RingReceiver, ring};
 
 /// Time between two changes of registrations.
@@ -66,23 +66,15 @@
 /// Number of the store's client in these tests.
 const CLIENT: usize = 1;
 
-/// Value of a registration; `state` is the platform's word.
-fn registration(state: &str) -> String {
-    let port = 8_000;
-    format!(
-        r#"{{"service":"svc","address":"10.0.0.1:{port}","zone":"d","version":"1","slots":8,"state":"{state}","cold_ms":0,"sequence":1,"capacity":{{"millicpu":32000,"mem_mb":64000,"gpus":0}},"labels":["a","r1-1"]}}"#
-    )
-}
-
-fn put_registration(store: &SimulatedStore, worker: &str, state: &str) {
-    store.put(&format!("{REGISTRATION_PREFIX}{worker}"), registration(state));
+fn put_registration(store: &SimulatedStore, worker: &str, is_leaving: bool) {
+    store.put(&format!("{REGISTRATION_PREFIX}{worker}"), registration_fixture(is_leaving));
 }
 
 /// A store with the registrations of all workers.
 fn fleet_store() -> Arc<SimulatedStore> {
     let store = SimulatedStore::start();
     for number in 0..WORKERS {
-        put_registration(&store, &format!("w{number:04}"), "ready");
+        put_registration(&store, &format!("w{number:04}"), false);
     }
     store
 }
@@ -119,8 +111,8 @@
     store.set_link(CLIENT, 5.0);
     let (registry, inputs) = follow(&store);
     sleep(Duration::from_millis(100)).await;
-    put_registration(&store, LAST_WORKER, "ready");
-    put_registration(&store, LAST_WORKER, "draining");
+    put_registration(&store, LAST_WORKER, false);
+    put_registration(&store, LAST_WORKER, true);
     sleep(Duration::from_secs(4)).await;
     registry.abort();
     let states = leaving_states(&inputs, &LAST_WORKER.into());
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -34,3 +34,5 @@
 
 #[cfg(test)]
 pub(crate) use empty_store::EmptyStore;
+#[cfg(test)]
+pub(crate) use tests::registration_fixture;
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -20,6 +20,11 @@
     })
 }
 
+/// Value of a complete registration, for tests of other modules.
+pub(crate) fn registration_fixture(is_leaving: bool) -> Bytes {
+    with_field("state", json!(if is_leaving { "draining" } else { "ready" }))
+}
+
 /// A complete registration with one field replaced or added.
 fn with_field(field: &str, value: Value) -> Bytes {
     let mut registration = complete_registration();
