Give the phases of the registry's loop a file of their own

No change of behaviour: RegistryRead, RegistryWatch and RegistryPhase, one file for what is asked next, registry.rs for what is done with the answers.

--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -3,6 +3,7 @@
 //! Each leader follows the registrations of all workers, so they are followed in batches: otherwise the calls of each
 //! leader to the store would grow with the number of workers.
 
+mod phase;
 #[cfg(test)]
 mod tests;
 
@@ -19,7 +20,7 @@
 use crate::node::keys::{
     KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
 };
-use crate::node::page_timeout::PageTimeout;
+use crate::node::registry::phase::{RegistryPhase, RegistryRead, RegistryWatch};
 use crate::node::shared::NodeShared;
 use crate::platform::{REGISTRATION_PREFIX, RegistrationError, decode_registration, worker_of_key};
 use crate::ring::RingSender;
@@ -31,8 +32,6 @@
 /// Number of watch calls within the notice of a leaving worker where nothing changes: a dead connection is noticed after
 /// the wait and the slack of one.
 const WATCHES_PER_NOTICE: u32 = 4;
-/// Watches in a row without an answer after which the registrations are read anew.
-const MAX_UNANSWERED_WATCHES: u32 = 2;
 /// Longest wait of a watch call.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a batch of changes, for each shard: all leaders together make 40 calls a second at most, however many
@@ -43,74 +42,6 @@
 /// Delay before the first retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// A read of all registrations. It continues with the next page after a call that was not answered.
-#[derive(Debug)]
-struct RegistryRead {
-    started: Instant,
-    /// Revision of the first page and when it was answered. The watch starts at this revision, so it repeats changes
-    /// made while later pages are read.
-    first: Option<(u64, Instant)>,
-    last_key: String,
-    page_timeout: PageTimeout,
-    pages: u32,
-    registered: BTreeSet<WorkerId>,
-}
-
-impl RegistryRead {
-    fn new() -> Self {
-        Self {
-            started: Instant::now(),
-            first: None,
-            last_key: String::new(),
-            page_timeout: PageTimeout::new(),
-            pages: 0,
-            registered: BTreeSet::new(),
-        }
-    }
-}
-
-/// What the next call to the store is for.
-#[derive(Debug)]
-enum RegistryPhase {
-    Reading(RegistryRead),
-    /// Watch for changes.
-    Following(RegistryWatch),
-}
-
-/// A watch of changes after a revision.
-#[derive(Debug)]
-struct RegistryWatch {
-    revision: u64,
-    /// Number of calls in a row without an answer.
-    unanswered: u32,
-}
-
-impl RegistryPhase {
-    fn reading() -> Self {
-        Self::Reading(RegistryRead::new())
-    }
-
-    fn following(revision: u64) -> Self {
-        Self::Following(RegistryWatch { revision, unanswered: 0 })
-    }
-
-    /// The phase after a call that has failed. An answer to a watch may be too large for the link, where many workers
-    /// have changed: a read brings them page by page.
-    fn after_failure(self, failure: &StoreError) -> Self {
-        match (self, failure) {
-            (Self::Reading(mut read), _) => {
-                read.page_timeout.note_failure(failure);
-                Self::Reading(read)
-            }
-            (Self::Following(watch), StoreError::Unknown(_)) => match watch.unanswered + 1 {
-                MAX_UNANSWERED_WATCHES => Self::reading(),
-                unanswered => Self::Following(RegistryWatch { unanswered, ..watch }),
-            },
-            (following, StoreError::NotDone(_)) => following,
-        }
-    }
-}
-
 /// Follows registrations in the store.
 pub(crate) struct RegistryLoop {
     shared: Arc<NodeShared>,
