Do not take a kept registration for one that was just read

It counts as read when the registrations were last confirmed. Not shown by a test of its own; the tests of workers of unused services pass. Seen: tests/graph registrations and leaving: 27 passed.

--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -96,11 +96,13 @@
             return;
         }
         self.next_review = now + REVIEW_INTERVAL;
+        let read = self.instances.registration_clock.confirmed().unwrap_or(now);
         for (id, registration) in std::mem::take(&mut self.unreferenced) {
             match self.refers_to_service(&registration.service) {
                 true => {
                     info!(worker = &*id, service = &*registration.service; "service of a worker is configured now");
                     self.worker_registered(now, registration);
+                    self.instances.set_registration_read(&id, read);
                 }
                 false => {
                     self.unreferenced.insert(id, registration);
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Sets when the registration of a worker was read, where that was earlier than its use.
+    pub(crate) fn set_registration_read(&mut self, id: &WorkerId, read: Instant) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.registration_read = read;
+        }
+    }
+
     /// Adds a worker that the store names, before or without its registration.
     pub(crate) fn restore_used(
         &mut self,
--- a/src/graph/workers/registration_clock.rs
+++ b/src/graph/workers/registration_clock.rs
@@ -35,6 +35,11 @@
         self.lease_renewed = self.lease_renewed.max(Some(sent));
     }
 
+    /// Time until which all changes of registrations are known; `None` before the first reading.
+    pub(crate) fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
+    }
+
     /// Time since which changes of registrations may not be known; `None` before the first reading.
     pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed.map(|confirmed| now.saturating_duration_since(confirmed))
