--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -60,10 +60,10 @@
     /// Logs the first registration that says that a worker is leaving. The registrations were confirmed without it
     /// `confirmed_ms` ago, so the worker announced it within that time.
     fn log_leaving(&self, now: Instant, registration: &WorkerRegistration) {
-        let instance = self.instances.get(&registration.id);
         let Some(time_left) = registration.leaving else {
             return;
         };
+        let instance = self.instances.get(&registration.id);
         if instance.is_some_and(|instance| instance.leaves_at.is_some()) {
             return;
         }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -36,6 +36,10 @@
 /// Capacity of the ring of changes of registrations: a page of them.
 const REGISTRATION_RING_SIZE: usize = 512;
 
+/// Part of the notice of leaving workers by which the registrations may be older than the leader's lease: the rest is left
+/// for the start to arrive.
+const MAX_LAG_OF_NOTICE: f64 = 2.0 / 3.0;
+
 /// Leads a shard until it resigns, is replaced by another leader or its inputs end.
 pub(crate) struct LeaderLoop {
     shared: Arc<NodeShared>,
@@ -106,7 +110,7 @@
         let scope = ShardScope::new(plan, self.shard.clone());
         let mut controller = GraphController::new(now, unix_millis(), self.epoch, bounds, state)
             .with_scope(scope.clone())
-            .with_registration_lag(self.shared.settings.leave_notice / 3 * 2)
+            .with_registration_lag(self.shared.settings.leave_notice.mul_f64(MAX_LAG_OF_NOTICE))
             .awaiting_registrations();
         let executor = ActionExecutor::new(
             self.shared.clone(),
@@ -173,15 +177,7 @@
             let due = controller.next_due(Instant::now());
             tokio::select! {
                 biased;
-                Some(input) = self.registrations.recv() => {
-                    if let Some(gap) = clock.suspended() {
-                        controller.note_suspended(Instant::now(), gap);
-                    }
-                    if self.handle_inputs(controller, &mut executor, input) {
-                        return;
-                    }
-                }
-                input = self.input.recv() => {
+                input = self.next_input() => {
                     if let Some(gap) = clock.suspended() {
                         controller.note_suspended(Instant::now(), gap);
                     }
@@ -226,6 +222,15 @@
         }
     }
 
+    /// Waits for the next input, a change of a registration if there is one; returns `None` once leadership has ended.
+    async fn next_input(&self) -> Option<LeaderInput> {
+        tokio::select! {
+            biased;
+            Some(registration) = self.registrations.recv() => Some(registration),
+            input = self.input.recv() => input,
+        }
+    }
+
     /// Handles an input and those that have arrived since, changes of registrations in turn with the others; returns
     /// whether leadership ends.
     fn handle_inputs(
