--- a/src/graph/workers/registration_clock.rs
+++ b/src/graph/workers/registration_clock.rs
@@ -1,9 +1,9 @@
 //! How current the registrations are that a leader knows.
 //!
-//! It answers a store that renews the leader's lease while the changes of registrations do not come through: over a dead
-//! connection, or during a long read. A leader that went on starting work by what it knew would reach workers that have
-//! announced long ago that they leave. While the store answers nothing at all, work goes on: the leader cannot know
-//! better, and its lease ends soon.
+//! The load pattern behind it: the store renews the leader's lease while changes of registrations do not arrive, because
+//! a connection is dead or a read takes long. Without a bound on their age, the leader would start work on workers that
+//! have announced long before that they leave. While the store answers nothing at all, work continues: the leader
+//! cannot know better, and its lease ends soon.
 
 use std::time::Duration;
 
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -49,8 +49,8 @@
     ledger: JobLedger,
     sender: RingSender<LeaderInput>,
     input: RingReceiver<LeaderInput>,
-    /// Changes of registrations. They do not queue behind the answers of workers: with thousands of those waiting, the
-    /// leader started work on workers that had announced seconds before that they leave.
+    /// Changes of registrations. They do not queue behind the answers of workers: behind thousands of those, the leader
+    /// would learn seconds late that a worker leaves.
     registrations: RingReceiver<LeaderInput>,
     /// Where the loop that follows the registrations sends them.
     registration_sender: RingSender<LeaderInput>,
--- a/src/node/leader/tests.rs
+++ b/src/node/leader/tests.rs
@@ -194,7 +194,7 @@
 }
 
 // Changes of registrations waited behind all answers of workers, up to 8,192 inputs: a leader that takes 1,600 a second
-// learned five seconds late that a worker leaves.
+// would learn five seconds late that a worker leaves.
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_change_of_a_registration_does_not_wait_behind_the_answers_of_workers() {
--- a/tests/graph/leaving.rs
+++ b/tests/graph/leaving.rs
@@ -64,7 +64,7 @@
     expect_that!(cluster.workers["w0-0"].runs.len(), eq(2));
 }
 
-// While the store answers nothing at all, work goes on by what is known.
+// While the store answers nothing at all, work continues by what is known.
 #[gtest]
 fn work_starts_while_the_store_does_not_answer() {
     let mut cluster = following_cluster(75);
