Review: tasks run again when over 500 ends wait at a worker

Seen: during a store outage of 4.5 s, a job of 1,800 short tasks on three workers starts 4,963 to 5,847 runs. After a planned restart of the leader 300 to 640 tasks have been started after a run of theirs had ended `done`, with that end acknowledged. Without the outage: 1,800 starts, none twice.

Cause: a worker lists 500 ends at a time. apply_running_list (src/graph/workers/instances.rs) takes a run that is not listed as running for lost, although its end may only wait behind the first 500. run_lost raises no floor, and withheld_end is in memory only, so the next leader acknowledges these ends.

--- /dev/null
+++ b/review/standin.rs
@@ -0,0 +1,24 @@
+//! Stand-ins of the platform's store, the workers and the callers, and the scripts of the review's cases.
+//!
+//! Uses the standard library only. Built by `build.sh`, started by the `run.sh` of a case.
+
+mod support;
+mod world;
+
+use std::process::exit;
+
+fn main() {
+    let name = std::env::args().nth(1).unwrap_or_default();
+    let folder = std::env::args().nth(2).unwrap_or_else(|| ".".into());
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let code = match name.as_str() {
+        "unread-ends" => world::unread_ends::run(&folder, trouble),
+        "large-value" => world::large_value::run(&folder, trouble),
+        "two-crashes" => world::two_crashes::run(&folder, trouble),
+        _ => {
+            eprintln!("unknown case {name}");
+            2
+        }
+    };
+    exit(code);
+}
