--- a/review/standin.rs
+++ b/review/standin.rs
@@ -14,7 +14,8 @@
     let code = match name.as_str() {
         "unread-ends" => world::unread_ends::run(&folder, trouble),
         "large-value" => world::large_value::run(&folder, trouble),
-        "two-crashes" => world::two_crashes::run(&folder, trouble),
+        "two-crashes" => world::two_crashes::run(&folder, trouble, false),
+        "one-machine-crashes" => world::two_crashes::run(&folder, trouble, true),
         _ => {
             eprintln!("unknown case {name}");
             2
--- a/review/world/cluster.rs
+++ b/review/world/cluster.rs
@@ -200,7 +200,8 @@
 
     fn write_registration(&self, number: usize, remaining: Option<Duration>) {
         let worker = &self.workers[number];
-        let labels = vec!["a".into(), format!("r1-{}", number / 8).into()];
+        let kind = if number == 0 { "b" } else { "a" };
+        let labels = vec![kind.into(), format!("r1-{}", number / 8).into()];
         let capacity = [
             ("millicpu", self.millicpu.into()),
             ("mem_mb", 65_536u64.into()),
@@ -311,7 +312,8 @@
     /// Sends SIGTERM to an entry, and SIGKILL after `grace_s`. Returns whether it ended by itself.
     pub fn stop_entry(&mut self, number: usize) -> bool {
         let Some(mut child) = self.entries[number].child.take() else { return false };
-        let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        let signal = format!("kill -TERM {}", child.id());
+        let _ = Command::new("sh").args(["-c", &signal]).status();
         let end = Instant::now() + Duration::from_secs(6);
         while Instant::now() < end {
             if let Ok(Some(_)) = child.try_wait() {
--- a/review/world/two_crashes.rs
+++ b/review/world/two_crashes.rs
@@ -1,9 +1,10 @@
-//! Two workers crash, one after the other, each soon after it has begun the same task.
+//! Two workers crash, one after the other, each soon after it has begun the same task; or the only worker of a kind
+//! crashes twice.
 
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use crate::support::map;
+use crate::support::{Json, map};
 use crate::world::cluster::{Cluster, Record, Shape, step};
 use crate::world::worker::Health;
 
@@ -11,13 +12,18 @@
 const DOWNTIME: Duration = Duration::from_millis(3_300);
 const CRASHES: usize = 2;
 
-pub fn run(folder: &str, trouble: bool) -> i32 {
+/// With `one_machine`, the task can only run on one worker.
+pub fn run(folder: &str, trouble: bool, one_machine: bool) -> i32 {
     let record = Record::new(folder);
     let shape = Shape { entries: 3, workers: 8, millicpu: 32_000, max_attempts: 4 };
     let Some(cluster) = Cluster::start(record.clone(), &shape) else { return 2 };
     let job = "00000000000000c1";
     let task = format!("{job}.0.0.0");
-    let body = map([("spec", "6000".into()), ("steps", vec![step(1, 5_000, 6_000, &[])].into())]);
+    let mut only_step = step(1, 5_000, 6_000, &[]);
+    if let (Json::Map(fields), true) = (&mut only_step, one_machine) {
+        fields.insert("required_label".into(), "b".into());
+    }
+    let body = map([("spec", "6000".into()), ("steps", vec![only_step].into())]);
     if !cluster.submit(job, &body) {
         return 2;
     }
