--- a/review/world/cluster.rs
+++ b/review/cluster.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{Json, call, map};
-use crate::world::store::Store;
-use crate::world::worker::Worker;
+use crate::store::Store;
+use crate::worker::Worker;
 
 pub const HOST: &str = "jobs.example";
 /// Ports of an entry for callers, for the load balancer, for other entries and for metrics.
--- a/review/world/large_value.rs
+++ b/review/large_value.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::support::{Json, map};
-use crate::world::cluster::{Cluster, Record, Shape, step};
-use crate::world::worker::Health;
+use crate::cluster::{Cluster, Record, Shape, step};
+use crate::worker::Health;
 
 /// Every hour for thirty days.
 const HOURS: u64 = 720;
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -2,8 +2,13 @@
 //!
 //! Uses the standard library only. Built by `build.sh`, started by the `run.sh` of a case.
 
+mod cluster;
+mod large_value;
+mod store;
 mod support;
-mod world;
+mod two_crashes;
+mod unread_ends;
+mod worker;
 
 use std::process::exit;
 
@@ -12,10 +17,10 @@
     let folder = std::env::args().nth(2).unwrap_or_else(|| ".".into());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match name.as_str() {
-        "unread-ends" => world::unread_ends::run(&folder, trouble),
-        "large-value" => world::large_value::run(&folder, trouble),
-        "two-crashes" => world::two_crashes::run(&folder, trouble, false),
-        "one-machine-crashes" => world::two_crashes::run(&folder, trouble, true),
+        "unread-ends" => unread_ends::run(&folder, trouble),
+        "large-value" => large_value::run(&folder, trouble),
+        "two-crashes" => two_crashes::run(&folder, trouble, false),
+        "one-machine-crashes" => two_crashes::run(&folder, trouble, true),
         _ => {
             eprintln!("unknown case {name}");
             2
--- a/review/world/store.rs
+++ b/review/store.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{Answer, Json, Request, base64, map, serve, unbase64};
-use crate::world::cluster::Record;
+use crate::cluster::Record;
 
 /// Largest value, as in the settings (`value_bytes`).
 pub const VALUE_BYTES: usize = 1_048_576;
--- a/review/world/two_crashes.rs
+++ b/review/two_crashes.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{Json, map};
-use crate::world::cluster::{Cluster, Record, Shape, step};
-use crate::world::worker::Health;
+use crate::cluster::{Cluster, Record, Shape, step};
+use crate::worker::Health;
 
 /// How long a crashed worker is down.
 const DOWNTIME: Duration = Duration::from_millis(3_300);
--- a/review/world/unread_ends.rs
+++ b/review/unread_ends.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::support::map;
-use crate::world::cluster::{Cluster, End, Record, Shape, Start, step};
+use crate::cluster::{Cluster, End, Record, Shape, Start, step};
 
 /// Time for which the store answers 503.
 const OUTAGE: Duration = Duration::from_millis(4_500);
--- a/review/world/worker.rs
+++ b/review/worker.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{Answer, Json, Request, map, serve};
-use crate::world::cluster::Record;
+use crate::cluster::Record;
 
 /// Longest lease, as in the settings (`hold_max_ms`).
 const HOLD_MAX_MS: u64 = 6_000;
