--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -321,6 +321,7 @@
             warn!(worker, after, first; "run ends are missing from the list of a worker");
             metrics::counter!("kelplink_missing_ends_total").increment(first - after - 1);
         }
+        let listed_ends = reply.ended.len();
         for end in reply.ended {
             if end.number > instance.last_end {
                 instance.note_end(end.number, end.task.job.clone());
@@ -354,6 +355,12 @@
             instance.newest_list_clock = reply.clock;
             let running =
                 apply_running_list(instance, &mut self.speeds, now, reply.running, reply.clock);
+            let lost =
+                running.iter().filter(|event| matches!(event, WorkerEvent::Lost(..))).count();
+            if lost > 0 {
+                let (worker, kept) = (&**id, instance.runs.len());
+                warn!(worker, lost, kept, listed_ends; "runs are neither running nor ended on the lists of a worker");
+            }
             events.extend(running);
         }
         if instance.withheld_end.is_some_and(|number| number < instance.last_lease_expiry) {
