Let the lease of a worker expire whose full list of ends is held back

What callers would see: a job that never ends, or a worker that gets no work any more. An end that must not be acknowledged (its task was started again) holds back all later ones until a lease expiry shows on the worker's list. Once 500 ends stand behind it, the list shows nothing new, an expiry neither.

Change: the leader does not extend the lease of such a worker. Nothing is started there until all ends are listed, so ends that are read on the way are from before the expiry too.

--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -272,7 +272,9 @@
             // if a number of this instance were acknowledged.
             let same_instance =
                 instance.last_poll_answer.is_some_and(|at| now - at <= SAME_INSTANCE_TIME);
-            let until = match extend && is_used && instance.misses == 0 {
+            // Its lease has to expire before the ends on a blocked list may be acknowledged.
+            let may_extend = instance.misses == 0 && !instance.is_list_blocked();
+            let until = match extend && is_used && may_extend {
                 true => instance.extend_lease(now, WORKER_LEASE),
                 false => None,
             };
@@ -357,7 +359,8 @@
                 warn!(worker = &**id, listed_ends; "a worker may have more ends than it lists");
                 metrics::counter!("kelplink_partial_end_lists_total").increment(1);
             }
-            instance.has_unlisted_ends = has_more_ends;
+            let listed_all_before = instance.has_listed_all;
+            instance.note_listed_ends(has_more_ends);
             let running =
                 apply_running_list(instance, &mut self.speeds, now, reply.running, reply.clock);
             let lost =
@@ -367,7 +370,7 @@
                 warn!(worker, lost, kept, listed_ends; "runs are neither running nor ended on the lists of a worker");
             }
             events.extend(running);
-            if !has_more_ends && !std::mem::replace(&mut instance.has_listed_all, true) {
+            if instance.has_listed_all && !listed_all_before {
                 events.push(WorkerEvent::ListedAll(id.clone()));
             }
         }
@@ -520,6 +523,7 @@
     pub(crate) fn expired_runs(&mut self, now: Instant) -> Vec<WorkerEvent> {
         let (mut events, max_lease) = (Vec::new(), self.max_lease);
         for instance in self.instances.values_mut() {
+            instance.unblock_list(now);
             if instance.runs.is_empty() || !instance.is_lease_expired(now) {
                 continue;
             }
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -81,6 +81,8 @@
     pub(crate) has_listed_all: bool,
     /// Number of the last run end that was caused by an expired lease.
     pub last_lease_expiry: u64,
+    /// Whether all ends that it has not listed yet came before its lease expired, as nothing was started there since.
+    unlisted_ends_expired: bool,
     /// Number of the first run end that must not be acknowledged, because its task was started again before
     /// the end was received.
     pub withheld_end: Option<u64>,
@@ -138,6 +140,7 @@
             has_unlisted_ends: false,
             has_listed_all: false,
             last_lease_expiry: 0,
+            unlisted_ends_expired: false,
             withheld_end: None,
             poll_sent: None,
             next_poll: now,
@@ -375,6 +378,32 @@
         }
     }
 
+    /// Whether its list of ends shows nothing new any more: it is full, and an end on it must not be acknowledged.
+    pub(crate) fn is_list_blocked(&self) -> bool {
+        self.has_unlisted_ends && self.withheld_end.is_some()
+    }
+
+    /// Allows a blocked list to be acknowledged once the worker's lease has expired: ends from before that count no
+    /// more, whoever acknowledges them.
+    pub(crate) fn unblock_list(&mut self, now: Instant) {
+        if self.is_list_blocked() && self.is_lease_expired(now) {
+            self.withheld_end = None;
+            self.last_lease_expiry = self.last_end;
+            self.unlisted_ends_expired = true;
+            self.next_poll = self.next_poll.min(now);
+        }
+    }
+
+    /// Notes the length of its list, whose ends have been processed.
+    pub(crate) fn note_listed_ends(&mut self, has_more_ends: bool) {
+        if self.unlisted_ends_expired {
+            self.last_lease_expiry = self.last_end;
+        }
+        self.has_unlisted_ends = has_more_ends;
+        self.has_listed_all |= !has_more_ends;
+        self.unlisted_ends_expired &= has_more_ends;
+    }
+
     /// Capacity that is not reserved.
     pub fn free(&self) -> ResourceVector {
         self.registration.capacity.saturating_sub(&self.used)
--- a/tests/graph/unlisted_ends.rs
+++ b/tests/graph/unlisted_ends.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::GraphState;
+use kelplink::{GraphState, StepSpec};
 
 use crate::sim_cluster::{SimCluster, seconds, step};
 
@@ -46,3 +46,24 @@
     expect_that!(cluster.state("a"), some(eq(GraphState::Completed)));
     expect_that!(cluster.started_runs, eq(16));
 }
+
+/// Guards against a worker that serves nothing any more because an end which must not be acknowledged holds back all
+/// later ones, until its list shows no new end.
+#[gtest]
+fn a_worker_whose_list_is_full_behind_a_withheld_end_serves_again() {
+    let mut cluster = SimCluster::new(73, 1);
+    cluster.limit_listed_ends(LISTED_ENDS);
+    cluster.run(seconds(1));
+    // The task ends unheard before the worker's lease expires, so that no run shows the expiry.
+    cluster.submit("now", "a", vec![step(1, 1, 1_000)]);
+    cluster.run(Duration::from_millis(500));
+    cluster.workers.values_mut().for_each(|worker| worker.connected = false);
+    cluster.run(seconds(7));
+    cluster.workers.values_mut().for_each(|worker| worker.connected = true);
+    cluster.run(seconds(3));
+    let second = StepSpec { after: vec![0], ..step(8, 1, 300) };
+    cluster.submit("now", "b", vec![step(8, 1, 300), second]);
+    cluster.run(seconds(25));
+    expect_that!(cluster.state("a"), some(eq(GraphState::Completed)));
+    expect_that!(cluster.state("b"), some(eq(GraphState::Completed)));
+}
