Reserve a share of the entries for urgent calls for advice, not a fixed number

Cause: two entries made no call for advice of over 120 ms, however few were left. Ruled out: failing calls. The calls name 32 workers on average, which makes them longer than needed but is not the cause.

Change: a third of the entries is left free, two at most. Six and seven entries are treated as before.

Test: a load of 20 urgent and three slow calls a second on three entries; with the fixed reserve slow calls pile up.

--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -19,8 +19,11 @@
 
 /// Calls that take longer than this are long; calls of urgent queues need a tenth of it.
 pub(crate) const LONG_CALL: Duration = Duration::from_millis(120);
-/// Entries that long calls leave free: one entry makes 35 urgent calls a second.
-const RESERVED_ENTRIES: usize = 2;
+/// Largest number of entries that long calls leave free: one entry makes 35 urgent calls a second.
+const MAX_RESERVED_ENTRIES: usize = 2;
+/// Entries for each one that long calls leave free. Where few are left, long calls need most of them: one entry makes two a
+/// second.
+const ENTRIES_PER_RESERVED: usize = 3;
 /// Time before its expiry from which a ticket is not used any more: a start may take this long to
 /// arrive.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
@@ -273,7 +276,7 @@
 
     /// Number of entries that long calls leave free.
     pub(crate) fn reserved_entries(&self) -> usize {
-        RESERVED_ENTRIES.min(self.entries.len().saturating_sub(1))
+        MAX_RESERVED_ENTRIES.min(self.entries.len() / ENTRIES_PER_RESERVED)
     }
 
     /// Number of open calls.
--- a/tests/graph/advice.rs
+++ b/tests/graph/advice.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{AdviceRequest, AdviceTable, EntryId, StepKey, WorkerId};
+use kelplink::{AdviceRequest, AdviceTable, EntryId, QueueRule, StepKey, WorkerId};
 use tokio::time::Instant;
 
-use crate::sim_cluster::queue_rule;
+use crate::sim_cluster::{queue_rule, slow_advice_rule};
 
 /// Requests advice about workers and answers the call: a worker is allowed if its number is
 /// divisible by three.
@@ -43,3 +43,44 @@
     }
     expect_that!(advice_table.share(&"asked".into()), lt(0.45));
 }
+
+/// Guards against jobs that wait for long calls beside idle entries where few entries are left.
+#[gtest]
+fn three_entries_make_the_calls_of_a_usual_load() {
+    let start = Instant::now();
+    let mut advice_table = AdviceTable::default();
+    advice_table.set_entries(["e0", "e1", "e2"].map(EntryId::from).into());
+    let (urgent, slow) = (queue_rule("urgent", 0, true), slow_advice_rule("slow", 1));
+    let request = |queue: &QueueRule, number: u64, workers: u32| AdviceRequest {
+        key: (format!("{}{number}", &*queue.id).into(), StepKey { occurrence: 0, step: 0 }),
+        queue: queue.id.clone(),
+        rule: queue.advice.unwrap(),
+        workers: (0..workers).map(|worker| format!("w{worker}").into()).collect(),
+    };
+    let (mut urgent_waiting, mut slow_waiting) = (Vec::new(), Vec::new());
+    let mut calls: Vec<(Instant, u64)> = Vec::new();
+    let mut longest_urgent_wait = 0;
+    // 20 urgent calls of 35 ms and three slow ones of 580 ms a second.
+    for tick in 0..6_000_u64 {
+        let now = start + Duration::from_millis(5 * tick);
+        for (_, id) in calls.extract_if(.., |(end, _)| *end <= now) {
+            advice_table.answered(now, id, Some(Vec::new()), Duration::ZERO);
+        }
+        if tick % 10 == 0 {
+            urgent_waiting.push(request(&urgent, tick, 5));
+        }
+        if tick % 66 == 0 {
+            slow_waiting.push(request(&slow, tick, 20));
+        }
+        let waiting = urgent_waiting.iter().chain(&slow_waiting).cloned().collect();
+        for call in advice_table.assign(now, waiting) {
+            urgent_waiting.retain(|waiting| waiting.key != call.key);
+            slow_waiting.retain(|waiting| waiting.key != call.key);
+            let time = if &*call.key.0 < "t" { 580 } else { 35 };
+            calls.push((now + Duration::from_millis(time), call.id));
+        }
+        longest_urgent_wait = longest_urgent_wait.max(urgent_waiting.len());
+    }
+    expect_that!(slow_waiting.len(), le(3));
+    expect_that!(longest_urgent_wait, le(3));
+}
