Tell the next leader which workers have announced that they leave

What callers would see: a job that is failed with one crash under one of its tasks. A worker that had left as announced was on the store's list of used workers like any other, and the next leader took it for crashed, with the runs that were suspected there.

Change: the list says which of its workers leave; an entry without that is read as before. Test, with the flag not used: a crash is recorded for the lasting task of a worker that had left.

--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -52,14 +52,15 @@
             return self.stop_using(registration);
         }
         self.unreferenced.remove(&registration.id);
-        self.log_leaving(now, &registration);
+        self.note_leaving(now, &registration);
         self.instances.register(now, registration);
         self.pass_wanted = true;
     }
 
-    /// Logs the first registration that says that a worker is leaving. The registrations were confirmed without it
-    /// `confirmed_ms` ago, so the worker announced it within that time.
-    fn log_leaving(&self, now: Instant, registration: &WorkerRegistration) {
+    /// Handles the first registration that says that a worker is leaving. The registrations were confirmed without it
+    /// `confirmed_ms` ago, so the worker announced it within that time. The next leader has to know it too: the worker may
+    /// be gone by then, and would count as crashed.
+    fn note_leaving(&mut self, now: Instant, registration: &WorkerRegistration) {
         let Some(time_left) = registration.leaving else {
             return;
         };
@@ -72,6 +73,9 @@
         let (worker, time_left_ms) = (&*registration.id, time_left.as_millis() as u64);
         let confirmed_ms = age_text(self.instances.registration_clock.age(now));
         info!(worker, time_left_ms, confirmed_ms, runs; "worker is leaving");
+        if instance.is_some_and(|instance| instance.in_store) {
+            self.commits.note_workers(now, false);
+        }
     }
 
     /// Handles a registration that was removed or no longer describes a worker.
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -81,6 +81,9 @@
     #[serde(rename = "born")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub instance_start: InstanceStart,
+    /// Whether it has announced that it leaves.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
 }
 
 fn unknown_domain() -> DomainId {
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -200,6 +200,9 @@
         });
         instance.in_store = true;
         instance.instance_start = used.instance_start;
+        if used.leaving {
+            instance.leaves_at.get_or_insert(now);
+        }
     }
 
     /// Notes that a registration has gone. The worker may still run, and register again.
@@ -577,6 +580,7 @@
             address: instance.address(),
             domain: instance.registration.domain.clone(),
             instance_start: instance.instance_start,
+            leaving: instance.leaves_at.is_some(),
         };
         claimed.map(used).collect()
     }
--- a/tests/graph/leaving.rs
+++ b/tests/graph/leaving.rs
@@ -130,3 +130,33 @@
     cluster.run(RETRY_TIME);
     expect_that!(cluster.started_runs, eq(0));
 }
+
+/// Names of the workers that run tasks of a job.
+fn workers_of(cluster: &SimCluster, job: &str) -> Vec<WorkerId> {
+    let runs_job = |worker: &&ModelWorker| worker.runs.keys().any(|task| &*task.job == job);
+    let workers = cluster.workers.values().filter(|worker| worker.up).filter(runs_job);
+    workers.map(|worker| worker.id().clone()).collect()
+}
+
+/// Guards against a new leader that takes a worker for crashed which had announced that it leaves to its predecessor.
+#[gtest]
+fn a_worker_that_left_before_a_takeover_has_not_crashed() {
+    let mut cluster = SimCluster::new(77, 2);
+    cluster.refuses_when_down = true;
+    cluster.run(seconds(1));
+    let lasting = StepSpec { lasting: true, ..step(2, 8, 600_000) };
+    cluster.submit("now", "a", vec![lasting]);
+    cluster.run(seconds(1));
+    let leaving = workers_of(&cluster, "a")[0].clone();
+    cluster.leave(&leaving, Duration::from_millis(600));
+    cluster.run(Duration::from_millis(400));
+    let epoch = cluster.store.epoch;
+    cluster.leaders.remove(&epoch);
+    cluster.run(seconds(1));
+    cluster.elect();
+    let before = cluster.leader().unwrap().instances().get(&leaving).map(|at| at.leaves_at);
+    expect_that!(before, some(some(anything())));
+    cluster.run(seconds(8));
+    expect_that!(count_runs(&cluster, "a"), eq(2));
+    expect_that!(cluster.store.jobs["a"].1.crashes.len(), eq(0));
+}
