Store the other jobs where the store rejects the progress of one

Cause: the new leader raised a floor for each of 72,000 tasks of a job whose first occurrence was due in an hour, 1,184,212 bytes. The store answered 400; the leader took that for a lost answer and sent the same group for ever, one at a time. Ruled out: conditions that do not hold (412).

Change: no floors for occurrences that are not due; ranges of floors where there are over 10,000; a job whose progress exceeds the store's value_bytes is left out of groups, and its ends are not acknowledged; a status that rejects a call is an answer. The stand-ins keep the limits of the pages.

--- a/benches/backlog/mod.rs
+++ b/benches/backlog/mod.rs
@@ -65,6 +65,7 @@
                 restore_time: Duration::from_millis(600),
                 remote_rack_factor: 1.5,
             },
+            max_value_bytes: 1 << 20,
         };
         let now = Instant::now();
         let controller =
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -75,6 +75,8 @@
     pub lease_extension_window: Duration,
     /// What stopped and displaced runs cost.
     pub run_costs: RunCosts,
+    /// Size of the largest value that the store takes, in bytes.
+    pub max_value_bytes: usize,
 }
 
 /// State that a new leader restores from the store.
@@ -400,12 +402,13 @@
 
     /// Checks all workers and runs for timeouts.
     fn sweep(&mut self, now: Instant, unix: UnixMillis, extend: bool) {
-        self.invalidate_unseen_runs(now);
+        self.invalidate_unseen_runs(now, unix);
         let mut events = self.instances.crash_suspicions(now);
         events.extend(self.instances.expired_runs(now));
         events.extend(self.instances.remove_vanished(now, now >= self.inherited_leases_end));
         self.handle_worker_events_at(now, unix, events);
         self.review_unreferenced(now);
+        self.commits.review_oversized(now);
         self.review_compactions(now);
         self.report_gauges(now);
         self.remote_workers.forget_expired(now);
@@ -414,7 +417,7 @@
 
     /// Invalidates the runs on workers that never answered, once all inherited runs have ended, so
     /// that their tasks are started again.
-    fn invalidate_unseen_runs(&mut self, now: Instant) {
+    fn invalidate_unseen_runs(&mut self, now: Instant, unix: UnixMillis) {
         if self.unseen_invalidated || now < self.inherited_leases_end {
             return;
         }
@@ -422,7 +425,8 @@
         self.found_runs.clear();
         let unsettled_domains = self.uncontacted_domains();
         let first = self.run_base() + 1;
-        for job in self.jobs.invalidate_unseen_runs(first, |job| unsettled_domains.affects(job)) {
+        let is_affected = |job: &GraphJob| unsettled_domains.affects(job);
+        for job in self.jobs.invalidate_unseen_runs(unix, first, is_affected) {
             self.commits.change(job, now, true);
         }
     }
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use log::{info, warn};
+use log::{error, info, warn};
 use tokio::time::Instant;
 
 use crate::graph::controller::GraphController;
@@ -28,7 +28,8 @@
         }
         // Without this distinction a group that only lets ends be acknowledged would become a call to the store.
         let is_for_compactions = !self.commits.has_changes();
-        let ids = self.commits.take(now);
+        let mut ids = self.commits.take(now);
+        self.set_oversized_aside(now, &mut ids);
         let (effect, spare_keys) = (self.group_effect(&ids), ids.spare_keys);
         let mut group = self.build_group(ids);
         if is_for_compactions || group.has_changes() {
@@ -42,6 +43,21 @@
         }
     }
 
+    /// Leaves jobs out of a group whose progress the store would reject: one of them would keep all others from being
+    /// stored. Ends of their runs are not acknowledged until their progress is stored.
+    fn set_oversized_aside(&mut self, now: Instant, ids: &mut GroupIds) {
+        let max_bytes = self.bounds.max_value_bytes;
+        let jobs = &self.jobs;
+        let exceeds =
+            |id: &mut GraphId| jobs.get(id).is_some_and(|job| job.progress.exceeds(max_bytes));
+        let oversized: Vec<GraphId> = ids.changed.extract_if(.., exceeds).collect();
+        for id in oversized {
+            error!(job = &*id, max_bytes; "the progress of a job is larger than the store takes");
+            metrics::counter!("kelplink_oversized_jobs_total").increment(1);
+            self.commits.set_aside(id, now);
+        }
+    }
+
     /// Adds compactions of ended jobs to a group that may write `keys` more.
     fn fill_with_compactions(&mut self, group: &mut CommitGroup, keys: usize) {
         let changed: BTreeSet<GraphId> = group.progress.iter().map(|(id, _)| id.clone()).collect();
--- a/src/graph/storing/commit.rs
+++ b/src/graph/storing/commit.rs
@@ -35,6 +35,8 @@
 /// Shortest interval between groups: all leaders share 400 writes a second.
 const MIN_GROUP_INTERVAL: Duration = Duration::from_millis(8);
 
+/// How long a job is left out of groups whose progress is larger than the store takes.
+const OVERSIZED_PAUSE: Duration = Duration::from_secs(5);
 /// Interval before the next group after the store has refused one.
 const REFUSED_GROUP_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -135,6 +137,8 @@
     divided: bool,
     added: BTreeSet<GraphId>,
     changed: ChangeQueue,
+    /// Changed jobs that are left out of groups until a time, as their progress was too large for the store.
+    oversized: BTreeMap<GraphId, Instant>,
     removed: BTreeSet<GraphId>,
     notices: NoticeQueue,
     workers_changed: bool,
@@ -178,10 +182,27 @@
 
     /// Adds a job with new progress; `urgent` if a caller waits for it.
     pub fn change(&mut self, job: GraphId, now: Instant, urgent: bool) {
+        if self.oversized.contains_key(&job) {
+            return;
+        }
         self.changed.insert(job, urgent);
         self.schedule(now, urgent);
     }
 
+    /// Leaves a changed job out of groups for a while.
+    pub(crate) fn set_aside(&mut self, job: GraphId, now: Instant) {
+        self.oversized.insert(job, now + OVERSIZED_PAUSE);
+    }
+
+    /// Has the jobs that were left out long enough stored again, as their progress may have shrunk.
+    pub(crate) fn review_oversized(&mut self, now: Instant) {
+        let due: Vec<GraphId> =
+            self.oversized.extract_if(.., |_, until| *until <= now).map(|(job, _)| job).collect();
+        for job in due {
+            self.change(job, now, false);
+        }
+    }
+
     /// Adds a job to remove.
     pub fn remove(&mut self, job: GraphId, now: Instant) {
         self.compactions.remove(&job);
@@ -231,7 +252,7 @@
 
     /// Whether a job has a change that is in no group yet.
     pub(crate) fn has_change(&self, job: &GraphId) -> bool {
-        self.changed.contains(job)
+        self.changed.contains(job) || self.oversized.contains_key(job)
     }
 
     /// Whether a job's submission may have reached the store.
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -13,7 +13,10 @@
 use crate::graph::workload::progress::{GraphProgress, GraphVerdict};
 use crate::graph::workload::queue::QueueRule;
 use crate::graph::workload::spec::{GraphSpec, StepSpec};
-use crate::id::{DomainId, WorkerId, WorkspaceId};
+use crate::id::{DomainId, UnixMillis, WorkerId, WorkspaceId};
+
+/// How far the clock of an earlier leader may have been ahead: clocks of entries may jump by some seconds.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(60);
 
 /// Record of a job in the store, written when the job is accepted.
 #[derive(Clone, Debug, PartialEq)]
@@ -297,10 +300,15 @@
 
     /// Tasks that an earlier leader may have started, with an outcome unknown to this leader. They include
     /// tasks whose dependencies are not done in the stored progress, since the last progress may be lost, and
-    /// tasks of which an earlier run has ended, since they may have been started again after it.
-    pub(crate) fn unseen_tasks(&self) -> Vec<TaskKey> {
-        let is_lasting = |task: &TaskKey| self.step(task.step).is_some_and(|step| step.lasting);
-        self.tasks_without_run().filter(|task| !is_lasting(task)).collect()
+    /// tasks of which an earlier run has ended, since they may have been started again after it. Occurrences that were
+    /// not due yet by any leader's clock are left out.
+    pub(crate) fn unseen_tasks(&self, unix: UnixMillis) -> Vec<TaskKey> {
+        let latest = unix.saturating_add(MAX_CLOCK_DIFFERENCE.as_millis() as u64);
+        let may_have_run = |task: &TaskKey| {
+            let is_lasting = self.step(task.step).is_some_and(|step| step.lasting);
+            !is_lasting && self.spec.due(task.step.occurrence).is_none_or(|due| due <= latest)
+        };
+        self.tasks_without_run().filter(may_have_run).collect()
     }
 
     /// Tasks that have not succeeded and have no live run.
--- a/src/graph/workload/jobs.rs
+++ b/src/graph/workload/jobs.rs
@@ -192,6 +192,7 @@
     /// jobs that changed.
     pub(crate) fn invalidate_unseen_runs(
         &mut self,
+        unix: UnixMillis,
         first: RunNumber,
         is_affected: impl Fn(&GraphJob) -> bool,
     ) -> Vec<GraphId> {
@@ -201,7 +202,7 @@
             .values_mut()
             .filter(|job| job.inherited && !job.is_over() && is_affected(job));
         for job in open_jobs {
-            let unseen: Vec<TaskKey> = job.unseen_tasks();
+            let unseen: Vec<TaskKey> = job.unseen_tasks(unix);
             let raised =
                 unseen.iter().filter(|task| job.progress.raise_floor(**task, first)).count();
             if raised > 0 {
--- a/src/graph/workload/progress.rs
+++ b/src/graph/workload/progress.rs
@@ -8,6 +8,12 @@
 use crate::graph::workload::name::{RunNumber, StepKey, TaskKey};
 use crate::id::{DomainId, UnixMillis};
 
+/// Number of floors up to which each is stored by itself, as every build reads them.
+const MAX_SINGLE_FLOORS: usize = 10_000;
+/// Upper bounds of the size of a succeeded task, and of another record of a task without its texts, in the stored form.
+const MAX_DONE_BYTES: usize = 6;
+const MAX_TASK_BYTES: usize = 160;
+
 /// How a job ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -175,6 +181,22 @@
         }
     }
 
+    /// Whether its stored form is larger than this. It is encoded for that only where it may be.
+    pub(crate) fn exceeds(&self, max_bytes: usize) -> bool {
+        let done: usize = self.done.values().map(BTreeSet::len).sum();
+        let texts: usize = self.saved.values().map(String::len).sum();
+        let of_tasks = self.floors.len()
+            + self.saved.len()
+            + self.announced.len()
+            + self.failures.len()
+            + self.crashes.len()
+            + self.trials.len()
+            + self.confirmed.len();
+        let upper_bound = texts + done * MAX_DONE_BYTES + of_tasks * MAX_TASK_BYTES;
+        upper_bound > max_bytes
+            && serde_json::to_vec(self).is_ok_and(|encoded| encoded.len() > max_bytes)
+    }
+
     /// Whether there is nothing to store.
     pub(crate) fn is_blank(&self) -> bool {
         *self == Self::default()
@@ -227,6 +249,9 @@
     saved: Vec<(u32, u32, u32, String)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     floors: Vec<(u32, u32, u32, RunNumber)>,
+    /// Floors of consecutive tasks, where there are many: occurrence, step, first and last index, floor.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    floor_ranges: Vec<(u32, u32, u32, u32, RunNumber)>,
     #[serde(skip_serializing_if = "BTreeSet::is_empty")]
     domains: BTreeSet<DomainId>,
 }
@@ -243,6 +268,10 @@
         let start = |(occurrence, step, index, run)| (TaskKey::new(occurrence, step, index), run);
         let saved = |(occurrence, step, index, text)| (TaskKey::new(occurrence, step, index), text);
         let floor = |(occurrence, step, index, run)| (TaskKey::new(occurrence, step, index), run);
+        let in_range = |(occurrence, step, first, last, run)| {
+            (first..=last).map(move |index| (TaskKey::new(occurrence, step, index), run))
+        };
+        let in_ranges = stored.floor_ranges.into_iter().flat_map(in_range);
         Self {
             verdict: stored.verdict,
             ended: stored.ended,
@@ -254,7 +283,7 @@
             confirmed: stored.confirmed.into_iter().map(runs).collect(),
             announced: stored.announced.into_iter().map(start).collect(),
             saved: stored.saved.into_iter().map(saved).collect(),
-            floors: stored.floors.into_iter().map(floor).collect(),
+            floors: stored.floors.into_iter().map(floor).chain(in_ranges).collect(),
             domains: stored.domains,
         }
     }
@@ -288,6 +317,11 @@
             let (occurrence, step, index) = parts(task);
             (occurrence, step, index, run)
         };
+        let has_ranges = progress.floors.len() > MAX_SINGLE_FLOORS;
+        let (single_floors, ranged_floors) = match has_ranges {
+            true => (BTreeMap::new(), progress.floors),
+            false => (progress.floors, BTreeMap::new()),
+        };
         Self {
             verdict: progress.verdict,
             ended: progress.ended,
@@ -299,8 +333,28 @@
             confirmed: progress.confirmed.into_iter().map(of_task).collect(),
             announced: progress.announced.into_iter().map(start).collect(),
             saved: progress.saved.into_iter().map(saved).collect(),
-            floors: progress.floors.into_iter().map(floor).collect(),
+            floors: single_floors.into_iter().map(floor).collect(),
+            floor_ranges: floor_ranges(ranged_floors),
             domains: progress.domains,
         }
     }
 }
+
+/// Joins the floors of consecutive tasks of a step that are the same.
+fn floor_ranges(floors: BTreeMap<TaskKey, RunNumber>) -> Vec<(u32, u32, u32, u32, RunNumber)> {
+    let mut ranges: Vec<(u32, u32, u32, u32, RunNumber)> = Vec::new();
+    for (task, run) in floors {
+        let StepKey { occurrence, step } = task.step;
+        match ranges.last_mut() {
+            Some(range)
+                if (range.0, range.1) == (occurrence, step)
+                    && range.3 + 1 == task.index
+                    && range.4 == run =>
+            {
+                range.3 = task.index;
+            }
+            _ => ranges.push((occurrence, step, task.index, task.index, run)),
+        }
+    }
+    ranges
+}
--- a/src/node/entry_store.rs
+++ b/src/node/entry_store.rs
@@ -129,6 +129,7 @@
     let outcome = match &result {
         Ok(_) => "answered",
         Err(StoreError::NotDone(_)) => "refused",
+        Err(StoreError::Invalid(_)) => "invalid",
         Err(StoreError::Unknown(_)) => "unanswered",
     };
     metrics::counter!("kelplink_store_calls_total", "kind" => kind.label(), "outcome" => outcome)
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -144,6 +144,9 @@
     /// The call had no effect.
     #[error("not done: {0}")]
     NotDone(String),
+    /// The store rejected the call as invalid: it had no effect, and the same call never will.
+    #[error("invalid: {0}")]
+    Invalid(String),
     /// The call may have taken effect, or may still do so.
     #[error("unknown: {0}")]
     Unknown(String),
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -241,6 +241,11 @@
                     }
                 }
                 Ok(TransactionOutcome::NoLease) => sleep(RETRY_PAUSE).await,
+                // No earlier send of the same group can have taken effect either.
+                Err(StoreError::Invalid(reason)) => {
+                    error!(group = id, reason; "the store rejects a group");
+                    break GroupOutcome::Refused;
+                }
                 Err(failure) => {
                     all_not_done &= matches!(failure, StoreError::NotDone(_));
                     if all_not_done {
@@ -304,7 +309,7 @@
         };
         self.dependency_log.tried(QUOTA_LOG_NAME, &result);
         result.unwrap_or_else(|failure| match failure {
-            StoreError::NotDone(_) => StoreOutcome::Unavailable,
+            StoreError::NotDone(_) | StoreError::Invalid(_) => StoreOutcome::Unavailable,
             StoreError::Unknown(_) => StoreOutcome::Unknown,
         })
     }
--- a/src/node/ledger/read_tests.rs
+++ b/src/node/ledger/read_tests.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use serde_json::json;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::graph::ShardId;
+use crate::graph::{CommitGroup, ShardId};
 use crate::node::entry_store::{EntryStore, StoreCallKind};
-use crate::node::input::LeaderInput;
+use crate::node::input::{GroupOutcome, LeaderInput};
 use crate::node::job_fixtures::{JOBS, job_bytes, put_jobs};
 use crate::node::leader::LeaderLoop;
 use crate::node::ledger::JobLedger;
@@ -130,3 +131,20 @@
     sender.send(LeaderInput::Epoch(4, 9)).await;
     expect_false!(ends_at_once(task).await);
 }
+
+// The store rejects a value of more than 1 MiB. That was taken for an unknown outcome, so the group was sent again without
+// end and nothing else was stored.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_group_that_the_store_rejects_is_given_back_at_once() {
+    let store = SimulatedStore::start();
+    let client = EntryStore::Simulated(store.client(CLIENT));
+    let shared = NodeShared::with_store(settings(), client);
+    let ledger = JobLedger::new(&shared, only_shard(), 0, 0);
+    let saved = (0..1_200).map(|number| json!([0, 0, number, "x".repeat(1_000)]));
+    let progress = json!({"saved": saved.collect::<Vec<_>>()});
+    let progress = serde_json::from_value(progress).unwrap();
+    let group = CommitGroup { progress: vec![("a".into(), progress)], ..CommitGroup::default() };
+    let stored = timeout(Duration::from_secs(1), ledger.store(&group)).await;
+    expect_that!(stored, ok(eq(&GroupOutcome::Refused)));
+}
--- a/src/node/registry/phase.rs
+++ b/src/node/registry/phase.rs
@@ -74,7 +74,7 @@
                 MAX_UNANSWERED_WATCHES => Self::reading(),
                 unanswered => Self::Following(RegistryWatch { unanswered, ..watch }),
             },
-            (following, StoreError::NotDone(_)) => following,
+            (following, StoreError::NotDone(_) | StoreError::Invalid(_)) => following,
         }
     }
 }
--- a/src/node/simulated_store.rs
+++ b/src/node/simulated_store.rs
@@ -19,6 +19,10 @@
 
 /// Time that a call takes.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Limits of a transaction: its entries, the length of a key and the size of a value, in bytes.
+const MAX_TRANSACTION_ENTRIES: usize = 32;
+const MAX_KEY_BYTES: usize = 200;
+const MAX_VALUE_BYTES: usize = 1 << 20;
 /// Largest number of items of a page.
 const PAGE_ITEMS: usize = 500;
 /// Size that the values of a page do not exceed, unless there is only one.
@@ -349,7 +353,11 @@
     }
 
     pub(crate) async fn transact(&self, change: &KeyTransaction) -> Result<TransactionOutcome> {
-        let outcome = self.call(StoreCallKind::Write, |state| state.transact(change)).await?;
+        let outcome = self.call(StoreCallKind::Write, |state| {
+            check_limits(change)?;
+            Ok(state.transact(change))
+        });
+        let outcome = outcome.await??;
         if let TransactionOutcome::Done(revision) = outcome {
             self.store.changed.send_replace(revision);
         }
@@ -424,6 +432,19 @@
     }
 }
 
+/// Rejects a transaction that is larger than the platform's store takes.
+fn check_limits(change: &KeyTransaction) -> Result<()> {
+    let keys = change.conditions.iter().map(|(key, _)| key);
+    let keys = keys.chain(change.writes.iter().map(|write| &write.key)).chain(&change.removes);
+    let is_valid = keys.clone().count() <= MAX_TRANSACTION_ENTRIES
+        && keys.clone().all(|key| key.len() <= MAX_KEY_BYTES)
+        && change.writes.iter().all(|write| write.value.len() <= MAX_VALUE_BYTES);
+    match is_valid {
+        true => Ok(()),
+        false => Err(StoreError::Invalid("larger than the store takes".to_owned())),
+    }
+}
+
 /// Size of an item in an answer, in bits: values are sent as base64 in JSON.
 fn transfer_bits(item: &KeyItem) -> f64 {
     const FIELD_BYTES: usize = 40;
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -217,6 +217,7 @@
             retention: Duration::from_secs(120),
             lease_extension_window: Duration::from_secs(5),
             run_costs: RunCosts::default(),
+            max_value_bytes: 1 << 20,
         },
     }
 }
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -57,6 +57,7 @@
             retention: Duration::from_secs(120),
             lease_extension_window: Duration::from_secs(5),
             run_costs: RunCosts::default(),
+            max_value_bytes: 1 << 20,
         },
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -110,6 +110,13 @@
 #[derive(Deserialize)]
 struct WirePlatform {
     address: SocketAddr,
+    /// Size of the largest value of the store.
+    #[serde(default = "default_value_bytes")]
+    value_bytes: usize,
+}
+
+fn default_value_bytes() -> usize {
+    1 << 20
 }
 
 /// Parses the platform's settings file. Unknown fields are ignored.
@@ -146,6 +153,9 @@
     if wire.limits.link_mbps <= 0.0 {
         report("link_mbps", "`link_mbps`: expected more than 0");
     }
+    if wire.platform.value_bytes == 0 {
+        report("value_bytes", "`value_bytes`: expected more than 0");
+    }
     if wire.bounds.cross_rack_factor < 1.0 {
         report("cross_rack_factor", "`cross_rack_factor`: expected 1 or more");
     }
@@ -177,6 +187,7 @@
                 restore_time: Duration::from_millis(wire.bounds.restore_ms),
                 remote_rack_factor: wire.bounds.cross_rack_factor,
             },
+            max_value_bytes: wire.platform.value_bytes,
         },
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -339,13 +339,16 @@
     }
 }
 
-/// Maps an unexpected status to an error. By the store's contract nothing was done after 429 and 503; after
-/// any other status the outcome is treated as unknown.
+/// Maps an unexpected status to an error. By the store's contract nothing was done after 429 and 503, and nothing is done
+/// for a call that it rejects; after any other status the outcome is treated as unknown.
 fn status_error(status: StatusCode) -> StoreError {
     match status {
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             StoreError::NotDone(status.to_string())
         }
+        StatusCode::BAD_REQUEST | StatusCode::FORBIDDEN | StatusCode::PAYLOAD_TOO_LARGE => {
+            StoreError::Invalid(status.to_string())
+        }
         _ => StoreError::Unknown(format!("unexpected answer {status}")),
     }
 }
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -10,6 +10,7 @@
 mod compaction;
 mod crash_checker;
 mod crashes;
+mod large_values;
 mod lasting;
 mod leaving;
 mod links;
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -31,6 +31,7 @@
         restore_time: Duration::from_millis(100),
         remote_rack_factor: 3.0,
     },
+    max_value_bytes: 1 << 20,
 };
 /// How long after its wait time a poll without an answer counts as lost.
 const POLL_SLACK: Duration = Duration::from_millis(250);
@@ -105,6 +106,8 @@
     pub(crate) refuses_when_down: bool,
     /// Number of ends that workers added from now on list at a time.
     pub(crate) max_listed_ends: usize,
+    /// Size of the largest value that the store takes, in bytes, as leaders elected from now on know it.
+    pub(crate) max_value_bytes: usize,
     replacements: u32,
     /// Whether every crashed worker restarts under its id.
     pub(crate) keeps_all_ids: bool,
@@ -142,7 +145,7 @@
 
 /// A queue with a slow advisor: a call about 30 workers takes 645 ms, a third of a ticket's
 /// lifetime.
-fn slow_advice_rule(id: &str, priority: u32) -> QueueRule {
+pub(crate) fn slow_advice_rule(id: &str, priority: u32) -> QueueRule {
     let advice = AdviceRule {
         call: Duration::from_millis(450),
         each: Duration::from_micros(6_500),
@@ -259,6 +262,7 @@
             crash_downtime: Duration::from_secs(3),
             refuses_when_down: false,
             max_listed_ends: MAX_LISTED_ENDS,
+            max_value_bytes: BOUNDS.max_value_bytes,
             replacements: 0,
             keeps_all_ids: false,
             restart_rng: None,
@@ -355,7 +359,7 @@
         let scope = ShardScope::new(self.plan.clone(), shard.clone());
         let run_costs =
             RunCosts { remote_rack_factor: self.remote_rack_factor, ..BOUNDS.run_costs };
-        let bounds = GraphBounds { run_costs, ..BOUNDS };
+        let bounds = GraphBounds { run_costs, max_value_bytes: self.max_value_bytes, ..BOUNDS };
         let mut leader =
             GraphController::new(self.now, self.unix(), epoch, bounds, state).with_scope(scope);
         if let Some(lag) = self.registration_lag {
@@ -1033,6 +1037,15 @@
             self.leaders.remove(&epoch);
             return;
         }
+        let is_too_large =
+            |value: &GraphProgress| serde_json::to_vec(value).unwrap().len() > self.max_value_bytes;
+        if group.progress.iter().any(|(_, progress)| is_too_large(progress)) {
+            let now = self.now;
+            if let Some(leader) = self.leaders.get_mut(&epoch) {
+                leader.handle_group_refused(now, group.number);
+            }
+            return;
+        }
         self.store.groups += 1;
         let number = group.number;
         let shard = self.leader_shards[&epoch].clone();
--- a/tests/graph/unread_registrations.rs
+++ b/tests/graph/unread_registrations.rs
@@ -17,6 +17,7 @@
         retention: seconds(120),
         lease_extension_window: seconds(5),
         run_costs: RunCosts::default(),
+        max_value_bytes: 1 << 20,
     }
 }
 
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -30,6 +30,17 @@
 const REGISTRATION_DELAY: Duration = Duration::from_millis(300);
 /// Longest lease of a worker, in milliseconds.
 const HOLD_MAX_MS: u64 = 6_000;
+/// Limits of a transaction: its entries, the length of a key and the size of a value, in bytes.
+const MAX_TRANSACTION_ENTRIES: usize = 32;
+const MAX_KEY_BYTES: usize = 200;
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Longest times in milliseconds for which a watch or a worker may hold a call.
+const MAX_WATCH_WAIT_MS: u64 = 30_000;
+const MAX_POLL_WAIT_MS: u64 = 2_000;
+/// Number of workers that a call for advice may name.
+const MAX_ADVICE_WORKERS: usize = 100;
+/// Number of items on a page of a range.
+const MAX_PAGE_ITEMS: usize = 500;
 /// Number of ends that a worker lists at a time.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -401,6 +412,16 @@
 
     fn transact(&mut self, change: &Value) -> (u16, Value) {
         let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
+        let entries: Vec<Value> =
+            ["expected_revision", "set_keys", "remove"].into_iter().flat_map(rows).collect();
+        let key_bytes = |row: &Value| row["key"].as_str().or(row.as_str()).map_or(0, str::len);
+        let value_bytes = |row: &Value| row["value"].as_str().map_or(0, |text| text.len() / 4 * 3);
+        let is_valid = entries.len() <= MAX_TRANSACTION_ENTRIES
+            && entries.iter().all(|row| key_bytes(row) <= MAX_KEY_BYTES)
+            && entries.iter().all(|row| value_bytes(row) <= MAX_VALUE_BYTES);
+        if !is_valid {
+            return (400, json!({}));
+        }
         let conditions = rows("expected_revision");
         let holds = |row: &Value| {
             let key = row["key"].as_str().unwrap_or_default();
@@ -451,8 +472,11 @@
             let (prefix, after) = (query(&request, "prefix"), query(&request, "after"));
             let store = lock(&state.store);
             let keys = store.items.keys().filter(|key| key.starts_with(&prefix) && **key > after);
-            let items: Vec<Value> = keys.map(|key| store.item(key)).collect();
-            answer(200, &json!({"items": items, "has_more": false, "as_of": store.revision}))
+            let mut keys = keys.peekable();
+            let items: Vec<Value> =
+                keys.by_ref().take(MAX_PAGE_ITEMS).map(|key| store.item(key)).collect();
+            let has_more = keys.peek().is_some();
+            answer(200, &json!({"items": items, "has_more": has_more, "as_of": store.revision}))
         }
         "/api/kv-watch" => watch(state, &request).await,
         "/api/kv-txn" => {
@@ -519,6 +543,9 @@
     let prefix = query(request, "prefix");
     let after: u64 = query(request, "after").parse().unwrap_or(0);
     let wait: u64 = query(request, "wait_ms").parse().unwrap_or(0);
+    if wait > MAX_WATCH_WAIT_MS {
+        return answer(400, &json!({}));
+    }
     let end = Instant::now() + Duration::from_millis(wait);
     loop {
         {
@@ -544,6 +571,9 @@
 ) -> Option<Response<Full<Bytes>>> {
     let advice_request = body_of(request).await;
     let workers = advice_request["workers"].as_array().cloned().unwrap_or_default();
+    if workers.len() > MAX_ADVICE_WORKERS {
+        return answer(400, &json!({}));
+    }
     let allowed = workers.iter().filter(|worker| worker.as_str() != Some("w0"));
     let allowed: Vec<Value> = allowed.map(|worker| json!([worker, "ticket"])).collect();
     *lock(&state.tickets) += u32::try_from(allowed.len()).unwrap();
@@ -725,7 +755,11 @@
     id: &str,
     body: &Value,
 ) -> Option<Response<Full<Bytes>>> {
-    let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+    let wait_ms = body["wait_ms"].as_u64().unwrap_or(0);
+    if wait_ms > MAX_POLL_WAIT_MS {
+        return answer(400, &json!({}));
+    }
+    let wait = Duration::from_millis(wait_ms);
     let acked = body["ack_cursor"].as_u64().unwrap_or(0);
     let end = Instant::now() + wait;
     let instance_start = lock(&state.workers)[number].instance_start;
