Move lasting tasks off workers that leave

Cause: a leaving worker got no new work, and its lasting tasks stayed until it was gone and its lease had expired; a new leader had to wait for the longest lease that its predecessor may have granted. Evidence: a worker that had announced it left 9 s later with its lasting task, and no stop was sent. Ruled out: advice, 0.7 s of 10.

Change: lasting tasks of a leaving worker are stopped while another worker has capacity for them, within max_unavailable, and start elsewhere. Gangs are left alone.

Tests: two cases, both failing without the change.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -21,6 +21,7 @@
 use crate::graph::event::{GraphAction, PollResult};
 use crate::graph::exchange::{TicketText, UsedWorker, WorkerRegistration};
 use crate::graph::placement::advice::{AdviceId, AdviceTable};
+use crate::graph::placement::evacuation::plan_evacuation;
 use crate::graph::placement::home::UnsettledDomains;
 use crate::graph::placement::placer::{PassView, PlacementPass};
 use crate::graph::placement::preemption::ReservationTable;
@@ -59,6 +60,8 @@
 /// Shortest time between sweeps over all workers and runs: a leader of 350 workers gets a thousand
 /// inputs a second, and the timeouts that a sweep detects tolerate this delay.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval between checks for lasting tasks on workers that leave.
+const EVACUATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Upper bound of the interval that results from `PASS_INTERVAL_FACTOR`.
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval of passes that no event has requested, for tasks that wait.
@@ -157,6 +160,7 @@
     last_suspension: Option<(Instant, Duration)>,
     deposed: bool,
     next_sweep: Instant,
+    next_evacuation: Instant,
     pass_wanted: bool,
     last_pass: Instant,
     pass_interval: Duration,
@@ -246,6 +250,7 @@
             last_suspension: None,
             deposed: false,
             next_sweep: now,
+            next_evacuation: now,
             pass_wanted: true,
             last_pass: now,
             pass_interval: MIN_PASS_INTERVAL,
@@ -412,9 +417,24 @@
         self.review_compactions(now);
         self.report_gauges(now);
         self.remote_workers.forget_expired(now);
+        if extend && now >= self.next_evacuation {
+            self.next_evacuation = now + EVACUATION_INTERVAL;
+            self.evacuate_leaving_workers(now);
+        }
         self.resend(now, extend);
     }
 
+    /// Stops lasting tasks on workers that leave where there is capacity for them elsewhere.
+    fn evacuate_leaving_workers(&mut self, now: Instant) {
+        let stops = plan_evacuation(now, &self.jobs, &self.instances);
+        if stops.is_empty() {
+            return;
+        }
+        info!(runs = stops.len(); "lasting tasks are moved off workers that leave");
+        metrics::counter!("kelplink_evacuated_runs_total").increment(stops.len() as u64);
+        self.stop_runs(now, stops);
+    }
+
     /// Invalidates the runs on workers that never answered, once all inherited runs have ended, so
     /// that their tasks are started again.
     fn invalidate_unseen_runs(&mut self, now: Instant, unix: UnixMillis) {
--- a/src/graph/placement.rs
+++ b/src/graph/placement.rs
@@ -1,6 +1,7 @@
 //! Where and when tasks run: placement passes, advice, home domains and preemption.
 
 pub(super) mod advice;
+pub(super) mod evacuation;
 pub(super) mod home;
 pub(super) mod need_bound;
 pub(super) mod placer;
--- a/tests/graph/leaving.rs
+++ b/tests/graph/leaving.rs
@@ -138,6 +138,45 @@
     workers.map(|worker| worker.id().clone()).collect()
 }
 
+/// Guards against lasting tasks that stay on a leaving worker, end with it and are missing until its lease has expired.
+#[gtest]
+fn lasting_tasks_move_off_a_worker_that_leaves() {
+    let mut cluster = SimCluster::new(75, 3);
+    cluster.run(seconds(1));
+    let lasting = StepSpec { lasting: true, max_per_worker: Some(2), ..step(4, 1, 600_000) };
+    cluster.submit("now", "a", vec![lasting]);
+    cluster.run(seconds(1));
+    let leaving = workers_of(&cluster, "a")[0].clone();
+    cluster.announce_leaving(&leaving, seconds(5));
+    cluster.run(seconds(1));
+    expect_that!(count_runs(&cluster, "a"), eq(4));
+    expect_that!(workers_of(&cluster, "a"), not(contains(eq(&leaving))));
+}
+
+/// Guards against moving more tasks of a step at a time than may be missing, and against stopping tasks that no other
+/// worker has capacity for.
+#[gtest]
+fn lasting_tasks_move_only_while_enough_others_work_and_there_is_capacity() {
+    let mut cluster = SimCluster::new(76, 3);
+    cluster.run(seconds(1));
+    let lasting = StepSpec { lasting: true, max_unavailable: Some(1), ..step(6, 4, 600_000) };
+    cluster.submit("now", "a", vec![lasting]);
+    cluster.run(seconds(1));
+    expect_that!(count_runs(&cluster, "a"), eq(6));
+    let leaving = workers_of(&cluster, "a")[0].clone();
+    cluster.announce_leaving(&leaving, seconds(20));
+    cluster.run(seconds(1));
+    expect_that!(count_runs(&cluster, "a"), eq(6));
+    cluster.add_worker(3, 0);
+    let mut fewest = 6;
+    for _ in 0..20 {
+        cluster.run(Duration::from_millis(100));
+        fewest = fewest.min(count_runs(&cluster, "a"));
+    }
+    expect_that!(fewest, ge(5));
+    expect_that!(workers_of(&cluster, "a"), not(contains(eq(&leaving))));
+}
+
 /// Guards against a new leader that takes a worker for crashed which had announced that it leaves to its predecessor.
 #[gtest]
 fn a_worker_that_left_before_a_takeover_has_not_crashed() {
