Bound renewals and member batches by the rates of the store

Cause: a storm that keeps itself up. Four renewals a second an entry and batches of member changes of up to 2,500 calls a second are more than the 2,000 reads that this store takes. A refused renewal ends a lease, and its end and the new registration are changes that all entries follow. Ruled out: repeated reads (none after 5 s).

Change: reads_per_s of the settings is known. Batches take a fifth of it; renewals of entries that do not lead a quarter, down to two a second. Up to 125 entries at 2,000 reads nothing changes but the pause after a batch (17 ms in place of 3 ms for seven entries).

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -35,8 +35,12 @@
 
 /// Name of this loop in the log.
 const LOG_NAME: &str = "election";
-/// Interval between lease renewals: three in a row may fail before the lease ends.
+/// Shortest interval between lease renewals, and that of a leader: three in a row may fail before the lease ends.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest interval between the renewals of an entry that does not lead. A failed one is repeated before the lease ends.
+const MAX_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Share of the store's reading calls that the renewals of all entries use before the interval grows.
+const RENEWAL_CALL_SHARE: f64 = 0.25;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause, before jitter, after renewals that failed one after the other. An entry serves again this much after
@@ -190,7 +194,7 @@
                 self.renewed = Some(sent);
                 self.offer_lease();
                 self.candidacies.values().for_each(|candidacy| candidacy.note_renewal(sent));
-                RENEWAL_INTERVAL.saturating_sub(sent.elapsed())
+                self.renewal_interval().saturating_sub(sent.elapsed())
             }
             Ok(false) => {
                 self.note_renewal_answer();
@@ -207,6 +211,18 @@
         }
     }
 
+    /// Time from one renewal to the next: longer where there are so many entries that their renewals would take more than
+    /// their share of the store's calls.
+    fn renewal_interval(&self) -> Duration {
+        if self.candidacies.values().any(Candidacy::leads) {
+            return RENEWAL_INTERVAL;
+        }
+        let entries = self.shared.members.borrow().entries.len();
+        let calls = self.shared.settings.store_reads * RENEWAL_CALL_SHARE;
+        Duration::from_secs_f64(entries as f64 / calls)
+            .clamp(RENEWAL_INTERVAL, MAX_RENEWAL_INTERVAL)
+    }
+
     fn note_renewal_answer(&mut self) {
         self.renewal_backoff.reset();
         self.shared.store_availability.note_answer();
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -27,11 +27,12 @@
 const LEADER_LOG_NAME: &str = "leaders";
 /// Delay before the first retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Pause after a batch of changes, for each registered entry: all entries together then make 2,500 calls a second at
-/// most, however many they are.
-const BATCH_PAUSE_PER_ENTRY: Duration = Duration::from_micros(400);
+/// Share of the store's reading calls that all entries together use for batches of changes, however many they are. With
+/// calls beyond the rates, renewals are refused and leases end, and each end and each new registration is a change that
+/// all entries follow.
+const BATCH_CALL_SHARE: f64 = 0.2;
 /// Longest pause after a batch of changes.
-const MAX_BATCH_PAUSE: Duration = Duration::from_secs(1);
+const MAX_BATCH_PAUSE: Duration = Duration::from_secs(4);
 
 /// Follows the member keys in the store.
 pub(crate) struct MembershipLoop {
@@ -144,8 +145,9 @@
     }
 
     fn batch_pause(&self) -> Duration {
-        let entries = u32::try_from(self.shared.members.borrow().entries.len()).unwrap_or(u32::MAX);
-        BATCH_PAUSE_PER_ENTRY.saturating_mul(entries).min(MAX_BATCH_PAUSE)
+        let entries = self.shared.members.borrow().entries.len();
+        let calls = self.shared.settings.store_reads * BATCH_CALL_SHARE;
+        Duration::from_secs_f64(entries as f64 / calls).min(MAX_BATCH_PAUSE)
     }
 
     /// Waits for changes after a revision, or until a watch ends without any. Returns them with the revision to continue
--- a/src/node/scale_tests.rs
+++ b/src/node/scale_tests.rs
@@ -7,7 +7,7 @@
 
 use crate::node::candidacy::rank_pause;
 use crate::node::entry_store::StoreCallKind;
-use crate::node::simulated_store::{StoreAccess, StoreCallCount};
+use crate::node::simulated_store::{StoreAccess, StoreCallCount, StoreRates};
 use crate::node::simulation::SimulatedFleet;
 
 const DOMAINS: usize = 5;
@@ -151,3 +151,28 @@
         expect_that!(pauses.last(), some(le(&Duration::from_millis(2_500))));
     }
 }
+
+/// Guards against a storm that never ends: renewals that are refused for the store's rates end leases, and each end and
+/// each new registration is a change that all entries follow.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn many_entries_settle_within_the_rates_of_a_small_store() {
+    let entries = 100;
+    // As many calls for each entry as 300 and 600 of them have at 2,000 reads and 400 writes a second.
+    for (reads, writes) in [(667, 133), (333, 67)] {
+        let mut fleet = SimulatedFleet::undivided(3);
+        fleet.set_rates(StoreRates { reads, writes });
+        for _ in 0..2 {
+            (0..entries).for_each(|number| fleet.start_entry(number));
+            sleep(Duration::from_secs(20)).await;
+            expect_that!(fleet.led(), eq(entries), "{reads} reads");
+            expect_that!(fleet.informed(), eq(entries), "{reads} reads");
+            let before = fleet.store().call_count().failed;
+            sleep(Duration::from_secs(10)).await;
+            let refused = fleet.store().call_count().failed - before;
+            expect_that!(refused, eq(0), "{reads} reads");
+            (0..entries).for_each(|number| fleet.kill_entry(number));
+            sleep(Duration::from_millis(300)).await;
+        }
+    }
+}
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -25,6 +25,8 @@
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Reading calls a second that the store takes from all entries together; renewals and watches are among them.
+    pub store_reads: f64,
     /// Address of the service that gives placement advice.
     pub advisor: Option<SocketAddr>,
     /// Processor share of this process, in cores.
--- a/src/node/simulated_store.rs
+++ b/src/node/simulated_store.rs
@@ -69,6 +69,40 @@
     }
 }
 
+/// Calls a second that the store takes from all clients together. Renewals and watches count as reads.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreRates {
+    /// Reading calls a second.
+    pub reads: u32,
+    /// Writing calls a second.
+    pub writes: u32,
+}
+
+/// Calls in the current second.
+#[derive(Debug)]
+struct RateWindow {
+    start: Instant,
+    reads: u32,
+    writes: u32,
+}
+
+impl RateWindow {
+    /// Counts a call; returns whether the rates allow it.
+    fn take(&mut self, kind: StoreCallKind, rates: StoreRates) -> bool {
+        if self.start.elapsed() >= Duration::from_secs(1) {
+            *self = Self { start: Instant::now(), reads: 0, writes: 0 };
+        }
+        let (count, rate) = match kind {
+            StoreCallKind::Write => (&mut self.writes, rates.writes),
+            StoreCallKind::Read | StoreCallKind::Watch | StoreCallKind::Renewal => {
+                (&mut self.reads, rates.reads)
+            }
+        };
+        *count += 1;
+        *count <= rate
+    }
+}
+
 /// A lease with its keys.
 #[derive(Debug)]
 struct StoreLease {
@@ -101,6 +135,8 @@
     /// Entries that have been killed: none of their calls ends.
     killed: BTreeSet<usize>,
     count: StoreCallCount,
+    /// Limit of the calls of all clients, and those of the current second.
+    rates: Option<(StoreRates, RateWindow)>,
 }
 
 impl StoreState {
@@ -226,6 +262,12 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Limits the calls of all clients together; further ones are refused.
+    pub fn set_rates(&self, rates: StoreRates) {
+        let window = RateWindow { start: Instant::now(), reads: 0, writes: 0 };
+        self.lock().rates = Some((rates, window));
+    }
+
     /// Limits the bandwidth at which answers with values reach a client.
     pub fn set_link(&self, client: usize, mbps: f64) {
         let link = ClientLink { mbps, transfers: Arc::new(()) };
@@ -404,7 +446,14 @@
                 None
             } else {
                 *state.count.calls.entry(kind).or_default() += 1;
-                match self.check_access(&state) {
+                let is_within_rates =
+                    state.rates.as_mut().is_none_or(|(rates, window)| window.take(kind, *rates));
+                let refused = || Err(StoreError::NotDone("over the rate".to_owned()));
+                match self.check_access(&state).and(if is_within_rates {
+                    Ok(())
+                } else {
+                    refused()
+                }) {
                     Ok(()) => return Ok(answer(&mut state)),
                     Err(error) => {
                         state.count.failed += 1;
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -15,7 +15,7 @@
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
 use crate::node::simulated_peers::SimulatedPeers;
-use crate::node::simulated_store::SimulatedStore;
+use crate::node::simulated_store::{SimulatedStore, StoreRates};
 use crate::platform::CONFIG_KEY;
 
 /// Processor of the strong machines, in cores; one entry in [`STRONG_INTERVAL`] runs on one.
@@ -75,6 +75,12 @@
         fleet
     }
 
+    /// Limits the calls to the store, as the settings of entries started from now on say.
+    pub fn set_rates(&mut self, rates: StoreRates) {
+        self.store.set_rates(rates);
+        self.settings.store_reads = rates.reads.into();
+    }
+
     /// The store of all entries.
     pub fn store(&self) -> &SimulatedStore {
         &self.store
@@ -205,6 +211,7 @@
         peers: address,
         metrics: address,
         store: address,
+        store_reads: 2_000.0,
         advisor: None,
         processor: WEAK_PROCESSOR,
         link_mbps: 1_000.0,
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -45,6 +45,7 @@
         peers: address,
         metrics: address,
         store: address,
+        store_reads: 2_000.0,
         advisor: None,
         processor: 0.25,
         link_mbps: 1_000.0,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -113,6 +113,13 @@
     /// Size of the largest value of the store.
     #[serde(default = "default_value_bytes")]
     value_bytes: usize,
+    /// Reading calls a second that it takes.
+    #[serde(default = "default_reads")]
+    reads_per_s: f64,
+}
+
+fn default_reads() -> f64 {
+    2_000.0
 }
 
 fn default_value_bytes() -> usize {
@@ -156,6 +163,9 @@
     if wire.platform.value_bytes == 0 {
         report("value_bytes", "`value_bytes`: expected more than 0");
     }
+    if wire.platform.reads_per_s <= 0.0 {
+        report("reads_per_s", "`reads_per_s`: expected more than 0");
+    }
     if wire.bounds.cross_rack_factor < 1.0 {
         report("cross_rack_factor", "`cross_rack_factor`: expected 1 or more");
     }
@@ -171,6 +181,7 @@
         peers: SocketAddr::new(wire.ip, first),
         metrics: SocketAddr::new(wire.ip, METRICS_PORT),
         store: wire.platform.address,
+        store_reads: wire.platform.reads_per_s,
         advisor: wire.advisor,
         processor: wire.limits.cpu_share * wire.limits.cores,
         link_mbps: wire.limits.link_mbps,
