Follow a full answer of the registrations' watch at once, and confirm nothing by it

Cause: an answer to a watch holds 500 events. A leader took one such answer each 0.41 s, fell behind by seconds, and counted its registrations as current with each.

Change: the adapter marks an answer that may have been cut off. It confirms nothing, and the next watch follows without a pause.

Test: without the change the registrations are confirmed after 1,001 of 1,201 changes.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -63,7 +63,7 @@
                 continue;
             };
             match outcome? {
-                WatchOutcome::Events { events, revision } => {
+                WatchOutcome::Events { events, revision, .. } => {
                     self.shared.note_store_answer(LOG_NAME);
                     retry.note_answer();
                     for event in events {
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -102,8 +102,9 @@
 /// Result of a watch call.
 #[derive(Clone, Debug)]
 pub(crate) enum WatchOutcome {
-    /// Changes, or none if the wait ended first, and the revision to continue from.
-    Events { events: Vec<KeyEvent>, revision: u64 },
+    /// Changes, or none if the wait ended first, and the revision to continue from. With `has_more`, there may be later
+    /// changes that the answer had no room for.
+    Events { events: Vec<KeyEvent>, revision: u64, has_more: bool },
     /// The store no longer has the history after the revision: everything must be read again.
     HistoryGone,
 }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -34,6 +34,15 @@
 /// Longest pause after a batch of changes.
 const MAX_BATCH_PAUSE: Duration = Duration::from_secs(4);
 
+/// Changes of member keys.
+struct MemberChanges {
+    events: Vec<KeyEvent>,
+    /// Revision from which the next watch continues.
+    revision: u64,
+    /// Whether there may be more of them already.
+    has_more: bool,
+}
+
 /// Follows the member keys in the store.
 pub(crate) struct MembershipLoop {
     shared: Arc<NodeShared>,
@@ -114,11 +123,11 @@
     /// Follows the leaders until the store has compacted its history.
     async fn follow_leaders(&self, mut after: u64) {
         let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
-        while let Some((events, revision)) =
+        while let Some(changes) =
             self.next_changes(LEADER_LOG_NAME, LEADER_KEY, after, &mut retry).await
         {
-            after = revision;
-            self.apply(events);
+            after = changes.revision;
+            self.apply(changes.events);
         }
     }
 
@@ -131,15 +140,15 @@
                 Some(_) => ROSTER_PREFIX,
                 None => MEMBER_PREFIX,
             };
-            let Some((events, revision)) =
-                self.next_changes(LOG_NAME, prefix, after, &mut retry).await
-            else {
+            let Some(changes) = self.next_changes(LOG_NAME, prefix, after, &mut retry).await else {
                 return;
             };
-            after = revision;
-            if !events.is_empty() {
-                self.apply(events);
-                sleep(self.batch_pause()).await;
+            after = changes.revision;
+            if !changes.events.is_empty() {
+                self.apply(changes.events);
+                if !changes.has_more {
+                    sleep(self.batch_pause()).await;
+                }
             }
         }
     }
@@ -150,25 +159,26 @@
         Duration::from_secs_f64(entries as f64 / calls).min(MAX_BATCH_PAUSE)
     }
 
-    /// Waits for changes after a revision, or until a watch ends without any. Returns them with the revision to continue
-    /// from, or `None` if the store has compacted its history. A failed call is repeated from the same revision.
+    /// Waits for changes after a revision, or until a watch ends without any. Returns them, or `None` if the store has
+    /// compacted its history. A failed call is repeated from the same revision.
     async fn next_changes(
         &self,
         log_name: &str,
         prefix: &str,
         after: u64,
         retry: &mut StoreRetry,
-    ) -> Option<(Vec<KeyEvent>, u64)> {
+    ) -> Option<MemberChanges> {
         loop {
             let watch = self.shared.store.watch(prefix, after, WATCH_WAIT);
             let Some(outcome) = retry.until_return(watch).await else {
                 continue;
             };
             match outcome {
-                Ok(WatchOutcome::Events { events, revision }) => {
+                Ok(WatchOutcome::Events { events, revision, has_more }) => {
                     self.shared.note_store_answer(log_name);
                     retry.note_answer();
-                    return Some((events, after.max(revision)));
+                    let revision = after.max(revision);
+                    return Some(MemberChanges { events, revision, has_more });
                 }
                 Ok(WatchOutcome::HistoryGone) => return None,
                 Err(error) => {
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -105,7 +105,7 @@
     async fn follow(&self, mut after: u64) -> Result<(), StoreError> {
         loop {
             match self.shared.store.watch(&self.prefix, after, WATCH_WAIT).await? {
-                WatchOutcome::Events { events, revision } => {
+                WatchOutcome::Events { events, revision, .. } => {
                     after = after.max(revision);
                     for event in events {
                         if let KeyEvent::Written(item) = event {
--- a/src/node/registry.rs
+++ b/src/node/registry.rs
@@ -127,7 +127,7 @@
     async fn follow(&mut self, watch: &mut RegistryWatch) -> Result<Option<RegistryPhase>> {
         let wait = (self.shared.settings.leave_notice / WATCHES_PER_NOTICE).min(MAX_WATCH_WAIT);
         let outcome = self.shared.store.watch(REGISTRATION_PREFIX, watch.revision, wait).await?;
-        let WatchOutcome::Events { events, revision } = outcome else {
+        let WatchOutcome::Events { events, revision, has_more } = outcome else {
             return Ok(Some(RegistryPhase::reading()));
         };
         let answered = Instant::now();
@@ -136,6 +136,10 @@
             self.handle_event(event).await;
         }
         *watch = RegistryWatch { revision: revision.max(watch.revision), unanswered: 0 };
+        if has_more {
+            metrics::counter!("kelplink_partial_registration_answers_total").increment(1);
+            return Ok(None);
+        }
         self.confirm(answered).await;
         if !is_empty {
             sleep(self.batch_pause()).await;
--- a/src/node/registry/tests.rs
+++ b/src/node/registry/tests.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::graph::{ShardPlan, ShardScope};
 use crate::id::WorkerId;
@@ -151,3 +151,28 @@
     let mut inputs = std::iter::from_fn(|| inputs.try_recv());
     expect_true!(inputs.any(|input| matches!(input, LeaderInput::RegistrationsRead)));
 }
+
+/// Guards against a leader that starts work on leaving workers because it takes a watch's answer of 500 events for all
+/// changes until then: it fell behind by seconds and counted its registrations as current.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn registrations_are_not_confirmed_while_changes_wait_behind_a_full_answer() {
+    let store = fleet_store();
+    let (registry, inputs) = follow(&store);
+    sleep(Duration::from_secs(2)).await;
+    while inputs.try_recv().is_some() {}
+    let changed = Instant::now();
+    for number in 0..WORKERS {
+        let worker = format!("w{number:04}");
+        put_registration(&store, &worker, worker == LAST_WORKER);
+    }
+    sleep(Duration::from_millis(100)).await;
+    registry.abort();
+    let inputs: Vec<LeaderInput> = std::iter::from_fn(|| inputs.try_recv()).collect();
+    let is_last = |input: &LeaderInput| matches!(input, LeaderInput::Registered(registration) if registration.leaving.is_some());
+    let confirms = |input: &LeaderInput| matches!(input, LeaderInput::RegistrationsConfirmed(at) if *at > changed);
+    let last = inputs.iter().position(is_last);
+    let confirmed = inputs.iter().position(confirms);
+    expect_that!(last, some(anything()));
+    expect_that!(confirmed, some(gt(last.unwrap_or(usize::MAX))));
+}
--- a/src/node/simulated_store.rs
+++ b/src/node/simulated_store.rs
@@ -23,6 +23,8 @@
 const MAX_TRANSACTION_ENTRIES: usize = 32;
 const MAX_KEY_BYTES: usize = 200;
 const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Number of events in an answer to a watch, unless one revision has more.
+const MAX_LISTED_EVENTS: usize = 500;
 /// Largest number of items of a page.
 const PAGE_ITEMS: usize = 500;
 /// Size that the values of a page do not exceed, unless there is only one.
@@ -215,14 +217,24 @@
         KeyPage { items, more: found.peek().is_some(), revision: self.revision }
     }
 
-    /// Events after a revision, or `None` if they are no longer all known.
-    fn events_after(&self, prefix: &str, after: u64) -> Option<Vec<KeyEvent>> {
+    /// Events after a revision, at most a list of them and all of each revision, and the revision to continue from; `None`
+    /// if they are no longer all known.
+    fn events_after(&self, prefix: &str, after: u64) -> Option<(Vec<KeyEvent>, u64)> {
         let has_prefix = |event: &&KeyEvent| match event {
             KeyEvent::Written(item) => item.key.starts_with(prefix),
             KeyEvent::Removed { key, .. } => key.starts_with(prefix),
         };
-        let events = self.events.range(after + 1..).flat_map(|(_, events)| events);
-        (after >= self.compacted).then(|| events.filter(has_prefix).cloned().collect())
+        if after < self.compacted {
+            return None;
+        }
+        let mut listed: Vec<KeyEvent> = Vec::new();
+        for (revision, events) in self.events.range(after + 1..) {
+            listed.extend(events.iter().filter(has_prefix).cloned());
+            if listed.len() >= MAX_LISTED_EVENTS {
+                return Some((listed, *revision));
+            }
+        }
+        Some((listed, self.revision))
     }
 }
 
@@ -375,16 +387,17 @@
         self.call(StoreCallKind::Watch, |_| ()).await?;
         let deadline = Instant::now() + wait;
         loop {
-            let (found, revision) = {
+            let found = {
                 let state = self.store.lock();
                 self.check_access(&state)?;
-                (state.events_after(prefix, after), state.revision)
+                state.events_after(prefix, after)
             };
             match found {
                 None => return Ok(WatchOutcome::HistoryGone),
-                Some(events) if !events.is_empty() || Instant::now() >= deadline => {
+                Some((events, revision)) if !events.is_empty() || Instant::now() >= deadline => {
                     self.store.lock().count.events += events.len() as u64;
-                    return Ok(WatchOutcome::Events { events, revision });
+                    let has_more = events.len() >= MAX_LISTED_EVENTS;
+                    return Ok(WatchOutcome::Events { events, revision, has_more });
                 }
                 Some(_) => {
                     let remaining = deadline.saturating_duration_since(Instant::now());
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -32,6 +32,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout of a call for a page of a range. A megabyte over a link of 20 Mbit/s takes half a second.
 pub(crate) const PAGE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Number of events in the answer to a watch; the store lists further ones from the answer's revision on.
+const MAX_LISTED_EVENTS: usize = 500;
 /// Added to a watch's wait time to get the timeout of its call.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -217,9 +219,10 @@
             StatusCode::OK => {
                 let events: WireEvents = decode(&response)?;
                 let revision = events.revision;
+                let has_more = events.events.len() >= MAX_LISTED_EVENTS;
                 let events =
                     events.events.into_iter().filter_map(readable_item).map(key_event).collect();
-                Ok(WatchOutcome::Events { events, revision })
+                Ok(WatchOutcome::Events { events, revision, has_more })
             }
             StatusCode::GONE => Ok(WatchOutcome::HistoryGone),
             status => Err(status_error(status)),
