--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -79,9 +79,9 @@
     pub(crate) has_unlisted_ends: bool,
     /// Whether it has listed all its ends to this leader once.
     pub(crate) has_listed_all: bool,
-    /// Number of the last run end that was caused by an expired lease.
+    /// Number of the last run end that was caused by an expired lease, or is known to come before its expiry.
     pub last_lease_expiry: u64,
-    /// Whether all ends that it has not listed yet came before its lease expired, as nothing was started there since.
+    /// Whether the ends that it has not listed yet came before its lease expired: nothing was started there since.
     unlisted_ends_expired: bool,
     /// Number of the first run end that must not be acknowledged, because its task was started again before
     /// the end was received.
@@ -394,7 +394,7 @@
         }
     }
 
-    /// Notes the length of its list, whose ends have been processed.
+    /// Notes whether its list, whose ends have been processed, was cut off.
     pub(crate) fn note_listed_ends(&mut self, has_more_ends: bool) {
         if self.unlisted_ends_expired {
             self.last_lease_expiry = self.last_end;
