--- a/review/shared-2/workers.rs
+++ b/review/shared-2/workers.rs
@@ -8,14 +8,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{Request, serve_unless};
+use crate::http::{Request, serve, serve_unless};
 use crate::json::{Json, map, num, parse, text};
 use crate::record::Record;
 use crate::store::Store;
 
 /// Longest lease, in milliseconds (`hold_max_ms`).
 const HOLD_MAX_MS: u64 = 6_000;
-/// Interval at which waiting calls and runs are looked after.
+/// Shortest interval at which waiting calls and runs are looked after.
 const STEP: Duration = Duration::from_millis(2);
 
 /// A run of a task, as the minions saw it.
@@ -74,7 +74,7 @@
 
 /// A machine with its minion.
 pub struct Machine {
-    name: String,
+    pub name: String,
     pub zone: String,
     address: SocketAddr,
     labels: Vec<String>,
@@ -92,11 +92,30 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     store: Store,
     record: Record,
+    /// Interval at which waiting calls and runs are looked after.
+    step: Duration,
+    /// Whether one thread looks after all machines, and none of them can refuse connections.
+    many: bool,
 }
 
 impl Machines {
     pub fn new(store: &Store, record: &Record) -> Self {
-        Self { all: Arc::default(), runs: Arc::default(), store: store.clone(), record: record.clone() }
+        let (store, record) = (store.clone(), record.clone());
+        Self { all: Arc::default(), runs: Arc::default(), store, record, step: STEP, many: false }
+    }
+
+    /// Like [`Self::new`], for hundreds of machines.
+    pub fn many(store: &Store, record: &Record) -> Self {
+        let machines = Self { step: 10 * STEP, many: true, ..Self::new(store, record) };
+        let own = machines.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(own.step);
+                let all = own.all.lock().unwrap().clone();
+                all.iter().for_each(|machine| own.look_after(machine));
+            }
+        });
+        machines
     }
 
     /// Starts a machine, whose minion registers at once.
@@ -110,6 +129,12 @@
         let machine = Machine { name, zone, address, labels, millicpu, life, reach, refused: refused.clone() };
         let machine = Arc::new(machine);
         self.register(&machine, None);
+        if self.many {
+            let (own, machines) = (machine.clone(), self.clone());
+            serve(listener, Arc::new(move |request| machines.answer(&own, request)));
+            self.all.lock().unwrap().push(machine.clone());
+            return machine;
+        }
         let (own, machines) = (machine.clone(), self.clone());
         serve_unless(refused, listener, Arc::new(move |request| machines.answer(&own, request)));
         let (own, machines) = (machine.clone(), self.clone());
@@ -156,7 +181,7 @@
             let mut runs = self.runs.lock().unwrap();
             (runs[running.entry].to, runs[running.entry].how) = (Some(now), "crash");
         }
-        self.record.line(&format!("minion {} crashes", life.id));
+        self.record.line(&format!("the process of minion {} ends", life.id));
     }
 
     /// Starts the minion's next lifetime, under a new id.
@@ -324,7 +349,7 @@
                 return Some((200, life.lists()));
             }
             drop(life);
-            thread::sleep(STEP);
+            thread::sleep(self.step);
         }
     }
 }
