--- a/review/4/second_loss.rs
+++ b/review/4/second_loss.rs
@@ -52,6 +52,7 @@
     let Ok(mut cluster) = Cluster::new(&root, &store, &record) else { exit(2) };
     for number in 0..6 {
         if cluster.add(number, ZONES[usize::from(number) % 3], &ZONES).is_err() {
+            drop(cluster);
             exit(2);
         }
     }
@@ -73,7 +74,10 @@
         }
     }
     sleep(Duration::from_millis(1_500));
-    let Some((first, epoch)) = cluster.leader() else { exit(2) };
+    let Some((first, epoch)) = cluster.leader() else {
+        drop(cluster);
+        exit(2)
+    };
     record.line(&format!("{} leads, epoch {epoch}", cluster.nodes[first].name));
     let zone = cluster.nodes[first].zone.clone();
     let started = Instant::now();
--- a/review/6/last_of_a_kind.rs
+++ b/review/6/last_of_a_kind.rs
@@ -55,6 +55,7 @@
     let Ok(mut cluster) = Cluster::new(&root, &store, &record) else { exit(2) };
     for number in 0..6 {
         if cluster.add(number, ZONES[usize::from(number) % 3], &ZONES).is_err() {
+            drop(cluster);
             exit(2);
         }
     }
--- a/review/7/leaving_minion.rs
+++ b/review/7/leaving_minion.rs
@@ -52,6 +52,7 @@
     let Ok(mut cluster) = Cluster::new(&root, &store, &record) else { exit(2) };
     for number in 0..3 {
         if cluster.add(number, ZONES[usize::from(number)], &ZONES).is_err() {
+            drop(cluster);
             exit(2);
         }
     }
@@ -74,7 +75,10 @@
     // A minion with tasks.
     let minion = machines.runs.lock().unwrap().first().map(|run| run.minion.clone()).unwrap_or_default();
     let machine = machines.all.lock().unwrap().iter().find(|machine| machines.id(machine) == minion).cloned();
-    let Some(machine) = machine else { exit(2) };
+    let Some(machine) = machine else {
+        drop(cluster);
+        exit(2)
+    };
     let key = format!("servers/{minion}");
     machines.register(&machine, Some(DRAIN));
     let reported = Instant::now();
