Record the earlier leaders that may still run in the store

Callers saw tasks run twice: a leader that the store refused extended the leases of its cut-off domain, the next leader was killed, and the one after it took that one's restart for the end of all leaders before it.

Cause: the epoch record names the last winner only; its predecessors were known to its memory and to the message to a named successor. Ruled out: a lease that is extended beyond its window, and workers that the new leader does not know (it logs them as unheard).

The election writes the earlier leaders that may still run into a key of their own, on the condition of that key's revision, and a leader that has outlasted them removes it. A leader shortens its wait once all have ended.

Tests: a_leader_waits_for_one_that_runs_on_after_the_next_was_killed and ..._after_a_named_successor_was_killed.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -324,6 +324,11 @@
         }
     }
 
+    /// Time until the leases that earlier leaders may have extended have certainly expired.
+    pub fn inherited_lease_time(&self, now: Instant) -> Duration {
+        self.inherited_leases_end.saturating_duration_since(now)
+    }
+
     /// Records that the machine was suspended for `gap`, which the monotonic clock did not count.
     pub fn note_suspended(&mut self, now: Instant, gap: Duration) {
         self.last_suspension = Some((now, gap));
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -1,5 +1,6 @@
 //! This process as leader of one shard, or as candidate for it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,10 +10,9 @@
 use tokio::time::Instant;
 
 use crate::graph::{LeaderEpoch, ShardId};
-use crate::id::EntryId;
 use crate::node::input::LeaderInput;
 use crate::node::leader::LeaderLoop;
-use crate::node::records::{LeaderTerm, unknown_leader};
+use crate::node::records::{LeaderProcess, LeaderTerm, unknown_leader};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 use crate::ring::{RingSender, ring};
@@ -31,6 +31,8 @@
 /// registrations have expired, register within a second of each other, and a weak machine needs many seconds to read
 /// the jobs.
 pub(crate) const STRONG_MACHINE_PAUSE: Duration = Duration::from_millis(1_500);
+/// Interval between tries to remove the record of earlier leaders.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 /// Capacity of the input ring of the leader loop.
 const LEADER_RING_SIZE: usize = 8_192;
 
@@ -80,8 +82,12 @@
     /// Latest epoch that this process has led under; it never begins a term of this or an earlier epoch.
     last_epoch: LeaderEpoch,
     led_since: Option<Instant>,
-    /// Leader of the previous term: entry and start.
-    predecessor: Option<(EntryId, u64)>,
+    /// Leader of the previous term.
+    predecessor: Option<LeaderProcess>,
+    /// Leaders before that one that may still run.
+    earlier: BTreeSet<LeaderProcess>,
+    /// Time before which this process does not try again to remove the record of earlier leaders.
+    forget_from: Option<Instant>,
     /// Revision of the latest registration that this entry knew when it campaigned for the current term or received it.
     latest_registration: u64,
     /// Time before which this process passes the shard to no stronger entry.
@@ -98,6 +104,8 @@
             last_epoch: 0,
             led_since: None,
             predecessor: None,
+            earlier: BTreeSet::new(),
+            forget_from: None,
             latest_registration: 0,
             transfer_from: None,
         }
@@ -157,15 +165,36 @@
         self.transfer_from = Some(Instant::now() + delay);
     }
 
+    /// Whether this process has led for longer than any leader before it could continue.
+    pub(crate) fn has_outlasted_predecessors(&self) -> bool {
+        let bounds = self.shared.settings.bounds;
+        self.leads_for(bounds.lease_extension_window + bounds.max_lease)
+    }
+
+    /// Whether the record of earlier leaders is to be removed now; false for some time after a try.
+    pub(crate) fn forgets_predecessors(&mut self, now: Instant) -> bool {
+        let is_due =
+            self.has_outlasted_predecessors() && self.forget_from.is_none_or(|from| from <= now);
+        if is_due {
+            self.forget_from = Some(now + FORGET_INTERVAL);
+        }
+        is_due
+    }
+
     /// The leader of the previous term, if it may still be running. `None` if its process has ended, or if this process
     /// has led for longer than that leader could continue.
-    pub(crate) fn running_predecessor(&self, view: &MemberView) -> Option<(EntryId, u64)> {
-        let bounds = self.shared.settings.bounds;
-        let outlasted_predecessor =
-            self.leads_for(bounds.lease_extension_window + bounds.max_lease);
+    pub(crate) fn running_predecessor(&self, view: &MemberView) -> Option<LeaderProcess> {
         self.predecessor
             .clone()
-            .filter(|_| !outlasted_predecessor && !view.has_ended(&self.predecessor))
+            .filter(|_| !self.has_outlasted_predecessors() && !view.has_ended(&self.predecessor))
+    }
+
+    /// The leaders before that one that may still be running.
+    pub(crate) fn running_earlier(&self, view: &MemberView) -> BTreeSet<LeaderProcess> {
+        match self.has_outlasted_predecessors() {
+            true => BTreeSet::new(),
+            false => view.running(&self.earlier),
+        }
     }
 
     /// Records that a call sent at `sent` renewed or created the lease in the store. A new lease does not extend the
@@ -223,7 +252,8 @@
                 // The previous leader is unknown by now, so it is assumed to run for as long as any leader can.
                 let predecessor = Some(unknown_leader());
                 let (epoch, epoch_revision) = (leader.epoch, shard_view.epoch_revision);
-                CandidacyState::Won(LeaderTerm { epoch, epoch_revision, predecessor })
+                let earlier = BTreeSet::new();
+                CandidacyState::Won(LeaderTerm { epoch, epoch_revision, predecessor, earlier })
             }
             (None, Some(leader))
                 if leader.epoch == shard_view.epoch && leader.epoch <= self.last_epoch =>
@@ -294,6 +324,7 @@
         }
         self.led_since = Some(Instant::now());
         self.predecessor = term.predecessor.clone();
+        self.earlier = term.earlier.clone();
         let (input, receiver) = ring("leader", LEADER_RING_SIZE);
         let _ = input.offer(renewal);
         let shard = self.shard.clone();
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -3,11 +3,14 @@
 pub(crate) mod handover;
 #[cfg(test)]
 mod lease_tests;
+#[cfg(test)]
+mod predecessor_tests;
+mod predecessors;
 mod transfer;
 #[cfg(test)]
 mod transfer_tests;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,8 +25,8 @@
 use crate::node::candidacy::{Candidacy, CandidacyState};
 use crate::node::election::handover::TransferCause;
 use crate::node::keys::{
-    ENTRY_PREFIX, KeyTransaction, KeyWrite, LeaseId, StoreError, TransactionOutcome, epoch_key,
-    leader_key,
+    ENTRY_PREFIX, KeyTransaction, KeyWrite, LeaseId, StoreError, TransactionOutcome, earlier_key,
+    epoch_key, leader_key,
 };
 use crate::node::lateness::LatenessMonitor;
 use crate::node::members::apply_write;
@@ -113,6 +116,7 @@
             for shard in view.all_shards().unwrap_or_default() {
                 self.reconcile(&shard, &view).await;
                 self.pass_to_stronger(&shard, &view).await;
+                self.forget_predecessors(&shard, &view).await;
                 wake = self
                     .campaign_in_turn(&shard, &view)
                     .await
@@ -319,12 +323,13 @@
             start: self.shared.start,
             epoch,
         };
-        let holder = Some((settings.name.clone(), self.shared.start));
+        let holder = Some(self.shared.process());
         // Only registered machines count: a strong machine that was absent from this election is not waited for in the
         // next one.
         let epoch_record = EpochRecord::new(epoch, holder, view.best_registered());
         let predecessor = shard_view.holder.clone();
-        let change = KeyTransaction {
+        let earlier = predecessors::before_campaign(view, shard, &self.shared.process());
+        let mut change = KeyTransaction {
             // The leader key is always written together with the epoch key, so this condition covers both.
             conditions: vec![(epoch_key(shard), shard_view.epoch_revision)],
             writes: vec![
@@ -333,6 +338,7 @@
             ],
             removes: Vec::new(),
         };
+        predecessors::record(&mut change, shard, &shard_view, &earlier);
         self.candidacy(shard).note_registrations(view);
         let result = self.shared.store.transact(&change).await;
         self.shared.dependencies.store.tried(LOG_NAME, &result);
@@ -349,15 +355,23 @@
                     shard_view.leader = Some(record);
                     shard_view.leader_revision = revision;
                     shard_view.apply_epoch(epoch, epoch_record.holder, revision);
+                    if shard_view.earlier != earlier {
+                        let earlier_revision = if earlier.is_empty() { 0 } else { revision };
+                        shard_view.apply_earlier(earlier.clone(), earlier_revision);
+                    }
                 });
                 note_election_won(shard, epoch, &self.shared.settings, view);
                 let renewed = self.renewed;
-                let term = LeaderTerm { epoch, epoch_revision: revision, predecessor };
+                let term = LeaderTerm { epoch, epoch_revision: revision, predecessor, earlier };
                 self.candidacy(shard).begin(term, renewed);
             }
             Ok(TransactionOutcome::Conflict(items)) => {
                 self.shared.members.send_modify(|view| {
                     items.iter().for_each(|item| apply_write(view, item));
+                    if items.iter().all(|item| item.key != earlier_key(shard)) {
+                        let shard_view = view.shards.entry(shard.clone()).or_default();
+                        shard_view.apply_earlier(BTreeSet::new(), 0);
+                    }
                 });
                 sleep(RETRY_PAUSE).await;
             }
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -1,19 +1,19 @@
 //! Handover of leadership to another entry when this one steps down, and the start of terms handed over to this entry.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use log::{info, warn};
 use tokio::time::{Instant, sleep};
 
 use crate::graph::{LeaderEpoch, ShardId};
-use crate::id::EntryId;
-use crate::node::election::{ElectionLoop, LOG_NAME, RETRY_PAUSE, encode};
+use crate::node::election::{ElectionLoop, LOG_NAME, RETRY_PAUSE, encode, predecessors};
 use crate::node::handover_inbox::SuccessorOffer;
 use crate::node::keys::{
     KeyItem, KeyTransaction, KeyWrite, StoreError, TransactionOutcome, epoch_key, leader_key,
 };
 use crate::node::machine::MachineCapacity;
-use crate::node::records::{EpochRecord, LeaderRecord, LeaderTerm};
+use crate::node::records::{EpochRecord, LeaderProcess, LeaderRecord, LeaderTerm};
 use crate::node::view::{MemberView, ShardView};
 
 /// Maximum number of entries that a leader asks to succeed it.
@@ -102,8 +102,21 @@
     ) -> bool {
         let shard_view = view.shard(shard);
         let predecessor = self.candidacy(shard).running_predecessor(view);
+        let earlier = self.candidacy(shard).running_earlier(view);
+        let has_outlasted = self.candidacy(shard).has_outlasted_predecessors();
         let change = |offer: Option<&SuccessorOffer>| {
-            succession_change(shard, &shard_view, epoch, offer, predecessor.clone(), view.best)
+            let mut change = succession_change(
+                shard,
+                &shard_view,
+                epoch,
+                offer,
+                predecessor.clone(),
+                view.best,
+            )?;
+            if has_outlasted {
+                predecessors::forget(&mut change, shard, &shard_view);
+            }
+            Some(change)
         };
         let (Some(with_successor), Some(without_successor)) =
             (change(offer.as_ref()), change(None))
@@ -130,7 +143,8 @@
                     .increment(1);
                 match offer {
                     Some(offer) => {
-                        let term = LeaderTerm { epoch: epoch + 1, epoch_revision, predecessor };
+                        let epoch = epoch + 1;
+                        let term = LeaderTerm { epoch, epoch_revision, predecessor, earlier };
                         self.notify_successor(shard, &offer, &term).await;
                     }
                     None => self.note_vacant(shard, epoch_revision),
@@ -141,7 +155,7 @@
             Ok(TransactionOutcome::Conflict(items)) => {
                 self.candidacy(shard).end().await;
                 if let Some((offer, term)) =
-                    recorded_successor(shard, epoch, &items, view, predecessor)
+                    recorded_successor(shard, epoch, &items, view, (predecessor, earlier))
                 {
                     self.notify_successor(shard, &offer, &term).await;
                 }
@@ -262,19 +276,21 @@
     }
 }
 
-/// Returns the successor that an earlier attempt recorded in the store for the term after `epoch`, if there is one.
+/// Returns the successor that an earlier attempt recorded in the store for the term after `epoch`, if there is one. Its
+/// term comes after that of the predecessor, and of the leaders before it, that may still run.
 fn recorded_successor(
     shard: &ShardId,
     epoch: LeaderEpoch,
     items: &[KeyItem],
     view: &MemberView,
-    predecessor: Option<(EntryId, u64)>,
+    (predecessor, earlier): (Option<LeaderProcess>, BTreeSet<LeaderProcess>),
 ) -> Option<(SuccessorOffer, LeaderTerm)> {
     let item = items.iter().find(|item| item.key == epoch_key(shard))?;
     let record: EpochRecord = serde_json::from_slice(&item.value).ok()?;
     let (entry, start) = record.holder.filter(|_| record.epoch == epoch + 1)?;
     let address = view.entries.get(&entry)?.address;
-    let term = LeaderTerm { epoch: record.epoch, epoch_revision: item.revision, predecessor };
+    let (epoch, epoch_revision) = (record.epoch, item.revision);
+    let term = LeaderTerm { epoch, epoch_revision, predecessor, earlier };
     Some((SuccessorOffer { entry, address, start, lease: 0 }, term))
 }
 
@@ -291,7 +307,7 @@
     shard_view: &ShardView,
     epoch: LeaderEpoch,
     offer: Option<&SuccessorOffer>,
-    running_predecessor: Option<(EntryId, u64)>,
+    running_predecessor: Option<LeaderProcess>,
     best: MachineCapacity,
 ) -> Option<KeyTransaction> {
     if shard_view.epoch != epoch {
--- a/src/node/election/lease_tests.rs
+++ b/src/node/election/lease_tests.rs
@@ -1,5 +1,6 @@
 //! Leader keys that are gone, or left behind, although the entry's lease is renewed.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -73,7 +74,7 @@
     election
         .begin_delivered_term(
             &undivided(),
-            LeaderTerm { epoch: 2, epoch_revision: 5, predecessor: None },
+            LeaderTerm { epoch: 2, epoch_revision: 5, predecessor: None, earlier: BTreeSet::new() },
         )
         .await;
     expect_false!(election.candidacy(&undivided()).leads());
--- /dev/null
+++ b/src/node/election/predecessor_tests.rs
@@ -0,0 +1,90 @@
+//! Leaders that may still run after several others have led, which each new leader has to wait for.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::node::simulated_store::StoreAccess;
+use crate::node::simulation::SimulatedFleet;
+
+/// Time for which a leader waits at least for one before it that may still run: the window in which that one extends
+/// leases, and a lease, less the time that the tests take.
+const FULL_WAIT: Duration = Duration::from_secs(6);
+/// Longest time for which it waits where all leaders before it have ended: a lease.
+const SHORT_WAIT: Duration = Duration::from_secs(5);
+/// Number of milliseconds that a simulation may take to reach a state.
+const MAX_STEPS: usize = 30_000;
+
+/// Waits until an entry other than `others` leads.
+async fn next_leader(fleet: &SimulatedFleet, others: &[usize]) -> usize {
+    for _ in 0..MAX_STEPS {
+        sleep(Duration::from_millis(1)).await;
+        let leader =
+            (0..fleet.running()).find(|number| fleet.leads(*number) && !others.contains(number));
+        if let Some(leader) = leader {
+            return leader;
+        }
+    }
+    panic!("no other entry leads");
+}
+
+/// Entries of which the first leader is refused by the store and goes on with the workers that it reaches, with that
+/// leader and the next one.
+async fn leader_refused() -> (SimulatedFleet, usize, usize) {
+    let mut fleet = SimulatedFleet::undivided(1);
+    for number in 0..4 {
+        fleet.start_on(number, 0.5, 200.0);
+    }
+    let first = next_leader(&fleet, &[]).await;
+    sleep(Duration::from_secs(20)).await;
+    if let Some(client) = fleet.client(first) {
+        fleet.store().set_access(client, StoreAccess::Silent);
+    }
+    let second = next_leader(&fleet, &[first]).await;
+    (fleet, first, second)
+}
+
+/// Kills an entry and starts it again.
+async fn restart(fleet: &mut SimulatedFleet, number: usize) {
+    fleet.kill_entry(number);
+    sleep(Duration::from_millis(500)).await;
+    fleet.start_on(number, 0.5, 200.0);
+}
+
+// A leader that the store refused extended the leases of its domain's workers, the next one was killed. The one after it
+// took the restart of the latter for the end of all leaders before it, and started tasks again that still ran.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_leader_waits_for_one_that_runs_on_after_the_next_was_killed() {
+    let (mut fleet, first, second) = leader_refused().await;
+    restart(&mut fleet, second).await;
+    let third = next_leader(&fleet, &[first]).await;
+    sleep(Duration::from_secs(1)).await;
+    expect_that!(fleet.inherited_lease_time(third).await, some(gt(FULL_WAIT)));
+}
+
+// The same if the next leader was named by one that stopped as planned, and then killed.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_leader_waits_for_one_that_runs_on_after_a_named_successor_was_killed() {
+    let (mut fleet, first, second) = leader_refused().await;
+    fleet.stop_entry(second);
+    let third = next_leader(&fleet, &[first, second]).await;
+    restart(&mut fleet, third).await;
+    let fourth = next_leader(&fleet, &[first]).await;
+    sleep(Duration::from_secs(1)).await;
+    expect_that!(fleet.inherited_lease_time(fourth).await, some(gt(FULL_WAIT)));
+}
+
+// Otherwise each takeover after a loss would wait for leaders that lost their leases long ago.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_leader_does_not_wait_for_one_that_another_has_outlasted() {
+    let (mut fleet, first, second) = leader_refused().await;
+    sleep(Duration::from_secs(20)).await;
+    restart(&mut fleet, second).await;
+    let third = next_leader(&fleet, &[first]).await;
+    sleep(Duration::from_secs(1)).await;
+    expect_that!(fleet.inherited_lease_time(third).await, some(lt(SHORT_WAIT)));
+}
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -7,13 +7,16 @@
 
 /// Prefix of all keys that entries watch.
 pub(crate) const MEMBER_PREFIX: &str = "m/";
-/// Prefix of the keys of entries and of epoch records.
+/// Prefix of the keys of entries, epoch records and earlier leaders.
 pub(crate) const ROSTER_PREFIX: &str = "m/e";
 /// Key of the leader, written under its lease; each shard has its own.
 pub(crate) const LEADER_KEY: &str = "m/leader";
 /// Key of the epoch record, which counts elections. Everything that a leader writes is conditional on its revision. A
 /// leader key is always written together with the epoch key of its shard.
 const EPOCH_KEY: &str = "m/epoch";
+/// Key of the leaders before the last elected one that may still run; each shard has its own. It stays until they have
+/// certainly ended, whatever becomes of the leaders after them.
+const EARLIER_KEY: &str = "m/earlier";
 /// Key of the shard plan, which divides the workers among leaders.
 pub(crate) const PLAN_KEY: &str = "m/shards";
 /// Prefix of the keys of entries, each written under the entry's lease.
@@ -29,6 +32,16 @@
     sharded(EPOCH_KEY, shard)
 }
 
+/// Key of a shard's earlier leaders.
+pub(crate) fn earlier_key(shard: &ShardId) -> String {
+    sharded(EARLIER_KEY, shard)
+}
+
+/// Returns the shard if the key is that of earlier leaders.
+pub(crate) fn shard_of_earlier(key: &str) -> Option<ShardId> {
+    shard_of(key, EARLIER_KEY)
+}
+
 /// Returns the shard if the key is a leader key.
 pub(crate) fn shard_of_leader(key: &str) -> Option<ShardId> {
     shard_of(key, LEADER_KEY)
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::pin::pin;
 use std::sync::Arc;
 
@@ -16,7 +16,7 @@
     GraphAction, GraphController, GraphId, GraphJob, LeaderEpoch, RestoredState, ShardId,
     ShardScope,
 };
-use crate::id::{CallId, EntryId};
+use crate::id::CallId;
 use crate::node::action_executor::ActionExecutor;
 use crate::node::answer_condition::AnswerCondition;
 use crate::node::clock::{BootClock, unix_millis};
@@ -24,7 +24,7 @@
 use crate::node::ledger::{JobLedger, LEDGER_LOG_NAME};
 use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::notices::NoticeLoop;
-use crate::node::records::LeaderTerm;
+use crate::node::records::{LeaderProcess, LeaderTerm};
 use crate::node::registry::RegistryLoop;
 use crate::node::shared::NodeShared;
 use crate::node::state_queries::{StateQueries, StateUpdate};
@@ -45,7 +45,9 @@
     shared: Arc<NodeShared>,
     shard: ShardId,
     epoch: LeaderEpoch,
-    predecessor: Option<(EntryId, u64)>,
+    predecessor: Option<LeaderProcess>,
+    /// Leaders before the previous one that may still run.
+    earlier: BTreeSet<LeaderProcess>,
     ledger: JobLedger,
     sender: RingSender<LeaderInput>,
     input: RingReceiver<LeaderInput>,
@@ -72,7 +74,7 @@
         sender: RingSender<LeaderInput>,
         input: RingReceiver<LeaderInput>,
     ) -> Self {
-        let LeaderTerm { epoch, epoch_revision, predecessor } = term;
+        let LeaderTerm { epoch, epoch_revision, predecessor, earlier } = term;
         let ledger = JobLedger::new(&shared, shard.clone(), epoch, epoch_revision);
         let callers = BTreeMap::new();
         let state_queries = StateQueries::default();
@@ -82,6 +84,7 @@
             shard,
             epoch,
             predecessor,
+            earlier,
             ledger,
             sender,
             input,
@@ -97,7 +100,8 @@
 
     /// Loads the ledger, then leads until the term ends.
     pub(crate) async fn run(mut self) {
-        info!(shard = &*self.shard, epoch = self.epoch; "elected");
+        let (predecessor, earlier) = (&self.predecessor, &self.earlier);
+        info!(shard = &*self.shard, epoch = self.epoch, predecessor:?, earlier:?; "elected");
         let Some(state) = self.read_ledger().await else {
             return info!(shard = &*self.shard, epoch = self.epoch; "leadership ended before the ledger was read");
         };
@@ -162,6 +166,11 @@
         shard_view.epoch > self.epoch && !is_own
     }
 
+    /// Whether no earlier leader extends the leases of workers any more.
+    fn have_predecessors_ended(&self, view: &MemberView) -> bool {
+        view.has_ended(&self.predecessor) && view.running(&self.earlier).is_empty()
+    }
+
     async fn run_term(&mut self, controller: &mut GraphController, mut executor: ActionExecutor) {
         while let Some(input) = self.delayed_inputs.pop_front() {
             if self.handle_input(controller, &mut executor, input) {
@@ -191,7 +200,7 @@
                 _ = members.changed() => {
                     let view = members.borrow_and_update().clone();
                     controller.set_entries(view.advice_entries(&self.shard).into_iter().collect());
-                    if view.has_ended(&self.predecessor) {
+                    if self.have_predecessors_ended(&view) {
                         controller.note_predecessor_ended(Instant::now());
                     }
                 }
@@ -438,6 +447,7 @@
     };
     serde_json::json!({
         "epoch": controller.epoch(),
+        "inherited_leases_ms": controller.inherited_lease_time(Instant::now()).as_millis() as u64,
         "jobs": controller.jobs().iter().map(job).collect::<Vec<_>>(),
         "workers": controller.instances().iter().map(worker).collect::<Vec<_>>(),
     })
--- a/src/node/leader/tests.rs
+++ b/src/node/leader/tests.rs
@@ -1,5 +1,6 @@
 //! Answers of a leader whose term may have ended.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,7 +65,8 @@
     fn new() -> Self {
         let shared = Arc::new(NodeShared::new(settings()));
         let (sender, receiver) = ring("leader", RING_SIZE);
-        let term = LeaderTerm { epoch: 1, epoch_revision: 1, predecessor: None };
+        let term =
+            LeaderTerm { epoch: 1, epoch_revision: 1, predecessor: None, earlier: BTreeSet::new() };
         let leader_loop =
             LeaderLoop::new(shared.clone(), ShardId::from(""), term, sender.clone(), receiver);
         let executor = ActionExecutor::new(shared, sender, leader_loop.ledger.clone(), 1);
--- a/src/node/ledger/read_tests.rs
+++ b/src/node/ledger/read_tests.rs
@@ -1,5 +1,6 @@
 //! Reads of a large ledger over slow links and through outages of the store.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,7 +86,8 @@
 async fn reading_leader() -> (Arc<NodeShared>, RingSender<LeaderInput>, JoinHandle<()>) {
     let (_, shared) = shared_with_jobs(10.0);
     let (sender, receiver) = ring("leader", 64);
-    let term = LeaderTerm { epoch: 3, epoch_revision: 7, predecessor: None };
+    let term =
+        LeaderTerm { epoch: 3, epoch_revision: 7, predecessor: None, earlier: BTreeSet::new() };
     let leader = LeaderLoop::new(shared.clone(), only_shard(), term, sender.clone(), receiver);
     let task = tokio::spawn(leader.run());
     sleep(Duration::from_secs(2)).await;
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -4,6 +4,7 @@
 //! an entry, and all entries follow it, so it is followed in batches: otherwise the calls to the store would grow with
 //! the square of the number of entries.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,10 +15,11 @@
 use crate::node::availability::{StoreRetry, WATCH_WAIT};
 use crate::node::keys::{
     ENTRY_PREFIX, KeyEvent, KeyItem, LEADER_KEY, MEMBER_PREFIX, PLAN_KEY, ROSTER_PREFIX,
-    StoreError, UnreadableKind, WatchOutcome, count_unreadable, shard_of_epoch, shard_of_leader,
+    StoreError, UnreadableKind, WatchOutcome, count_unreadable, shard_of_earlier, shard_of_epoch,
+    shard_of_leader,
 };
 use crate::node::machine::MachineCapacity;
-use crate::node::records::{EntryRecord, EpochRecord, unknown_leader};
+use crate::node::records::{EarlierLeaders, EntryRecord, EpochRecord, unknown_leader};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 
@@ -238,6 +240,9 @@
         let best = record.best_capacity();
         shard_view.apply_epoch(record.epoch, record.holder, item.revision);
         view.best = view.best.best_of(best);
+    } else if let Some(shard) = shard_of_earlier(key) {
+        let record = decode(item).unwrap_or_else(unreadable_earlier);
+        view.shards.entry(shard).or_default().apply_earlier(record.leaders, item.revision);
     } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX)
         && let Some(entry) = decode::<EntryRecord>(item)
     {
@@ -252,6 +257,11 @@
     EpochRecord::new(item.revision, Some(unknown_leader()), MachineCapacity::default())
 }
 
+/// Stands in for an unreadable record of earlier leaders.
+fn unreadable_earlier() -> EarlierLeaders {
+    EarlierLeaders { leaders: [unknown_leader()].into() }
+}
+
 pub(super) fn apply_removal(view: &mut MemberView, key: &str, revision: u64) {
     if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
         view.entries.remove(name);
@@ -259,6 +269,9 @@
     if let Some(shard_view) = shard_of_leader(key).and_then(|shard| view.shards.get_mut(&shard)) {
         shard_view.forget_leader(revision);
     }
+    if let Some(shard_view) = shard_of_earlier(key).and_then(|shard| view.shards.get_mut(&shard)) {
+        shard_view.apply_earlier(BTreeSet::new(), 0);
+    }
 }
 
 fn decode<T: DeserializeOwned>(item: &KeyItem) -> Option<T> {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -1,5 +1,6 @@
 //! Records of entries, leaders and elections in the store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -20,19 +21,32 @@
     pub(crate) epoch: LeaderEpoch,
 }
 
+/// A process as leader: its entry and its start.
+pub(crate) type LeaderProcess = (EntryId, u64);
+
 /// Placeholder for an unknown leader that may still be running. No entry has its name, so it never counts as ended.
-pub(crate) fn unknown_leader() -> (EntryId, u64) {
+pub(crate) fn unknown_leader() -> LeaderProcess {
     (EntryId::from(""), 0)
 }
 
+/// Leaders of a shard before the last elected one that may still run and extend the leases of workers, as stored.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct EarlierLeaders {
+    pub(crate) leaders: BTreeSet<LeaderProcess>,
+}
+
 /// A term of leadership, won in an election or handed over by the previous leader.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
 pub(crate) struct LeaderTerm {
     pub(crate) epoch: LeaderEpoch,
     pub(crate) epoch_revision: u64,
-    /// Entry and start of the previous leader; `None` if it has stepped down.
-    pub(crate) predecessor: Option<(EntryId, u64)>,
+    /// The previous leader; `None` if it has stepped down.
+    pub(crate) predecessor: Option<LeaderProcess>,
+    /// Leaders before the previous one that may still run. Terms handed over by earlier builds lack them.
+    #[serde(default)]
+    pub(crate) earlier: BTreeSet<LeaderProcess>,
 }
 
 /// Result of a shard's last election, as stored.
@@ -40,8 +54,8 @@
 #[derive(Deserialize, Serialize)]
 pub(crate) struct EpochRecord {
     pub(crate) epoch: LeaderEpoch,
-    /// Entry and start of the elected leader; `None` once it has stepped down.
-    pub(crate) holder: Option<(EntryId, u64)>,
+    /// The elected leader; `None` once it has stepped down.
+    pub(crate) holder: Option<LeaderProcess>,
     /// Best processor known at the election.
     #[serde(default)]
     pub(crate) best: f64,
@@ -53,7 +67,7 @@
 impl EpochRecord {
     pub(crate) fn new(
         epoch: LeaderEpoch,
-        holder: Option<(EntryId, u64)>,
+        holder: Option<LeaderProcess>,
         best: MachineCapacity,
     ) -> Self {
         Self { epoch, holder, best: best.processor, best_link_mbps: best.link_mbps }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -17,6 +17,7 @@
 use crate::node::handover_inbox::HandoverInbox;
 use crate::node::input::LeaderInput;
 use crate::node::peers::PeerNetwork;
+use crate::node::records::LeaderProcess;
 use crate::node::settings::NodeSettings;
 use crate::node::simulated_peers::SimulatedPeers;
 use crate::node::view::MemberView;
@@ -68,6 +69,11 @@
         Self::with_store(settings, store)
     }
 
+    /// This process as a leader.
+    pub(crate) fn process(&self) -> LeaderProcess {
+        (self.settings.name.clone(), self.start)
+    }
+
     /// Like [`Self::new`], with a store other than that of the settings.
     pub(crate) fn with_store(settings: NodeSettings, store: EntryStore) -> Self {
         Self {
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 use crate::graph::{GraphBounds, LeaderEpoch, RunCosts, ShardId, ShardPlan};
 use crate::id::{DomainId, Revision};
 use crate::node::entry_store::EntryStore;
+use crate::node::input::LeaderInput;
 use crate::node::keys::PLAN_KEY;
 use crate::node::process::EntryLoops;
 use crate::node::settings::NodeSettings;
@@ -189,6 +191,21 @@
         self.entries.len()
     }
 
+    /// Number of an entry that leads a shard, if there is one.
+    pub fn leader(&self) -> Option<usize> {
+        self.entries.keys().copied().find(|number| self.leads(*number))
+    }
+
+    /// Time for which an entry, as leader of the only shard, waits for leases that earlier leaders may have extended;
+    /// `None` if it does not lead.
+    pub async fn inherited_lease_time(&self, number: usize) -> Option<Duration> {
+        let leader = self.entries.get(&number)?.shared.leading(&ShardId::from(""))?;
+        let (dump, dumped) = oneshot::channel();
+        leader.send(LeaderInput::Dump(dump)).await;
+        let millis = dumped.await.ok()?.get("inherited_leases_ms")?.as_u64()?;
+        Some(Duration::from_millis(millis))
+    }
+
     /// Whether an entry leads a shard.
     pub fn leads(&self, number: usize) -> bool {
         self.entries.get(&number).is_some_and(|entry| !entry.shared.led_shards().is_empty())
--- a/src/node/takeover_tests.rs
+++ b/src/node/takeover_tests.rs
@@ -1,5 +1,6 @@
 //! Terms that an entry is handed or wins before it has all the state it needs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,7 +50,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_term_handed_over_begins_once_the_shard_plan_is_known() {
     let shared = entry_without_plan();
-    let term = LeaderTerm { epoch: 2, epoch_revision: 9, predecessor: None };
+    let term =
+        LeaderTerm { epoch: 2, epoch_revision: 9, predecessor: None, earlier: BTreeSet::new() };
     shared.handover_inbox.deliver_term(shard(), term);
     tokio::spawn(ElectionLoop::new(shared.clone()).run());
     sleep(Duration::from_millis(500)).await;
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,14 +1,14 @@
 //! An entry's view of the registered entries and the leaders.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::graph::{LeaderEpoch, ShardId, ShardPlan};
 use crate::id::{DomainId, EntryId};
 use crate::node::machine::MachineCapacity;
-use crate::node::records::{EntryRecord, LeaderRecord};
+use crate::node::records::{EntryRecord, LeaderProcess, LeaderRecord};
 
 /// Leader and epoch of a shard.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -19,8 +19,12 @@
     /// Revision of the epoch key; 0 before the first election.
     pub(crate) epoch_revision: u64,
     pub(crate) epoch: LeaderEpoch,
-    /// Winner of the last election: entry and start.
-    pub(crate) holder: Option<(EntryId, u64)>,
+    /// Winner of the last election.
+    pub(crate) holder: Option<LeaderProcess>,
+    /// Leaders before that one that may still run.
+    pub(crate) earlier: BTreeSet<LeaderProcess>,
+    /// Revision of the key of earlier leaders; 0 if there is none.
+    pub(crate) earlier_revision: u64,
 }
 
 impl ShardView {
@@ -48,7 +52,7 @@
     pub(crate) fn apply_epoch(
         &mut self,
         epoch: LeaderEpoch,
-        holder: Option<(EntryId, u64)>,
+        holder: Option<LeaderProcess>,
         revision: u64,
     ) {
         if revision >= self.epoch_revision {
@@ -56,6 +60,11 @@
         }
     }
 
+    /// Applies the earlier leaders that the store has since `revision`; 0 stands for a key that does not exist.
+    pub(crate) fn apply_earlier(&mut self, earlier: BTreeSet<LeaderProcess>, revision: u64) {
+        (self.earlier, self.earlier_revision) = (earlier, revision);
+    }
+
     /// Applies the removal of the leader key from the store. A leader whose election the watch has not reached yet stays,
     /// as the removed key was that of an earlier leader.
     pub(crate) fn forget_leader(&mut self, revision: u64) {
@@ -128,10 +137,18 @@
 
     /// Whether the process of an elected leader is known to have ended because its entry has restarted. Also true
     /// without a holder.
-    pub(crate) fn has_ended(&self, holder: &Option<(EntryId, u64)>) -> bool {
-        holder.as_ref().is_none_or(|(entry, start)| {
-            self.entries.get(entry).is_some_and(|record| record.start != *start)
-        })
+    pub(crate) fn has_ended(&self, holder: &Option<LeaderProcess>) -> bool {
+        holder.as_ref().is_none_or(|leader| !self.may_run(leader))
+    }
+
+    /// Whether the process of an elected leader may still run: its entry has not restarted.
+    fn may_run(&self, (entry, start): &LeaderProcess) -> bool {
+        self.entries.get(entry).is_none_or(|record| record.start == *start)
+    }
+
+    /// Those of some leaders whose processes may still run.
+    pub(crate) fn running(&self, leaders: &BTreeSet<LeaderProcess>) -> BTreeSet<LeaderProcess> {
+        leaders.iter().filter(|leader| self.may_run(leader)).cloned().collect()
     }
 
     /// Returns the rank of an entry among the candidates for a shard: first those that lead no other shard, then strong
