Register an entry on the condition of the registration that it replaces

The registration was written without a condition, and the store may carry out an unanswered call seconds later, so that of a killed process could replace the one of its successor, which then counted as ended while it led. Found by reading; no run shows it.

A registration now states the revision that it replaces; a conflict tells it. It costs one more write where an entry is back before its lease has ended.

Test: a_registration_that_is_carried_out_late_does_not_replace_a_later_one (without the condition the late call is carried out).

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -44,6 +44,8 @@
 const MAX_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Share of the store's reading calls that the renewals of all entries use before the interval grows.
 const RENEWAL_CALL_SHARE: f64 = 0.25;
+/// Number of tries to register while the registration that is replaced is not known.
+const REGISTRATION_TRIES: usize = 3;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause, before jitter, after renewals that failed one after the other. An entry serves again this much after
@@ -63,6 +65,8 @@
     /// Revision of the transaction that registered this entry under its current lease. A leader key with a lower
     /// revision was written under a lease that has ended.
     registered: u64,
+    /// Revision of the registration under this entry's name that the next one replaces; 0 if there is none.
+    replaced: u64,
     /// This process's candidacy for each shard.
     candidacies: BTreeMap<ShardId, Candidacy>,
     lateness: LatenessMonitor,
@@ -80,6 +84,7 @@
             renewed: None,
             renewal_backoff: RetryBackoff::new(RETRY_PAUSE, MAX_RENEWAL_PAUSE),
             registered: 0,
+            replaced: 0,
             candidacies: BTreeMap::new(),
             lateness: LatenessMonitor::new(),
             peers,
@@ -266,17 +271,30 @@
             revision: 0,
         };
         let key = format!("{ENTRY_PREFIX}{}", settings.name);
-        let writes = vec![KeyWrite { key, value: encode(&record), lease: Some(lease) }];
-        let change = KeyTransaction { writes, ..KeyTransaction::default() };
-        match self.shared.store.transact(&change).await? {
-            TransactionOutcome::Done(revision) => {
-                info!(lease; "registered in the store");
-                self.lease = Some(lease);
-                self.registered = revision;
-                Ok(true)
+        let write = KeyWrite { key, value: encode(&record), lease: Some(lease) };
+        for _ in 0..REGISTRATION_TRIES {
+            match self.shared.store.transact(&self.registration(&write)).await? {
+                TransactionOutcome::Done(revision) => {
+                    info!(lease; "registered in the store");
+                    self.lease = Some(lease);
+                    (self.registered, self.replaced) = (revision, revision);
+                    return Ok(true);
+                }
+                TransactionOutcome::Conflict(items) => {
+                    self.replaced = items.first().map_or(0, |item| item.revision);
+                }
+                TransactionOutcome::NoLease => return Ok(false),
             }
-            TransactionOutcome::Conflict(_) | TransactionOutcome::NoLease => Ok(false),
         }
+        Ok(false)
+    }
+
+    /// The registration of this process in place of the one that it knows. Without the condition, a call of an earlier
+    /// process of this entry that is carried out late would replace the registration of the present one, which would
+    /// then count as ended.
+    fn registration(&self, write: &KeyWrite) -> KeyTransaction {
+        let conditions = vec![(write.key.clone(), self.replaced)];
+        KeyTransaction { conditions, writes: vec![write.clone()], removes: Vec::new() }
     }
 
     /// Brings this process's leadership of a shard in line with the store: ends a superseded term, or begins one that
--- a/src/node/election/predecessor_tests.rs
+++ b/src/node/election/predecessor_tests.rs
@@ -1,12 +1,19 @@
 //! Leaders that may still run after several others have led, which each new leader has to wait for.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
 use tokio::time::sleep;
 
-use crate::node::simulated_store::StoreAccess;
+use crate::node::election::ElectionLoop;
+use crate::node::entry_store::EntryStore;
+use crate::node::keys::{ENTRY_PREFIX, KeyWrite, TransactionOutcome};
+use crate::node::shared::NodeShared;
+use crate::node::simulated_peers::SimulatedPeers;
+use crate::node::simulated_store::{SimulatedStore, StoreAccess};
 use crate::node::simulation::SimulatedFleet;
+use crate::node::tests::settings;
 
 /// Time for which a leader waits at least for one before it that may still run: the window in which that one extends
 /// leases, and a lease, less the time that the tests take.
@@ -88,3 +95,29 @@
     sleep(Duration::from_secs(1)).await;
     expect_that!(fleet.inherited_lease_time(third).await, some(lt(SHORT_WAIT)));
 }
+
+/// The election loop of a new process of the same entry.
+fn new_process(store: &Arc<SimulatedStore>, client: usize) -> ElectionLoop {
+    let store = EntryStore::Simulated(store.client(client));
+    let shared = NodeShared::simulated(settings(), store, SimulatedPeers::default());
+    ElectionLoop::new(Arc::new(shared))
+}
+
+// The store may carry out an unanswered call seconds later. The registration of a process that had been killed replaced
+// that of its successor, which then counted as ended while it led.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_registration_that_is_carried_out_late_does_not_replace_a_later_one() {
+    let store = SimulatedStore::start();
+    let (mut killed, mut present) = (new_process(&store, 1), new_process(&store, 2));
+    killed.renew().await;
+    present.renew().await;
+    expect_that!(present.lease, some(anything()));
+    let key = format!("{ENTRY_PREFIX}{}", settings().name);
+    let late =
+        killed.registration(&KeyWrite { key: key.clone(), value: "late".into(), lease: None });
+    let outcome = killed.shared.store.transact(&late).await;
+    expect_that!(outcome, ok(matches_pattern!(TransactionOutcome::Conflict(_))));
+    let stored = present.shared.store.get(&key).await;
+    expect_that!(stored.ok().flatten().map(|item| item.revision), some(eq(present.registered)));
+}
