Wait for the lease of a leaving worker that may only be cut off

Callers saw tasks run twice: a leaving worker was cut off so that connections to it were refused, and its registration expired. Its tasks were started elsewhere at once, while they still ran under its lease.

Cause: a refused connection, a missing registration and the least remaining time were taken for its end. Ruled out: a lease that is reckoned too short, and another instance at its address (the log says that it ended as left).

A registration that is removed within two heartbeats after the last report shows that the worker has left, as it is removed for silence after three. Everything else waits for the lease.

--- a/benches/backlog/mod.rs
+++ b/benches/backlog/mod.rs
@@ -66,6 +66,7 @@
                 remote_rack_factor: 1.5,
             },
             max_value_bytes: 1 << 20,
+            worker_heartbeat: Duration::from_millis(1_500),
         };
         let now = Instant::now();
         let controller =
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -80,6 +80,8 @@
     pub run_costs: RunCosts,
     /// Size of the largest value that the store takes, in bytes.
     pub max_value_bytes: usize,
+    /// Interval at which workers report to the store; zero where it is not known.
+    pub worker_heartbeat: Duration,
 }
 
 /// State that a new leader restores from the store.
@@ -181,7 +183,8 @@
             let age = Duration::from_millis(unix.saturating_sub(record.spec.accepted));
             jobs.insert(GraphJob::restored(record, progress, now, age));
         }
-        let mut instances = InstanceTable::new(bounds.max_lease, bounds.run_costs);
+        let mut instances = InstanceTable::new(bounds.max_lease, bounds.run_costs)
+            .with_heartbeat(bounds.worker_heartbeat);
         for used in &state.workers {
             instances.restore_used(now, used, placeholder_registration(used));
         }
@@ -333,6 +336,7 @@
     pub fn note_suspended(&mut self, now: Instant, gap: Duration) {
         self.last_suspension = Some((now, gap));
         warn!(gap_ms = gap.as_millis() as u64; "the machine was suspended");
+        self.instances.forget_reports();
         self.authority_end = self.authority_end.checked_sub(gap).unwrap_or(self.last_pass);
     }
 
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -53,6 +53,9 @@
 /// Registrations that expired while the store was away are back two seconds after it, and the watch reports
 /// them later.
 pub(crate) const REREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
+/// Number of heartbeats after the last report of a leaving worker within which its registration is not removed for
+/// silence, which takes three.
+const LEAVING_HEARTBEATS: u32 = 2;
 /// Shortest time from one poll to the next, so that ends close together share an answer.
 const POLL_GAP: Duration = Duration::from_millis(15);
 
@@ -68,6 +71,8 @@
     /// Longest lease that a worker accepts.
     max_lease: Duration,
     run_costs: RunCosts,
+    /// Interval at which workers report to the store; zero where it is not known.
+    heartbeat: Duration,
     speeds: SpeedTable,
     pub(crate) registration_clock: RegistrationClock,
 }
@@ -78,6 +83,11 @@
         Self { max_lease, run_costs, ..Self::default() }
     }
 
+    /// Sets the interval at which workers report to the store.
+    pub fn with_heartbeat(self, heartbeat: Duration) -> Self {
+        Self { heartbeat, ..self }
+    }
+
     /// Returns a worker.
     pub fn get(&self, id: &WorkerId) -> Option<&WorkerInstance> {
         self.instances.get(id)
@@ -168,8 +178,11 @@
         }
         match self.instances.get_mut(&registration.id) {
             Some(instance) => {
+                if instance.registration != registration {
+                    instance.reported_since = self.registration_clock.known_until(now);
+                }
                 (instance.registered, instance.reregistration_deadline) = (true, None);
-                instance.registration_read = now;
+                (instance.registration_read, instance.has_left) = (now, false);
                 instance.update_registration(now, registration);
             }
             None => {
@@ -183,9 +196,15 @@
     pub(crate) fn set_registration_read(&mut self, id: &WorkerId, read: Instant) {
         if let Some(instance) = self.instances.get_mut(id) {
             instance.registration_read = read;
+            instance.reported_since = None;
         }
     }
 
+    /// Forgets when workers last reported: the clock has not counted all the time since.
+    pub(crate) fn forget_reports(&mut self) {
+        self.instances.values_mut().for_each(|instance| instance.reported_since = None);
+    }
+
     /// Adds a worker that the store names, before or without its registration.
     pub(crate) fn restore_used(
         &mut self,
@@ -205,13 +224,24 @@
         }
     }
 
-    /// Notes that a registration has gone. The worker may still run, and register again.
+    /// Notes that a registration has gone. The worker may still run, and register again. A leaving worker has left if
+    /// its registration is removed earlier after its last report than for silence; a removed registration alone does not
+    /// show it, nor does a refused connection, as both come about where a worker is cut off.
     pub(crate) fn unregister(&mut self, now: Instant, id: &WorkerId) {
+        let silence = self.heartbeat * LEAVING_HEARTBEATS;
         if let Some(instance) = self.instances.get_mut(id)
             && std::mem::replace(&mut instance.registered, false)
         {
-            instance.reregistration_deadline =
-                instance.leaves_at.is_none().then(|| now + REREGISTRATION_TIME);
+            let leaving = instance.leaves_at.is_some();
+            instance.reregistration_deadline = (!leaving).then(|| now + REREGISTRATION_TIME);
+            let reported =
+                instance.reported_since.map(|since| now.saturating_duration_since(since));
+            instance.has_left = leaving && reported.is_some_and(|reported| reported < silence);
+            if leaving {
+                let (worker, runs, has_left) = (&**id, instance.runs.len(), instance.has_left);
+                let reported_ms = reported.map(|reported| reported.as_millis() as u64);
+                info!(worker, runs, has_left, reported_ms:?; "registration of a leaving worker has gone");
+            }
         }
     }
 
@@ -491,7 +521,7 @@
             CallFailure::Refused(WorkerRefusal::Deposed) => {
                 vec![WorkerEvent::Deposed(id.clone())]
             }
-            CallFailure::NothingThere if instance.has_left(now) => {
+            CallFailure::NothingThere if instance.has_left => {
                 self.end_instance(id, InstanceEnd::Left)
             }
             _ => Vec::new(),
@@ -602,12 +632,6 @@
             (self.id().clone(), self.address(), self.instance_start);
         is_suspect.then_some(SuspectRun { run: run.run, worker, address, instance_start })
     }
-
-    /// Whether it has left as announced: it is unregistered and its remaining time has passed. The caller has
-    /// found that nothing answers at its address.
-    fn has_left(&self, now: Instant) -> bool {
-        !self.registered && self.leaves_at.is_some_and(|leaves_at| leaves_at <= now)
-    }
 }
 
 /// Applies a worker's list of running tasks to its known runs.
--- a/src/graph/workers/registration_clock.rs
+++ b/src/graph/workers/registration_clock.rs
@@ -40,6 +40,11 @@
         self.confirmed
     }
 
+    /// Time before which a change would have been known that becomes known `now`; `None` where that is not certain.
+    pub(crate) fn known_until(&self, now: Instant) -> Option<Instant> {
+        self.confirmed.or(self.max_lag.is_none().then_some(now))
+    }
+
     /// Time since which changes of registrations may not be known; `None` before the first reading.
     pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed.map(|confirmed| now.saturating_duration_since(confirmed))
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -50,6 +50,10 @@
     pub registered: bool,
     /// Until when it is expected to register again, after its registration has gone.
     pub reregistration_deadline: Option<Instant>,
+    /// Time after which its worker sent the report that its registration shows, where that is known.
+    pub(crate) reported_since: Option<Instant>,
+    /// Whether it is known to have left as announced.
+    pub(crate) has_left: bool,
     /// Earliest time at which it will be gone, where it is leaving.
     pub leaves_at: Option<Instant>,
     /// Whether it has answered a poll of this leader.
@@ -123,6 +127,8 @@
             leaves_at: registration.leaving.map(|time_left| now + time_left),
             registration,
             registration_read: now,
+            reported_since: None,
+            has_left: false,
             pending_registration: None,
             registered: true,
             reregistration_deadline: None,
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -242,6 +242,7 @@
             lease_extension_window: Duration::from_secs(5),
             run_costs: RunCosts::default(),
             max_value_bytes: 1 << 20,
+            worker_heartbeat: Duration::from_millis(1_500),
         },
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -49,6 +49,9 @@
     #[serde(default)]
     contracts: Vec<String>,
     platform: WirePlatform,
+    /// Interval at which workers report to the store.
+    #[serde(default)]
+    heartbeat_ms: u64,
 }
 
 #[derive(Debug)]
@@ -199,6 +202,7 @@
                 remote_rack_factor: wire.bounds.cross_rack_factor,
             },
             max_value_bytes: wire.platform.value_bytes,
+            worker_heartbeat: Duration::from_millis(wire.heartbeat_ms),
         },
     })
 }
--- a/tests/graph/leaving.rs
+++ b/tests/graph/leaving.rs
@@ -199,3 +199,52 @@
     expect_that!(count_runs(&cluster, "a"), eq(2));
     expect_that!(cluster.store.jobs["a"].1.crashes.len(), eq(0));
 }
+
+/// A cluster of two workers, of which the first runs a task and announces that it leaves in 300 ms.
+fn leaving_cluster(seed: u64) -> (SimCluster, WorkerId) {
+    let mut cluster = SimCluster::new(seed, 1);
+    cluster.run(seconds(1));
+    cluster.submit("later", "a", vec![step(1, 1, 60_000)]);
+    cluster.run(Duration::from_millis(300));
+    cluster.add_worker(1, 0);
+    cluster.run(Duration::from_millis(300));
+    let leaving = workers_of(&cluster, "a")[0].clone();
+    cluster.announce_leaving(&leaving, Duration::from_millis(300));
+    (cluster, leaving)
+}
+
+fn cut_off_with_refusals(cluster: &mut SimCluster, id: &WorkerId) {
+    if let Some(worker) = cluster.workers.get_mut(id) {
+        (worker.connected, worker.refuses_when_cut_off) = (false, true);
+    }
+}
+
+// Connections to a leaving worker were refused as it was cut off, and its registration expired. Its tasks were started
+// elsewhere while they still ran there under its lease.
+#[gtest]
+fn tasks_of_a_leaving_worker_that_refuses_connections_wait_for_its_lease() {
+    let (mut cluster, leaving) = leaving_cluster(78);
+    cluster.run(seconds(3));
+    cut_off_with_refusals(&mut cluster, &leaving);
+    cluster.run(Duration::from_millis(1_500));
+    let now = cluster.now;
+    cluster.leader().unwrap().worker_unregistered(now, &leaving);
+    cluster.run(seconds(2));
+    expect_that!(workers_of(&cluster, "a"), elements_are![eq(&leaving)]);
+    cluster.run(seconds(3));
+    expect_that!(workers_of(&cluster, "a"), elements_are![eq(&WorkerId::from("w1-0"))]);
+}
+
+// A suspended machine's clock stands still: the registration of the worker was removed for silence, and seemed to be
+// removed right after its last report.
+#[gtest]
+fn a_suspended_leader_does_not_take_a_silent_leaving_worker_for_gone() {
+    let (mut cluster, leaving) = leaving_cluster(79);
+    cluster.run(Duration::from_millis(500));
+    cut_off_with_refusals(&mut cluster, &leaving);
+    let now = cluster.now;
+    cluster.leader().unwrap().note_suspended(now, Duration::from_millis(100));
+    cluster.leader().unwrap().worker_unregistered(now, &leaving);
+    cluster.run(seconds(2));
+    expect_that!(workers_of(&cluster, "a"), elements_are![eq(&leaving)]);
+}
--- a/tests/graph/model_worker.rs
+++ b/tests/graph/model_worker.rs
@@ -40,6 +40,8 @@
     pub(crate) up: bool,
     /// Whether calls reach the worker.
     pub(crate) connected: bool,
+    /// Whether calls are refused, and not left unanswered, while it runs and is not connected.
+    pub(crate) refuses_when_cut_off: bool,
     /// Milliseconds that the worker's clock advances in a second.
     pub(crate) clock_rate: u32,
     /// Factor by which tasks take longer than declared.
@@ -75,6 +77,7 @@
             registration,
             up: true,
             connected: true,
+            refuses_when_cut_off: false,
             clock_rate,
             slowdown: 1,
             speed_percent: 100,
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -32,6 +32,7 @@
         remote_rack_factor: 3.0,
     },
     max_value_bytes: 1 << 20,
+    worker_heartbeat: Duration::from_millis(1_500),
 };
 /// How long after its wait time a poll without an answer counts as lost.
 const POLL_SLACK: Duration = Duration::from_millis(250);
--- a/tests/graph/sim_cluster/worker_faults.rs
+++ b/tests/graph/sim_cluster/worker_faults.rs
@@ -206,8 +206,10 @@
 
     /// How and after what time a call to an unreachable worker fails.
     pub(super) fn failure_at(&self, id: &WorkerId, silence: Duration) -> (CallFailure, Duration) {
-        let down = self.workers.get(id).is_none_or(|worker| !worker.up);
-        match down && self.refuses_when_down {
+        let worker = self.workers.get(id);
+        let down = worker.is_none_or(|worker| !worker.up);
+        let refused = worker.is_some_and(|worker| worker.refuses_when_cut_off && worker.up);
+        match down && self.refuses_when_down || refused {
             true => (CallFailure::NothingThere, TICK_INTERVAL),
             false => (CallFailure::NoAnswer, silence),
         }
--- a/tests/graph/unread_registrations.rs
+++ b/tests/graph/unread_registrations.rs
@@ -18,6 +18,7 @@
         lease_extension_window: seconds(5),
         run_costs: RunCosts::default(),
         max_value_bytes: 1 << 20,
+        worker_heartbeat: Duration::from_millis(1_500),
     }
 }
 
