--- a/benches/backlog/mod.rs
+++ b/benches/backlog/mod.rs
@@ -123,7 +123,8 @@
             repeat: None,
             accepted: START_UNIX_MS,
         };
-        let record = GraphRecord { spec, rule, workspace: None, home: None, share: None };
+        let record =
+            GraphRecord { spec, rule, workspace: None, home: None, share: None, run_offset: 0 };
         self.controller.submit_here(self.now, 1, 1, Duration::from_secs(600), record);
     }
 
--- a/src/graph.rs
+++ b/src/graph.rs
@@ -22,6 +22,7 @@
 pub use sharding::notice::{NoticeKind, ShardNotice};
 pub use sharding::shard::{ShardId, ShardPlan, ShardScope};
 pub use sharding::share::{ShareRange, TaskShare};
+pub use sharding::transfer::{ArrivingJob, DepartingJob, MovedJob};
 pub use storing::commit::{
     CommitGroup, CommitQueue, GroupEffect, GroupNumber, NameHolder, TakenName,
 };
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -6,6 +6,7 @@
 mod shares;
 mod storing;
 mod submissions;
+mod transfers;
 mod worker_events;
 mod workspaces;
 
@@ -163,6 +164,7 @@
     deposed: bool,
     next_sweep: Instant,
     next_evacuation: Instant,
+    next_transfer_review: Instant,
     pass_wanted: bool,
     last_pass: Instant,
     pass_interval: Duration,
@@ -254,6 +256,7 @@
             deposed: false,
             next_sweep: now,
             next_evacuation: now,
+            next_transfer_review: now,
             pass_wanted: true,
             last_pass: now,
             pass_interval: MIN_PASS_INTERVAL,
@@ -426,6 +429,9 @@
         self.review_compactions(now);
         self.report_gauges(now);
         self.remote_workers.forget_expired(now);
+        if extend {
+            self.review_transfers(now, unix);
+        }
         if extend && now >= self.next_evacuation {
             self.next_evacuation = now + EVACUATION_INTERVAL;
             self.evacuate_leaving_workers(now);
@@ -453,9 +459,9 @@
         self.unseen_invalidated = true;
         self.found_runs.clear();
         let unsettled_domains = self.uncontacted_domains();
-        let first = self.run_base() + 1;
+        let base = self.run_base();
         let is_affected = |job: &GraphJob| unsettled_domains.affects(job);
-        for job in self.jobs.invalidate_unseen_runs(unix, first, is_affected) {
+        for job in self.jobs.invalidate_unseen_runs(unix, base, is_affected) {
             self.commits.change(job, now, true);
         }
     }
--- a/src/graph/controller/shares.rs
+++ b/src/graph/controller/shares.rs
@@ -115,7 +115,10 @@
     }
 
     /// Registrations of the workers of this shard that count in decisions on where a job runs.
-    fn own_registrations(&self, now: Instant) -> impl Iterator<Item = &WorkerRegistration> + Clone {
+    pub(super) fn own_registrations(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = &WorkerRegistration> + Clone {
         self.instances
             .iter()
             .filter(move |instance| instance.counts(now))
@@ -130,16 +133,16 @@
         let Some(share) = &job.share else {
             return;
         };
-        let (kind, others): (NoticeKind, Vec<ShardId>) =
-            match (job.progress.verdict, job.is_part()) {
-                (None, false) => (NoticeKind::Start, share.others().cloned().collect()),
-                (Some(GraphVerdict::Cancelled | GraphVerdict::Failed), false) => {
-                    (NoticeKind::Cancel, share.others().cloned().collect())
-                }
-                (Some(GraphVerdict::Failed), true) => (NoticeKind::Fail, vec![share.owner.clone()]),
-                (None | Some(GraphVerdict::Cancelled), true)
-                | (Some(GraphVerdict::Completed), _) => return,
-            };
+        let (kind, others): (NoticeKind, Vec<ShardId>) = match (job.progress.verdict, job.is_part())
+        {
+            (None, false) => (NoticeKind::Start, share.others().cloned().collect()),
+            (Some(GraphVerdict::Cancelled | GraphVerdict::Failed), false) => {
+                (NoticeKind::Cancel, share.others().cloned().collect())
+            }
+            (Some(GraphVerdict::Failed), true) => (NoticeKind::Fail, vec![share.owner.clone()]),
+            (None | Some(GraphVerdict::Cancelled), true)
+            | (Some(GraphVerdict::Completed | GraphVerdict::Moved), _) => return,
+        };
         for shard in others {
             self.commits.send_notice(id.clone(), shard, kind);
         }
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -9,9 +9,10 @@
 use crate::graph::event::{GraphAction, GraphAnswer};
 use crate::graph::sharding::notice::{NoticeKind, ShardNotice};
 use crate::graph::sharding::shard::ShardId;
+use crate::graph::sharding::transfer::DepartingJob;
 use crate::graph::storing::commit::{CommitGroup, GroupEffect, GroupIds, GroupNumber, TakenName};
 use crate::graph::storing::compaction::CompactedJob;
-use crate::graph::workload::job::{GraphJob, GraphRecord};
+use crate::graph::workload::job::GraphRecord;
 use crate::graph::workload::name::GraphId;
 use crate::graph::workload::progress::GraphVerdict;
 use crate::id::UnixMillis;
@@ -24,14 +25,16 @@
         }
         let old = unix.saturating_sub(self.bounds.retention.as_millis() as u64);
         for id in self.jobs.ended_before(old) {
-            self.commits.remove(id, now);
+            if !self.commits.is_arriving(&id) {
+                self.commits.remove(id, now);
+            }
         }
         // Without this distinction a group that only lets ends be acknowledged would become a call to the store.
         let is_for_compactions = !self.commits.has_changes();
         let mut ids = self.commits.take(now);
         self.set_oversized_aside(now, &mut ids);
         let (effect, spare_keys) = (self.group_effect(&ids), ids.spare_keys);
-        let mut group = self.build_group(ids);
+        let mut group = self.build_group(ids, unix);
         if is_for_compactions || group.has_changes() {
             self.fill_with_compactions(&mut group, spare_keys);
         }
@@ -69,7 +72,7 @@
     }
 
     /// Whether all runs that earlier leaders have started were found or have ended.
-    fn knows_all_runs(&self) -> bool {
+    pub(super) fn knows_all_runs(&self) -> bool {
         self.unseen_invalidated || self.uncontacted.is_empty()
     }
 
@@ -93,32 +96,34 @@
         effect
     }
 
-    fn build_group(&self, ids: GroupIds) -> CommitGroup {
-        let record = |id: &GraphId| {
-            let job = self.jobs.get(id)?;
-            let (home, share) = (job.home.clone(), job.share.clone());
-            let (spec, rule) = ((*job.spec).clone(), (*job.rule).clone());
-            Some(GraphRecord { spec, rule, workspace: job.workspace.clone(), home, share })
-        };
+    fn build_group(&self, ids: GroupIds, unix: UnixMillis) -> CommitGroup {
+        let record = |id: &GraphId| Some(self.jobs.get(id)?.record());
         let notice = |(job, shard, kind): (GraphId, ShardId, NoticeKind)| {
             let record = match kind {
                 NoticeKind::Start => Some(record(&job)?),
-                NoticeKind::Cancel | NoticeKind::Fail => None,
+                NoticeKind::Cancel | NoticeKind::Fail | NoticeKind::Move => None,
             };
             Some(ShardNotice { shard, job, kind, record })
         };
-        let is_part = |id: &&GraphId| self.jobs.get(id).is_some_and(GraphJob::is_part);
+        let is_elsewhere =
+            |id: &&GraphId| self.jobs.get(id).is_some_and(|job| job.is_part() || job.has_moved());
+        let base = self.run_base();
+        let departing = |(id, shard): (GraphId, ShardId)| {
+            Some(DepartingJob::new(self.jobs.get(&id)?, shard, base, unix))
+        };
         let progress = |id: &GraphId| Some((id.clone(), self.jobs.get(id)?.progress.clone()));
         CommitGroup {
             number: ids.number,
             added: ids.added.iter().filter_map(record).collect(),
             progress: ids.changed.iter().filter_map(progress).collect(),
-            removed_parts: ids.removed.iter().filter(is_part).cloned().collect(),
+            removed_parts: ids.removed.iter().filter(is_elsewhere).cloned().collect(),
             removed: ids.removed,
             notices: ids.notices.into_iter().filter_map(notice).collect(),
             settled: ids.settled,
             workers: ids.workers_changed.then(|| self.instances.in_use()),
             compacted: Vec::new(),
+            departing: ids.departing.into_iter().filter_map(departing).collect(),
+            arriving: ids.arriving,
         }
     }
 
@@ -157,9 +162,17 @@
             return;
         };
         self.pass_wanted = true;
-        for name in taken {
+        let is_arriving = |id: &GraphId| group.arriving.iter().any(|job| job.id() == id);
+        for name in taken.iter().filter(|name| !is_arriving(&name.job)) {
             self.remove_taken(number, name);
         }
+        for job in &group.departing {
+            self.finish_departure(now, job);
+        }
+        for job in &group.arriving {
+            let is_withdrawn = taken.iter().any(|name| name.job == *job.id());
+            self.finish_arrival(job, is_withdrawn);
+        }
         let is_taken = |record: &&GraphRecord| taken.iter().any(|name| name.job == record.spec.id);
         for record in group.added.iter().filter(|record| !is_taken(record)) {
             let id = &record.spec.id;
@@ -207,6 +220,7 @@
             let answer = match verdict {
                 GraphVerdict::Cancelled => GraphAnswer::Cancelled,
                 GraphVerdict::Completed | GraphVerdict::Failed => GraphAnswer::Gone,
+                GraphVerdict::Moved => GraphAnswer::Unready,
             };
             self.answer_waiters(&id, answer);
         }
--- a/src/graph/controller/submissions.rs
+++ b/src/graph/controller/submissions.rs
@@ -99,6 +99,10 @@
                 return;
             }
             Some(_) => {}
+            None if self.commits.is_arriving(&id) => {
+                self.actions.push(GraphAction::Answer(call, GraphAnswer::Unready));
+                return;
+            }
             None if self.rejected.contains_key(&attempt) => {
                 self.reject(now, call, attempt, &id, "this attempt was rejected before");
                 return;
@@ -250,7 +254,7 @@
 
     /// Cancels a job; the answer is sent once the cancellation is stored.
     pub fn cancel(&mut self, now: Instant, unix: UnixMillis, call: CallId, id: &GraphId) {
-        let job = self.jobs.get(id).filter(|job| !job.is_part());
+        let job = self.jobs.get(id).filter(|job| !job.is_part() && !job.has_moved());
         let state = job.map(GraphJob::state);
         let answer = match state {
             None | Some(GraphState::Completed | GraphState::Failed) => Some(GraphAnswer::Gone),
--- a/src/graph/sharding.rs
+++ b/src/graph/sharding.rs
@@ -4,3 +4,4 @@
 pub(super) mod remote_workers;
 pub(super) mod shard;
 pub(super) mod share;
+pub(super) mod transfer;
--- a/src/graph/sharding/notice.rs
+++ b/src/graph/sharding/notice.rs
@@ -19,6 +19,8 @@
     Cancel,
     /// A task of a share was given up: the job has failed, and its owner ends it in all shards.
     Fail,
+    /// Take the job over.
+    Move,
 }
 
 /// A notice to send.
--- a/src/graph/sharding/remote_workers.rs
+++ b/src/graph/sharding/remote_workers.rs
@@ -133,6 +133,22 @@
         (weights.len() > 1).then_some(weights)
     }
 
+    /// Returns the shard that can run a job of which this one can run no step that is ready: of those with workers for one
+    /// of the `ready` steps the one with workers for most of the `open` ones.
+    pub(crate) fn shard_for_steps(
+        &self,
+        scope: &ShardScope,
+        rule: &QueueRule,
+        ready: &[&StepSpec],
+        open: &[&StepSpec],
+    ) -> Option<ShardId> {
+        let has_workers = |shard: &ShardId, step: &StepSpec| self.count(shard, step, rule) > 0;
+        let others = scope.plan.shards().into_iter().filter(|shard| *shard != scope.shard);
+        let able = others.filter(|shard| ready.iter().any(|step| has_workers(shard, step)));
+        // Of equal shards the first one is taken.
+        able.min_by_key(|shard| open.iter().filter(|step| !has_workers(shard, step)).count())
+    }
+
     fn count(&self, shard: &ShardId, step: &StepSpec, rule: &QueueRule) -> usize {
         let in_shard = self.known_workers().filter(|(other, _)| *other == shard);
         in_shard.filter(|(_, registration)| can_run_on(step, rule, registration)).count()
--- a/src/graph/storing/commit.rs
+++ b/src/graph/storing/commit.rs
@@ -9,6 +9,7 @@
 use crate::graph::exchange::{InstanceId, UsedWorker};
 use crate::graph::sharding::notice::{NoticeKind, NoticeQueue, ShardNotice};
 use crate::graph::sharding::shard::ShardId;
+use crate::graph::sharding::transfer::{ArrivingJob, DepartingJob, TransferQueue};
 use crate::graph::storing::compaction::{CompactedJob, CompactionQueue, CompactionRoom};
 use crate::graph::workload::changes::ChangeQueue;
 use crate::graph::workload::job::GraphRecord;
@@ -51,7 +52,7 @@
     pub progress: Vec<(GraphId, GraphProgress)>,
     /// Jobs whose retention has ended.
     pub removed: Vec<GraphId>,
-    /// Removed jobs that the leader of another shard accepted.
+    /// Removed jobs that belong to the leader of another shard.
     pub removed_parts: BTreeSet<GraphId>,
     /// Notices to other shards.
     pub notices: Vec<ShardNotice>,
@@ -61,6 +62,10 @@
     pub workers: Option<Vec<UsedWorker>>,
     /// Ended jobs whose stored record shrinks.
     pub compacted: Vec<CompactedJob>,
+    /// Jobs that go to other shards.
+    pub departing: Vec<DepartingJob>,
+    /// Jobs that come from other shards.
+    pub arriving: Vec<ArrivingJob>,
 }
 
 impl CommitGroup {
@@ -76,6 +81,8 @@
             && self.removed.is_empty()
             && self.notices.is_empty()
             && self.settled.is_empty()
+            && self.departing.is_empty()
+            && self.arriving.is_empty()
             && self.workers.is_none())
     }
 }
@@ -141,6 +148,7 @@
     oversized: BTreeMap<GraphId, Instant>,
     removed: BTreeSet<GraphId>,
     notices: NoticeQueue,
+    transfers: TransferQueue,
     workers_changed: bool,
     urgent: bool,
     gathering_since: Option<Instant>,
@@ -203,6 +211,39 @@
         }
     }
 
+    /// Gives a job to another shard.
+    pub(crate) fn depart(&mut self, job: GraphId, shard: ShardId) {
+        self.transfers.departing.insert(job, shard);
+        self.urgent = true;
+    }
+
+    /// Adds a job that another leader has given to this shard.
+    pub(crate) fn arrive(&mut self, job: ArrivingJob) {
+        self.removed.remove(job.id());
+        self.compactions.remove(job.id());
+        self.transfers.arriving.insert(job.id().clone(), job);
+        self.urgent = true;
+    }
+
+    /// Whether a job that another leader has given to this shard is not stored here yet.
+    pub(crate) fn is_arriving(&self, job: &GraphId) -> bool {
+        let in_flight = self
+            .in_flight
+            .as_ref()
+            .is_some_and(|(group, _)| group.arriving.iter().any(|arriving| arriving.id() == job));
+        in_flight || self.transfers.arriving.contains_key(job)
+    }
+
+    /// Whether the store has all of a job: no change of it waits or is in flight.
+    pub(crate) fn is_stored(&self, job: &GraphId) -> bool {
+        let is_in = |group: &CommitGroup| {
+            group.added.iter().any(|record| record.spec.id == *job)
+                || group.progress.iter().any(|(id, _)| id == job)
+        };
+        let in_flight = self.in_flight.as_ref().is_some_and(|(group, _)| is_in(group));
+        !(in_flight || self.has_change(job) || self.added.contains(job))
+    }
+
     /// Adds a job to remove.
     pub fn remove(&mut self, job: GraphId, now: Instant) {
         self.compactions.remove(&job);
@@ -295,6 +336,12 @@
         for job in &group.compacted {
             self.compact(job.record.spec.id.clone());
         }
+        for job in &group.departing {
+            self.depart(job.id().clone(), job.shard.clone());
+        }
+        for job in &group.arriving {
+            self.arrive(job.clone());
+        }
         self.workers_changed |= group.workers.is_some();
         if group.has_changes() {
             self.gathering_since.get_or_insert(now);
@@ -346,7 +393,10 @@
 
     /// Whether there are changes that someone waits for.
     pub(crate) fn has_changes(&self) -> bool {
-        !self.added.is_empty() || !self.notices.is_empty() || self.gathering_since.is_some()
+        !self.added.is_empty()
+            || !self.notices.is_empty()
+            || !self.transfers.is_empty()
+            || self.gathering_since.is_some()
     }
 
     /// Removes and returns the ids of the changes for the next group.
@@ -361,12 +411,14 @@
         keys_left -= changed.len();
         let notices = self.notices.take_outgoing(&mut keys_left);
         let settled = self.notices.take_settled(&mut keys_left);
+        let (departing, arriving) = self.transfers.take(&mut keys_left);
         let removed = take_within(&mut self.removed, &mut keys_left, job_keys.max(2));
         let workers_changed = std::mem::take(&mut self.workers_changed);
         let has_rest = !(self.changed.is_empty()
             && self.added.is_empty()
             && self.removed.is_empty()
-            && self.notices.is_empty());
+            && self.notices.is_empty()
+            && self.transfers.is_empty());
         self.urgent = has_rest && self.urgent;
         self.gathering_since = has_rest.then_some(now);
         self.last_number += 1;
@@ -379,6 +431,8 @@
             notices,
             settled,
             removed,
+            departing,
+            arriving,
             workers_changed,
         }
     }
@@ -416,6 +470,9 @@
     pub(crate) notices: Vec<(GraphId, ShardId, NoticeKind)>,
     pub(crate) settled: Vec<(GraphId, NoticeKind)>,
     pub(crate) removed: Vec<GraphId>,
+    /// Jobs that leave, with the shards that they go to.
+    pub(crate) departing: Vec<(GraphId, ShardId)>,
+    pub(crate) arriving: Vec<ArrivingJob>,
     pub(crate) workers_changed: bool,
     /// Keys that are left for compactions; none while other changes wait for the next group.
     pub(crate) spare_keys: usize,
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -35,6 +35,13 @@
     /// How its tasks are divided among shards, where it is wider than a shard.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub share: Option<TaskShare>,
+    /// Added to the run numbers of its leaders: those of other shards that had it before have used lower ones.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub run_offset: RunNumber,
+}
+
+fn is_zero(number: &RunNumber) -> bool {
+    *number == 0
 }
 
 impl GraphRecord {
@@ -83,6 +90,8 @@
     pub home: Option<DomainId>,
     /// How its tasks are divided among shards, where it is wider than a shard.
     pub share: Option<TaskShare>,
+    /// Added to the run numbers of its leaders.
+    pub run_offset: RunNumber,
     /// Shard of the leader that runs this job, or this part of it.
     pub shard: ShardId,
     /// Failure domains beside its home that it may use according to the store.
@@ -132,6 +141,7 @@
             workspace: record.workspace,
             home: record.home,
             share: record.share,
+            run_offset: record.run_offset,
             shard: ShardId::from(""),
             stored_domains: BTreeSet::new(),
             progress: GraphProgress::default(),
@@ -194,8 +204,8 @@
             Some(GraphVerdict::Completed) => GraphState::Completed,
             Some(GraphVerdict::Failed) => GraphState::Failed,
             Some(GraphVerdict::Cancelled) => GraphState::Cancelled,
-            None if self.progress.begun => GraphState::Running,
-            None => GraphState::Queued,
+            None | Some(GraphVerdict::Moved) if self.progress.begun => GraphState::Running,
+            None | Some(GraphVerdict::Moved) => GraphState::Queued,
         }
     }
 
@@ -240,7 +250,31 @@
             advice: None,
             public: self.rule.public,
         };
-        GraphRecord { spec, rule, workspace: self.workspace.clone(), home: None, share: None }
+        GraphRecord {
+            spec,
+            rule,
+            workspace: self.workspace.clone(),
+            home: None,
+            share: None,
+            run_offset: self.run_offset,
+        }
+    }
+
+    /// The record of the job as it is stored.
+    pub(crate) fn record(&self) -> GraphRecord {
+        GraphRecord {
+            spec: (*self.spec).clone(),
+            rule: (*self.rule).clone(),
+            workspace: self.workspace.clone(),
+            home: self.home.clone(),
+            share: self.share.clone(),
+            run_offset: self.run_offset,
+        }
+    }
+
+    /// Whether the leader of another shard runs it, according to the store.
+    pub fn has_moved(&self) -> bool {
+        self.stored_verdict == Some(GraphVerdict::Moved)
     }
 
     /// Returns a step; `None` for every step of an ended job whose record was compacted.
@@ -352,6 +386,12 @@
 
     /// Run number of the next start of a task, above all numbers used by earlier leaders.
     pub fn next_run(&self, task: &TaskKey, base: RunNumber) -> RunNumber {
-        self.last_run.get(task).copied().unwrap_or(0).max(base) + 1
+        self.last_run.get(task).copied().unwrap_or(0).max(self.run_base(base)) + 1
+    }
+
+    /// Number below which all runs of earlier leaders are, of this shard and of others that had the job before. `base` is
+    /// that of the leader.
+    pub(crate) fn run_base(&self, base: RunNumber) -> RunNumber {
+        base + self.run_offset
     }
 }
--- a/src/graph/workload/jobs.rs
+++ b/src/graph/workload/jobs.rs
@@ -188,12 +188,12 @@
     }
 
     /// Invalidates runs of earlier leaders that this leader does not know, as they may have continued or ended
-    /// without a report: for each task that may have such a run, only runs from `first` on count. Returns the
-    /// jobs that changed.
+    /// without a report: for each task that may have such a run, only runs above the leader's `base` count. Returns
+    /// the jobs that changed.
     pub(crate) fn invalidate_unseen_runs(
         &mut self,
         unix: UnixMillis,
-        first: RunNumber,
+        base: RunNumber,
         is_affected: impl Fn(&GraphJob) -> bool,
     ) -> Vec<GraphId> {
         let mut changed = Vec::new();
@@ -202,6 +202,7 @@
             .values_mut()
             .filter(|job| job.inherited && !job.is_over() && is_affected(job));
         for job in open_jobs {
+            let first = job.run_base(base) + 1;
             let unseen: Vec<TaskKey> = job.unseen_tasks(unix);
             let raised =
                 unseen.iter().filter(|task| job.progress.raise_floor(**task, first)).count();
@@ -213,6 +214,14 @@
         changed
     }
 
+    /// Ends a job here that another shard is to run from now on.
+    pub(crate) fn move_away(&mut self, id: &GraphId, unix: UnixMillis) {
+        if let Some(job) = self.get_mut(id) {
+            (job.progress.verdict, job.progress.ended) = (Some(GraphVerdict::Moved), Some(unix));
+            self.schedulable_ids.remove(id);
+        }
+    }
+
     /// Handles the end of a run.
     pub(crate) fn run_ended(
         &mut self,
@@ -323,7 +332,7 @@
     pub fn pending(&self, queue: &str) -> usize {
         let is_pending = |job: &&GraphJob| {
             let is_waiting = job.durable && job.state() == GraphState::Queued;
-            is_waiting && !job.is_part() && *job.spec.queue == *queue
+            is_waiting && !job.is_part() && !job.has_moved() && *job.spec.queue == *queue
         };
         self.jobs.values().filter(is_pending).count()
     }
--- a/src/graph/workload/progress.rs
+++ b/src/graph/workload/progress.rs
@@ -25,6 +25,8 @@
     Failed,
     /// Its caller cancelled it.
     Cancelled,
+    /// It has not ended: the leader of another shard runs it.
+    Moved,
 }
 
 /// Progress of a job.
@@ -169,6 +171,11 @@
             || self.crashes.values().any(has_certain)
     }
 
+    /// What is kept of the progress of a job that another shard runs from now on, as [`Self::compacted`].
+    pub(crate) fn moved(&self, unix: UnixMillis) -> Self {
+        Self { verdict: Some(GraphVerdict::Moved), ended: Some(unix), ..self.compacted() }
+    }
+
     /// What is kept of the progress of an ended job that has no runs left. Its floors are kept: the end of a run
     /// below them must not be acknowledged, whenever its worker reports it.
     pub(crate) fn compacted(&self) -> Self {
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -200,8 +200,14 @@
             let status = StatusCode::BAD_REQUEST;
             ProblemDetails::new(status, "no such job can be", errors.join("; ")).ran(RunState::No)
         })?;
-        let record =
-            GraphRecord { spec, rule: (**queue).clone(), workspace, home: None, share: None };
+        let record = GraphRecord {
+            spec,
+            rule: (**queue).clone(),
+            workspace,
+            home: None,
+            share: None,
+            run_offset: 0,
+        };
         let caller_timeout = request.time_left();
         let attempt = rand::random();
         let submission = JobSubmission { attempt, caller_timeout, forced: false, record };
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 
 use crate::graph::{
-    AdviceId, CommandResult, GraphId, GraphRecord, GroupNumber, InstanceId, LeaderEpoch,
+    AdviceId, CommandResult, GraphId, GraphRecord, GroupNumber, InstanceId, LeaderEpoch, MovedJob,
     PollResult, RunNumber, ShardId, TakenName, TaskName, WorkerRegistration,
 };
 use crate::id::{CallId, WorkerId};
@@ -26,6 +26,8 @@
     /// A share of a job that another shard's leader has accepted.
     Share(Box<GraphRecord>),
     /// The leader that owns a shared job has ended it.
+    /// The leader of another shard has given this one a job, by a notice of this revision.
+    JobMoved(Box<MovedJob>, u64),
     ShareEnded(GraphId),
     /// A share of a job that this leader accepted has failed.
     ShareFailed(GraphId),
--- a/src/node/job_fixtures.rs
+++ b/src/node/job_fixtures.rs
@@ -26,7 +26,8 @@
     serde_json::to_vec(&record(id)).unwrap()
 }
 
-fn record(id: &str) -> GraphRecord {
+/// Record of a job of one task.
+pub(crate) fn record(id: &str) -> GraphRecord {
     let rule = QueueRule {
         id: "now".into(),
         host: "".into(),
@@ -47,5 +48,5 @@
         repeat: None,
         accepted: 0,
     };
-    GraphRecord { spec, rule, workspace: None, home: None, share: None }
+    GraphRecord { spec, rule, workspace: None, home: None, share: None, run_offset: 0 }
 }
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -283,6 +283,9 @@
                 controller.worker_registered_elsewhere(shard, *registration);
             }
             LeaderInput::Share(record) => controller.accept_share(now, *record),
+            LeaderInput::JobMoved(moved, revision) => {
+                controller.accept_moved(now, unix, *moved, revision);
+            }
             LeaderInput::ShareEnded(job) => controller.cancel_share(now, unix, &job),
             LeaderInput::ShareFailed(job) => controller.fail_shared(now, unix, &job),
             LeaderInput::Unregistered(worker) => controller.worker_unregistered(now, &worker),
@@ -471,7 +474,8 @@
     owned_job(controller, access.job()).is_some_and(|job| !job.is_visible_to(access.workspace()))
 }
 
-/// A job that this leader owns. Queries for a job of which only a part runs here are answered by its owner.
+/// A job that this leader owns. Queries for a job of which only a part runs here, or that has moved to another shard, are
+/// answered by its owner.
 fn owned_job<'c>(controller: &'c GraphController, id: &GraphId) -> Option<&'c GraphJob> {
-    controller.jobs().get(id).filter(|job| !job.is_part())
+    controller.jobs().get(id).filter(|job| !job.is_part() && !job.has_moved())
 }
--- a/src/node/leader/tests.rs
+++ b/src/node/leader/tests.rs
@@ -48,7 +48,7 @@
         repeat: None,
         accepted: 0,
     };
-    GraphRecord { spec, rule, workspace: None, home: None, share: None }
+    GraphRecord { spec, rule, workspace: None, home: None, share: None, run_offset: 0 }
 }
 
 /// Inputs that may wait for the leader in these tests.
--- a/src/node/leader_client.rs
+++ b/src/node/leader_client.rs
@@ -7,7 +7,9 @@
 use log::info;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::graph::{GraphId, GraphJob, GraphState, QueueId, ShardId, ShardPlan};
+use crate::graph::{
+    GraphId, GraphJob, GraphProgress, GraphRecord, GraphState, QueueId, ShardId, ShardPlan,
+};
 use crate::node::ledger::JobLedger;
 use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::own_leader::ask_own_leader;
@@ -32,6 +34,8 @@
 /// elected.
 const STORE_DOWN_WAIT: Duration = Duration::from_millis(350);
 
+/// Number of times that a job is looked up in the store while it moves from shard to shard.
+const STATE_READ_TRIES: usize = 3;
 /// Maximum number of shards that an entry submits a job to: the second and the third fail together only where the store
 /// is unavailable, and then all shards do.
 const MAX_SHARDS_TRIED: usize = 3;
@@ -180,13 +184,31 @@
             }
         };
         match (call, answer) {
-            // The index has the job, so this leader could not read it or has been replaced. For a cancellation the
-            // answer is kept, as the job may have ended.
+            // The index has the job, so this leader could not read it, has not taken it over yet, or has been replaced.
             (LeaderCall::State(_), Ok(LeaderAnswer::Gone)) => Err(LeaderCallError::NotTaken),
+            // A job that has ended has nothing to cancel.
+            (LeaderCall::Cancel(access), Ok(LeaderAnswer::Gone))
+                if !self.is_over_or_gone(access).await =>
+            {
+                Err(LeaderCallError::NotTaken)
+            }
             (_, answer) => answer,
         }
     }
 
+    /// Whether the store shows that a job has ended or does not exist.
+    async fn is_over_or_gone(&self, access: &JobAccess) -> bool {
+        matches!(
+            self.stored_state(access).await,
+            Some(
+                LeaderAnswer::Gone
+                    | LeaderAnswer::State(
+                        GraphState::Completed | GraphState::Failed | GraphState::Cancelled
+                    )
+            )
+        )
+    }
+
     /// The shard that most likely has a job that callers of this entry ask about.
     fn nearest_shard(&self, plan: &ShardPlan, job: &GraphId) -> ShardId {
         let shards = plan.shard_order(&self.shared.settings.domain, job);
@@ -336,28 +358,54 @@
     pub(crate) async fn stored_state(&self, access: &JobAccess) -> Option<LeaderAnswer> {
         let id = access.job();
         let plan = self.shared.members.borrow().plan.clone()?;
-        let shard = match plan.is_divided() {
-            true => match self.indexed_shard(id).await {
+        if !plan.is_divided() {
+            let stored = self.stored_job(&self.nearest_shard(&plan, id), id).await?;
+            return Some(stored.map_or(LeaderAnswer::Gone, |job| state_answer(&job, access)));
+        }
+        // A job that moves between the reads is found by the next ones.
+        for _ in 0..STATE_READ_TRIES {
+            let shard = match self.indexed_shard(id).await {
                 IndexedShard::Known(shard) => shard,
                 IndexedShard::None => return Some(LeaderAnswer::Gone),
                 IndexedShard::Unread => return None,
-            },
-            false => self.nearest_shard(&plan, id),
-        };
-        let read = JobLedger::job(&self.shared.store, &shard, id).await;
-        let read = read.map_err(|error| format!("job {id}: {error}"));
-        self.shared.dependencies.store.tried(STATE_LOG_NAME, &read);
-        match read {
-            Ok(Some((record, progress))) => {
-                let job = GraphJob::restored(record, progress, Instant::now(), Duration::ZERO);
-                match job.is_visible_to(access.workspace()) {
-                    true => Some(LeaderAnswer::State(GraphState::clone(&job.state()))),
-                    false => Some(LeaderAnswer::Gone),
-                }
+            };
+            let stored = self.stored_job(&shard, id).await?.filter(|job| !job.has_moved());
+            let stored = match stored {
+                Some(job) => Some(job),
+                None => self.moved_job(&shard, id).await?,
+            };
+            if let Some(job) = stored {
+                return Some(state_answer(&job, access));
             }
-            Ok(None) => Some(LeaderAnswer::Gone),
-            Err(_) => None,
         }
+        Some(LeaderAnswer::Gone)
+    }
+
+    /// Reads a job of a shard; the outer value is `None` if the store cannot be read.
+    async fn stored_job(&self, shard: &ShardId, id: &GraphId) -> Option<Option<GraphJob>> {
+        let read = JobLedger::job(&self.shared.store, shard, id).await;
+        let read = read.map_err(|error| format!("job {id}: {error}"));
+        self.shared.dependencies.store.tried(STATE_LOG_NAME, &read);
+        Some(read.ok()?.map(|(record, progress)| restored(record, progress)))
+    }
+
+    /// Reads a job that is on its way to a shard; the outer value is `None` if the store cannot be read.
+    async fn moved_job(&self, shard: &ShardId, id: &GraphId) -> Option<Option<GraphJob>> {
+        let read = JobLedger::moved_job(&self.shared.store, shard, id).await;
+        self.shared.dependencies.store.tried(STATE_LOG_NAME, &read);
+        Some(read.ok()?.map(|moved| restored(moved.record, moved.progress)))
+    }
+}
+
+fn restored(record: GraphRecord, progress: GraphProgress) -> GraphJob {
+    GraphJob::restored(record, progress, Instant::now(), Duration::ZERO)
+}
+
+/// What a caller is told about a stored job.
+fn state_answer(job: &GraphJob, access: &JobAccess) -> LeaderAnswer {
+    match job.is_visible_to(access.workspace()) {
+        true => LeaderAnswer::State(job.state()),
+        false => LeaderAnswer::Gone,
     }
 }
 
--- a/src/node/leader_client_tests.rs
+++ b/src/node/leader_client_tests.rs
@@ -9,12 +9,17 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-use crate::graph::{GraphId, GraphRecord, QueueRule, ShardPlan};
+use crate::graph::{
+    GraphId, GraphProgress, GraphRecord, GraphState, GraphVerdict, MovedJob, QueueRule, ShardPlan,
+};
+use crate::node::entry_store::EntryStore;
 use crate::node::input::LeaderInput;
 use crate::node::leader_client::{LeaderCallError, LeaderClient};
 use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
+use crate::node::simulated_peers::SimulatedPeers;
+use crate::node::simulated_store::SimulatedStore;
 use crate::node::tests::{divided, settings};
 use crate::platform::decode_job;
 use crate::ring::ring;
@@ -54,7 +59,8 @@
     };
     let body = br#"{"steps": [{"count": 1}]}"#;
     let spec = decode_job(&rule.id, JOB, body, 0).unwrap();
-    let record = GraphRecord { spec, rule, workspace: None, home: None, share: None };
+    let record =
+        GraphRecord { spec, rule, workspace: None, home: None, share: None, run_offset: 0 };
     JobSubmission { attempt: 1, caller_timeout: CALLER_TIMEOUT, forced: false, record }
 }
 
@@ -194,3 +200,45 @@
         .await;
     expect_that!(answer, ok(eq(&LeaderAnswer::Gone)));
 }
+
+// While a job moves, neither the leader that it has left nor the next one has it: its state was reported as gone, and its
+// cancellation confirmed, although it ran afterwards.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_job_on_its_way_to_another_shard_is_neither_gone_nor_cancelled() {
+    let store = SimulatedStore::start();
+    let entry_store = EntryStore::Simulated(store.client(1));
+    let shared = NodeShared::simulated(settings(), entry_store, SimulatedPeers::default());
+    let shared = Arc::new(shared);
+    shared.members.send_modify(|view| view.plan = divided(&[]).plan);
+    for shard in ["a", "b"] {
+        let (input, receiver) = ring("leader", 4);
+        shared.set_leading(&shard.into(), Some(input));
+        tokio::spawn(async move {
+            while let Some(LeaderInput::Call(_, answer)) = receiver.recv().await {
+                answer.send(LeaderAnswer::Gone).unwrap();
+            }
+        });
+    }
+    let moved = MovedJob { record: submission().record, progress: GraphProgress::default() };
+    store.put(INDEX_KEY, "b");
+    store.put(&format!("x/b/move/{JOB}"), serde_json::to_vec(&moved).unwrap());
+    let client = LeaderClient::new(shared);
+    let job = GraphId::from(JOB);
+    let access = JobAccess::Anonymous(job.clone());
+    let state = LeaderAnswer::State(GraphState::Queued);
+    expect_that!(client.stored_state(&access).await, some(eq(&state)));
+    let cancel = LeaderCall::Cancel(access.clone());
+    let answer = client.ask_owner(&job, &cancel, CALLER_TIMEOUT).await;
+    expect_that!(answer, err(eq(&LeaderCallError::NotTaken)));
+    // What is left in the shard that it was in says nothing about it.
+    store.put(INDEX_KEY, "a");
+    let verdict = Some(GraphVerdict::Moved);
+    let left = GraphProgress { verdict, ..GraphProgress::default() };
+    store.put(&format!("j/a/{JOB}"), serde_json::to_vec(&submission().record).unwrap());
+    store.put(&format!("p/a/{JOB}"), serde_json::to_vec(&left).unwrap());
+    let read = tokio::spawn(async move { client.stored_state(&access).await });
+    sleep(Duration::from_millis(6)).await;
+    store.put(INDEX_KEY, "b");
+    expect_that!(read.await.unwrap(), some(eq(&state)));
+}
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -6,6 +6,8 @@
 mod shard_keys;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod transfer_tests;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -19,8 +21,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::graph::{
-    CommitGroup, GraphId, GraphProgress, GraphRecord, LeaderEpoch, NameHolder, RestoredState,
-    ShardId, TakenName,
+    CommitGroup, GraphId, GraphProgress, GraphRecord, LeaderEpoch, MovedJob, NameHolder,
+    RestoredState, ShardId, TakenName,
 };
 use crate::node::dependency::DependencyLog;
 use crate::node::entry_store::EntryStore;
@@ -65,7 +67,7 @@
     Stored,
     /// The leader continues under a later epoch, and the group is sent again.
     Renewed,
-    /// Other shards already have these jobs of the group.
+    /// Other shards already have these jobs of the group, or have not given them to this one.
     Taken(Vec<GraphId>),
     /// Another entry leads.
     Deposed,
@@ -209,13 +211,16 @@
         let started = Instant::now();
         let head = self.head();
         let id = format!("{}:{}", head.epoch, group.number);
-        let (mut writes, removes) = self.keys.changes(&id, group);
+        let (mut writes, mut removes) = self.keys.changes(&id, group);
         let mut added = self.keys.jobs_to_index(group);
+        let arriving = group.arriving.iter();
+        let mut arriving: Vec<(GraphId, u64)> =
+            arriving.map(|job| (job.id().clone(), job.notice_revision)).collect();
         let mut taken = Vec::new();
         let mut all_not_done = true;
         let outcome = loop {
             let head = self.head();
-            let conditions = self.keys.conditions(head, &added);
+            let conditions = self.keys.conditions(head, &added, &arriving);
             let change =
                 KeyTransaction { conditions, writes: writes.clone(), removes: removes.clone() };
             match self.send_once(&id, &change).await {
@@ -224,7 +229,7 @@
                     break GroupOutcome::Stored { taken };
                 }
                 Ok(TransactionOutcome::Conflict(items)) => {
-                    match self.conflict(&id, head, &items, &added) {
+                    match self.conflict(&id, head, &items, (&added, &arriving)) {
                         GroupConflict::Stored => break GroupOutcome::Stored { taken },
                         GroupConflict::Deposed => break GroupOutcome::Deposed,
                         GroupConflict::Renewed => sleep(RETRY_PAUSE).await,
@@ -233,6 +238,10 @@
                                 !jobs.iter().any(|job| self.keys.is_of_job(write, job))
                             });
                             added.retain(|job| !jobs.contains(job));
+                            removes.retain(|key| {
+                                !jobs.iter().any(|job| *key == self.keys.arrival_notice(job))
+                            });
+                            arriving.retain(|(job, _)| !jobs.contains(job));
                             for job in jobs {
                                 let holder = self.read_holder(&job).await;
                                 taken.push(TakenName { job, holder });
@@ -337,13 +346,14 @@
         result
     }
 
-    /// Returns the cause of a conflict of a group whose `added` jobs must not be in the index yet.
+    /// Returns the cause of a conflict of a group whose `added` jobs must not be in the index yet, while the notices of its
+    /// `arriving` jobs must be there.
     fn conflict(
         &self,
         id: &str,
         head: LedgerHead,
         items: &[KeyItem],
-        added: &[GraphId],
+        (added, arriving): (&[GraphId], &[(GraphId, u64)]),
     ) -> GroupConflict {
         let (group_key, epoch_key) = (self.keys.group(), epoch_key(&self.keys.shard));
         let group = items.iter().find(|item| item.key == group_key);
@@ -358,7 +368,13 @@
         let still_leads = current != head || epoch == Some(current.epoch_revision);
         let same_group = group.map_or(0, |item| item.revision) == current.group_revision;
         let is_indexed = |job: &&GraphId| items.iter().any(|item| item.key == index_key(job));
-        let taken: Vec<GraphId> = added.iter().filter(is_indexed).cloned().collect();
+        let is_withdrawn = |(job, revision): &&(GraphId, u64)| {
+            let key = self.keys.arrival_notice(job);
+            !items.iter().any(|item| item.key == key && item.revision == *revision)
+        };
+        let withdrawn = arriving.iter().filter(is_withdrawn).map(|(job, _)| job.clone());
+        let taken: Vec<GraphId> =
+            added.iter().filter(is_indexed).cloned().chain(withdrawn).collect();
         match still_leads && same_group {
             true if taken.is_empty() => GroupConflict::Renewed,
             // The existing index keys also keep any earlier send of the group from taking effect.
@@ -380,6 +396,18 @@
         item.map(|item| name(item).ok_or_else(unreadable)).transpose()
     }
 
+    /// Reads a job that is on its way to a shard directly from the store.
+    pub(crate) async fn moved_job(
+        store: &EntryStore,
+        shard: &ShardId,
+        id: &GraphId,
+    ) -> Result<Option<MovedJob>> {
+        let keys = ShardKeys { shard: shard.clone() };
+        let unreadable = || StoreError::Unknown(format!("the notice of job {id} is unreadable"));
+        let notice = store.get(&keys.arrival_notice(id)).await?;
+        notice.map(|item| decode(&item).ok_or_else(unreadable)).transpose()
+    }
+
     /// Reads one job of a shard directly from the store, without its leader.
     pub(crate) async fn job(
         store: &EntryStore,
--- a/src/node/ledger/shard_keys.rs
+++ b/src/node/ledger/shard_keys.rs
@@ -4,7 +4,9 @@
 use log::error;
 use serde::Serialize;
 
-use crate::graph::{CommitGroup, CompactedJob, GraphId, GraphRecord, NoticeKind, ShardId};
+use crate::graph::{
+    CommitGroup, CompactedJob, DepartingJob, GraphId, GraphRecord, MovedJob, NoticeKind, ShardId,
+};
 use crate::node::keys::{KeyWrite, epoch_key, sharded};
 use crate::node::ledger::LedgerHead;
 use crate::node::notices::notice_key;
@@ -60,16 +62,29 @@
 }
 
 impl ShardKeys {
-    /// Conditions of a group: the leader's epoch, the previous group, and `added` jobs that no shard has yet.
-    pub(super) fn conditions(&self, head: LedgerHead, added: &[GraphId]) -> Vec<(String, u64)> {
+    /// Conditions of a group: the leader's epoch, the previous group, `added` jobs that no shard has yet, and the notices of
+    /// `arriving` jobs.
+    pub(super) fn conditions(
+        &self,
+        head: LedgerHead,
+        added: &[GraphId],
+        arriving: &[(GraphId, u64)],
+    ) -> Vec<(String, u64)> {
         let mut conditions = vec![
             (epoch_key(&self.shard), head.epoch_revision),
             (self.group(), head.group_revision),
         ];
         conditions.extend(added.iter().map(|job| (index_key(job), 0)));
+        let notice = |(job, revision): &(GraphId, u64)| (self.arrival_notice(job), *revision);
+        conditions.extend(arriving.iter().map(notice));
         conditions
     }
 
+    /// Key of the notice by which another leader gives a job to this shard.
+    pub(super) fn arrival_notice(&self, job: &GraphId) -> String {
+        notice_key(&self.shard, NoticeKind::Move, job)
+    }
+
     /// Jobs of a group that are to be added to the index.
     pub(super) fn jobs_to_index(&self, group: &CommitGroup) -> Vec<GraphId> {
         let own = group.added.iter().filter(|record| self.has_index() && !self.is_part(record));
@@ -110,6 +125,19 @@
             let value = notice.record.as_ref().map(encode).unwrap_or_default();
             writes.push(key_write(notice_key(&notice.shard, notice.kind, &notice.job), value));
         }
+        for DepartingJob { shard, moved, left } in &group.departing {
+            let job = &moved.record.spec.id;
+            writes.push(key_write(self.record(job), encode(&left.record)));
+            writes.push(key_write(self.progress(job), encode(&left.progress)));
+            writes.push(key_write(index_key(job), Bytes::from(shard.to_string())));
+            writes.push(key_write(notice_key(shard, NoticeKind::Move, job), encode(moved)));
+        }
+        for arriving in &group.arriving {
+            let (job, MovedJob { record, progress }) = (arriving.id(), &arriving.moved);
+            writes.push(key_write(self.record(job), encode(record)));
+            writes.push(key_write(self.progress(job), encode(progress)));
+            removes.push(self.arrival_notice(job));
+        }
         if let Some(workers) = &group.workers {
             writes.push(key_write(self.workers(), encode(workers)));
         }
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use log::error;
+use serde::de::DeserializeOwned;
 
-use crate::graph::{GraphId, GraphRecord, NoticeKind, ShardId};
+use crate::graph::{GraphId, NoticeKind, ShardId};
 use crate::node::input::LeaderInput;
 use crate::node::keys::{
     KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable, sharded,
@@ -33,9 +34,19 @@
         NoticeKind::Start => "start",
         NoticeKind::Cancel => "cancel",
         NoticeKind::Fail => "fail",
+        NoticeKind::Move => "move",
     }
 }
 
+fn decode<T: DeserializeOwned>(item: &KeyItem) -> Option<T> {
+    let decoded = serde_json::from_slice(&item.value);
+    if let Err(failure) = &decoded {
+        count_unreadable(UnreadableKind::Ledger);
+        error!(key = item.key, failure:% = failure; "unreadable notice");
+    }
+    decoded.ok()
+}
+
 /// Reads and watches the notices to a shard and passes them to its leader.
 pub(crate) struct NoticeLoop {
     shared: Arc<NodeShared>,
@@ -85,7 +96,7 @@
             for item in &page.items {
                 match self.parse_key(&item.key) {
                     Some((NoticeKind::Cancel, _)) => cancellations.push(item.clone()),
-                    Some((NoticeKind::Start | NoticeKind::Fail, _)) | None => {
+                    Some((NoticeKind::Start | NoticeKind::Fail | NoticeKind::Move, _)) | None => {
                         self.handle_notice(item).await
                     }
                 }
@@ -121,7 +132,7 @@
     /// Parses the kind and the job of a notice from its key.
     fn parse_key<'k>(&self, key: &'k str) -> Option<(NoticeKind, &'k str)> {
         let (text, job) = key.strip_prefix(&self.prefix)?.split_once('/')?;
-        let kinds = [NoticeKind::Start, NoticeKind::Cancel, NoticeKind::Fail];
+        let kinds = [NoticeKind::Start, NoticeKind::Cancel, NoticeKind::Fail, NoticeKind::Move];
         let kind = kinds.into_iter().find(|kind| label(*kind) == text)?;
         Some((kind, job))
     }
@@ -130,16 +141,14 @@
         let input = match self.parse_key(&item.key) {
             Some((NoticeKind::Cancel, job)) => LeaderInput::ShareEnded(job.into()),
             Some((NoticeKind::Fail, job)) => LeaderInput::ShareFailed(job.into()),
-            Some((NoticeKind::Start, _)) => {
-                match serde_json::from_slice::<GraphRecord>(&item.value) {
-                    Ok(record) => LeaderInput::Share(Box::new(record)),
-                    Err(failure) => {
-                        count_unreadable(UnreadableKind::Ledger);
-                        error!(key = item.key, failure:% = failure; "unreadable notice");
-                        return;
-                    }
-                }
-            }
+            Some((NoticeKind::Start, _)) => match decode(item) {
+                Some(record) => LeaderInput::Share(Box::new(record)),
+                None => return,
+            },
+            Some((NoticeKind::Move, _)) => match decode(item) {
+                Some(moved) => LeaderInput::JobMoved(Box::new(moved), item.revision),
+                None => return,
+            },
             None => return,
         };
         self.leader.send(input).await;
--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -26,6 +26,7 @@
 mod speeds;
 mod starvation;
 mod takeover;
+mod transfers;
 mod unlisted_ends;
 mod unread_registrations;
 mod waiting_checker;
--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -6,13 +6,14 @@
 //! on; `KELPLINK_SHARD_SEED` repeats one seed.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use kelplink::{GraphAnswer, GraphState, ShardId, StepSpec};
 use rand::RngExt;
 
-use crate::sim_cluster::{MessageFaults, SimCluster, count_runs, step};
+use crate::sim_cluster::{MessageFaults, SimCluster, count_runs, kind_label, step};
 
 /// Rounds of faults in one run.
 const ROUNDS: u32 = 20;
@@ -37,6 +38,12 @@
 const WORKSPACE_SEEDS: u64 = 200_000_000;
 /// Seeds of this kind that `cargo test` runs.
 const SHORT_WORKSPACES: std::ops::Range<u64> = WORKSPACE_SEEDS..WORKSPACE_SEEDS + 8;
+/// Seeds from here on have workers of kinds that come and go in each shard, and jobs that need them.
+const KIND_SEEDS: u64 = 800_000_000;
+/// Seeds of this kind that `cargo test` runs.
+const SHORT_KINDS: std::ops::Range<u64> = KIND_SEEDS..KIND_SEEDS + 16;
+/// Number of kinds of workers.
+const KINDS: u32 = 3;
 /// Workspaces with their caps, in cores; all workers have 96.
 const CAPS: [(&str, u32); 3] = [("ws0", 12), ("ws1", 24), ("ws2", 48)];
 /// Time in which every job must have ended, or run all its lasting tasks, once all faults are over.
@@ -50,6 +57,8 @@
     cancelled: BTreeSet<String>,
     /// Whether jobs that end belong to workspaces with caps.
     has_workspaces: bool,
+    /// Whether workers are of kinds that jobs need.
+    has_kinds: bool,
     last_instance: u32,
 }
 
@@ -60,13 +69,42 @@
         if seed >= RESTART_SEEDS {
             cluster.keep_ids(seed);
         }
-        let has_workspaces = seed >= WORKSPACE_SEEDS;
+        let has_kinds = seed >= KIND_SEEDS;
+        let has_workspaces = seed >= WORKSPACE_SEEDS && !has_kinds;
         if has_workspaces {
             cluster.set_caps(&CAPS);
         }
         let shards = cluster.plan.shards();
         let (calls, lasting, cancelled) = Default::default();
-        Self { cluster, shards, calls, lasting, cancelled, has_workspaces, last_instance: 0 }
+        let mut run = Self {
+            cluster,
+            shards,
+            calls,
+            lasting,
+            cancelled,
+            has_workspaces,
+            has_kinds,
+            last_instance: 0,
+        };
+        if has_kinds {
+            (0..WORKERS).for_each(|number| run.change_kind(number, number % KINDS));
+        }
+        run
+    }
+
+    /// Replaces a worker by one of another kind; the one before has left.
+    fn change_kind(&mut self, number: u32, kind: u32) {
+        self.last_instance += 1;
+        self.cluster.kinds.insert(number, kind);
+        self.cluster.add_worker(number, self.last_instance);
+    }
+
+    /// The kind that a step needs; most steps need none.
+    fn pick_label(&mut self) -> Option<Arc<str>> {
+        match self.has_kinds && self.pick(2) == 0 {
+            true => Some(kind_label(self.pick(KINDS))),
+            false => None,
+        }
     }
 
     fn pick(&mut self, bound: u32) -> u32 {
@@ -94,8 +132,11 @@
                     id = format!("ws{}@{id}", self.pick(3));
                 }
                 let (tasks, millis) = (self.pick(4) + 1, u64::from(self.pick(2_000) + 50));
-                let second = StepSpec { after: vec![0], ..step(tasks, 1, millis) };
-                vec![step(self.pick(3) + 1, 2, millis), second]
+                let label = self.pick_label();
+                let second = StepSpec { after: vec![0], label, ..step(tasks, 1, millis) };
+                let first = step(self.pick(3) + 1, 2, millis);
+                let label = self.pick_label();
+                vec![StepSpec { label, ..first }, second]
             }
         };
         let queue = ["now", "asked", "later"][self.pick(3) as usize];
@@ -134,6 +175,10 @@
                 }
             }
             7 => self.reconnect_all(),
+            8 if self.has_kinds => {
+                let (number, kind) = (self.pick(WORKERS), self.pick(KINDS));
+                self.change_kind(number, kind);
+            }
             8 => {
                 let number = self.pick(WORKERS);
                 self.last_instance += 1;
@@ -173,6 +218,15 @@
         self.cluster.failure_permille = 0;
         self.cluster.store.up = true;
         self.reconnect_all();
+        if self.has_kinds {
+            // Each shard has workers of one kind only, and all kinds that there are shards for are somewhere.
+            let shards = u32::try_from(self.shards.len()).unwrap_or(1);
+            for number in 0..WORKERS {
+                let domain = number % shards;
+                let kind = if shards < KINDS { number / shards % KINDS } else { domain % KINDS };
+                self.change_kind(number, kind);
+            }
+        }
         for shard in self.shards.clone() {
             self.cluster.elect_in(&shard);
         }
@@ -244,6 +298,14 @@
     });
 }
 
+// The last workers of a kind left a shard, and accepted jobs that needed them waited there for good.
+#[gtest]
+fn random_runs_over_shards_whose_workers_change_their_kinds_end_all_jobs() {
+    SHORT_KINDS.for_each(|seed| {
+        run(seed);
+    });
+}
+
 // Starts that no worker carried out were stored as suspect runs, and after a takeover of the shard
 // the job was reported as running and missing from the count of pending jobs.
 #[gtest]
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -68,8 +68,10 @@
     leader_shards: BTreeMap<LeaderEpoch, ShardId>,
     /// Each job as it was accepted, also after its compaction.
     accepted: BTreeMap<GraphId, GraphRecord>,
-    /// Shard in which each job was accepted.
+    /// Shard that has each job.
     job_shards: BTreeMap<GraphId, ShardId>,
+    /// Kinds of the workers by their numbers, which are labels of theirs; none by default.
+    pub(crate) kinds: BTreeMap<u32, u32>,
     pub(crate) workers: BTreeMap<WorkerId, ModelWorker>,
     pub(crate) answers: BTreeMap<CallId, GraphAnswer>,
     pub(crate) config: Arc<QueueConfig>,
@@ -164,6 +166,11 @@
     }
 }
 
+/// Label of the workers of a kind.
+pub(crate) fn kind_label(kind: u32) -> Arc<str> {
+    format!("kind-{kind}").into()
+}
+
 pub(crate) fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -241,6 +248,7 @@
             leader_shards: BTreeMap::new(),
             accepted: BTreeMap::new(),
             job_shards: BTreeMap::new(),
+            kinds: BTreeMap::new(),
             workers: BTreeMap::new(),
             answers: BTreeMap::new(),
             config: Arc::new(config),
@@ -295,6 +303,8 @@
     /// Starts a worker, or another instance of it at the same address.
     pub(crate) fn add_worker(&mut self, number: u32, instance: u32) {
         let id: WorkerId = format!("w{number}-{instance}").into();
+        let mut labels = vec![format!("r1-{}", number / 4).into()];
+        labels.extend(self.kinds.get(&number).map(|kind| kind_label(*kind)));
         let registration = WorkerRegistration {
             id: id.clone(),
             instance_start: Some(self.unix()),
@@ -302,7 +312,7 @@
             service: "svc".into(),
             domain: format!("d{}", number % self.domains).into(),
             rack: format!("r1-{}", number / 4).into(),
-            labels: vec![format!("r1-{}", number / 4).into()],
+            labels,
             machine: None,
             capacity: ResourceVector::new(8_000, 16_000, 0),
             leaving: None,
@@ -349,8 +359,10 @@
         };
         let own = self.store.jobs.values().filter(|(record, _)| {
             self.job_shards.get(&record.spec.id).is_none_or(|owner| owner == shard)
+                && !stored.incoming.contains_key(&record.spec.id)
         });
-        let parts = stored.parts.values();
+        let parts = stored.parts.values().chain(stored.moved.values());
+        let incoming: Vec<(u64, MovedJob)> = stored.incoming.values().cloned().collect();
         let notices: Vec<(NoticeKind, GraphId)> = stored.notices.keys().cloned().collect();
         let state = RestoredState {
             jobs: own.chain(parts).cloned().collect(),
@@ -377,6 +389,10 @@
         for (kind, job) in notices {
             self.post(TICK_INTERVAL, Message::Notice { leader: epoch, kind, job });
         }
+        for (revision, moved) in incoming {
+            let moved = Box::new(moved);
+            self.post(TICK_INTERVAL, Message::Moved { leader: epoch, revision, moved });
+        }
         epoch
     }
 
@@ -440,12 +456,12 @@
         call
     }
 
-    /// All accepted jobs, with the shard that accepted them.
+    /// All accepted jobs, with the shards that have them.
     pub(crate) fn jobs_by_shard(&self) -> Vec<(String, ShardId)> {
         self.job_shards.iter().map(|(id, shard)| (id.to_string(), shard.clone())).collect()
     }
 
-    /// State of a job as reported by the leader that accepted it.
+    /// State of a job as reported by the leader of the shard that has it.
     pub(crate) fn state_in(&mut self, id: &str) -> Option<GraphState> {
         let id: GraphId = id.into();
         let shard = self.job_shards.get(&id)?.clone();
@@ -533,6 +549,7 @@
             workspace: id.split_once('@').map(|(workspace, _)| workspace.into()),
             home: None,
             share: None,
+            run_offset: 0,
         }
     }
 
@@ -766,10 +783,15 @@
                         (NoticeKind::Start, Some(record)) => leader.accept_share(now, record),
                         (NoticeKind::Cancel, _) => leader.cancel_share(now, unix, &job),
                         (NoticeKind::Fail, _) => leader.fail_shared(now, unix, &job),
-                        (NoticeKind::Start, None) => {}
+                        (NoticeKind::Start | NoticeKind::Move, _) => {}
                     }
                 }
             }
+            Message::Moved { leader, revision, moved } => {
+                if let Some(leader) = self.leaders.get_mut(&leader) {
+                    leader.accept_moved(now, unix, *moved, revision);
+                }
+            }
             Message::Polled { leader, worker, result } => {
                 if let Some(leader) = self.leaders.get_mut(&leader) {
                     leader.handle_poll_result(now, unix, &worker, result);
@@ -1095,6 +1117,22 @@
         for (job, kind) in group.settled {
             self.store.shards.entry(shard.clone()).or_default().notices.remove(&(kind, job));
         }
+        for departing in group.departing {
+            self.store_departure(&shard, departing);
+        }
+        for arriving in group.arriving {
+            let id = arriving.id().clone();
+            let stored = self.store.shards.entry(shard.clone()).or_default();
+            let notice = stored.incoming.get(&id);
+            if notice.is_none_or(|(revision, _)| *revision != arriving.notice_revision) {
+                taken.push(TakenName { job: id, holder: NameHolder::Unknown });
+                continue;
+            }
+            stored.incoming.remove(&id);
+            stored.moved.remove(&id);
+            let MovedJob { record, progress } = arriving.moved;
+            self.store.jobs.insert(id, (record, progress));
+        }
         for (id, progress) in group.progress {
             if progress.verdict.is_some() {
                 self.verdict_times.entry(id.clone()).or_insert(self.now);
@@ -1119,7 +1157,7 @@
         }
         for id in group.removed {
             let stored = self.store.shards.entry(shard.clone()).or_default();
-            if stored.parts.remove(&id).is_none() {
+            if stored.parts.remove(&id).is_none() && stored.moved.remove(&id).is_none() {
                 self.store.jobs.remove(&id);
             }
         }
@@ -1131,6 +1169,39 @@
         self.post(latency, Message::Stored { leader: epoch, number, taken });
     }
 
+    /// Stores that a job leaves a shard for another, whose leaders learn of it after a while, some of them twice.
+    fn store_departure(&mut self, from: &ShardId, departing: DepartingJob) {
+        let DepartingJob { shard, moved, left } = departing;
+        let id = moved.record.spec.id.clone();
+        assert_eq!(
+            self.job_shards.get(&id),
+            Some(from),
+            "{id} leaves a shard that does not have it"
+        );
+        assert!(left.record.is_compacted(), "{id} stays in {from}");
+        let runs = self.workers.values().filter(|worker| worker.up);
+        let runs: usize =
+            runs.map(|worker| worker.runs.keys().filter(|task| task.job == id).count()).sum();
+        assert_eq!(runs, 0, "{id} moves while its tasks run");
+        self.store.departures += 1;
+        let revision = self.store.departures;
+        self.job_shards.insert(id.clone(), shard.clone());
+        let of_shard = self.store.shards.entry(from.clone()).or_default();
+        of_shard.moved.insert(id.clone(), (left.record, left.progress));
+        assert!(!of_shard.incoming.contains_key(&id), "{id} leaves before it has arrived");
+        let stored = self.store.shards.entry(shard.clone()).or_default();
+        stored.incoming.insert(id, (revision, moved.clone()));
+        let leaders = self.leader_shards.iter().filter(|(_, led)| **led == shard);
+        let leaders: Vec<LeaderEpoch> = leaders.map(|(epoch, _)| *epoch).collect();
+        for leader in leaders {
+            for _ in 0..2 {
+                let latency = self.latency();
+                let moved = Box::new(moved.clone());
+                self.post(latency, Message::Moved { leader, revision, moved });
+            }
+        }
+    }
+
     fn note_ends(&mut self) {
         for worker in self.workers.values() {
             let done = worker.ends.iter().filter(|end| end.kind == EndKind::Done);
--- a/tests/graph/sim_cluster/messages.rs
+++ b/tests/graph/sim_cluster/messages.rs
@@ -101,6 +101,12 @@
         run: RunNumber,
         result: CommandResult,
     },
+    /// A job on its way to the leader's shard, as a read or a watch of its notice shows it.
+    Moved {
+        leader: LeaderEpoch,
+        revision: u64,
+        moved: Box<MovedJob>,
+    },
     Advised {
         leader: LeaderEpoch,
         call: AdviceCall,
--- a/tests/graph/sim_cluster/store.rs
+++ b/tests/graph/sim_cluster/store.rs
@@ -21,6 +21,8 @@
     /// Whether the list of workers in use cannot be read.
     pub(crate) workers_unreadable: bool,
     pub(crate) groups: u64,
+    /// Number of jobs that have left a shard for another.
+    pub(crate) departures: u64,
     /// Number of compactions.
     pub(crate) compacted: u64,
     /// The parts that the shards have of the caps, with their version.
@@ -78,4 +80,8 @@
     /// Jobs of other shards of which this shard runs a share.
     pub(crate) parts: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
     pub(super) notices: BTreeMap<(NoticeKind, GraphId), Option<GraphRecord>>,
+    /// Jobs on their way to this shard, with the revisions of their notices.
+    pub(crate) incoming: BTreeMap<GraphId, (u64, MovedJob)>,
+    /// What is kept of jobs that have moved to other shards.
+    pub(crate) moved: BTreeMap<GraphId, (GraphRecord, GraphProgress)>,
 }
