Send the watches of the configuration and of the leaders again within the contact time

Callers of one process saw routes that the operator had added refused with 404, and jobs for a dropped route accepted, for over two seconds after the confirmation: the connection of its waiting watch had gone silent, all others worked.

Cause: a watch waited for 10 s, and was sent again earlier only after a failed renewal, which has a connection of its own. Ruled out: a configuration that arrives in time and is applied late (the watch is not answered), and the exchange between entries (it asked nobody).

These watches now wait for half of the contact time, within a fifth of the store's reading calls for all entries; where that does not suffice, entries ask each other. The watch of the leaders is the same cause on a related path.

--- a/src/node/config_exchange.rs
+++ b/src/node/config_exchange.rs
@@ -2,7 +2,8 @@
 //!
 //! The store may refuse some machines while it serves the others and the operator. An entry that it refuses would go on
 //! accepting API keys that were taken away, and refuse new ones. Entries ask only while they miss the store, so the
-//! exchange costs nothing otherwise.
+//! exchange costs nothing otherwise. Where they are too many for the store's rates to notice in time that a watch has gone
+//! silent, each of them asks another one every second.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,6 +18,8 @@
 
 /// Pause between two questions. Each goes to another entry, as some of them may be refused by the store as well.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of these pauses between two questions of an entry that only cannot tell whether its watch is silent.
+const SLOW_ROUNDS: u32 = 4;
 /// Timeout of a question: the latency between entries is two milliseconds.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -34,11 +37,11 @@
     /// Runs for the lifetime of the process.
     pub(crate) async fn run(self) {
         let mut turn = rand::random::<u16>().into();
-        loop {
+        for round in 0_u32.. {
             sleep(ASK_INTERVAL).await;
-            if self.shared.may_miss_config()
-                && let Some(address) = self.next_peer(turn)
-            {
+            let is_due = self.shared.may_miss_config()
+                || (round.is_multiple_of(SLOW_ROUNDS) && self.shared.notices_silence_late());
+            if is_due && let Some(address) = self.next_peer(turn) {
                 turn += 1;
                 self.ask(address).await;
             }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::node::availability::{StoreRetry, WATCH_WAIT};
+use crate::node::availability::StoreRetry;
 use crate::node::keys::{
     KeyEvent, KeyItem, StoreError, UnreadableKind, WatchOutcome, count_unreadable,
 };
@@ -58,7 +58,8 @@
     /// Watches until the store has compacted the history.
     async fn follow(&self, mut after: u64, retry: &mut StoreRetry) -> Result<(), StoreError> {
         loop {
-            let watch = self.shared.store.watch(CONFIG_PREFIX, after, WATCH_WAIT);
+            let wait = self.shared.short_watch_wait();
+            let watch = self.shared.store.watch(CONFIG_PREFIX, after, wait);
             let Some(outcome) = retry.until_return(watch).await else {
                 continue;
             };
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -21,6 +21,7 @@
 
 use crate::graph::{LeaderEpoch, ShardId};
 use crate::node::answer_condition::LEASE_TTL;
+use crate::node::availability::MAX_RENEWAL_INTERVAL;
 use crate::node::backoff::RetryBackoff;
 use crate::node::candidacy::{Candidacy, CandidacyState};
 use crate::node::election::handover::TransferCause;
@@ -40,8 +41,6 @@
 const LOG_NAME: &str = "election";
 /// Shortest interval between lease renewals, and that of a leader: three in a row may fail before the lease ends.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest interval between the renewals of an entry that does not lead. A failed one is repeated before the lease ends.
-const MAX_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Share of the store's reading calls that the renewals of all entries use before the interval grows.
 const RENEWAL_CALL_SHARE: f64 = 0.25;
 /// Number of tries to register while the registration that is replaced is not known.
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -171,7 +171,12 @@
         retry: &mut StoreRetry,
     ) -> Option<MemberChanges> {
         loop {
-            let watch = self.shared.store.watch(prefix, after, WATCH_WAIT);
+            // Every entry needs the leaders at once; who else is registered may be known late.
+            let wait = match prefix {
+                LEADER_KEY => self.shared.short_watch_wait(),
+                _ => WATCH_WAIT,
+            };
+            let watch = self.shared.store.watch(prefix, after, wait);
             let Some(outcome) = retry.until_return(watch).await else {
                 continue;
             };
--- a/src/node/scale_tests.rs
+++ b/src/node/scale_tests.rs
@@ -5,8 +5,10 @@
 use googletest::prelude::*;
 use tokio::time::sleep;
 
+use crate::node::availability::{notices_silence_late, short_watch_wait};
 use crate::node::candidacy::rank_pause;
 use crate::node::entry_store::StoreCallKind;
+use crate::node::settings::NodeSettings;
 use crate::node::simulated_store::{StoreAccess, StoreCallCount, StoreRates};
 use crate::node::simulation::SimulatedFleet;
 
@@ -96,6 +98,61 @@
     }
 }
 
+/// Time within which an entry has to be up to date after its connections were disturbed.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+// The connections of waiting watches went silent while renewals and new calls worked. A watch was given up after 10.7 s, and
+// a configuration that was written in between was followed as late.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_configuration_is_followed_although_the_watches_for_it_have_gone_silent() {
+    let entries = 30;
+    for delay_ms in [0, 700, 1_400, 2_100, 3_000] {
+        let fleet = fleet(entries).await;
+        for client in (0..entries).filter_map(|number| fleet.client(number)) {
+            fleet.store().silence_watches(client);
+        }
+        sleep(Duration::from_millis(delay_ms)).await;
+        fleet.configure(2);
+        sleep(CONTACT_TIME.saturating_sub(Duration::from_millis(delay_ms))).await;
+        sleep(Duration::from_millis(20)).await;
+        expect_that!(fleet.configured(2), eq(entries), "{delay_ms} ms");
+    }
+}
+
+// The same with the watches of the leaders: entries went on calling a leader that had ended.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_is_known_although_the_watches_of_the_leaders_have_gone_silent() {
+    let mut fleet = fleet(30).await;
+    for client in (0..30).filter_map(|number| fleet.client(number)) {
+        fleet.store().silence_watches(client);
+    }
+    let leader = fleet.leader().unwrap();
+    fleet.kill_entry(leader);
+    sleep(CONTACT_TIME).await;
+    // The lease of the leader ends, and another entry is elected.
+    sleep(Duration::from_secs(2)).await;
+    expect_that!(fleet.led(), eq(29));
+    expect_that!(fleet.known_leaders_running(), eq(true));
+}
+
+// Shorter watches of all entries must leave the store's rates to renewals and to work.
+#[gtest]
+fn watches_take_a_bounded_share_of_the_rates_however_many_entries_there_are() {
+    let settings = |reads| NodeSettings { store_reads: reads, ..crate::node::tests::settings() };
+    for (entries, reads) in [(7, 2_000.0), (300, 2_000.0), (584, 16_000.0), (600, 2_000.0)] {
+        let settings = settings(reads);
+        let wait = short_watch_wait(&settings, entries);
+        let calls = 2.0 * entries as f64 / wait.as_secs_f64();
+        expect_that!(calls, le(0.201 * reads), "{entries} entries");
+        // Where they cannot be short enough, entries ask each other.
+        let is_short = wait <= CONTACT_TIME / 2;
+        expect_that!(notices_silence_late(&settings, entries), eq(!is_short), "{entries} entries");
+    }
+    expect_that!(short_watch_wait(&settings(2_000.0), 300), eq(CONTACT_TIME / 2));
+}
+
 // A configuration reaches all entries with the watch that waits for it.
 #[gtest]
 #[tokio::test(start_paused = true)]
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -41,6 +41,8 @@
     pub grace: Duration,
     /// Time from a worker's announcement that it leaves until it must get no more work.
     pub leave_notice: Duration,
+    /// Time after a disturbance of its connections within which an entry has to be up to date again.
+    pub contact_time: Duration,
     /// Bounds of the scheduling decisions.
     pub bounds: GraphBounds,
 }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the loops of a process.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 
 use crate::graph::{QueueConfig, ShardId};
 use crate::id::Revision;
-use crate::node::availability::StoreAvailability;
+use crate::node::availability::{StoreAvailability, notices_silence_late, short_watch_wait};
 use crate::node::dependency::NodeDependencies;
 use crate::node::entry_store::EntryStore;
 use crate::node::handover_inbox::HandoverInbox;
@@ -42,6 +42,7 @@
     pub(crate) settings: NodeSettings,
     /// Random id of this start of the entry's process.
     pub(crate) start: u64,
+    most_entries: AtomicUsize,
     pub(crate) store: EntryStore,
     pub(crate) network: PeerNetwork,
     pub(crate) store_availability: StoreAvailability,
@@ -78,6 +79,7 @@
     pub(crate) fn with_store(settings: NodeSettings, store: EntryStore) -> Self {
         Self {
             start: rand::random::<u32>().into(),
+            most_entries: AtomicUsize::new(0),
             store,
             network: PeerNetwork::Listeners,
             store_availability: StoreAvailability::default(),
@@ -115,6 +117,23 @@
         self.config_unread.load(Ordering::Relaxed) || self.store_answer_overdue()
     }
 
+    /// Whether there are so many entries for the rates of the store that a watch which has gone silent is noticed late.
+    pub(crate) fn notices_silence_late(&self) -> bool {
+        notices_silence_late(&self.settings, self.known_entries())
+    }
+
+    /// How long a watch of the configuration or of the leaders waits.
+    pub(crate) fn short_watch_wait(&self) -> Duration {
+        short_watch_wait(&self.settings, self.known_entries())
+    }
+
+    /// Largest number of entries that this one has known. While calls beyond the store's rates are refused, leases end,
+    /// and the number of entries that are registered falls though all of them run.
+    fn known_entries(&self) -> usize {
+        let entries = self.members.borrow().entries.len();
+        self.most_entries.fetch_max(entries, Ordering::Relaxed).max(entries)
+    }
+
     /// Version of the current configuration.
     pub(crate) fn config_version(&self) -> Option<Revision> {
         self.config.borrow().as_ref().map(|config| config.version)
--- a/src/node/simulated_store.rs
+++ b/src/node/simulated_store.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::node::entry_store::StoreCallKind;
 use crate::node::keys::{
@@ -134,6 +134,8 @@
     restricted: BTreeMap<usize, StoreAccess>,
     /// Links of limited bandwidth, by client.
     links: BTreeMap<usize, ClientLink>,
+    /// Number of times that the connections of an entry's waiting watches have gone silent.
+    silences: BTreeMap<usize, u64>,
     /// Entries that have been killed: none of their calls ends.
     killed: BTreeSet<usize>,
     count: StoreCallCount,
@@ -274,6 +276,11 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Leaves the watches of an entry that wait now unanswered, by the number of its client; later calls are answered.
+    pub fn silence_watches(&self, client: usize) {
+        *self.lock().silences.entry(client).or_default() += 1;
+    }
+
     /// Limits the calls of all clients together; further ones are refused.
     pub fn set_rates(&self, rates: StoreRates) {
         let window = RateWindow { start: Instant::now(), reads: 0, writes: 0 };
@@ -384,9 +391,14 @@
         wait: Duration,
     ) -> Result<WatchOutcome> {
         let mut changed = self.store.changed.subscribe();
-        self.call(StoreCallKind::Watch, |_| ()).await?;
+        let silences_of = |state: &StoreState| state.silences.get(&self.number).copied();
+        let silences = self.call(StoreCallKind::Watch, |state| silences_of(state)).await?;
         let deadline = Instant::now() + wait;
         loop {
+            if silences_of(&self.store.lock()) != silences {
+                sleep_until(deadline + CALL_TIMEOUT).await;
+                return Err(StoreError::Unknown("no answer".to_owned()));
+            }
             let found = {
                 let state = self.store.lock();
                 self.check_access(&state)?;
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -1,6 +1,6 @@
 //! Entries without listeners, for simulations of many of them on the clock of the runtime.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::graph::{GraphBounds, LeaderEpoch, RunCosts, ShardId, ShardPlan};
-use crate::id::{DomainId, Revision};
+use crate::id::{DomainId, EntryId, Revision};
 use crate::node::entry_store::EntryStore;
 use crate::node::input::LeaderInput;
 use crate::node::keys::PLAN_KEY;
@@ -175,6 +175,17 @@
         self.entries.values().filter(knows_leaders).count()
     }
 
+    /// Whether all leaders that any entry knows run.
+    pub fn known_leaders_running(&self) -> bool {
+        let running: BTreeSet<&EntryId> =
+            self.entries.values().map(|entry| &entry.shared.settings.name).collect();
+        let knows_running = |entry: &SimulatedEntry| {
+            let view = entry.shared.members.borrow();
+            view.leaders().all(|leader| running.contains(&leader.entry))
+        };
+        self.entries.values().all(knows_running)
+    }
+
     /// Number of entries that know exactly the entries that run.
     pub fn informed(&self) -> usize {
         let knows_all = |entry: &&SimulatedEntry| {
@@ -236,6 +247,7 @@
         requires_keys: false,
         grace: Duration::from_secs(6),
         leave_notice: Duration::from_secs(2),
+        contact_time: Duration::from_secs(3),
         bounds: GraphBounds {
             max_lease: Duration::from_secs(6),
             retention: Duration::from_secs(120),
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -53,6 +53,7 @@
         requires_keys: false,
         grace: Duration::from_secs(6),
         leave_notice: Duration::from_secs(2),
+        contact_time: Duration::from_secs(3),
         bounds: GraphBounds {
             max_lease: Duration::from_secs(6),
             retention: Duration::from_secs(120),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,6 +16,8 @@
 const DEFAULT_LONGEST_LEASE_MS: u64 = 6_000;
 /// Time after which a leaving worker must get no more work, unless the file sets it.
 const DEFAULT_LEAVE_NOTICE_MS: u64 = 2_000;
+/// Contact time assumed where the settings have none.
+const DEFAULT_CONTACT_MS: u64 = 3_000;
 /// How long the state of an ended job can be queried, unless the file sets it.
 const DEFAULT_RETENTION_S: f64 = 120.0;
 /// How long a leader renews the leases of workers after its own lease has expired. With a worker lease of
@@ -86,6 +88,7 @@
     grace_s: f64,
     /// Time after which a worker that has announced that it leaves must get no more work.
     drain_ms: u64,
+    contact_ms: u64,
     /// Work between two checkpoints.
     save_s: f64,
     /// Time to resume from a checkpoint.
@@ -102,6 +105,7 @@
             status_s: DEFAULT_RETENTION_S,
             grace_s: 6.0,
             drain_ms: DEFAULT_LEAVE_NOTICE_MS,
+            contact_ms: DEFAULT_CONTACT_MS,
             save_s: costs.checkpoint_interval.as_secs_f64(),
             restore_ms: costs.restore_time.as_millis() as u64,
             cross_rack_factor: costs.remote_rack_factor,
@@ -157,6 +161,9 @@
     if wire.bounds.drain_ms == 0 {
         report("drain_ms", "`drain_ms`: expected more than 0");
     }
+    if wire.bounds.contact_ms == 0 {
+        report("contact_ms", "`contact_ms`: expected more than 0");
+    }
     if wire.limits.cpu_share <= 0.0 || wire.limits.cores <= 0.0 {
         report("cpu_share", "`cpu_share` and `cores`: expected more than 0");
     }
@@ -192,6 +199,7 @@
         requires_keys: wire.contracts.iter().any(|contract| contract == KEYS_CONTRACT),
         grace: seconds(wire.bounds.grace_s),
         leave_notice: Duration::from_millis(wire.bounds.drain_ms),
+        contact_time: Duration::from_millis(wire.bounds.contact_ms),
         bounds: GraphBounds {
             max_lease: Duration::from_millis(wire.bounds.hold_max_ms),
             retention: seconds(wire.bounds.status_s),
