Leave entries free for urgent calls for advice only while there are some

Callers saw accepted jobs wait 17 s after the traffic for advice, with three entries left: two made long calls back to back, and the third stayed free for urgent calls, of which there were three in 16 s.

The reserve now lasts for two seconds after the last request for a short call.

--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -24,6 +24,9 @@
 /// Entries for each one that long calls leave free. Where few are left, long calls need most of them: one entry makes two a
 /// second.
 const ENTRIES_PER_RESERVED: usize = 3;
+/// Time after the last request for a short call during which long calls leave entries free. Without urgent work, jobs that
+/// wait for long calls would wait beside idle entries.
+const RESERVATION_TIME: Duration = Duration::from_secs(2);
 /// Time before its expiry from which a ticket is not used any more: a start may take this long to
 /// arrive.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
@@ -133,6 +136,8 @@
     calls: BTreeMap<AdviceId, OpenCall>,
     entries: BTreeSet<EntryId>,
     shares: BTreeMap<QueueId, f64>,
+    /// When a short call was last requested.
+    last_short_request: Option<Instant>,
     last_id: AdviceId,
 }
 
@@ -165,7 +170,10 @@
         let busy: BTreeSet<&EntryId> = self.calls.values().map(|open| &open.call.entry).collect();
         let idle = self.entries.iter().filter(|entry| !busy.contains(entry));
         let mut idle: Vec<EntryId> = idle.cloned().collect();
-        let reserved = self.reserved_entries();
+        if advice_requests.iter().any(|request| request.time() <= LONG_CALL) {
+            self.last_short_request = Some(now);
+        }
+        let reserved = self.reserved_entries(now);
         let mut calls_made = Vec::new();
         for request in advice_requests {
             let time = request.time();
@@ -275,8 +283,12 @@
     }
 
     /// Number of entries that long calls leave free.
-    pub(crate) fn reserved_entries(&self) -> usize {
-        MAX_RESERVED_ENTRIES.min(self.entries.len() / ENTRIES_PER_RESERVED)
+    pub(crate) fn reserved_entries(&self, now: Instant) -> usize {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < RESERVATION_TIME;
+        match self.last_short_request.is_some_and(is_recent) {
+            true => MAX_RESERVED_ENTRIES.min(self.entries.len() / ENTRIES_PER_RESERVED),
+            false => 0,
+        }
     }
 
     /// Number of open calls.
