Take only a later registration for the end of a leader, and a moved job beside its repeated submission

A leader counted as ended once its entry was registered with another start. The list of entries is followed apart from the leaders and may lag behind them, so a registration from before the leader's own start was taken for its successor's: others would campaign against a leader that runs, and shorten their wait for it. The registration has to be later than the election; the record of earlier leaders has its revision.

A job that arrives in a shard where a caller has just submitted it again came into one group with that submission, which the index refuses; the job was left out with it, and no leader had it until the next takeover. The submission is given up.

Tests: a_leader_has_not_ended_by_a_registration_from_before_its_election, a_job_arrives_although_it_is_submitted_again_in_its_new_shard.

--- a/src/graph/controller/transfers.rs
+++ b/src/graph/controller/transfers.rs
@@ -116,6 +116,14 @@
         if known.is_some_and(|known| known.durable && !known.has_moved()) {
             return;
         }
+        // A submission of it that is not in a group yet would be refused by the index; in one group with the job it would
+        // keep the job from being taken.
+        let id = moved.record.spec.id.clone();
+        for id in self.commits.remove_added(|added| *added == id) {
+            self.jobs.remove(&id);
+            self.advice.forget(&id);
+            self.answer_waiters(&id, GraphAnswer::Unready);
+        }
         let age = Duration::from_millis(unix.saturating_sub(moved.record.spec.accepted));
         let submitted_at = now.checked_sub(age).unwrap_or(now);
         self.commits.arrive(ArrivingJob { moved, notice_revision, submitted_at });
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -12,7 +12,7 @@
 use crate::graph::{LeaderEpoch, ShardId};
 use crate::node::input::LeaderInput;
 use crate::node::leader::LeaderLoop;
-use crate::node::records::{LeaderProcess, LeaderTerm, unknown_leader};
+use crate::node::records::{EarlierLeader, LeaderProcess, LeaderTerm, unknown_leader};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 use crate::ring::{RingSender, ring};
@@ -84,8 +84,8 @@
     led_since: Option<Instant>,
     /// Leader of the previous term.
     predecessor: Option<LeaderProcess>,
-    /// Leaders before that one that may still run.
-    earlier: BTreeSet<LeaderProcess>,
+    /// All leaders before this term that may still run.
+    earlier: BTreeSet<EarlierLeader>,
     /// Time before which this process does not try again to remove the record of earlier leaders.
     forget_from: Option<Instant>,
     /// Revision of the latest registration that this entry knew when it campaigned for the current term or received it.
@@ -189,8 +189,8 @@
             .filter(|_| !self.has_outlasted_predecessors() && !view.has_ended(&self.predecessor))
     }
 
-    /// The leaders before that one that may still be running.
-    pub(crate) fn running_earlier(&self, view: &MemberView) -> BTreeSet<LeaderProcess> {
+    /// All leaders before this term that may still be running.
+    pub(crate) fn running_earlier(&self, view: &MemberView) -> BTreeSet<EarlierLeader> {
         match self.has_outlasted_predecessors() {
             true => BTreeSet::new(),
             false => view.running(&self.earlier),
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -13,7 +13,7 @@
     KeyItem, KeyTransaction, KeyWrite, StoreError, TransactionOutcome, epoch_key, leader_key,
 };
 use crate::node::machine::MachineCapacity;
-use crate::node::records::{EpochRecord, LeaderProcess, LeaderRecord, LeaderTerm};
+use crate::node::records::{EarlierLeader, EpochRecord, LeaderProcess, LeaderRecord, LeaderTerm};
 use crate::node::view::{MemberView, ShardView};
 
 /// Maximum number of entries that a leader asks to succeed it.
@@ -283,7 +283,7 @@
     epoch: LeaderEpoch,
     items: &[KeyItem],
     view: &MemberView,
-    (predecessor, earlier): (Option<LeaderProcess>, BTreeSet<LeaderProcess>),
+    (predecessor, earlier): (Option<LeaderProcess>, BTreeSet<EarlierLeader>),
 ) -> Option<(SuccessorOffer, LeaderTerm)> {
     let item = items.iter().find(|item| item.key == epoch_key(shard))?;
     let record: EpochRecord = serde_json::from_slice(&item.value).ok()?;
--- a/src/node/election/predecessor_tests.rs
+++ b/src/node/election/predecessor_tests.rs
@@ -6,14 +6,17 @@
 use googletest::prelude::*;
 use tokio::time::sleep;
 
+use crate::graph::ShardId;
 use crate::node::election::ElectionLoop;
 use crate::node::entry_store::EntryStore;
 use crate::node::keys::{ENTRY_PREFIX, KeyWrite, TransactionOutcome};
+use crate::node::records::{EarlierLeader, LeaderRecord};
 use crate::node::shared::NodeShared;
 use crate::node::simulated_peers::SimulatedPeers;
 use crate::node::simulated_store::{SimulatedStore, StoreAccess};
 use crate::node::simulation::SimulatedFleet;
-use crate::node::tests::settings;
+use crate::node::tests::{divided, settings};
+use crate::node::view::ShardView;
 
 /// Time for which a leader waits at least for one before it that may still run: the window in which that one extends
 /// leases, and a lease, less the time that the tests take.
@@ -121,3 +124,32 @@
     let stored = present.shared.store.get(&key).await;
     expect_that!(stored.ok().flatten().map(|item| item.revision), some(eq(present.registered)));
 }
+
+// The list of entries lagged behind the leaders. The registration from before an entry's restart was taken for that of a
+// later process, so that the leader elected from that restart counted as ended while it led.
+#[gtest]
+fn a_leader_has_not_ended_by_a_registration_from_before_its_election() {
+    let process = ("entry-2".into(), 8);
+    let leader = |elected| EarlierLeader { process: process.clone(), elected };
+    let record = LeaderRecord {
+        entry: process.0.clone(),
+        address: settings().peers,
+        start: process.1,
+        epoch: 4,
+    };
+    // The known registration is that of start 7, at revision 20.
+    let mut view = divided(&[("entry-2", "a", 0.25)]);
+    view.entries.get_mut("entry-2").unwrap().revision = 20;
+    let shard = ShardId::from("a");
+    for (elected, has_ended) in [(10, true), (30, false)] {
+        expect_that!(view.running(&[leader(elected)].into()).is_empty(), eq(has_ended));
+        let led = ShardView {
+            leader: Some(record.clone()),
+            leader_revision: elected,
+            epoch: 4,
+            ..ShardView::default()
+        };
+        view.shards.insert(shard.clone(), led);
+        expect_that!(view.leaderless(&shard), eq(has_ended));
+    }
+}
--- a/src/node/election/predecessors.rs
+++ b/src/node/election/predecessors.rs
@@ -12,7 +12,7 @@
 use crate::graph::ShardId;
 use crate::node::election::{ElectionLoop, LOG_NAME, encode};
 use crate::node::keys::{KeyTransaction, KeyWrite, TransactionOutcome, earlier_key, epoch_key};
-use crate::node::records::{EarlierLeaders, LeaderProcess};
+use crate::node::records::{EarlierLeader, EarlierLeaders, LeaderProcess};
 use crate::node::view::{MemberView, ShardView};
 
 /// Returns the leaders before `candidate` that may still run.
@@ -20,12 +20,13 @@
     view: &MemberView,
     shard: &ShardId,
     candidate: &LeaderProcess,
-) -> BTreeSet<LeaderProcess> {
+) -> BTreeSet<EarlierLeader> {
     let shard_view = view.shard(shard);
+    let elected = shard_view.epoch_revision;
     let mut earlier = shard_view.earlier;
-    earlier.extend(shard_view.holder);
+    earlier.extend(shard_view.holder.map(|process| EarlierLeader { process, elected }));
     // The candidate's own earlier terms have ended, or go on in the new one.
-    earlier.remove(candidate);
+    earlier.retain(|leader| leader.process != *candidate);
     view.running(&earlier)
 }
 
@@ -34,7 +35,7 @@
     change: &mut KeyTransaction,
     shard: &ShardId,
     shard_view: &ShardView,
-    earlier: &BTreeSet<LeaderProcess>,
+    earlier: &BTreeSet<EarlierLeader>,
 ) {
     let key = earlier_key(shard);
     change.conditions.push((key.clone(), shard_view.earlier_revision));
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -24,7 +24,7 @@
 use crate::node::ledger::{JobLedger, LEDGER_LOG_NAME};
 use crate::node::message::{JobAccess, JobSubmission, LeaderAnswer, LeaderCall};
 use crate::node::notices::NoticeLoop;
-use crate::node::records::{LeaderProcess, LeaderTerm};
+use crate::node::records::{EarlierLeader, LeaderProcess, LeaderTerm};
 use crate::node::registry::RegistryLoop;
 use crate::node::shared::NodeShared;
 use crate::node::state_queries::{StateQueries, StateUpdate};
@@ -46,8 +46,8 @@
     shard: ShardId,
     epoch: LeaderEpoch,
     predecessor: Option<LeaderProcess>,
-    /// Leaders before the previous one that may still run.
-    earlier: BTreeSet<LeaderProcess>,
+    /// All leaders before this term that may still run.
+    earlier: BTreeSet<EarlierLeader>,
     ledger: JobLedger,
     sender: RingSender<LeaderInput>,
     input: RingReceiver<LeaderInput>,
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -19,7 +19,9 @@
     shard_of_leader,
 };
 use crate::node::machine::MachineCapacity;
-use crate::node::records::{EarlierLeaders, EntryRecord, EpochRecord, unknown_leader};
+use crate::node::records::{
+    EarlierLeader, EarlierLeaders, EntryRecord, EpochRecord, unknown_leader,
+};
 use crate::node::shared::NodeShared;
 use crate::node::view::MemberView;
 
@@ -264,7 +266,8 @@
 
 /// Stands in for an unreadable record of earlier leaders.
 fn unreadable_earlier() -> EarlierLeaders {
-    EarlierLeaders { leaders: [unknown_leader()].into() }
+    let unknown = EarlierLeader { process: unknown_leader(), elected: 0 };
+    EarlierLeaders { leaders: [unknown].into() }
 }
 
 pub(super) fn apply_removal(view: &mut MemberView, key: &str, revision: u64) {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -29,11 +29,20 @@
     (EntryId::from(""), 0)
 }
 
+/// A leader before the last elected one that may still run.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct EarlierLeader {
+    pub(crate) process: LeaderProcess,
+    /// Revision of its election: only a later registration of its entry shows that it has ended.
+    pub(crate) elected: u64,
+}
+
 /// Leaders of a shard before the last elected one that may still run and extend the leases of workers, as stored.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub(crate) struct EarlierLeaders {
-    pub(crate) leaders: BTreeSet<LeaderProcess>,
+    pub(crate) leaders: BTreeSet<EarlierLeader>,
 }
 
 /// A term of leadership, won in an election or handed over by the previous leader.
@@ -44,9 +53,9 @@
     pub(crate) epoch_revision: u64,
     /// The previous leader; `None` if it has stepped down.
     pub(crate) predecessor: Option<LeaderProcess>,
-    /// Leaders before the previous one that may still run. Terms handed over by earlier builds lack them.
+    /// All leaders before this term that may still run. Terms handed over by earlier builds lack them.
     #[serde(default)]
-    pub(crate) earlier: BTreeSet<LeaderProcess>,
+    pub(crate) earlier: BTreeSet<EarlierLeader>,
 }
 
 /// Result of a shard's last election, as stored.
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -8,7 +8,7 @@
 use crate::graph::{LeaderEpoch, ShardId, ShardPlan};
 use crate::id::{DomainId, EntryId};
 use crate::node::machine::MachineCapacity;
-use crate::node::records::{EntryRecord, LeaderProcess, LeaderRecord};
+use crate::node::records::{EarlierLeader, EntryRecord, LeaderProcess, LeaderRecord};
 
 /// Leader and epoch of a shard.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -22,7 +22,7 @@
     /// Winner of the last election.
     pub(crate) holder: Option<LeaderProcess>,
     /// Leaders before that one that may still run.
-    pub(crate) earlier: BTreeSet<LeaderProcess>,
+    pub(crate) earlier: BTreeSet<EarlierLeader>,
     /// Revision of the key of earlier leaders; 0 if there is none.
     pub(crate) earlier_revision: u64,
 }
@@ -61,7 +61,7 @@
     }
 
     /// Applies the earlier leaders that the store has since `revision`; 0 stands for a key that does not exist.
-    pub(crate) fn apply_earlier(&mut self, earlier: BTreeSet<LeaderProcess>, revision: u64) {
+    pub(crate) fn apply_earlier(&mut self, earlier: BTreeSet<EarlierLeader>, revision: u64) {
         (self.earlier, self.earlier_revision) = (earlier, revision);
     }
 
@@ -130,8 +130,10 @@
     /// Whether a shard has no leader, or one whose process has ended. The latter is known as soon as its entry has
     /// restarted, while the leader key still exists until its lease expires.
     pub(crate) fn leaderless(&self, shard: &ShardId) -> bool {
+        let elected = self.shards.get(shard).map_or(0, |view| view.leader_revision);
         self.leader(shard).is_none_or(|leader| {
-            self.entries.get(&leader.entry).is_some_and(|record| record.start != leader.start)
+            let record = self.entries.get(&leader.entry);
+            record.is_some_and(|record| record.start != leader.start && record.revision >= elected)
         })
     }
 
@@ -147,8 +149,18 @@
     }
 
     /// Those of some leaders whose processes may still run.
-    pub(crate) fn running(&self, leaders: &BTreeSet<LeaderProcess>) -> BTreeSet<LeaderProcess> {
-        leaders.iter().filter(|leader| self.may_run(leader)).cloned().collect()
+    pub(crate) fn running(&self, leaders: &BTreeSet<EarlierLeader>) -> BTreeSet<EarlierLeader> {
+        let may_run = |leader: &&EarlierLeader| {
+            self.may_run(&leader.process)
+                || self.registered(&leader.process.0) < Some(leader.elected)
+        };
+        leaders.iter().filter(may_run).cloned().collect()
+    }
+
+    /// Revision of the last known registration of an entry. The list of entries may lag behind the leaders: a registration
+    /// from before an election is not that of the elected process's successor.
+    fn registered(&self, entry: &EntryId) -> Option<u64> {
+        self.entries.get(entry).map(|record| record.revision)
     }
 
     /// Returns the rank of an entry among the candidates for a shard: first those that lead no other shard, then strong
--- a/tests/graph/transfers.rs
+++ b/tests/graph/transfers.rs
@@ -161,3 +161,20 @@
     expect_that!(pending(&mut cluster, &first), eq(0));
     expect_that!(pending(&mut cluster, &second), eq(1));
 }
+
+// A caller submitted a job again in the shard that it had just moved to. In one group with the job the submission was
+// refused, and the job with it, so that no leader had it.
+#[gtest]
+fn a_job_arrives_although_it_is_submitted_again_in_its_new_shard() {
+    for delay in (0..60).map(|number| Duration::from_millis(1_000 + number * 10)) {
+        let (mut cluster, first, second) = cluster(86);
+        submit(&mut cluster, &first, "a");
+        lose_kind(&mut cluster);
+        cluster.run(delay);
+        let steps = vec![of_kind(1, step(2, 1, 500))];
+        cluster.submit_in(&second, "now", "a", steps);
+        cluster.run(seconds(6));
+        let state = cluster.state_in("a");
+        expect_that!(state, some(eq(GraphState::Completed)), "{delay:?}");
+    }
+}
