Review jobs that no shard can run every five seconds only

Found by reading: each review of the jobs that wait looked at all workers of all shards for each job that none of them can run, four times a second, a cost that grows with workers, shards and such jobs together.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -165,6 +165,8 @@
     next_sweep: Instant,
     next_evacuation: Instant,
     next_transfer_review: Instant,
+    /// Jobs that no shard can run, with the time of their next review.
+    unplaceable: BTreeMap<GraphId, Instant>,
     pass_wanted: bool,
     last_pass: Instant,
     pass_interval: Duration,
@@ -257,6 +259,7 @@
             next_sweep: now,
             next_evacuation: now,
             next_transfer_review: now,
+            unplaceable: BTreeMap::new(),
             pass_wanted: true,
             last_pass: now,
             pass_interval: MIN_PASS_INTERVAL,
--- a/src/graph/controller/transfers.rs
+++ b/src/graph/controller/transfers.rs
@@ -20,6 +20,9 @@
 
 /// Interval between reviews of the jobs that wait.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between reviews of a job that no shard can run: each looks at all workers of all shards, and such jobs may be
+/// many.
+const UNPLACEABLE_INTERVAL: Duration = Duration::from_secs(5);
 /// Number of occurrences of a job that a review looks at.
 const MAX_REVIEWED_OCCURRENCES: u32 = 64;
 
@@ -34,12 +37,19 @@
             return;
         }
         self.next_transfer_review = now + REVIEW_INTERVAL;
+        self.unplaceable.retain(|_, until| now < *until);
         let movable = self.jobs.schedulable().filter(|job| self.is_movable(job));
-        let departing: Vec<(GraphId, ShardId)> = movable
+        let stranded: Vec<(GraphId, Option<ShardId>)> = movable
+            .filter(|job| !self.unplaceable.contains_key(&job.spec.id))
             .filter_map(|job| Some((job.spec.id.clone(), self.shard_that_can_run(now, unix, job)?)))
             .collect();
-        for (id, shard) in departing {
-            self.give_to_shard(unix, id, shard);
+        for (id, shard) in stranded {
+            match shard {
+                Some(shard) => self.give_to_shard(unix, id, shard),
+                None => {
+                    self.unplaceable.insert(id, now + UNPLACEABLE_INTERVAL);
+                }
+            }
         }
     }
 
@@ -52,13 +62,14 @@
             && self.commits.is_stored(&job.spec.id)
     }
 
-    /// Returns the shard that can run a job, if no worker of this one can run any step that is ready.
+    /// Returns the shard that can run a job, if there is one. The outer value is `None` if no step is ready, or a worker of
+    /// this shard can run one that is.
     fn shard_that_can_run(
         &self,
         now: Instant,
         unix: UnixMillis,
         job: &GraphJob,
-    ) -> Option<ShardId> {
+    ) -> Option<Option<ShardId>> {
         let (mut ready, mut open) = (Vec::new(), Vec::new());
         for (key, step) in open_steps(job, unix) {
             open.push(step);
@@ -71,10 +82,8 @@
             }
             ready.push(step);
         }
-        if ready.is_empty() {
-            return None;
-        }
-        self.remote_workers.shard_for_steps(&self.scope, &job.rule, &ready, &open)
+        (!ready.is_empty())
+            .then(|| self.remote_workers.shard_for_steps(&self.scope, &job.rule, &ready, &open))
     }
 
     fn give_to_shard(&mut self, unix: UnixMillis, id: GraphId, shard: ShardId) {
