--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -24,9 +24,6 @@
 /// Entries for each one that long calls leave free. Where few are left, long calls need most of them: one entry makes two a
 /// second.
 const ENTRIES_PER_RESERVED: usize = 3;
-/// Time after the last request for a short call during which long calls leave entries free. Without urgent work, jobs that
-/// wait for long calls would wait beside idle entries.
-const RESERVATION_TIME: Duration = Duration::from_secs(2);
 /// Time before its expiry from which a ticket is not used any more: a start may take this long to
 /// arrive.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
@@ -136,8 +133,6 @@
     calls: BTreeMap<AdviceId, OpenCall>,
     entries: BTreeSet<EntryId>,
     shares: BTreeMap<QueueId, f64>,
-    /// When a short call was last requested.
-    last_short_request: Option<Instant>,
     last_id: AdviceId,
 }
 
@@ -170,10 +165,7 @@
         let busy: BTreeSet<&EntryId> = self.calls.values().map(|open| &open.call.entry).collect();
         let idle = self.entries.iter().filter(|entry| !busy.contains(entry));
         let mut idle: Vec<EntryId> = idle.cloned().collect();
-        if advice_requests.iter().any(|request| request.time() <= LONG_CALL) {
-            self.last_short_request = Some(now);
-        }
-        let reserved = self.reserved_entries(now);
+        let reserved = self.reserved_entries();
         let mut calls_made = Vec::new();
         for request in advice_requests {
             let time = request.time();
@@ -283,12 +275,8 @@
     }
 
     /// Number of entries that long calls leave free.
-    pub(crate) fn reserved_entries(&self, now: Instant) -> usize {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < RESERVATION_TIME;
-        match self.last_short_request.is_some_and(is_recent) {
-            true => MAX_RESERVED_ENTRIES.min(self.entries.len() / ENTRIES_PER_RESERVED),
-            false => 0,
-        }
+    pub(crate) fn reserved_entries(&self) -> usize {
+        MAX_RESERVED_ENTRIES.min(self.entries.len() / ENTRIES_PER_RESERVED)
     }
 
     /// Number of open calls.
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -243,7 +243,7 @@
             preemptible_priority,
             reserved_jobs: view.reservations.jobs().collect(),
             renewals_left: view.advice.idle_entries(),
-            reserved_entries: view.advice.reserved_entries(view.now),
+            reserved_entries: view.advice.reserved_entries(),
             speed_order,
             allowances: WorkspaceAllowances::new(view.limits, view.usage),
             plan: PassPlan::default(),
