--- a/src/graph/controller/transfers.rs
+++ b/src/graph/controller/transfers.rs
@@ -1,7 +1,7 @@
 //! Jobs that move to another shard because this one has no worker for them, and jobs that other shards give to this one.
 //!
 //! A job's shard is chosen at its submission. When the last workers of a kind leave the shard, the jobs that need them would
-//! wait for good beside idle workers of other shards.
+//! wait without end beside idle workers of other shards.
 
 use std::time::Duration;
 
--- a/src/node/election/predecessor_tests.rs
+++ b/src/node/election/predecessor_tests.rs
@@ -39,7 +39,7 @@
     panic!("no other entry leads");
 }
 
-/// Entries of which the first leader is refused by the store and goes on with the workers that it reaches, with that
+/// Entries of which the first leader is refused by the store and still extends leases of workers, with that
 /// leader and the next one.
 async fn leader_refused() -> (SimulatedFleet, usize, usize) {
     let mut fleet = SimulatedFleet::undivided(1);
--- a/tests/graph/random_shards.rs
+++ b/tests/graph/random_shards.rs
@@ -298,7 +298,7 @@
     });
 }
 
-// The last workers of a kind left a shard, and accepted jobs that needed them waited there for good.
+// The last workers of a kind left a shard, and accepted jobs that needed them waited there without end.
 #[gtest]
 fn random_runs_over_shards_whose_workers_change_their_kinds_end_all_jobs() {
     SHORT_KINDS.for_each(|seed| {
--- a/tests/graph/transfers.rs
+++ b/tests/graph/transfers.rs
@@ -49,7 +49,7 @@
 }
 
 // The last worker of a kind left the shard of a job while its first step ran. The second step needs that kind, and the job
-// waited for good beside an idle worker of another shard.
+// waited without end beside an idle worker of another shard.
 #[gtest]
 fn a_job_moves_to_another_shard_once_its_own_has_no_worker_of_a_kind() {
     let (mut cluster, first, second) = cluster(80);
