Show the leases of restarted workers after a takeover, red

The simulated workers and leaders take the longest lease from the cluster now; it was 6 s in all runs, too near to the usual 4.8 s for the random runs to show this.

--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -20,6 +20,7 @@
 mod random_cancellation;
 mod random_shards;
 mod registrations;
+mod restarted_leases;
 mod restarts;
 mod shards;
 mod sim_cluster;
--- /dev/null
+++ b/tests/graph/restarted_leases.rs
@@ -0,0 +1,82 @@
+//! Leases of workers that restarted under their ids: a call that was meant for the previous instance gives the
+//! new one the longest lease, as its time lies far ahead of the new clock.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use kelplink::{GraphState, WorkerId};
+
+use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
+
+/// Longest lease of workers here, more than twice the one that leaders grant.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+
+/// A cluster in which one task runs, on a worker whose new instance took its start by the previous one's clock.
+fn restarted_cluster(seed: u64) -> (SimCluster, WorkerId) {
+    let mut cluster = SimCluster::new(seed, 2);
+    cluster.longest_lease = LONGEST_LEASE;
+    let first = cluster.store.epoch;
+    cluster.leaders.remove(&first);
+    cluster.elect();
+    cluster.keep_ids(seed);
+    cluster.run(seconds(15));
+    let ids: Vec<WorkerId> = cluster.workers.keys().cloned().collect();
+    ids.iter().for_each(|id| cluster.crash_and_restart(id, Duration::from_millis(30)));
+    cluster.run(Duration::from_millis(35));
+    cluster.submit("now", "a", vec![step(1, 1, 8_500)]);
+    while count_runs(&cluster, "a") == 0 {
+        cluster.run(Duration::from_millis(5));
+    }
+    let running =
+        cluster.workers.values().find(|worker| worker.runs.keys().any(|task| &*task.job == "a"));
+    let worker = running.expect("no worker runs the task").id().clone();
+    (cluster, worker)
+}
+
+fn disconnect(cluster: &mut SimCluster, worker: &WorkerId) {
+    cluster.workers.get_mut(worker).unwrap().connected = false;
+}
+
+fn lose_leader(cluster: &mut SimCluster) {
+    let epoch = cluster.store.epoch;
+    cluster.leaders.remove(&epoch);
+}
+
+/// Elects a leader whose predecessor has certainly ended.
+fn succeed(cluster: &mut SimCluster) {
+    cluster.elect();
+    let now = cluster.now;
+    cluster.leader().unwrap().note_predecessor_ended(now);
+}
+
+// The next leader did not reach the worker, waited for the usual lease only and started the task elsewhere, while it
+// still ran by the longest one.
+#[gtest]
+fn a_successor_waits_for_the_longest_lease_of_a_restarted_worker() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = restarted_cluster(seed);
+        cluster.run(seconds(1));
+        lose_leader(&mut cluster);
+        disconnect(&mut cluster, &worker);
+        cluster.run(Duration::from_millis(700));
+        succeed(&mut cluster);
+        cluster.run(seconds(25));
+        expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
+
+// The next leader reached the worker, took its lease for the usual one, and lost it soon after.
+#[gtest]
+fn a_successor_that_loses_a_restarted_worker_waits_for_its_longest_lease() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = restarted_cluster(seed);
+        cluster.run(seconds(1));
+        lose_leader(&mut cluster);
+        cluster.run(Duration::from_millis(300));
+        succeed(&mut cluster);
+        cluster.run(Duration::from_millis(200));
+        disconnect(&mut cluster, &worker);
+        cluster.run(seconds(25));
+        expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -111,6 +111,8 @@
     pub(crate) max_listed_ends: usize,
     /// Size of the largest value that the store takes, in bytes, as leaders elected from now on know it.
     pub(crate) max_value_bytes: usize,
+    /// Longest lease that workers accept, as leaders elected from now on know it.
+    pub(crate) longest_lease: Duration,
     replacements: u32,
     /// Whether every crashed worker restarts under its id.
     pub(crate) keeps_all_ids: bool,
@@ -272,6 +274,7 @@
             refuses_when_down: false,
             max_listed_ends: MAX_LISTED_ENDS,
             max_value_bytes: BOUNDS.max_value_bytes,
+            longest_lease: LONGEST_LEASE,
             replacements: 0,
             keeps_all_ids: false,
             restart_rng: None,
@@ -372,7 +375,12 @@
         let scope = ShardScope::new(self.plan.clone(), shard.clone());
         let run_costs =
             RunCosts { remote_rack_factor: self.remote_rack_factor, ..BOUNDS.run_costs };
-        let bounds = GraphBounds { run_costs, max_value_bytes: self.max_value_bytes, ..BOUNDS };
+        let bounds = GraphBounds {
+            run_costs,
+            max_value_bytes: self.max_value_bytes,
+            max_lease: self.longest_lease,
+            ..BOUNDS
+        };
         let mut leader =
             GraphController::new(self.now, self.unix(), epoch, bounds, state).with_scope(scope);
         if let Some(lag) = self.registration_lag {
@@ -868,6 +876,7 @@
     ) {
         let now = self.now;
         let replaced = !self.workers.contains_key(&id);
+        let longest_lease = self.longest_lease;
         let Some(worker) = self.reachable(&id) else {
             let (failure, after) = match replaced {
                 true => (CallFailure::Refused(WorkerRefusal::OtherLife), TICK_INTERVAL),
@@ -883,7 +892,7 @@
         worker.advance(now);
         let lease_held = worker.clock(now) <= worker.lease;
         if let Some(until) = until {
-            worker.extend(until, now, LONGEST_LEASE);
+            worker.extend(until, now, longest_lease);
         }
         let acknowledged: Vec<EndReport> =
             worker.ends.iter().filter(|end| end.number <= acked).cloned().collect();
@@ -965,6 +974,7 @@
         let step =
             step.unwrap_or_else(|| panic!("{task} is started but its job was never accepted"));
         let length_percent = self.length_percents.get(&task.job).copied().unwrap_or(100);
+        let longest_lease = self.longest_lease;
         let result = match self.reachable(&id) {
             None => Err(self.failure_at(&id, Duration::ZERO).0),
             Some(worker) => {
@@ -985,7 +995,7 @@
                 match refused {
                     Some(refusal) => Err(CallFailure::Refused(refusal)),
                     None => {
-                        worker.extend(command.until, now, LONGEST_LEASE);
+                        worker.extend(command.until, now, longest_lease);
                         let clock = worker.clock(now);
                         let known = worker.runs.get(&task).is_some_and(|known| known.run >= run);
                         if !known {
