--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -460,6 +460,8 @@
             return;
         }
         self.unseen_invalidated = true;
+        let unheard = self.uncontacted.len();
+        info!(unheard, epoch = self.epoch; "leases of earlier leaders have expired");
         self.found_runs.clear();
         let unsettled_domains = self.uncontacted_domains();
         let base = self.run_base();
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -66,9 +66,11 @@
                     self.deposed = true;
                 }
                 WorkerEvent::Claimed(worker) => {
-                    let born =
-                        self.instances.get(&worker).and_then(|instance| instance.instance_start);
-                    info!(worker = &*worker, born, epoch = self.epoch; "worker claimed");
+                    let instance = self.instances.get(&worker);
+                    let born = instance.and_then(|instance| instance.instance_start);
+                    let lease = instance.map(|instance| instance.remaining_lease(now));
+                    let lease_ms = lease.unwrap_or_default().as_millis() as u64;
+                    info!(worker = &*worker, born, lease_ms, epoch = self.epoch; "worker claimed");
                     self.commits.note_workers(now, true);
                 }
                 WorkerEvent::ListedAll(worker) => {
--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use log::info;
 use tokio::time::Instant;
 
 use crate::graph::exchange::PollReply;
@@ -34,6 +35,9 @@
         let crash =
             instance.leaves_at.is_none().then(|| self.crashes.note_crash(now, instance, &silent));
         let (other, answered) = (std::mem::take(&mut instance.runs), instance.last_answer);
+        let unanswered = listed.values().chain(other.values()).filter(|run| !run.begun).count();
+        let (worker, misses, runs) = (&**id, instance.misses, listed.len());
+        info!(worker, misses, unanswered, runs; "worker has restarted");
         *instance = instance.next_instance(now, reply.instance_start);
         for (task, run) in listed {
             instance.add_run(task, run.carried_over(now, reply));
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -336,6 +336,14 @@
         }
     }
 
+    /// Time for which it may still hold its lease; zero where nothing is known of a lease.
+    pub fn remaining_lease(&self, now: Instant) -> Duration {
+        match (self.latest_lease_end, self.clock_lower_bound(now)) {
+            (Some(lease), Some(clock)) => lease.saturating_sub(clock),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Whether a run whose start was accepted by a newer instance has certainly ended. That instance keeps it
     /// for the longest lease, whatever end the start gave on the clock of the previous instance.
     pub(crate) fn has_certainly_ended(
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -446,6 +446,7 @@
         serde_json::json!({
             "id": &**instance.id(), "born": instance.instance_start, "listed": instance.registered, "claimed": instance.claimed,
             "runs": instance.runs.len(), "free": instance.free(), "misses": instance.misses,
+            "lease_ms": instance.remaining_lease(Instant::now()).as_millis() as u64,
         })
     };
     serde_json::json!({
