Wait for the longest lease of workers that restarted, also after a takeover

A worker had restarted under its id, its leader was lost 1.4 s later, the worker was then cut off, and the next leader started its task elsewhere while it ran on.

Cause: a call that was meant for the previous instance is taken by the new one. Its time is on the previous clock, far ahead of the new one, so the worker holds the longest lease that it accepts (10 s) from the arrival on. The leader that saw the restart reckoned with that; its successor did not, neither for a worker that it does not reach (4.8 s after the end of its predecessor) nor for one that it claimed and lost again. Class: what one leader concluded and the next one needs was in its memory alone.

Ruled out: the predecessor's calls after its end (its process was gone from 7.0 s on), extensions by the successor (the cut was before its first poll).

Change: the store's list of workers says whether a lease may be the longest one (`longest_lease`, written before a restarted worker gets new work). A successor waits that long while it has not heard such a worker, and takes the longest lease for one that it claims. Where the predecessor had no time to store it, the registration of another instance shows the restart. Entries of earlier builds leave the field out and ignore it.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -33,7 +33,7 @@
 use crate::graph::workers::instances::{InstanceTable, WORKER_LEASE};
 use crate::graph::workers::run_costs::RunCosts;
 use crate::graph::workers::send_window::SendWindow;
-use crate::graph::workers::worker::WorkerInstance;
+use crate::graph::workers::worker::{CALL_ARRIVAL_TIME, WorkerInstance, hold_time};
 use crate::graph::workload::crash::WorkerCrash;
 use crate::graph::workload::job::{GraphJob, GraphRecord};
 use crate::graph::workload::jobs::JobTable;
@@ -114,8 +114,8 @@
     rates: SubmissionRates,
     /// This shard's parts of the caps; `None` where there is only one shard.
     quota: Option<QuotaController>,
-    /// Runs of jobs that ended before this time have certainly ended.
-    inherited_ends_since: UnixMillis,
+    /// When this term began.
+    began: UnixMillis,
     /// Runs of earlier leaders that were found on workers, and what they used by workspace.
     found_runs: BTreeSet<(TaskName, RunNumber)>,
     found_usage: WorkspaceAmounts,
@@ -151,8 +151,8 @@
     /// Whether an uncontacted worker was lost before it answered, together with the runs that an
     /// earlier leader had started there.
     lost_before_contact: bool,
-    /// When all runs that an earlier leader started on uncontacted workers have certainly ended.
-    inherited_leases_end: Instant,
+    /// When all earlier leaders have certainly sent their last calls to workers.
+    inherited_calls_end: Instant,
     /// Whether the runs on workers that never answered have been invalidated.
     unseen_invalidated: bool,
     /// Whether the previous leader is known to have ended.
@@ -226,9 +226,7 @@
             workspaces: BTreeMap::new(),
             rates: SubmissionRates::default(),
             quota: None,
-            inherited_ends_since: unix.saturating_sub(
-                (bounds.lease_extension_window + INHERITED_LEASE_TIME).as_millis() as u64,
-            ),
+            began: unix,
             found_runs: BTreeSet::new(),
             found_usage: WorkspaceAmounts::new(),
             last_usage: WorkspaceAmounts::new(),
@@ -250,7 +248,7 @@
             next_review: now,
             uncontacted,
             lost_before_contact: false,
-            inherited_leases_end: now + bounds.lease_extension_window + INHERITED_LEASE_TIME,
+            inherited_calls_end: now + bounds.lease_extension_window,
             unseen_invalidated: false,
             predecessor_ended: false,
             authority_end: now,
@@ -328,14 +326,36 @@
     pub fn note_predecessor_ended(&mut self, now: Instant) {
         if !self.predecessor_ended {
             self.predecessor_ended = true;
-            self.inherited_leases_end = self.inherited_leases_end.min(now + INHERITED_LEASE_TIME);
+            self.inherited_calls_end = self.inherited_calls_end.min(now);
             info!(unheard = self.uncontacted.len(); "previous leader has ended");
         }
     }
 
     /// Time until the leases that earlier leaders may have extended have certainly expired.
     pub fn inherited_lease_time(&self, now: Instant) -> Duration {
-        self.inherited_leases_end.saturating_duration_since(now)
+        self.inherited_leases_end(now).saturating_duration_since(now)
+    }
+
+    /// When all runs that an earlier leader started on uncontacted workers have certainly ended.
+    fn inherited_leases_end(&self, now: Instant) -> Instant {
+        self.inherited_calls_end + self.inherited_hold_time(now)
+    }
+
+    /// Longest time that runs on uncontacted workers continue after the last call of an earlier leader.
+    fn inherited_hold_time(&self, now: Instant) -> Duration {
+        let is_longest = |id: &WorkerId| {
+            self.instances.get(id).is_none_or(|instance| instance.may_hold_longest_lease(now))
+        };
+        match self.uncontacted.iter().any(is_longest) {
+            true => INHERITED_LEASE_TIME.max(hold_time(self.bounds.max_lease) + CALL_ARRIVAL_TIME),
+            false => INHERITED_LEASE_TIME,
+        }
+    }
+
+    /// Runs of jobs that ended before this time have certainly ended.
+    fn inherited_ends_since(&self, now: Instant) -> UnixMillis {
+        let longest = self.bounds.lease_extension_window + self.inherited_hold_time(now);
+        self.began.saturating_sub(longest.as_millis() as u64)
     }
 
     /// Records that the machine was suspended for `gap`, which the monotonic clock did not count.
@@ -425,8 +445,12 @@
         self.invalidate_unseen_runs(now, unix);
         let mut events = self.instances.crash_suspicions(now);
         events.extend(self.instances.expired_runs(now));
-        events.extend(self.instances.remove_vanished(now, now >= self.inherited_leases_end));
+        let settled = now >= self.inherited_leases_end(now);
+        events.extend(self.instances.remove_vanished(now, settled));
         self.handle_worker_events_at(now, unix, events);
+        if self.instances.has_outdated_leases(now) {
+            self.commits.refresh_workers();
+        }
         self.review_unreferenced(now);
         self.commits.review_oversized(now);
         self.review_compactions(now);
@@ -456,7 +480,7 @@
     /// Invalidates the runs on workers that never answered, once all inherited runs have ended, so
     /// that their tasks are started again.
     fn invalidate_unseen_runs(&mut self, now: Instant, unix: UnixMillis) {
-        if self.unseen_invalidated || now < self.inherited_leases_end {
+        if self.unseen_invalidated || now < self.inherited_leases_end(now) {
             return;
         }
         self.unseen_invalidated = true;
@@ -536,7 +560,7 @@
             return;
         }
         let unsettled_domains = self.unsettled_domains();
-        let usage = self.workspace_usage();
+        let usage = self.workspace_usage(now);
         let limits = self.workspace_limits(&usage);
         let changed = self.jobs.take_changed();
         for idle in self.serving.update(now, &self.jobs, changed) {
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -159,6 +159,7 @@
             matches!((&result, min_clock), (Ok(clock), Some(min_clock)) if *clock < min_clock);
         if taken_by_newer_instance {
             instance.last_poll_answer = None;
+            self.commits.note_workers(now, true);
         }
         let Some(worker_run) =
             instance.runs.get_mut(task).filter(|worker_run| worker_run.run == run)
--- a/src/graph/controller/quota.rs
+++ b/src/graph/controller/quota.rs
@@ -89,7 +89,7 @@
         id: CallId,
         outcome: StoreOutcome,
     ) {
-        let (quotas, bound) = (self.quotas(), self.workspace_usage());
+        let (quotas, bound) = (self.quotas(), self.workspace_usage(now));
         let known = usage_by_workspace(&self.instances);
         let usage = QuotaUsage { known: &known, bound: &bound };
         let Some(quota) = &mut self.quota else {
--- a/src/graph/controller/storing.rs
+++ b/src/graph/controller/storing.rs
@@ -7,6 +7,7 @@
 
 use crate::graph::controller::GraphController;
 use crate::graph::event::{GraphAction, GraphAnswer};
+use crate::graph::exchange::UsedWorker;
 use crate::graph::sharding::notice::{NoticeKind, ShardNotice};
 use crate::graph::sharding::shard::ShardId;
 use crate::graph::sharding::transfer::DepartingJob;
@@ -33,8 +34,9 @@
         let is_for_compactions = !self.commits.has_changes();
         let mut ids = self.commits.take(now);
         self.set_oversized_aside(now, &mut ids);
-        let (effect, spare_keys) = (self.group_effect(&ids), ids.spare_keys);
-        let mut group = self.build_group(ids, unix);
+        let spare_keys = ids.spare_keys;
+        let mut group = self.build_group(ids, now, unix);
+        let effect = self.group_effect(group.workers.as_deref());
         if is_for_compactions || group.has_changes() {
             self.fill_with_compactions(&mut group, spare_keys);
         }
@@ -82,21 +84,22 @@
         self.commits.review_compactions(now, |id| jobs.settled(id, knows_all_runs).is_some());
     }
 
-    fn group_effect(&self, ids: &GroupIds) -> GroupEffect {
+    fn group_effect(&self, used: Option<&[UsedWorker]>) -> GroupEffect {
         let mut effect = GroupEffect::default();
+        let is_claimed = |used: &&UsedWorker| {
+            self.instances.get(&used.id).is_some_and(|instance| instance.claimed)
+        };
+        effect.stored_workers = used.into_iter().flatten().filter(is_claimed).cloned().collect();
         for instance in self.instances.iter() {
             let covered = instance.last_covered_end(|job| self.commits.has_change(job));
             if covered > instance.last_stored_end {
                 effect.ends.insert(instance.instance_id(), covered);
             }
-            if ids.workers_changed && instance.claimed {
-                effect.stored_workers.insert(instance.id().clone());
-            }
         }
         effect
     }
 
-    fn build_group(&self, ids: GroupIds, unix: UnixMillis) -> CommitGroup {
+    fn build_group(&self, ids: GroupIds, now: Instant, unix: UnixMillis) -> CommitGroup {
         let record = |id: &GraphId| Some(self.jobs.get(id)?.record());
         let notice = |(job, shard, kind): (GraphId, ShardId, NoticeKind)| {
             let record = match kind {
@@ -120,7 +123,7 @@
             removed: ids.removed,
             notices: ids.notices.into_iter().filter_map(notice).collect(),
             settled: ids.settled,
-            workers: ids.workers_changed.then(|| self.instances.in_use()),
+            workers: ids.workers_changed.then(|| self.instances.in_use(now)),
             compacted: Vec::new(),
             departing: ids.departing.into_iter().filter_map(departing).collect(),
             arriving: ids.arriving,
@@ -231,10 +234,8 @@
         for (instance, number) in effect.ends {
             self.instances.ends_stored(now, &instance, number);
         }
-        for worker in effect.stored_workers {
-            if let Some(instance) = self.instances.get_mut(&worker) {
-                instance.in_store = true;
-            }
+        for used in &effect.stored_workers {
+            self.instances.note_stored(used);
         }
     }
 }
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -99,7 +99,8 @@
                     self.lost_before_contact |=
                         self.uncontacted.remove(&worker) && end != InstanceEnd::Left;
                     self.advice.forget_worker(&worker);
-                    self.commits.note_workers(now, false);
+                    // A restarted worker gets no work before the store has its new instance.
+                    self.commits.note_workers(now, end == InstanceEnd::Restarted);
                 }
             }
         }
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -54,7 +54,7 @@
     }
 
     /// What each workspace uses or may use on the workers of this leader; empty where there are no workspaces.
-    pub(super) fn workspace_usage(&self) -> WorkspaceAmounts {
+    pub(super) fn workspace_usage(&self, now: Instant) -> WorkspaceAmounts {
         if self.workspaces.is_empty() {
             return WorkspaceAmounts::new();
         }
@@ -64,7 +64,7 @@
                 &self.jobs,
                 &self.uncontacted_domains(),
                 self.uncontacted_capacity(),
-                self.inherited_ends_since,
+                self.inherited_ends_since(now),
             );
             for (workspace, amount) in &mut unseen {
                 *amount = amount.component_min(&self.inherited_limit(workspace));
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -84,6 +84,9 @@
     /// Whether it has announced that it leaves.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
+    /// Whether its lease may be longer than those that leaders grant, up to the longest that it accepts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub longest_lease: bool,
 }
 
 fn unknown_domain() -> DomainId {
--- a/src/graph/storing/commit.rs
+++ b/src/graph/storing/commit.rs
@@ -15,7 +15,7 @@
 use crate::graph::workload::job::GraphRecord;
 use crate::graph::workload::name::GraphId;
 use crate::graph::workload::progress::GraphProgress;
-use crate::id::{WorkerId, WorkspaceId};
+use crate::id::WorkspaceId;
 
 /// Number of a commit group.
 pub type GroupNumber = u64;
@@ -133,8 +133,8 @@
 pub struct GroupEffect {
     /// Number of the last end that may be acknowledged, by the worker instance that reported it.
     pub ends: BTreeMap<InstanceId, u64>,
-    /// Workers that are in the stored list from then on.
-    pub stored_workers: BTreeSet<WorkerId>,
+    /// Claimed workers in the stored list from then on.
+    pub stored_workers: Vec<UsedWorker>,
 }
 
 /// Collects changes for the next group.
@@ -285,6 +285,11 @@
         self.schedule(now, urgent);
     }
 
+    /// Lets the next group write the workers that may have runs, without making one due.
+    pub(crate) fn refresh_workers(&mut self) {
+        self.workers_changed = true;
+    }
+
     /// Makes a group due although no job has changed, so that ends can be acknowledged.
     pub fn schedule(&mut self, now: Instant, urgent: bool) {
         self.urgent |= urgent;
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -218,6 +218,7 @@
             instance
         });
         instance.in_store = true;
+        instance.stored_longest_lease = used.longest_lease;
         instance.instance_start = used.instance_start;
         if used.leaving {
             instance.leaves_at.get_or_insert(now);
@@ -470,7 +471,7 @@
         instance.grant_lease(offered_lease_end);
         let claimed = std::mem::replace(&mut instance.claimed, true);
         // The worker's lease may have been extended on the clock of a previous instance.
-        if !known_instance {
+        if !known_instance || (!claimed && instance.stored_longest_lease) {
             instance.inherit_lease(self.max_lease);
         } else if !claimed {
             instance.inherit_lease(self.max_lease.min(WORKER_LEASE));
@@ -601,8 +602,27 @@
         gone.iter().flat_map(|id| self.end_instance(id, InstanceEnd::Vanished)).collect()
     }
 
+    /// Whether the store says that the lease of a worker may be the longest one, and it is not any more.
+    pub(crate) fn has_outdated_leases(&self, now: Instant) -> bool {
+        let is_outdated = |instance: &WorkerInstance| {
+            instance.in_store
+                && instance.stored_longest_lease
+                && !instance.may_hold_longest_lease(now)
+        };
+        self.instances.values().any(is_outdated)
+    }
+
+    /// Notes that the store names a worker as in use.
+    pub(crate) fn note_stored(&mut self, used: &UsedWorker) {
+        if let Some(instance) = self.instances.get_mut(&used.id)
+            && instance.instance_start == used.instance_start
+        {
+            (instance.in_store, instance.stored_longest_lease) = (true, used.longest_lease);
+        }
+    }
+
     /// Workers to be recorded in the store as in use.
-    pub(crate) fn in_use(&self) -> Vec<UsedWorker> {
+    pub(crate) fn in_use(&self, now: Instant) -> Vec<UsedWorker> {
         let claimed =
             self.instances.values().filter(|instance| instance.claimed || instance.in_store);
         let used = |instance: &WorkerInstance| UsedWorker {
@@ -611,6 +631,7 @@
             domain: instance.registration.domain.clone(),
             instance_start: instance.instance_start,
             leaving: instance.leaves_at.is_some(),
+            longest_lease: instance.may_hold_longest_lease(now),
         };
         claimed.map(used).collect()
     }
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -8,6 +8,7 @@
 
 use crate::graph::exchange::{InstanceId, InstanceStart, WorkerRegistration};
 use crate::graph::workers::health::{HealthRank, WorkerHealth};
+use crate::graph::workers::instances::WORKER_LEASE;
 use crate::graph::workers::run::WorkerRun;
 use crate::graph::workers::speed::WorkerSpeed;
 use crate::graph::workload::name::{GraphId, StepKey, TaskName};
@@ -20,6 +21,14 @@
 /// Added to a lease before it counts as expired: killed processes may take this long to exit.
 const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 
+/// How long a call that was sent may take to arrive. It counts where the worker holds the longest lease from then on.
+pub(crate) const CALL_ARRIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for which a worker keeps its runs by a lease, by the local clock.
+pub(crate) fn hold_time(lease: Duration) -> Duration {
+    lease * 1_000 / (1_000 - SLOW_CLOCK_PERMILLE) + LEASE_EXPIRY_MARGIN
+}
+
 /// Why an instance of a worker has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InstanceEnd {
@@ -58,8 +67,14 @@
     pub leaves_at: Option<Instant>,
     /// Whether it has answered a poll of this leader.
     pub claimed: bool,
-    /// Whether the store names it as a worker that may run tasks.
+    /// Whether an earlier instance under its id was known, whose calls it may have taken.
+    has_predecessor: bool,
+    /// Whether the store names this instance as a worker that may run tasks.
     pub in_store: bool,
+    /// What the store says of its lease ([`UsedWorker::longest_lease`]).
+    ///
+    /// [`UsedWorker::longest_lease`]: crate::graph::exchange::UsedWorker::longest_lease
+    pub(crate) stored_longest_lease: bool,
     /// The worker's clock, and the local time at which it was read.
     clock: Option<(Duration, Instant)>,
     /// The worker's clock on the newest list of runs.
@@ -133,7 +148,9 @@
             registered: true,
             reregistration_deadline: None,
             claimed: false,
+            has_predecessor: false,
             in_store: false,
+            stored_longest_lease: false,
             clock: None,
             newest_list_clock: Duration::ZERO,
             list_outdated: false,
@@ -227,7 +244,8 @@
             reregistration_deadline: self.reregistration_deadline,
             leaves_at: self.leaves_at,
             claimed: self.claimed,
-            in_store: self.in_store,
+            has_predecessor: true,
+            stored_longest_lease: self.stored_longest_lease,
             ..Self::new(self.registration.clone(), now)
         }
     }
@@ -344,6 +362,25 @@
         }
     }
 
+    /// Whether it may hold a lease that is longer than those that leaders grant. A call that was meant for an earlier
+    /// instance names a time on that instance's clock, which lies far ahead of the clock of the next one. A registration
+    /// of another instance than the last one that answered shows a restart that no answer has shown yet.
+    pub(crate) fn may_hold_longest_lease(&self, now: Instant) -> bool {
+        let lease = match (self.latest_lease_end, self.clock) {
+            (Some(end), Some((clock, at))) => {
+                end.saturating_sub(clock + now.saturating_duration_since(at))
+            }
+            _ => Duration::ZERO,
+        };
+        let has_taken = |run: &WorkerRun| run.taken_by_newer_instance.is_some();
+        let is_unheard = !self.claimed && self.stored_longest_lease;
+        let is_granted =
+            (self.has_predecessor || self.stored_longest_lease) && lease > WORKER_LEASE;
+        let has_restarted = self.is_other_instance(self.registration.instance_start)
+            || self.pending_registration.is_some();
+        is_unheard || is_granted || has_restarted || self.runs.values().any(has_taken)
+    }
+
     /// Whether a run whose start was accepted by a newer instance has certainly ended. That instance keeps it
     /// for the longest lease, whatever end the start gave on the clock of the previous instance.
     pub(crate) fn has_certainly_ended(
@@ -352,9 +389,8 @@
         now: Instant,
         max_lease: Duration,
     ) -> bool {
-        let longest_hold = max_lease * 1_000 / (1_000 - SLOW_CLOCK_PERMILLE) + LEASE_EXPIRY_MARGIN;
         run.taken_by_newer_instance
-            .is_none_or(|answered| now.saturating_duration_since(answered) >= longest_hold)
+            .is_none_or(|answered| now.saturating_duration_since(answered) >= hold_time(max_lease))
     }
 
     /// Notes that a run end of a job was processed.
--- a/tests/graph/restarted_leases.rs
+++ b/tests/graph/restarted_leases.rs
@@ -11,25 +11,35 @@
 /// Longest lease of workers here, more than twice the one that leaders grant.
 const LONGEST_LEASE: Duration = Duration::from_secs(10);
 
-/// A cluster in which one task runs, on a worker whose new instance took its start by the previous one's clock.
-fn restarted_cluster(seed: u64) -> (SimCluster, WorkerId) {
+/// A cluster of two workers that accept the longest lease.
+fn new_cluster(seed: u64) -> SimCluster {
     let mut cluster = SimCluster::new(seed, 2);
     cluster.longest_lease = LONGEST_LEASE;
-    let first = cluster.store.epoch;
-    cluster.leaders.remove(&first);
+    lose_leader(&mut cluster);
     cluster.elect();
     cluster.keep_ids(seed);
+    cluster
+}
+
+/// Runs until a worker runs the task, and returns that worker.
+fn wait_for_run(cluster: &mut SimCluster) -> WorkerId {
+    while count_runs(cluster, "a") == 0 {
+        cluster.run(Duration::from_millis(5));
+    }
+    let running =
+        cluster.workers.values().find(|worker| worker.runs.keys().any(|task| &*task.job == "a"));
+    running.expect("no worker runs the task").id().clone()
+}
+
+/// A cluster in which one task runs, on a worker whose new instance took its start by the previous one's clock.
+fn restarted_cluster(seed: u64) -> (SimCluster, WorkerId) {
+    let mut cluster = new_cluster(seed);
     cluster.run(seconds(15));
     let ids: Vec<WorkerId> = cluster.workers.keys().cloned().collect();
     ids.iter().for_each(|id| cluster.crash_and_restart(id, Duration::from_millis(30)));
     cluster.run(Duration::from_millis(35));
     cluster.submit("now", "a", vec![step(1, 1, 8_500)]);
-    while count_runs(&cluster, "a") == 0 {
-        cluster.run(Duration::from_millis(5));
-    }
-    let running =
-        cluster.workers.values().find(|worker| worker.runs.keys().any(|task| &*task.job == "a"));
-    let worker = running.expect("no worker runs the task").id().clone();
+    let worker = wait_for_run(&mut cluster);
     (cluster, worker)
 }
 
@@ -80,3 +90,17 @@
         expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
     }
 }
+
+// The leader was lost before any answer had shown the restart, which the worker's registration shows.
+#[gtest]
+fn a_successor_waits_for_the_longest_lease_where_a_registration_shows_a_restart() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = restarted_cluster(seed);
+        lose_leader(&mut cluster);
+        disconnect(&mut cluster, &worker);
+        cluster.run(Duration::from_millis(700));
+        succeed(&mut cluster);
+        cluster.run(seconds(25));
+        expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
