Take the registration of a restarted worker for a sign that it has starts

The same cause on a related path, found by reading and shown by a test: a new instance takes a start, is cut off before any answer, and holds the start for the longest lease. Its leader knew the previous instance only, gave the task up with that one's lease and started it elsewhere. The registration of the new instance reaches the leader through the store. Starts that no answer has confirmed are now held until the longest lease after that registration has passed.

a_leader_waits_for_the_longest_lease_where_a_registration_shows_a_restart failed on the code before ("runs on [w0-0, w1-0]"); all tests of the graph pass.

--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -183,6 +183,9 @@
                 }
                 (instance.registered, instance.reregistration_deadline) = (true, None);
                 (instance.registration_read, instance.has_left) = (now, false);
+                if instance.is_other_instance(registration.instance_start) {
+                    instance.note_restart_registered(now);
+                }
                 instance.update_registration(now, registration);
             }
             None => {
--- a/src/graph/workers/run.rs
+++ b/src/graph/workers/run.rs
@@ -107,7 +107,8 @@
     pub sends: u32,
     /// Whether its worker has listed it.
     pub listed: bool,
-    /// When its start was answered by an instance newer than the last known one, as its clock showed.
+    /// When an instance newer than the last known one took its start at the latest: its answer showed a clock that had
+    /// started anew, or it has registered.
     pub(crate) taken_by_newer_instance: Option<Instant>,
     /// Whether its worker has reported it as begun.
     pub begun: bool,
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -208,6 +208,14 @@
         self.registration = registration;
     }
 
+    /// Notes a registration of another instance, which may have taken the starts that no answer has confirmed.
+    pub(crate) fn note_restart_registered(&mut self, now: Instant) {
+        let arrived = now + CALL_ARRIVAL_TIME;
+        for run in self.runs.values_mut().filter(|run| !run.is_of_one_instance()) {
+            run.taken_by_newer_instance.get_or_insert(arrived);
+        }
+    }
+
     /// Resolves a pending registration when a poll that was sent at `poll_sent` is answered. A registration
     /// that came before the poll was sent belongs to the instance that answers, or is outdated.
     pub(crate) fn resolve_pending_registration(
--- a/tests/graph/restarted_leases.rs
+++ b/tests/graph/restarted_leases.rs
@@ -104,3 +104,23 @@
         expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
     }
 }
+
+// A new instance took a start, and was cut off before it had answered anything. Its registration shows the restart; the
+// leader gave the task up with the lease of the previous instance and started it elsewhere.
+#[gtest]
+fn a_leader_waits_for_the_longest_lease_where_a_registration_shows_a_restart() {
+    for seed in 0..8 {
+        let mut cluster = new_cluster(seed);
+        cluster.run(seconds(15));
+        let ids: Vec<WorkerId> = cluster.workers.keys().cloned().collect();
+        ids.iter().for_each(|id| cluster.crash_and_restart(id, Duration::from_millis(30)));
+        cluster.run(Duration::from_millis(35));
+        cluster.faults.unanswered = 1_000;
+        cluster.submit("now", "a", vec![step(1, 1, 8_500)]);
+        let worker = wait_for_run(&mut cluster);
+        disconnect(&mut cluster, &worker);
+        cluster.faults.unanswered = 0;
+        cluster.run(seconds(25));
+        expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
