Stop runs whose late starts the next instance of a worker could take

Where the start had been sent again and its run had ended, the leader knew nothing of it any more, and the new instance, where nothing had been stopped, ran the task a second time, or beyond the worker's capacity.

Unanswered starts are kept for 12 s, also beyond the instance that they were sent to. An instance that answers for the first time gets a stop for each, after which it refuses them. What arrives there before its first answer nothing of ours can refuse (a question in docs/PLATFORM.md).

--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -13,6 +13,7 @@
     CallFailure, EndKind, InstanceId, PollReply, RunReport, UsedWorker, WorkerRefusal,
     WorkerRegistration,
 };
+use crate::graph::workers::late_starts::LateStarts;
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
 use crate::graph::workers::registration_clock::RegistrationClock;
 use crate::graph::workers::run::{RunPhase, WorkerRun};
@@ -74,6 +75,7 @@
     /// Interval at which workers report to the store; zero where it is not known.
     heartbeat: Duration,
     speeds: SpeedTable,
+    pub(crate) late_starts: LateStarts,
     pub(crate) registration_clock: RegistrationClock,
 }
 
@@ -481,6 +483,9 @@
         }
         let (instance_id, address) = (instance.instance_id(), instance.address());
         let mut crashed = self.crashes.handle_answer(now, &instance_id);
+        if !claimed || !known_instance {
+            events.extend(self.stop_late_starts(now, id, reply));
+        }
         if !claimed {
             events.push(WorkerEvent::Claimed(id.clone()));
             let known = |id: &WorkerId| self.instances.contains_key(id);
--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -54,6 +54,28 @@
         events.extend(crash.map(WorkerEvent::Crashed));
         events
     }
+
+    /// Stops runs at an instance that has just answered for the first time if a start that an earlier instance under its
+    /// id left unanswered may still begin them.
+    pub(super) fn stop_late_starts(
+        &mut self,
+        now: Instant,
+        id: &WorkerId,
+        reply: &PollReply,
+    ) -> Vec<WorkerEvent> {
+        let mut events = Vec::new();
+        let Some(instance) = self.instances.get_mut(id) else {
+            return events;
+        };
+        for (task, run) in self.late_starts.runs(now, id) {
+            if !instance.runs.contains_key(&task) && !reply.lists(&task, run) {
+                let phase = RunPhase::Stopping { answered: None, sent: now };
+                events.push(WorkerEvent::MayStillBegin(id.clone(), task.clone(), run));
+                instance.add_run(task, WorkerRun::new(run, phase, now, None));
+            }
+        }
+        events
+    }
 }
 
 impl WorkerRun {
--- a/tests/graph/model_worker.rs
+++ b/tests/graph/model_worker.rs
@@ -66,6 +66,8 @@
     pub(crate) last_end_before_expiry: u64,
     /// Highest run of each task that was stopped or ended on this worker.
     pub(crate) closed_runs: BTreeMap<TaskName, RunNumber>,
+    /// When this instance was first polled.
+    pub(crate) contact: Option<Instant>,
     /// When the leaders learned that the worker leaves.
     pub(crate) leaving_since: Option<Instant>,
 }
@@ -93,6 +95,7 @@
             max_listed_ends: MAX_LISTED_ENDS,
             last_end_before_expiry: 0,
             closed_runs: BTreeMap::new(),
+            contact: None,
             leaving_since: None,
         }
     }
--- a/tests/graph/restarts.rs
+++ b/tests/graph/restarts.rs
@@ -134,6 +134,23 @@
     }
 }
 
+// A start without an answer was sent again, and its task ran and ended. The first call was carried out seconds later, by
+// the next instance, where nothing had been stopped: the task ran again, and beyond the capacity of the worker.
+#[gtest]
+fn a_late_start_of_an_ended_run_is_refused_by_the_next_instance() {
+    for late in [5_500, 8_000, 11_000] {
+        let mut cluster = start_cluster(72, 1);
+        cluster.run(seconds(10));
+        cluster.planned_faults.starts.push_back(Some(Duration::from_millis(late)));
+        cluster.submit("now", "a", vec![step(1, 1, 300)]);
+        cluster.run(seconds(2));
+        expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "late by {late} ms");
+        restart(&mut cluster, "w0-0");
+        cluster.run(seconds(14));
+        expect_that!(cluster.started_runs, eq(1), "late by {late} ms");
+    }
+}
+
 // A start reached an instance that no poll had reported, which holds it for the longest lease by
 // the previous instance's clock. The worker was then disconnected: when its lease was over by that
 // clock, the task still ran there, and was started elsewhere as well.
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -34,6 +34,9 @@
     max_value_bytes: 1 << 20,
     worker_heartbeat: Duration::from_millis(1_500),
 };
+/// Time from the first poll of a new instance until a leader's stops of starts that were meant for the previous one have
+/// arrived there. Nothing makes the instance refuse them before.
+const STOP_TIME: Duration = Duration::from_millis(1_500);
 /// How long after its wait time a poll without an answer counts as lost.
 const POLL_SLACK: Duration = Duration::from_millis(250);
 /// Simulated time that passes from one check of all leaders to the next.
@@ -831,9 +834,11 @@
             Message::Replacement { worker } => self.start_replacement(&worker),
             Message::Restart { worker } => self.restart(&worker),
             Message::LateCommand { worker, instance_start, command } => {
-                let instance =
-                    self.workers.get(&worker).map(|worker| worker.registration.instance_start);
-                if instance.is_none_or(|instance| instance == instance_start) {
+                let is_refusable = |worker: &ModelWorker| {
+                    worker.registration.instance_start == instance_start
+                        || worker.contact.is_some_and(|contact| contact + STOP_TIME <= now)
+                };
+                if self.workers.get(&worker).is_none_or(is_refusable) {
                     self.deliver(*command);
                 }
             }
@@ -890,6 +895,7 @@
             return self.post(TICK_INTERVAL, Message::Polled { leader: epoch, worker: id, result });
         }
         worker.advance(now);
+        worker.contact.get_or_insert(now);
         let lease_held = worker.clock(now) <= worker.lease;
         if let Some(until) = until {
             worker.extend(until, now, longest_lease);
--- a/tests/graph/sim_cluster/messages.rs
+++ b/tests/graph/sim_cluster/messages.rs
@@ -128,8 +128,7 @@
     Restart {
         worker: WorkerId,
     },
-    /// A command that an instance has received and carries out late; it is lost if that instance
-    /// ends.
+    /// A command that is carried out late, by the instance that is there by then.
     LateCommand {
         worker: WorkerId,
         instance_start: InstanceStart,
