Test that odd registrations end no process and hide no worker

Other operators report that one odd entry among those of the workers, deeply nested, with a number too large or a port out of range, ended their machines again and again or stopped them from following the list. It does not happen here: each value is decoded by itself, nesting is bounded by the decoder, and numbers and addresses that do not fit are errors of that value.

The test writes 22 such values, under keys of their own and for a moment under the key of the only worker, while a leader follows the list and before another one reads all of it.

--- a/tests/platform/registrations.rs
+++ b/tests/platform/registrations.rs
@@ -14,6 +14,7 @@
 
 const FIRST: &str = "/now/00000000000000b1";
 const SECOND: &str = "/now/00000000000000b2";
+const THIRD: &str = "/now/00000000000000b3";
 /// Key of a worker's registration.
 const WORKER: &str = "servers/w0";
 
@@ -107,6 +108,74 @@
     expect_that!(*state.violations.lock().unwrap(), is_empty());
 }
 
+/// Values under the keys of registrations that no worker writes: nested deeper than a stack holds, with numbers beyond all
+/// types, or with addresses whose port does not exist.
+fn odd_registrations(registration: &Value) -> Vec<Vec<u8>> {
+    const DEPTH: usize = 100_000;
+    let whole = registration.to_string();
+    let open = &whole[..whole.len() - 1];
+    let nested = |left: &str, right: &str| left.repeat(DEPTH) + &right.repeat(DEPTH);
+    let mut odd = vec![
+        nested("[", "]"),
+        nested("{\"a\":", "}"),
+        "[".repeat(DEPTH),
+        format!("{open},\"labels\":{}}}", nested("[", "]")),
+        format!("{open},\"state\":{}}}", nested("{\"a\":", "}")),
+        format!("{open},\"unknown\":{}}}", nested("[", "]")),
+    ];
+    let digits = "9".repeat(400);
+    for field in ["slots", "sequence", "cold_ms", "born", "remaining_ms"] {
+        let mut other = registration.clone();
+        other.as_object_mut().unwrap().remove(field);
+        let other = other.to_string();
+        let open = &other[..other.len() - 1];
+        odd.push(format!("{open},\"{field}\":1e999}}"));
+        odd.push(format!("{open},\"{field}\":{digits}}}"));
+    }
+    for port in ["0", "65536", "70000", "-1", "99999999999999999999"] {
+        let mut other = registration.clone();
+        other["address"] = json!(format!("127.0.0.1:{port}"));
+        odd.push(other.to_string());
+    }
+    let mut leaving = registration.clone();
+    (leaving["state"], leaving["remaining_ms"]) = (json!("draining"), json!(1e300));
+    odd.push(leaving.to_string());
+    odd.into_iter().map(String::into_bytes).collect()
+}
+
+/// Guards against odd registrations that end a process or stop it from following the list: an entry that reads each of
+/// them, at its start and as a change, uses workers that register after them.
+#[gtest]
+#[tokio::test]
+async fn odd_registrations_end_no_process_and_hide_no_worker() {
+    let mut cluster = Cluster::start(43, 2, 1, &["now"]).await;
+    let state = cluster.platform.state.clone();
+    let registration = state.value(WORKER).unwrap();
+    submit(&cluster, FIRST, &job(500, 2)).await;
+    cluster.wait_state(0, FIRST, "completed").await;
+    for (number, value) in odd_registrations(&registration).into_iter().enumerate() {
+        state.put_bytes(&format!("servers/odd-{number}"), value.clone());
+        // The worker's own registration turns odd for a moment, so that only following the list brings it back.
+        state.put_bytes(WORKER, value);
+        state.put(WORKER, &registration);
+    }
+    sleep(Duration::from_millis(300)).await;
+    submit(&cluster, SECOND, &job(50, 8)).await;
+    cluster.wait_state(0, SECOND, "completed").await;
+    // The next leader reads the whole list.
+    let leader = cluster.leading().await;
+    let other = 1 - leader;
+    cluster.kill(leader);
+    let is_accepted = async || {
+        let answer = cluster.call(other, Method::POST, THIRD, &job(50, 8)).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    };
+    wait_for("another leader", is_accepted).await;
+    cluster.wait_state(other, THIRD, "completed").await;
+    expect_that!(starts(&cluster, THIRD), eq(&vec![1; 8]));
+    expect_that!(*state.violations.lock().unwrap(), is_empty());
+}
+
 /// Guards against placing tasks on a worker whose registration has become invalid: it got tasks until
 /// the list was read again. It gets no new tasks, its runs continue, and it is used again once its
 /// registration is valid.
