Reckon the lease of a restarted worker from its last possible late start

It is refused, as its run was stopped there, but the platform takes its time also from a refused start, so the worker holds the longest lease from then on. The leader took it for the longest one from the first answer on, and gave up runs that went on behind a cut.

Starts that were lost with a crash do not count, as nothing of them is left.

--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -460,6 +460,7 @@
             self.pacer.note_lost(now);
         }
         let known_instance = instance.instance_start == reply.instance_start;
+        let answered_before = instance.clock_read();
         let mut events = match instance.is_other_instance(reply.instance_start) {
             true => self.handle_restart(now, id, reply),
             false => Vec::new(),
@@ -477,7 +478,9 @@
         let claimed = std::mem::replace(&mut instance.claimed, true);
         // The worker's lease may have been extended on the clock of a previous instance.
         if !known_instance || (!claimed && instance.stored_longest_lease) {
-            instance.inherit_lease(self.max_lease);
+            // A late start extends it even where it is refused as one of an ended run.
+            let late_start_time = self.late_starts.time_left(now, id, answered_before);
+            instance.inherit_lease(self.max_lease + late_start_time);
         } else if !claimed {
             instance.inherit_lease(self.max_lease.min(WORKER_LEASE));
         }
--- a/src/graph/workers/late_starts.rs
+++ b/src/graph/workers/late_starts.rs
@@ -58,6 +58,25 @@
         runs
     }
 
+    /// How long the starts that a worker had left unanswered before `answered`, when it still answered others, may be
+    /// carried out; all of them where that is not known. Starts that were not answered later are lost with the instance
+    /// that they were sent to.
+    pub(crate) fn time_left(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        answered: Option<Instant>,
+    ) -> Duration {
+        self.forget_expired(now);
+        let is_late = |start: &&UnansweredStart| {
+            start.worker == *worker && answered.is_none_or(|answered| start.noted < answered)
+        };
+        let last = self.starts.iter().rfind(is_late);
+        last.map_or(Duration::ZERO, |start| {
+            (start.noted + LATE_CALL_TIME).saturating_duration_since(now)
+        })
+    }
+
     fn forget_expired(&mut self, now: Instant) {
         let is_expired = |start: &mut UnansweredStart| {
             now.saturating_duration_since(start.noted) >= LATE_CALL_TIME
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -290,6 +290,11 @@
         }
     }
 
+    /// When it last answered with its own clock: an answer of the next instance shows an earlier one.
+    pub(crate) fn clock_read(&self) -> Option<Instant> {
+        self.clock.map(|(_, at)| at)
+    }
+
     /// Notes a call without an answer.
     pub fn note_silence(&mut self, now: Instant) {
         self.misses = self.misses.saturating_add(1);
--- a/tests/graph/restarted_leases.rs
+++ b/tests/graph/restarted_leases.rs
@@ -6,6 +6,7 @@
 use googletest::prelude::*;
 use kelplink::{GraphState, WorkerId};
 
+use crate::model_worker::ModelWorker;
 use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
 
 /// Longest lease of workers here, more than twice the one that leaders grant.
@@ -122,3 +123,34 @@
         expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
     }
 }
+
+// A start that the previous instance had left unanswered reached the new one seconds after its first answer. It was
+// refused, as its run had been stopped, but its time extended the lease. The leader reckoned the longest lease from the
+// first answer on, and started a task of the worker elsewhere while it still ran.
+#[gtest]
+fn a_leader_reckons_with_the_lease_of_a_late_start() {
+    for seed in 0..8 {
+        let mut cluster = new_cluster(seed);
+        cluster.run(seconds(15));
+        cluster.planned_faults.starts.push_back(Some(seconds(8)));
+        cluster.submit("now", "late", vec![step(1, 1, 300)]);
+        cluster.run(seconds(2));
+        expect_that!(cluster.state("late"), some(eq(GraphState::Completed)), "seed {seed}");
+        let ran = |worker: &&ModelWorker| worker.was_assigned("late");
+        let worker = cluster.workers.values().find(ran).unwrap().id().clone();
+        cluster.crash_and_restart(&worker, Duration::from_millis(30));
+        cluster.run(seconds(5));
+        // Each fills a worker.
+        for job in ["a", "b"] {
+            cluster.submit("now", job, vec![step(1, 8, 10_000)]);
+        }
+        cluster.run(Duration::from_millis(1_300));
+        let runs_a = cluster.workers[&worker].was_assigned("a");
+        let (long, other) = if runs_a { ("a", "b") } else { ("b", "a") };
+        expect_that!(count_runs(&cluster, long), eq(1), "seed {seed}");
+        disconnect(&mut cluster, &worker);
+        cluster.cancel(other);
+        cluster.run(seconds(35));
+        expect_that!(cluster.state(long), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -1006,7 +1006,12 @@
                     Ok(()) => worker.start_refusal,
                 };
                 match refused {
-                    Some(refusal) => Err(CallFailure::Refused(refusal)),
+                    Some(refusal) => {
+                        if let WorkerRefusal::OldRun | WorkerRefusal::NoRoom = refusal {
+                            worker.extend(command.until, now, longest_lease);
+                        }
+                        Err(CallFailure::Refused(refusal))
+                    }
                     None => {
                         worker.extend(command.until, now, longest_lease);
                         let clock = worker.clock(now);
