--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -356,7 +356,7 @@
 }
 
 // The longest lease that workers accept was hardly longer than the usual one, so that no run showed a leader that
-// reckoned with the usual one only.
+// waited for the usual one only.
 #[gtest]
 fn random_runs_with_workers_that_accept_long_leases_keep_all_invariants() {
     for kind in [0, DOMAIN_SEEDS, CRASH_SEEDS] {
--- a/tests/graph/restarted_leases.rs
+++ b/tests/graph/restarted_leases.rs
@@ -125,10 +125,10 @@
 }
 
 // A start that the previous instance had left unanswered reached the new one seconds after its first answer. It was
-// refused, as its run had been stopped, but its time extended the lease. The leader reckoned the longest lease from the
+// refused, as its run had been stopped, but its time extended the lease. The leader counted the longest lease from the
 // first answer on, and started a task of the worker elsewhere while it still ran.
 #[gtest]
-fn a_leader_reckons_with_the_lease_of_a_late_start() {
+fn a_leader_waits_for_the_lease_of_a_late_start() {
     for seed in 0..8 {
         let mut cluster = new_cluster(seed);
         cluster.run(seconds(15));
