--- a/tests/platform/registrations.rs
+++ b/tests/platform/registrations.rs
@@ -148,7 +148,7 @@
 #[gtest]
 #[tokio::test]
 async fn odd_registrations_end_no_process_and_hide_no_worker() {
-    let mut cluster = Cluster::start(44, 2, 1, &["now"]).await;
+    let mut cluster = Cluster::start(47, 2, 1, &["now"]).await;
     let state = cluster.platform.state.clone();
     let registration = state.value(WORKER).unwrap();
     submit(&cluster, FIRST, &job(500, 2)).await;
