--- a/tests/graph/restarted_leases.rs
+++ b/tests/graph/restarted_leases.rs
@@ -58,6 +58,15 @@
     cluster.leader().unwrap().note_predecessor_ended(now);
 }
 
+/// Loses the leader and a worker, and lets the next leader run until all leases have expired.
+fn take_over_without(cluster: &mut SimCluster, worker: &WorkerId) {
+    lose_leader(cluster);
+    disconnect(cluster, worker);
+    cluster.run(Duration::from_millis(700));
+    succeed(cluster);
+    cluster.run(seconds(25));
+}
+
 // The next leader did not reach the worker, waited for the usual lease only and started the task elsewhere, while it
 // still ran by the longest one.
 #[gtest]
@@ -65,11 +74,7 @@
     for seed in 0..8 {
         let (mut cluster, worker) = restarted_cluster(seed);
         cluster.run(seconds(1));
-        lose_leader(&mut cluster);
-        disconnect(&mut cluster, &worker);
-        cluster.run(Duration::from_millis(700));
-        succeed(&mut cluster);
-        cluster.run(seconds(25));
+        take_over_without(&mut cluster, &worker);
         expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
     }
 }
@@ -95,11 +100,7 @@
 fn a_successor_waits_for_the_longest_lease_where_a_registration_shows_a_restart() {
     for seed in 0..8 {
         let (mut cluster, worker) = restarted_cluster(seed);
-        lose_leader(&mut cluster);
-        disconnect(&mut cluster, &worker);
-        cluster.run(Duration::from_millis(700));
-        succeed(&mut cluster);
-        cluster.run(seconds(25));
+        take_over_without(&mut cluster, &worker);
         expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
     }
 }
