Show leases that late calls extend at the next instance of a worker, red

Callers saw tasks run twice. The simulated workers carried out no poll late and lost late starts behind a cut, so no random run could show it.

--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod large_values;
 mod lasting;
+mod late_calls;
 mod leaving;
 mod links;
 mod model_worker;
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -6,6 +6,7 @@
 mod worker_faults;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,11 +35,17 @@
     max_value_bytes: 1 << 20,
     worker_heartbeat: Duration::from_millis(1_500),
 };
+/// Range of the delays with which late calls are carried out, in milliseconds.
+const LATE_CALL_DELAYS_MS: Range<u64> = 2_000..12_000;
+/// Share of the polls that extend a lease and are carried out late, in thousandths.
+const LATE_POLL_PERMILLE: u32 = 20;
 /// Time from the first poll of a new instance until a leader's stops of starts that were meant for the previous one have
 /// arrived there. Nothing makes the instance refuse them before.
 const STOP_TIME: Duration = Duration::from_millis(1_500);
 /// How long after its wait time a poll without an answer counts as lost.
 const POLL_SLACK: Duration = Duration::from_millis(250);
+/// Longest time that a call which is not late takes to arrive.
+const MAX_LATENCY: Duration = Duration::from_millis(100);
 /// Simulated time that passes from one check of all leaders to the next.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 /// Duration of an advice call to a fast advisor.
@@ -121,6 +128,10 @@
     pub(crate) keeps_all_ids: bool,
     /// Draws which workers restart under their ids, and when; without it all get a new id.
     pub(crate) restart_rng: Option<StdRng>,
+    /// Draws which polls are carried out late; without it none are.
+    late_poll_rng: Option<StdRng>,
+    /// Whether the call that is delivered was held at its worker.
+    carries_out_late: bool,
     /// Since when the store has been up and no message has been lost, delayed or unanswered.
     fault_free_since: Instant,
     /// Checks what leaders conclude from crashes and failures.
@@ -281,6 +292,8 @@
             replacements: 0,
             keeps_all_ids: false,
             restart_rng: None,
+            late_poll_rng: None,
+            carries_out_late: false,
             fault_free_since: now,
             crash_checker: CrashChecker::default(),
             waiting_checker: WaitingChecker::default(),
@@ -650,6 +663,17 @@
         let latency = self.latency();
         match action {
             GraphAction::Poll { worker, until, acked, wait, .. } => {
+                if let Some(until) = until
+                    && let Some(delay) = self.delay_of_poll(&worker)
+                {
+                    let lost = Message::Polled {
+                        leader: epoch,
+                        worker: worker.clone(),
+                        result: Err(CallFailure::NoAnswer),
+                    };
+                    self.post(wait + POLL_SLACK, lost);
+                    return self.post(delay, Message::LatePoll { epoch, worker, until, acked });
+                }
                 let planned_loss = self.polls_to_lose > 0;
                 self.polls_to_lose = self.polls_to_lose.saturating_sub(1);
                 if planned_loss || self.draw_chance(self.faults.lost) {
@@ -716,6 +740,16 @@
         }
     }
 
+    /// Draws whether a poll that extends the lease of a worker is carried out late, and how late.
+    fn delay_of_poll(&mut self, worker: &WorkerId) -> Option<Duration> {
+        if let Some(delay) = self.planned_faults.polls.remove(worker) {
+            return Some(delay);
+        }
+        let rng = self.late_poll_rng.as_mut()?;
+        let is_late = rng.random_range(0..1_000) < LATE_POLL_PERMILLE;
+        is_late.then(|| Duration::from_millis(rng.random_range(LATE_CALL_DELAYS_MS)))
+    }
+
     fn advice_time(&mut self, call: &AdviceCall) -> Duration {
         let workers = u32::try_from(call.workers.len()).unwrap();
         let job = self.leader().and_then(|leader| leader.jobs().get(&call.key.0));
@@ -743,7 +777,7 @@
             return false;
         }
         if self.draw_chance(self.faults.late) {
-            let delay = Duration::from_millis(self.rng.random_range(2_000..12_000));
+            let delay = Duration::from_millis(self.rng.random_range(LATE_CALL_DELAYS_MS));
             let command = message(false);
             let (Message::Start { command: StartCommand { worker, .. }, .. }
             | Message::Stop { instance: InstanceId { worker, .. }, .. }) = &command
@@ -770,11 +804,16 @@
             Message::Poll { epoch, worker, until, acked, wait } => {
                 self.handle_poll(epoch, worker, until, acked, wait);
             }
+            Message::LatePoll { epoch, worker, until, acked } => {
+                self.handle_late_poll(epoch, &worker, until, acked);
+            }
             Message::CheckPoll { leader, worker, instance_start, acked, until } => {
                 self.check_poll(leader, worker, instance_start, acked, until)
             }
             Message::Start { epoch, command, sent, answered } => {
+                self.carries_out_late = now.saturating_duration_since(sent) > MAX_LATENCY;
                 self.start(epoch, command, sent, answered);
+                self.carries_out_late = false;
             }
             Message::Stop { epoch, instance, task, run, answered } => {
                 self.stop(epoch, instance, task, run, answered);
@@ -874,8 +913,10 @@
         }
     }
 
+    /// A worker that calls reach now; those that it has held are carried out also while it is cut off.
     fn reachable(&mut self, worker: &WorkerId) -> Option<&mut ModelWorker> {
-        self.workers.get_mut(worker).filter(|worker| worker.up && worker.connected)
+        let is_held = self.carries_out_late;
+        self.workers.get_mut(worker).filter(|worker| worker.up && (worker.connected || is_held))
     }
 
     fn handle_poll(
@@ -907,6 +948,16 @@
         if let Some(until) = until {
             worker.extend(until, now, longest_lease);
         }
+        self.acknowledge_ends(&id, acked, lease_held);
+        let instance_start = self.workers[&id].registration.instance_start;
+        self.check_poll(epoch, id, instance_start, acked, now + wait);
+    }
+
+    /// Forgets the ends of a worker up to a number, as a poll asks.
+    fn acknowledge_ends(&mut self, id: &WorkerId, acked: u64, lease_held: bool) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         let acknowledged: Vec<EndReport> =
             worker.ends.iter().filter(|end| end.number <= acked).cloned().collect();
         let expiries = worker.ends.iter().filter(|end| end.kind == EndKind::Lapsed);
@@ -934,8 +985,21 @@
                 self.acknowledged_ends.entry(end.task).or_default().push(end.kind);
             }
         }
-        let instance_start = self.workers[&id].registration.instance_start;
-        self.check_poll(epoch, id, instance_start, acked, now + wait);
+    }
+
+    /// Carries out a poll that was held at the worker, which need not be connected any more.
+    fn handle_late_poll(&mut self, epoch: LeaderEpoch, id: &WorkerId, until: Duration, acked: u64) {
+        let (now, longest_lease) = (self.now, self.longest_lease);
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.up) else {
+            return;
+        };
+        worker.advance(now);
+        if worker.check_fence(epoch).is_err() {
+            return;
+        }
+        let lease_held = worker.clock(now) <= worker.lease;
+        worker.extend(until, now, longest_lease);
+        self.acknowledge_ends(id, acked, lease_held);
     }
 
     fn check_poll(
--- a/tests/graph/sim_cluster/messages.rs
+++ b/tests/graph/sim_cluster/messages.rs
@@ -1,6 +1,6 @@
 //! Messages in transit in the simulated cluster, and the faults that may affect them.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use kelplink::*;
@@ -23,9 +23,11 @@
     }
 }
 
-/// Faults of the next commands, independent of [`MessageFaults`].
+/// Faults of the next calls, independent of [`MessageFaults`].
 #[derive(Debug, Default)]
 pub(crate) struct PlannedFaults {
+    /// Delays of the next polls of these workers that extend leases: they are not answered, and carried out late.
+    pub(crate) polls: BTreeMap<WorkerId, Duration>,
     /// Delays of the next starts, which are not answered; `None` for a start that does not arrive.
     pub(crate) starts: VecDeque<Option<Duration>>,
     /// Number of upcoming stops that do not arrive.
@@ -128,6 +130,13 @@
     Restart {
         worker: WorkerId,
     },
+    /// A poll that its worker carries out late and does not answer, by the instance that is there by then.
+    LatePoll {
+        epoch: LeaderEpoch,
+        worker: WorkerId,
+        until: Duration,
+        acked: u64,
+    },
     /// A command that is carried out late, by the instance that is there by then.
     LateCommand {
         worker: WorkerId,
