Reckon the lease of a restarted worker from its last possible late poll

Callers saw tasks run twice: a worker that had restarted under its id was cut off, its task was started elsewhere and still ran there. Cause: a poll that the previous instance had left unanswered is carried out seconds later by the next one; its time lies far ahead of the new clock, so the lease is the longest one from then on. The leader counted it from the first answer, as only starts without an answer were kept. At any crash a poll is on its way.

Now polls with an extension that got no answer are kept like such starts, for the 12 s within which calls are carried out. Ruled out: taking the same time for runs at an instance that was never heard; two tests show that their tasks are expected elsewhere within 20 s, and such runs are few.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -195,7 +195,7 @@
             CallFailure::NoAnswer => {
                 instance.note_silence(now);
                 instance.excluded_until = Some(now + UNANSWERED_EXCLUSION);
-                self.instances.late_starts.note(now, worker.clone(), task.clone(), run);
+                self.instances.late_calls.note_start(now, worker.clone(), task.clone(), run);
                 let may_retry = tries < MAX_START_TRIES && self.instances.may_retry_start(worker);
                 match may_retry && self.jobs.wants(task) {
                     true => self.send_start(now, worker, task),
--- a/src/graph/workers.rs
+++ b/src/graph/workers.rs
@@ -3,7 +3,7 @@
 pub(super) mod answer_time;
 pub(super) mod health;
 pub(super) mod instances;
-pub(super) mod late_starts;
+pub(super) mod late_calls;
 pub(super) mod poll_pacer;
 pub(super) mod registration_clock;
 pub(super) mod run;
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -13,7 +13,7 @@
     CallFailure, EndKind, InstanceId, PollReply, RunReport, UsedWorker, WorkerRefusal,
     WorkerRegistration,
 };
-use crate::graph::workers::late_starts::LateStarts;
+use crate::graph::workers::late_calls::LateCalls;
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
 use crate::graph::workers::registration_clock::RegistrationClock;
 use crate::graph::workers::run::{RunPhase, WorkerRun};
@@ -75,7 +75,7 @@
     /// Interval at which workers report to the store; zero where it is not known.
     heartbeat: Duration,
     speeds: SpeedTable,
-    pub(crate) late_starts: LateStarts,
+    pub(crate) late_calls: LateCalls,
     pub(crate) registration_clock: RegistrationClock,
 }
 
@@ -479,8 +479,8 @@
         // The worker's lease may have been extended on the clock of a previous instance.
         if !known_instance || (!claimed && instance.stored_longest_lease) {
             // A late start extends it even where it is refused as one of an ended run.
-            let late_start_time = self.late_starts.time_left(now, id, answered_before);
-            instance.inherit_lease(self.max_lease + late_start_time);
+            let late_call_time = self.late_calls.time_left(now, id, answered_before);
+            instance.inherit_lease(self.max_lease + late_call_time);
         } else if !claimed {
             instance.inherit_lease(self.max_lease.min(WORKER_LEASE));
         }
@@ -527,6 +527,7 @@
             let until_ms = until.as_millis() as u64;
             info!(worker = &**id, until_ms; "poll that extends the lease was not answered");
             metrics::counter!("kelplink_unanswered_extensions_total").increment(1);
+            self.late_calls.note_poll(now, id.clone());
         }
         instance.note_silence(now);
         instance.next_poll = now + miss_pause(instance.misses);
--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -67,7 +67,7 @@
         let Some(instance) = self.instances.get_mut(id) else {
             return events;
         };
-        for (task, run) in self.late_starts.runs(now, id) {
+        for (task, run) in self.late_calls.runs(now, id) {
             if !instance.runs.contains_key(&task) && !reply.lists(&task, run) {
                 let phase = RunPhase::Stopping { answered: None, sent: now };
                 events.push(WorkerEvent::MayStillBegin(id.clone(), task.clone(), run));
--- /dev/null
+++ b/src/graph/workers/late_calls.rs
@@ -0,0 +1,95 @@
+//! Calls that a worker may still carry out though they were not answered.
+//!
+//! It answers the load of workers that leave some calls unanswered and carry them out seconds later. A start is sent
+//! again, the run ends, and the worker refuses the late start as one of an ended run; after a restart it refuses
+//! nothing, so the run has to be stopped there as well. A start or a poll that is carried out by the next instance gives
+//! it the longest lease, as the time that it names lies far ahead of the new clock.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::graph::workload::name::{RunNumber, TaskName};
+use crate::id::WorkerId;
+
+/// How long after it was found unanswered a call may still be carried out.
+pub(crate) const LATE_CALL_TIME: Duration = Duration::from_secs(12);
+
+/// A call that extends the lease of its worker and was not answered.
+#[derive(Clone, Debug)]
+struct UnansweredCall {
+    noted: Instant,
+    worker: WorkerId,
+    /// The run that it starts; `None` for a poll.
+    start: Option<(TaskName, RunNumber)>,
+}
+
+/// Calls without an answer, oldest first. They outlast what is known of the instances of their workers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LateCalls {
+    calls: VecDeque<UnansweredCall>,
+}
+
+impl LateCalls {
+    /// Notes at `noted` that a poll which extends a lease was not answered.
+    pub(crate) fn note_poll(&mut self, noted: Instant, worker: WorkerId) {
+        self.forget_expired(noted);
+        self.calls.push_back(UnansweredCall { noted, worker, start: None });
+    }
+
+    /// Notes at `noted` that a start was not answered.
+    pub(crate) fn note_start(
+        &mut self,
+        noted: Instant,
+        worker: WorkerId,
+        task: TaskName,
+        run: RunNumber,
+    ) {
+        self.forget_expired(noted);
+        self.calls.push_back(UnansweredCall { noted, worker, start: Some((task, run)) });
+    }
+
+    /// Highest run of each task that a worker may still carry out: stopping it has the worker refuse all lower ones.
+    pub(crate) fn runs(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+    ) -> BTreeMap<TaskName, RunNumber> {
+        self.forget_expired(now);
+        let mut runs = BTreeMap::new();
+        let calls = self.calls.iter().filter(|call| call.worker == *worker);
+        for (task, run) in calls.filter_map(|call| call.start.as_ref()) {
+            let highest = runs.entry(task.clone()).or_insert(*run);
+            *highest = (*highest).max(*run);
+        }
+        runs
+    }
+
+    /// How long the calls that a worker has left unanswered may be carried out: all polls, and the starts before
+    /// `answered`, when it still answered others; all of them where that is not known. Starts that were not answered
+    /// later are lost with the instance that they were sent to.
+    pub(crate) fn time_left(
+        &mut self,
+        now: Instant,
+        worker: &WorkerId,
+        answered: Option<Instant>,
+    ) -> Duration {
+        self.forget_expired(now);
+        let is_late = |call: &&UnansweredCall| {
+            let is_counted =
+                call.start.is_none() || answered.is_none_or(|answered| call.noted < answered);
+            call.worker == *worker && is_counted
+        };
+        let last = self.calls.iter().rfind(is_late);
+        last.map_or(Duration::ZERO, |call| {
+            (call.noted + LATE_CALL_TIME).saturating_duration_since(now)
+        })
+    }
+
+    fn forget_expired(&mut self, now: Instant) {
+        let is_expired =
+            |call: &mut UnansweredCall| now.saturating_duration_since(call.noted) >= LATE_CALL_TIME;
+        while self.calls.pop_front_if(is_expired).is_some() {}
+    }
+}
