Keep starts that were on their way when their worker restarted

Callers saw tasks run twice beside workers that had restarted under their ids. Cause: a start is found to be unanswered half a second after it was sent. If its worker has restarted and answered by then, the result named an instance that was over and was dropped: the start was neither stopped at a further instance nor reckoned with in the lease.

Now such a start is kept, the lease of the present instance is reckoned from it, and the store is told.

--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -143,6 +143,12 @@
             self.note_begun(now, task, run, BeginEvidence::Answered);
         }
         let worker = &id.worker;
+        if result == Err(CallFailure::NoAnswer)
+            && self.instances.note_unanswered_start(now, id, task, run)
+        {
+            // The next leader has to know for how long the worker may hold its lease.
+            self.commits.note_workers(now, true);
+        }
         let Some(instance) = self
             .instances
             .get_mut(worker)
@@ -195,7 +201,6 @@
             CallFailure::NoAnswer => {
                 instance.note_silence(now);
                 instance.excluded_until = Some(now + UNANSWERED_EXCLUSION);
-                self.instances.late_calls.note_start(now, worker.clone(), task.clone(), run);
                 let may_retry = tries < MAX_START_TRIES && self.instances.may_retry_start(worker);
                 match may_retry && self.jobs.wants(task) {
                     true => self.send_start(now, worker, task),
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -13,7 +13,7 @@
     CallFailure, EndKind, InstanceId, PollReply, RunReport, UsedWorker, WorkerRefusal,
     WorkerRegistration,
 };
-use crate::graph::workers::late_calls::LateCalls;
+use crate::graph::workers::late_calls::{LATE_CALL_TIME, LateCalls};
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
 use crate::graph::workers::registration_clock::RegistrationClock;
 use crate::graph::workers::run::{RunPhase, WorkerRun};
@@ -23,7 +23,7 @@
 use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
 use crate::graph::workload::crash::SuspectRun;
 use crate::graph::workload::crash_table::CrashTable;
-use crate::graph::workload::name::TaskName;
+use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
 
 /// Lease of a worker, during which its tasks keep running without another call. The tasks of a worker that
@@ -460,7 +460,6 @@
             self.pacer.note_lost(now);
         }
         let known_instance = instance.instance_start == reply.instance_start;
-        let answered_before = instance.clock_read();
         let mut events = match instance.is_other_instance(reply.instance_start) {
             true => self.handle_restart(now, id, reply),
             false => Vec::new(),
@@ -479,10 +478,10 @@
         // The worker's lease may have been extended on the clock of a previous instance.
         if !known_instance || (!claimed && instance.stored_longest_lease) {
             // A late start extends it even where it is refused as one of an ended run.
-            let late_call_time = self.late_calls.time_left(now, id, answered_before);
-            instance.inherit_lease(self.max_lease + late_call_time);
+            let late_call_time = self.late_calls.time_left(now, id);
+            instance.inherit_lease(now, self.max_lease + late_call_time);
         } else if !claimed {
-            instance.inherit_lease(self.max_lease.min(WORKER_LEASE));
+            instance.inherit_lease(now, self.max_lease.min(WORKER_LEASE));
         }
         let (instance_id, address) = (instance.instance_id(), instance.address());
         let mut crashed = self.crashes.handle_answer(now, &instance_id);
@@ -498,6 +497,26 @@
         events
     }
 
+    /// Notes that a start was not answered. Where it was sent to an earlier instance, the one that has answered since may
+    /// still carry it out, and returns whether that is so.
+    pub(crate) fn note_unanswered_start(
+        &mut self,
+        now: Instant,
+        id: &InstanceId,
+        task: &TaskName,
+        run: RunNumber,
+    ) -> bool {
+        self.late_calls.note_start(now, id.worker.clone(), task.clone(), run);
+        let Some(instance) = self.instances.get_mut(&id.worker) else {
+            return false;
+        };
+        let is_at_next_instance = instance.instance_start != id.instance_start;
+        if is_at_next_instance {
+            instance.inherit_lease(now, self.max_lease + LATE_CALL_TIME);
+        }
+        is_at_next_instance
+    }
+
     /// Notes that ends up to a number are stored, to be acknowledged with the next poll.
     pub(crate) fn ends_stored(&mut self, now: Instant, id: &InstanceId, number: u64) {
         if let Some(instance) = self.instances.get_mut(&id.worker)
--- a/src/graph/workers/late_calls.rs
+++ b/src/graph/workers/late_calls.rs
@@ -66,22 +66,9 @@
         runs
     }
 
-    /// How long the calls that a worker has left unanswered may be carried out: all polls, and the starts before
-    /// `answered`, when it still answered others; all of them where that is not known. Starts that were not answered
-    /// later are lost with the instance that they were sent to.
-    pub(crate) fn time_left(
-        &mut self,
-        now: Instant,
-        worker: &WorkerId,
-        answered: Option<Instant>,
-    ) -> Duration {
-        self.forget_expired(now);
-        let is_late = |call: &&UnansweredCall| {
-            let is_counted =
-                call.start.is_none() || answered.is_none_or(|answered| call.noted < answered);
-            call.worker == *worker && is_counted
-        };
-        let last = self.calls.iter().rfind(is_late);
+    /// How long the calls that a worker has left unanswered may be carried out.
+    pub(crate) fn time_left(&self, now: Instant, worker: &WorkerId) -> Duration {
+        let last = self.calls.iter().rfind(|call| call.worker == *worker);
         last.map_or(Duration::ZERO, |call| {
             (call.noted + LATE_CALL_TIME).saturating_duration_since(now)
         })
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -290,11 +290,6 @@
         }
     }
 
-    /// When it last answered with its own clock: an answer of the next instance shows an earlier one.
-    pub(crate) fn clock_read(&self) -> Option<Instant> {
-        self.clock.map(|(_, at)| at)
-    }
-
     /// Notes a call without an answer.
     pub fn note_silence(&mut self, now: Instant) {
         self.misses = self.misses.saturating_add(1);
@@ -351,10 +346,10 @@
         run.begun && leased && unfinished
     }
 
-    /// Assumes the longest lease that an earlier leader may have granted.
-    pub fn inherit_lease(&mut self, max_lease: Duration) {
-        if let Some((clock, _)) = self.clock {
-            let end = clock + max_lease;
+    /// Assumes the longest lease that calls which this leader does not know, or that are carried out late, may grant.
+    pub fn inherit_lease(&mut self, now: Instant, max_lease: Duration) {
+        if let Some((clock, at)) = self.clock {
+            let end = clock + now.saturating_duration_since(at) + max_lease;
             self.latest_lease_end = Some(self.latest_lease_end.map_or(end, |lease| lease.max(end)));
         }
     }
--- a/tests/graph/late_calls.rs
+++ b/tests/graph/late_calls.rs
@@ -118,6 +118,27 @@
     }
 }
 
+// The start of a run was on its way while its worker restarted, and was found to be unanswered after the next instance
+// had answered and stopped the run. The one after that knew nothing of the stop, carried the start out and ran the task
+// a second time.
+#[gtest]
+fn a_start_that_was_on_its_way_at_a_restart_is_stopped_after_another_one() {
+    for seed in 0..8 {
+        let mut cluster = SimCluster::new(seed, 1);
+        cluster.run(seconds(15));
+        let worker = WorkerId::from("w0-0");
+        cluster.crash_and_restart(&worker, Duration::from_millis(500));
+        cluster.run(Duration::from_millis(300));
+        cluster.planned_faults.starts.push_back(Some(seconds(8)));
+        cluster.submit("now", "a", vec![step(1, 1, 300)]);
+        cluster.run(seconds(4));
+        expect_that!(cluster.state("a"), some(eq(GraphState::Completed)), "seed {seed}");
+        cluster.crash_and_restart(&worker, DOWNTIME);
+        cluster.run(seconds(6));
+        expect_that!(cluster.started_runs, eq(1), "seed {seed}");
+    }
+}
+
 // A leader was lost together with a worker that had restarted. A poll that this leader had sent to the previous instance
 // was carried out seconds later, and the next leader had waited for calls that arrive within half a second only.
 #[gtest]
