Have the next leader wait for late calls to workers that restarted

Callers saw tasks run twice after a takeover beside workers that had restarted under their ids and were cut off. Cause: the leader's knowledge of calls without an answer was in its memory alone. Its successor waited for the longest lease and half a second for calls to arrive; a poll that was carried out seconds later held the lease for longer.

Now l/workers says of each worker whether calls for its previous instance may still come, and a successor that does not hear such a worker waits for the usual lease, within which a late call finds something to keep, and the longest one after it. A worker that has answered the successor refuses earlier calls by their fencing token, so nothing is added there. A registration of another instance than the stored one counts as well. Weighed: twelve seconds and the longest lease, which also covers a second late call within the first one's lease; tests of restarted leases expect their tasks within 25 s, and a lasting task must not wait that long for a worker that is gone for good.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -343,13 +343,16 @@
 
     /// Longest time that runs on uncontacted workers continue after the last call of an earlier leader.
     fn inherited_hold_time(&self, now: Instant) -> Duration {
-        let is_longest = |id: &WorkerId| {
-            self.instances.get(id).is_none_or(|instance| instance.may_hold_longest_lease(now))
+        let longest = hold_time(self.bounds.max_lease);
+        let hold_time_of = |id: &WorkerId| match self.instances.get(id) {
+            // A late call finds runs to keep only as long as their lease lasts.
+            Some(instance) if self.instances.may_take_late_calls(now, instance) => {
+                INHERITED_LEASE_TIME + longest
+            }
+            Some(instance) if !instance.may_hold_longest_lease(now) => INHERITED_LEASE_TIME,
+            Some(_) | None => INHERITED_LEASE_TIME.max(longest + CALL_ARRIVAL_TIME),
         };
-        match self.uncontacted.iter().any(is_longest) {
-            true => INHERITED_LEASE_TIME.max(hold_time(self.bounds.max_lease) + CALL_ARRIVAL_TIME),
-            false => INHERITED_LEASE_TIME,
-        }
+        self.uncontacted.iter().map(hold_time_of).max().unwrap_or(INHERITED_LEASE_TIME)
     }
 
     /// Runs of jobs that ended before this time have certainly ended.
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -87,6 +87,9 @@
     /// Whether its lease may be longer than those that leaders grant, up to the longest that it accepts.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub longest_lease: bool,
+    /// Whether calls that were meant for an earlier instance may still be carried out by the next one.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub late_calls: bool,
 }
 
 fn unknown_domain() -> DomainId {
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -224,6 +224,7 @@
         });
         instance.in_store = true;
         instance.stored_longest_lease = used.longest_lease;
+        instance.stored_late_calls = used.late_calls;
         instance.instance_start = used.instance_start;
         if used.leaving {
             instance.leaves_at.get_or_insert(now);
@@ -638,22 +639,32 @@
         gone.iter().flat_map(|id| self.end_instance(id, InstanceEnd::Vanished)).collect()
     }
 
-    /// Whether the store says that the lease of a worker may be the longest one, and it is not any more.
+    /// Whether the store says that the lease of a worker may be the longest one, or that late calls may extend it, and
+    /// this is not so any more.
     pub(crate) fn has_outdated_leases(&self, now: Instant) -> bool {
         let is_outdated = |instance: &WorkerInstance| {
-            instance.in_store
-                && instance.stored_longest_lease
-                && !instance.may_hold_longest_lease(now)
+            let outdated_lease =
+                instance.stored_longest_lease && !instance.may_hold_longest_lease(now);
+            let outdated_calls =
+                instance.stored_late_calls && !self.may_take_late_calls(now, instance);
+            instance.in_store && (outdated_lease || outdated_calls)
         };
         self.instances.values().any(is_outdated)
     }
 
+    /// Whether a worker may carry out calls that were meant for an earlier instance of it.
+    pub(crate) fn may_take_late_calls(&self, now: Instant, instance: &WorkerInstance) -> bool {
+        let may_be_late = || !self.late_calls.time_left(now, instance.id()).is_zero();
+        instance.may_take_late_calls() && (!instance.claimed || may_be_late())
+    }
+
     /// Notes that the store names a worker as in use.
     pub(crate) fn note_stored(&mut self, used: &UsedWorker) {
         if let Some(instance) = self.instances.get_mut(&used.id)
             && instance.instance_start == used.instance_start
         {
             (instance.in_store, instance.stored_longest_lease) = (true, used.longest_lease);
+            instance.stored_late_calls = used.late_calls;
         }
     }
 
@@ -668,6 +679,7 @@
             instance_start: instance.instance_start,
             leaving: instance.leaves_at.is_some(),
             longest_lease: instance.may_hold_longest_lease(now),
+            late_calls: self.may_take_late_calls(now, instance),
         };
         claimed.map(used).collect()
     }
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -75,6 +75,10 @@
     ///
     /// [`UsedWorker::longest_lease`]: crate::graph::exchange::UsedWorker::longest_lease
     pub(crate) stored_longest_lease: bool,
+    /// What the store says of calls that are carried out late ([`UsedWorker::late_calls`]).
+    ///
+    /// [`UsedWorker::late_calls`]: crate::graph::exchange::UsedWorker::late_calls
+    pub(crate) stored_late_calls: bool,
     /// The worker's clock, and the local time at which it was read.
     clock: Option<(Duration, Instant)>,
     /// The worker's clock on the newest list of runs.
@@ -151,6 +155,7 @@
             has_predecessor: false,
             in_store: false,
             stored_longest_lease: false,
+            stored_late_calls: false,
             clock: None,
             newest_list_clock: Duration::ZERO,
             list_outdated: false,
@@ -254,6 +259,7 @@
             claimed: self.claimed,
             has_predecessor: true,
             stored_longest_lease: self.stored_longest_lease,
+            stored_late_calls: self.stored_late_calls,
             ..Self::new(self.registration.clone(), now)
         }
     }
@@ -371,8 +377,7 @@
     }
 
     /// Whether it may hold a lease that is longer than those that leaders grant. A call that was meant for an earlier
-    /// instance names a time on that instance's clock, which lies far ahead of the clock of the next one. A registration
-    /// of another instance than the last one that answered shows a restart that no answer has shown yet.
+    /// instance names a time on that instance's clock, which lies far ahead of the clock of the next one.
     pub(crate) fn may_hold_longest_lease(&self, now: Instant) -> bool {
         let lease = match (self.latest_lease_end, self.clock) {
             (Some(end), Some((clock, at))) => {
@@ -384,9 +389,22 @@
         let is_unheard = !self.claimed && self.stored_longest_lease;
         let is_granted =
             (self.has_predecessor || self.stored_longest_lease) && lease > WORKER_LEASE;
-        let has_restarted = self.is_other_instance(self.registration.instance_start)
-            || self.pending_registration.is_some();
-        is_unheard || is_granted || has_restarted || self.runs.values().any(has_taken)
+        is_unheard || is_granted || self.has_unheard_instance() || self.runs.values().any(has_taken)
+    }
+
+    /// Whether a registration shows a restart that no answer has shown yet.
+    fn has_unheard_instance(&self) -> bool {
+        self.is_other_instance(self.registration.instance_start)
+            || self.pending_registration.is_some()
+    }
+
+    /// Whether it may be an instance to which calls come that were meant for an earlier one. After its first answer to a
+    /// leader it refuses those of earlier leaders.
+    pub(crate) fn may_take_late_calls(&self) -> bool {
+        match self.claimed {
+            true => self.has_predecessor || self.has_unheard_instance(),
+            false => self.stored_late_calls || self.has_unheard_instance(),
+        }
     }
 
     /// Whether a run whose start was accepted by a newer instance has certainly ended. That instance keeps it
