Use workers that a late poll may have forget ends last

Cause: a poll also acknowledges ends. Carried out by the next instance, which numbers its ends anew, it has that instance forget ends that nobody has read; the run is then on no list, counts as lost and is started again.

Now a poll names an end only if an answered one has not yet acknowledged it, and a worker that restarted gets new work last until such polls can come no more, or its numbers are past theirs. Weighed: no work at all for such workers for 12 s; where all workers of a service restart, nobody would be served for that long.

--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -319,6 +319,7 @@
                 false => None,
             };
             instance.offered_lease_end = until;
+            instance.offered_ack = if same_instance { instance.next_ack() } else { 0 };
             let ends_stored =
                 instance.last_stored_end == instance.last_end && instance.withheld_end.is_none();
             let may_wait = instance.claimed && ends_stored && instance.misses == 0;
@@ -331,7 +332,7 @@
                 worker: instance.id().clone(),
                 address: instance.address(),
                 until,
-                acked: if same_instance { instance.highest_ackable_end() } else { 0 },
+                acked: instance.offered_ack,
                 wait,
             });
         }
@@ -475,12 +476,15 @@
         instance.note_answer(now, reply.clock);
         let offered_lease_end = instance.offered_lease_end.take();
         instance.grant_lease(offered_lease_end);
+        instance.acknowledged_end = instance.acknowledged_end.max(instance.offered_ack);
         let claimed = std::mem::replace(&mut instance.claimed, true);
         // The worker's lease may have been extended on the clock of a previous instance.
         if !known_instance || (!claimed && instance.stored_longest_lease) {
             // A late start extends it even where it is refused as one of an ended run.
             let late_call_time = self.late_calls.time_left(now, id);
             instance.inherit_lease(now, self.max_lease + late_call_time);
+            let late_acks = (self.late_calls.highest_ack(id), now + late_call_time);
+            instance.late_acks = Some(late_acks);
         } else if !claimed {
             instance.inherit_lease(now, self.max_lease.min(WORKER_LEASE));
         }
@@ -547,7 +551,7 @@
             let until_ms = until.as_millis() as u64;
             info!(worker = &**id, until_ms; "poll that extends the lease was not answered");
             metrics::counter!("kelplink_unanswered_extensions_total").increment(1);
-            self.late_calls.note_poll(now, id.clone());
+            self.late_calls.note_poll(now, id.clone(), instance.offered_ack);
         }
         instance.note_silence(now);
         instance.next_poll = now + miss_pause(instance.misses);
--- a/src/graph/workers/late_calls.rs
+++ b/src/graph/workers/late_calls.rs
@@ -21,8 +21,14 @@
 struct UnansweredCall {
     noted: Instant,
     worker: WorkerId,
-    /// The run that it starts; `None` for a poll.
-    start: Option<(TaskName, RunNumber)>,
+    kind: CallKind,
+}
+
+#[derive(Clone, Debug)]
+enum CallKind {
+    /// A poll that acknowledges the ends up to a number.
+    Poll(u64),
+    Start(TaskName, RunNumber),
 }
 
 /// Calls without an answer, oldest first. They outlast what is known of the instances of their workers.
@@ -32,10 +38,10 @@
 }
 
 impl LateCalls {
-    /// Notes at `noted` that a poll which extends a lease was not answered.
-    pub(crate) fn note_poll(&mut self, noted: Instant, worker: WorkerId) {
+    /// Notes at `noted` that a poll which extends a lease, and acknowledges the ends up to `acked`, was not answered.
+    pub(crate) fn note_poll(&mut self, noted: Instant, worker: WorkerId, acked: u64) {
         self.forget_expired(noted);
-        self.calls.push_back(UnansweredCall { noted, worker, start: None });
+        self.calls.push_back(UnansweredCall { noted, worker, kind: CallKind::Poll(acked) });
     }
 
     /// Notes at `noted` that a start was not answered.
@@ -47,7 +53,7 @@
         run: RunNumber,
     ) {
         self.forget_expired(noted);
-        self.calls.push_back(UnansweredCall { noted, worker, start: Some((task, run)) });
+        self.calls.push_back(UnansweredCall { noted, worker, kind: CallKind::Start(task, run) });
     }
 
     /// Highest run of each task that a worker may still carry out: stopping it has the worker refuse all lower ones.
@@ -58,10 +64,11 @@
     ) -> BTreeMap<TaskName, RunNumber> {
         self.forget_expired(now);
         let mut runs = BTreeMap::new();
-        let calls = self.calls.iter().filter(|call| call.worker == *worker);
-        for (task, run) in calls.filter_map(|call| call.start.as_ref()) {
-            let highest = runs.entry(task.clone()).or_insert(*run);
-            *highest = (*highest).max(*run);
+        for call in self.calls.iter().filter(|call| call.worker == *worker) {
+            if let CallKind::Start(task, run) = &call.kind {
+                let highest = runs.entry(task.clone()).or_insert(*run);
+                *highest = (*highest).max(*run);
+            }
         }
         runs
     }
@@ -74,6 +81,17 @@
         })
     }
 
+    /// Number up to which the next instance may forget ends that it has not listed, as a poll for an earlier one
+    /// acknowledges them; zero if there is no such poll.
+    pub(crate) fn highest_ack(&self, worker: &WorkerId) -> u64 {
+        let acked = |call: &UnansweredCall| match call.kind {
+            CallKind::Poll(acked) => acked,
+            CallKind::Start(..) => 0,
+        };
+        let calls = self.calls.iter().filter(|call| call.worker == *worker);
+        calls.map(acked).max().unwrap_or(0)
+    }
+
     fn forget_expired(&mut self, now: Instant) {
         let is_expired =
             |call: &mut UnansweredCall| now.saturating_duration_since(call.noted) >= LATE_CALL_TIME;
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -90,6 +90,12 @@
     pub latest_lease_end: Option<Duration>,
     /// Lease end that was sent with the poll in flight.
     pub(crate) offered_lease_end: Option<Duration>,
+    /// Number of the last run end that the poll in flight acknowledges.
+    pub(crate) offered_ack: u64,
+    /// Number of the last run end that an answered poll has acknowledged.
+    pub(crate) acknowledged_end: u64,
+    /// Number up to which polls for an earlier instance may have it forget ends that it has not listed, and until when.
+    pub(crate) late_acks: Option<(u64, Instant)>,
     /// Latest lease end that it has acknowledged.
     pub(crate) granted_lease_end: Option<Duration>,
     /// Number of the last run end that was processed.
@@ -162,6 +168,9 @@
             latest_lease_end: None,
             offered_lease_end: None,
             granted_lease_end: None,
+            offered_ack: 0,
+            acknowledged_end: 0,
+            late_acks: None,
             last_end: 0,
             last_stored_end: 0,
             unstored_ends: VecDeque::new(),
@@ -512,12 +521,23 @@
     }
 
     /// Its current health rank. Where an end is withheld, the ends after it are not acknowledged either, and
-    /// a long list is cut off at its end. Such a worker is used last, but not excluded, since a shard of two
-    /// workers needs it.
+    /// a long list is cut off at its end. Where a late poll may have it forget ends, a task whose end is lost
+    /// may run twice. Such a worker is used last, but not excluded, since a shard of two workers needs it.
     pub fn rank(&self, now: Instant) -> HealthRank {
+        let may_forget_ends =
+            self.late_acks.is_some_and(|(number, until)| self.last_end < number && now < until);
         match self.withheld_end {
-            Some(_) => self.health.rank(now).max(HealthRank::Doubtful),
-            None => self.health.rank(now),
+            None if !may_forget_ends => self.health.rank(now),
+            _ => self.health.rank(now).max(HealthRank::Doubtful),
+        }
+    }
+
+    /// Number of the run end that the next poll acknowledges; zero where no end is to be acknowledged, as the poll may be
+    /// carried out by a later instance, which numbers its ends anew.
+    pub(crate) fn next_ack(&self) -> u64 {
+        match self.highest_ackable_end() {
+            number if number > self.acknowledged_end => number,
+            _ => 0,
         }
     }
 
--- a/tests/graph/late_calls.rs
+++ b/tests/graph/late_calls.rs
@@ -31,6 +31,16 @@
     cluster.crash_and_restart(worker, DOWNTIME);
 }
 
+/// Restarts a worker while a poll that acknowledges ends is on its way to it, which is carried out 6 s after it was sent.
+fn restart_with_late_ack(cluster: &mut SimCluster, worker: &WorkerId) {
+    cluster.submit("now", "before", vec![step(16, 1, 300)]);
+    cluster.planned_faults.acknowledging_polls.insert(worker.clone(), seconds(6));
+    while cluster.planned_faults.acknowledging_polls.contains_key(worker) {
+        cluster.run(Duration::from_millis(5));
+    }
+    cluster.crash_and_restart(worker, DOWNTIME);
+}
+
 /// Fills both workers with a task each, and returns the job whose task runs on `worker` and the other one.
 fn fill(
     cluster: &mut SimCluster,
@@ -139,6 +149,37 @@
     }
 }
 
+// A poll that acknowledged ends of the previous instance was carried out by the next one, which numbers its ends anew: it
+// forgot an end that nobody had read, and the task ran again. New work goes to other workers while that may come.
+#[gtest]
+fn work_goes_to_workers_that_forget_no_ends() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = (start_cluster(seed), WorkerId::from("w0-0"));
+        restart_with_late_ack(&mut cluster, &worker);
+        cluster.run(seconds(2));
+        cluster.submit("now", "a", vec![step(4, 1, 1_000)]);
+        cluster.run(Duration::from_millis(500));
+        expect_that!(cluster.workers[&worker].was_assigned("a"), eq(false), "seed {seed}");
+    }
+}
+
+// The same where no other worker has room and the worker is cut off: the end is forgotten behind the cut.
+#[gtest]
+fn a_task_whose_end_a_late_poll_has_acknowledged_is_not_started_again() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = (start_cluster(seed), WorkerId::from("w0-0"));
+        restart_with_late_ack(&mut cluster, &worker);
+        cluster.run(seconds(3));
+        let (job, other) = fill(&mut cluster, &worker, 1_500);
+        cluster.run(Duration::from_millis(700));
+        cut_off(&mut cluster, &worker, other);
+        cluster.run(Duration::from_millis(2_500));
+        cluster.workers.get_mut(&worker).unwrap().connected = true;
+        cluster.run(seconds(20));
+        expect_that!(cluster.state(job), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
+
 // A leader was lost together with a worker that had restarted. A poll that this leader had sent to the previous instance
 // was carried out seconds later, and the next leader had waited for calls that arrive within half a second only.
 #[gtest]
--- a/tests/graph/sim_cluster/messages.rs
+++ b/tests/graph/sim_cluster/messages.rs
@@ -28,6 +28,8 @@
 pub(crate) struct PlannedFaults {
     /// Delays of the next polls of these workers that extend leases: they are not answered, and carried out late.
     pub(crate) polls: BTreeMap<WorkerId, Duration>,
+    /// The same for the next polls that also acknowledge ends.
+    pub(crate) acknowledging_polls: BTreeMap<WorkerId, Duration>,
     /// Delays of the next starts, which are not answered; `None` for a start that does not arrive.
     pub(crate) starts: VecDeque<Option<Duration>>,
     /// Number of upcoming stops that do not arrive.
