Tell the next leader of late calls wherever a worker may take them, and only there

Now an instance keeps until when calls for an earlier one may come, set by its first answer and by starts found later. A registration that shows a restart is written to the store at once, as it may be gone before a takeover.

--- a/src/graph/controller/registrations.rs
+++ b/src/graph/controller/registrations.rs
@@ -53,7 +53,12 @@
         }
         self.unreferenced.remove(&registration.id);
         self.note_leaving(now, &registration);
-        self.instances.register(now, registration);
+        let id = registration.id.clone();
+        if self.instances.register(now, registration) {
+            info!(worker = &*id; "registration shows a restart of a worker");
+            // The registration may be gone before the next leader reads it.
+            self.commits.note_workers(now, true);
+        }
         self.pass_wanted = true;
     }
 
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -171,7 +171,9 @@
     /// other instances at the address are polled at once, and the worker refuses calls to an ended instance.
     /// When the last registration was assumed to be the newer one, up to 13 tasks a day ran twice on days on
     /// which workers crash while a network partition cuts them off.
-    pub(crate) fn register(&mut self, now: Instant, registration: WorkerRegistration) {
+    ///
+    /// Returns whether it is the first one that shows a restart which no answer has shown yet.
+    pub(crate) fn register(&mut self, now: Instant, registration: WorkerRegistration) -> bool {
         let others = self.instances.values_mut().filter(|instance| {
             instance.address() == registration.address && *instance.id() != registration.id
         });
@@ -185,14 +187,17 @@
                 }
                 (instance.registered, instance.reregistration_deadline) = (true, None);
                 (instance.registration_read, instance.has_left) = (now, false);
+                let was_shown = instance.has_unheard_instance();
                 if instance.is_other_instance(registration.instance_start) {
                     instance.note_restart_registered(now);
                 }
                 instance.update_registration(now, registration);
+                instance.in_store && !was_shown && instance.has_unheard_instance()
             }
             None => {
                 let instance = WorkerInstance::new(registration, now);
                 self.instances.insert(instance.id().clone(), instance);
+                false
             }
         }
     }
@@ -483,8 +488,10 @@
             // A late start extends it even where it is refused as one of an ended run.
             let late_call_time = self.late_calls.time_left(now, id);
             instance.inherit_lease(now, self.max_lease + late_call_time);
-            let late_acks = (self.late_calls.highest_ack(id), now + late_call_time);
-            instance.late_acks = Some(late_acks);
+            if !late_call_time.is_zero() {
+                instance.note_late_calls(now + late_call_time);
+                instance.late_ack = self.late_calls.highest_ack(id);
+            }
         } else if !claimed {
             instance.inherit_lease(now, self.max_lease.min(WORKER_LEASE));
         }
@@ -518,6 +525,7 @@
         let is_at_next_instance = instance.instance_start != id.instance_start;
         if is_at_next_instance {
             instance.inherit_lease(now, self.max_lease + LATE_CALL_TIME);
+            instance.note_late_calls(now + LATE_CALL_TIME);
         }
         is_at_next_instance
     }
@@ -658,8 +666,8 @@
 
     /// Whether a worker may carry out calls that were meant for an earlier instance of it.
     pub(crate) fn may_take_late_calls(&self, now: Instant, instance: &WorkerInstance) -> bool {
-        let may_be_late = || !self.late_calls.time_left(now, instance.id()).is_zero();
-        instance.may_take_late_calls() && (!instance.claimed || may_be_late())
+        let are_unanswered = || !self.late_calls.time_left(now, instance.id()).is_zero();
+        instance.may_take_late_calls(now, are_unanswered)
     }
 
     /// Notes that the store names a worker as in use.
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -94,8 +94,10 @@
     pub(crate) offered_ack: u64,
     /// Number of the last run end that an answered poll has acknowledged.
     pub(crate) acknowledged_end: u64,
-    /// Number up to which polls for an earlier instance may have it forget ends that it has not listed, and until when.
-    pub(crate) late_acks: Option<(u64, Instant)>,
+    /// Until when it may carry out calls that were meant for an earlier instance.
+    pub(crate) late_calls_end: Option<Instant>,
+    /// Number up to which such calls may have it forget ends that it has not listed.
+    pub(crate) late_ack: u64,
     /// Latest lease end that it has acknowledged.
     pub(crate) granted_lease_end: Option<Duration>,
     /// Number of the last run end that was processed.
@@ -170,7 +172,8 @@
             granted_lease_end: None,
             offered_ack: 0,
             acknowledged_end: 0,
-            late_acks: None,
+            late_calls_end: None,
+            late_ack: 0,
             last_end: 0,
             last_stored_end: 0,
             unstored_ends: VecDeque::new(),
@@ -402,16 +405,32 @@
     }
 
     /// Whether a registration shows a restart that no answer has shown yet.
-    fn has_unheard_instance(&self) -> bool {
+    pub(crate) fn has_unheard_instance(&self) -> bool {
         self.is_other_instance(self.registration.instance_start)
             || self.pending_registration.is_some()
     }
 
-    /// Whether it may be an instance to which calls come that were meant for an earlier one. After its first answer to a
-    /// leader it refuses those of earlier leaders.
-    pub(crate) fn may_take_late_calls(&self) -> bool {
+    /// Notes that until `end` it may carry out calls that were meant for an earlier instance under its id.
+    pub(crate) fn note_late_calls(&mut self, end: Instant) {
+        self.has_predecessor = true;
+        self.late_calls_end = self.late_calls_end.max(Some(end));
+    }
+
+    /// Whether the instance that answers may carry out calls that were meant for an earlier one.
+    fn has_late_calls(&self, now: Instant) -> bool {
+        self.late_calls_end.is_some_and(|end| now < end)
+    }
+
+    /// Whether calls that were meant for an earlier instance may be carried out by it, or by a later one that has not
+    /// answered, where `are_unanswered` says whether there are such calls. After its first answer to a leader it refuses
+    /// those of earlier leaders.
+    pub(crate) fn may_take_late_calls(
+        &self,
+        now: Instant,
+        are_unanswered: impl FnOnce() -> bool,
+    ) -> bool {
         match self.claimed {
-            true => self.has_predecessor || self.has_unheard_instance(),
+            true => self.has_late_calls(now) || (self.has_unheard_instance() && are_unanswered()),
             false => self.stored_late_calls || self.has_unheard_instance(),
         }
     }
@@ -524,8 +543,7 @@
     /// a long list is cut off at its end. Where a late poll may have it forget ends, a task whose end is lost
     /// may run twice. Such a worker is used last, but not excluded, since a shard of two workers needs it.
     pub fn rank(&self, now: Instant) -> HealthRank {
-        let may_forget_ends =
-            self.late_acks.is_some_and(|(number, until)| self.last_end < number && now < until);
+        let may_forget_ends = self.last_end < self.late_ack && self.has_late_calls(now);
         match self.withheld_end {
             None if !may_forget_ends => self.health.rank(now),
             _ => self.health.rank(now).max(HealthRank::Doubtful),
--- a/tests/graph/late_calls.rs
+++ b/tests/graph/late_calls.rs
@@ -202,3 +202,103 @@
         expect_that!(cluster.state(job), some(eq(GraphState::Completed)), "seed {seed}");
     }
 }
+
+// A poll that acknowledged ends of the previous instance was carried out by the next one, which forgot the end of a task
+// that no leader had read. The task was started again.
+#[gtest]
+fn a_late_poll_does_not_hide_the_end_of_a_task_at_the_next_instance() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = (start_cluster(seed), WorkerId::from("w0-0"));
+        cluster.submit("now", "earlier", vec![step(16, 1, 300)]);
+        cluster.run(seconds(3));
+        cluster.submit("now", "earlier2", vec![step(16, 1, 300)]);
+        cluster.run(Duration::from_millis(600));
+        restart_with_late_poll(&mut cluster, &worker, seconds(7));
+        cluster.run(seconds(5));
+        let (job, _) = fill(&mut cluster, &worker, 1_500);
+        cluster.run(Duration::from_millis(500));
+        cluster.workers.get_mut(&worker).unwrap().connected = false;
+        cluster.run(Duration::from_millis(2_500));
+        cluster.workers.get_mut(&worker).unwrap().connected = true;
+        cluster.run(seconds(35));
+        expect_that!(cluster.state(job), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
+
+// A worker was down until its registration had gone and its lease had expired, so it came back as a new one. The next
+// leader was not told of the late poll.
+#[gtest]
+fn a_successor_waits_for_late_calls_to_a_worker_that_had_vanished() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = (start_cluster(seed), WorkerId::from("w0-0"));
+        cluster.planned_faults.polls.insert(worker.clone(), seconds(10));
+        while cluster.planned_faults.polls.contains_key(&worker) {
+            cluster.run(Duration::from_millis(5));
+        }
+        cluster.crash_and_restart(&worker, seconds(6));
+        cluster.run(Duration::from_millis(7_600));
+        let (job, other) = fill(&mut cluster, &worker, 14_500);
+        cluster.run(Duration::from_millis(300));
+        let epoch = cluster.store.epoch;
+        cluster.leaders.remove(&epoch);
+        cluster.workers.get_mut(&worker).unwrap().connected = false;
+        cluster.run(Duration::from_millis(700));
+        cluster.elect();
+        let now = cluster.now;
+        cluster.leader().unwrap().note_predecessor_ended(now);
+        cluster.cancel(other);
+        cluster.run(seconds(40));
+        expect_that!(cluster.state(job), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
+
+// A start by the previous clock gave the new instance the longest lease, and a late poll extended it at its end.
+#[gtest]
+fn a_successor_waits_for_a_late_poll_within_the_longest_lease() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = (start_cluster(seed), WorkerId::from("w0-0"));
+        restart_with_late_poll(&mut cluster, &worker, Duration::from_millis(9_900));
+        cluster.run(Duration::from_millis(35));
+        let (job, other) = fill(&mut cluster, &worker, 19_200);
+        cluster.run(Duration::from_millis(1_600));
+        let epoch = cluster.store.epoch;
+        cluster.leaders.remove(&epoch);
+        cluster.workers.get_mut(&worker).unwrap().connected = false;
+        cluster.run(Duration::from_millis(700));
+        cluster.elect();
+        let now = cluster.now;
+        cluster.leader().unwrap().note_predecessor_ended(now);
+        cluster.cancel(other);
+        cluster.run(seconds(45));
+        expect_that!(cluster.state(job), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
+
+// A worker had restarted long ago. A poll that its present instance left unanswered names a time on its own clock, but
+// the next leader waited as for calls to an earlier instance.
+#[gtest]
+fn a_successor_does_not_wait_longer_for_a_poll_that_the_present_instance_left_unanswered() {
+    for seed in 0..8 {
+        let (mut cluster, worker) = (start_cluster(seed), WorkerId::from("w0-0"));
+        cluster.crash_and_restart(&worker, DOWNTIME);
+        cluster.run(seconds(60));
+        cluster.planned_faults.polls.insert(worker.clone(), seconds(2));
+        while cluster.planned_faults.polls.contains_key(&worker) {
+            cluster.run(Duration::from_millis(5));
+        }
+        cluster.run(seconds(3));
+        cluster.crash_and_restart(&WorkerId::from("w1-0"), DOWNTIME);
+        cluster.run(seconds(4));
+        let epoch = cluster.store.epoch;
+        cluster.leaders.remove(&epoch);
+        cluster.workers.get_mut(&worker).unwrap().connected = false;
+        cluster.run(Duration::from_millis(700));
+        cluster.elect();
+        let now = cluster.now;
+        cluster.leader().unwrap().note_predecessor_ended(now);
+        cluster.run(seconds(2));
+        let now = cluster.now;
+        let wait = cluster.leader().unwrap().inherited_lease_time(now);
+        expect_that!(wait, le(seconds(5)), "seed {seed}");
+    }
+}
