Count no crash for a worker that left

Callers saw a job shown as failed after three crashes counted under one task, each in doubt, of which the worker ran it at one (random).

Cause: a run on a worker that leaves is no suspect of a crash, but that was asked only when the suspect was noted. A run noted before the announcement stayed in the store when it was given up with the lease, and the next leader took the worker that came to the address later for the proof of a crash.

Change: a run that is given up and is no suspect any more leaves the stored suspects; an instance that had announced that it leaves is dropped from the suspects of crashes when it ends or restarts, also where an earlier leader noted them.

--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -284,6 +284,9 @@
         let Some(instance) = self.instances.remove(id) else {
             return Vec::new();
         };
+        if instance.leaves_at.is_some() {
+            self.crashes.forget_instance(&instance.instance_id());
+        }
         let mut events = vec![WorkerEvent::InstanceEnded(id.clone(), end)];
         let lost = instance
             .runs
--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -32,8 +32,13 @@
         let (listed, other): (RunTable, RunTable) =
             runs.partition(|(task, run)| reply.lists(task, run.run));
         instance.runs = other;
-        let crash =
-            instance.leaves_at.is_none().then(|| self.crashes.note_crash(now, instance, &silent));
+        let crash = match instance.leaves_at {
+            None => Some(self.crashes.note_crash(now, instance, &silent)),
+            Some(_) => {
+                self.crashes.forget_instance(&instance.instance_id());
+                None
+            }
+        };
         let (other, answered) = (std::mem::take(&mut instance.runs), instance.last_answer);
         let unanswered = listed.values().chain(other.values()).filter(|run| !run.begun).count();
         let (worker, misses, runs) = (&**id, instance.misses, listed.len());
--- a/src/graph/workload/crash_table.rs
+++ b/src/graph/workload/crash_table.rs
@@ -113,6 +113,11 @@
             .collect()
     }
 
+    /// Forgets the suspect runs of an instance that had announced that it leaves: its end does not prove a crash.
+    pub(crate) fn forget_instance(&mut self, id: &InstanceId) {
+        self.silent_instances.remove(id);
+    }
+
     /// Notes the crash of a worker's instance. `silent` holds the times since which other workers have been
     /// silent.
     pub(crate) fn note_crash(
--- a/src/graph/workload/jobs.rs
+++ b/src/graph/workload/jobs.rs
@@ -178,6 +178,9 @@
                 effect.changed = true;
                 delay_start(job, task, run, now);
                 fail_crashing_job(job, task, MULTI_CAUSE_CRASH_LIMIT, unix, &mut effect);
+            } else {
+                // It may have become a suspect before its worker announced that it leaves.
+                effect.changed |= job.progress.clear_suspect_run(&task.key, run);
             }
             let lasting = job.step(task.key.step).is_some_and(|step| step.lasting);
             if !lasting && job.progress.raise_floor(task.key, run + 1) {
--- a/tests/graph/leaving.rs
+++ b/tests/graph/leaving.rs
@@ -248,3 +248,47 @@
     cluster.run(seconds(2));
     expect_that!(workers_of(&cluster, "a"), elements_are![eq(&leaving)]);
 }
+
+/// Lets the only worker, which has a new task, fall silent, announce then that it leaves, and leave after its lease has
+/// expired. Its leader is lost `loss_delay` after the announcement. Returns the cluster once the next worker at the address
+/// has answered.
+fn silent_leaving_cluster(seed: u64, loss_delay: Duration) -> SimCluster {
+    let mut cluster = SimCluster::new(seed, 1);
+    cluster.run(seconds(1));
+    cluster.submit("now", "a", vec![step(1, 8, 600_000)]);
+    cluster.run(Duration::from_millis(300));
+    let leaving = workers_of(&cluster, "a")[0].clone();
+    if let Some(worker) = cluster.workers.get_mut(&leaving) {
+        worker.connected = false;
+    }
+    cluster.run(seconds(2));
+    expect_that!(cluster.store.jobs["a"].1.trials.len(), eq(1));
+    cluster.leave(&leaving, seconds(24));
+    cluster.run(loss_delay);
+    let epoch = cluster.store.epoch;
+    cluster.leaders.remove(&epoch);
+    cluster.run(Duration::from_millis(100));
+    cluster.elect();
+    while cluster.workers.contains_key(&leaving) {
+        cluster.run(Duration::from_millis(50));
+    }
+    cluster.run(Duration::from_millis(500));
+    expect_that!(cluster.leader().unwrap().instances().get(&leaving).is_none(), eq(true));
+    cluster
+}
+
+/// Guards against a crash that is counted for a worker that left: its run had become a suspect before the announcement,
+/// was given up with the lease, and the next leader took the worker that came next for the proof of a crash. With two
+/// doubtful crashes more, the job was shown as failed.
+#[gtest]
+fn a_worker_that_left_after_a_run_was_given_up_has_not_crashed() {
+    let cluster = silent_leaving_cluster(83, Duration::from_millis(24_100));
+    expect_that!(cluster.store.jobs["a"].1.crashes.len(), eq(0));
+}
+
+/// Guards against the same where the leader is lost before it gives the run up, so that the next one inherits the suspect.
+#[gtest]
+fn a_worker_that_left_with_an_inherited_suspect_has_not_crashed() {
+    let cluster = silent_leaving_cluster(84, seconds(1));
+    expect_that!(cluster.store.jobs["a"].1.crashes.len(), eq(0));
+}
--- a/tests/graph/random.rs
+++ b/tests/graph/random.rs
@@ -31,6 +31,8 @@
 const UNDETECTED_CRASHES_SEED: u64 = CRASH_SEEDS + 11;
 /// Seed with its own test: one crash and two doubtful ones under a task.
 const DOUBTFUL_CRASHES_SEED: u64 = 905_000_025;
+/// Seed with its own test: the first crash under a task left no trace.
+const UNTRACED_CRASH_SEED: u64 = 420_000_037;
 /// Seeds of this kind that `cargo test` runs.
 const SHORT_CRASHES: std::ops::Range<u64> = CRASH_SEEDS..CRASH_SEEDS + 16;
 /// Offset of seeds whose workers restart under their ids; the rest of the seed selects its kind.
@@ -355,6 +357,13 @@
     run(DOUBTFUL_CRASHES_SEED);
 }
 
+// The first crash under a task left no trace, as its leader was lost before the store had it, and the fourth fell together
+// with those of other workers: the task was started on after five crashes.
+#[gtest]
+fn seed_420000037_starts_no_task_a_third_time_after_three_crashes() {
+    run(UNTRACED_CRASH_SEED);
+}
+
 // The longest lease that workers accept was hardly longer than the usual one, so that no run showed a leader that
 // waited for the usual one only.
 #[gtest]
