Let steps without tickets use the entry that urgent calls hardly need

Cause: long calls leave a third of the entries free whether or not urgent calls come.

Change: steps without a usable ticket use all entries once no short call has been requested for 2 s and such steps have waited for 1 s beside free entries.

--- a/src/graph/placement.rs
+++ b/src/graph/placement.rs
@@ -1,6 +1,7 @@
 //! Where and when tasks run: placement passes, advice, home domains and preemption.
 
 pub(super) mod advice;
+mod advice_reserve;
 pub(super) mod evacuation;
 pub(super) mod home;
 pub(super) mod need_bound;
--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::TicketText;
+use crate::graph::placement::advice_reserve::AdviceReserve;
 use crate::graph::workload::name::{GraphId, QueueId, StepKey};
 use crate::graph::workload::queue::AdviceRule;
 use crate::id::{EntryId, WorkerId};
@@ -19,11 +20,6 @@
 
 /// Calls that take longer than this are long; calls of urgent queues need a tenth of it.
 pub(crate) const LONG_CALL: Duration = Duration::from_millis(120);
-/// Largest number of entries that long calls leave free: one entry makes 35 urgent calls a second.
-const MAX_RESERVED_ENTRIES: usize = 2;
-/// Entries for each one that long calls leave free. Where few are left, long calls need most of them: one entry makes two a
-/// second.
-const ENTRIES_PER_RESERVED: usize = 3;
 /// Time before its expiry from which a ticket is not used any more: a start may take this long to
 /// arrive.
 const TICKET_MARGIN: Duration = Duration::from_millis(150);
@@ -133,6 +129,7 @@
     calls: BTreeMap<AdviceId, OpenCall>,
     entries: BTreeSet<EntryId>,
     shares: BTreeMap<QueueId, f64>,
+    reserve: AdviceReserve,
     last_id: AdviceId,
 }
 
@@ -165,11 +162,25 @@
         let busy: BTreeSet<&EntryId> = self.calls.values().map(|open| &open.call.entry).collect();
         let idle = self.entries.iter().filter(|entry| !busy.contains(entry));
         let mut idle: Vec<EntryId> = idle.cloned().collect();
-        let reserved = self.reserved_entries();
-        let mut calls_made = Vec::new();
+        if idle.is_empty() {
+            return Vec::new();
+        }
+        let includes_short = advice_requests.iter().any(|request| request.time() <= LONG_CALL);
+        self.reserve.note_requests(now, includes_short);
+        let (reserved, is_released) = (self.reserved_entries(), self.reserve.is_released(now));
+        let (mut calls_made, mut is_waiting) = (Vec::new(), false);
         for request in advice_requests {
             let time = request.time();
-            let reserved_here = if time > LONG_CALL { reserved } else { 0 };
+            let is_long = time > LONG_CALL;
+            let lacks_tickets = is_long && !self.has_tickets(&request.key, now);
+            let reserved_here = match is_long {
+                true if lacks_tickets && is_released => 0,
+                true => reserved,
+                false => 0,
+            };
+            if idle.len() <= reserved {
+                is_waiting |= lacks_tickets;
+            }
             if idle.len() <= reserved_here {
                 continue;
             }
@@ -178,9 +189,15 @@
             };
             calls_made.push(self.open(now, entry, request, time + CALL_SLACK));
         }
+        self.reserve.note_waiting(now, is_waiting);
         calls_made
     }
 
+    /// Whether a step has a usable ticket.
+    fn has_tickets(&self, key: &AdviceKey, now: Instant) -> bool {
+        self.steps.get(key).is_some_and(|step| step.tickets(now).next().is_some())
+    }
+
     fn open(
         &mut self,
         now: Instant,
@@ -274,9 +291,9 @@
         self.entries.len().saturating_sub(self.calls.len())
     }
 
-    /// Number of entries that long calls leave free.
+    /// Number of entries that long calls leave free while short calls are expected.
     pub(crate) fn reserved_entries(&self) -> usize {
-        MAX_RESERVED_ENTRIES.min(self.entries.len() / ENTRIES_PER_RESERVED)
+        AdviceReserve::size(self.entries.len())
     }
 
     /// Number of open calls.
