Restart lasting tasks after crashes of one machine

Cause: two crashes under new runs of a task gave it up, whichever machine they were of. Where only one machine can run the task, each crash of that machine meets the run that was started when it came back.

Change: the address of each crash is stored with its run. A lasting task whose crashes were all of one machine is given up after five; the pauses before its starts grow as before. Ordinary tasks are given up after two as before.

--- a/src/graph/storing/compaction.rs
+++ b/src/graph/storing/compaction.rs
@@ -105,6 +105,7 @@
             progress.failures.len(),
             progress.trials.len(),
             progress.crashes.len(),
+            progress.crash_addresses.len(),
             progress.floors.len(),
         ];
         let saved: usize = progress.saved.values().map(String::len).sum();
--- a/src/graph/workload/crash.rs
+++ b/src/graph/workload/crash.rs
@@ -30,6 +30,9 @@
 /// Crash limit where other workers fell silent at the same time. A rack that fails three times in a row stays
 /// below this limit.
 pub(crate) const CORRELATED_CRASH_LIMIT: usize = 4;
+/// Crash limit of a lasting task whose crashes were all of one machine: the machine may crash by itself, and there may be
+/// no other one for the task.
+pub(crate) const ONE_MACHINE_CRASH_LIMIT: usize = 5;
 /// Crash limit where fewer than `MIN_CERTAIN_CRASHES` are certain, but all workers were replaced: a run may
 /// have ended unreported before its worker crashed.
 const PROVEN_CRASH_LIMIT: usize = 3;
@@ -100,6 +103,8 @@
     pub(crate) task: TaskName,
     /// Number of the start.
     pub(crate) run: RunNumber,
+    /// Address of the worker.
+    pub(crate) address: SocketAddr,
     /// Whether it was certainly running and is a likely cause: its worker had reported it as begun, no stop
     /// was sent, it cannot have ended unreported, and no task of another job was started there after it.
     pub(crate) sure: bool,
--- a/src/graph/workload/crash_table.rs
+++ b/src/graph/workload/crash_table.rs
@@ -92,7 +92,7 @@
             failing_since,
             suspects: Vec::new(),
         });
-        instance.suspects.push(CrashSuspect { task, run, sure: false, begun: false });
+        instance.suspects.push(CrashSuspect { task, run, address, sure: false, begun: false });
     }
 
     /// Handles an answer of a worker's instance: this instance has not crashed, and any other instance of the
@@ -228,6 +228,7 @@
         };
         let was_running = instance.was_certainly_running(run, now);
         let sure = was_running && !stopping && !instance.runs.iter().any(started_after);
-        Self { task: task.clone(), run: run.run, sure, begun: run.begun }
+        let address = instance.address();
+        Self { task: task.clone(), run: run.run, address, sure, begun: run.begun }
     }
 }
--- a/src/graph/workload/jobs/crashes.rs
+++ b/src/graph/workload/jobs/crashes.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::graph::workload::crash::{
-    CORRELATED_CRASH_LIMIT, CrashCount, CrashSuspect, MULTI_CAUSE_CRASH_LIMIT, SuspectRun,
-    restart_delay,
+    CORRELATED_CRASH_LIMIT, CrashCount, CrashSuspect, MULTI_CAUSE_CRASH_LIMIT,
+    ONE_MACHINE_CRASH_LIMIT, SuspectRun, restart_delay,
 };
 use crate::graph::workload::job::GraphJob;
 use crate::graph::workload::jobs::{JobEffect, JobTable, end_job, live_runs};
@@ -25,7 +25,7 @@
         suspect: &CrashSuspect,
         limit: usize,
     ) -> JobEffect {
-        let CrashSuspect { task, run, sure, .. } = suspect;
+        let CrashSuspect { task, run, address, sure, .. } = suspect;
         let mut effect = JobEffect::default();
         let Some(job) = self.get_mut(&task.job).filter(|job| !job.is_over()) else {
             return effect;
@@ -34,6 +34,7 @@
             return effect;
         }
         job.progress.note_crash(task.key, *run, *sure);
+        job.progress.note_crash_address(task.key, *run, *address);
         if suspect.begun {
             job.progress.confirm_run(task.key, *run);
         }
@@ -184,6 +185,11 @@
 ) {
     let count = crash_count(job, task.key);
     let CrashCount { sure, proven, begun, all } = count;
+    let is_lasting = job.step(task.key.step).is_some_and(|step| step.lasting);
+    let limit = match is_lasting && job.progress.has_crashed_one_machine(&task.key) {
+        true => limit.max(ONE_MACHINE_CRASH_LIMIT),
+        false => limit,
+    };
     let given_up = count.exceeds_limit(limit);
     info!(task:% = task, sure, proven, begun, all, limit, given_up; "counted the crashes and possible crashes of workers under a task");
     if !given_up {
--- a/src/graph/workload/progress.rs
+++ b/src/graph/workload/progress.rs
@@ -1,6 +1,7 @@
 //! Progress of a job graph: the part of its state that must survive every process.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +50,8 @@
     /// cleared once a worker survives the task. They are stored because a count kept in memory would start
     /// from zero with each leader.
     pub crashes: BTreeMap<TaskKey, BTreeMap<RunNumber, bool>>,
+    /// Addresses of the workers that have crashed under the runs in `crashes`, as far as they are known.
+    pub crash_addresses: BTreeMap<TaskKey, BTreeMap<RunNumber, SocketAddr>>,
     /// Runs that may have crashed their worker: runs of suspected tasks, and runs that were given up with a
     /// silent worker.
     pub trials: BTreeMap<TaskKey, Vec<SuspectRun>>,
@@ -95,6 +98,27 @@
         *self.crashes.entry(task).or_default().entry(run).or_default() |= sure;
     }
 
+    /// Notes the address of a worker that has crashed under a run of a task.
+    pub(crate) fn note_crash_address(
+        &mut self,
+        task: TaskKey,
+        run: RunNumber,
+        address: SocketAddr,
+    ) {
+        self.crash_addresses.entry(task).or_default().insert(run, address);
+    }
+
+    /// Whether all crashes under a task, and the silences that may be crashes, were certainly of one machine.
+    pub(crate) fn has_crashed_one_machine(&self, task: &TaskKey) -> bool {
+        let known = self.crash_addresses.get(task);
+        let address_of = |run| known.and_then(|addresses| addresses.get(run)).copied();
+        let crashed = self.crashes.get(task).into_iter().flat_map(BTreeMap::keys).map(address_of);
+        let suspects = self.trials.get(task).into_iter().flatten();
+        let suspected = suspects.map(|suspect_run| Some(suspect_run.address));
+        let addresses: BTreeSet<Option<SocketAddr>> = crashed.chain(suspected).collect();
+        addresses.len() == 1 && !addresses.contains(&None)
+    }
+
     /// Notes that a worker has reported a run as begun. Returns whether that is new for a run under which a
     /// worker has crashed or may have crashed.
     pub fn confirm_run(&mut self, task: TaskKey, run: RunNumber) -> bool {
@@ -138,6 +162,7 @@
     /// them. Returns whether there were any.
     pub fn clear_crashes(&mut self, task: &TaskKey) -> bool {
         self.confirmed.remove(task);
+        self.crash_addresses.remove(task);
         let had_suspects = self.trials.remove(task).is_some();
         self.crashes.remove(task).is_some() || had_suspects
     }
@@ -197,6 +222,7 @@
             + self.announced.len()
             + self.failures.len()
             + self.crashes.len()
+            + self.crash_addresses.len()
             + self.trials.len()
             + self.confirmed.len();
         let upper_bound = texts + done * MAX_DONE_BYTES + of_tasks * MAX_TASK_BYTES;
@@ -247,6 +273,8 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     crashes: Vec<(u32, u32, u32, BTreeMap<RunNumber, bool>)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
+    crash_addresses: Vec<(u32, u32, u32, BTreeMap<RunNumber, SocketAddr>)>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     trials: Vec<(u32, u32, u32, Vec<SuspectRun>)>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     confirmed: Vec<(u32, u32, u32, BTreeSet<RunNumber>)>,
@@ -269,6 +297,8 @@
         let runs = |(occurrence, step, index, runs)| (TaskKey::new(occurrence, step, index), runs);
         let crashes =
             |(occurrence, step, index, runs)| (TaskKey::new(occurrence, step, index), runs);
+        let addresses =
+            |(occurrence, step, index, runs)| (TaskKey::new(occurrence, step, index), runs);
         let suspect_runs = |(occurrence, step, index, suspect_runs)| {
             (TaskKey::new(occurrence, step, index), suspect_runs)
         };
@@ -286,6 +316,7 @@
             done: stored.done.into_iter().map(step).collect(),
             failures: stored.failures.into_iter().map(runs).collect(),
             crashes: stored.crashes.into_iter().map(crashes).collect(),
+            crash_addresses: stored.crash_addresses.into_iter().map(addresses).collect(),
             trials: stored.trials.into_iter().map(suspect_runs).collect(),
             confirmed: stored.confirmed.into_iter().map(runs).collect(),
             announced: stored.announced.into_iter().map(start).collect(),
@@ -308,6 +339,10 @@
             let (occurrence, step, index) = parts(task);
             (occurrence, step, index, runs)
         };
+        let addresses = |(task, runs)| {
+            let (occurrence, step, index) = parts(task);
+            (occurrence, step, index, runs)
+        };
         let suspect_runs = |(task, suspect_runs)| {
             let (occurrence, step, index) = parts(task);
             (occurrence, step, index, suspect_runs)
@@ -336,6 +371,7 @@
             done: progress.done.into_iter().map(step).collect(),
             failures: progress.failures.into_iter().map(of_task).collect(),
             crashes: progress.crashes.into_iter().map(crashes).collect(),
+            crash_addresses: progress.crash_addresses.into_iter().map(addresses).collect(),
             trials: progress.trials.into_iter().map(suspect_runs).collect(),
             confirmed: progress.confirmed.into_iter().map(of_task).collect(),
             announced: progress.announced.into_iter().map(start).collect(),
--- a/tests/graph/crashes.rs
+++ b/tests/graph/crashes.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use kelplink::{GraphState, StepSpec, WorkerId};
 
-use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
+use crate::sim_cluster::{SimCluster, count_runs, kind_label, seconds, step};
 
 /// Delay between the start of a task and the crash of its worker, as in the logs of a deployment.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
@@ -311,3 +311,49 @@
     let counted: Vec<bool> = counted.copied().collect();
     expect_that!(counted, all![not(is_empty()), not(contains(eq(&true)))]);
 }
+
+/// A cluster in which only one worker has the label that the lasting task of a job requires. Also returns that step.
+fn start_labelled_cluster(seed: u64) -> (SimCluster, StepSpec) {
+    let mut cluster = start_cluster(seed, 4);
+    cluster.kinds.insert(0, 0);
+    cluster.add_worker(0, 1);
+    cluster.run(seconds(1));
+    let label = Some(kind_label(0));
+    (cluster, StepSpec { lasting: true, label, ..step(1, 6, 600_000) })
+}
+
+/// Guards against a lasting job that is shown as failed since the only worker that may run it crashed twice by itself: both
+/// crashes came within a second of a start, and were taken for crashes that the task had caused.
+#[gtest]
+fn a_lasting_task_runs_on_after_repeated_crashes_of_one_machine() {
+    let (mut cluster, lasting) = start_labelled_cluster(85);
+    cluster.crash_downtime = Duration::from_millis(700);
+    cluster.submit("now", "a", vec![lasting]);
+    for _ in 0..4 {
+        cluster.run(Duration::from_millis(700));
+        let worker = cluster.workers.keys().find(|id| id.starts_with("w0-")).cloned().unwrap();
+        cluster.crash(&worker);
+        cluster.run(Duration::from_millis(700));
+    }
+    expect_that!(cluster.crash_checker.crashes(&"a.0.0.0".parse().unwrap()), ge(2));
+    cluster.run(seconds(10));
+    expect_that!(cluster.state("a"), some(eq(GraphState::Running)));
+    expect_that!(count_runs(&cluster, "a"), eq(1));
+}
+
+/// Guards against a task that crashes the only machine that may run it for as long as its job lasts.
+#[gtest]
+fn a_lasting_task_that_crashes_its_only_machine_is_given_up() {
+    let (mut cluster, lasting) = start_labelled_cluster(86);
+    submit_crashing(&mut cluster, "now", "bad", vec![lasting]);
+    for _ in 0..6 {
+        cluster.run(seconds(10));
+        let epoch = cluster.store.epoch;
+        cluster.leaders.remove(&epoch);
+        cluster.run(seconds(1));
+        cluster.elect();
+    }
+    cluster.run(seconds(5));
+    expect_that!(cluster.state("bad"), some(eq(GraphState::Failed)));
+    expect_that!(cluster.crash_checker.crashes(&"bad.0.0.0".parse().unwrap()), le(5));
+}
