Follow leaders that change one after the other in paced batches

Cause: each end of a leader key and each election woke the watch of the leaders on all entries, which sent it again at once. 15 shards and 300 entries are 4,500 watches for each round of elections, beside renewals, at 2,000 reads a second. Renewals were refused, leases ended, and entries registered again.

Change: from the third change in a row on, the next watch waits for as long as the batches of registrations do: until all entries together take a fifth of the store's reads. The end of a leader and the next election are followed at once.

Simulation: 20 changes in a second cost 100 entries 2,103 watches before; the test takes 1,000 at most.

--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -10,7 +10,7 @@
 
 use log::{info, warn};
 use serde::de::DeserializeOwned;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::node::availability::{StoreRetry, WATCH_WAIT};
 use crate::node::keys::{
@@ -35,6 +35,10 @@
 /// calls beyond the rates, renewals are refused and leases end, and each end and each new registration is a change that
 /// all entries follow.
 const BATCH_CALL_SHARE: f64 = 0.2;
+/// Share of the store's reading calls that all entries together use to follow leaders that change one after the other.
+const LEADER_CALL_SHARE: f64 = 0.2;
+/// Number of changes of leaders that are followed without a pause: the end of a leader and the next election.
+const PROMPT_LEADER_CHANGES: u32 = 2;
 /// Longest pause after a batch of changes.
 const MAX_BATCH_PAUSE: Duration = Duration::from_secs(4);
 
@@ -127,11 +131,17 @@
     /// Follows the leaders until the store has compacted its history.
     async fn follow_leaders(&self, mut after: u64) {
         let mut retry = self.shared.store_availability.retry(RETRY_PAUSE);
+        let mut paced = Instant::now();
         while let Some(changes) =
             self.next_changes(LEADER_LOG_NAME, LEADER_KEY, after, &mut retry).await
         {
             after = changes.revision;
-            self.apply(changes.events);
+            if !changes.events.is_empty() {
+                self.apply(changes.events);
+                let pause = self.batch_pause(LEADER_CALL_SHARE);
+                paced = paced.max(Instant::now()) + pause;
+                sleep_until(paced - pause * PROMPT_LEADER_CHANGES).await;
+            }
         }
     }
 
@@ -151,15 +161,16 @@
             if !changes.events.is_empty() {
                 self.apply(changes.events);
                 if !changes.has_more {
-                    sleep(self.batch_pause()).await;
+                    sleep(self.batch_pause(BATCH_CALL_SHARE)).await;
                 }
             }
         }
     }
 
-    fn batch_pause(&self) -> Duration {
+    /// Interval between batches with which those of all entries take this share of the store's reading calls.
+    fn batch_pause(&self, share: f64) -> Duration {
         let entries = self.shared.members.borrow().entries.len();
-        let calls = self.shared.settings.store_reads * BATCH_CALL_SHARE;
+        let calls = self.shared.settings.store_reads * share;
         Duration::from_secs_f64(entries as f64 / calls).min(MAX_BATCH_PAUSE)
     }
 
--- a/src/node/scale_tests.rs
+++ b/src/node/scale_tests.rs
@@ -5,9 +5,11 @@
 use googletest::prelude::*;
 use tokio::time::sleep;
 
+use crate::graph::ShardId;
 use crate::node::availability::{notices_silence_late, short_watch_wait};
 use crate::node::candidacy::rank_pause;
 use crate::node::entry_store::StoreCallKind;
+use crate::node::keys::leader_key;
 use crate::node::settings::NodeSettings;
 use crate::node::simulated_store::{StoreAccess, StoreCallCount, StoreRates};
 use crate::node::simulation::SimulatedFleet;
@@ -168,6 +170,24 @@
     expect_that!(cost, all![ge(entries as u64), le(2 * entries as u64)]);
 }
 
+// After all processes were killed, each election of the leaders of 15 shards woke the watches of 300 entries, and their
+// calls were beyond the store's rates.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn leaders_that_change_one_after_the_other_cost_each_entry_few_calls() {
+    let entries = 100;
+    let changes = 20;
+    let fleet = fleet(entries).await;
+    let watches = |count: StoreCallCount| count.of(StoreCallKind::Watch);
+    let before = watches(fleet.store().call_count());
+    for _ in 0..changes {
+        fleet.store().put(&leader_key(&ShardId::from("d0.9")), "{}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let cost = watches(fleet.store().call_count()) - before;
+    expect_that!(cost, le(entries as u64 * changes / 2));
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn entries_read_the_members_again_after_a_compaction() {
