--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -13,7 +13,7 @@
     CallFailure, EndKind, InstanceId, PollReply, RunReport, UsedWorker, WorkerRefusal,
     WorkerRegistration,
 };
-use crate::graph::workers::late_starts::LateStarts;
+use crate::graph::workers::late_calls::{LATE_CALL_TIME, LateCalls};
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
 use crate::graph::workers::registration_clock::RegistrationClock;
 use crate::graph::workers::run::{RunPhase, WorkerRun};
@@ -23,7 +23,7 @@
 use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
 use crate::graph::workload::crash::SuspectRun;
 use crate::graph::workload::crash_table::CrashTable;
-use crate::graph::workload::name::TaskName;
+use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
 
 /// Lease of a worker, during which its tasks keep running without another call. The tasks of a worker that
@@ -75,7 +75,7 @@
     /// Interval at which workers report to the store; zero where it is not known.
     heartbeat: Duration,
     speeds: SpeedTable,
-    pub(crate) late_starts: LateStarts,
+    pub(crate) late_calls: LateCalls,
     pub(crate) registration_clock: RegistrationClock,
 }
 
@@ -224,6 +224,7 @@
         });
         instance.in_store = true;
         instance.stored_longest_lease = used.longest_lease;
+        instance.stored_late_calls = used.late_calls;
         instance.instance_start = used.instance_start;
         if used.leaving {
             instance.leaves_at.get_or_insert(now);
@@ -460,7 +461,6 @@
             self.pacer.note_lost(now);
         }
         let known_instance = instance.instance_start == reply.instance_start;
-        let answered_before = instance.clock_read();
         let mut events = match instance.is_other_instance(reply.instance_start) {
             true => self.handle_restart(now, id, reply),
             false => Vec::new(),
@@ -479,10 +479,10 @@
         // The worker's lease may have been extended on the clock of a previous instance.
         if !known_instance || (!claimed && instance.stored_longest_lease) {
             // A late start extends it even where it is refused as one of an ended run.
-            let late_start_time = self.late_starts.time_left(now, id, answered_before);
-            instance.inherit_lease(self.max_lease + late_start_time);
+            let late_call_time = self.late_calls.time_left(now, id);
+            instance.inherit_lease(now, self.max_lease + late_call_time);
         } else if !claimed {
-            instance.inherit_lease(self.max_lease.min(WORKER_LEASE));
+            instance.inherit_lease(now, self.max_lease.min(WORKER_LEASE));
         }
         let (instance_id, address) = (instance.instance_id(), instance.address());
         let mut crashed = self.crashes.handle_answer(now, &instance_id);
@@ -498,6 +498,26 @@
         events
     }
 
+    /// Notes that a start was not answered. Where it was sent to an earlier instance, the one that has answered since may
+    /// still carry it out, and returns whether that is so.
+    pub(crate) fn note_unanswered_start(
+        &mut self,
+        now: Instant,
+        id: &InstanceId,
+        task: &TaskName,
+        run: RunNumber,
+    ) -> bool {
+        self.late_calls.note_start(now, id.worker.clone(), task.clone(), run);
+        let Some(instance) = self.instances.get_mut(&id.worker) else {
+            return false;
+        };
+        let is_at_next_instance = instance.instance_start != id.instance_start;
+        if is_at_next_instance {
+            instance.inherit_lease(now, self.max_lease + LATE_CALL_TIME);
+        }
+        is_at_next_instance
+    }
+
     /// Notes that ends up to a number are stored, to be acknowledged with the next poll.
     pub(crate) fn ends_stored(&mut self, now: Instant, id: &InstanceId, number: u64) {
         if let Some(instance) = self.instances.get_mut(&id.worker)
@@ -523,6 +543,12 @@
         };
         instance.poll_sent = None;
         instance.last_poll_answer = None;
+        if let (CallFailure::NoAnswer, Some(until)) = (failure, instance.offered_lease_end) {
+            let until_ms = until.as_millis() as u64;
+            info!(worker = &**id, until_ms; "poll that extends the lease was not answered");
+            metrics::counter!("kelplink_unanswered_extensions_total").increment(1);
+            self.late_calls.note_poll(now, id.clone());
+        }
         instance.note_silence(now);
         instance.next_poll = now + miss_pause(instance.misses);
         if let CallFailure::NothingThere = failure {
@@ -613,22 +639,32 @@
         gone.iter().flat_map(|id| self.end_instance(id, InstanceEnd::Vanished)).collect()
     }
 
-    /// Whether the store says that the lease of a worker may be the longest one, and it is not any more.
+    /// Whether the store says that the lease of a worker may be the longest one, or that late calls may extend it, and
+    /// this is not so any more.
     pub(crate) fn has_outdated_leases(&self, now: Instant) -> bool {
         let is_outdated = |instance: &WorkerInstance| {
-            instance.in_store
-                && instance.stored_longest_lease
-                && !instance.may_hold_longest_lease(now)
+            let outdated_lease =
+                instance.stored_longest_lease && !instance.may_hold_longest_lease(now);
+            let outdated_calls =
+                instance.stored_late_calls && !self.may_take_late_calls(now, instance);
+            instance.in_store && (outdated_lease || outdated_calls)
         };
         self.instances.values().any(is_outdated)
     }
 
+    /// Whether a worker may carry out calls that were meant for an earlier instance of it.
+    pub(crate) fn may_take_late_calls(&self, now: Instant, instance: &WorkerInstance) -> bool {
+        let may_be_late = || !self.late_calls.time_left(now, instance.id()).is_zero();
+        instance.may_take_late_calls() && (!instance.claimed || may_be_late())
+    }
+
     /// Notes that the store names a worker as in use.
     pub(crate) fn note_stored(&mut self, used: &UsedWorker) {
         if let Some(instance) = self.instances.get_mut(&used.id)
             && instance.instance_start == used.instance_start
         {
             (instance.in_store, instance.stored_longest_lease) = (true, used.longest_lease);
+            instance.stored_late_calls = used.late_calls;
         }
     }
 
@@ -643,6 +679,7 @@
             instance_start: instance.instance_start,
             leaving: instance.leaves_at.is_some(),
             longest_lease: instance.may_hold_longest_lease(now),
+            late_calls: self.may_take_late_calls(now, instance),
         };
         claimed.map(used).collect()
     }
