--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -757,14 +757,11 @@
     request: Request<Incoming>,
 ) -> Option<Response<Full<Bytes>>> {
     let name = format!("w{number}");
+    let instance = lock(&state.workers)[number].restarts;
     state.wait_while_silent(&name).await;
-    let instance = {
-        let worker = &lock(&state.workers)[number];
-        if worker.down {
-            return None;
-        }
-        worker.restarts
-    };
+    if lock(&state.workers)[number].down {
+        return None;
+    }
     let path = request.uri().path().to_owned();
     let target = request.headers().get("Target-Instance").and_then(|value| value.to_str().ok());
     let target = target.map(str::to_owned);
