--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -559,8 +559,8 @@
         instance.poll_sent = None;
         instance.last_poll_answer = None;
         if let (CallFailure::NoAnswer, Some(until)) = (failure, instance.offered_lease_end) {
-            let until_ms = until.as_millis() as u64;
-            info!(worker = &**id, until_ms; "poll that extends the lease was not answered");
+            let lease_end_ms = until.as_millis() as u64;
+            info!(worker = &**id, lease_end_ms; "poll that extends the lease was not answered");
             metrics::counter!("kelplink_unanswered_extensions_total").increment(1);
             self.late_calls.note_poll(now, id.clone(), instance.offered_ack);
         }
