--- a/tests/platform/cluster.rs
+++ b/tests/platform/cluster.rs
@@ -165,7 +165,7 @@
         });
     }
 
-    /// Starts the process of an entry, whose settings are written. Its log goes on.
+    /// Starts the process of an entry, whose settings are written, and appends to its log.
     pub(crate) fn spawn(&self, name: &str) -> Child {
         let log = File::options().create(true).append(true).open(self.log_file(name)).unwrap();
         Command::new(env!("CARGO_BIN_EXE_kelplink"))
--- a/tests/platform/standin.rs
+++ b/tests/platform/standin.rs
@@ -108,7 +108,7 @@
     pub(crate) downtime: Duration,
     /// Time from the restart to the registration.
     pub(crate) registration_delay: Duration,
-    /// Whether the clock goes on. It begins anew otherwise.
+    /// Whether the next instance continues the clock; otherwise it starts at its initial value.
     pub(crate) keeps_clock: bool,
 }
 
