--- a/tests/graph/starvation.rs
+++ b/tests/graph/starvation.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use kelplink::{GraphState, StepSpec, WorkerId, WorkerRefusal};
+use kelplink::{AdviceRule, GraphState, QueueRule, StepSpec, WorkerId, WorkerRefusal};
 
 use crate::model_worker::ModelWorker;
-use crate::sim_cluster::{SimCluster, count_runs, seconds, step};
+use crate::sim_cluster::{SimCluster, count_runs, kind_label, queue_rule, seconds, step};
 
 /// A step of lasting tasks.
 fn lasting(count: u32, cores: u32) -> StepSpec {
@@ -234,3 +234,65 @@
     };
     expect_that!(racks(&cluster), le(1));
 }
+
+/// Adds a queue of the most urgent priority whose steps need advice, and calls of 100 ms each.
+fn add_urgent_advised_queue(cluster: &mut SimCluster) {
+    let advice = AdviceRule {
+        call: Duration::from_millis(100),
+        each: Duration::ZERO,
+        valid: Duration::from_millis(2_500),
+    };
+    let queue = QueueRule { advice: Some(advice), ..queue_rule("counter", 0, false) };
+    let config = Arc::make_mut(&mut cluster.config);
+    config.queues.insert(queue.id.clone(), Arc::new(queue));
+    config.version += 1;
+    let config = cluster.config.clone();
+    cluster.leader().unwrap().set_config(config);
+}
+
+/// Runs for a time in which a hundred urgent jobs a second arrive, twice as many as all entries together can request
+/// advice for.
+fn run_with_urgent_arrivals(cluster: &mut SimCluster, time: Duration) {
+    let end = cluster.now + time;
+    while cluster.now < end {
+        let id = format!("urgent-{}", cluster.unix());
+        let urgent = StepSpec { label: Some(kind_label(1)), ..step(1, 1, 100) };
+        cluster.submit("counter", &id, vec![urgent]);
+        cluster.run(Duration::from_millis(10));
+    }
+}
+
+/// A cluster of four workers for urgent jobs and four others, two of which run a lasting task each.
+fn cluster_with_lasting_tasks(seed: u64) -> SimCluster {
+    let mut cluster = SimCluster::new(seed, 0);
+    for number in 0..8 {
+        cluster.kinds.insert(number, u32::from(number < 4));
+        cluster.add_worker(number, 0);
+    }
+    allow(&mut cluster, |_| true);
+    add_urgent_advised_queue(&mut cluster);
+    cluster.run(seconds(1));
+    let one_per_worker =
+        StepSpec { label: Some(kind_label(0)), max_per_worker: Some(1), ..lasting(2, 4) };
+    cluster.submit("watched", "a", vec![one_per_worker]);
+    cluster.run(seconds(3));
+    expect_that!(count_runs(&cluster, "a"), eq(2));
+    cluster
+}
+
+/// Takes a worker with a lasting task away for good.
+fn lose_lasting_task(cluster: &mut SimCluster) {
+    let runs_lasting = |worker: &&mut ModelWorker| worker.runs.keys().any(|task| &*task.job == "a");
+    cluster.workers.values_mut().find(runs_lasting).unwrap().up = false;
+}
+
+// Urgent steps took every call for advice. A lasting task of a less urgent queue lost its worker and was not started
+// again for 45 s, beside workers with room that advice allowed: no call was made for its step.
+#[gtest]
+fn a_lasting_task_that_lost_its_worker_gets_advice_beside_urgent_steps() {
+    let mut cluster = cluster_with_lasting_tasks(64);
+    run_with_urgent_arrivals(&mut cluster, seconds(3));
+    lose_lasting_task(&mut cluster);
+    run_with_urgent_arrivals(&mut cluster, seconds(9));
+    expect_that!(count_runs(&cluster, "a"), eq(2));
+}
