--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -1,5 +1,6 @@
 //! The leader of the job graphs: applies events to its tables and emits actions.
 
+mod absences;
 mod commands;
 mod quota;
 mod registrations;
--- a/src/graph/controller/worker_events.rs
+++ b/src/graph/controller/worker_events.rs
@@ -41,11 +41,14 @@
                     self.send_stop(&worker, &task, run);
                 }
                 WorkerEvent::Lost(worker, lost) => {
-                    let LostRun { task, run, checkpoint, survived, .. } = lost;
+                    let LostRun { task, run, checkpoint, survived, last_heard, begun } = lost;
                     let heard_ms = survived.as_millis() as u64;
                     warn!(task:% = task, run, worker = &*worker, heard_ms; "run lost");
                     count_lost_run("lost");
                     let mut effect = self.jobs.run_lost(&task, run, &checkpoint);
+                    if begun {
+                        self.jobs.begin_absence(&task, last_heard);
+                    }
                     effect.changed |= self.jobs.clear_suspect_run(&task, run);
                     self.apply_effect(now, &task.job, effect);
                 }
@@ -181,6 +184,7 @@
         match wanted {
             true => {
                 self.jobs.note_run(&task, worker.clone(), run);
+                self.jobs.end_absence(&task, run);
                 if let Some(older) = older {
                     self.stop_runs(now, vec![(older.worker, task, older.run)]);
                 }
@@ -199,6 +203,7 @@
         evidence: BeginEvidence,
     ) {
         self.jobs.note_begun(task, evidence);
+        self.jobs.end_absence(task, run);
         if self.jobs.confirm_run(task, run) {
             self.commits.change(task.job.clone(), now, true);
         }
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -143,6 +143,7 @@
         if let Some(age) = self.instances.registration_clock.age(now) {
             metrics::gauge!("kelplink_registrations_age_seconds").set(age.as_secs_f64());
         }
+        self.report_absences(now);
         let mut usage: Vec<_> = self.last_usage.iter().collect();
         usage.sort_by_key(|(_, used)| Reverse(used.millicores));
         for (workspace, used) in usage.into_iter().take(MAX_REPORTED_WORKSPACES) {
--- a/src/graph/workers/worker_event.rs
+++ b/src/graph/workers/worker_event.rs
@@ -54,6 +54,8 @@
     pub(crate) checkpoint: String,
     /// How long after the run's start its worker last answered; zero if it did not.
     pub(crate) survived: Duration,
+    /// When its worker last answered, or the run was started.
+    pub(crate) last_heard: Instant,
     /// Whether its worker had reported it as begun.
     pub(crate) begun: bool,
 }
@@ -62,6 +64,13 @@
     pub(crate) fn new(task: TaskName, run: WorkerRun, answered: Option<Instant>) -> Self {
         let survived =
             answered.map_or(Duration::ZERO, |at| at.saturating_duration_since(run.since));
-        Self { task, run: run.run, checkpoint: run.checkpoint, survived, begun: run.begun }
+        Self {
+            task,
+            run: run.run,
+            checkpoint: run.checkpoint,
+            survived,
+            last_heard: run.since + survived,
+            begun: run.begun,
+        }
     }
 }
--- a/src/graph/workload.rs
+++ b/src/graph/workload.rs
@@ -1,5 +1,6 @@
 //! Jobs as they were submitted and what has become of them.
 
+pub(super) mod absences;
 pub(super) mod begin_evidence;
 pub(super) mod changes;
 pub(super) mod crash;
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -9,6 +9,7 @@
 
 use crate::graph::sharding::shard::ShardId;
 use crate::graph::sharding::share::TaskShare;
+use crate::graph::workload::absences::AbsenceTable;
 use crate::graph::workload::name::{RunNumber, StepKey, TaskKey, TaskName};
 use crate::graph::workload::progress::{GraphProgress, GraphVerdict};
 use crate::graph::workload::queue::QueueRule;
@@ -127,6 +128,8 @@
     pub avoided_workers: BTreeMap<TaskKey, BTreeSet<WorkerId>>,
     /// When a task may be started again.
     pub not_before: BTreeMap<TaskKey, Instant>,
+    /// Lasting tasks that have run and do not run now.
+    pub(crate) absences: AbsenceTable,
     /// Longest path from each step to the end of the graph, by declared run time.
     pub critical_paths: Vec<Duration>,
 }
@@ -159,6 +162,7 @@
             last_run: BTreeMap::new(),
             avoided_workers: BTreeMap::new(),
             not_before: BTreeMap::new(),
+            absences: AbsenceTable::default(),
             critical_paths,
         }
     }
--- a/src/graph/workload/jobs.rs
+++ b/src/graph/workload/jobs.rs
@@ -126,6 +126,25 @@
         }
     }
 
+    /// Notes that a task has not run since a moment, where it is a lasting one of an open job.
+    pub(crate) fn begin_absence(&mut self, task: &TaskName, since: Instant) {
+        if let Some(job) = self.get_mut(&task.job).filter(|job| !job.is_over())
+            && !job.live.contains_key(&task.key)
+            && job.step(task.key.step).is_some_and(|step| step.lasting)
+        {
+            job.absences.begin(task.key, since);
+        }
+    }
+
+    /// Notes that a worker has reported a run as begun.
+    pub(crate) fn end_absence(&mut self, task: &TaskName, run: RunNumber) {
+        if let Some(job) = self.get_mut(&task.job)
+            && job.live.get(&task.key).is_some_and(|live| live.run == run)
+        {
+            job.absences.end(&task.key);
+        }
+    }
+
     /// Notes a run that was sent to a worker or found on one.
     pub(crate) fn note_run(&mut self, task: &TaskName, worker: WorkerId, run: RunNumber) {
         if let Some(job) = self.get_mut(&task.job) {
@@ -166,9 +185,12 @@
         lost: &LostRun,
         suspect_run: Option<SuspectRun>,
     ) -> JobEffect {
-        let LostRun { task, run, checkpoint, begun, .. } = lost;
+        let LostRun { task, run, checkpoint, last_heard, begun, .. } = lost;
         let (run, begun) = (*run, *begun);
         let mut effect = self.run_lost(task, run, checkpoint);
+        if begun {
+            self.begin_absence(task, *last_heard);
+        }
         if let Some(job) = self.get_mut(&task.job).filter(|job| !job.is_over()) {
             if let Some(suspect_run) = suspect_run {
                 job.progress.note_suspect_run(task.key, suspect_run);
@@ -259,6 +281,9 @@
         }
         let suspect_cleared = job.progress.clear_suspect_run(&task.key, run);
         self.schedulable_ids.insert(task.job.clone());
+        if step.lasting && !job.live.contains_key(&task.key) {
+            job.absences.begin(task.key, now);
+        }
         match kind {
             EndKind::Done if !step.lasting => {
                 note_done(job, task.key, step.gang, step.count);
