--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -89,6 +89,8 @@
     pub rule: AdviceRule,
     /// Workers to ask about.
     pub workers: Vec<WorkerId>,
+    /// Whether the restart of a lasting task of the step is overdue.
+    pub is_restart: bool,
 }
 
 impl AdviceRequest {
@@ -119,6 +121,7 @@
     call: AdviceCall,
     queue: QueueId,
     rule: AdviceRule,
+    is_restart: bool,
     sent: Instant,
 }
 
@@ -169,12 +172,12 @@
         self.reserve.note_requests(now, includes_short);
         let (reserved, is_released) = (self.reserved_entries(), self.reserve.is_released(now));
         let (mut calls_made, mut is_waiting) = (Vec::new(), false);
-        for request in advice_requests {
+        for request in self.limit_restarts(advice_requests) {
             let time = request.time();
             let is_long = time > LONG_CALL;
             let lacks_tickets = is_long && !self.has_tickets(&request.key, now);
             let reserved_here = match is_long {
-                true if lacks_tickets && is_released => 0,
+                true if request.is_restart || (lacks_tickets && is_released) => 0,
                 true => reserved,
                 false => 0,
             };
@@ -193,6 +196,24 @@
         calls_made
     }
 
+    /// Puts the requests for overdue restarts beyond the limit of such calls behind all others, as usual ones.
+    fn limit_restarts(&self, advice_requests: Vec<AdviceRequest>) -> Vec<AdviceRequest> {
+        let open = self.calls.values().filter(|open| open.is_restart).count();
+        let mut left = AdviceReserve::max_restart_calls(self.entries.len()).saturating_sub(open);
+        let (mut first, mut last) = (Vec::new(), Vec::new());
+        for request in advice_requests {
+            match request.is_restart {
+                true if left == 0 => last.push(AdviceRequest { is_restart: false, ..request }),
+                is_restart => {
+                    left -= usize::from(is_restart);
+                    first.push(request);
+                }
+            }
+        }
+        first.extend(last);
+        first
+    }
+
     /// Whether a step has a usable ticket.
     fn has_tickets(&self, key: &AdviceKey, now: Instant) -> bool {
         self.steps.get(key).is_some_and(|step| step.tickets(now).next().is_some())
@@ -206,10 +227,11 @@
         time: Duration,
     ) -> AdviceCall {
         self.last_id += 1;
-        let AdviceRequest { key, queue, rule, workers } = request;
+        let AdviceRequest { key, queue, rule, workers, is_restart } = request;
         let call = AdviceCall { id: self.last_id, entry, key: key.clone(), workers, time };
         self.steps.entry(key).or_default().open_call = Some(call.id);
-        self.calls.insert(call.id, OpenCall { call: call.clone(), queue, rule, sent: now });
+        let open_call = OpenCall { call: call.clone(), queue, rule, is_restart, sent: now };
+        self.calls.insert(call.id, open_call);
         call
     }
 
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -89,6 +89,9 @@
 /// Order in which steps are served.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct ServingOrder {
+    /// Whether it is behind the steps with an overdue restart of a lasting task. Such a restart goes first, also before
+    /// more urgent steps: these may take every call for advice for as long as their load lasts.
+    pub(crate) may_wait: bool,
     pub(crate) value_expired: bool,
     pub(crate) priority: u32,
     /// Jobs beyond the rate of their workspace come after all others of their priority.
@@ -118,7 +121,8 @@
         let latest_start =
             (now + value_duration).checked_sub(elapsed + critical_path).unwrap_or(now);
         let (priority, exceeds_rate) = (job.rule.priority, job.exceeds_rate);
-        Self { value_expired, priority, exceeds_rate, latest_start, late }
+        let may_wait = job.restart_due(key).is_none_or(|due| now < due);
+        Self { may_wait, value_expired, priority, exceeds_rate, latest_start, late }
     }
 }
 
@@ -305,6 +309,9 @@
     /// Whether neither the next step nor any after it can have an effect on the plan.
     fn is_settled(&mut self, next: &ServingKey, queue: &ServingQueue<'_>) -> bool {
         let order = &next.order;
+        if !order.may_wait {
+            return false;
+        }
         let no_advice = order.value_expired
             || !self.view.serving.needs_advice()
             || self.plan.advice_requests.len() >= self.requests_left;
--- a/src/graph/placement/placer/advice_requests.rs
+++ b/src/graph/placement/placer/advice_requests.rs
@@ -119,9 +119,14 @@
             return;
         }
         let queue = step.job.rule.id.clone();
-        let request = AdviceRequest { key, queue, rule, workers };
+        let is_restart = !step.order.may_wait;
+        let request = AdviceRequest { key, queue, rule, workers, is_restart };
         match useful {
-            true => self.plan.advice_requests.push(request),
+            true => {
+                // Few of these calls are made at a time; they must not keep the others out of the plan.
+                self.requests_left += usize::from(is_restart);
+                self.plan.advice_requests.push(request);
+            }
             false => {
                 let reserved = if request.time() > LONG_CALL { self.reserved_entries } else { 0 };
                 if self.renewals_left > reserved {
--- a/src/graph/placement/serving_index.rs
+++ b/src/graph/placement/serving_index.rs
@@ -120,7 +120,8 @@
                 ServingKey { order, job: job.spec.id.clone(), step: key },
                 step.reservation(),
             ));
-            next_change = [next_change, next_loss(job, key, now)].into_iter().flatten().min();
+            let due = job.restart_due(key).filter(|due| *due > now);
+            next_change = [next_change, next_loss(job, key, now), due].into_iter().flatten().min();
         }
         if keys.is_empty() {
             return false;
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -19,6 +19,10 @@
 /// How far the clock of an earlier leader may have been ahead: clocks of entries may jump by some seconds.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(60);
 
+/// How long a lasting task that has run may wait for its next start behind more urgent work. Callers notice its absence,
+/// and the tasks that take its place in the order are many.
+const RESTART_GRACE: Duration = Duration::from_secs(2);
+
 /// Record of a job in the store, written when the job is accepted.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -185,9 +189,25 @@
         job.progress = progress;
         // Progress stored by an earlier version lacks this flag.
         job.progress.begun = job.progress.shows_begun();
+        job.begin_absences(now);
         job
     }
 
+    /// Counts the lasting tasks of a restored job as absent until a worker reports them: which of them have run is not
+    /// stored.
+    fn begin_absences(&mut self, now: Instant) {
+        if self.is_over() || self.spec.repeat.is_some() {
+            return;
+        }
+        let steps = self.spec.steps.iter().enumerate().filter(|(_, step)| step.lasting);
+        for (index, step) in steps {
+            let number = u32::try_from(index).unwrap_or(u32::MAX);
+            for task in 0..step.count {
+                self.absences.begin(TaskKey::new(0, number, task), now);
+            }
+        }
+    }
+
     /// Whether its tasks may run in a failure domain, according to the store.
     pub fn may_use(&self, domain: &DomainId) -> bool {
         self.home.as_ref().is_none_or(|home| home == domain) || self.stored_domains.contains(domain)
@@ -382,6 +402,11 @@
         }
     }
 
+    /// When the restart of an absent lasting task of a step becomes overdue.
+    pub(crate) fn restart_due(&self, key: StepKey) -> Option<Instant> {
+        self.absences.longest_of(key).map(|since| since + RESTART_GRACE)
+    }
+
     /// Time from submission within which the job keeps its full value.
     pub fn objective(&self) -> Duration {
         let longest_path = self.critical_paths.iter().max().copied().unwrap_or_default();
--- a/tests/graph/starvation.rs
+++ b/tests/graph/starvation.rs
@@ -296,3 +296,35 @@
     run_with_urgent_arrivals(&mut cluster, seconds(9));
     expect_that!(count_runs(&cluster, "a"), eq(2));
 }
+
+// The same for a leader that takes over while the task is absent, and learns from no list that it has run.
+#[gtest]
+fn a_lasting_task_without_a_run_at_a_takeover_gets_advice_beside_urgent_steps() {
+    let mut cluster = cluster_with_lasting_tasks(65);
+    lose_lasting_task(&mut cluster);
+    let epoch = cluster.store.epoch;
+    cluster.leaders.remove(&epoch);
+    cluster.elect();
+    // The lost leader may have extended the lease of the lost worker for 7 s.
+    run_with_urgent_arrivals(&mut cluster, seconds(12));
+    run_with_urgent_arrivals(&mut cluster, seconds(3));
+    expect_that!(count_runs(&cluster, "a"), eq(2));
+}
+
+// Lasting tasks of many steps are lost at once: their restarts must not take every call in their turn.
+#[gtest]
+fn urgent_steps_get_advice_beside_many_overdue_restarts() {
+    let mut cluster = cluster_with_lasting_tasks(66);
+    for number in 0..24 {
+        let one_core = StepSpec { label: Some(kind_label(0)), ..lasting(1, 1) };
+        cluster.submit("watched", &format!("lost-{number}"), vec![one_core]);
+    }
+    cluster.run(seconds(8));
+    let holds_lasting_tasks =
+        |worker: &&mut ModelWorker| worker.registration.labels.contains(&kind_label(0));
+    cluster.workers.values_mut().filter(holds_lasting_tasks).for_each(|worker| worker.up = false);
+    run_with_urgent_arrivals(&mut cluster, seconds(6));
+    let before = cluster.started_runs;
+    run_with_urgent_arrivals(&mut cluster, seconds(5));
+    expect_that!(cluster.started_runs - before, ge(100));
+}
