--- a/src/graph/workload/absences.rs
+++ b/src/graph/workload/absences.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::graph::workload::name::{StepKey, TaskKey};
+use crate::graph::workload::name::TaskKey;
 
 /// The absent tasks of a job, each until its worker has reported the next run as begun.
 #[derive(Clone, Debug, Default)]
@@ -23,10 +23,14 @@
         self.since.remove(task);
     }
 
-    /// Since when the task of a step that has been absent longest has not run.
-    pub(crate) fn longest_of(&self, step: StepKey) -> Option<Instant> {
-        let tasks = TaskKey { step, index: 0 }..=TaskKey { step, index: u32::MAX };
-        self.since.range(tasks).map(|(_, since)| *since).min()
+    /// Since when a task has not run; `None` if it is not absent.
+    pub(crate) fn since(&self, task: &TaskKey) -> Option<Instant> {
+        self.since.get(task).copied()
+    }
+
+    /// Whether no task is absent.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.since.is_empty()
     }
 
     /// The absent tasks, with the time since which each has not run.
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -336,12 +336,15 @@
         self.share.as_ref().is_some_and(|share| share.owner != self.shard)
     }
 
+    /// Whether this shard runs a task.
+    pub(crate) fn holds_task(&self, task: &TaskKey) -> bool {
+        let count = self.step(task.step).map_or(0, |step| step.count);
+        self.share.as_ref().is_none_or(|share| share.holds(&self.shard, task.index, count))
+    }
+
     /// Tasks of a step that this leader has to run, that have not succeeded and have no live run.
     pub fn waiting(&self, key: StepKey) -> Vec<TaskKey> {
         let count = self.step(key).map_or(0, |step| step.count);
-        let in_this_shard = |index: &u32| {
-            self.share.as_ref().is_none_or(|share| share.holds(&self.shard, *index, count))
-        };
         // If a task were started before the store has its raised floor, the end of an earlier run might still
         // be acknowledged later.
         let floor_stored =
@@ -349,8 +352,8 @@
         let announcement_stored =
             |task: &TaskKey| self.progress.announced.get(task) == self.stored_announced.get(task);
         (0..count)
-            .filter(in_this_shard)
             .map(|index| TaskKey { step: key, index })
+            .filter(|task| self.holds_task(task))
             .filter(|task| !self.progress.is_done(task) && !self.live.contains_key(task))
             .filter(|task| floor_stored(task) && announcement_stored(task))
             .collect()
@@ -402,9 +405,14 @@
         }
     }
 
-    /// When the restart of an absent lasting task of a step becomes overdue.
+    /// When the restart of the waiting task of a step that has been absent longest becomes overdue.
     pub(crate) fn restart_due(&self, key: StepKey) -> Option<Instant> {
-        self.absences.longest_of(key).map(|since| since + RESTART_GRACE)
+        if self.absences.is_empty() {
+            return None;
+        }
+        let waiting = self.waiting(key).into_iter();
+        let first = waiting.filter_map(|task| self.absences.since(&task)).min()?;
+        Some(first + RESTART_GRACE)
     }
 
     /// Time from submission within which the job keeps its full value.
