--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -13,6 +13,7 @@
 mod large_values;
 mod lasting;
 mod late_calls;
+mod late_restarts;
 mod leaving;
 mod links;
 mod model_worker;
