--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -21,7 +21,7 @@
 use crate::graph::controller::submissions::DeferredSubmission;
 use crate::graph::event::{GraphAction, PollResult};
 use crate::graph::exchange::{TicketText, UsedWorker, WorkerRegistration};
-use crate::graph::placement::advice::{AdviceId, AdviceTable};
+use crate::graph::placement::advice::{AdviceCall, AdviceId, AdviceTable};
 use crate::graph::placement::evacuation::plan_evacuation;
 use crate::graph::placement::home::UnsettledDomains;
 use crate::graph::placement::placer::{PassView, PlacementPass};
@@ -616,7 +616,13 @@
         for preemption in plan.preemptions {
             self.preempt(now, preemption);
         }
-        for call in self.advice.assign(now, plan.advice_requests) {
+        let overdue = plan.overdue_request;
+        let mut calls: Vec<AdviceCall> = overdue
+            .and_then(|request| self.advice.assign_overdue(now, request))
+            .into_iter()
+            .collect();
+        calls.extend(self.advice.assign(now, plan.advice_requests));
+        for call in calls {
             let (job, step) = &call.key;
             let (entry, workers) = (&*call.entry, call.workers.len());
             info!(job = &**job, step = step.step, entry, workers, call = call.id; "advice asked");
--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -11,6 +11,7 @@
 
 use crate::graph::exchange::TicketText;
 use crate::graph::placement::advice_reserve::AdviceReserve;
+use crate::graph::placement::overdue_share::OverdueShare;
 use crate::graph::workload::name::{GraphId, QueueId, StepKey};
 use crate::graph::workload::queue::AdviceRule;
 use crate::id::{EntryId, WorkerId};
@@ -130,6 +131,7 @@
     entries: BTreeSet<EntryId>,
     shares: BTreeMap<QueueId, f64>,
     reserve: AdviceReserve,
+    overdue_share: OverdueShare,
     last_id: AdviceId,
 }
 
@@ -159,29 +161,20 @@
     /// Opens calls for as many requests as there are idle entries. The requests are ordered by
     /// urgency.
     pub fn assign(&mut self, now: Instant, advice_requests: Vec<AdviceRequest>) -> Vec<AdviceCall> {
-        let busy: BTreeSet<&EntryId> = self.calls.values().map(|open| &open.call.entry).collect();
-        let idle = self.entries.iter().filter(|entry| !busy.contains(entry));
-        let mut idle: Vec<EntryId> = idle.cloned().collect();
+        let mut idle = self.idle();
         if idle.is_empty() {
             return Vec::new();
         }
         let includes_short = advice_requests.iter().any(|request| request.time() <= LONG_CALL);
         self.reserve.note_requests(now, includes_short);
-        let (reserved, is_released) = (self.reserved_entries(), self.reserve.is_released(now));
+        let reserved = self.reserved_entries();
         let (mut calls_made, mut is_waiting) = (Vec::new(), false);
         for request in advice_requests {
             let time = request.time();
-            let is_long = time > LONG_CALL;
-            let lacks_tickets = is_long && !self.has_tickets(&request.key, now);
-            let reserved_here = match is_long {
-                true if lacks_tickets && is_released => 0,
-                true => reserved,
-                false => 0,
-            };
             if idle.len() <= reserved {
-                is_waiting |= lacks_tickets;
+                is_waiting |= time > LONG_CALL && !self.has_tickets(&request.key, now);
             }
-            if idle.len() <= reserved_here {
+            if idle.len() <= self.entries_left_free(now, &request) {
                 continue;
             }
             let Some(entry) = idle.pop() else {
@@ -193,6 +186,43 @@
         calls_made
     }
 
+    /// Opens the call for an overdue step that comes before all others, unless no entry can make it.
+    pub(crate) fn assign_overdue(
+        &mut self,
+        now: Instant,
+        request: AdviceRequest,
+    ) -> Option<AdviceCall> {
+        let time = request.time();
+        self.reserve.note_requests(now, time <= LONG_CALL);
+        let mut idle = self.idle();
+        if idle.len() <= self.entries_left_free(now, &request) {
+            return None;
+        }
+        let entry = idle.pop()?;
+        self.overdue_share.note_call(now, time, self.entries.len());
+        Some(self.open(now, entry, request, time + CALL_SLACK))
+    }
+
+    /// Whether an overdue step may come before all others.
+    pub(crate) fn is_overdue_call_due(&self, now: Instant) -> bool {
+        self.overdue_share.is_due(now)
+    }
+
+    /// Entries without an open call.
+    fn idle(&self) -> Vec<EntryId> {
+        let busy: BTreeSet<&EntryId> = self.calls.values().map(|open| &open.call.entry).collect();
+        self.entries.iter().filter(|entry| !busy.contains(entry)).cloned().collect()
+    }
+
+    /// Number of idle entries that a call for a request leaves free.
+    fn entries_left_free(&self, now: Instant, request: &AdviceRequest) -> usize {
+        match request.time() > LONG_CALL {
+            true if self.reserve.is_released(now) && !self.has_tickets(&request.key, now) => 0,
+            true => self.reserved_entries(),
+            false => 0,
+        }
+    }
+
     /// Whether a step has a usable ticket.
     fn has_tickets(&self, key: &AdviceKey, now: Instant) -> bool {
         self.steps.get(key).is_some_and(|step| step.tickets(now).next().is_some())
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -20,6 +20,7 @@
 use crate::graph::admission::allowance::WorkspaceAllowances;
 use crate::graph::placement::advice::{AdviceRequest, AdviceTable};
 use crate::graph::placement::home::UnsettledDomains;
+use crate::graph::placement::placer::advice_requests::OverdueRank;
 use crate::graph::placement::placer::speed_order::{SpeedOrder, SpeedPreference};
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
 use crate::graph::placement::preemption::{PlannedPreemption, ReservationTable, may_stop};
@@ -75,6 +76,8 @@
     pub preemptions: Vec<PlannedPreemption>,
     /// Advice to request, most urgent first.
     pub advice_requests: Vec<AdviceRequest>,
+    /// The request of an overdue step that comes before these.
+    pub overdue_request: Option<AdviceRequest>,
     /// Jobs that should use an additional failure domain.
     pub widened: Vec<(GraphId, DomainId)>,
     /// Number of steps that the pass looked at.
@@ -207,6 +210,8 @@
     /// requests of twelve such steps kept a small step from ever getting advice, although it had
     /// capacity everywhere.
     renewals: Vec<AdviceRequest>,
+    /// Rank of the overdue step whose request comes first.
+    overdue_rank: Option<OverdueRank>,
 }
 
 impl<'t> PlacementPass<'t> {
@@ -248,6 +253,7 @@
             allowances: WorkspaceAllowances::new(view.limits, view.usage),
             plan: PassPlan::default(),
             renewals: Vec::new(),
+            overdue_rank: None,
         }
     }
 
--- a/src/graph/placement/placer/advice_requests.rs
+++ b/src/graph/placement/placer/advice_requests.rs
@@ -7,7 +7,7 @@
 
 use crate::graph::placement::advice::{AdviceRequest, LONG_CALL, MAX_WORKERS_PER_CALL, StepAdvice};
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
-use crate::graph::placement::placer::{OpenStep, PlacementPass};
+use crate::graph::placement::placer::{OpenStep, PlacementPass, VALUE_EXPIRY_FACTOR};
 use crate::graph::workload::job::GraphJob;
 use crate::graph::workload::name::{StepKey, TaskKey};
 use crate::graph::workload::queue::AdviceRule;
@@ -70,7 +70,7 @@
         let Some(rule) = step.job.rule.advice else {
             return false;
         };
-        let enough = self.plan.advice_requests.len() >= self.requests_left;
+        let enough = self.has_enough_requests() && self.overdue_rank(step, has_capacity).is_none();
         // A step whose result is worthless gets only capacity that no other step can use.
         let is_hopeless = step.order.value_expired && !has_capacity;
         if enough || is_hopeless || (step.ready && self.starts_left == 0) {
@@ -88,6 +88,27 @@
             && (step.ready || self.starts_soon(step))
     }
 
+    /// Whether no more requests could be sent now.
+    fn has_enough_requests(&self) -> bool {
+        self.plan.advice_requests.len() >= self.requests_left
+    }
+
+    /// The rank of a step among those whose request may come before all others; `None` if it may not, or if another
+    /// one ranks before it.
+    ///
+    /// Steps that are late or without value come after all that are in time. Where calls are short they would wait
+    /// as long as the load lasts, beside free capacity.
+    fn overdue_rank(&self, step: &OpenStep<'t>, has_capacity: bool) -> Option<OverdueRank> {
+        let is_due = self.requests_left > 0 && self.view.advice.is_overdue_call_due(self.view.now);
+        if !(step.order.late && step.ready && has_capacity && is_due) {
+            return None;
+        }
+        let overdue_time = step.job.objective() * (VALUE_EXPIRY_FACTOR - 1);
+        let due = step.order.latest_start.checked_sub(overdue_time).unwrap_or(self.view.now);
+        let rank = OverdueRank { repeated: !self.has_no_advice(step), due };
+        self.overdue_rank.is_none_or(|first| rank < first).then_some(rank)
+    }
+
     /// Whether a call that only renews tickets could be made if no other advice were requested.
     fn may_renew(&self, rule: &AdviceRule) -> bool {
         let reserved = if rule.call > LONG_CALL { self.reserved_entries } else { 0 };
@@ -110,7 +131,9 @@
             return;
         };
         let key = (step.job.spec.id.clone(), step.key);
-        let enough = self.plan.advice_requests.len() >= self.requests_left;
+        let has_space = self.has_space(step.step.reservation());
+        let overdue_rank = self.overdue_rank(step, has_space);
+        let enough = self.has_enough_requests() && overdue_rank.is_none();
         if enough || !self.view.advice.may_request(&key, self.view.now) {
             return;
         }
@@ -121,6 +144,12 @@
         let queue = step.job.rule.id.clone();
         let request = AdviceRequest { key, queue, rule, workers };
         match useful {
+            true if overdue_rank.is_some() => {
+                self.overdue_rank = overdue_rank;
+                let replaced = self.plan.overdue_request.replace(request);
+                let may_send = !self.has_enough_requests();
+                self.plan.advice_requests.extend(replaced.filter(|_| may_send));
+            }
             true => self.plan.advice_requests.push(request),
             false => {
                 let reserved = if request.time() > LONG_CALL { self.reserved_entries } else { 0 };
@@ -241,6 +270,15 @@
     }
 }
 
+/// Order of the overdue steps whose requests may come before all others.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct OverdueRank {
+    /// A step that finds no place for all its tasks requests advice again and again.
+    repeated: bool,
+    /// Latest start with which its job would have been in time.
+    due: Instant,
+}
+
 /// A worker that a call may name.
 struct AskedWorker<'p, 't> {
     capacity: &'p WorkerCapacity<'t>,
