--- a/src/graph/controller/absences.rs
+++ b/src/graph/controller/absences.rs
@@ -16,10 +16,10 @@
     /// Reports the lasting task that has been absent longest.
     pub(super) fn report_absences(&self, now: Instant) {
         let mut tasks = 0_u32;
-        let absences = self
-            .jobs
-            .schedulable()
-            .flat_map(|job| job.absences.iter().map(move |(task, since)| (since, job, *task)));
+        let absences = self.jobs.schedulable().flat_map(|job| {
+            let here = job.absences.iter().filter(|(task, _)| job.holds_task(task));
+            here.map(move |(task, since)| (since, job, *task))
+        });
         let longest = absences.inspect(|_| tasks += 1).min_by_key(|(since, ..)| *since);
         let absence = longest.as_ref().map(|(since, ..)| now.saturating_duration_since(*since));
         let absence = absence.unwrap_or_default();
