--- a/tests/graph/main.rs
+++ b/tests/graph/main.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod large_values;
 mod lasting;
+mod lasting_gaps;
 mod late_calls;
 mod leaving;
 mod links;
--- a/tests/graph/sim_cluster.rs
+++ b/tests/graph/sim_cluster.rs
@@ -99,6 +99,14 @@
     verdict_times: BTreeMap<GraphId, Instant>,
     /// Workers that advice allows for every step; `None` lets it depend on the workers' numbers.
     pub(crate) allowed: Option<BTreeSet<WorkerId>>,
+    /// Share of the workers, in percent, that advice allows for steps of a queue: other ones for each step.
+    pub(crate) allowed_percents: BTreeMap<QueueId, u32>,
+    /// Capacities of workers added from now on, in turn by their numbers.
+    pub(crate) capacities: Vec<ResourceVector>,
+    /// Speeds in percent of workers added from now on, in turn by their numbers.
+    pub(crate) speed_percents: Vec<u32>,
+    /// Number of entries through which leaders elected from now on make calls.
+    pub(crate) entries: u32,
     /// How much older than their lease the registrations may be by which leaders elected from now on start work.
     pub(crate) registration_lag: Option<Duration>,
     /// How long callers wait.
@@ -277,6 +285,10 @@
             done_tasks: BTreeSet::new(),
             verdict_times: BTreeMap::new(),
             allowed: None,
+            allowed_percents: BTreeMap::new(),
+            capacities: vec![ResourceVector::new(8_000, 16_000, 0)],
+            speed_percents: vec![100],
+            entries: 5,
             registration_lag: None,
             caller_timeout: Duration::from_secs(3),
             failure_permille: 0,
@@ -327,13 +339,13 @@
         let registration = WorkerRegistration {
             id: id.clone(),
             instance_start: Some(self.unix()),
-            address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
+            address: format!("10.0.{}.{}:80", number / 250, number % 250 + 1).parse().unwrap(),
             service: "svc".into(),
             domain: format!("d{}", number % self.domains).into(),
             rack: format!("r1-{}", number / 4).into(),
             labels,
             machine: None,
-            capacity: ResourceVector::new(8_000, 16_000, 0),
+            capacity: self.capacities[number as usize % self.capacities.len()],
             leaving: None,
         };
         let rate = self.rng.random_range(980..=1_000);
@@ -347,6 +359,7 @@
         self.workers.retain(|_, worker| worker.registration.address != registration.address);
         let mut worker = ModelWorker::new(registration.clone(), self.now, rate);
         worker.max_listed_ends = self.max_listed_ends;
+        worker.speed_percent = self.speed_percents[number as usize % self.speed_percents.len()];
         self.workers.insert(id, worker);
         for (epoch, leader) in &mut self.leaders {
             register(
@@ -403,7 +416,9 @@
             leader = leader.with_registration_lag(lag);
         }
         leader.set_config(self.config.clone());
-        leader.set_entries((0..5).map(|entry| EntryId::from(format!("e{entry}"))).collect());
+        leader.set_entries(
+            (0..self.entries).map(|entry| EntryId::from(format!("e{entry}"))).collect(),
+        );
         leader.note_lease_renewal(self.now);
         for worker in self.workers.values().filter(|worker| worker.up) {
             register(&self.plan, shard, &mut leader, self.now, worker.registration.clone());
@@ -904,20 +919,8 @@
             Message::Heartbeat { worker } => self.heartbeat(&worker),
             Message::Departure { worker } => self.depart(&worker),
             Message::Advised { leader, call } => {
-                // Denies one worker in eight (of each shard, where there are several), so that
-                // every step that a run submits can still be placed.
-                let divisor = if self.plan.is_divided() { self.domains } else { 1 };
-                let digits = if self.plan.is_divided() { 2 } else { 1 };
-                let number = |worker: &str| {
-                    let text = worker[1..=digits].trim_end_matches('-');
-                    text.parse::<u32>().unwrap_or(0) / divisor
-                };
-                let job = call.key.0.bytes().map(u32::from).sum::<u32>();
-                let denied = |worker: &WorkerId| match &self.allowed {
-                    Some(allowed) => !allowed.contains(worker),
-                    None => (number(worker) + job) % 8 == 0,
-                };
-                let allowed = call.workers.iter().filter(|worker| !denied(worker));
+                let is_allowed = |worker: &&WorkerId| self.is_allowed(&call.key, worker);
+                let allowed = call.workers.iter().filter(is_allowed);
                 let allowed = allowed.map(|worker| (worker.clone(), "t".into())).collect();
                 if let Some(leader) = self.leaders.get_mut(&leader) {
                     leader.handle_advice(now, call.id, Some(allowed));
@@ -926,6 +929,33 @@
         }
     }
 
+    /// Whether advice allows a worker for a step. By default it denies one worker in eight (of each shard, where there are
+    /// several), so that every step that a run submits can still be placed.
+    pub(crate) fn is_allowed(&self, key: &AdviceKey, worker: &WorkerId) -> bool {
+        let divisor = if self.plan.is_divided() { self.domains } else { 1 };
+        let digits = if self.plan.is_divided() { 2 } else { 1 };
+        let name = key.0.bytes().map(u32::from).sum::<u32>();
+        let number = || {
+            let text = worker[1..=digits].trim_end_matches('-');
+            text.parse::<u32>().unwrap_or(0) / divisor
+        };
+        let leaders = self.leaders.values();
+        let job = leaders.filter_map(|leader| leader.jobs().get(&key.0)).next();
+        let percent = job.and_then(|job| self.allowed_percents.get(&job.rule.id));
+        match (&self.allowed, percent) {
+            (Some(allowed), _) => allowed.contains(worker),
+            (None, Some(percent)) => {
+                let text = format!("{}.{}.{}", key.0, key.1.step, worker);
+                let hash = text.bytes().fold(2_166_136_261_u32, |hash, byte| {
+                    (hash ^ u32::from(byte)).wrapping_mul(16_777_619)
+                });
+                (hash ^ (hash >> 15)).wrapping_mul(0x85eb_ca6b) >> 8 & 0xffff
+                    < percent * 0xffff / 100
+            }
+            (None, None) => (number() + name) % 8 != 0,
+        }
+    }
+
     /// A worker that calls reach now; those that it has held are carried out also while it is cut off.
     fn reachable(&mut self, worker: &WorkerId) -> Option<&mut ModelWorker> {
         let is_held = self.carries_out_late;
