--- a/tests/graph/lasting_gaps.rs
+++ b/tests/graph/lasting_gaps.rs
@@ -557,3 +557,25 @@
         expect_that!(lossy.observer.overdue(), is_empty(), "seed {seed}");
     }
 }
+
+// Workers were full of runs that a lasting task may preempt. Those on a leaving worker were stopped only where another
+// worker had free capacity, so they stayed for all ten seconds and were lost with it.
+#[gtest]
+fn lasting_tasks_move_off_a_leaving_worker_where_runs_can_be_preempted() {
+    for seed in 0..4 {
+        let mut cluster = SimCluster::new(seed, 8);
+        remove_slack(&mut cluster, "now");
+        cluster.run(seconds(1));
+        cluster.submit("now", "a", vec![one_per_worker(3, Some(1))]);
+        cluster.run(seconds(1));
+        cluster.submit("later", "full", vec![step(100, 2, 60_000)]);
+        cluster.run(seconds(3));
+        let is_used = |worker: &&ModelWorker| worker.runs.keys().any(|task| &*task.job == "a");
+        let leaving = cluster.workers.values().find(is_used).unwrap().id().clone();
+        cluster.announce_leaving(&leaving, NOTICE);
+        cluster.run(seconds(8));
+        expect_that!(count_runs(&cluster, "a"), eq(3), "seed {seed}");
+        let stays = cluster.workers.values().filter(is_used).any(|worker| *worker.id() == leaving);
+        expect_that!(stays, eq(false), "seed {seed}");
+    }
+}
