--- a/tests/graph/lasting_gaps.rs
+++ b/tests/graph/lasting_gaps.rs
@@ -615,3 +615,20 @@
         }
     }
 }
+
+// The only free capacity was on workers that advice does not allow. A lasting task on a leaving worker was stopped for it and
+// ran nowhere, while the worker stayed for ten seconds.
+#[gtest]
+fn lasting_tasks_are_not_stopped_for_capacity_that_advice_denies() {
+    for seed in 0..4 {
+        let mut cluster = SimCluster::new(seed, 6);
+        cluster.allowed = Some(["w0-0".into(), "w1-0".into()].into());
+        cluster.run(seconds(1));
+        cluster.submit("watched", "a", vec![one_per_worker(2, None)]);
+        cluster.run(seconds(3));
+        expect_that!(count_runs(&cluster, "a"), eq(2), "seed {seed}");
+        cluster.announce_leaving(&"w0-0".into(), NOTICE);
+        cluster.run(seconds(8));
+        expect_that!(count_runs(&cluster, "a"), eq(2), "seed {seed}");
+    }
+}
