--- a/tests/graph/lasting_gaps.rs
+++ b/tests/graph/lasting_gaps.rs
@@ -632,3 +632,26 @@
         expect_that!(count_runs(&cluster, "a"), eq(2), "seed {seed}");
     }
 }
+
+// Each worker was full of small runs and a large one, all of a less urgent queue. The runs that lose the least work were
+// chosen first, three at most, and freed too little; the large one would have been enough.
+#[gtest]
+fn a_lasting_task_preempts_one_large_run_where_three_small_ones_free_too_little() {
+    for seed in 0..4 {
+        let mut cluster = SimCluster::new(seed, 4);
+        remove_slack(&mut cluster, "now");
+        cluster.run(seconds(1));
+        let per_worker = |count, cores| StepSpec {
+            checkpoints: true,
+            max_per_worker: Some(count / 4),
+            ..step(count, cores, 600_000)
+        };
+        cluster.submit("later", "large", vec![per_worker(4, 5)]);
+        cluster.submit("later", "small", vec![per_worker(12, 1)]);
+        cluster.run(seconds(2));
+        expect_that!(count_runs(&cluster, "large") + count_runs(&cluster, "small"), eq(16));
+        cluster.submit("now", "a", vec![StepSpec { lasting: true, ..step(1, 4, 600_000) }]);
+        cluster.run(seconds(10));
+        expect_that!(count_runs(&cluster, "a"), eq(1), "seed {seed}");
+    }
+}
