--- a/tests/graph/lasting_gaps.rs
+++ b/tests/graph/lasting_gaps.rs
@@ -352,7 +352,7 @@
         set_advice(&mut cluster);
         cluster.allowed_percents.insert("watched".into(), 60);
         cluster.keep_ids(seed);
-        cluster.refuses_when_down = seed % 2 == 0;
+        cluster.refuses_when_down = seed.is_multiple_of(2);
         cluster.run(seconds(10));
         for job in ["a", "b"] {
             cluster.submit("watched", job, vec![one_per_worker(6, Some(1))]);
@@ -664,7 +664,7 @@
     for seed in 0..4 {
         let mut cluster = SimCluster::new(seed, 2);
         cluster.keep_ids(seed);
-        cluster.refuses_when_down = seed % 2 == 0;
+        cluster.refuses_when_down = seed.is_multiple_of(2);
         cluster.run(seconds(10));
         let lost = WorkerId::from("w0-0");
         cluster.crash_and_restart(&lost, Duration::from_millis(300));
