--- a/src/graph/placement/preemption.rs
+++ b/src/graph/placement/preemption.rs
@@ -4,6 +4,7 @@
 //! are full of long work. Only runs that lose little work are stopped, and the capacity stays
 //! reserved for the task until the stopped runs have ended.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -104,8 +105,8 @@
     }
 }
 
-/// The runs to stop on a worker so that `need` fits, those that lose the least work first. `None`
-/// if stopping them frees too little or loses too much.
+/// The runs to stop on a worker so that `need` fits: those that lose the least work, or the largest ones where these free
+/// too little. `None` if stopping them frees too little or loses too much.
 pub(crate) fn choose_victims(
     instance: &WorkerInstance,
     now: Instant,
@@ -124,6 +125,19 @@
     // On a worker whose capacity has shrunk, the excess must be freed as well: without this, one
     // run was stopped for each urgent task to no effect.
     let need = need.saturating_add(&instance.excess());
+    let victims = first_victims(&candidates, free, &need).or_else(|| {
+        candidates.sort_by_key(|(_, _, run)| Reverse((run.need.millicores, run.need.memory_mib)));
+        first_victims(&candidates, free, &need)
+    });
+    victims.filter(|(lost, _)| *lost <= budget * MAX_LOSS_RATIO)
+}
+
+/// As many of the first candidates as free enough for `need`, with the work that they lose.
+fn first_victims(
+    candidates: &[(f64, &TaskName, &WorkerRun)],
+    free: &ResourceVector,
+    need: &ResourceVector,
+) -> Option<(f64, Vec<TaskName>)> {
     let mut capacity = *free;
     let (mut lost, mut chosen) = (0.0, Vec::new());
     for (work_lost, task, run) in candidates {
@@ -132,9 +146,9 @@
         }
         capacity = capacity.saturating_add(&run.need);
         lost += work_lost;
-        chosen.push(task.clone());
+        chosen.push((*task).clone());
     }
-    (need.fits(&capacity) && lost <= budget * MAX_LOSS_RATIO).then_some((lost, chosen))
+    need.fits(&capacity).then_some((lost, chosen))
 }
 
 /// Whether a run may be preempted: its worker has confirmed it, and it is neither a member of a gang, whose
