--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -25,6 +25,7 @@
 use crate::graph::placement::advice::{AdviceCall, AdviceId, AdviceTable};
 use crate::graph::placement::evacuation::plan_evacuation;
 use crate::graph::placement::home::UnsettledDomains;
+use crate::graph::placement::overdue_share::OverdueKind;
 use crate::graph::placement::placer::{PassView, PlacementPass};
 use crate::graph::placement::preemption::ReservationTable;
 use crate::graph::placement::serving_index::ServingIndex;
@@ -617,10 +618,11 @@
         for preemption in plan.preemptions {
             self.preempt(now, preemption);
         }
-        let overdue = plan.overdue_request;
+        let restart = plan.restart_request.map(|request| (OverdueKind::Restart, request));
+        let late = plan.overdue_request.map(|request| (OverdueKind::Late, request));
+        let overdue = restart.into_iter().chain(late);
         let mut calls: Vec<AdviceCall> = overdue
-            .and_then(|request| self.advice.assign_overdue(now, request))
-            .into_iter()
+            .filter_map(|(kind, request)| self.advice.assign_overdue(now, kind, request))
             .collect();
         calls.extend(self.advice.assign(now, plan.advice_requests));
         for call in calls {
--- a/src/graph/placement.rs
+++ b/src/graph/placement.rs
@@ -5,7 +5,7 @@
 pub(super) mod evacuation;
 pub(super) mod home;
 pub(super) mod need_bound;
-mod overdue_share;
+pub(super) mod overdue_share;
 pub(super) mod placer;
 pub(super) mod preemption;
 pub(super) mod serving_index;
--- a/src/graph/placement/advice.rs
+++ b/src/graph/placement/advice.rs
@@ -11,7 +11,7 @@
 
 use crate::graph::exchange::TicketText;
 use crate::graph::placement::advice_reserve::AdviceReserve;
-use crate::graph::placement::overdue_share::OverdueShare;
+use crate::graph::placement::overdue_share::{OverdueKind, OverdueShares};
 use crate::graph::workload::name::{GraphId, QueueId, StepKey};
 use crate::graph::workload::queue::AdviceRule;
 use crate::id::{EntryId, WorkerId};
@@ -46,6 +46,7 @@
     /// Workers that are not allowed.
     pub denied: BTreeSet<WorkerId>,
     open_call: Option<AdviceId>,
+    last_call: Option<Instant>,
     retry_at: Option<Instant>,
 }
 
@@ -90,8 +91,6 @@
     pub rule: AdviceRule,
     /// Workers to ask about.
     pub workers: Vec<WorkerId>,
-    /// Whether the restart of a lasting task of the step is overdue.
-    pub is_restart: bool,
 }
 
 impl AdviceRequest {
@@ -122,7 +121,6 @@
     call: AdviceCall,
     queue: QueueId,
     rule: AdviceRule,
-    is_restart: bool,
     sent: Instant,
 }
 
@@ -134,7 +132,7 @@
     entries: BTreeSet<EntryId>,
     shares: BTreeMap<QueueId, f64>,
     reserve: AdviceReserve,
-    overdue_share: OverdueShare,
+    overdue_shares: OverdueShares,
     last_id: AdviceId,
 }
 
@@ -172,7 +170,7 @@
         self.reserve.note_requests(now, includes_short);
         let reserved = self.reserved_entries();
         let (mut calls_made, mut is_waiting) = (Vec::new(), false);
-        for request in self.limit_restarts(advice_requests) {
+        for request in advice_requests {
             let time = request.time();
             if idle.len() <= reserved {
                 is_waiting |= time > LONG_CALL && !self.has_tickets(&request.key, now);
@@ -189,44 +187,37 @@
         calls_made
     }
 
-    /// Puts the requests for overdue restarts beyond the limit of such calls behind all others, as usual ones.
-    fn limit_restarts(&self, advice_requests: Vec<AdviceRequest>) -> Vec<AdviceRequest> {
-        let open = self.calls.values().filter(|open| open.is_restart).count();
-        let mut left = AdviceReserve::max_restart_calls(self.entries.len()).saturating_sub(open);
-        let (mut first, mut last) = (Vec::new(), Vec::new());
-        for request in advice_requests {
-            match request.is_restart {
-                true if left == 0 => last.push(AdviceRequest { is_restart: false, ..request }),
-                is_restart => {
-                    left -= usize::from(is_restart);
-                    first.push(request);
-                }
-            }
-        }
-        first.extend(last);
-        first
-    }
-
     /// Opens the call for an overdue step that comes before all others, unless no entry can make it.
     pub(crate) fn assign_overdue(
         &mut self,
         now: Instant,
+        kind: OverdueKind,
         request: AdviceRequest,
     ) -> Option<AdviceCall> {
         let time = request.time();
         self.reserve.note_requests(now, time <= LONG_CALL);
+        let left_free = match kind {
+            // Short calls alone keep all other entries busy where they are the load.
+            OverdueKind::Restart => 0,
+            OverdueKind::Late => self.entries_left_free(now, &request),
+        };
         let mut idle = self.idle();
-        if idle.len() <= self.entries_left_free(now, &request) {
+        if idle.len() <= left_free {
             return None;
         }
         let entry = idle.pop()?;
-        self.overdue_share.note_call(now, time, self.entries.len());
+        self.overdue_shares.note_call(now, kind, time, self.entries.len());
         Some(self.open(now, entry, request, time + CALL_SLACK))
     }
 
     /// Whether an overdue step may come before all others.
-    pub(crate) fn is_overdue_call_due(&self, now: Instant) -> bool {
-        self.overdue_share.is_due(now)
+    pub(crate) fn is_overdue_call_due(&self, now: Instant, kind: OverdueKind) -> bool {
+        self.overdue_shares.is_due(now, kind)
+    }
+
+    /// When the last call for a step was sent.
+    pub(crate) fn last_call(&self, key: &AdviceKey) -> Option<Instant> {
+        self.steps.get(key)?.last_call
     }
 
     /// Entries without an open call.
@@ -238,7 +229,6 @@
     /// Number of idle entries that a call for a request leaves free.
     fn entries_left_free(&self, now: Instant, request: &AdviceRequest) -> usize {
         match request.time() > LONG_CALL {
-            true if request.is_restart => 0,
             true if self.reserve.is_released(now) && !self.has_tickets(&request.key, now) => 0,
             true => self.reserved_entries(),
             false => 0,
@@ -258,11 +248,11 @@
         time: Duration,
     ) -> AdviceCall {
         self.last_id += 1;
-        let AdviceRequest { key, queue, rule, workers, is_restart } = request;
+        let AdviceRequest { key, queue, rule, workers } = request;
         let call = AdviceCall { id: self.last_id, entry, key: key.clone(), workers, time };
-        self.steps.entry(key).or_default().open_call = Some(call.id);
-        let open_call = OpenCall { call: call.clone(), queue, rule, is_restart, sent: now };
-        self.calls.insert(call.id, open_call);
+        let step = self.steps.entry(key).or_default();
+        (step.open_call, step.last_call) = (Some(call.id), Some(now));
+        self.calls.insert(call.id, OpenCall { call: call.clone(), queue, rule, sent: now });
         call
     }
 
--- a/src/graph/placement/advice_reserve.rs
+++ b/src/graph/placement/advice_reserve.rs
@@ -1,5 +1,4 @@
-//! Entries that long calls for advice leave free for short ones, and entries that overdue restarts may use before all
-//! others.
+//! Entries that long calls for advice leave free for short ones.
 
 use std::time::Duration;
 
@@ -10,9 +9,6 @@
 /// Entries for each one that long calls leave free. Where few are left, long calls need most of them: one entry makes two a
 /// second.
 const ENTRIES_PER_RESERVED: usize = 3;
-/// Entries for each one whose calls may serve overdue restarts of lasting tasks before other steps, however urgent those
-/// are: the others still make most calls while a rack of lasting tasks is restarted.
-const ENTRIES_PER_RESTART: usize = 4;
 /// Time without a request for a short call after which steps without tickets may use all entries.
 const SHORT_CALL_PAUSE: Duration = Duration::from_secs(2);
 /// Time for which such steps have waited beside free entries before they use all of them. A shorter wait ends with the
@@ -34,11 +30,6 @@
         MAX_RESERVED_ENTRIES.min(entries / ENTRIES_PER_RESERVED)
     }
 
-    /// Number of calls for overdue restarts that are made before all others. A single entry makes none.
-    pub(crate) fn max_restart_calls(entries: usize) -> usize {
-        entries.div_ceil(ENTRIES_PER_RESTART).min(entries.saturating_sub(1))
-    }
-
     /// Notes whether one of the current requests is for a short call. A new leader does not know of earlier ones.
     pub(crate) fn note_requests(&mut self, now: Instant, includes_short: bool) {
         if includes_short || self.last_short_request.is_none() {
--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -76,6 +76,8 @@
     pub preemptions: Vec<PlannedPreemption>,
     /// Advice to request, most urgent first.
     pub advice_requests: Vec<AdviceRequest>,
+    /// The request of a step with an overdue restart that comes before all others.
+    pub restart_request: Option<AdviceRequest>,
     /// The request of an overdue step that comes before these.
     pub overdue_request: Option<AdviceRequest>,
     /// Jobs that should use an additional failure domain.
@@ -92,9 +94,6 @@
 /// Order in which steps are served.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct ServingOrder {
-    /// Whether it is behind the steps with an overdue restart of a lasting task. Such a restart goes first, also before
-    /// more urgent steps: these may take every call for advice for as long as their load lasts.
-    pub(crate) may_wait: bool,
     pub(crate) value_expired: bool,
     pub(crate) priority: u32,
     /// Jobs beyond the rate of their workspace come after all others of their priority.
@@ -124,8 +123,7 @@
         let latest_start =
             (now + value_duration).checked_sub(elapsed + critical_path).unwrap_or(now);
         let (priority, exceeds_rate) = (job.rule.priority, job.exceeds_rate);
-        let may_wait = job.restart_due(key).is_none_or(|due| now < due);
-        Self { may_wait, value_expired, priority, exceeds_rate, latest_start, late }
+        Self { value_expired, priority, exceeds_rate, latest_start, late }
     }
 }
 
@@ -216,6 +214,8 @@
     renewals: Vec<AdviceRequest>,
     /// Rank of the overdue step whose request comes first.
     overdue_rank: Option<OverdueRank>,
+    /// Since when the step with an overdue restart whose request comes first has waited for a call.
+    restart_wait: Option<Instant>,
 }
 
 impl<'t> PlacementPass<'t> {
@@ -258,6 +258,7 @@
             plan: PassPlan::default(),
             renewals: Vec::new(),
             overdue_rank: None,
+            restart_wait: None,
         }
     }
 
@@ -315,9 +316,6 @@
     /// Whether neither the next step nor any after it can have an effect on the plan.
     fn is_settled(&mut self, next: &ServingKey, queue: &ServingQueue<'_>) -> bool {
         let order = &next.order;
-        if !order.may_wait {
-            return false;
-        }
         let no_advice = order.value_expired
             || !self.view.serving.needs_advice()
             || self.plan.advice_requests.len() >= self.requests_left;
--- a/src/graph/placement/placer/advice_requests.rs
+++ b/src/graph/placement/placer/advice_requests.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::graph::placement::advice::{AdviceRequest, LONG_CALL, MAX_WORKERS_PER_CALL, StepAdvice};
+use crate::graph::placement::overdue_share::OverdueKind;
 use crate::graph::placement::placer::worker_capacity::WorkerCapacity;
 use crate::graph::placement::placer::{OpenStep, PlacementPass, VALUE_EXPIRY_FACTOR};
 use crate::graph::workload::job::GraphJob;
@@ -70,7 +71,9 @@
         let Some(rule) = step.job.rule.advice else {
             return false;
         };
-        let enough = self.has_enough_requests() && self.overdue_rank(step, has_capacity).is_none();
+        let enough = self.has_enough_requests()
+            && self.overdue_rank(step, has_capacity).is_none()
+            && self.restart_wait(step, has_capacity).is_none();
         // A step whose result is worthless gets only capacity that no other step can use.
         let is_hopeless = step.order.value_expired && !has_capacity;
         if enough || is_hopeless || (step.ready && self.starts_left == 0) {
@@ -99,7 +102,7 @@
     /// Steps that are late or without value come after all that are in time. Where calls are short they would wait
     /// as long as the load lasts, beside free capacity.
     fn overdue_rank(&self, step: &OpenStep<'t>, has_capacity: bool) -> Option<OverdueRank> {
-        let is_due = self.requests_left > 0 && self.view.advice.is_overdue_call_due(self.view.now);
+        let is_due = self.may_come_first(OverdueKind::Late);
         if !(step.order.late && step.ready && has_capacity && is_due) {
             return None;
         }
@@ -109,6 +112,26 @@
         self.overdue_rank.is_none_or(|first| rank < first).then_some(rank)
     }
 
+    /// Since when a step with an overdue restart has waited for a call, if its request may come before all others; `None`
+    /// if it may not, or if another one has waited longer.
+    ///
+    /// Urgent steps may take every call for as long as their load lasts, and a lasting task that has lost its worker is
+    /// missed until it runs again.
+    fn restart_wait(&self, step: &OpenStep<'t>, has_capacity: bool) -> Option<Instant> {
+        let due = step.job.restart_due(step.key).filter(|due| *due <= self.view.now)?;
+        if !(step.ready && has_capacity && self.may_come_first(OverdueKind::Restart)) {
+            return None;
+        }
+        let key = (step.job.spec.id.clone(), step.key);
+        let since = self.view.advice.last_call(&key).map_or(due, |call| due.max(call));
+        self.restart_wait.is_none_or(|first| since < first).then_some(since)
+    }
+
+    /// Whether the request of an overdue step may come before all others.
+    fn may_come_first(&self, kind: OverdueKind) -> bool {
+        self.requests_left > 0 && self.view.advice.is_overdue_call_due(self.view.now, kind)
+    }
+
     /// Whether a call that only renews tickets could be made if no other advice were requested.
     fn may_renew(&self, rule: &AdviceRule) -> bool {
         let reserved = if rule.call > LONG_CALL { self.reserved_entries } else { 0 };
@@ -133,7 +156,8 @@
         let key = (step.job.spec.id.clone(), step.key);
         let has_space = self.has_space(step.step.reservation());
         let overdue_rank = self.overdue_rank(step, has_space);
-        let enough = self.has_enough_requests() && overdue_rank.is_none();
+        let restart_wait = self.restart_wait(step, has_space);
+        let enough = self.has_enough_requests() && overdue_rank.is_none() && restart_wait.is_none();
         if enough || !self.view.advice.may_request(&key, self.view.now) {
             return;
         }
@@ -142,20 +166,21 @@
             return;
         }
         let queue = step.job.rule.id.clone();
-        let is_restart = !step.order.may_wait;
-        let request = AdviceRequest { key, queue, rule, workers, is_restart };
+        let request = AdviceRequest { key, queue, rule, workers };
         match useful {
+            true if restart_wait.is_some() => {
+                self.restart_wait = restart_wait;
+                let replaced = self.plan.restart_request.replace(request);
+                let may_send = !self.has_enough_requests();
+                self.plan.advice_requests.extend(replaced.filter(|_| may_send));
+            }
             true if overdue_rank.is_some() => {
                 self.overdue_rank = overdue_rank;
                 let replaced = self.plan.overdue_request.replace(request);
                 let may_send = !self.has_enough_requests();
                 self.plan.advice_requests.extend(replaced.filter(|_| may_send));
             }
-            true => {
-                // Few of these calls are made at a time; they must not keep the others out of the plan.
-                self.requests_left += usize::from(is_restart);
-                self.plan.advice_requests.push(request);
-            }
+            true => self.plan.advice_requests.push(request),
             false => {
                 let reserved = if request.time() > LONG_CALL { self.reserved_entries } else { 0 };
                 if self.renewals_left > reserved {
--- a/src/graph/placement/serving_index.rs
+++ b/src/graph/placement/serving_index.rs
@@ -120,8 +120,7 @@
                 ServingKey { order, job: job.spec.id.clone(), step: key },
                 step.reservation(),
             ));
-            let due = job.restart_due(key).filter(|due| *due > now);
-            next_change = [next_change, next_loss(job, key, now), due].into_iter().flatten().min();
+            next_change = [next_change, next_loss(job, key, now)].into_iter().flatten().min();
         }
         if keys.is_empty() {
             return false;
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -19,8 +19,7 @@
 /// How far the clock of an earlier leader may have been ahead: clocks of entries may jump by some seconds.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(60);
 
-/// How long a lasting task that has run may wait for its next start behind more urgent work. Callers notice its absence,
-/// and the tasks that take its place in the order are many.
+/// How long a lasting task may be absent before its step gets advice before more urgent ones.
 const RESTART_GRACE: Duration = Duration::from_secs(2);
 
 /// Record of a job in the store, written when the job is accepted.
--- a/tests/graph/starvation.rs
+++ b/tests/graph/starvation.rs
@@ -328,3 +328,51 @@
     run_with_urgent_arrivals(&mut cluster, seconds(5));
     expect_that!(cluster.started_runs - before, ge(100));
 }
+
+// A share for overdue restarts put those beyond it behind all other steps, also less urgent ones; a single entry had none.
+#[gtest]
+fn an_urgent_restart_gets_advice_from_a_single_entry() {
+    let mut cluster = cluster_with_lasting_tasks(67);
+    let one_per_worker =
+        StepSpec { label: Some(kind_label(0)), max_per_worker: Some(1), ..lasting(2, 4) };
+    cluster.submit("counter", "b", vec![one_per_worker]);
+    cluster.run(seconds(3));
+    expect_that!(count_runs(&cluster, "b"), eq(2));
+    cluster.leader().unwrap().set_entries(["e0".into()].into());
+    let runs_b = |worker: &&mut ModelWorker| worker.runs.keys().any(|task| &*task.job == "b");
+    cluster.workers.values_mut().find(runs_b).unwrap().up = false;
+    let end = cluster.now + seconds(12);
+    while cluster.now < end {
+        let id = format!("asked-{}", cluster.unix());
+        let less_urgent = StepSpec { label: Some(kind_label(1)), ..step(1, 1, 100) };
+        cluster.submit("asked", &id, vec![less_urgent]);
+        cluster.run(Duration::from_millis(10));
+    }
+    expect_that!(count_runs(&cluster, "b"), eq(2));
+}
+
+// Lasting tasks that have never run counted as absent after a takeover, and took the room of urgent work.
+#[gtest]
+fn queued_lasting_tasks_do_not_pass_urgent_work_at_a_takeover() {
+    let mut cluster = SimCluster::new(68, 4);
+    cluster.run(seconds(1));
+    let urgent = |cluster: &mut SimCluster, time: Duration| {
+        let end = cluster.now + time;
+        while cluster.now < end {
+            let id = format!("urgent-{}", cluster.unix());
+            cluster.submit("now", &id, vec![step(4, 1, 1_000)]);
+            cluster.run(Duration::from_millis(100));
+        }
+    };
+    urgent(&mut cluster, seconds(3));
+    cluster.submit("later", "queued", vec![lasting(32, 1)]);
+    urgent(&mut cluster, seconds(12));
+    let before = count_runs(&cluster, "queued");
+    let epoch = cluster.store.epoch;
+    cluster.leaders.remove(&epoch);
+    cluster.elect();
+    for _ in 0..4 {
+        urgent(&mut cluster, seconds(5));
+    }
+    expect_that!(count_runs(&cluster, "queued"), le(before + 4));
+}
