--- a/src/graph/placement/placer.rs
+++ b/src/graph/placement/placer.rs
@@ -41,6 +41,9 @@
 /// Advice requests collected for each entry that could make a call: long calls leave some entries
 /// to the short ones behind them.
 const REQUESTS_PER_CALL: usize = 3;
+/// Starts of overdue restarts that a pass may plan beyond the limit of unanswered starts: more urgent starts may use that
+/// limit up in every pass.
+const RESTARTS_BEYOND_LIMIT: usize = 4;
 /// Multiple of its objective after which the result of a job is worthless.
 pub(crate) const VALUE_EXPIRY_FACTOR: u32 = 3;
 /// Open steps of one job that a pass considers: four occurrences of the largest graph. Later steps
@@ -192,6 +195,8 @@
     requests_left: usize,
     /// Starts that may be planned.
     starts_left: usize,
+    /// Starts of overdue restarts that may be planned beyond these.
+    restarts_left: usize,
     /// Runs that this pass has chosen to stop.
     victims: BTreeSet<TaskName>,
     capacities: BTreeMap<WorkerId, WorkerCapacity<'t>>,
@@ -246,6 +251,7 @@
             view,
             requests_left,
             starts_left,
+            restarts_left: RESTARTS_BEYOND_LIMIT,
             victims: BTreeSet::new(),
             capacities,
             too_large: Vec::new(),
@@ -266,6 +272,7 @@
     pub fn run(mut self) -> PassPlan {
         let mut repeating = self.repeating_steps().into_iter().peekable();
         let mut queue = self.view.serving.queue();
+        let mut first_left_out = None;
         loop {
             let listed = queue.peek();
             let other = repeating.peek().map(OpenStep::serving_key);
@@ -285,6 +292,7 @@
             }
             let Some(key) = listed else { break };
             if repeating.peek().is_none() && self.is_settled(key, &queue) {
+                first_left_out = Some(key);
                 break;
             }
             self.plan.steps_examined += 1;
@@ -298,6 +306,9 @@
                 queue.pop();
             }
         }
+        if let Some(first) = first_left_out {
+            self.examine_restarts(first);
+        }
         self.plan.advice_requests.extend(self.renewals);
         self.plan
     }
@@ -354,6 +365,31 @@
             && self.preemptible_priority.is_some_and(|priority| priority > order.priority)
     }
 
+    /// Serves the steps with overdue restarts among those that are left out since others have used up the calls for
+    /// advice and the starts.
+    fn examine_restarts(&mut self, first: &ServingKey) {
+        for key in self.view.serving.restarts_from(first) {
+            let job = self.view.jobs.get(&key.job);
+            if job.is_some_and(|job| self.is_restart_overdue(job, key.step)) {
+                self.plan.steps_examined += 1;
+                self.examine(key);
+            }
+        }
+    }
+
+    /// Whether a lasting task of a step waits that has been absent for too long.
+    fn is_restart_overdue(&self, job: &GraphJob, key: StepKey) -> bool {
+        job.restart_due(key).is_some_and(|due| due <= self.view.now)
+    }
+
+    /// Number of starts that may be planned for a step.
+    fn starts_left_for(&self, step: &OpenStep<'t>) -> usize {
+        match self.is_restart_overdue(step.job, step.key) {
+            true => self.starts_left + self.restarts_left,
+            false => self.starts_left,
+        }
+    }
+
     /// Serves a listed step if that can have an effect.
     fn examine(&mut self, key: &ServingKey) {
         let Some(job) = self.view.jobs.get(&key.job) else {
@@ -381,8 +417,9 @@
         let has_space = self.has_space(step.step.reservation());
         let preempts = self.may_preempt_runs(&step.order) && self.would_lose_value(step);
         let has_reservation = self.reserved_jobs.contains(&step.job.spec.id);
-        let can_start =
-            step.ready && self.starts_left > 0 && (has_space || preempts || has_reservation);
+        let can_start = step.ready
+            && self.starts_left_for(step) > 0
+            && (has_space || preempts || has_reservation);
         let is_capped = self.view.reports_capped_demand
             && step.job.workspace.as_ref().is_some_and(|id| self.view.limits.contains_key(id));
         can_start || is_capped || self.may_need_advice(step, has_space || preempts)
--- a/src/graph/placement/placer/advice_requests.rs
+++ b/src/graph/placement/placer/advice_requests.rs
@@ -76,7 +76,7 @@
             && self.restart_wait(step, has_capacity).is_none();
         // A step whose result is worthless gets only capacity that no other step can use.
         let is_hopeless = step.order.value_expired && !has_capacity;
-        if enough || is_hopeless || (step.ready && self.starts_left == 0) {
+        if enough || is_hopeless || (step.ready && self.starts_left_for(step) == 0) {
             return false;
         }
         let key = (step.job.spec.id.clone(), step.key);
--- a/src/graph/placement/placer/tasks.rs
+++ b/src/graph/placement/placer/tasks.rs
@@ -35,8 +35,9 @@
         // does any later one. With 80,000 tasks a pass took 2.3 s without this shortcut and 0.2 s
         // with it (250 workers, debug build).
         let (mut placeable, mut preempts) = (true, true);
+        let mut starts_left = self.starts_left_for(step);
         for task in &step.waiting {
-            if self.starts_left == 0 {
+            if starts_left == 0 {
                 break;
             }
             let reserved = self.reserved_worker(step, *task, candidates, &task_counts);
@@ -53,7 +54,11 @@
                         self.allocate(&worker, step, *task);
                     }
                 }
-                self.starts_left -= 1;
+                starts_left -= 1;
+                match self.starts_left {
+                    0 => self.restarts_left = self.restarts_left.saturating_sub(1),
+                    _ => self.starts_left -= 1,
+                }
                 self.allowances.deduct(step.job.workspace.as_ref(), &step.step.need);
                 let job = step.job.spec.id.clone();
                 match self.needs_announcement(step, *task) {
--- a/src/graph/placement/serving_index.rs
+++ b/src/graph/placement/serving_index.rs
@@ -50,6 +50,8 @@
     jobs: BTreeMap<GraphId, IndexedJob>,
     changes: BTreeSet<(Instant, GraphId)>,
     repeating: BTreeSet<GraphId>,
+    /// Listed steps of lasting tasks of jobs with absent ones.
+    restarts: BTreeSet<ServingKey>,
     /// Number of listed jobs whose queue needs placement advice.
     advised_jobs: usize,
 }
@@ -89,6 +91,11 @@
         self.repeating.iter()
     }
 
+    /// Steps from `first` on in serving order that may have a lasting task to restart.
+    pub(crate) fn restarts_from(&self, first: &ServingKey) -> impl Iterator<Item = &ServingKey> {
+        self.restarts.range(first..)
+    }
+
     /// Whether a listed step needs placement advice.
     pub(crate) fn needs_advice(&self) -> bool {
         self.advised_jobs > 0
@@ -116,10 +123,11 @@
                 continue;
             }
             let order = ServingOrder::of_step(job, key, step, now, elapsed);
-            keys.push((
-                ServingKey { order, job: job.spec.id.clone(), step: key },
-                step.reservation(),
-            ));
+            let serving_key = ServingKey { order, job: job.spec.id.clone(), step: key };
+            if step.lasting && !job.absences.is_empty() {
+                self.restarts.insert(serving_key.clone());
+            }
+            keys.push((serving_key, step.reservation()));
             next_change = [next_change, next_loss(job, key, now)].into_iter().flatten().min();
         }
         if keys.is_empty() {
@@ -147,6 +155,9 @@
             return;
         };
         self.advised_jobs -= usize::from(job.needs_advice);
+        for (key, _) in &job.keys {
+            self.restarts.remove(key);
+        }
         if let Some(at) = job.next_change {
             self.changes.remove(&(at, id.clone()));
         }
