--- a/src/graph/workload/absences.rs
+++ b/src/graph/workload/absences.rs
@@ -1,4 +1,4 @@
-//! Absences of lasting tasks: since when tasks that have run do not run.
+//! Absences of lasting tasks: since when those that have run, or may have under an earlier leader, do not run.
 
 use std::collections::BTreeMap;
 
--- a/src/graph/workload/job.rs
+++ b/src/graph/workload/job.rs
@@ -131,7 +131,7 @@
     pub avoided_workers: BTreeMap<TaskKey, BTreeSet<WorkerId>>,
     /// When a task may be started again.
     pub not_before: BTreeMap<TaskKey, Instant>,
-    /// Lasting tasks that have run and do not run now.
+    /// Lasting tasks that do not run now, and have run or may have under an earlier leader.
     pub(crate) absences: AbsenceTable,
     /// Longest path from each step to the end of the graph, by declared run time.
     pub critical_paths: Vec<Duration>,
