--- a/tests/graph/lasting_gaps.rs
+++ b/tests/graph/lasting_gaps.rs
@@ -337,7 +337,7 @@
     }
 }
 
-/// A cluster with plenty of room that runs two lasting jobs, in which a worker is lost for good.
+/// A cluster with plenty of room that runs two lasting jobs, in which a worker is lost permanently.
 struct LossyCluster {
     cluster: SimCluster,
     observer: GapObserver,
@@ -396,7 +396,7 @@
         self.cluster.leader().unwrap().worker_registered(now, registration);
     }
 
-    /// Ends a worker for good and runs on until its tasks have long been started elsewhere.
+    /// Ends a worker permanently and runs on until its tasks have long been started elsewhere.
     fn lose(&mut self, id: &WorkerId) {
         let now = self.cluster.now;
         let worker = self.cluster.workers.get_mut(id).unwrap();
--- a/tests/graph/late_restarts.rs
+++ b/tests/graph/late_restarts.rs
@@ -1,4 +1,4 @@
-//! Tasks that run again after their job has become late: they yield to other work, but not for good.
+//! Tasks that run again after their job has become late: they yield to other work, but not without a bound.
 
 use std::time::Duration;
 
--- a/tests/graph/starvation.rs
+++ b/tests/graph/starvation.rs
@@ -280,7 +280,7 @@
     cluster
 }
 
-/// Takes a worker with a lasting task away for good.
+/// Takes a worker with a lasting task away permanently.
 fn lose_lasting_task(cluster: &mut SimCluster) {
     let runs_lasting = |worker: &&mut ModelWorker| worker.runs.keys().any(|task| &*task.job == "a");
     cluster.workers.values_mut().find(runs_lasting).unwrap().up = false;
@@ -311,7 +311,7 @@
     expect_that!(count_runs(&cluster, "a"), eq(2));
 }
 
-// Lasting tasks of many steps are lost at once: their restarts must not take every call in their turn.
+// Lasting tasks of many steps are lost at once: their restarts must not take every call.
 #[gtest]
 fn urgent_steps_get_advice_beside_many_overdue_restarts() {
     let mut cluster = cluster_with_lasting_tasks(66);
