--- a/review/shared-3/rig/src/main.rs
+++ b/review/shared-3/rig/src/main.rs
@@ -234,7 +234,7 @@
                     }
                 };
                 sleep(millis(400));
-                hit.crash(millis(1_500));
+                hit.crash(millis(1_500), false);
                 sleep(millis(20));
             }
         });
@@ -260,6 +260,53 @@
     }
 }
 
+/// The only worker of its kind leaves two polls unanswered, one of which it carries out late, and starts again in between
+/// under the id that it had.
+fn late_ack(deployment: &Deployment) -> Verdict {
+    let (first, second) = ("00000000000000c1", "00000000000000c2");
+    let job = |count: u32, work_ms: u64| {
+        let step = json!({
+            "count": count, "millicpu": 1_300, "mem_mb": 256, "estimated_ms": work_ms, "required_label": "b",
+        });
+        json!({"spec": format!("work {work_ms}"), "steps": [step]})
+    };
+    let worker = &deployment.workers[0];
+    worker.late_orders.lock().unwrap().hold_up_next_ack = deployment.trouble;
+    if !deployment.submit(first, &job(3, 600)) || !wait_completed(deployment, first) {
+        return Verdict::NotRun("the first job is not completed".to_owned());
+    }
+    sleep(millis(500));
+    if deployment.trouble {
+        worker.crash(millis(1_000), true);
+        worker.late_orders.lock().unwrap().at_end_of = Some(second.to_owned());
+    }
+    sleep(millis(2_000));
+    if !deployment.submit(second, &job(1, 800)) || !wait_completed(deployment, second) {
+        return Verdict::NotRun("the second job is not completed".to_owned());
+    }
+    sleep(millis(3_000));
+    let events = deployment.events_of(second);
+    let position = |what: &str| events.iter().position(|event| event.what == what);
+    let starts = events.iter().filter(|event| event.what == "start").count();
+    let is_done_first = position("done").zip(events.iter().rposition(|event| event.what == "start"));
+    match is_done_first {
+        Some((done, start)) if done < start && position("noted").is_some() => {
+            let (ended, started) = (events[done].run, events[start].run);
+            Verdict::Broken(format!(
+                "TWICE: run {ended} ended done, its end was taken note of, and run {started} was started; starts: {starts}"
+            ))
+        }
+        _ => Verdict::Held,
+    }
+}
+
+fn wait_completed(deployment: &Deployment, id: &str) -> bool {
+    (0..30).any(|round| {
+        sleep(millis(500));
+        deployment.state(round % 3, id) == "completed"
+    })
+}
+
 fn main() {
     let words: Vec<String> = std::env::args().collect();
     let [_, case, record, folder] = &words[..] else {
@@ -273,6 +320,7 @@
         true => match case.as_str() {
             "standing" => standing(&deployment),
             "crashes" => crashes(&deployment),
+            "late-ack" => late_ack(&deployment),
             _ => Verdict::NotRun(format!("no case {case}")),
         },
     };
--- a/review/shared-3/rig/src/worker.rs
+++ b/review/shared-3/rig/src/worker.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 
@@ -35,6 +35,8 @@
 /// One life of a worker.
 struct Life {
     id: String,
+    /// Unix millisecond of its start.
+    born: u64,
     started: Instant,
     fence: u64,
     until_ms: u64,
@@ -48,11 +50,24 @@
 #[derive(Clone, Debug)]
 pub struct RunEvent {
     pub task: String,
-    /// "start", or how the run ended.
+    pub run: u64,
+    /// "start", "noted" when its end `done` is acknowledged, or how the run ended.
     pub what: &'static str,
 }
 
+/// Orders that get no answer and are carried out late.
+#[derive(Default)]
+pub struct LateOrders {
+    /// Whether the next poll that acknowledges ends is held up.
+    pub hold_up_next_ack: bool,
+    /// A poll that is held up, and when it arrived.
+    held_up: Option<(Value, u64)>,
+    /// Job at the end of whose first task the waiting poll gets no answer, and the poll that is held up is carried out.
+    pub at_end_of: Option<String>,
+}
+
 pub struct Worker {
+    pub late_orders: Mutex<LateOrders>,
     number: usize,
     life: Mutex<Life>,
     lives: Mutex<u32>,
@@ -65,8 +80,10 @@
 
 impl Life {
     fn new(id: String) -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self {
             id,
+            born: since.as_millis() as u64,
             started: Instant::now(),
             fence: 0,
             until_ms: 0,
@@ -99,9 +116,10 @@
         let entry = json!({
             "service": "svc", "zone": zone, "version": "v1", "slots": 8, "state": "ready", "cold_ms": 0,
             "capacity": {"millicpu": 16_000, "mem_mb": 65_536, "gpus": 0},
-            "labels": ["a", format!("r{number}-0")], "sequence": 1,
+            "labels": [if number == 0 { "b" } else { "a" }, format!("r{number}-0")], "sequence": 1,
         });
         let worker = Arc::new(Self {
+            late_orders: Mutex::default(),
             number,
             life: Mutex::new(Life::new(format!("i-{number}-0"))),
             lives: Mutex::new(0),
@@ -127,13 +145,18 @@
     }
 
     fn register(&self) {
-        let key = format!("servers/{}", self.life.lock().unwrap().id);
-        self.store.put(&key, &self.entry.lock().unwrap());
+        let (id, born) = {
+            let life = self.life.lock().unwrap();
+            (life.id.clone(), life.born)
+        };
+        let mut entry = self.entry.lock().unwrap();
+        entry["born"] = json!(born);
+        self.store.put(&format!("servers/{id}"), &entry);
     }
 
-    /// Crashes: nothing listens at the address until the next life, which comes after `downtime` under a new id.
-    /// The entry of the ended life goes after three heartbeats of silence.
-    pub fn crash(self: &Arc<Self>, downtime: Duration) {
+    /// Crashes: nothing listens at the address until the next life, which comes after `downtime` under a new id, or under
+    /// the id that it had. The entry of an ended id goes after three heartbeats of silence.
+    pub fn crash(self: &Arc<Self>, downtime: Duration, keeps_id: bool) {
         let old = self.life.lock().unwrap().id.clone();
         self.record.line(format!("worker {}: crashes ({old})", self.number));
         if let Some(server) = self.server.get() {
@@ -148,13 +171,19 @@
                 *lives += 1;
                 *lives
             };
-            let id = format!("i-{}-{lives}", worker.number);
+            let id = match keeps_id {
+                true => old.clone(),
+                false => format!("i-{}-{lives}", worker.number),
+            };
             worker.record.line(format!("worker {}: is back as {id}", worker.number));
             *worker.life.lock().unwrap() = Life::new(id);
             if let Some(server) = worker.server.get() {
                 server.raise();
             }
             worker.register();
+            if keeps_id {
+                return;
+            }
             thread::sleep(Duration::from_millis(4_500).saturating_sub(downtime));
             worker.store.remove(&format!("servers/{old}"));
         });
@@ -169,7 +198,7 @@
 
     fn note(&self, task: &str, run: u64, what: &'static str) {
         self.record.line(format!("worker {}: {task} run {run} {what}", self.number));
-        self.events.lock().unwrap().push(RunEvent { task: task.to_owned(), what });
+        self.events.lock().unwrap().push(RunEvent { task: task.to_owned(), run, what });
     }
 
     /// Names of the tasks that run.
@@ -250,7 +279,15 @@
             "/api/hold" => {
                 life.until_ms = life.until_ms.max(until.min(life.clock_ms() + HOLD_MAX_MS));
                 let cursor = body["ack_cursor"].as_u64().unwrap_or(0);
-                life.ends.retain(|end| end.number > cursor);
+                let mut orders = self.late_orders.lock().unwrap();
+                if cursor > 0 && std::mem::take(&mut orders.hold_up_next_ack) {
+                    orders.held_up = Some((body.clone(), self.record.now_ms()));
+                    self.record.line(format!("worker {}: a poll of ack_cursor {cursor} gets no answer", self.number));
+                    drop((orders, life));
+                    return no_answer();
+                }
+                drop(orders);
+                self.acknowledge(&mut life, cursor);
                 let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
                 let id = life.id.clone();
                 drop(life);
@@ -261,6 +298,36 @@
         }
     }
 
+    /// Forgets the ends up to a number.
+    fn acknowledge(&self, life: &mut Life, cursor: u64) {
+        let ends = std::mem::take(&mut life.ends);
+        let (noted, left): (Vec<End>, Vec<End>) = ends.into_iter().partition(|end| end.number <= cursor);
+        life.ends = left;
+        for end in noted.iter().filter(|end| end.how == "done") {
+            self.note(&end.task, end.run, "noted");
+        }
+    }
+
+    /// Leaves the waiting poll unanswered at the end that it would tell, and carries out the poll that was held up.
+    fn swaps_orders(&self, life: &mut Life) -> bool {
+        let mut orders = self.late_orders.lock().unwrap();
+        let job = orders.at_end_of.clone();
+        let ends = |job: &String| life.ends.iter().any(|end| end.task.starts_with(job.as_str()));
+        if !job.as_ref().is_some_and(ends) {
+            return false;
+        }
+        orders.at_end_of = None;
+        let Some((body, arrived)) = orders.held_up.take() else {
+            return false;
+        };
+        let cursor = body["ack_cursor"].as_u64().unwrap_or(0);
+        let late_ms = self.record.now_ms() - arrived;
+        let number = self.number;
+        self.record.line(format!("worker {number}: a poll gets no answer, and that of ack_cursor {cursor} is carried out, {late_ms} ms late"));
+        self.acknowledge(life, cursor);
+        true
+    }
+
     fn hold(&self, id: &str, wait: Duration) -> Reply {
         let ends = Instant::now() + wait;
         loop {
@@ -270,6 +337,10 @@
                     return Reply::Close;
                 }
                 self.expire(&mut life);
+                if self.swaps_orders(&mut life) {
+                    drop(life);
+                    return no_answer();
+                }
                 if !life.ends.is_empty() || Instant::now() >= ends {
                     let percent = |run: &Run| match run.work {
                         Some(work) => {
@@ -288,7 +359,7 @@
                         .take(LISTED_ENDS)
                         .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
                         .collect();
-                    let lists = json!({"clock_ms": life.clock_ms(), "running": running, "finished": finished});
+                    let lists = json!({"born": life.born, "clock_ms": life.clock_ms(), "running": running, "finished": finished});
                     return Reply::Json(200, lists);
                 }
             }
@@ -296,3 +367,9 @@
         }
     }
 }
+
+/// Leaves a call without an answer for longer than any caller waits.
+fn no_answer() -> Reply {
+    thread::sleep(Duration::from_secs(10));
+    Reply::Close
+}
