--- a/review/shared-3/rig/src/main.rs
+++ b/review/shared-3/rig/src/main.rs
@@ -91,6 +91,16 @@
         false
     }
 
+    fn add_workers(&mut self, count: usize) {
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        for number in self.workers.len()..self.workers.len() + count {
+            let zone = ZONES[number % ZONES.len()];
+            let (store, record) = (self.store.clone(), self.record.clone());
+            self.workers.push(Worker::start(number, any, zone, store, record, self.events.clone()));
+            self.record.line(format!("worker {number}: starts"));
+        }
+    }
+
     fn call(&self, entry: usize, method: &str, id: &str, body: Option<&Value>) -> Option<(u16, Value)> {
         let path = format!("/jobs/{id}");
         let answer = http::call(self.entries[entry].front(), method, &path, HOST, body, CLIENT_WAIT);
@@ -216,47 +226,43 @@
     }
 }
 
-/// A job whose worker crashes under it twice, on two workers, though the job itself harms nothing.
-fn crashes(deployment: &Deployment) -> Verdict {
-    let id = "00000000000000b1";
-    let job = json!({"spec": "work 800", "steps": [
-        {"count": 2, "millicpu": 1_300, "mem_mb": 256, "estimated_ms": 800},
-    ]});
+/// A worker starts again under its id, gets a standing task, and is lost for good beside empty workers.
+fn restarted_and_gone(deployment: &mut Deployment) -> Verdict {
+    let id = "00000000000000d1";
+    let job = json!({"spec": "watch", "steps": [{
+        "count": 2, "millicpu": 2_000, "mem_mb": 256, "estimated_ms": 500, "persistent": true, "max_per_server": 1,
+    }]});
+    sleep(millis(4_000));
     if deployment.trouble {
-        let workers = deployment.workers.clone();
-        std::thread::spawn(move || {
-            for _ in 0..2 {
-                let hit = loop {
-                    let runs = |worker: &&Arc<Worker>| worker.running().iter().any(|task| task.starts_with(id));
-                    match workers.iter().find(runs) {
-                        Some(worker) => break worker.clone(),
-                        None => sleep(millis(2)),
-                    }
-                };
-                sleep(millis(400));
-                hit.crash(millis(1_500), false);
-                sleep(millis(20));
-            }
-        });
+        deployment.workers[0].crash(millis(600), true);
     }
-    if !deployment.submit(id, &job) {
-        return Verdict::NotRun("the job was not accepted".to_owned());
+    sleep(millis(2_000));
+    if !deployment.submit(id, &job) || !deployment.wait_running(id, 2, millis(8_000)) {
+        return Verdict::NotRun("the standing job has not begun".to_owned());
     }
-    let mut state = String::new();
-    for round in 0..40 {
-        sleep(millis(500));
-        state = deployment.state(round % 3, id);
-        if ["completed", "failed", "cancelled"].contains(&state.as_str()) {
-            break;
+    if deployment.workers[0].running().is_empty() {
+        return Verdict::NotRun("the restarted worker has no task".to_owned());
+    }
+    deployment.add_workers(3);
+    sleep(millis(1_500));
+    if deployment.trouble {
+        deployment.workers[0].lose();
+    }
+    let lost_at = deployment.record.now_ms();
+    let mut away_ms = 0;
+    while deployment.record.now_ms() < lost_at + 30_000 {
+        if deployment.running(id) < 2 {
+            away_ms = deployment.record.now_ms() - lost_at;
         }
+        sleep(millis(50));
     }
-    let failed = deployment.events_of(id).iter().filter(|event| event.what == "failed").count();
-    match state.as_str() {
-        "completed" => Verdict::Held,
-        "failed" => Verdict::Broken(format!(
-            "LOST: an accepted job is shown as failed; ends `failed` of its tasks: {failed}, max_attempts 4"
+    let state = deployment.state(0, id);
+    match away_ms {
+        // Six seconds from its last run and three more; the seven seconds before are calm.
+        9_100.. => Verdict::Broken(format!(
+            "LOST: a task of an accepted standing job did not run for {away_ms} ms beside empty workers, state {state:?}"
         )),
-        _ => Verdict::NotRun(format!("the job is {state:?} after 20 s")),
+        _ => Verdict::Held,
     }
 }
 
@@ -314,12 +320,13 @@
         exit(2);
     };
     let record = Arc::new(Record::create(record));
-    let mut deployment = Deployment::start(record.clone(), folder, 4, 4);
+    let workers = if case == "restarted-and-gone" { 2 } else { 4 };
+    let mut deployment = Deployment::start(record.clone(), folder, workers, 4);
     let verdict = match deployment.wait_ready() {
         false => Verdict::NotRun("not all entries are ready".to_owned()),
         true => match case.as_str() {
             "standing" => standing(&deployment),
-            "crashes" => crashes(&deployment),
+            "restarted-and-gone" => restarted_and_gone(&mut deployment),
             "late-ack" => late_ack(&deployment),
             _ => Verdict::NotRun(format!("no case {case}")),
         },
--- a/review/shared-3/rig/src/worker.rs
+++ b/review/shared-3/rig/src/worker.rs
@@ -189,6 +189,21 @@
         });
     }
 
+    /// Is lost for good: nothing listens at its address any more, and its entry goes after three heartbeats of silence.
+    pub fn lose(self: &Arc<Self>) {
+        let id = self.life.lock().unwrap().id.clone();
+        self.record.line(format!("worker {}: is lost for good ({id})", self.number));
+        if let Some(server) = self.server.get() {
+            server.lower();
+        }
+        self.end_runs("lost");
+        let worker = self.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(4_500));
+            worker.store.remove(&format!("servers/{id}"));
+        });
+    }
+
     fn end_runs(&self, what: &'static str) {
         let mut life = self.life.lock().unwrap();
         for (task, run) in std::mem::take(&mut life.runs) {
