--- a/review/shared-3/rig/src/main.rs
+++ b/review/shared-3/rig/src/main.rs
@@ -266,6 +266,50 @@
     }
 }
 
+/// Two workers crash one after the other, each as it begins a standing task that harms nothing.
+fn crashes(deployment: &Deployment) -> Verdict {
+    let id = "00000000000000b1";
+    let job = json!({"spec": "watch", "steps": [
+        {"count": 2, "millicpu": 3_400, "mem_mb": 256, "estimated_ms": 320, "persistent": true},
+    ]});
+    if deployment.trouble {
+        let workers = deployment.workers.clone();
+        std::thread::spawn(move || {
+            for _ in 0..2 {
+                let hit = loop {
+                    let runs = |worker: &&Arc<Worker>| worker.running().iter().any(|task| task.starts_with(id));
+                    match workers.iter().find(runs) {
+                        Some(worker) => break worker.clone(),
+                        None => sleep(millis(2)),
+                    }
+                };
+                sleep(millis(400));
+                hit.crash(millis(1_500), false);
+                sleep(millis(20));
+            }
+        });
+    }
+    if !deployment.submit(id, &job) {
+        return Verdict::NotRun("the job was not accepted".to_owned());
+    }
+    for round in 0..40 {
+        sleep(millis(500));
+        if deployment.state(round % 3, id) == "failed" {
+            break;
+        }
+    }
+    sleep(millis(10_000));
+    let failed = deployment.events_of(id).iter().filter(|event| event.what == "failed").count();
+    let (state, running) = (deployment.state(0, id), deployment.running(id));
+    match state.as_str() {
+        "failed" => Verdict::Broken(format!(
+            "LOST: an accepted standing job is shown as failed, {running} of its 2 tasks run; ends `failed`: {failed}"
+        )),
+        _ if running == 2 => Verdict::Held,
+        _ => Verdict::NotRun(format!("the job is {state:?}, {running} of its tasks run")),
+    }
+}
+
 /// The only worker of its kind leaves two polls unanswered, one of which it carries out late, and starts again in between
 /// under the id that it had.
 fn late_ack(deployment: &Deployment) -> Verdict {
@@ -327,6 +371,7 @@
         true => match case.as_str() {
             "standing" => standing(&deployment),
             "restarted-and-gone" => restarted_and_gone(&mut deployment),
+            "crashes" => crashes(&deployment),
             "late-ack" => late_ack(&deployment),
             _ => Verdict::NotRun(format!("no case {case}")),
         },
