--- a/review/shared-3/rig/src/main.rs
+++ b/review/shared-3/rig/src/main.rs
@@ -230,14 +230,14 @@
 fn restarted_and_gone(deployment: &mut Deployment) -> Verdict {
     let id = "00000000000000d1";
     let job = json!({"spec": "watch", "steps": [{
-        "count": 2, "millicpu": 2_000, "mem_mb": 256, "estimated_ms": 500, "persistent": true, "max_per_server": 1,
+        "count": 8, "millicpu": 2_000, "mem_mb": 256, "estimated_ms": 500, "persistent": true, "max_per_server": 1,
     }]});
     sleep(millis(4_000));
     if deployment.trouble {
         deployment.workers[0].crash(millis(600), true);
     }
     sleep(millis(2_000));
-    if !deployment.submit(id, &job) || !deployment.wait_running(id, 2, millis(8_000)) {
+    if !deployment.submit(id, &job) || !deployment.wait_running(id, 8, millis(8_000)) {
         return Verdict::NotRun("the standing job has not begun".to_owned());
     }
     if deployment.workers[0].running().is_empty() {
@@ -251,7 +251,7 @@
     let lost_at = deployment.record.now_ms();
     let mut away_ms = 0;
     while deployment.record.now_ms() < lost_at + 30_000 {
-        if deployment.running(id) < 2 {
+        if deployment.running(id) < 8 {
             away_ms = deployment.record.now_ms() - lost_at;
         }
         sleep(millis(50));
@@ -335,6 +335,9 @@
         return Verdict::NotRun("the second job is not completed".to_owned());
     }
     sleep(millis(3_000));
+    let total = |of: &[Arc<Worker>]| of.iter().map(|worker| worker.orders.lock().unwrap().len()).sum::<usize>();
+    let (all, own) = (total(&deployment.workers), total(&deployment.workers[..1]));
+    deployment.record.line(format!("orders in all: {all}, to worker 0: {own}, without an answer in time: 2 at most"));
     let events = deployment.events_of(second);
     let position = |what: &str| events.iter().position(|event| event.what == what);
     let starts = events.iter().filter(|event| event.what == "start").count();
@@ -364,8 +367,7 @@
         exit(2);
     };
     let record = Arc::new(Record::create(record));
-    let workers = if case == "restarted-and-gone" { 2 } else { 4 };
-    let mut deployment = Deployment::start(record.clone(), folder, workers, 4);
+    let mut deployment = Deployment::start(record.clone(), folder, 8, 4);
     let verdict = match deployment.wait_ready() {
         false => Verdict::NotRun("not all entries are ready".to_owned()),
         true => match case.as_str() {
--- a/review/shared-3/rig/src/worker.rs
+++ b/review/shared-3/rig/src/worker.rs
@@ -68,6 +68,8 @@
 
 pub struct Worker {
     pub late_orders: Mutex<LateOrders>,
+    /// Times at which orders (starts, stops and polls) have arrived, in milliseconds of the record.
+    pub orders: Mutex<Vec<u64>>,
     number: usize,
     life: Mutex<Life>,
     lives: Mutex<u32>,
@@ -120,6 +122,7 @@
         });
         let worker = Arc::new(Self {
             late_orders: Mutex::default(),
+            orders: Mutex::default(),
             number,
             life: Mutex::new(Life::new(format!("i-{number}-0"))),
             lives: Mutex::new(0),
@@ -248,6 +251,7 @@
 
     fn answer(&self, request: &Request) -> Reply {
         let body = &request.body;
+        self.orders.lock().unwrap().push(self.record.now_ms());
         let mut life = self.life.lock().unwrap();
         self.expire(&mut life);
         let target = request.headers.get("target-instance");
