Show which epoch a leader acts under and for how long it may

Neither log nor metrics told a leader that acts from one that only holds its key. Added before any change of logic: the log says when a leader may no longer start tasks and extend leases, and when it may; gauges have the epoch of its loop, that of the store and the age of its lease.

--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -1,6 +1,7 @@
 //! The leader of the job graphs: applies events to its tables and emits actions.
 
 mod absences;
+mod authority;
 mod commands;
 mod quota;
 mod registrations;
@@ -161,6 +162,8 @@
     predecessor_ended: bool,
     /// Until when this leader may extend worker leases and start tasks.
     authority_end: Instant,
+    /// Whether this leader was allowed to at the last sweep.
+    had_authority: bool,
     /// When the last suspension of the machine was noticed, and how long it was.
     last_suspension: Option<(Instant, Duration)>,
     deposed: bool,
@@ -254,6 +257,7 @@
             unseen_invalidated: false,
             predecessor_ended: false,
             authority_end: now,
+            had_authority: false,
             last_suspension: None,
             deposed: false,
             next_sweep: now,
@@ -273,11 +277,6 @@
         self.epoch = epoch;
     }
 
-    /// Time since the request of the last successful renewal of this leader's lease was sent.
-    pub fn lease_age(&self, now: Instant) -> Duration {
-        (now + self.bounds.lease_extension_window).saturating_duration_since(self.authority_end)
-    }
-
     /// Epoch of this leader.
     pub fn epoch(&self) -> LeaderEpoch {
         self.epoch
@@ -308,22 +307,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Records that a request sent at `sent` renewed this leader's lease.
-    pub fn note_lease_renewal(&mut self, sent: Instant) {
-        let sent = match self.last_suspension {
-            Some((at, gap)) if sent <= at => sent.checked_sub(gap).unwrap_or(self.last_pass),
-            _ => sent,
-        };
-        self.authority_end = self.authority_end.max(sent + self.bounds.lease_extension_window);
-        self.instances.registration_clock.note_lease_renewal(sent);
-    }
-
-    /// Stops all starts and extensions of worker leases, because another leader may have been
-    /// elected.
-    pub fn revoke_authority(&mut self, now: Instant) {
-        self.authority_end = self.authority_end.min(now);
-    }
-
     /// Records that the previous leader has ended and extends no more leases.
     pub fn note_predecessor_ended(&mut self, now: Instant) {
         if !self.predecessor_ended {
@@ -428,6 +411,7 @@
         let extend = now < self.authority_end && !self.deposed;
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
+            self.note_authority(now, extend);
             self.sweep(now, unix, extend);
         }
         self.actions.extend(self.instances.due_polls(now, extend));
--- a/src/graph/controller/workspaces.rs
+++ b/src/graph/controller/workspaces.rs
@@ -144,6 +144,7 @@
             metrics::gauge!("kelplink_registrations_age_seconds").set(age.as_secs_f64());
         }
         self.report_absences(now);
+        self.report_authority(now);
         let mut usage: Vec<_> = self.last_usage.iter().collect();
         usage.sort_by_key(|(_, used)| Reverse(used.millicores));
         for (workspace, used) in usage.into_iter().take(MAX_REPORTED_WORKSPACES) {
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -303,6 +303,10 @@
     async fn reconcile(&mut self, shard: &ShardId, view: &MemberView) {
         let registered = self.lease.is_some();
         let renewed = self.renewed;
+        if self.candidacy(shard).leads() {
+            let epoch = view.shard(shard).epoch as f64;
+            metrics::gauge!("kelplink_store_epoch", "shard" => shard.to_string()).set(epoch);
+        }
         match self.candidacy(shard).store_state(view, registered) {
             CandidacyState::Unchanged => {}
             CandidacyState::Superseded => self.candidacy(shard).end().await,
