Continue under the epoch of an election whose answer was lost

Cause: a leader whose lease had ended campaigned again and won, without hearing it. The record of its own process with a later epoch counted as unchanged where its loop ran: it got no renewals, lost its authority after 5 s, and its key held off all others.

Evidence: the log of the case (epoch 2 in the store, loop under epoch 1, authority lost at a lease age of 5,026 ms); the new test loses every subset of the answers to the first five transactions after an outage.

Change: a record with the next epoch is a term that was won, and the loop continues under it. Nobody led in between, as the condition of the election is the record of the epoch before. For a later epoch the loop ends and a new one begins.

--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -244,12 +244,20 @@
             {
                 CandidacyState::Unchanged
             }
-            (None, Some(leader))
+            // The loop may have missed a term of another entry, so it does not continue under this epoch.
+            (Some(own), Some(leader))
+                if leader.epoch == shard_view.epoch && leader.epoch > own.epoch + 1 =>
+            {
+                warn!(shard = &*self.shard, epoch = own.epoch, later = leader.epoch; "this entry leads under a later epoch");
+                CandidacyState::Superseded
+            }
+            (_, Some(leader))
                 if leader.epoch == shard_view.epoch
                     && leader.epoch > self.last_epoch
                     && registered =>
             {
-                // The previous leader is unknown by now, so it is assumed to run for as long as any leader can.
+                // The previous leader is unknown by now, so it is assumed to run for as long as any leader can. It is
+                // this process itself where its loop runs.
                 let predecessor = Some(unknown_leader());
                 let (epoch, epoch_revision) = (leader.epoch, shard_view.epoch_revision);
                 let earlier = BTreeSet::new();
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -11,6 +11,8 @@
 mod transfer;
 #[cfg(test)]
 mod transfer_tests;
+#[cfg(test)]
+mod unheard_election_tests;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -311,7 +313,11 @@
             CandidacyState::Unchanged => {}
             CandidacyState::Superseded => self.candidacy(shard).end().await,
             CandidacyState::Won(term) if term.epoch_revision < self.registered => {}
-            CandidacyState::Won(term) => self.candidacy(shard).begin(term, renewed),
+            CandidacyState::Won(term) => {
+                info!(shard = &**shard, epoch = term.epoch; "an election without an answer was won");
+                metrics::counter!("kelplink_unheard_elections_total").increment(1);
+                self.candidacy(shard).begin(term, renewed);
+            }
             CandidacyState::LoopEnded => {
                 warn!(shard = &**shard; "the leader loop has ended by itself");
                 self.candidacy(shard).end().await;
--- a/src/node/simulated_store.rs
+++ b/src/node/simulated_store.rs
@@ -1,6 +1,6 @@
 //! A store in memory for simulations of many entries, on the clock of the runtime. It counts the calls of all entries.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -136,6 +136,8 @@
     links: BTreeMap<usize, ClientLink>,
     /// Number of times that the connections of an entry's waiting watches have gone silent.
     silences: BTreeMap<usize, u64>,
+    /// Which of the next transactions of an entry are carried out and not answered.
+    lost_answers: BTreeMap<usize, VecDeque<bool>>,
     /// Entries that have been killed: none of their calls ends.
     killed: BTreeSet<usize>,
     count: StoreCallCount,
@@ -281,6 +283,11 @@
         *self.lock().silences.entry(client).or_default() += 1;
     }
 
+    /// Sets which of the next transactions of an entry are carried out and not answered, by the number of its client.
+    pub fn lose_answers(&self, client: usize, are_lost: impl IntoIterator<Item = bool>) {
+        self.lock().lost_answers.insert(client, are_lost.into_iter().collect());
+    }
+
     /// Limits the calls of all clients together; further ones are refused.
     pub fn set_rates(&self, rates: StoreRates) {
         let window = RateWindow { start: Instant::now(), reads: 0, writes: 0 };
@@ -428,6 +435,14 @@
         if let TransactionOutcome::Done(revision) = outcome {
             self.store.changed.send_replace(revision);
         }
+        let is_lost = {
+            let mut state = self.store.lock();
+            state.lost_answers.get_mut(&self.number).and_then(VecDeque::pop_front)
+        };
+        if is_lost == Some(true) {
+            sleep(CALL_TIMEOUT).await;
+            return Err(StoreError::Unknown("the answer was lost".to_owned()));
+        }
         Ok(outcome)
     }
 
--- a/src/node/simulation.rs
+++ b/src/node/simulation.rs
@@ -13,6 +13,8 @@
 use crate::node::entry_store::EntryStore;
 use crate::node::input::LeaderInput;
 use crate::node::keys::PLAN_KEY;
+use crate::node::message::{LeaderAnswer, LeaderCall};
+use crate::node::own_leader::ask_own_leader;
 use crate::node::process::EntryLoops;
 use crate::node::settings::NodeSettings;
 use crate::node::shared::NodeShared;
@@ -217,6 +219,16 @@
         Some(Duration::from_millis(millis))
     }
 
+    /// Whether an entry leads the only shard and has a lease that is recent enough to count its jobs.
+    pub async fn acts_as_leader(&self, number: usize) -> bool {
+        let Some(entry) = self.entries.get(&number) else {
+            return false;
+        };
+        let call = LeaderCall::Pending("any".into());
+        let answer = ask_own_leader(&entry.shared, &ShardId::from(""), call).await;
+        matches!(answer, Some(LeaderAnswer::Pending(_)))
+    }
+
     /// Whether an entry leads a shard.
     pub fn leads(&self, number: usize) -> bool {
         self.entries.get(&number).is_some_and(|entry| !entry.shared.led_shards().is_empty())
