Log for how long the runs of a silent worker are kept

The log said that the run was given up with its worker's lease, not how long that lease was taken to be, so a long lease could not be told from a slow start elsewhere or from missing capacity.

--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -565,6 +565,11 @@
             self.late_calls.note_poll(now, id.clone(), instance.offered_ack);
         }
         instance.note_silence(now);
+        if instance.misses == SUSPECT_MISSES && !instance.runs.is_empty() {
+            let (worker, runs) = (&**id, instance.runs.len());
+            let lease_ms = instance.remaining_lease(now).as_millis() as u64;
+            info!(worker, runs, lease_ms; "runs of a silent worker are kept while it may hold its lease");
+        }
         instance.next_poll = now + miss_pause(instance.misses);
         if let CallFailure::NothingThere = failure {
             instance.note_refused(now);
