Raise the fencing token with each further instance of a worker

Cause: all calls of a leader carried one token, its epoch, so the next instance of a worker carried out calls that were meant for the one before, and the only proof against them was time: 12 s and the longest lease. At a crash a poll is nearly always on its way.

Evidence: runs of the silent worker are kept for 14,491 ms, leaders grant 4,500 ms. The same cause made a successor wait too little and had ends forgotten: three tests were red for it.

Change: the token rises with each instance; one that has answered a poll with its own refuses all earlier calls (PROTOCOL.md: "The minion does nothing for a lower value."), gets work from then on, and its lease is the longest one at most from that answer. A refusal of a call to an earlier instance does not end the term.

Before: lasting_gaps::tasks_run_again_after_a_worker_that_had_restarted_is_gone, late_calls::a_task_whose_end_a_late_poll_has_acknowledged_ is_not_started_again and late_calls::a_successor_waits_for_a_late_poll_within_the_longest_lease red, as listed.

Tests that changed: work_goes_to_workers_that_forget_no_ends asked that a worker gets no work while a late poll may have it forget ends. It now refuses that poll, so the test asks that any worker with work does. Epochs in three tests of elections are multiples of the step. An unreadable epoch record stands for the revision times the step, as each election raises the revision by one and the epoch by a step.

--- a/src/graph.rs
+++ b/src/graph.rs
@@ -28,6 +28,7 @@
 };
 pub use storing::compaction::CompactedJob;
 pub use workers::answer_time::AnswerTimeout;
+pub use workers::fences::{EPOCH_STEP, FenceOffset, FenceToken, fence_token, next_epoch};
 pub use workers::health::{HealthRank, WorkerHealth};
 pub use workers::instances::InstanceTable;
 pub use workers::run::{RunPhase, WorkerRun};
--- a/src/graph/controller.rs
+++ b/src/graph/controller.rs
@@ -33,6 +33,7 @@
 use crate::graph::sharding::remote_workers::RemoteWorkerTable;
 use crate::graph::sharding::shard::ShardScope;
 use crate::graph::storing::commit::CommitQueue;
+use crate::graph::workers::fences::EPOCH_STEP;
 use crate::graph::workers::instances::{InstanceTable, WORKER_LEASE};
 use crate::graph::workers::run_costs::RunCosts;
 use crate::graph::workers::send_window::SendWindow;
@@ -629,7 +630,7 @@
     }
 
     fn run_base(&self) -> RunNumber {
-        self.epoch.saturating_sub(1) * RUN_NUMBERS_PER_EPOCH
+        self.epoch.saturating_sub(EPOCH_STEP) * RUN_NUMBERS_PER_EPOCH
     }
 
     /// Names of all tasks that run or may run, with their workers, for the state dump.
--- a/src/graph/controller/commands.rs
+++ b/src/graph/controller/commands.rs
@@ -103,6 +103,7 @@
             return;
         };
         let (address, instance_start) = (instance.address(), instance.instance_start);
+        let fence = instance.fence;
         let registrations_ms = age_text(registrations_age);
         let Some(worker_run) = instance.runs.get_mut(task) else {
             return;
@@ -119,6 +120,7 @@
         self.actions.push(GraphAction::Start(StartCommand {
             worker: worker.clone(),
             instance_start,
+            fence,
             address,
             task: task.clone(),
             run,
@@ -282,8 +284,8 @@
         };
         info!(task:% = task, run, worker = &**worker; "stop sent");
         let (address, instance_start) = (instance.address(), instance.instance_start);
-        let (worker, task) = (worker.clone(), task.clone());
-        self.actions.push(GraphAction::Stop { worker, instance_start, address, task, run });
+        let (worker, task, fence) = (worker.clone(), task.clone(), instance.fence);
+        self.actions.push(GraphAction::Stop { worker, instance_start, fence, address, task, run });
     }
 
     /// Stops runs of less urgent queues and reserves their capacity for a task.
@@ -356,8 +358,12 @@
             return;
         }
         for instance in self.instances.iter_mut() {
-            let (id, address, instance_start) =
-                (instance.id().clone(), instance.address(), instance.instance_start);
+            let (id, address, instance_start, fence) = (
+                instance.id().clone(),
+                instance.address(),
+                instance.instance_start,
+                instance.fence,
+            );
             for (task, worker_run) in &mut instance.runs {
                 let RunPhase::Stopping { answered: None, sent } = &mut worker_run.phase else {
                     continue;
@@ -367,6 +373,7 @@
                     self.actions.push(GraphAction::Stop {
                         worker: id.clone(),
                         instance_start,
+                        fence,
                         address,
                         task: task.clone(),
                         run: worker_run.run,
--- a/src/graph/event.rs
+++ b/src/graph/event.rs
@@ -8,6 +8,7 @@
 use crate::graph::placement::advice::AdviceCall;
 use crate::graph::sharding::shard::ShardId;
 use crate::graph::storing::commit::CommitGroup;
+use crate::graph::workers::fences::FenceOffset;
 use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::{CallId, WorkerId};
 use crate::store::StoreRequest;
@@ -30,6 +31,8 @@
         until: Option<Duration>,
         /// Ends up to this number are stored and acknowledged.
         acked: u64,
+        /// By how much its fencing token exceeds the epoch.
+        fence: FenceOffset,
         /// Longest time that the worker may hold the poll until a run ends.
         wait: Duration,
     },
@@ -41,6 +44,8 @@
         worker: WorkerId,
         /// Start of the last known instance of the worker.
         instance_start: InstanceStart,
+        /// By how much its fencing token exceeds the epoch.
+        fence: FenceOffset,
         /// Address of the worker.
         address: SocketAddr,
         /// The task.
@@ -60,6 +65,8 @@
         run: RunNumber,
         /// Share of its full speed, in percent.
         percent: u32,
+        /// By how much its fencing token exceeds the epoch.
+        fence: FenceOffset,
     },
     /// Request placement advice through an entry.
     Advise(AdviceCall),
@@ -78,6 +85,8 @@
     pub worker: WorkerId,
     /// Start of the last known instance of the worker.
     pub instance_start: InstanceStart,
+    /// By how much its fencing token exceeds the epoch.
+    pub fence: FenceOffset,
     /// Address of the worker.
     pub address: SocketAddr,
     /// The task.
--- a/src/graph/exchange.rs
+++ b/src/graph/exchange.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::graph::workers::fences::FenceOffset;
 use crate::graph::workload::name::{MachineId, RunNumber, TaskName};
 use crate::id::{DomainId, RackId, ServiceId, UnixMillis, WorkerId};
 use crate::resources::ResourceVector;
@@ -148,6 +149,8 @@
 pub struct PollReply {
     /// Start of the instance that answers.
     pub instance_start: InstanceStart,
+    /// By how much the fencing token of the poll exceeds the epoch.
+    pub fence: FenceOffset,
     /// The worker's monotonic clock.
     pub clock: Duration,
     /// All running tasks.
--- a/src/graph/workers.rs
+++ b/src/graph/workers.rs
@@ -1,6 +1,7 @@
 //! Workers as the leader knows them: instances, runs, health, polls and starts in flight.
 
 pub(super) mod answer_time;
+pub(super) mod fences;
 pub(super) mod health;
 pub(super) mod instances;
 pub(super) mod late_calls;
--- a/src/graph/workers/instances.rs
+++ b/src/graph/workers/instances.rs
@@ -13,6 +13,7 @@
     CallFailure, EndKind, InstanceId, PollReply, RunReport, UsedWorker, WorkerRefusal,
     WorkerRegistration,
 };
+use crate::graph::workers::fences::FenceTable;
 use crate::graph::workers::late_calls::{LATE_CALL_TIME, LateCalls};
 use crate::graph::workers::poll_pacer::{IDLE_WAIT, PollPacer};
 use crate::graph::workers::registration_clock::RegistrationClock;
@@ -76,6 +77,7 @@
     heartbeat: Duration,
     speeds: SpeedTable,
     pub(crate) late_calls: LateCalls,
+    fences: FenceTable,
     pub(crate) registration_clock: RegistrationClock,
 }
 
@@ -195,7 +197,8 @@
                 instance.in_store && !was_shown && instance.has_unheard_instance()
             }
             None => {
-                let instance = WorkerInstance::new(registration, now);
+                let fence = self.fences.first_offset(now, &registration.id);
+                let instance = WorkerInstance::new(registration, now).with_fence(fence);
                 self.instances.insert(instance.id().clone(), instance);
                 false
             }
@@ -270,11 +273,11 @@
             return Vec::new();
         };
         if instance.leaves_at.is_some() {
-            return self.end_instance(id, InstanceEnd::Left);
+            return self.end_instance(now, id, InstanceEnd::Left);
         }
         let silent = self.other_silences(id);
         let crash = self.crashes.note_crash(now, instance, &silent);
-        let mut events = self.end_instance(id, InstanceEnd::Replaced);
+        let mut events = self.end_instance(now, id, InstanceEnd::Replaced);
         events.push(WorkerEvent::Crashed(crash));
         events
     }
@@ -286,10 +289,11 @@
     }
 
     /// Removes an instance that has ended; all its runs are lost.
-    fn end_instance(&mut self, id: &WorkerId, end: InstanceEnd) -> Vec<WorkerEvent> {
+    fn end_instance(&mut self, now: Instant, id: &WorkerId, end: InstanceEnd) -> Vec<WorkerEvent> {
         let Some(instance) = self.instances.remove(id) else {
             return Vec::new();
         };
+        self.fences.note_gone(now, id.clone(), instance.fence);
         if instance.leaves_at.is_some() {
             self.crashes.forget_instance(&instance.instance_id());
         }
@@ -328,9 +332,10 @@
             };
             instance.offered_lease_end = until;
             instance.offered_ack = if same_instance { instance.next_ack() } else { 0 };
+            instance.offered_fence = Some(instance.fence);
             let ends_stored =
                 instance.last_stored_end == instance.last_end && instance.withheld_end.is_none();
-            let may_wait = instance.claimed && ends_stored && instance.misses == 0;
+            let may_wait = instance.is_fenced && ends_stored && instance.misses == 0;
             let wait = match may_wait {
                 true if instance.runs.is_empty() => IDLE_WAIT,
                 true => busy_wait,
@@ -341,6 +346,7 @@
                 address: instance.address(),
                 until,
                 acked: instance.offered_ack,
+                fence: instance.fence,
                 wait,
             });
         }
@@ -486,18 +492,24 @@
         instance.grant_lease(offered_lease_end);
         instance.acknowledged_end = instance.acknowledged_end.max(instance.offered_ack);
         let claimed = std::mem::replace(&mut instance.claimed, true);
+        let becomes_fenced = !instance.is_fenced && instance.is_own_fence(reply.fence);
         // The worker's lease may have been extended on the clock of a previous instance.
         if !known_instance || (!claimed && instance.stored_longest_lease) {
             // A late start extends it even where it is refused as one of an ended run.
-            let late_call_time = self.late_calls.time_left(now, id);
+            let late_call_time = match becomes_fenced {
+                true => Duration::ZERO,
+                false => self.late_calls.time_left(now, id),
+            };
             instance.inherit_lease(now, self.max_lease + late_call_time);
             if !late_call_time.is_zero() {
                 instance.note_late_calls(now + late_call_time);
-                instance.late_ack = self.late_calls.highest_ack(id);
             }
         } else if !claimed {
             instance.inherit_lease(now, self.max_lease.min(WORKER_LEASE));
         }
+        if becomes_fenced {
+            instance.note_fenced(self.max_lease);
+        }
         let (instance_id, address) = (instance.instance_id(), instance.address());
         let mut crashed = self.crashes.handle_answer(now, &instance_id);
         if !claimed || !known_instance {
@@ -526,7 +538,7 @@
             return false;
         };
         let is_at_next_instance = instance.instance_start != id.instance_start;
-        if is_at_next_instance {
+        if is_at_next_instance && !instance.is_fenced {
             instance.inherit_lease(now, self.max_lease + LATE_CALL_TIME);
             instance.note_late_calls(now + LATE_CALL_TIME);
         }
@@ -562,7 +574,7 @@
             let lease_end_ms = until.as_millis() as u64;
             info!(worker = &**id, lease_end_ms; "poll that extends the lease was not answered");
             metrics::counter!("kelplink_unanswered_extensions_total").increment(1);
-            self.late_calls.note_poll(now, id.clone(), instance.offered_ack);
+            self.late_calls.note_poll(now, id.clone());
         }
         instance.note_silence(now);
         if instance.misses == SUSPECT_MISSES && !instance.runs.is_empty() {
@@ -576,11 +588,17 @@
         }
         match failure {
             CallFailure::Refused(WorkerRefusal::OtherLife) => self.instance_replaced(now, id),
+            // A call to an earlier instance was refused, which the token of the present one does not allow.
+            CallFailure::Refused(WorkerRefusal::Deposed)
+                if instance.offered_fence != Some(instance.fence) =>
+            {
+                Vec::new()
+            }
             CallFailure::Refused(WorkerRefusal::Deposed) => {
                 vec![WorkerEvent::Deposed(id.clone())]
             }
             CallFailure::NothingThere if instance.has_left => {
-                self.end_instance(id, InstanceEnd::Left)
+                self.end_instance(now, id, InstanceEnd::Left)
             }
             _ => Vec::new(),
         }
@@ -656,7 +674,7 @@
         };
         let gone: Vec<WorkerId> =
             self.instances.values().filter(is_gone).map(|instance| instance.id().clone()).collect();
-        gone.iter().flat_map(|id| self.end_instance(id, InstanceEnd::Vanished)).collect()
+        gone.iter().flat_map(|id| self.end_instance(now, id, InstanceEnd::Vanished)).collect()
     }
 
     /// Whether the store says that the lease of a worker may be the longest one, or that late calls may extend it, and
--- a/src/graph/workers/late_calls.rs
+++ b/src/graph/workers/late_calls.rs
@@ -3,7 +3,8 @@
 //! It answers the load of workers that leave some calls unanswered and carry them out seconds later. A start is sent
 //! again, the run ends, and the worker refuses the late start as one of an ended run; after a restart it refuses
 //! nothing, so the run has to be stopped there as well. A start or a poll that is carried out by the next instance gives
-//! it the longest lease, as the time that it names lies far ahead of the new clock.
+//! it the longest lease, as the time that it names lies far ahead of the new clock. All this lasts until that instance has
+//! answered a call with its own fencing token.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -26,8 +27,7 @@
 
 #[derive(Clone, Debug)]
 enum CallKind {
-    /// A poll that acknowledges the ends up to a number.
-    Poll(u64),
+    Poll,
     Start(TaskName, RunNumber),
 }
 
@@ -38,10 +38,10 @@
 }
 
 impl LateCalls {
-    /// Notes at `noted` that a poll which extends a lease, and acknowledges the ends up to `acked`, was not answered.
-    pub(crate) fn note_poll(&mut self, noted: Instant, worker: WorkerId, acked: u64) {
+    /// Notes at `noted` that a poll which extends a lease was not answered.
+    pub(crate) fn note_poll(&mut self, noted: Instant, worker: WorkerId) {
         self.forget_expired(noted);
-        self.calls.push_back(UnansweredCall { noted, worker, kind: CallKind::Poll(acked) });
+        self.calls.push_back(UnansweredCall { noted, worker, kind: CallKind::Poll });
     }
 
     /// Notes at `noted` that a start was not answered.
@@ -81,17 +81,6 @@
         })
     }
 
-    /// Number up to which the next instance may forget ends that it has not listed, as a poll for an earlier one
-    /// acknowledges them; zero if there is no such poll.
-    pub(crate) fn highest_ack(&self, worker: &WorkerId) -> u64 {
-        let acked = |call: &UnansweredCall| match call.kind {
-            CallKind::Poll(acked) => acked,
-            CallKind::Start(..) => 0,
-        };
-        let calls = self.calls.iter().filter(|call| call.worker == *worker);
-        calls.map(acked).max().unwrap_or(0)
-    }
-
     fn forget_expired(&mut self, now: Instant) {
         let is_expired =
             |call: &mut UnansweredCall| now.saturating_duration_since(call.noted) >= LATE_CALL_TIME;
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::graph::exchange::{InstanceId, InstanceStart, WorkerRegistration};
+use crate::graph::workers::fences::{FenceOffset, is_distinct};
 use crate::graph::workers::health::{HealthRank, WorkerHealth};
 use crate::graph::workers::instances::WORKER_LEASE;
 use crate::graph::workers::run::WorkerRun;
@@ -94,10 +95,14 @@
     pub(crate) offered_ack: u64,
     /// Number of the last run end that an answered poll has acknowledged.
     pub(crate) acknowledged_end: u64,
+    /// By how much the fencing token of calls to it exceeds the epoch of the leader.
+    pub fence: FenceOffset,
+    /// `fence` of the poll in flight; `None` before the first poll.
+    pub(crate) offered_fence: Option<FenceOffset>,
+    /// Whether it has answered a poll with its own token, so that it refuses all calls to earlier instances.
+    pub(crate) is_fenced: bool,
     /// Until when it may carry out calls that were meant for an earlier instance.
     pub(crate) late_calls_end: Option<Instant>,
-    /// Number up to which such calls may have it forget ends that it has not listed.
-    pub(crate) late_ack: u64,
     /// Latest lease end that it has acknowledged.
     pub(crate) granted_lease_end: Option<Duration>,
     /// Number of the last run end that was processed.
@@ -172,8 +177,10 @@
             granted_lease_end: None,
             offered_ack: 0,
             acknowledged_end: 0,
+            fence: 0,
+            offered_fence: None,
+            is_fenced: false,
             late_calls_end: None,
-            late_ack: 0,
             last_end: 0,
             last_stored_end: 0,
             unstored_ends: VecDeque::new(),
@@ -198,6 +205,11 @@
         }
     }
 
+    /// Sets the offset of the fencing token of calls to it.
+    pub(crate) fn with_fence(self, fence: FenceOffset) -> Self {
+        Self { fence, ..self }
+    }
+
     /// Whether an answer or a registration comes from another instance than the last one that answered.
     pub(crate) fn is_other_instance(&self, instance_start: InstanceStart) -> bool {
         self.instance_start.is_some()
@@ -272,6 +284,7 @@
             has_predecessor: true,
             stored_longest_lease: self.stored_longest_lease,
             stored_late_calls: self.stored_late_calls,
+            fence: self.fence + 1,
             ..Self::new(self.registration.clone(), now)
         }
     }
@@ -372,6 +385,21 @@
         }
     }
 
+    /// Notes an answer to a poll that carried its own token, with the longest lease that calls to earlier instances may
+    /// have granted before.
+    pub(crate) fn note_fenced(&mut self, max_lease: Duration) {
+        self.is_fenced = true;
+        self.late_calls_end = None;
+        if self.has_predecessor {
+            self.latest_lease_end = self.clock.map(|(clock, _)| clock + max_lease);
+        }
+    }
+
+    /// Whether calls with this offset are only sent to this instance.
+    pub(crate) fn is_own_fence(&self, fence: FenceOffset) -> bool {
+        fence == self.fence && is_distinct(fence)
+    }
+
     /// Whether the lease has certainly expired, so that nothing that was started there still runs.
     pub fn is_lease_expired(&self, now: Instant) -> bool {
         match (self.latest_lease_end, self.clock_lower_bound(now)) {
@@ -525,11 +553,13 @@
 
     /// Whether it may get new work, leaving its free capacity aside. A worker that left its last call
     /// unanswered may be cut off: it is polled again at once, and a start that does not reach it would block
-    /// its task until the lease expires. The end of a task at a worker with unlisted ends would not be known
+    /// its task until the lease expires. Late calls to an earlier instance may extend the lease of one that does
+    /// not refuse them yet, and have it forget ends. The end of a task at a worker with unlisted ends would not be known
     /// before those ends are stored.
     pub fn accepts_work(&self, now: Instant, max_silence: Duration) -> bool {
         self.is_available()
             && self.claimed
+            && self.is_fenced
             && self.in_store
             && !self.has_unknown_demand
             && !self.has_unlisted_ends
@@ -540,13 +570,12 @@
     }
 
     /// Its current health rank. Where an end is withheld, the ends after it are not acknowledged either, and
-    /// a long list is cut off at its end. Where a late poll may have it forget ends, a task whose end is lost
-    /// may run twice. Such a worker is used last, but not excluded, since a shard of two workers needs it.
+    /// a long list is cut off at its end. Such a worker is used last, but not excluded, since a shard of two
+    /// workers needs it.
     pub fn rank(&self, now: Instant) -> HealthRank {
-        let may_forget_ends = self.last_end < self.late_ack && self.has_late_calls(now);
         match self.withheld_end {
-            None if !may_forget_ends => self.health.rank(now),
-            _ => self.health.rank(now).max(HealthRank::Doubtful),
+            None => self.health.rank(now),
+            Some(_) => self.health.rank(now).max(HealthRank::Doubtful),
         }
     }
 
--- a/src/graph/workload/name.rs
+++ b/src/graph/workload/name.rs
@@ -18,8 +18,8 @@
 pub type RunNumber = u64;
 /// Identifies a request of a caller; retries by an entry keep the number.
 pub type AttemptId = u64;
-/// Order of leaders: workers refuse commands with a lower epoch than the highest that they have
-/// seen.
+/// Order of leaders. It is the lowest fencing token of a leader's calls to workers, which refuse calls with a lower token
+/// than the highest that they have seen.
 pub type LeaderEpoch = u64;
 
 /// A step in one occurrence of its graph.
--- a/src/node/action_executor.rs
+++ b/src/node/action_executor.rs
@@ -10,14 +10,14 @@
 
 use crate::graph::{
     AdviceCall, AnswerTimeout, CallFailure, CommandResult, CommitGroup, GraphAction, InstanceId,
-    LeaderEpoch, StartCommand,
+    LeaderEpoch, StartCommand, fence_token,
 };
 use crate::id::EntryId;
 use crate::node::input::LeaderInput;
 use crate::node::ledger::JobLedger;
 use crate::node::peers::PeerClient;
 use crate::node::shared::NodeShared;
-use crate::platform::{CallContext, WorkerClient};
+use crate::platform::{CallContext, PollCall, WorkerClient};
 use crate::ring::RingSender;
 
 /// Makes each call in its own task, which sends the outcome to the leader's loop.
@@ -79,16 +79,20 @@
     pub(crate) fn execute(&self, action: GraphAction) {
         let (workers, leader) = (self.workers.clone(), self.leader.clone());
         let (times, sent) = (self.times.clone(), Instant::now());
-        let context = CallContext { epoch: self.epoch, timeout: times.timeout() };
+        let (epoch, timeout) = (self.epoch, times.timeout());
+        let context = |fence| CallContext { token: fence_token(epoch, fence), timeout };
         match action {
-            GraphAction::Poll { worker, address, until, acked, wait } => {
+            GraphAction::Poll { worker, address, until, acked, fence, wait } => {
+                let call = PollCall { until, acked, fence, wait };
+                let context = context(fence);
                 tokio::spawn(async move {
-                    let poll = workers.poll(context, &worker, address, until, acked, wait);
+                    let poll = workers.poll(context, &worker, address, call);
                     let result = poll.await;
                     leader.send(LeaderInput::Polled(worker, result)).await;
                 });
             }
             GraphAction::Start(command) => {
+                let context = context(command.fence);
                 tokio::spawn(async move {
                     let result = workers.start(context, &command).await;
                     times.note_answer(sent, &result);
@@ -97,7 +101,8 @@
                     leader.send(LeaderInput::Started(instance, task, run, result)).await;
                 });
             }
-            GraphAction::Stop { worker, instance_start, address, task, run } => {
+            GraphAction::Stop { worker, instance_start, fence, address, task, run } => {
+                let context = context(fence);
                 tokio::spawn(async move {
                     let result = workers.stop(context, &worker, address, &task, run).await;
                     times.note_answer(sent, &result);
@@ -105,7 +110,8 @@
                     leader.send(LeaderInput::Stopped(instance, task, run, result)).await;
                 });
             }
-            GraphAction::Throttle { worker, address, task, run, percent } => {
+            GraphAction::Throttle { worker, address, task, run, percent, fence } => {
+                let context = context(fence);
                 tokio::spawn(async move {
                     let throttle = workers.throttle(context, &worker, address, &task, run, percent);
                     let result = throttle.await;
--- a/src/node/candidacy.rs
+++ b/src/node/candidacy.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::graph::{LeaderEpoch, ShardId};
+use crate::graph::{LeaderEpoch, ShardId, next_epoch};
 use crate::node::input::LeaderInput;
 use crate::node::leader::LeaderLoop;
 use crate::node::records::{EarlierLeader, LeaderProcess, LeaderTerm, unknown_leader};
@@ -246,7 +246,7 @@
             }
             // The loop may have missed a term of another entry, so it does not continue under this epoch.
             (Some(own), Some(leader))
-                if leader.epoch == shard_view.epoch && leader.epoch > own.epoch + 1 =>
+                if leader.epoch == shard_view.epoch && leader.epoch > next_epoch(own.epoch) =>
             {
                 warn!(shard = &*self.shard, epoch = own.epoch, later = leader.epoch; "this entry leads under a later epoch");
                 CandidacyState::Superseded
@@ -320,7 +320,7 @@
         let renewal = LeaderInput::Renewed(renewed.unwrap_or_else(Instant::now));
         self.last_epoch = epoch;
         if let Some(leadership) = &mut self.leadership
-            && leadership.epoch + 1 == epoch
+            && next_epoch(leadership.epoch) == epoch
             && !leadership.task.is_finished()
         {
             leadership.epoch = epoch;
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -23,7 +23,7 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::graph::{LeaderEpoch, ShardId};
+use crate::graph::{LeaderEpoch, ShardId, next_epoch};
 use crate::node::answer_condition::LEASE_TTL;
 use crate::node::availability::MAX_RENEWAL_INTERVAL;
 use crate::node::backoff::RetryBackoff;
@@ -344,7 +344,7 @@
             return;
         };
         let shard_view = view.shard(shard);
-        let epoch = shard_view.epoch + 1;
+        let epoch = next_epoch(shard_view.epoch);
         let settings = &self.shared.settings;
         let record = LeaderRecord {
             entry: settings.name.clone(),
--- a/src/node/election/handover.rs
+++ b/src/node/election/handover.rs
@@ -6,7 +6,7 @@
 use log::{info, warn};
 use tokio::time::{Instant, sleep};
 
-use crate::graph::{LeaderEpoch, ShardId};
+use crate::graph::{LeaderEpoch, ShardId, next_epoch};
 use crate::node::election::{ElectionLoop, LOG_NAME, RETRY_PAUSE, encode, predecessors};
 use crate::node::handover_inbox::SuccessorOffer;
 use crate::node::keys::{
@@ -143,7 +143,7 @@
                     .increment(1);
                 match offer {
                     Some(offer) => {
-                        let epoch = epoch + 1;
+                        let epoch = next_epoch(epoch);
                         let term = LeaderTerm { epoch, epoch_revision, predecessor, earlier };
                         self.notify_successor(shard, &offer, &term).await;
                     }
@@ -236,7 +236,7 @@
         }
         let view = self.shared.members.borrow().clone();
         // A term that this process lost, and has not noticed yet, must not go on beside the new one.
-        if self.candidacy(shard).epoch().is_some_and(|epoch| epoch + 1 != term.epoch) {
+        if self.candidacy(shard).epoch().is_some_and(|epoch| next_epoch(epoch) != term.epoch) {
             self.candidacy(shard).end().await;
         }
         self.candidacy(shard).note_registrations(&view);
@@ -287,7 +287,7 @@
 ) -> Option<(SuccessorOffer, LeaderTerm)> {
     let item = items.iter().find(|item| item.key == epoch_key(shard))?;
     let record: EpochRecord = serde_json::from_slice(&item.value).ok()?;
-    let (entry, start) = record.holder.filter(|_| record.epoch == epoch + 1)?;
+    let (entry, start) = record.holder.filter(|_| record.epoch == next_epoch(epoch))?;
     let address = view.entries.get(&entry)?.address;
     let (epoch, epoch_revision) = (record.epoch, item.revision);
     let term = LeaderTerm { epoch, epoch_revision, predecessor, earlier };
@@ -319,7 +319,7 @@
         let writes = vec![KeyWrite { key: epoch_key(shard), value: encode(&record), lease: None }];
         return Some(KeyTransaction { conditions, writes, removes: vec![leader_key(shard)] });
     };
-    let epoch = epoch + 1;
+    let epoch = next_epoch(epoch);
     let holder = Some((offer.entry.clone(), offer.start));
     let leader = encode(&leader_record(offer, epoch));
     let record = EpochRecord::new(epoch, holder, best);
--- a/src/node/handover_inbox.rs
+++ b/src/node/handover_inbox.rs
@@ -37,7 +37,8 @@
 pub(crate) struct HandoverInbox {
     /// This entry's lease, while it can lead.
     lease: Mutex<Option<LeaseId>>,
-    /// Terms that this entry has offered to lead, and until when each waits for the previous leader's notification.
+    /// Epochs after which this entry has offered to lead, and until when the term waits for the previous leader's
+    /// notification.
     expected_terms: Mutex<BTreeMap<ShardId, (LeaderEpoch, Instant)>>,
     /// Terms handed over to this entry that have not begun.
     delivered_terms: Mutex<BTreeMap<ShardId, LeaderTerm>>,
@@ -54,7 +55,7 @@
     /// then on.
     pub(crate) fn expect_term(&self, shard: ShardId, epoch: LeaderEpoch) -> Option<LeaseId> {
         let lease = (*lock(&self.lease))?;
-        lock(&self.expected_terms).insert(shard, (epoch + 1, Instant::now() + TERM_WAIT));
+        lock(&self.expected_terms).insert(shard, (epoch, Instant::now() + TERM_WAIT));
         Some(lease)
     }
 
@@ -63,7 +64,7 @@
         let expected_terms = lock(&self.expected_terms);
         expected_terms
             .get(shard)
-            .is_some_and(|(term, until)| *term == epoch && Instant::now() < *until)
+            .is_some_and(|(before, until)| *before < epoch && Instant::now() < *until)
     }
 
     /// Takes the notification that a leader has ended and the store names this entry for the next term.
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::graph::EPOCH_STEP;
 use crate::node::availability::{StoreRetry, WATCH_WAIT};
 use crate::node::keys::{
     ENTRY_PREFIX, KeyEvent, KeyItem, LEADER_KEY, MEMBER_PREFIX, PLAN_KEY, ROSTER_PREFIX,
@@ -269,10 +270,10 @@
     }
 }
 
-/// Stands in for an unreadable epoch record. Each election raises the store's revision, so the key's revision is at
-/// least as high as its epoch; the leader elected last is unknown and may still run.
+/// Stands in for an unreadable epoch record. Each election raises the store's revision, so there were at most as
+/// many as the key's revision says; the leader elected last is unknown and may still run.
 fn unreadable_epoch(item: &KeyItem) -> EpochRecord {
-    EpochRecord::new(item.revision, Some(unknown_leader()), MachineCapacity::default())
+    EpochRecord::new(item.revision * EPOCH_STEP, Some(unknown_leader()), MachineCapacity::default())
 }
 
 /// Stands in for an unreadable record of earlier leaders.
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -9,7 +9,8 @@
 use tokio::time::{Instant, advance};
 
 use crate::graph::{
-    GraphBounds, GraphId, GraphState, QueueConfig, RequestLimits, RunCosts, ShardId, ShardPlan,
+    EPOCH_STEP, GraphBounds, GraphId, GraphState, QueueConfig, RequestLimits, RunCosts, ShardId,
+    ShardPlan,
 };
 use crate::node::KeyItem;
 use crate::node::candidacy::{Candidacy, CandidacyState};
@@ -376,8 +377,8 @@
 }
 
 /// An unreadable epoch record was treated as missing: the next leader had epoch 1, which is not above that of
-/// its predecessor, and considered the predecessor ended. Each election raises the store's revision, so the
-/// revision of the key is at least as high as any epoch.
+/// its predecessor, and considered the predecessor ended. Each election raises the store's revision, so
+/// there were at most as many as the revision of the key says.
 #[gtest]
 fn an_unreadable_epoch_record_yields_a_high_epoch() {
     let holder = ("entry-2".into(), 7);
@@ -387,7 +388,7 @@
         let value = Bytes::from("no json");
         apply_write(&mut view, &KeyItem { key: epoch_key(&only_shard()), value, revision: 40 });
         let led = view.shard(&only_shard());
-        expect_that!(led.epoch, eq(40));
+        expect_that!(led.epoch, eq(40 * EPOCH_STEP));
         expect_that!(led.epoch_revision, eq(40));
         let holder = led.holder;
         expect_that!(holder, some(anything()));
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -25,7 +25,7 @@
 };
 pub use settings::{SETTINGS_VARIABLE, parse_platform_settings};
 pub(crate) use store::{PAGE_TIMEOUT, PlatformStore};
-pub(crate) use workers::{CallContext, WorkerClient};
+pub(crate) use workers::{CallContext, PollCall, WorkerClient};
 
 #[cfg(test)]
 mod empty_store;
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -10,8 +10,8 @@
 
 use crate::client::{ClientError, HttpClient};
 use crate::graph::{
-    CallFailure, CommandResult, EndKind, EndReport, InstanceStart, LeaderEpoch, PollReply,
-    PollResult, RunNumber, RunReport, StartCommand, TaskName, WorkerRefusal,
+    CallFailure, CommandResult, EndKind, EndReport, FenceOffset, FenceToken, InstanceStart,
+    PollReply, PollResult, RunNumber, RunReport, StartCommand, TaskName, WorkerRefusal,
 };
 use crate::id::WorkerId;
 use crate::platform::http::{JsonCall, read_json, send_json};
@@ -37,7 +37,7 @@
     run: RunNumber,
     spec: &'c str,
     until_ms: u64,
-    fencing_token: LeaderEpoch,
+    fencing_token: FenceToken,
     #[serde(skip_serializing_if = "str::is_empty")]
     checkpoint: &'c str,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -49,7 +49,7 @@
 struct WireStop {
     task: String,
     run: RunNumber,
-    fencing_token: LeaderEpoch,
+    fencing_token: FenceToken,
 }
 
 #[derive(Debug)]
@@ -58,7 +58,7 @@
     task: String,
     run: RunNumber,
     percent: u32,
-    fencing_token: LeaderEpoch,
+    fencing_token: FenceToken,
 }
 
 #[derive(Debug)]
@@ -66,7 +66,7 @@
 struct WirePoll {
     #[serde(skip_serializing_if = "Option::is_none")]
     until_ms: Option<u64>,
-    fencing_token: LeaderEpoch,
+    fencing_token: FenceToken,
     ack_cursor: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     wait_ms: Option<u64>,
@@ -106,12 +106,25 @@
 /// Parameters that all calls to workers share.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallContext {
-    /// Epoch of the calling leader.
-    pub(crate) epoch: LeaderEpoch,
+    /// Fencing token.
+    pub(crate) token: FenceToken,
     /// Timeout of a call.
     pub(crate) timeout: Duration,
 }
 
+/// Content of a poll.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PollCall {
+    /// End of the lease on the worker's clock; `None` to leave the lease as it is.
+    pub(crate) until: Option<Duration>,
+    /// Ends up to this number are acknowledged.
+    pub(crate) acked: u64,
+    /// By how much the fencing token exceeds the epoch.
+    pub(crate) fence: FenceOffset,
+    /// Longest time that the worker may hold the poll.
+    pub(crate) wait: Duration,
+}
+
 /// A client that calls any worker.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerClient {
@@ -134,7 +147,7 @@
             run: command.run,
             spec: &command.payload,
             until_ms: millis(command.until),
-            fencing_token: context.epoch,
+            fencing_token: context.token,
             checkpoint: &command.checkpoint,
             ticket: command.ticket.as_deref(),
         };
@@ -150,7 +163,7 @@
         task: &TaskName,
         run: RunNumber,
     ) -> CommandResult {
-        let body = WireStop { task: task.to_string(), run, fencing_token: context.epoch };
+        let body = WireStop { task: task.to_string(), run, fencing_token: context.token };
         self.command(worker, address, STOP_PATH, &body, context.timeout).await
     }
 
@@ -165,7 +178,7 @@
         percent: u32,
     ) -> CommandResult {
         let body =
-            WireThrottle { task: task.to_string(), run, percent, fencing_token: context.epoch };
+            WireThrottle { task: task.to_string(), run, percent, fencing_token: context.token };
         self.command(worker, address, THROTTLE_PATH, &body, context.timeout).await
     }
 
@@ -175,13 +188,12 @@
         context: CallContext,
         worker: &WorkerId,
         address: SocketAddr,
-        until: Option<Duration>,
-        acked: u64,
-        wait: Duration,
+        call: PollCall,
     ) -> PollResult {
+        let PollCall { until, acked, fence, wait } = call;
         let body = WirePoll {
             until_ms: until.map(millis),
-            fencing_token: context.epoch,
+            fencing_token: context.token,
             ack_cursor: acked,
             wait_ms: (!wait.is_zero()).then(|| millis(wait)),
         };
@@ -193,7 +205,7 @@
         let ended = answer.finished.into_iter().filter_map(end_report).collect();
         let running = answer.running.into_iter().filter_map(run_report).collect();
         let clock = Duration::from_millis(answer.clock_ms);
-        Ok(PollReply { instance_start: answer.born, clock, running, ended, has_more_ends })
+        Ok(PollReply { instance_start: answer.born, fence, clock, running, ended, has_more_ends })
     }
 
     async fn command<B: Serialize>(
