--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -5,12 +5,13 @@
 use log::info;
 use tokio::time::Instant;
 
-use crate::graph::exchange::PollReply;
+use crate::graph::exchange::{InstanceId, PollReply};
 use crate::graph::workers::instances::InstanceTable;
+use crate::graph::workers::late_calls::LATE_CALL_TIME;
 use crate::graph::workers::run::{RunPhase, WorkerRun};
 use crate::graph::workers::worker::InstanceEnd;
 use crate::graph::workers::worker_event::{LostRun, WorkerEvent};
-use crate::graph::workload::name::TaskName;
+use crate::graph::workload::name::{RunNumber, TaskName};
 use crate::id::WorkerId;
 
 type RunTable = BTreeMap<TaskName, WorkerRun>;
@@ -81,6 +82,27 @@
         }
         events
     }
+
+    /// Notes that a start was not answered. Where it was sent to an earlier instance, the one that has answered since may
+    /// still carry it out, and returns whether that is so.
+    pub(crate) fn note_unanswered_start(
+        &mut self,
+        now: Instant,
+        id: &InstanceId,
+        task: &TaskName,
+        run: RunNumber,
+    ) -> bool {
+        self.late_calls.note_start(now, id.worker.clone(), task.clone(), run);
+        let Some(instance) = self.instances.get_mut(&id.worker) else {
+            return false;
+        };
+        let is_at_next_instance = instance.instance_start != id.instance_start;
+        if is_at_next_instance && !instance.is_fenced {
+            instance.inherit_lease(now, self.max_lease + LATE_CALL_TIME);
+            instance.note_late_calls(now + LATE_CALL_TIME);
+        }
+        is_at_next_instance
+    }
 }
 
 impl WorkerRun {
