Summarize histograms also where nobody scrapes the metrics

Cause: histograms keep each value until they are summarized, which only a scrape did; entries on the platform had no upkeep of their own.

The test fails without the loop, as it is the loop's.

--- a/src/node.rs
+++ b/src/node.rs
@@ -23,6 +23,7 @@
 mod machine;
 mod members;
 mod message;
+mod metrics_upkeep;
 mod notices;
 mod own_leader;
 mod page_timeout;
@@ -63,6 +64,8 @@
 #[cfg(test)]
 mod members_tests;
 #[cfg(test)]
+mod metrics_upkeep_tests;
+#[cfg(test)]
 mod scale_tests;
 #[cfg(test)]
 mod takeover_tests;
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -23,6 +23,7 @@
 use crate::node::configuration::ConfigLoop;
 use crate::node::election::ElectionLoop;
 use crate::node::members::MembershipLoop;
+use crate::node::metrics_upkeep::keep_metrics;
 use crate::node::peer_service::serve_peers;
 use crate::node::probe::{ProbeHandler, metric_routes, ready_routes};
 use crate::node::reachability::ReachabilityLoop;
@@ -96,6 +97,8 @@
             .listen(settings.callers, limits, caller_routes(), handler, callers_stopped)
             .context("callers")?;
         let EntryLoops { election, .. } = EntryLoops::spawn(&self.shared);
+        let metrics = self.metrics.clone();
+        tokio::spawn(keep_metrics(move || metrics.run_upkeep()));
         wait_for_stop().await?;
         self.drain(stop_callers, callers, election).await;
         let _ = stop_probe.send(true);
