--- a/src/node/election/unheard_election_tests.rs
+++ b/src/node/election/unheard_election_tests.rs
@@ -34,7 +34,7 @@
 }
 
 // A leader whose lease had ended won the next election itself, and the answer was lost. Its loop went on under the old epoch
-// and got no renewals, so it lost its authority after 5 s, while its key kept the other entries from campaigning for good.
+// and got no renewals, so it lost its authority after 5 s, while its key kept the other entries from campaigning.
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn the_entry_that_the_store_names_as_leader_acts_whichever_answers_are_lost() {
--- a/tests/graph/late_calls.rs
+++ b/tests/graph/late_calls.rs
@@ -371,7 +371,7 @@
 }
 
 // An entry of an earlier release is elected after one that has raised tokens: its epoch is the next number. Workers that
-// have restarted more often than that refuse it, and it goes on as far as each further election takes it.
+// have restarted more often than there were elections since refuse it, so that it steps down.
 #[gtest]
 fn leaders_of_an_earlier_release_are_accepted_after_as_many_elections_as_restarts() {
     let (mut cluster, worker) = (start_cluster(3), WorkerId::from("w0-0"));
