Count a worker that comes back as one with an earlier instance

With its first answer it refuses such calls, and no longer counted as one that may have carried them out before. It may hold the longest lease by then, of which the next leader was not told, so it waited for the usual one and started the task elsewhere while it still ran.

Cause: the time for late calls was taken as zero where the first answer carried the token, and with it the mark that there was an earlier instance.

Change: the mark is set as before; only the time for further late calls ends with that answer. The same for a start that is found unanswered later.

Before: a_successor_waits_for_the_lease_of_a_late_poll_before_the_first_answer_of_a_worker_that_had_vanished fails ("b.0.0.0 runs on [w0-0, w1-0]"). After: it passes, with all 28 tests of late calls, restarted leases and lost workers.

--- a/src/graph/workers/instances/polls.rs
+++ b/src/graph/workers/instances/polls.rs
@@ -238,10 +238,7 @@
         // The worker's lease may have been extended on the clock of a previous instance.
         if !known_instance || (!claimed && instance.stored_longest_lease) {
             // A late start extends it even where it is refused as one of an ended run.
-            let late_call_time = match becomes_fenced {
-                true => Duration::ZERO,
-                false => self.late_calls.time_left(now, id),
-            };
+            let late_call_time = self.late_calls.time_left(now, id);
             instance.inherit_lease(now, self.max_lease + late_call_time);
             if !late_call_time.is_zero() {
                 instance.note_late_calls(now + late_call_time);
--- a/src/graph/workers/instances/restart.rs
+++ b/src/graph/workers/instances/restart.rs
@@ -97,6 +97,9 @@
             return false;
         };
         let is_at_next_instance = instance.instance_start != id.instance_start;
+        if is_at_next_instance {
+            instance.note_predecessor();
+        }
         if is_at_next_instance && !instance.is_fenced {
             instance.inherit_lease(now, self.max_lease + LATE_CALL_TIME);
             instance.note_late_calls(now + LATE_CALL_TIME);
--- a/src/graph/workers/worker.rs
+++ b/src/graph/workers/worker.rs
@@ -438,9 +438,14 @@
             || self.pending_registration.is_some()
     }
 
-    /// Notes that until `end` it may carry out calls that were meant for an earlier instance under its id.
-    pub(crate) fn note_late_calls(&mut self, end: Instant) {
+    /// Notes that it may have carried out calls that were meant for an earlier instance under its id.
+    pub(crate) fn note_predecessor(&mut self) {
         self.has_predecessor = true;
+    }
+
+    /// Notes that until `end` it may carry out such calls.
+    pub(crate) fn note_late_calls(&mut self, end: Instant) {
+        self.note_predecessor();
         self.late_calls_end = self.late_calls_end.max(Some(end));
     }
 
--- a/tests/graph/late_calls.rs
+++ b/tests/graph/late_calls.rs
@@ -266,6 +266,40 @@
     }
 }
 
+// The same where the poll arrives before the first answer of the instance that comes back, which holds the longest lease
+// from then on.
+#[gtest]
+fn a_successor_waits_for_the_lease_of_a_late_poll_before_the_first_answer_of_a_worker_that_had_vanished()
+ {
+    for seed in 0..8 {
+        let (mut cluster, worker) = (start_cluster(seed), WorkerId::from("w0-0"));
+        cluster.planned_faults.polls.insert(worker.clone(), seconds(60));
+        while cluster.planned_faults.polls.contains_key(&worker) {
+            cluster.run(Duration::from_millis(5));
+        }
+        cluster.crash_and_restart(&worker, seconds(6));
+        while !cluster.workers[&worker].up {
+            cluster.run(Duration::from_millis(1));
+        }
+        // As the poll does that the previous instance has left unanswered.
+        let (now, until) = (cluster.now, seconds(600));
+        cluster.workers.get_mut(&worker).unwrap().extend(until, now, LONGEST_LEASE);
+        cluster.run(Duration::from_millis(100));
+        let (job, other) = fill(&mut cluster, &worker, 9_000);
+        cluster.run(Duration::from_millis(100));
+        let epoch = cluster.store.epoch;
+        cluster.leaders.remove(&epoch);
+        cluster.workers.get_mut(&worker).unwrap().connected = false;
+        cluster.run(Duration::from_millis(700));
+        cluster.elect();
+        let now = cluster.now;
+        cluster.leader().unwrap().note_predecessor_ended(now);
+        cluster.cancel(other);
+        cluster.run(seconds(40));
+        expect_that!(cluster.state(job), some(eq(GraphState::Completed)), "seed {seed}");
+    }
+}
+
 // A start by the previous clock gave the new instance the longest lease, and a late poll extended it at its end.
 #[gtest]
 fn a_successor_waits_for_a_late_poll_within_the_longest_lease() {
