--- a/src/graph/workers/instances/polls.rs
+++ b/src/graph/workers/instances/polls.rs
@@ -293,7 +293,7 @@
         }
         match failure {
             CallFailure::Refused(WorkerRefusal::OtherLife) => self.instance_replaced(now, id),
-            // A call to an earlier instance was refused, which the token of the present one does not allow.
+            // A refused token of an earlier instance shows no later leader.
             CallFailure::Refused(WorkerRefusal::Deposed)
                 if instance.offered_fence != Some(instance.fence) =>
             {
